--- /dev/null
+++ b/Source/Admission/FixedSplitQuota.h
@@ -0,0 +1,34 @@
+#ifndef ANVIL_ADMISSION_FIXEDSPLITQUOTA_H
+#define ANVIL_ADMISSION_FIXEDSPLITQUOTA_H
+
+#include "Admission/TokenBucket.h"
+#include "Config/ConfigState.h"
+#include "Requests/QuotaGate.h"
+
+#include <map>
+#include <memory>
+
+namespace anvil {
+
+/// Gives each VM an equal and fixed part of every customer's rate and burst.
+/// It is the baseline that shares are measured against.
+class FixedSplitQuota : public QuotaGate {
+public:
+  /// `VmCount` is the number of VMs that the quotas are split over.
+  FixedSplitQuota(std::shared_ptr<ConfigState> State, std::size_t VmCount);
+
+  boost::asio::awaitable<Outcome<QuotaCharge>>
+  charge(const RequestContext &Request) override;
+  void settle(const QuotaCharge &Charge, double UsedTokens) override;
+
+private:
+  TokenBucket &bucketOf(const Customer &Owner, TimePoint Now);
+
+  std::shared_ptr<ConfigState> State_;
+  double VmCount_;
+  std::map<std::string, TokenBucket> Buckets_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ADMISSION_FIXEDSPLITQUOTA_H
--- /dev/null
+++ b/Source/Admission/TokenBucket.cpp
@@ -0,0 +1,56 @@
+#include "Admission/TokenBucket.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+TokenBucket::TokenBucket(double RatePerSecond, double Capacity, double Balance,
+                         TimePoint Now)
+    : RatePerSecond_(RatePerSecond), Capacity_(Capacity),
+      Balance_(std::min(Balance, Capacity)), GrownAt_(Now) {}
+
+void TokenBucket::grow(TimePoint Now) {
+  if (Now <= GrownAt_)
+    return;
+  Balance_ += RatePerSecond_ * toSeconds(Now - GrownAt_);
+  Balance_ = std::min(Balance_, Capacity_);
+  GrownAt_ = Now;
+}
+
+bool TokenBucket::take(double Tokens, TimePoint Now) {
+  grow(Now);
+  if (Tokens > Balance_)
+    return false;
+  Balance_ -= Tokens;
+  return true;
+}
+
+void TokenBucket::putBack(double Tokens, TimePoint Now) {
+  grow(Now);
+  Balance_ = std::min(Balance_ + Tokens, Capacity_);
+}
+
+Duration TokenBucket::waitFor(double Tokens, TimePoint Now) {
+  grow(Now);
+  if (Tokens <= Balance_)
+    return Duration::zero();
+  if (Tokens > Capacity_ || RatePerSecond_ <= 0)
+    return Duration::max();
+  double Seconds = (Tokens - Balance_) / RatePerSecond_;
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(Seconds));
+}
+
+void TokenBucket::reshape(double RatePerSecond, double Capacity,
+                          TimePoint Now) {
+  grow(Now);
+  RatePerSecond_ = RatePerSecond;
+  Capacity_ = Capacity;
+  Balance_ = std::min(Balance_, Capacity_);
+}
+
+double TokenBucket::balance(TimePoint Now) {
+  grow(Now);
+  return Balance_;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Commands/AdminClient.h
@@ -0,0 +1,31 @@
+#ifndef ANVIL_COMMANDS_ADMINCLIENT_H
+#define ANVIL_COMMANDS_ADMINCLIENT_H
+
+#include "Http/Endpoint.h"
+#include "Http/HttpMessage.h"
+#include "Kernel/Clock.h"
+
+#include <string>
+
+namespace anvil {
+
+/// Sends requests to the admin port of one anvild and waits for each answer.
+class AdminClient {
+public:
+  AdminClient(Endpoint Server, std::string Token, Duration Timeout);
+
+  /// Errors: unavailable (nothing was sent), timeout, connection closed.
+  Result<HttpReply> get(const std::string &Target);
+  Result<HttpReply> post(const std::string &Target, const std::string &Body);
+
+private:
+  Result<HttpReply> call(HttpRequest Request);
+
+  Endpoint Server_;
+  std::string Token_;
+  Duration Timeout_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_COMMANDS_ADMINCLIENT_H
--- /dev/null
+++ b/Source/Commands/StatusCommand.cpp
@@ -0,0 +1,46 @@
+#include "Commands/StatusCommand.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace anvil {
+
+using nlohmann::json;
+
+static std::string cellText(const json &Value) {
+  return Value.is_string() ? Value.get<std::string>() : Value.dump();
+}
+
+/// A list of records as lines, anything else as one line.
+static void printSection(const std::string &Title, const json &Section) {
+  std::cout << Title << "\n";
+  json Rows = Section.is_array() ? Section : json::array({Section});
+  for (const json &Row : Rows) {
+    std::cout << " ";
+    if (!Row.is_object())
+      std::cout << " " << cellText(Row);
+    else
+      for (const auto &[Field, Value] : Row.items())
+        std::cout << " " << Field << "=" << cellText(Value);
+    std::cout << "\n";
+  }
+}
+
+ExitStatus StatusCommand::run(CommandContext &Context) const {
+  auto Reply = Context.Client_.get("/admin/status");
+  ExitStatus Status = reportReply(Reply);
+  if (Status != ExitStatus::Success)
+    return Status;
+  const std::string &Body = valueOf(Reply).Body_;
+  if (Context.Output_ == OutputFormat::Json) {
+    std::cout << Body << "\n";
+    return Status;
+  }
+  json Whole = json::parse(Body, nullptr, false);
+  for (const auto &[Title, Section] : Whole.items())
+    printSection(Title, Section);
+  return Status;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Config/ConfigState.cpp
@@ -0,0 +1,15 @@
+#include "Config/ConfigState.h"
+
+namespace anvil {
+
+ConfigState::ConfigState() : Current_(std::make_shared<ConfigSnapshot>()) {}
+
+bool ConfigState::accept(SnapshotPtr Offered) {
+  if (Offered->Revision_ <= Current_->Revision_)
+    return false;
+  Current_ = std::move(Offered);
+  Changed_.fire(Current_);
+  return true;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -0,0 +1,312 @@
+#include "Gateway/RequestPipeline.h"
+
+#include "Gateway/OpenAiCodec.h"
+#include "Objects/Digest.h"
+#include "Telemetry/Log.h"
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// Times that a repeatable request is tried on targets in all.
+static constexpr int MostTries = 3;
+
+/// The longest pause inside an answer that has begun.
+static constexpr Duration AnswerIdleTimeout = std::chrono::seconds(30);
+
+/// When to come back when no target could be tried.
+static constexpr Duration NoTargetRetry = std::chrono::seconds(1);
+
+static HttpServerLimits serverLimits(const CallerLimitSettings &Given) {
+  HttpServerLimits Limits;
+  Limits.HeadBytes_ = static_cast<std::uint32_t>(Given.HeadBytes_);
+  Limits.BodyBytes_ = static_cast<std::uint64_t>(Given.BodyBytes_);
+  Limits.RequestTime_ = std::chrono::milliseconds(Given.RequestMs_);
+  Limits.IdleTime_ = std::chrono::milliseconds(Given.IdleMs_);
+  return Limits;
+}
+
+/// The refusal for input that HTTP itself does not allow.
+static HttpReply malformedReply(int Status, std::string_view Reason) {
+  Refusal Given{RefusalCode::MalformedRequest, std::string(Reason),
+                Execution::No, std::nullopt};
+  if (Status == 413)
+    Given.Code_ = RefusalCode::BodyTooLarge;
+  else if (Status == 431)
+    Given.Code_ = RefusalCode::HeaderTooLarge;
+  else if (Status == 408)
+    Given.Code_ = RefusalCode::RequestTimeout;
+  return encodeRefusal(Given, "");
+}
+
+RequestPipeline::RequestPipeline(asio::any_io_executor Executor,
+                                 const DaemonSettings &Settings,
+                                 const ServiceRegistry &Services)
+    : Settings_(Settings),
+      State_(Services.require<ConfigState>(ConfigState::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
+      Quota_(Services.require<QuotaGate>(QuotaGate::Name)),
+      Permits_(Services.require<PermitBroker>(PermitBroker::Name)),
+      Selector_(Services.require<TargetSelector>(TargetSelector::Name)),
+      Ledger_(Services.require<RequestLedger>(RequestLedger::Name)),
+      Poison_(Services.find<PoisonGuard>(PoisonGuard::Name)),
+      Admission_(State_), Dispatcher_(std::chrono::milliseconds(
+                                          Settings.Targets_.ConnectTimeoutMs_),
+                                      AnswerIdleTimeout),
+      Server_(std::move(Executor), serverLimits(Settings.CallerLimits_),
+              [this](HttpExchange &Exchange) { return handle(Exchange); }),
+      IdPrefix_(Settings.Vm_ + "-" + randomHex(4) + "-") {
+  Server_.onMalformed([this](int Status, std::string_view Reason) {
+    Metrics_->count("anvil_malformed_requests_total",
+                    {{"status", std::to_string(Status)}});
+    return malformedReply(Status, Reason);
+  });
+  State_->Changed_.attach([this](const SnapshotPtr &) {
+    Admission_.adopt();
+    auto Ended = Active_.cancelInvalid([this](const std::string &KeyName) {
+      return Admission_.keys().isValid(KeyName);
+    });
+    if (Ended > 0)
+      logEvent(LogLevel::Info, "requests_ended_by_withdrawal",
+               {{"count", Ended}});
+  });
+}
+
+RequestPipeline::~RequestPipeline() = default;
+
+std::vector<std::string> RequestPipeline::dependencies() const {
+  return {std::string(ConfigState::Name),   std::string(QuotaGate::Name),
+          std::string(PermitBroker::Name),  std::string(TargetSelector::Name),
+          std::string(RequestLedger::Name), std::string(Metrics::Name)};
+}
+
+Status RequestPipeline::start() {
+  return Server_.listen(
+      {Settings_.Listen_.Address_,
+       static_cast<std::uint16_t>(Settings_.Listen_.CallerPort_)});
+}
+
+void RequestPipeline::stop() { Server_.close(); }
+
+std::uint16_t RequestPipeline::port() const { return Server_.port(); }
+
+void RequestPipeline::beginDrain() { Server_.beginDrain(); }
+
+std::size_t RequestPipeline::runningRequests() const {
+  return Server_.runningRequests();
+}
+
+asio::awaitable<void> RequestPipeline::refuse(HttpExchange &Exchange,
+                                              const Refusal &Given,
+                                              const std::string &RequestId,
+                                              Summary &Ended) {
+  Ended.Refusal_ = refusalTraits(Given.Code_).Name_;
+  Ended.Status_ = refusalTraits(Given.Code_).HttpStatus_;
+  if (Exchange.answered()) {
+    // The stream has begun, so the refusal is its last event.
+    co_await Exchange.write(encodeStreamError(Given, RequestId));
+    Exchange.abort();
+    co_return;
+  }
+  co_await Exchange.respond(encodeRefusal(Given, RequestId));
+}
+
+asio::awaitable<void> RequestPipeline::handle(HttpExchange &Exchange) {
+  std::string RequestId = IdPrefix_ + std::to_string(NextId_++);
+  Summary Ended;
+  if (!State_->isCurrent()) {
+    Refusal Given{RefusalCode::NotReady,
+                  "this VM does not know its configuration yet", Execution::No,
+                  NoTargetRetry};
+    co_await refuse(Exchange, Given, RequestId, Ended);
+    co_return;
+  }
+  auto Admitted =
+      Admission_.admit(Exchange.request(), RequestId, BootClock::now());
+  if (std::holds_alternative<Refusal>(Admitted)) {
+    const Refusal &Given = refusalOf(Admitted);
+    co_await refuse(Exchange, Given, RequestId, Ended);
+    RequestContext Unknown;
+    Unknown.RequestId_ = RequestId;
+    Unknown.Snapshot_ = State_->current();
+    Unknown.Arrived_ = BootClock::now();
+    report(Unknown, Ended);
+    co_return;
+  }
+  const AdmittedRequest &Request = std::get<AdmittedRequest>(Admitted);
+  co_await serve(Exchange, Request, Ended);
+  report(Request.Context_, Ended);
+}
+
+asio::awaitable<void> RequestPipeline::serve(HttpExchange &Exchange,
+                                             const AdmittedRequest &Admitted,
+                                             Summary &Ended) {
+  const RequestContext &Request = Admitted.Context_;
+  if (Poison_) {
+    if (auto Quarantined = Poison_->check(Request, BootClock::now())) {
+      co_await refuse(Exchange, *Quarantined, Request.RequestId_, Ended);
+      co_return;
+    }
+  }
+  auto Charged = co_await Quota_->charge(Request);
+  if (std::holds_alternative<Refusal>(Charged)) {
+    co_await refuse(Exchange, refusalOf(Charged), Request.RequestId_, Ended);
+    co_return;
+  }
+  QuotaCharge Charge = std::get<QuotaCharge>(Charged);
+  Outcome<ClaimDecision> Claimed = ClaimDecision(ClaimToken{});
+  if (!Request.Repeatable_)
+    Claimed = co_await Ledger_->claim(Request);
+  if (std::holds_alternative<Refusal>(Claimed)) {
+    co_await refuse(Exchange, refusalOf(Claimed), Request.RequestId_, Ended);
+  } else if (auto *Recorded =
+                 std::get_if<HttpReply>(&std::get<ClaimDecision>(Claimed))) {
+    Ended.Status_ = Recorded->Status_;
+    co_await Exchange.respond(std::move(*Recorded));
+  } else {
+    auto Claim = std::get<ClaimToken>(std::get<ClaimDecision>(Claimed));
+    co_await runClaimed(Exchange, Admitted, std::move(Claim), Ended);
+  }
+  Quota_->settle(Charge, Ended.UsedTokens_);
+}
+
+asio::awaitable<void>
+RequestPipeline::runClaimed(HttpExchange &Exchange,
+                            const AdmittedRequest &Admitted, ClaimToken Claim,
+                            Summary &Ended) {
+  auto Ran = co_await runOnTargets(Exchange, Admitted, Ended);
+  ClaimEnd End;
+  if (std::holds_alternative<Refusal>(Ran)) {
+    End.Ran_ = refusalOf(Ran).Ran_;
+    co_await Ledger_->record(std::move(Claim), End);
+    co_await refuse(Exchange, refusalOf(Ran), Admitted.Context_.RequestId_,
+                    Ended);
+    co_return;
+  }
+  TryOutcome &Try = std::get<TryOutcome>(Ran);
+  Ended.Status_ = Try.Answer_.Status_;
+  Ended.UsedTokens_ = Try.UsedTokens_;
+  Ended.FirstByte_ = Try.FirstByte_;
+  End.Ran_ = Execution::Yes;
+  if (!Claim.Row_.empty())
+    End.Answer_ = Try.Answer_;
+  co_await Ledger_->record(std::move(Claim), std::move(End));
+  if (!Try.CallerSawBytes_)
+    co_await Exchange.respond(std::move(Try.Answer_));
+}
+
+asio::awaitable<Outcome<Permit>>
+RequestPipeline::acquirePermit(const RequestContext &Request,
+                               std::set<std::string> &Tried) {
+  Refusal Last{RefusalCode::NoTarget, "no target can serve the request now",
+               Execution::No, NoTargetRetry};
+  auto Ranked = Selector_->rank(Request, Tried, BootClock::now());
+  for (const std::string &TargetName : Ranked) {
+    if (BootClock::now() >= Request.Deadline_)
+      break;
+    Tried.insert(TargetName);
+    auto Granted = co_await Permits_->acquire(Request, TargetName);
+    if (std::holds_alternative<Permit>(Granted))
+      co_return Granted;
+    Last = refusalOf(Granted);
+  }
+  co_return Last;
+}
+
+asio::awaitable<TryOutcome>
+RequestPipeline::runOnce(HttpExchange &Exchange,
+                         const AdmittedRequest &Admitted, const Permit &Held) {
+  const RequestContext &Request = Admitted.Context_;
+  HttpConnection Connection;
+  auto Cancel = [&Connection, &Exchange] {
+    Connection.close();
+    Exchange.abort();
+  };
+  // What may not be repeated is not torn in the middle.
+  auto Entry = Active_.add(Request.Repeatable_ ? Request.KeyName_ : "", Cancel);
+  if (Request.Repeatable_)
+    Exchange.onCallerGone([&Connection] { Connection.close(); });
+  if (Poison_)
+    Poison_->began(Request, Held, BootClock::now());
+  TryOutcome Try =
+      co_await Dispatcher_.run(Admitted, Held, Connection, Exchange);
+  Exchange.onCallerGone({});
+  if (Exchange.callerGone() && Try.Result_ == TryResult::Crashed) {
+    // This VM closed the connection itself; the target is not at fault.
+    Try.Result_ = TryResult::Answered;
+    Try.End_ = PermitEnd::Finished;
+  }
+  if (Poison_)
+    Poison_->ended(Request, Held, Try.Result_, BootClock::now());
+  Permits_->release(Held, Try.End_);
+  Selector_->noteTry(Request, Held, Try.Result_, Try.FirstByte_,
+                     BootClock::now());
+  co_return Try;
+}
+
+asio::awaitable<Outcome<TryOutcome>>
+RequestPipeline::runOnTargets(HttpExchange &Exchange,
+                              const AdmittedRequest &Admitted, Summary &Ended) {
+  const RequestContext &Request = Admitted.Context_;
+  std::set<std::string> Tried;
+  Refusal Last{RefusalCode::NoTarget, "no target can serve the request now",
+               Execution::No, NoTargetRetry};
+  for (int Try = 0; Try < MostTries; ++Try) {
+    auto Granted = co_await acquirePermit(Request, Tried);
+    if (std::holds_alternative<Refusal>(Granted))
+      co_return Try == 0 ? refusalOf(Granted) : Last;
+    const Permit &Held = std::get<Permit>(Granted);
+    Ended.Target_ = Held.Target_;
+    TryOutcome Run = co_await runOnce(Exchange, Admitted, Held);
+    Ended.FirstByte_ = Run.FirstByte_;
+    Ended.UsedTokens_ = std::max(Ended.UsedTokens_, Run.UsedTokens_);
+    if (Run.Result_ == TryResult::Answered)
+      co_return Run;
+    logEvent(LogLevel::Warning, "try_failed",
+             {{"request_id", Request.RequestId_},
+              {"target", Held.Target_},
+              {"ran", executionName(Run.Ran_)},
+              {"problem", Run.Problem_}});
+    Last = {RefusalCode::TargetFailed, "the target failed: " + Run.Problem_,
+            Run.Ran_, NoTargetRetry};
+    if (Run.Ran_ != Execution::No)
+      Ended.UsedTokens_ = Request.UpperBoundTokens_;
+    if (Run.CallerSawBytes_) {
+      Last.Code_ = RefusalCode::StreamBroken;
+      co_return Last;
+    }
+    bool MayRepeat = Request.Repeatable_ || Run.Ran_ == Execution::No;
+    if (!MayRepeat || Exchange.callerGone() ||
+        !Selector_->allowRetry(Request, BootClock::now()))
+      co_return Last;
+  }
+  co_return Last;
+}
+
+void RequestPipeline::report(const RequestContext &Request,
+                             const Summary &Ended) {
+  Duration Taken = BootClock::now() - Request.Arrived_;
+  std::string Result = Ended.Refusal_.empty() ? "answered" : Ended.Refusal_;
+  MetricLabels Labels{{"customer", Request.Customer_},
+                      {"class", Request.RequestClass_}};
+  Metrics_->observe("anvil_request_seconds", Labels, Taken);
+  if (Ended.Refusal_.empty())
+    Metrics_->observe("anvil_first_byte_seconds", Labels, Ended.FirstByte_);
+  Labels["result"] = Result;
+  Metrics_->count("anvil_requests_total", Labels);
+  logEvent(LogLevel::Info, "request",
+           {{"request_id", Request.RequestId_},
+            {"customer", Request.Customer_},
+            {"route", Request.Route_},
+            {"class", Request.RequestClass_},
+            {"target", Ended.Target_},
+            {"adapter", Request.Adapter_.Adapter_},
+            {"version", Request.Adapter_.Version_},
+            {"revision", Request.Snapshot_->Revision_},
+            {"status", Ended.Status_},
+            {"result", Result},
+            {"tokens", Ended.UsedTokens_},
+            {"taken_ms", toMillis(Taken)}});
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Gateway/TargetDispatcher.h
@@ -0,0 +1,60 @@
+#ifndef ANVIL_GATEWAY_TARGETDISPATCHER_H
+#define ANVIL_GATEWAY_TARGETDISPATCHER_H
+
+#include "Gateway/RequestAdmission.h"
+#include "Http/HttpConnection.h"
+#include "Http/HttpServer.h"
+#include "Requests/PermitBroker.h"
+#include "Requests/TargetSelector.h"
+
+#include <string>
+
+namespace anvil {
+
+/// How one try on one target ended.
+struct TryOutcome {
+  TryResult Result_ = TryResult::Failed;
+  PermitEnd End_ = PermitEnd::TargetFailed;
+  Execution Ran_ = Execution::Unknown;
+  /// Whether a part of the answer went to the caller, so that no other target
+  /// can answer any more.
+  bool CallerSawBytes_ = false;
+  double UsedTokens_ = 0;
+  Duration FirstByte_{0};
+  /// The whole answer; a stream's events are its body.
+  HttpReply Answer_;
+  std::string Problem_;
+};
+
+/// Runs one request on one target and passes the answer on.
+class TargetDispatcher {
+public:
+  /// `ConnectTimeout` bounds the connection to a target, `IdleTimeout` the time
+  /// between two parts of an answer that has begun.
+  TargetDispatcher(Duration ConnectTimeout, Duration IdleTimeout)
+      : ConnectTimeout_(ConnectTimeout), IdleTimeout_(IdleTimeout) {}
+
+  /// Sends the request to the permit's target. Streams go to the caller part by
+  /// part; whole answers are only returned. `Connection` is the caller's to
+  /// close for a cancel.
+  boost::asio::awaitable<TryOutcome> run(const AdmittedRequest &Admitted,
+                                         const Permit &Held,
+                                         HttpConnection &Connection,
+                                         HttpExchange &Exchange);
+
+private:
+  boost::asio::awaitable<void> relayStream(const AdmittedRequest &Admitted,
+                                           HttpConnection &Connection,
+                                           HttpExchange &Exchange,
+                                           TryOutcome &Try);
+  boost::asio::awaitable<void> collect(const AdmittedRequest &Admitted,
+                                       HttpConnection &Connection,
+                                       TryOutcome &Try);
+
+  Duration ConnectTimeout_;
+  Duration IdleTimeout_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_GATEWAY_TARGETDISPATCHER_H
--- /dev/null
+++ b/Source/Http/HttpConnection.cpp
@@ -0,0 +1,188 @@
+#include "Http/HttpConnection.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <limits>
+#include <optional>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// The size of the pieces in which a body is read, in bytes.
+static constexpr std::size_t PartBytes = 16 * 1024;
+
+/// The longest head of an answer, in bytes.
+static constexpr std::uint32_t HeadLimitBytes = 64 * 1024;
+
+struct HttpConnection::State {
+  explicit State(const asio::any_io_executor &Executor) : Stream_(Executor) {}
+
+  beast::tcp_stream Stream_;
+  beast::flat_buffer Buffer_;
+  std::optional<http::response_parser<http::buffer_body>> Parser_;
+  std::string Server_;
+  bool Open_ = false;
+  bool RequestSent_ = false;
+};
+
+HttpConnection::HttpConnection() = default;
+HttpConnection::~HttpConnection() = default;
+HttpConnection::HttpConnection(HttpConnection &&) noexcept = default;
+HttpConnection &HttpConnection::operator=(HttpConnection &&) noexcept = default;
+
+static Error networkError(const std::string &Server, const error_code &Cause) {
+  if (Cause == beast::error::timeout)
+    return {ErrorCode::Timeout, Server, "the answer did not come in time", ""};
+  bool IsParse = Cause.category() ==
+                     http::make_error_code(http::error::bad_field).category() &&
+                 Cause != http::error::end_of_stream &&
+                 Cause != http::error::partial_message;
+  if (IsParse)
+    return {ErrorCode::Protocol, Server, Cause.message(), ""};
+  return {ErrorCode::ConnectionClosed, Server, Cause.message(), ""};
+}
+
+asio::awaitable<Status> HttpConnection::open(const Endpoint &Server,
+                                             Duration Timeout) {
+  State_ = std::make_unique<State>(co_await asio::this_coro::executor);
+  State_->Server_ = Server.text();
+  error_code Cause;
+  auto Address = asio::ip::make_address(Server.Address_, Cause);
+  if (!Cause) {
+    State_->Stream_.expires_after(Timeout);
+    co_await State_->Stream_.async_connect(
+        asio::ip::tcp::endpoint(Address, Server.Port_),
+        asio::redirect_error(asio::use_awaitable, Cause));
+  }
+  if (Cause == beast::error::timeout)
+    co_return Error{ErrorCode::Timeout, State_->Server_,
+                    "no connection in time", ""};
+  if (Cause)
+    co_return Error{ErrorCode::Unavailable, State_->Server_, Cause.message(),
+                    ""};
+  error_code Ignored;
+  State_->Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+  State_->Open_ = true;
+  co_return std::monostate{};
+}
+
+asio::awaitable<Result<HttpReplyHead>>
+HttpConnection::exchange(const HttpRequest &Request, Duration Timeout) {
+  http::request<http::string_body> Message;
+  Message.method_string(Request.Method_);
+  Message.target(Request.Target_);
+  Message.version(11);
+  Message.set(http::field::host, State_->Server_);
+  for (const HttpHeader &Header : Request.Headers_)
+    Message.insert(Header.Name_, Header.Value_);
+  Message.body() = Request.Body_;
+  Message.prepare_payload();
+
+  State_->RequestSent_ = true;
+  State_->Stream_.expires_after(Timeout);
+  error_code Cause;
+  co_await http::async_write(State_->Stream_, Message,
+                             asio::redirect_error(asio::use_awaitable, Cause));
+  if (!Cause) {
+    State_->Parser_.emplace();
+    State_->Parser_->header_limit(HeadLimitBytes);
+    // Readers set their own limits as they take the parts.
+    State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (Request.Method_ == "HEAD")
+      State_->Parser_->skip(true);
+    co_await http::async_read_header(
+        State_->Stream_, State_->Buffer_, *State_->Parser_,
+        asio::redirect_error(asio::use_awaitable, Cause));
+  }
+  if (Cause) {
+    close();
+    co_return networkError(State_->Server_, Cause);
+  }
+  HttpReplyHead Head;
+  const auto &Answer = State_->Parser_->get();
+  Head.Status_ = static_cast<int>(Answer.result_int());
+  for (const auto &Field : Answer)
+    Head.Headers_.add(std::string(Field.name_string()),
+                      std::string(Field.value()));
+  co_return Head;
+}
+
+asio::awaitable<Result<std::string>>
+HttpConnection::readPart(Duration Timeout) {
+  auto &Parser = *State_->Parser_;
+  while (!Parser.is_done()) {
+    std::array<char, PartBytes> Piece;
+    Parser.get().body().data = Piece.data();
+    Parser.get().body().size = Piece.size();
+    State_->Stream_.expires_after(Timeout);
+    error_code Cause;
+    co_await http::async_read_some(
+        State_->Stream_, State_->Buffer_, Parser,
+        asio::redirect_error(asio::use_awaitable, Cause));
+    if (Cause == http::error::need_buffer)
+      Cause = {};
+    if (Cause) {
+      close();
+      co_return networkError(State_->Server_, Cause);
+    }
+    std::size_t Read = Piece.size() - Parser.get().body().size;
+    if (Read > 0)
+      co_return std::string(Piece.data(), Read);
+  }
+  State_->Stream_.expires_never();
+  co_return std::string();
+}
+
+bool HttpConnection::requestSent() const {
+  return State_ && State_->RequestSent_;
+}
+
+bool HttpConnection::reusable() const {
+  return State_ && State_->Open_ && State_->Parser_ &&
+         State_->Parser_->is_done() && State_->Parser_->keep_alive();
+}
+
+void HttpConnection::close() {
+  if (!State_)
+    return;
+  State_->Open_ = false;
+  error_code Ignored;
+  State_->Stream_.socket().close(Ignored);
+}
+
+asio::awaitable<Result<HttpReply>> fetch(Endpoint Server, HttpRequest Request,
+                                         Duration Timeout) {
+  TimePoint Deadline = BootClock::now() + Timeout;
+  HttpConnection Connection;
+  Status Opened = co_await Connection.open(Server, Timeout);
+  if (!isOk(Opened))
+    co_return errorOf(Opened);
+  auto Head =
+      co_await Connection.exchange(Request, Deadline - BootClock::now());
+  if (!isOk(Head))
+    co_return errorOf(Head);
+  HttpReply Reply{valueOf(Head).Status_, valueOf(Head).Headers_, {}};
+  while (true) {
+    auto Part = co_await Connection.readPart(Deadline - BootClock::now());
+    if (!isOk(Part))
+      co_return errorOf(Part);
+    if (valueOf(Part).empty())
+      co_return Reply;
+    Reply.Body_ += valueOf(Part);
+    if (Reply.Body_.size() > FetchBodyLimitBytes)
+      co_return Error{ErrorCode::TooLarge, Server.text(),
+                      "the answer is too long", ""};
+  }
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Http/HttpServer.cpp
@@ -0,0 +1,305 @@
+#include "Http/HttpServer.h"
+
+#include "Http/Spawn.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <set>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// The connection that an exchange belongs to.
+struct HttpExchange::State {
+  explicit State(tcp::socket Socket) : Stream_(std::move(Socket)) {}
+
+  void close() {
+    error_code Ignored;
+    Stream_.socket().close(Ignored);
+  }
+
+  beast::tcp_stream Stream_;
+  beast::flat_buffer Buffer_;
+  bool KeepAlive_ = true;
+  bool Handling_ = false;
+  bool CallerGone_ = false;
+  std::function<void()> GoneCall_;
+};
+
+struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
+  using Connection = HttpExchange::State;
+
+  Core(asio::any_io_executor Executor, HttpServerLimits Limits, Handler Handle)
+      : Executor_(std::move(Executor)), Acceptor_(Executor_), Limits_(Limits),
+        Handle_(std::move(Handle)) {}
+
+  asio::awaitable<void> accept();
+  asio::awaitable<void> serve(std::shared_ptr<Connection> Peer);
+  asio::awaitable<std::optional<HttpRequest>> read(Connection &Peer);
+  asio::awaitable<void> rejectMalformed(Connection &Peer, error_code Cause);
+
+  asio::any_io_executor Executor_;
+  tcp::acceptor Acceptor_;
+  HttpServerLimits Limits_;
+  Handler Handle_;
+  MalformedHook Malformed_;
+  std::set<std::shared_ptr<Connection>> Connections_;
+  std::size_t Running_ = 0;
+  bool Draining_ = false;
+  bool Closed_ = false;
+};
+
+HttpExchange::HttpExchange(State &Owner, HttpRequest Request)
+    : Owner_(Owner), Request_(std::move(Request)) {}
+
+static void copyHeaders(const HttpHeaders &From, http::fields &To) {
+  for (const HttpHeader &Header : From)
+    To.insert(Header.Name_, Header.Value_);
+}
+
+asio::awaitable<bool> HttpExchange::respond(HttpReply Reply) {
+  Answered_ = true;
+  http::response<http::string_body> Message;
+  Message.version(11);
+  Message.result(static_cast<unsigned>(Reply.Status_));
+  copyHeaders(Reply.Headers_, Message);
+  Message.body() = std::move(Reply.Body_);
+  Message.keep_alive(Owner_.KeepAlive_);
+  Message.prepare_payload();
+  error_code Cause;
+  if (Request_.Method_ == "HEAD") {
+    http::response_serializer<http::string_body> Serializer(Message);
+    co_await http::async_write_header(
+        Owner_.Stream_, Serializer,
+        asio::redirect_error(asio::use_awaitable, Cause));
+  } else {
+    co_await http::async_write(
+        Owner_.Stream_, Message,
+        asio::redirect_error(asio::use_awaitable, Cause));
+  }
+  co_return !Cause;
+}
+
+asio::awaitable<bool> HttpExchange::startStream(HttpReplyHead Head) {
+  Answered_ = true;
+  http::response<http::empty_body> Message;
+  Message.version(11);
+  Message.result(static_cast<unsigned>(Head.Status_));
+  copyHeaders(Head.Headers_, Message);
+  Message.keep_alive(Owner_.KeepAlive_);
+  Message.chunked(true);
+  http::response_serializer<http::empty_body> Serializer(Message);
+  error_code Cause;
+  co_await http::async_write_header(
+      Owner_.Stream_, Serializer,
+      asio::redirect_error(asio::use_awaitable, Cause));
+  co_return !Cause;
+}
+
+asio::awaitable<bool> HttpExchange::write(std::string_view Piece) {
+  if (Piece.empty())
+    co_return true;
+  error_code Cause;
+  co_await asio::async_write(Owner_.Stream_,
+                             http::make_chunk(asio::buffer(Piece)),
+                             asio::redirect_error(asio::use_awaitable, Cause));
+  co_return !Cause;
+}
+
+asio::awaitable<bool> HttpExchange::finishStream() {
+  error_code Cause;
+  co_await asio::async_write(Owner_.Stream_, http::make_chunk_last(),
+                             asio::redirect_error(asio::use_awaitable, Cause));
+  co_return !Cause;
+}
+
+bool HttpExchange::callerGone() const { return Owner_.CallerGone_; }
+
+void HttpExchange::onCallerGone(std::function<void()> Call) {
+  Owner_.GoneCall_ = std::move(Call);
+}
+
+void HttpExchange::abort() {
+  Owner_.KeepAlive_ = false;
+  Owner_.CallerGone_ = true;
+  Owner_.close();
+}
+
+void HttpExchange::closeAfterwards() { Owner_.KeepAlive_ = false; }
+
+/// Notices that a caller closes its connection while its request runs. More
+/// input is a pipelined request, which waits in the socket for its turn.
+static void watchCaller(std::shared_ptr<HttpExchange::State> Peer) {
+  auto &Socket = Peer->Stream_.socket();
+  Socket.async_wait(tcp::socket::wait_read, [Peer](error_code Cause) {
+    if (Cause || !Peer->Handling_)
+      return;
+    char Byte = 0;
+    error_code Problem;
+    Peer->Stream_.socket().receive(asio::buffer(&Byte, 1),
+                                   tcp::socket::message_peek, Problem);
+    if (!Problem)
+      return;
+    Peer->CallerGone_ = true;
+    if (auto Call = std::exchange(Peer->GoneCall_, {}))
+      Call();
+  });
+}
+
+asio::awaitable<void> HttpServer::Core::accept() {
+  auto Self = shared_from_this();
+  while (!Closed_) {
+    error_code Cause;
+    tcp::socket Socket = co_await Acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, Cause));
+    if (Cause == asio::error::operation_aborted)
+      co_return;
+    if (Cause)
+      continue;
+    error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    auto Peer = std::make_shared<Connection>(std::move(Socket));
+    Connections_.insert(Peer);
+    spawn(Executor_, serve(std::move(Peer)));
+  }
+}
+
+asio::awaitable<std::optional<HttpRequest>>
+HttpServer::Core::read(Connection &Peer) {
+  error_code Cause;
+  if (Peer.Buffer_.size() == 0) {
+    // Between requests only the idle limit counts.
+    Peer.Stream_.expires_after(Limits_.IdleTime_);
+    std::size_t Read = co_await Peer.Stream_.async_read_some(
+        Peer.Buffer_.prepare(4096),
+        asio::redirect_error(asio::use_awaitable, Cause));
+    if (Cause)
+      co_return std::nullopt;
+    Peer.Buffer_.commit(Read);
+  }
+  http::request_parser<http::string_body> Parser;
+  Parser.header_limit(Limits_.HeadBytes_);
+  Parser.body_limit(Limits_.BodyBytes_);
+  Peer.Stream_.expires_after(Limits_.RequestTime_);
+  co_await http::async_read(Peer.Stream_, Peer.Buffer_, Parser,
+                            asio::redirect_error(asio::use_awaitable, Cause));
+  Peer.Stream_.expires_never();
+  if (Cause) {
+    co_await rejectMalformed(Peer, Cause);
+    co_return std::nullopt;
+  }
+  auto Message = Parser.release();
+  Peer.KeepAlive_ = Message.keep_alive() && !Draining_;
+  HttpRequest Request;
+  Request.Method_ = std::string(Message.method_string());
+  Request.Target_ = std::string(Message.target());
+  for (const auto &Field : Message)
+    Request.Headers_.add(std::string(Field.name_string()),
+                         std::string(Field.value()));
+  Request.Body_ = std::move(Message.body());
+  co_return Request;
+}
+
+asio::awaitable<void> HttpServer::Core::rejectMalformed(Connection &Peer,
+                                                        error_code Cause) {
+  if (Cause == http::error::end_of_stream || !Malformed_)
+    co_return;
+  int Status = 400;
+  if (Cause == http::error::body_limit)
+    Status = 413;
+  else if (Cause == http::error::header_limit)
+    Status = 431;
+  else if (Cause == beast::error::timeout)
+    Status = 408;
+  Peer.KeepAlive_ = false;
+  HttpExchange Exchange(Peer, {});
+  co_await Exchange.respond(Malformed_(Status, Cause.message()));
+}
+
+asio::awaitable<void>
+HttpServer::Core::serve(std::shared_ptr<Connection> Peer) {
+  auto Self = shared_from_this();
+  while (true) {
+    auto Request = co_await read(*Peer);
+    if (!Request)
+      break;
+    HttpExchange Exchange(*Peer, std::move(*Request));
+    Peer->Handling_ = true;
+    ++Running_;
+    watchCaller(Peer);
+    co_await Handle_(Exchange);
+    --Running_;
+    Peer->Handling_ = false;
+    Peer->GoneCall_ = {};
+    if (!Peer->KeepAlive_ || !Peer->Stream_.socket().is_open() || Closed_)
+      break;
+    // Only the watch for the caller's leaving is still pending here.
+    error_code Ignored;
+    Peer->Stream_.socket().cancel(Ignored);
+  }
+  error_code Ignored;
+  Peer->Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+  Peer->close();
+  Connections_.erase(Peer);
+}
+
+HttpServer::HttpServer(asio::any_io_executor Executor, HttpServerLimits Limits,
+                       Handler Handle)
+    : Core_(std::make_shared<Core>(std::move(Executor), Limits,
+                                   std::move(Handle))) {}
+
+HttpServer::~HttpServer() { close(); }
+
+void HttpServer::onMalformed(MalformedHook Hook) {
+  Core_->Malformed_ = std::move(Hook);
+}
+
+Status HttpServer::listen(const Endpoint &Address) {
+  error_code Cause;
+  auto Number = asio::ip::make_address(Address.Address_, Cause);
+  tcp::endpoint Local(Number, Address.Port_);
+  if (!Cause)
+    Core_->Acceptor_.open(Local.protocol(), Cause);
+  if (!Cause)
+    Core_->Acceptor_.set_option(tcp::acceptor::reuse_address(true), Cause);
+  if (!Cause)
+    Core_->Acceptor_.bind(Local, Cause);
+  if (!Cause)
+    Core_->Acceptor_.listen(asio::socket_base::max_listen_connections, Cause);
+  if (Cause)
+    return Error{ErrorCode::Unavailable, Address.text(),
+                 "can't listen: " + Cause.message(),
+                 "choose a free port of this VM"};
+  spawn(Core_->Executor_, Core_->accept());
+  return std::monostate{};
+}
+
+std::uint16_t HttpServer::port() const {
+  error_code Ignored;
+  return Core_->Acceptor_.local_endpoint(Ignored).port();
+}
+
+void HttpServer::beginDrain() { Core_->Draining_ = true; }
+
+void HttpServer::close() {
+  Core_->Closed_ = true;
+  error_code Ignored;
+  Core_->Acceptor_.close(Ignored);
+  for (const auto &Peer : Core_->Connections_)
+    if (!Peer->Handling_)
+      Peer->close();
+}
+
+std::size_t HttpServer::runningRequests() const { return Core_->Running_; }
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Http/HttpServer.h
@@ -0,0 +1,110 @@
+#ifndef ANVIL_HTTP_HTTPSERVER_H
+#define ANVIL_HTTP_HTTPSERVER_H
+
+#include "Http/Endpoint.h"
+#include "Http/HttpMessage.h"
+#include "Kernel/Clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace anvil {
+
+/// One request to the server and the way to answer it. An answer is either
+/// whole (`respond`) or a stream (`startStream`, `write`, `finishStream`).
+class HttpExchange {
+public:
+  struct State;
+
+  HttpExchange(State &Owner, HttpRequest Request);
+
+  const HttpRequest &request() const { return Request_; }
+
+  /// Sends a whole answer. False when the caller is gone.
+  boost::asio::awaitable<bool> respond(HttpReply Reply);
+
+  /// Sends the head of a streamed answer. False when the caller is gone.
+  boost::asio::awaitable<bool> startStream(HttpReplyHead Head);
+
+  /// Sends one piece of a streamed answer. False when the caller is gone.
+  boost::asio::awaitable<bool> write(std::string_view Piece);
+
+  /// Ends a streamed answer. False when the caller is gone.
+  boost::asio::awaitable<bool> finishStream();
+
+  /// Whether the head of an answer has been sent.
+  bool answered() const { return Answered_; }
+
+  /// Whether the caller closed its connection.
+  bool callerGone() const;
+
+  /// Sets the function called once if the caller goes away before the end.
+  void onCallerGone(std::function<void()> Call);
+
+  /// Closes the connection at once, in the middle of an answer too. The caller
+  /// counts as gone from then on.
+  void abort();
+
+  /// Makes the server close the connection after this answer.
+  void closeAfterwards();
+
+private:
+  State &Owner_;
+  HttpRequest Request_;
+  bool Answered_ = false;
+};
+
+/// The limits that a server sets its callers.
+struct HttpServerLimits {
+  std::uint32_t HeadBytes_ = 16 * 1024;
+  std::uint64_t BodyBytes_ = 8 * 1024 * 1024;
+  /// The time for a whole request to arrive once it has begun.
+  Duration RequestTime_ = std::chrono::seconds(15);
+  /// How long a connection may stay open between requests.
+  Duration IdleTime_ = std::chrono::seconds(75);
+};
+
+/// What the server answers to input it can't read: status and reason.
+using MalformedHook =
+    std::function<HttpReply(int Status, std::string_view Reason)>;
+
+/// Accepts HTTP/1.1 connections and passes each request to a handler.
+class HttpServer {
+public:
+  using Handler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
+
+  HttpServer(boost::asio::any_io_executor Executor, HttpServerLimits Limits,
+             Handler Handle);
+  ~HttpServer();
+
+  /// Sets the answer to malformed requests.
+  void onMalformed(MalformedHook Hook);
+
+  /// Listens. The error says why the address can't be used.
+  Status listen(const Endpoint &Address);
+
+  /// The port that the server listens on.
+  std::uint16_t port() const;
+
+  /// Answers from now on close their connections; idle connections stay until
+  /// their next request or `close`.
+  void beginDrain();
+
+  /// Stops accepting and closes the connections without a running request.
+  void close();
+
+  /// The number of requests being handled.
+  std::size_t runningRequests() const;
+
+private:
+  struct Core;
+  std::shared_ptr<Core> Core_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_HTTP_HTTPSERVER_H
--- /dev/null
+++ b/Source/Http/NetworkRuntime.cpp
@@ -0,0 +1,2 @@
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/Source/Http/TimerPump.cpp
@@ -0,0 +1,58 @@
+#include "Http/TimerPump.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace anvil {
+
+struct TimerPump::State : std::enable_shared_from_this<TimerPump::State> {
+  State(boost::asio::any_io_executor Executor, TimerService &Timers,
+        ClockHook Clock)
+      : Timer_(std::move(Executor)), Timers_(Timers), Clock_(std::move(Clock)) {
+  }
+
+  void arm() {
+    if (Stopped_)
+      return;
+    auto Due = Timers_.nextDue();
+    if (!Due)
+      return;
+    auto Wait = std::max(*Due - Clock_(), Duration::zero());
+    // Setting the expiry cancels the wait that was armed before.
+    Timer_.expires_after(Wait);
+    Timer_.async_wait([Self = shared_from_this()](auto Cause) {
+      if (Cause || Self->Stopped_)
+        return;
+      Self->Advancing_ = true;
+      Self->Timers_.advance(Self->Clock_());
+      Self->Advancing_ = false;
+      Self->arm();
+    });
+  }
+
+  boost::asio::steady_timer Timer_;
+  TimerService &Timers_;
+  ClockHook Clock_;
+  bool Stopped_ = false;
+  bool Advancing_ = false;
+};
+
+TimerPump::TimerPump(boost::asio::any_io_executor Executor,
+                     TimerService &Timers, ClockHook Clock)
+    : State_(std::make_shared<State>(std::move(Executor), Timers,
+                                     std::move(Clock))) {
+  Timers.onChange([Weak = std::weak_ptr<State>(State_)] {
+    auto Self = Weak.lock();
+    if (Self && !Self->Advancing_)
+      Self->arm();
+  });
+  State_->arm();
+}
+
+TimerPump::~TimerPump() {
+  State_->Stopped_ = true;
+  State_->Timer_.cancel();
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Http/TimerPump.h
@@ -0,0 +1,26 @@
+#ifndef ANVIL_HTTP_TIMERPUMP_H
+#define ANVIL_HTTP_TIMERPUMP_H
+
+#include "Kernel/TimerService.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+
+namespace anvil {
+
+/// Drives a timer service from an Asio executor and the given clock.
+class TimerPump {
+public:
+  TimerPump(boost::asio::any_io_executor Executor, TimerService &Timers,
+            ClockHook Clock);
+  ~TimerPump();
+
+private:
+  struct State;
+  std::shared_ptr<State> State_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_HTTP_TIMERPUMP_H
--- /dev/null
+++ b/Source/Kernel/ServiceRegistry.cpp
@@ -0,0 +1,71 @@
+#include "Kernel/ServiceRegistry.h"
+
+#include <functional>
+#include <set>
+
+namespace anvil {
+
+void ServiceRegistry::add(std::shared_ptr<Service> Added) {
+  std::string Name(Added->serviceName());
+  bool IsNew = Services_.emplace(Name, std::move(Added)).second;
+  checkInvariant(IsNew, "two services have the same name");
+}
+
+Result<std::vector<std::string>> ServiceRegistry::startOrder() const {
+  std::vector<std::string> Order;
+  std::set<std::string> Placed;
+  std::set<std::string> Open;
+  Error Problem;
+  std::function<bool(const std::string &)> Visit =
+      [&](const std::string &Name) -> bool {
+    if (Placed.count(Name))
+      return true;
+    auto Found = Services_.find(Name);
+    if (Found == Services_.end()) {
+      Problem = {ErrorCode::NotFound, "service registry",
+                 "no service is named " + Name, "add it before the start"};
+      return false;
+    }
+    if (!Open.insert(Name).second) {
+      Problem = {ErrorCode::Conflict, "service registry",
+                 "the dependencies of " + Name + " form a cycle",
+                 "take one of them out"};
+      return false;
+    }
+    for (const std::string &Needed : Found->second->dependencies())
+      if (!Visit(Needed))
+        return false;
+    Open.erase(Name);
+    Placed.insert(Name);
+    Order.push_back(Name);
+    return true;
+  };
+  for (const auto &[Name, Unused] : Services_)
+    if (!Visit(Name))
+      return Problem;
+  return Order;
+}
+
+Status ServiceRegistry::startAll() {
+  auto Order = startOrder();
+  if (!isOk(Order))
+    return errorOf(Order);
+  for (const std::string &Name : valueOf(Order)) {
+    Status Outcome = Services_.at(Name)->start();
+    if (!isOk(Outcome)) {
+      stopAll();
+      return Outcome;
+    }
+    Started_.push_back(Name);
+  }
+  return std::monostate{};
+}
+
+void ServiceRegistry::stopAll() {
+  while (!Started_.empty()) {
+    Services_.at(Started_.back())->stop();
+    Started_.pop_back();
+  }
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Objects/FieldReader.h
@@ -0,0 +1,113 @@
+#ifndef ANVIL_OBJECTS_FIELDREADER_H
+#define ANVIL_OBJECTS_FIELDREADER_H
+
+#include "Kernel/Clock.h"
+#include "Kernel/Error.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace anvil {
+
+/// Whether a field may be left out.
+enum class FieldNeed { Required, Optional };
+
+/// The values that a number may take, both ends included.
+struct NumberRange {
+  double Least_ = 0;
+  double Most_ = std::numeric_limits<double>::max();
+};
+
+/// Reads the fields of a JSON object into a typed record and collects every
+/// error with its place. A field that is absent keeps the record's default.
+class FieldReader {
+public:
+  /// `Place` names the object in errors.
+  FieldReader(const nlohmann::json &Source, std::string Place,
+              std::vector<Error> &Errors);
+
+  void field(std::string_view Name, std::string &Value,
+             FieldNeed Need = FieldNeed::Optional);
+  void field(std::string_view Name, bool &Value,
+             FieldNeed Need = FieldNeed::Optional);
+  void field(std::string_view Name, std::int64_t &Value, NumberRange Range = {},
+             FieldNeed Need = FieldNeed::Optional);
+  void field(std::string_view Name, double &Value, NumberRange Range = {},
+             FieldNeed Need = FieldNeed::Optional);
+  void field(std::string_view Name, std::vector<std::string> &Value,
+             FieldNeed Need = FieldNeed::Optional);
+
+  /// A list of records; `visitFields(reader, record)` reads each.
+  template <class Record>
+  void records(std::string_view Name, std::vector<Record> &Values,
+               FieldNeed Need = FieldNeed::Optional) {
+    for (std::size_t Index = 0; Index < listSize(Name, Need); ++Index) {
+      FieldReader Inner = listItem(Name, Index);
+      visitFields(Inner, Values.emplace_back());
+      Inner.finish();
+    }
+  }
+
+  /// A record inside this one.
+  template <class Record>
+  void record(std::string_view Name, Record &Value,
+              FieldNeed Need = FieldNeed::Optional) {
+    if (!hasObject(Name, Need))
+      return;
+    FieldReader Inner = inner(Name);
+    visitFields(Inner, Value);
+    Inner.finish();
+  }
+
+  /// A field read as one of a table of names. `Names` are listed in the error.
+  template <class Enum, std::size_t Size>
+  void choice(std::string_view Name, Enum &Value,
+              const std::pair<Enum, std::string_view> (&Table)[Size],
+              FieldNeed Need = FieldNeed::Optional) {
+    std::string Text;
+    field(Name, Text, Need);
+    if (Text.empty())
+      return;
+    std::string Allowed;
+    for (const auto &[Known, KnownName] : Table) {
+      if (KnownName == Text) {
+        Value = Known;
+        return;
+      }
+      Allowed += (Allowed.empty() ? "" : ", ") + std::string(KnownName);
+    }
+    report(Name, "has the unknown value \"" + Text + "\"",
+           "use one of " + Allowed);
+  }
+
+  /// Reports every field that no call has named.
+  void finish();
+
+  /// Adds an error about the field `Name`.
+  void report(std::string_view Name, std::string Message, std::string Action);
+
+private:
+  const nlohmann::json *take(std::string_view Name, FieldNeed Need);
+  std::size_t listSize(std::string_view Name, FieldNeed Need);
+  FieldReader listItem(std::string_view Name, std::size_t Index);
+  bool hasObject(std::string_view Name, FieldNeed Need);
+  FieldReader inner(std::string_view Name);
+  template <class Number>
+  void number(std::string_view Name, Number &Value, NumberRange Range,
+              FieldNeed Need);
+
+  const nlohmann::json &Source_;
+  std::string Place_;
+  std::vector<Error> &Errors_;
+  std::set<std::string, std::less<>> Known_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_OBJECTS_FIELDREADER_H
--- /dev/null
+++ b/Source/Objects/FieldWriter.h
@@ -0,0 +1,63 @@
+#ifndef ANVIL_OBJECTS_FIELDWRITER_H
+#define ANVIL_OBJECTS_FIELDWRITER_H
+
+#include "Objects/FieldReader.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string_view>
+#include <vector>
+
+namespace anvil {
+
+/// Writes the fields of a typed record into a JSON object. It has the calls of
+/// `FieldReader`, so one `visitFields` serves both directions.
+class FieldWriter {
+public:
+  explicit FieldWriter(nlohmann::json &Target);
+
+  void field(std::string_view Name, const std::string &Value, FieldNeed = {});
+  void field(std::string_view Name, bool Value, FieldNeed = {});
+  void field(std::string_view Name, std::int64_t Value, NumberRange = {},
+             FieldNeed = {});
+  void field(std::string_view Name, double Value, NumberRange = {},
+             FieldNeed = {});
+  void field(std::string_view Name, const std::vector<std::string> &Value,
+             FieldNeed = {});
+
+  template <class Record>
+  void records(std::string_view Name, std::vector<Record> &Values,
+               FieldNeed = {}) {
+    startList(Name);
+    for (Record &Value : Values) {
+      FieldWriter Inner(addItem(Name));
+      visitFields(Inner, Value);
+    }
+  }
+
+  template <class Record>
+  void record(std::string_view Name, Record &Value, FieldNeed = {}) {
+    FieldWriter Inner(addObject(Name));
+    visitFields(Inner, Value);
+  }
+
+  template <class Enum, std::size_t Size>
+  void choice(std::string_view Name, Enum Value,
+              const std::pair<Enum, std::string_view> (&Table)[Size],
+              FieldNeed = {}) {
+    for (const auto &[Known, KnownName] : Table)
+      if (Known == Value)
+        field(Name, std::string(KnownName));
+  }
+
+private:
+  void startList(std::string_view Name);
+  nlohmann::json &addItem(std::string_view Name);
+  nlohmann::json &addObject(std::string_view Name);
+
+  nlohmann::json &Target_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_OBJECTS_FIELDWRITER_H
--- /dev/null
+++ b/Source/Peer/MessageType.h
@@ -0,0 +1,62 @@
+#ifndef ANVIL_PEER_MESSAGETYPE_H
+#define ANVIL_PEER_MESSAGETYPE_H
+
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+namespace anvil {
+
+/// The messages that VMs send each other. Numbers are never used again for
+/// another message, so that VMs of two releases understand each other.
+enum class MessageType : std::uint16_t {
+  Hello = 1,
+  Heartbeat = 10,
+  Goodbye = 11,
+  ConfigPull = 20,
+  ConfigEvidence = 21,
+  QuotaBalanceRequest = 30,
+  QuotaShareRenewal = 31,
+  QuotaHandover = 32,
+  PermitRequest = 40,
+  PermitRelease = 41,
+  PermitInventory = 42,
+  TargetReport = 43,
+  OwnershipHandover = 44,
+  StoreBudget = 45,
+  CrashSuspect = 50,
+  QuarantineClear = 51,
+  ClaimLookup = 60,
+};
+
+inline constexpr std::pair<MessageType, std::string_view> MessageTypeNames[] = {
+    {MessageType::Hello, "hello"},
+    {MessageType::Heartbeat, "heartbeat"},
+    {MessageType::Goodbye, "goodbye"},
+    {MessageType::ConfigPull, "config_pull"},
+    {MessageType::ConfigEvidence, "config_evidence"},
+    {MessageType::QuotaBalanceRequest, "quota_balance_request"},
+    {MessageType::QuotaShareRenewal, "quota_share_renewal"},
+    {MessageType::QuotaHandover, "quota_handover"},
+    {MessageType::PermitRequest, "permit_request"},
+    {MessageType::PermitRelease, "permit_release"},
+    {MessageType::PermitInventory, "permit_inventory"},
+    {MessageType::TargetReport, "target_report"},
+    {MessageType::OwnershipHandover, "ownership_handover"},
+    {MessageType::StoreBudget, "store_budget"},
+    {MessageType::CrashSuspect, "crash_suspect"},
+    {MessageType::QuarantineClear, "quarantine_clear"},
+    {MessageType::ClaimLookup, "claim_lookup"},
+};
+
+/// The name of a message type; "unknown" for a number that has none.
+constexpr std::string_view messageTypeName(MessageType Type) {
+  for (const auto &[Known, Name] : MessageTypeNames)
+    if (Known == Type)
+      return Name;
+  return "unknown";
+}
+
+} // namespace anvil
+
+#endif // ANVIL_PEER_MESSAGETYPE_H
--- /dev/null
+++ b/Source/Placement/EngineMonitor.cpp
@@ -0,0 +1,63 @@
+#include "Placement/EngineMonitor.h"
+
+#include "Http/Spawn.h"
+
+#include "Placement/EngineClient.h"
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+EngineMonitor::EngineMonitor(asio::any_io_executor Executor,
+                             const DaemonSettings &Settings,
+                             TimerService &Timers,
+                             std::shared_ptr<ConfigState> State,
+                             std::shared_ptr<TargetDirectory> Directory)
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
+      State_(std::move(State)), Directory_(std::move(Directory)) {}
+
+Status EngineMonitor::start() {
+  Duration Period = std::chrono::milliseconds(Settings_.Targets_.StatusPollMs_);
+  Period_ =
+      Timers_.every(Period, BootClock::now(), [this](TimePoint) { pollAll(); });
+  return std::monostate{};
+}
+
+void EngineMonitor::stop() { Period_.cancel(); }
+
+void EngineMonitor::pollAll() {
+  for (const auto &[Name, Known] : State_->current()->Objects_.all<Target>()) {
+    if (Known.TargetKind_ != TargetKind::Engine)
+      continue;
+    if (!Polling_.insert(Name).second)
+      continue;
+    Endpoint Address{Known.Address_, static_cast<std::uint16_t>(Known.Port_)};
+    spawn(Executor_, poll(Name, std::move(Address)));
+  }
+}
+
+asio::awaitable<void> EngineMonitor::poll(std::string TargetName,
+                                          Endpoint Address) {
+  EngineClient Client(std::move(Address));
+  auto Answer = co_await Client.status(
+      std::chrono::milliseconds(Settings_.Targets_.ConnectTimeoutMs_));
+  Polling_.erase(TargetName);
+  TargetReport Report;
+  if (const TargetReport *Old = Directory_->find(TargetName))
+    Report = *Old;
+  Report.Target_ = TargetName;
+  Report.ReportedAt_ = BootClock::now();
+  Report.Reachable_ = isOk(Answer);
+  if (Report.Reachable_) {
+    const EngineStatus &Given = valueOf(Answer);
+    Report.Incarnation_ = Given.Incarnation_;
+    Report.Running_ = Given.Running_;
+    Report.Waiting_ = Given.Waiting_;
+    Report.Resident_.clear();
+    for (const ResidentAdapter &Adapter : Given.Resident_)
+      Report.Resident_.insert(Adapter.Name_);
+  }
+  Directory_->update(std::move(Report));
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Placement/LocalPermitBroker.cpp
@@ -0,0 +1,143 @@
+#include "Placement/LocalPermitBroker.h"
+
+#include "Placement/EngineClient.h"
+#include "Telemetry/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// When to come back after a load that failed.
+static constexpr Duration LoadRetryAfter = std::chrono::seconds(1);
+
+LocalPermitBroker::Load::Load(const asio::any_io_executor &Executor)
+    : Done_(Executor, asio::steady_timer::time_point::max()) {}
+
+LocalPermitBroker::LocalPermitBroker(asio::any_io_executor Executor,
+                                     const DaemonSettings &Settings,
+                                     std::shared_ptr<TargetDirectory> Directory)
+    : Executor_(std::move(Executor)), Settings_(Settings),
+      Directory_(std::move(Directory)) {}
+
+static Endpoint addressOf(const Target &Where) {
+  return {Where.Address_, static_cast<std::uint16_t>(Where.Port_)};
+}
+
+void LocalPermitBroker::learn(Engine &Known, const std::string &TargetName) {
+  const TargetReport *Report = Directory_->find(TargetName);
+  if (!Report || Report->Incarnation_ == Known.Incarnation_)
+    return;
+  // A new life of the engine starts with what it reports, or with nothing.
+  Known.Incarnation_ = Report->Incarnation_;
+  for (auto &[Adapter, Usage] : Known.Uses_)
+    Usage.Resident_ = Report->Resident_.count(Adapter.text()) > 0;
+}
+
+asio::awaitable<void> LocalPermitBroker::makeRoom(const Target &Where) {
+  Engine &Known = Engines_[Where.Name_];
+  std::int64_t Held = static_cast<std::int64_t>(Known.Loads_.size());
+  std::optional<AdapterRef> Oldest;
+  for (const auto &[Adapter, Usage] : Known.Uses_) {
+    Held += Usage.Resident_;
+    bool IsIdle = Usage.Resident_ && Usage.Permits_ == 0;
+    if (IsIdle && (!Oldest || Usage.LastUsed_ < Known.Uses_[*Oldest].LastUsed_))
+      Oldest = Adapter;
+  }
+  if (Held <= Where.AdapterSlots_ || !Oldest)
+    co_return;
+  Known.Uses_[*Oldest].Resident_ = false;
+  EngineClient Client(addressOf(Where));
+  co_await Client.unload(
+      *Oldest, 1, std::chrono::milliseconds(Settings_.Targets_.LoadTimeoutMs_));
+}
+
+asio::awaitable<Status> LocalPermitBroker::ensureResident(const Target &Where,
+                                                          AdapterRef Adapter,
+                                                          std::string Weights) {
+  Engine &Known = Engines_[Where.Name_];
+  learn(Known, Where.Name_);
+  if (Known.Uses_[Adapter].Resident_)
+    co_return std::monostate{};
+  auto Running = Known.Loads_.find(Adapter);
+  if (Running != Known.Loads_.end()) {
+    auto Shared = Running->second;
+    boost::system::error_code Ignored;
+    if (!Shared->Result_)
+      co_await Shared->Done_.async_wait(
+          asio::redirect_error(asio::use_awaitable, Ignored));
+    co_return *Shared->Result_;
+  }
+  auto Started = std::make_shared<Load>(Executor_);
+  Known.Loads_[Adapter] = Started;
+  co_await makeRoom(Where);
+  EngineClient Client(addressOf(Where));
+  Status Loaded = co_await Client.load(
+      Adapter, std::move(Weights), 1,
+      std::chrono::milliseconds(Settings_.Targets_.LoadTimeoutMs_));
+  Known.Uses_[Adapter].Resident_ = isOk(Loaded);
+  Known.Loads_.erase(Adapter);
+  Started->Result_ = Loaded;
+  Started->Done_.cancel();
+  co_return Loaded;
+}
+
+/// Where the weights of an adapter version are; empty when it is unknown.
+static std::string weightsOf(const ConfigSnapshot &Snapshot,
+                             const AdapterRef &Ref) {
+  const Adapter *Known = Snapshot.Objects_.find<Adapter>(Ref.Adapter_);
+  if (Known)
+    for (const AdapterVersion &Version : Known->Versions_)
+      if (Version.Name_ == Ref.Version_)
+        return Version.Weights_;
+  return "";
+}
+
+asio::awaitable<Outcome<Permit>>
+LocalPermitBroker::acquire(const RequestContext &Request,
+                           std::string TargetName) {
+  const Target *Where = Request.Snapshot_->Objects_.find<Target>(TargetName);
+  if (!Where)
+    co_return Refusal{RefusalCode::NoTarget, "the target doesn't exist",
+                      Execution::No, LoadRetryAfter};
+  Permit Granted;
+  Granted.Id_ = NextPermit_++;
+  Granted.Target_ = TargetName;
+  Granted.Address_ = addressOf(*Where);
+  Granted.Adapter_ = Request.Adapter_;
+  if (Request.Adapter_.empty())
+    co_return Granted;
+  Use &Usage = Engines_[TargetName].Uses_[Request.Adapter_];
+  // Counted before the load, so that the adapter isn't evicted in between.
+  ++Usage.Permits_;
+  Usage.LastUsed_ = BootClock::now();
+  Status Ready =
+      co_await ensureResident(*Where, Request.Adapter_,
+                              weightsOf(*Request.Snapshot_, Request.Adapter_));
+  Granted.Incarnation_ = Engines_[TargetName].Incarnation_;
+  if (isOk(Ready))
+    co_return Granted;
+  --Usage.Permits_;
+  logEvent(LogLevel::Warning, "adapter_load_failed",
+           {{"target", TargetName},
+            {"adapter", Request.Adapter_.Adapter_},
+            {"version", Request.Adapter_.Version_},
+            {"problem", errorOf(Ready).describe()}});
+  co_return Refusal{RefusalCode::AdapterUnavailable,
+                    "the adapter could not be loaded", Execution::No,
+                    LoadRetryAfter};
+}
+
+void LocalPermitBroker::release(const Permit &Held, PermitEnd End) {
+  if (Held.Adapter_.empty())
+    return;
+  Use &Usage = Engines_[Held.Target_].Uses_[Held.Adapter_];
+  --Usage.Permits_;
+  Usage.LastUsed_ = BootClock::now();
+  if (End == PermitEnd::AdapterMissing || End == PermitEnd::TargetFailed)
+    Usage.Resident_ = false;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Platform/HttpPlatformClient.h
@@ -0,0 +1,56 @@
+#ifndef ANVIL_PLATFORM_HTTPPLATFORMCLIENT_H
+#define ANVIL_PLATFORM_HTTPPLATFORMCLIENT_H
+
+#include "Http/Endpoint.h"
+#include "Http/HttpMessage.h"
+#include "Kernel/Clock.h"
+#include "Platform/CircuitBreaker.h"
+#include "Platform/PlatformService.h"
+#include "Telemetry/Metrics.h"
+
+#include <memory>
+#include <string>
+
+namespace anvil {
+
+/// How the client treats the platform.
+struct PlatformClientOptions {
+  Endpoint Server_;
+  Duration Timeout_ = std::chrono::seconds(1);
+  int CircuitFailures_ = 5;
+  Duration CircuitOpen_ = std::chrono::seconds(2);
+};
+
+/// The platform over HTTP. A transaction whose answer is lost is ambiguous; it
+/// is never sent again from here.
+class HttpPlatformClient : public PlatformService {
+public:
+  HttpPlatformClient(PlatformClientOptions Options,
+                     std::shared_ptr<Metrics> Counts);
+
+  boost::asio::awaitable<Result<std::vector<TableRow>>>
+  read(std::vector<std::string> Keys) override;
+  boost::asio::awaitable<Result<std::vector<TableRow>>>
+  scan(std::string Prefix, std::string After, std::size_t Limit) override;
+  boost::asio::awaitable<CommitOutcome>
+  commit(TableTransaction Transaction) override;
+  boost::asio::awaitable<Status> putObject(std::string ObjectName,
+                                           std::string Bytes) override;
+  boost::asio::awaitable<Result<std::string>>
+  getObject(std::string ObjectName) override;
+  boost::asio::awaitable<Result<std::vector<VmRecord>>> listVms() override;
+  bool reachable() const override { return Reachable_; }
+
+private:
+  boost::asio::awaitable<Result<HttpReply>> call(std::string_view Operation,
+                                                 HttpRequest Request);
+
+  PlatformClientOptions Options_;
+  std::shared_ptr<Metrics> Counts_;
+  CircuitBreaker Circuit_;
+  bool Reachable_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_PLATFORM_HTTPPLATFORMCLIENT_H
--- /dev/null
+++ b/Source/Programs/Daemon.cpp
@@ -0,0 +1,205 @@
+#include "Programs/Daemon.h"
+
+#include "Admin/AdminServer.h"
+#include "Admin/ConfigEndpoints.h"
+#include "Admin/StatusEndpoints.h"
+#include "Admission/FixedSplitQuota.h"
+#include "Config/ConfigPoller.h"
+#include "Gateway/RequestPipeline.h"
+#include "Ledger/TableLedger.h"
+#include "Membership/MembershipService.h"
+#include "Membership/Rendezvous.h"
+#include "Objects/Digest.h"
+#include "Peer/PeerNetwork.h"
+#include "Placement/EngineMonitor.h"
+#include "Placement/LocalPermitBroker.h"
+#include "Platform/HttpPlatformClient.h"
+#include "Routing/RandomSelector.h"
+#include "Telemetry/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace anvil {
+
+using nlohmann::json;
+
+/// How often a stopping daemon looks whether its requests have ended.
+static constexpr Duration StopCheckPeriod = std::chrono::milliseconds(50);
+
+Daemon::Daemon(DaemonSettings Settings)
+    : Settings_(std::move(Settings)), Incarnation_(randomHex(8)),
+      Pump_(Loop_.get_executor(), Timers_, [] { return BootClock::now(); }),
+      Signals_(Loop_, SIGTERM, SIGINT), StopTimer_(Loop_) {
+  Services_.add(std::make_shared<Metrics>());
+  addPlatform();
+  addConfig();
+  addDeciders();
+  addFrontDoors();
+  addStatusSections();
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::addPlatform() {
+  PlatformClientOptions Options;
+  // The settings were checked, so the address parses.
+  Options.Server_ =
+      std::get<Endpoint>(parseEndpoint(Settings_.Platform_.Address_));
+  Options.Timeout_ = std::chrono::milliseconds(Settings_.Platform_.TimeoutMs_);
+  Options.CircuitFailures_ =
+      static_cast<int>(Settings_.Platform_.CircuitFailures_);
+  Options.CircuitOpen_ =
+      std::chrono::milliseconds(Settings_.Platform_.CircuitOpenMs_);
+  auto Measured = Services_.require<Metrics>(Metrics::Name);
+  Services_.add(std::make_shared<HttpPlatformClient>(Options, Measured));
+  Endpoint PeerAddress{Settings_.Listen_.Address_,
+                       static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_)};
+  Services_.add(std::make_shared<PeerNetwork>(
+      Loop_.get_executor(), Settings_.Vm_, PeerAddress, Measured));
+  Services_.add(std::make_shared<MembershipService>(
+      Loop_.get_executor(), Settings_, Timers_,
+      Services_.require<PlatformService>(PlatformService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name)));
+}
+
+void Daemon::addConfig() {
+  auto Platform = Services_.require<PlatformService>(PlatformService::Name);
+  auto State = std::make_shared<ConfigState>();
+  auto Publisher = std::make_shared<ConfigPublisher>(Platform, State);
+  Services_.add(State);
+  Services_.add(Publisher);
+  Services_.add(std::make_shared<ConfigPoller>(
+      Loop_.get_executor(), Settings_, Timers_, Platform, Publisher, State));
+}
+
+void Daemon::addDeciders() {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  auto Directory = std::make_shared<TargetDirectory>();
+  Services_.add(Directory);
+  Services_.add(std::make_shared<EngineMonitor>(Loop_.get_executor(), Settings_,
+                                                Timers_, State, Directory));
+  Services_.add(
+      std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+  Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
+                                                    Settings_, Directory));
+  Services_.add(std::make_shared<RandomSelector>(
+      Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
+  Services_.add(std::make_shared<TableLedger>(
+      Services_.require<PlatformService>(PlatformService::Name), Settings_.Vm_,
+      Incarnation_));
+}
+
+void Daemon::addFrontDoors() {
+  Services_.add(std::make_shared<RequestPipeline>(Loop_.get_executor(),
+                                                  Settings_, Services_));
+  auto Server =
+      std::make_shared<AdminServer>(Loop_.get_executor(), Settings_,
+                                    Services_.require<Metrics>(Metrics::Name));
+  auto Status = std::make_shared<StatusPage>();
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  addConfigEndpoints(
+      *Server, Services_.require<ConfigPublisher>(ConfigPublisher::Name), State,
+      Services_.require<PlatformService>(PlatformService::Name));
+  addStatusEndpoint(*Server, Status);
+  Server->onReadyCheck([this, State]() -> std::string {
+    if (Stopping_)
+      return "stopping";
+    return State->isCurrent() ? "" : "the configuration is not known yet";
+  });
+  Services_.add(Server);
+  Services_.add(Status);
+}
+
+void Daemon::addStatusSections() {
+  auto Page = Services_.require<StatusPage>(StatusPage::Name);
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  auto Platform = Services_.require<PlatformService>(PlatformService::Name);
+  auto Directory = Services_.require<TargetDirectory>(TargetDirectory::Name);
+  auto Members = Services_.require<MembershipService>(MembershipService::Name);
+  Page->addSection("vm", [this, State, Platform] {
+    return json{{"name", Settings_.Vm_},
+                {"data_centre", Settings_.DataCentre_},
+                {"revision", State->current()->Revision_},
+                {"current", State->isCurrent()},
+                {"stopping", Stopping_},
+                {"platform_reachable", Platform->reachable()}};
+  });
+  Page->addSection("members", [Members] {
+    json List = json::array();
+    for (const auto &[Name, Known] : Members->members())
+      List.push_back({{"name", Name},
+                      {"data_centre", Known.DataCentre_},
+                      {"leaving", Known.State_ == VmState::Leaving}});
+    return List;
+  });
+  Page->addSection("targets", [Directory] {
+    json List = json::array();
+    for (const auto &[Name, Report] : Directory->all())
+      List.push_back({{"name", Name},
+                      {"reachable", Report.Reachable_},
+                      {"running", Report.Running_},
+                      {"waiting", Report.Waiting_},
+                      {"resident", Report.Resident_}});
+    return List;
+  });
+}
+
+Status Daemon::start() {
+  Status Started = Services_.startAll();
+  if (isOk(Started))
+    waitForSignal();
+  return Started;
+}
+
+void Daemon::run() { Loop_.run(); }
+
+std::map<std::string, std::uint16_t> Daemon::ports() const {
+  auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
+  auto Admin = Services_.require<AdminServer>(AdminServer::Name);
+  auto Peers = Services_.require<PeerNetwork>(PeerNetwork::Name);
+  return {{"caller", Callers->port()},
+          {"admin", Admin->port()},
+          {"peer", Peers->port()}};
+}
+
+void Daemon::waitForSignal() {
+  Signals_.async_wait([this](boost::system::error_code Cause, int) {
+    if (!Cause)
+      beginStop();
+  });
+}
+
+void Daemon::beginStop() {
+  Stopping_ = true;
+  logEvent(LogLevel::Info, "stopping");
+  auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
+  Callers->beginDrain();
+  StopDeadline_ = BootClock::now() + std::chrono::milliseconds(
+                                         Settings_.Shutdown_.BalancerNoticeMs_ +
+                                         Settings_.Shutdown_.DrainMs_);
+  // The balancer keeps sending requests until it has read /readyz again.
+  StopTimer_.expires_after(
+      std::chrono::milliseconds(Settings_.Shutdown_.BalancerNoticeMs_));
+  StopTimer_.async_wait([this](auto) {
+    Services_.require<RequestPipeline>(RequestPipeline::Name)->stop();
+    waitForRequests();
+  });
+}
+
+void Daemon::waitForRequests() {
+  auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
+  bool Done = Callers->runningRequests() == 0;
+  if (Done || BootClock::now() >= StopDeadline_) {
+    logEvent(LogLevel::Info, "stopped",
+             {{"requests_cut", Callers->runningRequests()}});
+    Services_.stopAll();
+    Loop_.stop();
+    return;
+  }
+  StopTimer_.expires_after(StopCheckPeriod);
+  StopTimer_.async_wait([this](auto) { waitForRequests(); });
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Programs/ReadyFile.h
@@ -0,0 +1,19 @@
+#ifndef ANVIL_PROGRAMS_READYFILE_H
+#define ANVIL_PROGRAMS_READYFILE_H
+
+#include "Kernel/Error.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace anvil {
+
+/// Writes the ports that a program listens on, as a JSON object, so that
+/// whoever started it knows them. The file appears whole or not at all.
+Status writeReadyFile(const std::string &Path,
+                      const std::map<std::string, std::uint16_t> &Ports);
+
+} // namespace anvil
+
+#endif // ANVIL_PROGRAMS_READYFILE_H
--- /dev/null
+++ b/Source/Routing/RandomSelector.h
@@ -0,0 +1,33 @@
+#ifndef ANVIL_ROUTING_RANDOMSELECTOR_H
+#define ANVIL_ROUTING_RANDOMSELECTOR_H
+
+#include "Requests/TargetSelector.h"
+
+#include <random>
+
+namespace anvil {
+
+/// Whether the target can serve the request as the configuration stands.
+bool isEligible(const Target &Candidate, const RequestContext &Request);
+
+/// Tries the eligible targets in random order, those of this data centre first.
+/// It is the baseline that informed routing is measured against.
+class RandomSelector : public TargetSelector {
+public:
+  RandomSelector(std::string DataCentre, std::uint64_t Seed);
+
+  std::vector<std::string> rank(const RequestContext &Request,
+                                const std::set<std::string> &Excluded,
+                                TimePoint Now) override;
+  void noteTry(const RequestContext &, const Permit &, TryResult, Duration,
+               TimePoint) override {}
+  bool allowRetry(const RequestContext &, TimePoint) override { return true; }
+
+private:
+  std::string DataCentre_;
+  std::mt19937_64 Random_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ROUTING_RANDOMSELECTOR_H
--- /dev/null
+++ b/Source/Settings/DaemonSettings.cpp
@@ -0,0 +1,106 @@
+#include "Settings/DaemonSettings.h"
+
+#include "Objects/FieldReader.h"
+#include "Settings/SettingsFile.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvil {
+
+static constexpr NumberRange PortRange{0, 65535};
+static constexpr NumberRange MillisRange{1, 3600000};
+static constexpr NumberRange CountRange{1, 1000};
+static constexpr NumberRange BytesRange{1024, 1 << 30};
+
+static void visitFields(FieldReader &Fields, ListenSettings &Listen) {
+  Fields.field("address", Listen.Address_);
+  Fields.field("caller_port", Listen.CallerPort_, PortRange);
+  Fields.field("admin_port", Listen.AdminPort_, PortRange);
+  Fields.field("peer_port", Listen.PeerPort_, PortRange);
+}
+
+static void visitFields(FieldReader &Fields, PlatformSettings &Platform) {
+  Fields.field("address", Platform.Address_, FieldNeed::Required);
+  Fields.field("timeout_ms", Platform.TimeoutMs_, MillisRange);
+  Fields.field("circuit_failures", Platform.CircuitFailures_, CountRange);
+  Fields.field("circuit_open_ms", Platform.CircuitOpenMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, PeerSettings &Peer) {
+  Fields.field("name", Peer.Name_, FieldNeed::Required);
+  Fields.field("data_centre", Peer.DataCentre_, FieldNeed::Required);
+  Fields.field("address", Peer.Address_, FieldNeed::Required);
+}
+
+static void visitFields(FieldReader &Fields, CallerLimitSettings &Limits) {
+  Fields.field("head_bytes", Limits.HeadBytes_, BytesRange);
+  Fields.field("body_bytes", Limits.BodyBytes_, BytesRange);
+  Fields.field("request_ms", Limits.RequestMs_, MillisRange);
+  Fields.field("idle_ms", Limits.IdleMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, ConfigSettings &Config) {
+  Fields.field("poll_ms", Config.PollMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, TargetSettings &Targets) {
+  Fields.field("connect_timeout_ms", Targets.ConnectTimeoutMs_, MillisRange);
+  Fields.field("status_poll_ms", Targets.StatusPollMs_, MillisRange);
+  Fields.field("load_timeout_ms", Targets.LoadTimeoutMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, ShutdownSettings &Shutdown) {
+  Fields.field("balancer_notice_ms", Shutdown.BalancerNoticeMs_, MillisRange);
+  Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
+  Fields.field("vm", Settings.Vm_, FieldNeed::Required);
+  Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
+  Fields.field("log_level", Settings.LogLevel_);
+  Fields.field("operator_token_sha256", Settings.OperatorTokenSha256_);
+  Fields.record("listen", Settings.Listen_);
+  Fields.record("platform", Settings.Platform_, FieldNeed::Required);
+  Fields.records("peers", Settings.Peers_);
+  Fields.record("caller_limits", Settings.CallerLimits_);
+  Fields.record("config", Settings.Config_);
+  Fields.record("targets", Settings.Targets_);
+  Fields.record("shutdown", Settings.Shutdown_);
+}
+
+static void checkAddress(FieldReader &Fields, std::string_view Name,
+                         const std::string &Text) {
+  auto Parsed = parseEndpoint(Text);
+  if (!Text.empty() && !isOk(Parsed))
+    Fields.report(Name, errorOf(Parsed).Message_, errorOf(Parsed).Action_);
+}
+
+std::variant<DaemonSettings, std::vector<Error>>
+parseDaemonSettings(const std::string &Path, const std::string &Text) {
+  auto Parsed = parseSettings(Path, Text);
+  if (!isOk(Parsed))
+    return std::vector<Error>{errorOf(Parsed)};
+  std::vector<Error> Errors;
+  DaemonSettings Settings;
+  FieldReader Reader(valueOf(Parsed), "", Errors);
+  visitFields(Reader, Settings);
+  Reader.finish();
+  checkAddress(Reader, "platform.address", Settings.Platform_.Address_);
+  for (const PeerSettings &Peer : Settings.Peers_)
+    checkAddress(Reader, "peers." + Peer.Name_, Peer.Address_);
+  if (Errors.empty())
+    return Settings;
+  for (Error &Problem : Errors)
+    Problem.Where_ = Path + ": " + Problem.Where_;
+  return Errors;
+}
+
+std::variant<DaemonSettings, std::vector<Error>>
+loadDaemonSettings(const std::string &Path) {
+  auto Text = readTextFile(Path);
+  if (!isOk(Text))
+    return std::vector<Error>{errorOf(Text)};
+  return parseDaemonSettings(Path, valueOf(Text));
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Settings/DaemonSettings.h
@@ -0,0 +1,93 @@
+#ifndef ANVIL_SETTINGS_DAEMONSETTINGS_H
+#define ANVIL_SETTINGS_DAEMONSETTINGS_H
+
+#include "Http/Endpoint.h"
+#include "Kernel/Error.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace anvil {
+
+/// Where this VM listens. Port zero lets the system choose one.
+struct ListenSettings {
+  std::string Address_ = "127.0.0.1";
+  std::int64_t CallerPort_ = 8080;
+  std::int64_t AdminPort_ = 8081;
+  std::int64_t PeerPort_ = 8082;
+};
+
+/// How the platform is reached.
+struct PlatformSettings {
+  std::string Address_;
+  std::int64_t TimeoutMs_ = 1000;
+  /// Failures in a row after which calls fail at once for a while.
+  std::int64_t CircuitFailures_ = 5;
+  std::int64_t CircuitOpenMs_ = 2000;
+};
+
+/// A peer whose address differs from what the platform's list says.
+struct PeerSettings {
+  std::string Name_;
+  std::string DataCentre_;
+  std::string Address_;
+};
+
+/// What a caller may send and how long it may take.
+struct CallerLimitSettings {
+  std::int64_t HeadBytes_ = 16 * 1024;
+  std::int64_t BodyBytes_ = 8 * 1024 * 1024;
+  std::int64_t RequestMs_ = 15000;
+  std::int64_t IdleMs_ = 75000;
+};
+
+/// How the configuration is kept current.
+struct ConfigSettings {
+  std::int64_t PollMs_ = 1000;
+};
+
+/// How target requests are made.
+struct TargetSettings {
+  std::int64_t ConnectTimeoutMs_ = 1000;
+  std::int64_t StatusPollMs_ = 250;
+  std::int64_t LoadTimeoutMs_ = 20000;
+};
+
+/// How the daemon stops.
+struct ShutdownSettings {
+  /// How long new requests are still taken after the VM reports not ready.
+  std::int64_t BalancerNoticeMs_ = 2000;
+  /// How long running requests may take to end.
+  std::int64_t DrainMs_ = 60000;
+};
+
+/// Everything a VM is told at its start.
+struct DaemonSettings {
+  std::string Vm_;
+  std::string DataCentre_;
+  std::string LogLevel_ = "info";
+  /// SHA-256 of the operators' token; empty leaves the admin port open.
+  std::string OperatorTokenSha256_;
+  ListenSettings Listen_;
+  PlatformSettings Platform_;
+  std::vector<PeerSettings> Peers_;
+  CallerLimitSettings CallerLimits_;
+  ConfigSettings Config_;
+  TargetSettings Targets_;
+  ShutdownSettings Shutdown_;
+};
+
+/// Reads and checks the settings of `anvild`. Every error names the file, the
+/// field, what is wrong and what is allowed.
+std::variant<DaemonSettings, std::vector<Error>>
+loadDaemonSettings(const std::string &Path);
+
+/// Checks settings given as text; `Path` only appears in errors.
+std::variant<DaemonSettings, std::vector<Error>>
+parseDaemonSettings(const std::string &Path, const std::string &Text);
+
+} // namespace anvil
+
+#endif // ANVIL_SETTINGS_DAEMONSETTINGS_H
--- /dev/null
+++ b/Source/Settings/SettingsFile.h
@@ -0,0 +1,21 @@
+#ifndef ANVIL_SETTINGS_SETTINGSFILE_H
+#define ANVIL_SETTINGS_SETTINGSFILE_H
+
+#include "Kernel/Error.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+
+namespace anvil {
+
+/// The text of a file. The error names the file and the cause.
+Result<std::string> readTextFile(const std::string &Path);
+
+/// Parses JSON with comments. The error gives the file and the place in it.
+Result<nlohmann::json> parseSettings(const std::string &Path,
+                                     const std::string &Text);
+
+} // namespace anvil
+
+#endif // ANVIL_SETTINGS_SETTINGSFILE_H
--- /dev/null
+++ b/Tests/Standins/ServiceStandin.h
@@ -0,0 +1,31 @@
+#ifndef ANVIL_TESTS_STANDINS_SERVICESTANDIN_H
+#define ANVIL_TESTS_STANDINS_SERVICESTANDIN_H
+
+#include "Http/HttpServer.h"
+#include "Standins/RequestRecord.h"
+
+namespace anvil {
+
+/// A plain service: records each call and answers with its number. `POST
+/// /control` with `{"delay_ms", "drop_answers"}` makes it slow, or run that
+/// many calls without answering.
+class ServiceStandin {
+public:
+  explicit ServiceStandin(boost::asio::any_io_executor Executor);
+
+  Status listen(const Endpoint &Address) { return Server_.listen(Address); }
+  std::uint16_t port() const { return Server_.port(); }
+
+private:
+  boost::asio::awaitable<void> handle(HttpExchange &Exchange);
+
+  std::int64_t DelayMs_ = 0;
+  std::int64_t DropAnswers_ = 0;
+  std::int64_t Calls_ = 0;
+  RequestRecords Records_;
+  HttpServer Server_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_TESTS_STANDINS_SERVICESTANDIN_H
--- /dev/null
+++ b/Tests/Unit/SettingsTest.cpp
@@ -0,0 +1,39 @@
+#include "Settings/DaemonSettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvil;
+
+static std::vector<Error> errorsIn(const std::string &Text) {
+  auto Parsed = parseDaemonSettings("anvild.json", Text);
+  if (std::holds_alternative<DaemonSettings>(Parsed))
+    return {};
+  return std::get<std::vector<Error>>(Parsed);
+}
+
+TEST_CASE("settings are checked as a whole") {
+  SECTION("good ones pass, comments and all") {
+    REQUIRE(errorsIn(R"({
+      // This VM.
+      "vm": "vm-1", "data_centre": "bilbao",
+      "platform": {"address": "127.0.0.1:9000"}})")
+                .empty());
+  }
+
+  SECTION("every fault is named with its place") {
+    auto Errors = errorsIn(R"({
+      "vm": 1, "data_centre": "bilbao", "colour": "red",
+      "platform": {"address": "nowhere", "timeout_ms": 0}})");
+    REQUIRE(Errors.size() == 4);
+    for (const Error &Problem : Errors) {
+      REQUIRE(Problem.Where_.starts_with("anvild.json: "));
+      REQUIRE_FALSE(Problem.Action_.empty());
+    }
+  }
+
+  SECTION("a torn file names the line") {
+    auto Errors = errorsIn("{\n\"vm\": \"a\",\n");
+    REQUIRE(Errors.size() == 1);
+    REQUIRE(Errors.front().Where_ == "anvild.json:3");
+  }
+}
