--- a/Source/Kernel/ServiceRegistry.h
+++ b/Source/Kernel/ServiceRegistry.h
@@ -54,6 +54,16 @@
     return Found;
   }
 
+  /// Every service that is also an `Interface`, by name.
+  template <class Interface>
+  std::vector<std::shared_ptr<Interface>> all() const {
+    std::vector<std::shared_ptr<Interface>> Found;
+    for (const auto &[Name, Known] : Services_)
+      if (auto Seen = std::dynamic_pointer_cast<Interface>(Known))
+        Found.push_back(std::move(Seen));
+    return Found;
+  }
+
   /// Starts every service. On an error those already started are stopped.
   /// The error names an unknown dependency, a cycle or the failed service.
   Status startAll();
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "Admission/FixedSplitQuota.h"
 #include "Config/ConfigPoller.h"
 #include "Gateway/RequestPipeline.h"
+#include "Http/Spawn.h"
 #include "Ledger/TableLedger.h"
 #include "Membership/MembershipService.h"
 #include "Membership/Rendezvous.h"
@@ -14,6 +15,7 @@
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
+#include "Requests/HandOver.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -184,10 +186,16 @@
       std::chrono::milliseconds(Settings_.Shutdown_.BalancerNoticeMs_));
   StopTimer_.async_wait([this](auto) {
     Services_.require<RequestPipeline>(RequestPipeline::Name)->stop();
-    waitForRequests();
+    spawn(Loop_.get_executor(), handOverAll());
   });
 }
 
+boost::asio::awaitable<void> Daemon::handOverAll() {
+  for (const auto &Holder : Services_.all<HandOver>())
+    co_await Holder->handOver();
+  waitForRequests();
+}
+
 void Daemon::waitForRequests() {
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   bool Done = Callers->runningRequests() == 0;
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -6,6 +6,7 @@
 #include "Kernel/TimerService.h"
 #include "Settings/DaemonSettings.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,6 +42,7 @@
   void addStatusSections();
   void waitForSignal();
   void beginStop();
+  boost::asio::awaitable<void> handOverAll();
   void waitForRequests();
 
   DaemonSettings Settings_;
