Serve customers' quotas by leased shares

FixedSplitQuota splits every quota over the peers named in the settings, so a VM refuses what the others have to spare. QuotaService holds leased parts, collects tokens from the VMs that have them and moves parts by demand; quota.policy selects it (shares, the default) or the old split (fixed_split). The first try gave the whole burst to the VM that created the quota: the quickstart's second VM, which did not know the first yet, refused its booking.

--- a/Source/Admission/QuotaHolder.cpp
+++ b/Source/Admission/QuotaHolder.cpp
@@ -11,7 +11,13 @@
 static constexpr double WorthWriting = 0.2;
 
 /// Parts below this are not worth keeping in a row.
-static constexpr double SmallestPart = 1e-6;
+static constexpr double SmallestPart = 1e-4;
+
+/// Demand below which a VM without a part leaves the row, tokens a second.
+static constexpr double SmallestDemand = 0.01;
+
+/// Slack for sums of parts.
+static constexpr double RoundingPart = 1e-9;
 
 QuotaHolder::QuotaHolder(QuotaTiming Timing, Duration Term, std::string Vm,
                          std::string DataCentre, std::string Incarnation,
@@ -133,11 +139,12 @@
   // The edit may still arrive as long as the row has the version it checks.
   if (Version == Edit.Version_)
     return;
-  bool Created = Edit.Creates_ && Part > 0;
+  bool HasLanded =
+      Mine != Row.ByLease_.end() && Mine->second.Edit_ == Edit.Number_;
+  double Fresh = HasLanded ? Edit.Fresh_ : 0;
   Known.Pending_.reset();
   Known.Share_.setPart(Part, Now);
-  if (Created)
-    Known.Share_.fill(Now);
+  Known.Share_.fill(Fresh, Now);
 }
 
 std::optional<QuotaEdit>
@@ -151,9 +158,12 @@
   bool WasCleaned = Row.dropOthers(Alive);
   QuotaEdit Edit;
   Edit.Customer_ = Customer;
+  Edit.Lease_ = Lease_;
   Edit.Number_ = NextEdit_++;
   Edit.Version_ = Version;
-  Edit.Creates_ = Version == 0;
+  bool Creates = Version == 0;
+  if (Creates)
+    Row.Fresh_ = 1 - Reserve;
   auto Mine = Row.ByLease_.find(Lease_);
   double KnownDemand = 0;
   if (Mine != Row.ByLease_.end()) {
@@ -161,22 +171,36 @@
     KnownDemand = Mine->second.Demand_;
   }
   Edit.NewPart_ = nextQuotaPart(Row, Lease_, Demand, Reserve);
+  // Half stays for the VMs that come next: their part then has tokens too.
+  if (Creates)
+    Edit.NewPart_ = std::min(Edit.NewPart_, Row.Fresh_ / 2);
   // What is lent out is still in use and can't be given up yet.
   double Lent = Known.Share_.lentPart(Now);
   if (Edit.NewPart_ < Edit.OldPart_)
     Edit.NewPart_ = std::min(Edit.OldPart_, std::max(Edit.NewPart_, Lent));
-  if (Edit.NewPart_ < SmallestPart)
+  if (Edit.NewPart_ < SmallestPart && Lent <= 0)
     Edit.NewPart_ = 0;
+  bool Leaves = Edit.NewPart_ <= 0 && Demand < SmallestDemand;
+  if (Leaves && Mine == Row.ByLease_.end())
+    return std::nullopt;
   auto Differs = [](double Old, double New) {
     return std::abs(New - Old) > WorthWriting * std::max(Old, New);
   };
   bool IsPending = Known.Pending_.has_value();
-  if (!WasCleaned && !IsPending && !Edit.Creates_ &&
+  if (!WasCleaned && !IsPending && !Creates &&
       !Differs(Edit.OldPart_, Edit.NewPart_) && !Differs(KnownDemand, Demand))
     return std::nullopt;
-  Row.ByLease_[Lease_] = {Edit.NewPart_, Demand, Vm_, DataCentre_};
+  Edit.Fresh_ =
+      std::min(Row.Fresh_, std::max(0.0, Edit.NewPart_ - Edit.OldPart_));
+  Row.Fresh_ -= Edit.Fresh_;
+  if (Leaves)
+    Row.ByLease_.erase(Lease_);
+  else
+    Row.ByLease_[Lease_] = {Edit.NewPart_, Demand, Edit.Number_, Vm_,
+                            DataCentre_};
   Edit.Row_ = std::move(Row);
-  checkInvariant(Edit.Row_.total() <= 1 - Reserve + SmallestPart,
+  checkInvariant(Edit.Row_.total() + Edit.Row_.Fresh_ <=
+                     1 - Reserve + RoundingPart,
                  "an edit gives out more than the whole quota");
   double Usable = std::min(Known.Share_.part(), Edit.NewPart_);
   Known.Share_.setPart(Usable, Now);
@@ -190,7 +214,7 @@
   expire(Now);
   Entry &Known = Entries_.at(Edit.Customer_);
   // The lease was lost meanwhile, and with it everything under it.
-  if (!Known.Pending_ || Edit.Row_.ByLease_.count(Lease_) == 0)
+  if (!Known.Pending_ || Edit.Lease_ != Lease_)
     return;
   if (End == QuotaEditEnd::NotSent && Known.Pending_->Number_ == Edit.Number_)
     Known.Pending_.reset();
@@ -200,8 +224,7 @@
     return;
   Known.Pending_.reset();
   Known.Share_.setPart(Edit.NewPart_, Now);
-  if (Edit.Creates_)
-    Known.Share_.fill(Now);
+  Known.Share_.fill(Edit.Fresh_, Now);
 }
 
 } // namespace anvil
--- a/Source/Admission/QuotaHolder.h
+++ b/Source/Admission/QuotaHolder.h
@@ -13,13 +13,16 @@
 /// A change of a customer's row that this VM is about to try.
 struct QuotaEdit {
   std::string Customer_;
+  /// The lease that it is made under.
+  std::string Lease_;
   std::uint64_t Number_ = 0;
   /// The version that the row must still have.
   std::uint64_t Version_ = 0;
   QuotaHoldings Row_;
   double OldPart_ = 0;
   double NewPart_ = 0;
-  bool Creates_ = false;
+  /// The part of the gain whose burst comes with it.
+  double Fresh_ = 0;
 };
 
 /// How an edit ended, as far as this VM can tell.
--- /dev/null
+++ b/Source/Admission/QuotaKeeper.cpp
@@ -0,0 +1,243 @@
+#include "Admission/QuotaKeeper.h"
+
+#include "Http/Spawn.h"
+#include "Membership/Rendezvous.h"
+#include "Peer/PeerMessage.h"
+#include "Telemetry/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// The least time between two writes of one row by one VM.
+static constexpr Duration WritePeriod = std::chrono::milliseconds(500);
+
+/// How long a VM waits for the one that writes its renewal.
+static constexpr Duration RenewalTimeout = std::chrono::milliseconds(2500);
+
+/// How often a row is looked at for leases that nobody renews.
+static constexpr Duration WatchPeriod = std::chrono::seconds(5);
+
+/// VMs that watch each row, and that a renewal is sent through before the VM
+/// writes the row itself.
+static constexpr std::size_t Watchers = 2;
+static constexpr std::size_t Relays = 2;
+
+/// Times that a write is tried again after a conflict.
+static constexpr int WriteTries = 5;
+
+std::string quotaLeaseRow(const std::string &DataCentre) {
+  return "quota-lease/" + DataCentre;
+}
+
+QuotaKeeper::QuotaKeeper(asio::any_io_executor Executor,
+                         const DaemonSettings &Settings, TimerService &Timers,
+                         std::shared_ptr<PlatformService> Platform,
+                         std::shared_ptr<PeerNetwork> Network,
+                         std::shared_ptr<MembershipService> Members)
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
+      Platform_(std::move(Platform)), Network_(std::move(Network)),
+      Members_(std::move(Members)) {}
+
+std::vector<std::string> QuotaKeeper::dependencies() const {
+  return {std::string(PlatformService::Name), std::string(PeerNetwork::Name),
+          std::string(MembershipService::Name)};
+}
+
+Status QuotaKeeper::start() {
+  answerPeers<QuotaShareRenewal>(*Network_,
+                                 [this](std::string, QuotaShareRenewal Asked)
+                                     -> asio::awaitable<QuotaShareReply> {
+                                   co_return co_await write(std::move(Asked));
+                                 });
+  WatchTimer_ = Timers_.every(WatchPeriod, BootClock::now(),
+                              [this](TimePoint) { watchAll(); });
+  return std::monostate{};
+}
+
+void QuotaKeeper::stop() { WatchTimer_.cancel(); }
+
+std::vector<std::string>
+QuotaKeeper::route(const std::string &DataCentre) const {
+  std::string Key = "quota-lease/" + DataCentre;
+  auto Order = rendezvousOrder(Key, Members_->liveIn(DataCentre));
+  if (Order.size() > Relays)
+    Order.resize(Relays);
+  // This VM's own way comes next, then a VM of another data centre.
+  if (std::ranges::count(Order, Settings_.Vm_) == 0)
+    Order.push_back(Settings_.Vm_);
+  std::vector<std::string> Others;
+  for (const auto &[Vm, Known] : Members_->members())
+    if (Known.DataCentre_ != DataCentre)
+      Others.push_back(Vm);
+  Others = rendezvousOrder(Settings_.Vm_, std::move(Others));
+  if (!Others.empty())
+    Order.push_back(Others.front());
+  return Order;
+}
+
+asio::awaitable<QuotaShareReply> QuotaKeeper::send(QuotaShareRenewal Renewal) {
+  for (const std::string &Vm : route(Renewal.DataCentre_)) {
+    QuotaShareReply Reply;
+    if (Vm == Settings_.Vm_) {
+      Reply = co_await write(Renewal);
+    } else {
+      auto Answer = co_await callPeer<QuotaShareReply>(*Network_, Vm, Renewal,
+                                                       RenewalTimeout);
+      if (isOk(Answer))
+        Reply = valueOf(Answer);
+    }
+    if (Reply.Known_)
+      co_return Reply;
+  }
+  co_return QuotaShareReply{};
+}
+
+asio::awaitable<QuotaShareReply> QuotaKeeper::write(QuotaShareRenewal Renewal) {
+  std::string DataCentre = Renewal.DataCentre_;
+  Batch &Row = Batches_[DataCentre];
+  auto Entry = std::make_shared<Waiting>(Executor_, std::move(Renewal));
+  Row.Waiting_.push_back(Entry);
+  if (!std::exchange(Row.Runs_, true))
+    spawn(Executor_, flush(DataCentre));
+  boost::system::error_code Ignored;
+  Entry->Done_.expires_after(RenewalTimeout);
+  if (!Entry->IsDone_)
+    co_await Entry->Done_.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  co_return Entry->Reply_;
+}
+
+asio::awaitable<void> QuotaKeeper::flush(std::string DataCentre) {
+  Batch &Row = Batches_[DataCentre];
+  asio::steady_timer Pause(Executor_);
+  while (!Row.Waiting_.empty()) {
+    Duration Since = BootClock::now() - Row.Written_;
+    if (Since < WritePeriod) {
+      boost::system::error_code Ignored;
+      Pause.expires_after(WritePeriod - Since);
+      co_await Pause.async_wait(
+          asio::redirect_error(asio::use_awaitable, Ignored));
+    }
+    Row.Written_ = BootClock::now();
+    std::vector<WaitingPtr> Group = std::move(Row.Waiting_);
+    Row.Waiting_.clear();
+    co_await writeBatch(DataCentre, Group);
+    for (const WaitingPtr &Entry : Group) {
+      Entry->IsDone_ = true;
+      Entry->Done_.cancel();
+    }
+  }
+  Row.Runs_ = false;
+}
+
+asio::awaitable<void> QuotaKeeper::writeBatch(std::string DataCentre,
+                                              std::vector<WaitingPtr> Group) {
+  std::string Key = quotaLeaseRow(DataCentre);
+  for (int Try = 0; Try < WriteTries; ++Try) {
+    std::vector<std::string> Keys{Key};
+    auto Rows = co_await Platform_->read(std::move(Keys));
+    if (!isOk(Rows))
+      co_return;
+    auto Leases = decodeQuotaLeases(valueOf(Rows).front().Value_);
+    if (!isOk(Leases)) {
+      logEvent(LogLevel::Error, "quota_row_unreadable", {{"row", Key}});
+      co_return;
+    }
+    std::vector<QuotaRenewalReply> Replies;
+    for (const WaitingPtr &Entry : Group) {
+      const QuotaShareRenewal &Asked = Entry->Asked_;
+      QuotaRenewal Renewal{static_cast<QuotaLeaseWish>(Asked.Wish_),
+                           Asked.Vm_,
+                           Asked.DataCentre_,
+                           Asked.Id_,
+                           Asked.Replaces_,
+                           Asked.Counter_,
+                           Asked.OldLoansEnded_};
+      Replies.push_back(applyQuotaRenewal(valueOf(Leases), Renewal));
+    }
+    TableTransaction Change;
+    Change.Checks_.push_back({Key, valueOf(Rows).front().Version_});
+    Change.Writes_.push_back({Key, encodeQuotaLeases(valueOf(Leases))});
+    auto Ended = co_await Platform_->commit(std::move(Change));
+    if (Ended.Result_ == CommitResult::Conflict)
+      continue;
+    // After a lost answer nothing is said: the VM sends a new message.
+    if (Ended.Result_ != CommitResult::Committed)
+      co_return;
+    for (std::size_t Index = 0; Index < Group.size(); ++Index)
+      Group[Index]->Reply_ = {true, Replies[Index].Accepted_,
+                              Replies[Index].CurrentId_};
+    co_return;
+  }
+}
+
+asio::awaitable<Result<std::set<std::string>>>
+QuotaKeeper::readAlive(std::set<std::string> DataCentres) {
+  std::vector<std::string> Keys;
+  for (const std::string &DataCentre : DataCentres)
+    Keys.push_back(quotaLeaseRow(DataCentre));
+  auto Rows = co_await Platform_->read(std::move(Keys));
+  if (!isOk(Rows))
+    co_return errorOf(Rows);
+  std::set<std::string> Alive;
+  for (const TableRow &Row : valueOf(Rows)) {
+    auto Leases = decodeQuotaLeases(Row.Value_);
+    if (!isOk(Leases))
+      co_return errorOf(Leases);
+    Alive.merge(liveQuotaLeases(valueOf(Leases)));
+  }
+  co_return Alive;
+}
+
+void QuotaKeeper::watchAll() {
+  std::set<std::string> DataCentres{Settings_.DataCentre_};
+  std::vector<std::string> Vms{Settings_.Vm_};
+  for (const auto &[Vm, Known] : Members_->members()) {
+    DataCentres.insert(Known.DataCentre_);
+    Vms.push_back(Vm);
+  }
+  for (const std::string &DataCentre : DataCentres) {
+    auto Order = rendezvousOrder("quota-watch/" + DataCentre, Vms);
+    Order.resize(std::min(Order.size(), Watchers));
+    if (std::ranges::count(Order, Settings_.Vm_) == 0)
+      Watches_.erase(DataCentre);
+    else if (Watching_.insert(DataCentre).second)
+      spawn(Executor_, watch(DataCentre));
+  }
+}
+
+asio::awaitable<void> QuotaKeeper::watch(std::string DataCentre) {
+  std::string Key = quotaLeaseRow(DataCentre);
+  std::vector<std::string> Keys{Key};
+  auto Rows = co_await Platform_->read(std::move(Keys));
+  Watching_.erase(DataCentre);
+  if (!isOk(Rows))
+    co_return;
+  auto Leases = decodeQuotaLeases(valueOf(Rows).front().Value_);
+  if (!isOk(Leases))
+    co_return;
+  Duration Term = std::chrono::milliseconds(Settings_.Quota_.LeaseMs_);
+  Duration Margin = std::chrono::milliseconds(Settings_.Quota_.LeaseMarginMs_);
+  auto [Seen, IsNew] =
+      Watches_.try_emplace(DataCentre, QuotaLeaseWatch(Term + Margin));
+  auto Over = Seen->second.see(valueOf(Leases), BootClock::now());
+  if (Over.empty())
+    co_return;
+  for (const std::string &Vm : Over) {
+    valueOf(Leases)[Vm].Ended_ = true;
+    logEvent(LogLevel::Info, "quota_lease_ended", {{"vm", Vm}});
+  }
+  TableTransaction Change;
+  Change.Checks_.push_back({Key, valueOf(Rows).front().Version_});
+  Change.Writes_.push_back({Key, encodeQuotaLeases(valueOf(Leases))});
+  // Whatever the outcome, the next look at the row shows what is left to do.
+  co_await Platform_->commit(std::move(Change));
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Admission/QuotaKeeper.h
@@ -0,0 +1,90 @@
+#ifndef ANVIL_ADMISSION_QUOTAKEEPER_H
+#define ANVIL_ADMISSION_QUOTAKEEPER_H
+
+#include "Admission/QuotaLeaseWatch.h"
+#include "Admission/QuotaMessages.h"
+#include "Membership/MembershipService.h"
+#include "Platform/PlatformService.h"
+#include "Settings/DaemonSettings.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// The row of a data centre's leases.
+std::string quotaLeaseRow(const std::string &DataCentre);
+
+/// Writes the leases of data centres into their rows for this VM and others.
+/// Renewals that come within a short time share one write. Some VMs also watch
+/// rows and end leases that nobody renews.
+class QuotaKeeper : public Service {
+public:
+  static constexpr std::string_view Name = "quota_keeper";
+
+  QuotaKeeper(boost::asio::any_io_executor Executor,
+              const DaemonSettings &Settings, TimerService &Timers,
+              std::shared_ptr<PlatformService> Platform,
+              std::shared_ptr<PeerNetwork> Network,
+              std::shared_ptr<MembershipService> Members);
+
+  std::string_view serviceName() const override { return Name; }
+  std::vector<std::string> dependencies() const override;
+  Status start() override;
+  void stop() override;
+
+  /// Brings a lease message to its row: through the VM that keeps the row now,
+  /// or through others of the data centre, or from here.
+  boost::asio::awaitable<QuotaShareReply> send(QuotaShareRenewal Renewal);
+
+  /// The leases of those data centres that haven't ended.
+  boost::asio::awaitable<Result<std::set<std::string>>>
+  readAlive(std::set<std::string> DataCentres);
+
+private:
+  /// A lease message that waits for its write.
+  struct Waiting {
+    Waiting(boost::asio::any_io_executor Executor, QuotaShareRenewal Asked)
+        : Asked_(std::move(Asked)), Done_(Executor) {}
+    QuotaShareRenewal Asked_;
+    QuotaShareReply Reply_;
+    bool IsDone_ = false;
+    boost::asio::steady_timer Done_;
+  };
+  using WaitingPtr = std::shared_ptr<Waiting>;
+
+  /// The messages for one data centre's row.
+  struct Batch {
+    std::vector<WaitingPtr> Waiting_;
+    bool Runs_ = false;
+    TimePoint Written_{};
+  };
+
+  boost::asio::awaitable<QuotaShareReply> write(QuotaShareRenewal Renewal);
+  boost::asio::awaitable<void> flush(std::string DataCentre);
+  boost::asio::awaitable<void> writeBatch(std::string DataCentre,
+                                          std::vector<WaitingPtr> Group);
+  boost::asio::awaitable<void> watch(std::string DataCentre);
+  void watchAll();
+  std::vector<std::string> route(const std::string &DataCentre) const;
+
+  boost::asio::any_io_executor Executor_;
+  const DaemonSettings &Settings_;
+  TimerService &Timers_;
+  std::shared_ptr<PlatformService> Platform_;
+  std::shared_ptr<PeerNetwork> Network_;
+  std::shared_ptr<MembershipService> Members_;
+  std::map<std::string, Batch> Batches_;
+  std::map<std::string, QuotaLeaseWatch> Watches_;
+  std::set<std::string> Watching_;
+  TimerService::Subscription WatchTimer_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ADMISSION_QUOTAKEEPER_H
--- a/Source/Admission/QuotaRows.cpp
+++ b/Source/Admission/QuotaRows.cpp
@@ -95,11 +95,11 @@
 }
 
 std::string encodeQuotaHoldings(const QuotaHoldings &Given) {
-  json Out = json::object();
-  for (const auto &[Lease, Held] : Given.ByLease_)
-    Out[Lease] =
-        json::array({Held.Part_, Held.Demand_, Held.Vm_, Held.DataCentre_});
-  return Out.dump();
+  json Held = json::object();
+  for (const auto &[Lease, Entry] : Given.ByLease_)
+    Held[Lease] = json::array({Entry.Part_, Entry.Demand_, Entry.Edit_,
+                               Entry.Vm_, Entry.DataCentre_});
+  return json{{"fresh", Given.Fresh_}, {"held", std::move(Held)}}.dump();
 }
 
 std::string encodeQuotaFloors(const QuotaFloors &Given) {
@@ -129,9 +129,10 @@
 
 Result<QuotaHoldings> decodeQuotaHoldings(const std::string &Text) {
   return decode<QuotaHoldings>(Text, [](const json &In, QuotaHoldings &Found) {
-    for (const auto &[Lease, Entry] : In.items())
+    Found.Fresh_ = In.at("fresh");
+    for (const auto &[Lease, Entry] : In.at("held").items())
       Found.ByLease_[Lease] = {Entry.at(0), Entry.at(1), Entry.at(2),
-                               Entry.at(3)};
+                               Entry.at(3), Entry.at(4)};
   });
 }
 
--- a/Source/Admission/QuotaRows.h
+++ b/Source/Admission/QuotaRows.h
@@ -62,6 +62,9 @@
   double Part_ = 0;
   /// Tokens a second that callers asked for, decayed.
   double Demand_ = 0;
+  /// The holder's edit that wrote this, so that it knows after a lost answer
+  /// whether the edit took effect.
+  std::uint64_t Edit_ = 0;
   std::string Vm_;
   std::string DataCentre_;
 };
@@ -69,6 +72,9 @@
 /// A customer's row: the parts by lease.
 struct QuotaHoldings {
   std::map<std::string, QuotaHolding> ByLease_;
+  /// The part, held by nobody, whose burst nobody has been given yet. It only
+  /// shrinks once the quota has been created.
+  double Fresh_ = 0;
 
   /// The sum of all parts.
   double total() const;
--- /dev/null
+++ b/Source/Admission/QuotaService.cpp
@@ -0,0 +1,337 @@
+#include "Admission/QuotaService.h"
+
+#include "Http/Spawn.h"
+#include "Peer/PeerMessage.h"
+#include "Telemetry/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// How long demand is remembered.
+static constexpr Duration DemandMemory = std::chrono::seconds(10);
+
+/// How long other VMs are left alone after they had no tokens.
+static constexpr Duration DryPause = std::chrono::milliseconds(100);
+
+/// Requests of one customer that may ask other VMs at a time.
+static constexpr int AskingLimit = 8;
+
+/// VMs that a request asks at most.
+static constexpr std::size_t GiversAsked = 3;
+
+/// The balance, in seconds of demand, below which tokens are fetched ahead.
+static constexpr double FetchBelowSeconds = 0.25;
+
+/// Tokens fetched ahead, in seconds of demand.
+static constexpr double FetchSeconds = 0.5;
+
+/// The shortest honest time until tokens can be there.
+static constexpr Duration ShortestRetry = std::chrono::milliseconds(100);
+
+static Duration millis(std::int64_t Count) {
+  return std::chrono::milliseconds(Count);
+}
+
+static QuotaTiming timingOf(const QuotaSettings &Given) {
+  QuotaTiming Timing;
+  Timing.LoanTerm_ = millis(Given.LoanMs_);
+  Timing.Margin_ = millis(Given.LoanMarginMs_);
+  return Timing;
+}
+
+QuotaService::QuotaService(asio::any_io_executor Executor,
+                           const DaemonSettings &Settings,
+                           std::string Incarnation, TimerService &Timers,
+                           const ServiceRegistry &Services)
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
+      State_(Services.require<ConfigState>(ConfigState::Name)),
+      Platform_(Services.require<PlatformService>(PlatformService::Name)),
+      Network_(Services.require<PeerNetwork>(PeerNetwork::Name)),
+      Members_(Services.require<MembershipService>(MembershipService::Name)),
+      Keeper_(Services.require<QuotaKeeper>(QuotaKeeper::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
+      Holder_(timingOf(Settings.Quota_), millis(Settings.Quota_.LeaseMs_),
+              Settings.Vm_, Settings.DataCentre_, std::move(Incarnation),
+              BootClock::now()) {}
+
+std::vector<std::string> QuotaService::dependencies() const {
+  return {std::string(ConfigState::Name), std::string(QuotaKeeper::Name)};
+}
+
+Status QuotaService::start() {
+  answerOthers();
+  Tick_ = Timers_.every(std::chrono::milliseconds(50), BootClock::now(),
+                        [this](TimePoint Now) { tick(Now); });
+  tick(BootClock::now());
+  return std::monostate{};
+}
+
+void QuotaService::stop() {
+  Stopped_ = true;
+  Tick_.cancel();
+}
+
+std::optional<QuotaService::Limits>
+QuotaService::limitsOf(const std::string &Name) const {
+  constexpr std::string_view StorePrefix = "store/";
+  const ObjectSet &Objects = State_->current()->Objects_;
+  if (Name.starts_with(StorePrefix)) {
+    const auto *Store =
+        Objects.find<WeightStore>(Name.substr(StorePrefix.size()));
+    if (!Store)
+      return std::nullopt;
+    // The store takes as many loads at a moment as it does at once.
+    auto Burst =
+        static_cast<double>(std::max<std::int64_t>(1, Store->ConcurrentLoads_));
+    return Limits{Name, Store->LoadsPerSecond_, Burst};
+  }
+  const auto *Owner = Objects.find<Customer>(Name);
+  if (!Owner)
+    return std::nullopt;
+  return Limits{Name, Owner->RateTokensPerSecond_, Owner->BurstTokens_};
+}
+
+QuotaShare &QuotaService::shareOf(const Limits &Given, TimePoint Now) {
+  return Holder_.share(Given.Name_, Given.Rate_, Given.Burst_, Now);
+}
+
+double QuotaService::demandOf(const Tracked &Known, TimePoint Now) {
+  double Age = toSeconds(Now - Known.DemandAt_) / toSeconds(DemandMemory);
+  return Known.Demand_ * std::exp(-Age);
+}
+
+QuotaService::Tracked &QuotaService::track(const Limits &Given, double Tokens,
+                                           TimePoint Now) {
+  Tracked &Known = Tracked_[Given.Name_];
+  Known.Limits_ = Given;
+  Known.Demand_ = demandOf(Known, Now) + Tokens / toSeconds(DemandMemory);
+  Known.DemandAt_ = Now;
+  return Known;
+}
+
+asio::awaitable<Outcome<QuotaCharge>>
+QuotaService::charge(const RequestContext &Request) {
+  const Customer *Owner =
+      Request.Snapshot_->Objects_.find<Customer>(Request.Customer_);
+  if (!Owner) {
+    QuotaCharge Free{Request.Customer_, 0};
+    co_return Free;
+  }
+  Limits Given{Owner->Name_, Owner->RateTokensPerSecond_, Owner->BurstTokens_};
+  co_return co_await take(std::move(Given), Request.UpperBoundTokens_);
+}
+
+asio::awaitable<Outcome<QuotaCharge>>
+QuotaService::takeLoadToken(std::string StoreName) {
+  auto Given = limitsOf("store/" + StoreName);
+  if (!Given) {
+    QuotaCharge Free;
+    co_return Free;
+  }
+  co_return co_await take(*Given, 1);
+}
+
+asio::awaitable<Outcome<QuotaCharge>> QuotaService::take(Limits Given,
+                                                         double Tokens) {
+  TimePoint Now = BootClock::now();
+  MetricLabels Labels{{"customer", Given.Name_}};
+  if (Tokens > Given.Burst_) {
+    Metrics_->count("anvil_quota_refused_total",
+                    {{"customer", Given.Name_}, {"cause", "exceeds_burst"}});
+    co_return Refusal{RefusalCode::ExceedsBurst,
+                      "the request can cost more than the customer's burst",
+                      Execution::No, std::nullopt};
+  }
+  Tracked &Known = track(Given, Tokens, Now);
+  bool IsTaken = shareOf(Given, Now).spend(Tokens, Now);
+  if (!IsTaken && !Known.Known_) {
+    co_await firstRead(Given);
+    Now = BootClock::now();
+    IsTaken = shareOf(Given, Now).spend(Tokens, Now);
+  }
+  if (!IsTaken)
+    IsTaken = co_await collect(Given, Tokens);
+  if (!IsTaken && Known.IsFresh_) {
+    co_await refresh(Given);
+    Now = BootClock::now();
+    IsTaken = shareOf(Given, Now).spend(Tokens, Now);
+  }
+  Now = BootClock::now();
+  if (!IsTaken) {
+    Metrics_->count("anvil_quota_refused_total",
+                    {{"customer", Given.Name_}, {"cause", "rate_exceeded"}});
+    co_return refuse(Given, Tokens, Now);
+  }
+  Metrics_->count("anvil_quota_tokens_admitted_total", Labels, Tokens);
+  double Low = demandOf(Known, Now) * FetchBelowSeconds;
+  if (Known.Asking_ == 0 && shareOf(Given, Now).balance(Now) < Low)
+    spawn(Executor_, prefetch(Given));
+  QuotaCharge Charge{Given.Name_, Tokens};
+  co_return Charge;
+}
+
+Refusal QuotaService::refuse(const Limits &Given, double Tokens,
+                             TimePoint Now) {
+  QuotaShare &Share = shareOf(Given, Now);
+  double Missing = Tokens - Share.balance(Now);
+  for (const auto &[Vm, Left] : Tracked_[Given.Name_].Holders_)
+    Missing -= Left;
+  Duration Wait = Share.waitFor(Tokens, Now);
+  // All VMs together gain the customer's whole rate.
+  if (Given.Rate_ > 0) {
+    double Seconds = std::max(0.0, Missing) / Given.Rate_;
+    Duration Together =
+        std::chrono::ceil<Duration>(std::chrono::duration<double>(Seconds));
+    Wait = std::min(Wait, Together);
+  }
+  std::optional<Duration> Retry;
+  if (Wait != Duration::max())
+    Retry = std::max(Wait, ShortestRetry);
+  return {RefusalCode::RateExceeded, "the customer's rate is used up",
+          Execution::No, Retry};
+}
+
+void QuotaService::settle(const QuotaCharge &Charge, double UsedTokens) {
+  QuotaShare *Share = Holder_.find(Charge.Customer_);
+  double Unused = Charge.Tokens_ - std::max(0.0, UsedTokens);
+  if (Share && Unused > 0)
+    Share->refund(Unused, BootClock::now());
+}
+
+bool QuotaService::isIn(const std::string &Vm,
+                        const std::string &DataCentre) const {
+  auto Found = Members_->members().find(Vm);
+  return Found != Members_->members().end() &&
+         Found->second.DataCentre_ == DataCentre;
+}
+
+std::vector<std::string> QuotaService::givers(const Tracked &Known) const {
+  std::vector<std::string> Order;
+  for (const auto &[Vm, Left] : Known.Holders_)
+    if (Members_->members().contains(Vm))
+      Order.push_back(Vm);
+  // VMs of this data centre have floors to lend even when no row is readable.
+  for (const std::string &Vm : Members_->liveIn(Settings_.DataCentre_))
+    if (Vm != Settings_.Vm_ && !Known.Holders_.contains(Vm))
+      Order.push_back(Vm);
+  auto Rank = [&](const std::string &Vm) {
+    auto Found = Known.Holders_.find(Vm);
+    double Left = Found == Known.Holders_.end() ? 0 : Found->second;
+    return std::pair(!isIn(Vm, Settings_.DataCentre_), -Left);
+  };
+  std::ranges::stable_sort(Order, {}, Rank);
+  return Order;
+}
+
+asio::awaitable<bool> QuotaService::collect(Limits Given, double Tokens) {
+  Tracked &Known = Tracked_[Given.Name_];
+  TimePoint Now = BootClock::now();
+  if (Known.Asking_ >= AskingLimit || Now < Known.DryUntil_)
+    co_return false;
+  ++Known.Asking_;
+  TimePoint Deadline = Now + millis(Settings_.Quota_.BorrowWaitMs_);
+  double Ahead = demandOf(Known, Now) * FetchSeconds;
+  bool IsTaken = false;
+  std::size_t Asked = 0;
+  for (const std::string &Vm : givers(Known)) {
+    Now = BootClock::now();
+    if (IsTaken || Now >= Deadline || Asked == GiversAsked)
+      break;
+    ++Asked;
+    double Needed = Tokens - shareOf(Given, Now).balance(Now);
+    co_await askPeer(Given, Vm, Needed, Needed + Ahead, Deadline - Now);
+    Now = BootClock::now();
+    IsTaken = shareOf(Given, Now).spend(Tokens, Now);
+  }
+  --Known.Asking_;
+  if (!IsTaken)
+    Known.DryUntil_ = BootClock::now() + DryPause;
+  co_return IsTaken;
+}
+
+asio::awaitable<void> QuotaService::prefetch(Limits Given) {
+  Tracked &Known = Tracked_[Given.Name_];
+  TimePoint Now = BootClock::now();
+  auto Order = givers(Known);
+  if (Order.empty() || Now < Known.DryUntil_ || Known.Asking_ > 0)
+    co_return;
+  ++Known.Asking_;
+  double Ahead = demandOf(Known, Now) * FetchSeconds;
+  double Got = co_await askPeer(Given, Order.front(), 0, Ahead,
+                                millis(Settings_.Quota_.BorrowWaitMs_));
+  --Known.Asking_;
+  if (Got <= 0)
+    Known.DryUntil_ = BootClock::now() + DryPause;
+}
+
+asio::awaitable<double> QuotaService::askPeer(Limits Given, std::string Vm,
+                                              double Needed, double Wanted,
+                                              Duration Timeout) {
+  QuotaBalanceRequest Asked{Given.Name_, Settings_.DataCentre_, Needed, Wanted};
+  TimePoint Sent = BootClock::now();
+  auto Reply =
+      co_await callPeer<QuotaBalanceReply>(*Network_, Vm, Asked, Timeout);
+  TimePoint Now = BootClock::now();
+  if (!isOk(Reply)) {
+    Tracked_[Given.Name_].Holders_[Vm] = 0;
+    co_return 0;
+  }
+  const QuotaBalanceReply &Got = valueOf(Reply);
+  Tracked_[Given.Name_].Holders_[Vm] = Got.Left_;
+  if (Got.Tokens_ <= 0)
+    co_return 0;
+  QuotaLoan Loan{Got.Tokens_, Duration(Got.TermMicros_)};
+  shareOf(Given, Now).borrow(Loan, Sent, Now);
+  Metrics_->count("anvil_quota_tokens_borrowed_total",
+                  {{"customer", Given.Name_}}, Got.Tokens_);
+  co_return Got.Tokens_;
+}
+
+void QuotaService::answerOthers() {
+  answerPeers<QuotaBalanceRequest>(
+      *Network_,
+      [this](std::string,
+             QuotaBalanceRequest Asked) -> asio::awaitable<QuotaBalanceReply> {
+        QuotaBalanceReply Reply;
+        TimePoint Now = BootClock::now();
+        auto Given = limitsOf(Asked.Customer_);
+        if (!Given || Stopped_)
+          co_return Reply;
+        bool WithFloor = Asked.DataCentre_ == Settings_.DataCentre_;
+        QuotaShare &Share = shareOf(*Given, Now);
+        double Wanted = GivesAll_ ? 2 * Share.balance(Now) : Asked.Wanted_;
+        QuotaLoan Loan = Share.lend(Asked.Needed_, Wanted, WithFloor, Now);
+        Reply.Tokens_ = Loan.Tokens_;
+        Reply.TermMicros_ = Loan.Term_.count();
+        Reply.Left_ = Share.balance(Now);
+        if (Loan.Tokens_ > 0)
+          Metrics_->count("anvil_quota_tokens_lent_total",
+                          {{"customer", Asked.Customer_}}, Loan.Tokens_);
+        co_return Reply;
+      });
+  answerPeers<QuotaHandover>(
+      *Network_,
+      [this](std::string From,
+             QuotaHandover Asked) -> asio::awaitable<QuotaHandoverReply> {
+        QuotaHandoverReply Reply;
+        for (const std::string &Name : Asked.Customers_) {
+          auto Given = limitsOf(Name);
+          if (!Given || Stopped_)
+            continue;
+          co_await askPeer(*Given, From, 0, Given->Burst_,
+                           millis(Settings_.Quota_.BorrowWaitMs_));
+          ++Reply.Taken_;
+        }
+        co_return Reply;
+      });
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Admission/QuotaService.h
@@ -0,0 +1,126 @@
+#ifndef ANVIL_ADMISSION_QUOTASERVICE_H
+#define ANVIL_ADMISSION_QUOTASERVICE_H
+
+#include "Admission/QuotaHolder.h"
+#include "Admission/QuotaKeeper.h"
+#include "Config/ConfigState.h"
+#include "Requests/HandOver.h"
+#include "Requests/QuotaGate.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// Keeps customers within their rate and burst over all VMs by leased shares.
+/// A request short of tokens here gets them from other VMs, within a short
+/// time; the shares follow the demand more slowly.
+class QuotaService : public QuotaGate, public HandOver {
+public:
+  QuotaService(boost::asio::any_io_executor Executor,
+               const DaemonSettings &Settings, std::string Incarnation,
+               TimerService &Timers, const ServiceRegistry &Services);
+
+  std::vector<std::string> dependencies() const override;
+  Status start() override;
+  void stop() override;
+
+  boost::asio::awaitable<Outcome<QuotaCharge>>
+  charge(const RequestContext &Request) override;
+  void settle(const QuotaCharge &Charge, double UsedTokens) override;
+
+  /// Takes one load out of the weight store's rate, over all VMs together. The
+  /// refusal says when to come back.
+  boost::asio::awaitable<Outcome<QuotaCharge>>
+  takeLoadToken(std::string StoreName);
+
+  boost::asio::awaitable<void> handOver() override;
+
+  /// What this VM holds, for the status page.
+  nlohmann::json status();
+
+private:
+  /// A rate and burst under a name, which is also the row's.
+  struct Limits {
+    std::string Name_;
+    double Rate_ = 0;
+    double Burst_ = 0;
+  };
+
+  /// What the service knows about one customer beside its share.
+  struct Tracked {
+    Limits Limits_;
+    double Demand_ = 0;
+    TimePoint DemandAt_{};
+    TimePoint Refreshed_{};
+    bool Known_ = false;
+    /// Whether a part of the burst is still to be handed out.
+    bool IsFresh_ = false;
+    bool Refreshing_ = false;
+    int Asking_ = 0;
+    /// Until then the other VMs are not asked again, as they had nothing.
+    TimePoint DryUntil_{};
+    /// Other VMs and what each is thought to have.
+    std::map<std::string, double> Holders_;
+  };
+
+  QuotaShare &shareOf(const Limits &Given, TimePoint Now);
+  Tracked &track(const Limits &Given, double Tokens, TimePoint Now);
+  static double demandOf(const Tracked &Known, TimePoint Now);
+  std::optional<Limits> limitsOf(const std::string &Name) const;
+  Refusal refuse(const Limits &Given, double Tokens, TimePoint Now);
+
+  boost::asio::awaitable<Outcome<QuotaCharge>> take(Limits Given,
+                                                    double Tokens);
+  boost::asio::awaitable<bool> collect(Limits Given, double Tokens);
+  boost::asio::awaitable<double> askPeer(Limits Given, std::string Vm,
+                                         double Needed, double Wanted,
+                                         Duration Timeout);
+  boost::asio::awaitable<void> prefetch(Limits Given);
+  std::vector<std::string> givers(const Tracked &Known) const;
+
+  boost::asio::awaitable<void> firstRead(Limits Given);
+  boost::asio::awaitable<void> refresh(Limits Given);
+  boost::asio::awaitable<void> refreshRow(Limits Given);
+  void adoptHolders(Tracked &Known, const QuotaHoldings &Row);
+  boost::asio::awaitable<Result<std::set<std::string>>>
+  aliveFor(const QuotaHoldings &Row);
+  boost::asio::awaitable<void> renew();
+  boost::asio::awaitable<void> readFloors();
+  void answerOthers();
+  void tick(TimePoint Now);
+  void publishGauges(TimePoint Now);
+  bool isIn(const std::string &Vm, const std::string &DataCentre) const;
+
+  boost::asio::any_io_executor Executor_;
+  const DaemonSettings &Settings_;
+  TimerService &Timers_;
+  std::shared_ptr<ConfigState> State_;
+  std::shared_ptr<PlatformService> Platform_;
+  std::shared_ptr<PeerNetwork> Network_;
+  std::shared_ptr<MembershipService> Members_;
+  std::shared_ptr<QuotaKeeper> Keeper_;
+  std::shared_ptr<Metrics> Metrics_;
+  QuotaHolder Holder_;
+  std::map<std::string, Tracked> Tracked_;
+  std::set<std::string> Alive_;
+  TimePoint AliveAt_{};
+  bool FloorsKnown_ = false;
+  double Reserve_ = 0;
+  bool Renewing_ = false;
+  bool GivesAll_ = false;
+  bool Stopped_ = false;
+  TimePoint NextRenewal_{};
+  TimePoint NextRefresh_{};
+  TimePoint NextGauges_{};
+  TimerService::Subscription Tick_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ADMISSION_QUOTASERVICE_H
--- a/Source/Admission/QuotaShare.cpp
+++ b/Source/Admission/QuotaShare.cpp
@@ -94,10 +94,10 @@
   cut(GrownAt_);
 }
 
-void QuotaShare::fill(TimePoint Now) {
+void QuotaShare::fill(double Part, TimePoint Now) {
   advance(Now);
-  if (leased(Now))
-    Balance_ = std::min(capacityAt(Now), Balance_ + Part_ * Burst_);
+  Balance_ += Part * Burst_;
+  cut(GrownAt_);
 }
 
 bool QuotaShare::spend(double Tokens, TimePoint Now) {
--- a/Source/Admission/QuotaShare.h
+++ b/Source/Admission/QuotaShare.h
@@ -47,8 +47,9 @@
   /// The leased part counts from `From` until `End`, by this VM's own clock.
   void setLease(TimePoint From, TimePoint End, TimePoint Now);
 
-  /// Fills the leased capacity; only for the one VM that created the quota.
-  void fill(TimePoint Now);
+  /// Adds the tokens of a part of the burst that nobody has had since the quota
+  /// was created.
+  void fill(double Part, TimePoint Now);
 
   /// Takes the tokens if they are there; the lease is checked on the way.
   bool spend(double Tokens, TimePoint Now);
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "Admin/ConfigEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
+#include "Admission/QuotaService.h"
 #include "Config/ConfigPoller.h"
 #include "Gateway/RequestPipeline.h"
 #include "Http/Spawn.h"
@@ -82,8 +83,7 @@
   Services_.add(Directory);
   Services_.add(std::make_shared<EngineMonitor>(Loop_.get_executor(), Settings_,
                                                 Timers_, State, Directory));
-  Services_.add(
-      std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+  addQuota();
   Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
                                                     Settings_, Directory));
   Services_.add(std::make_shared<RandomSelector>(
@@ -93,6 +93,22 @@
       Incarnation_));
 }
 
+void Daemon::addQuota() {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  if (Settings_.Quota_.Policy_ == "fixed_split") {
+    Services_.add(
+        std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+    return;
+  }
+  Services_.add(std::make_shared<QuotaKeeper>(
+      Loop_.get_executor(), Settings_, Timers_,
+      Services_.require<PlatformService>(PlatformService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name),
+      Services_.require<MembershipService>(MembershipService::Name)));
+  Services_.add(std::make_shared<QuotaService>(
+      Loop_.get_executor(), Settings_, Incarnation_, Timers_, Services_));
+}
+
 void Daemon::addFrontDoors() {
   Services_.add(std::make_shared<RequestPipeline>(Loop_.get_executor(),
                                                   Settings_, Services_));
@@ -136,6 +152,8 @@
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
+  if (auto Quota = Services_.find<QuotaService>(QuotaGate::Name))
+    Page->addSection("quotas", [Quota] { return Quota->status(); });
   Page->addSection("targets", [Directory] {
     json List = json::array();
     for (const auto &[Name, Report] : Directory->all())
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -38,6 +38,7 @@
   void addPlatform();
   void addConfig();
   void addDeciders();
+  void addQuota();
   void addFrontDoors();
   void addStatusSections();
   void waitForSignal();
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -54,6 +54,21 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
+  constexpr NumberRange LoanRange{10, 60000};
+  Fields.field("policy", Quota.Policy_);
+  Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
+  Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
+  Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
+  Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
+  Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
+  Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
+  Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
+  Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
+  if (Quota.Policy_ != "shares" && Quota.Policy_ != "fixed_split")
+    Fields.report("policy", "is no policy", "use shares or fixed_split");
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -66,6 +81,7 @@
   Fields.record("config", Settings.Config_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
+  Fields.record("quota", Settings.Quota_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -63,6 +63,24 @@
   std::int64_t DrainMs_ = 60000;
 };
 
+/// How customers' rates are kept over all VMs.
+struct QuotaSettings {
+  /// `shares` or `fixed_split`.
+  std::string Policy_ = "shares";
+  std::int64_t LeaseMs_ = 60000;
+  std::int64_t LeaseMarginMs_ = 2000;
+  /// How long tokens from another VM may be used.
+  std::int64_t LoanMs_ = 1000;
+  std::int64_t LoanMarginMs_ = 250;
+  /// The longest that a request waits for tokens of other VMs.
+  std::int64_t BorrowWaitMs_ = 100;
+  /// The part of every quota that is reserved as floors, and for how many VMs.
+  std::int64_t FloorPercent_ = 5;
+  std::int64_t FloorVms_ = 50;
+  /// Changes of customers' rows that all VMs together may write.
+  std::int64_t WritesPerSecond_ = 100;
+};
+
 /// Everything a VM is told at its start.
 struct DaemonSettings {
   std::string Vm_;
@@ -77,6 +95,7 @@
   ConfigSettings Config_;
   TargetSettings Targets_;
   ShutdownSettings Shutdown_;
+  QuotaSettings Quota_;
 };
 
 /// Reads and checks the settings of `anvild`. Every error names the file, the
