Ask other VMs until three had nothing, and describe the quotas

A fixed count of three VMs could never gather a request larger than three parts, and a VM that once reported nothing stayed last for ever: what it has is now guessed from its part and the time since. A request above the burst less the reserve is refused as exceeding the burst; it would have been told to come back without end.

--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -24,8 +24,8 @@
 /// Requests of one customer that may ask other VMs at a time.
 static constexpr int AskingLimit = 8;
 
-/// VMs that a request asks at most.
-static constexpr std::size_t GiversAsked = 3;
+/// VMs without tokens after which a request stops asking.
+static constexpr int EmptyGivers = 3;
 
 /// The balance, in seconds of demand, below which tokens are fetched ahead.
 static constexpr double FetchBelowSeconds = 0.25;
@@ -143,12 +143,14 @@
                                                          double Tokens) {
   TimePoint Now = BootClock::now();
   MetricLabels Labels{{"customer", Given.Name_}};
-  if (Tokens > Given.Burst_) {
+  // The reserve is split into floors and can't be gathered in one place.
+  if (Tokens > Given.Burst_ * (1 - Reserve_)) {
     Metrics_->count("anvil_quota_refused_total",
                     {{"customer", Given.Name_}, {"cause", "exceeds_burst"}});
-    co_return Refusal{RefusalCode::ExceedsBurst,
-                      "the request can cost more than the customer's burst",
-                      Execution::No, std::nullopt};
+    co_return Refusal{
+        RefusalCode::ExceedsBurst,
+        "the request can cost more than the customer's burst allows",
+        Execution::No, std::nullopt};
   }
   Tracked &Known = track(Given, Tokens, Now);
   bool IsTaken = shareOf(Given, Now).spend(Tokens, Now);
@@ -182,8 +184,8 @@
                              TimePoint Now) {
   QuotaShare &Share = shareOf(Given, Now);
   double Missing = Tokens - Share.balance(Now);
-  for (const auto &[Vm, Left] : Tracked_[Given.Name_].Holders_)
-    Missing -= Left;
+  for (const auto &[Vm, Other] : Tracked_[Given.Name_].Holders_)
+    Missing -= guess(Given, Other, Now);
   Duration Wait = Share.waitFor(Tokens, Now);
   // All VMs together gain the customer's whole rate.
   if (Given.Rate_ > 0) {
@@ -213,9 +215,16 @@
          Found->second.DataCentre_ == DataCentre;
 }
 
-std::vector<std::string> QuotaService::givers(const Tracked &Known) const {
+double QuotaService::guess(const Limits &Given, const OtherHolder &Other,
+                           TimePoint Now) {
+  double Grown = Other.Part_ * Given.Rate_ * toSeconds(Now - Other.At_);
+  return std::min(Other.Part_ * Given.Burst_, Other.Left_ + Grown);
+}
+
+std::vector<std::string> QuotaService::givers(const Tracked &Known,
+                                              TimePoint Now) const {
   std::vector<std::string> Order;
-  for (const auto &[Vm, Left] : Known.Holders_)
+  for (const auto &[Vm, Other] : Known.Holders_)
     if (Members_->members().contains(Vm))
       Order.push_back(Vm);
   // VMs of this data centre have floors to lend even when no row is readable.
@@ -224,7 +233,8 @@
       Order.push_back(Vm);
   auto Rank = [&](const std::string &Vm) {
     auto Found = Known.Holders_.find(Vm);
-    double Left = Found == Known.Holders_.end() ? 0 : Found->second;
+    bool IsHolder = Found != Known.Holders_.end();
+    double Left = IsHolder ? guess(Known.Limits_, Found->second, Now) : 0;
     return std::pair(!isIn(Vm, Settings_.DataCentre_), -Left);
   };
   std::ranges::stable_sort(Order, {}, Rank);
@@ -240,14 +250,16 @@
   TimePoint Deadline = Now + millis(Settings_.Quota_.BorrowWaitMs_);
   double Ahead = demandOf(Known, Now) * FetchSeconds;
   bool IsTaken = false;
-  std::size_t Asked = 0;
-  for (const std::string &Vm : givers(Known)) {
+  int Empty = 0;
+  for (const std::string &Vm : givers(Known, Now)) {
     Now = BootClock::now();
-    if (IsTaken || Now >= Deadline || Asked == GiversAsked)
+    if (IsTaken || Now >= Deadline || Empty == EmptyGivers)
       break;
-    ++Asked;
     double Needed = Tokens - shareOf(Given, Now).balance(Now);
-    co_await askPeer(Given, Vm, Needed, Needed + Ahead, Deadline - Now);
+    double Got =
+        co_await askPeer(Given, Vm, Needed, Needed + Ahead, Deadline - Now);
+    if (Got <= 0)
+      ++Empty;
     Now = BootClock::now();
     IsTaken = shareOf(Given, Now).spend(Tokens, Now);
   }
@@ -260,7 +272,7 @@
 asio::awaitable<void> QuotaService::prefetch(Limits Given) {
   Tracked &Known = Tracked_[Given.Name_];
   TimePoint Now = BootClock::now();
-  auto Order = givers(Known);
+  auto Order = givers(Known, Now);
   if (Order.empty() || Now < Known.DryUntil_ || Known.Asking_ > 0)
     co_return;
   ++Known.Asking_;
@@ -280,12 +292,13 @@
   auto Reply =
       co_await callPeer<QuotaBalanceReply>(*Network_, Vm, Asked, Timeout);
   TimePoint Now = BootClock::now();
-  if (!isOk(Reply)) {
-    Tracked_[Given.Name_].Holders_[Vm] = 0;
+  OtherHolder &Other = Tracked_[Given.Name_].Holders_[Vm];
+  Other.At_ = Now;
+  Other.Left_ = 0;
+  if (!isOk(Reply))
     co_return 0;
-  }
   const QuotaBalanceReply &Got = valueOf(Reply);
-  Tracked_[Given.Name_].Holders_[Vm] = Got.Left_;
+  Other.Left_ = Got.Left_;
   if (Got.Tokens_ <= 0)
     co_return 0;
   QuotaLoan Loan{Got.Tokens_, Duration(Got.TermMicros_)};
--- a/Source/Admission/QuotaService.h
+++ b/Source/Admission/QuotaService.h
@@ -52,6 +52,14 @@
     double Burst_ = 0;
   };
 
+  /// What another VM is thought to have: what it said last, and its part of
+  /// the rate since.
+  struct OtherHolder {
+    double Part_ = 0;
+    double Left_ = 0;
+    TimePoint At_{};
+  };
+
   /// What the service knows about one customer beside its share.
   struct Tracked {
     Limits Limits_;
@@ -65,8 +73,7 @@
     int Asking_ = 0;
     /// Until then the other VMs are not asked again, as they had nothing.
     TimePoint DryUntil_{};
-    /// Other VMs and what each is thought to have.
-    std::map<std::string, double> Holders_;
+    std::map<std::string, OtherHolder> Holders_;
   };
 
   QuotaShare &shareOf(const Limits &Given, TimePoint Now);
@@ -82,7 +89,9 @@
                                          double Needed, double Wanted,
                                          Duration Timeout);
   boost::asio::awaitable<void> prefetch(Limits Given);
-  std::vector<std::string> givers(const Tracked &Known) const;
+  std::vector<std::string> givers(const Tracked &Known, TimePoint Now) const;
+  static double guess(const Limits &Given, const OtherHolder &Other,
+                      TimePoint Now);
 
   boost::asio::awaitable<void> firstRead(Limits Given);
   boost::asio::awaitable<void> refresh(Limits Given);
--- a/Source/Admission/QuotaServiceRows.cpp
+++ b/Source/Admission/QuotaServiceRows.cpp
@@ -171,15 +171,19 @@
 }
 
 void QuotaService::adoptHolders(Tracked &Known, const QuotaHoldings &Row) {
-  std::map<std::string, double> Holders;
+  std::map<std::string, OtherHolder> Holders;
   for (const auto &[Lease, Held] : Row.ByLease_) {
     if (Held.Vm_ == Settings_.Vm_)
       continue;
-    // What a VM said last is better known than what its part could hold.
+    // Nothing was heard from a new holder: it may have all its part can hold.
+    OtherHolder Other{Held.Part_, Held.Part_ * Known.Limits_.Burst_,
+                      BootClock::now()};
     auto Before = Known.Holders_.find(Held.Vm_);
-    Holders[Held.Vm_] = Before != Known.Holders_.end()
-                            ? Before->second
-                            : Held.Part_ * Known.Limits_.Burst_;
+    if (Before != Known.Holders_.end()) {
+      Other.Left_ = Before->second.Left_;
+      Other.At_ = Before->second.At_;
+    }
+    Holders[Held.Vm_] = Other;
   }
   Known.Holders_ = std::move(Holders);
 }
