--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -237,7 +237,7 @@
     double Left = IsHolder ? guess(Known.Limits_, Found->second, Now) : 0;
     return std::pair(!isIn(Vm, Settings_.DataCentre_), -Left);
   };
-  std::ranges::stable_sort(Order, {}, Rank);
+  std::ranges::sort(Order, {}, Rank);
   return Order;
 }
 
--- a/Tests/Unit/QuotaTest.cpp
+++ b/Tests/Unit/QuotaTest.cpp
@@ -167,6 +167,14 @@
       CHECK(Theirs.part() == Approx(0.9));
       CHECK(Theirs.balance(Start) == 0);
     }
+    SECTION("what is lent out is not given up") {
+      auto Less = Made->Row_;
+      Less.ByLease_[Second.lease()] = {0.1, 90, 1, "vm-2", "bilbao"};
+      REQUIRE(Mine.lend(300, 0, true, Start).Tokens_ == Approx(300));
+      auto Next = First.plan(Customer, Less, 2, Alive, 10, 0.1, Start);
+      REQUIRE(Next);
+      CHECK(Mine.part() == Approx(0.3));
+    }
     SECTION("a part that shrinks does so before it is written") {
       auto Less = Made->Row_;
       Less.ByLease_[Second.lease()] = {0.1, 90, 1, "vm-2", "bilbao"};
