--- a/Source/Commands/Command.cpp
+++ b/Source/Commands/Command.cpp
@@ -1,8 +1,12 @@
 #include "Commands/Command.h"
 
 #include "Commands/ApplyCommand.h"
+#include "Commands/DiffCommand.h"
+#include "Commands/DrainCommand.h"
 #include "Commands/GetCommand.h"
+#include "Commands/HistoryCommand.h"
 #include "Commands/KeyCommand.h"
+#include "Commands/QuarantineCommand.h"
 #include "Commands/StatusCommand.h"
 
 #include <nlohmann/json.hpp>
@@ -15,8 +19,12 @@
   static const auto Commands = [] {
     std::vector<std::unique_ptr<Command>> Made;
     Made.push_back(std::make_unique<ApplyCommand>());
+    Made.push_back(std::make_unique<DiffCommand>());
+    Made.push_back(std::make_unique<DrainCommand>());
     Made.push_back(std::make_unique<GetCommand>());
+    Made.push_back(std::make_unique<HistoryCommand>());
     Made.push_back(std::make_unique<KeyCommand>());
+    Made.push_back(std::make_unique<QuarantineCommand>());
     Made.push_back(std::make_unique<StatusCommand>());
     return Made;
   }();
--- a/Source/Commands/KeyCommand.cpp
+++ b/Source/Commands/KeyCommand.cpp
@@ -1,8 +1,7 @@
 #include "Commands/KeyCommand.h"
 
-#include "Objects/ChangeSet.h"
+#include "Commands/PublishChange.h"
 #include "Objects/Digest.h"
-#include "Objects/ObjectCodec.h"
 
 #include <boost/program_options/value_semantic.hpp>
 #include <nlohmann/json.hpp>
@@ -29,30 +28,6 @@
   Arguments.add("key", 1);
 }
 
-static ExitStatus publishKey(CommandContext &Context, const Key &Changed,
-                             const json &Shown) {
-  ChangeSet Change;
-  Change.SubmitId_ = randomHex(16);
-  Change.Put_.push_back(Changed);
-  auto Reply =
-      Context.Client_.post("/admin/config/apply", encodeChangeSet(Change));
-  ExitStatus Status = reportReply(Reply);
-  if (Status != ExitStatus::Success)
-    return Status;
-  json Published = json::parse(valueOf(Reply).Body_, nullptr, false);
-  json Result = Shown;
-  Result["revision"] = Published["revision"];
-  if (Context.Output_ == OutputFormat::Json) {
-    std::cout << Result.dump() << "\n";
-    return Status;
-  }
-  for (const auto &[Field, Value] : Result.items())
-    std::cout << Field << "\t"
-              << (Value.is_string() ? Value.get<std::string>() : Value.dump())
-              << "\n";
-  return Status;
-}
-
 ExitStatus KeyCommand::issue(CommandContext &Context,
                              const std::string &KeyName) {
   std::string Secret = "aj-" + randomHex(SecretBytes);
@@ -60,18 +35,18 @@
   Made.Name_ = KeyName;
   Made.Customer_ = Context.Options_["customer"].as<std::string>();
   Made.Sha256_ = sha256Hex(Secret);
-  return publishKey(Context, Made, {{"key", KeyName}, {"secret", Secret}});
+  // The secret is shown here and nowhere else; only its digest is published.
+  return publishObject(Context, Made,
+                       json{{"key", KeyName}, {"secret", Secret}});
 }
 
 ExitStatus KeyCommand::withdraw(CommandContext &Context,
                                 const std::string &KeyName) {
-  auto Reply = Context.Client_.get("/admin/config");
-  ExitStatus Status = reportReply(Reply);
-  if (Status != ExitStatus::Success)
-    return Status;
-  auto Snapshot = decodeSnapshot(valueOf(Reply).Body_);
+  auto Snapshot = readSnapshot(Context);
+  if (auto *Failed = std::get_if<ExitStatus>(&Snapshot))
+    return *Failed;
   const Key *Known =
-      isOk(Snapshot) ? valueOf(Snapshot).Objects_.find<Key>(KeyName) : nullptr;
+      std::get<ConfigSnapshot>(Snapshot).Objects_.find<Key>(KeyName);
   if (!Known) {
     printError({ErrorCode::NotFound, "key " + KeyName, "doesn't exist",
                 "see anvilctl get key"});
@@ -79,8 +54,8 @@
   }
   Key Withdrawn = *Known;
   Withdrawn.Withdrawn_ = true;
-  return publishKey(Context, Withdrawn,
-                    {{"key", KeyName}, {"withdrawn", true}});
+  return publishObject(Context, Withdrawn,
+                       json{{"key", KeyName}, {"withdrawn", true}});
 }
 
 ExitStatus KeyCommand::run(CommandContext &Context) const {
--- /dev/null
+++ b/Source/Commands/PublishChange.cpp
@@ -0,0 +1,56 @@
+#include "Commands/PublishChange.h"
+
+#include "Objects/ChangeSet.h"
+#include "Objects/Digest.h"
+#include "Objects/ObjectCodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace anvil {
+
+using nlohmann::json;
+
+std::string cellText(const json &Value) {
+  return Value.is_string() ? Value.get<std::string>() : Value.dump();
+}
+
+void printRecord(const CommandContext &Context, const json &Record) {
+  if (Context.Output_ == OutputFormat::Json) {
+    std::cout << Record.dump() << "\n";
+    return;
+  }
+  for (const auto &[Field, Value] : Record.items())
+    std::cout << Field << "\t" << cellText(Value) << "\n";
+}
+
+std::variant<ConfigSnapshot, ExitStatus> readSnapshot(CommandContext &Context) {
+  auto Reply = Context.Client_.get("/admin/config");
+  ExitStatus Status = reportReply(Reply);
+  if (Status != ExitStatus::Success)
+    return Status;
+  auto Snapshot = decodeSnapshot(valueOf(Reply).Body_);
+  if (isOk(Snapshot))
+    return std::move(valueOf(Snapshot));
+  printError(errorOf(Snapshot));
+  return ExitStatus::Unavailable;
+}
+
+ExitStatus publishObject(CommandContext &Context, AnyObject Changed,
+                         json Shown) {
+  ChangeSet Change;
+  Change.SubmitId_ = randomHex(16);
+  Change.Put_.push_back(std::move(Changed));
+  auto Reply =
+      Context.Client_.post("/admin/config/apply", encodeChangeSet(Change));
+  ExitStatus Status = reportReply(Reply);
+  if (Status != ExitStatus::Success)
+    return Status;
+  json Published = json::parse(valueOf(Reply).Body_, nullptr, false);
+  Shown["revision"] = Published["revision"];
+  printRecord(Context, Shown);
+  return Status;
+}
+
+} // namespace anvil
--- a/Source/Commands/StatusCommand.cpp
+++ b/Source/Commands/StatusCommand.cpp
@@ -1,5 +1,7 @@
 #include "Commands/StatusCommand.h"
 
+#include "Commands/PublishChange.h"
+
 #include <nlohmann/json.hpp>
 
 #include <iostream>
@@ -8,10 +10,6 @@
 
 using nlohmann::json;
 
-static std::string cellText(const json &Value) {
-  return Value.is_string() ? Value.get<std::string>() : Value.dump();
-}
-
 /// A list of records as lines, anything else as one line.
 static void printSection(const std::string &Title, const json &Section) {
   std::cout << Title << "\n";
--- /dev/null
+++ b/Source/LoadTool/LoadRunner.h
@@ -0,0 +1,56 @@
+#ifndef ANVIL_LOADTOOL_LOADRUNNER_H
+#define ANVIL_LOADTOOL_LOADRUNNER_H
+
+#include "Http/HttpConnection.h"
+#include "LoadTool/EngineUsage.h"
+#include "LoadTool/RequestLog.h"
+#include "LoadTool/Scenario.h"
+#include "LoadTool/ZipfSampler.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <random>
+#include <vector>
+
+namespace anvil {
+
+/// Sends a scenario's requests at their own times, whatever the answers do
+/// (open loop), and keeps how each ended.
+class LoadRunner {
+public:
+  explicit LoadRunner(Scenario Run);
+
+  /// Runs the scenario to its end.
+  void run();
+
+  const RequestLog &log() const { return Log_; }
+  const std::vector<EngineUsage> &engines() const { return Engines_; }
+
+private:
+  boost::asio::awaitable<void> drive(const TrafficSource &Source,
+                                     std::uint64_t Seed);
+  boost::asio::awaitable<void> send(const TrafficSource &Source,
+                                    std::string Model, Endpoint Vm,
+                                    Duration Arrived);
+  boost::asio::awaitable<void> receive(HttpConnection &Connection,
+                                       HttpRequest Request,
+                                       RequestRecord &Record);
+  boost::asio::awaitable<void> inject(ScheduledFault Fault);
+  boost::asio::awaitable<void> readEngines();
+  std::string chooseModel(std::mt19937_64 &Random, Duration Since) const;
+  Duration since() const;
+
+  Scenario Run_;
+  ZipfSampler Popularity_;
+  ReferenceQuota Reference_;
+  RequestLog Log_;
+  std::vector<EngineUsage> Engines_;
+  std::vector<Endpoint> Vms_;
+  std::int64_t Open_ = 0;
+  TimePoint Started_{};
+  boost::asio::io_context Loop_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_LOADTOOL_LOADRUNNER_H
--- /dev/null
+++ b/Source/LoadTool/RequestLog.cpp
@@ -0,0 +1,26 @@
+#include "LoadTool/RequestLog.h"
+
+namespace anvil {
+
+ReferenceQuota::ReferenceQuota(const std::vector<Entitlement> &Entitlements) {
+  for (const Entitlement &Given : Entitlements)
+    Buckets_.emplace(Given.Customer_,
+                     TokenBucket(Given.RateTokensPerSecond_, Given.BurstTokens_,
+                                 Given.BurstTokens_, TimePoint{}));
+}
+
+bool ReferenceQuota::admit(const std::string &Customer, double Tokens,
+                           Duration Since) {
+  auto Found = Buckets_.find(Customer);
+  return Found == Buckets_.end() ||
+         Found->second.take(Tokens, TimePoint{} + Since);
+}
+
+void ReferenceQuota::refund(const std::string &Customer, double Tokens,
+                            Duration Since) {
+  auto Found = Buckets_.find(Customer);
+  if (Found != Buckets_.end() && Tokens > 0)
+    Found->second.putBack(Tokens, TimePoint{} + Since);
+}
+
+} // namespace anvil
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -105,6 +105,12 @@
       *Server, Services_.require<ConfigPublisher>(ConfigPublisher::Name), State,
       Services_.require<PlatformService>(PlatformService::Name));
   addStatusEndpoint(*Server, Status);
+  Server->addPage(
+      "POST", "/admin/drain",
+      [this](const HttpRequest &) -> boost::asio::awaitable<HttpReply> {
+        beginStop();
+        co_return jsonReply(202, "{}");
+      });
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
@@ -174,7 +180,8 @@
 }
 
 void Daemon::beginStop() {
-  Stopping_ = true;
+  if (std::exchange(Stopping_, true))
+    return;
   logEvent(LogLevel::Info, "stopping");
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   Callers->beginDrain();
