--- /dev/null
+++ b/Tests/Bench/BenchSet.cpp
@@ -0,0 +1,56 @@
+#include "Bench/BenchSet.h"
+
+#include "Objects/Digest.h"
+
+namespace anvil {
+
+std::string benchSecret(std::int64_t Customer) {
+  return "secret-" + std::to_string(Customer);
+}
+
+ConfigSnapshot makeBenchSet(const BenchSize &Size) {
+  ConfigSnapshot Snapshot;
+  Snapshot.Revision_ = 1;
+  ObjectSet &Objects = Snapshot.Objects_;
+  Objects.put(DataCentre{"central"});
+  Objects.put(BaseModel{"base"});
+  Objects.put(RequestClass{"class"});
+  Route Path;
+  Path.Name_ = "main";
+  Path.PathPrefix_ = "/v1";
+  Path.RequestClass_ = "class";
+  Objects.put(Path);
+  for (std::int64_t Index = 0; Index < Size.Adapters_; ++Index) {
+    Adapter Made;
+    Made.Name_ = "adapter-" + std::to_string(Index);
+    Made.BaseModel_ = "base";
+    Made.Versions_.push_back({"1", Made.Name_ + "/1"});
+    Made.Versions_.push_back({"2", Made.Name_ + "/2"});
+    Made.CurrentVersion_ = "2";
+    Objects.put(std::move(Made));
+  }
+  for (std::int64_t Index = 0; Index < Size.Targets_; ++Index) {
+    Target Made;
+    Made.Name_ = "engine-" + std::to_string(Index);
+    Made.DataCentre_ = "central";
+    Made.BaseModel_ = "base";
+    Made.Address_ = "127.0.0.1";
+    Made.Port_ = 1;
+    Objects.put(std::move(Made));
+  }
+  for (std::int64_t Index = 0; Index < Size.Customers_; ++Index) {
+    Customer Owner;
+    Owner.Name_ = "customer-" + std::to_string(Index);
+    Owner.RateTokensPerSecond_ = 1000;
+    Owner.BurstTokens_ = 10000;
+    Objects.put(Owner);
+    Key Secret;
+    Secret.Name_ = "key-" + std::to_string(Index);
+    Secret.Customer_ = Owner.Name_;
+    Secret.Sha256_ = sha256Hex(benchSecret(Index));
+    Objects.put(std::move(Secret));
+  }
+  return Snapshot;
+}
+
+} // namespace anvil
