--- a/Source/LoadTool/LoadReport.cpp
+++ b/Source/LoadTool/LoadReport.cpp
@@ -173,13 +173,14 @@
       .dump(2);
 }
 
+/// One line of the table; waits have a decimal, since gateways add little.
 static void printCustomer(std::ostream &Out, const CustomerReport &Given) {
   Out << std::left << std::setw(12) << Given.Customer_ << std::right
       << std::setw(7) << Given.Sent_ << std::setw(9) << Given.Answered_
       << std::setw(8) << Given.Refused_ << std::setw(9)
       << Given.RefusedWithinRate_ << std::setw(9) << std::fixed
       << std::setprecision(3) << Given.Served_ << std::setprecision(0)
-      << std::setw(10) << Given.Goodput_ << std::setw(8)
+      << std::setw(10) << Given.Goodput_ << std::setprecision(1) << std::setw(8)
       << Given.FirstTokenP50Ms_ << std::setw(8) << Given.FirstTokenP95Ms_
       << std::setw(8) << Given.FirstTokenP99Ms_ << "\n";
 }
--- a/Source/LoadTool/LoadRunner.cpp
+++ b/Source/LoadTool/LoadRunner.cpp
@@ -28,11 +28,7 @@
     : Run_(std::move(Run)),
       Popularity_(static_cast<std::size_t>(Run_.AdapterCount_),
                   Run_.ZipfExponent_),
-      Reference_(Run_.Entitlements_) {
-  // The scenario was checked, so every address parses.
-  for (const std::string &Vm : Run_.Vms_)
-    Vms_.push_back(std::get<Endpoint>(parseEndpoint(Vm)));
-}
+      Reference_(Run_.Entitlements_) {}
 
 Duration LoadRunner::since() const { return BootClock::now() - Started_; }
 
@@ -66,6 +62,11 @@
                                         std::uint64_t Seed) {
   std::mt19937_64 Random(Seed);
   asio::steady_timer Timer(Loop_);
+  const auto &Names = Source.Servers_.empty() ? Run_.Vms_ : Source.Servers_;
+  std::vector<Endpoint> Servers;
+  // The scenario was checked, so every address parses.
+  for (const std::string &Name : Names)
+    Servers.push_back(std::get<Endpoint>(parseEndpoint(Name)));
   double At = 0;
   while (true) {
     bool Surges = At >= Source.SurgeFromSeconds_ && At < Source.SurgeToSeconds_;
@@ -76,9 +77,11 @@
     At += std::exponential_distribution<double>(Rate)(Random);
     if (At >= Run_.DurationSeconds_)
       co_return;
-    std::string Model = chooseModel(Random, fromSeconds(At));
-    std::uniform_int_distribution<std::size_t> AnyVm(0, Vms_.size() - 1);
-    Endpoint Vm = Vms_[AnyVm(Random)];
+    std::string Model = Source.Model_;
+    if (Model.empty())
+      Model = chooseModel(Random, fromSeconds(At));
+    std::uniform_int_distribution<std::size_t> Any(0, Servers.size() - 1);
+    Endpoint Server = Servers[Any(Random)];
     Timer.expires_after(std::max(fromSeconds(At) - since(), Duration::zero()));
     co_await Timer.async_wait(asio::use_awaitable);
     if (Open_ >= Run_.MostOpen_) {
@@ -87,7 +90,7 @@
     }
     ++Open_;
     spawn(Loop_.get_executor(),
-          send(Source, std::move(Model), std::move(Vm), since()));
+          send(Source, std::move(Model), std::move(Server), since()));
   }
 }
 
--- a/Source/LoadTool/LoadRunner.h
+++ b/Source/LoadTool/LoadRunner.h
@@ -45,7 +45,6 @@
   ReferenceQuota Reference_;
   RequestLog Log_;
   std::vector<EngineUsage> Engines_;
-  std::vector<Endpoint> Vms_;
   std::int64_t Open_ = 0;
   TimePoint Started_{};
   boost::asio::io_context Loop_;
--- a/Source/LoadTool/Scenario.cpp
+++ b/Source/LoadTool/Scenario.cpp
@@ -23,6 +23,8 @@
   Fields.field("max_tokens", Source.MaxTokens_, CountRange);
   Fields.field("prompt_bytes", Source.PromptBytes_, CountRange);
   Fields.field("stream", Source.Stream_);
+  Fields.field("servers", Source.Servers_);
+  Fields.field("model", Source.Model_);
   Fields.field("surge_factor", Source.SurgeFactor_, NotNegative);
   Fields.field("surge_from_seconds", Source.SurgeFromSeconds_, SecondsRange);
   Fields.field("surge_to_seconds", Source.SurgeToSeconds_, SecondsRange);
@@ -85,6 +87,8 @@
   Reader.finish();
   checkServers(Reader, "vms", Run.Vms_);
   checkServers(Reader, "engines", Run.Engines_);
+  for (const TrafficSource &Source : Run.Sources_)
+    checkServers(Reader, "sources.servers", Source.Servers_);
   for (const ScheduledFault &Fault : Run.Faults_)
     checkServers(Reader, "faults", {Fault.Server_});
   if (Run.Vms_.empty())
--- a/Source/LoadTool/Scenario.h
+++ b/Source/LoadTool/Scenario.h
@@ -20,6 +20,11 @@
   std::int64_t MaxTokens_ = 16;
   std::int64_t PromptBytes_ = 64;
   bool Stream_ = true;
+  /// Servers of this source alone; empty means the scenario's VMs. An engine's
+  /// address here gives the figures without the system in between.
+  std::vector<std::string> Servers_;
+  /// A fixed model; empty means drawn by popularity.
+  std::string Model_;
   /// The rate is multiplied by this between the two moments.
   double SurgeFactor_ = 1;
   double SurgeFromSeconds_ = 0;
