Judge members by heartbeats whose age is proven

Cause: the VMs only knew the platform's list, which lags, so a dead VM counted as live and nobody noticed its own pauses. MembershipService sends them to the whole data centre and, by representatives, to the others.

--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -61,7 +61,7 @@
   Services_.add(std::make_shared<PeerNetwork>(
       Loop_.get_executor(), Settings_.Vm_, PeerAddress, Measured));
   Services_.add(std::make_shared<MembershipService>(
-      Loop_.get_executor(), Settings_, Timers_,
+      Loop_.get_executor(), Settings_, Incarnation_, Timers_,
       Services_.require<PlatformService>(PlatformService::Name),
       Services_.require<PeerNetwork>(PeerNetwork::Name)));
 }
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -10,6 +10,9 @@
 static constexpr NumberRange PortRange{0, 65535};
 static constexpr NumberRange MillisRange{1, 3600000};
 static constexpr NumberRange CountRange{1, 1000};
+static constexpr NumberRange FewRange{1, 10};
+static constexpr NumberRange HeartbeatRange{50, 60000};
+static constexpr NumberRange LogRange{1, 100000};
 static constexpr NumberRange BytesRange{1024, 1 << 30};
 
 static void visitFields(FieldReader &Fields, ListenSettings &Listen) {
@@ -41,6 +44,19 @@
 
 static void visitFields(FieldReader &Fields, ConfigSettings &Config) {
   Fields.field("poll_ms", Config.PollMs_, MillisRange);
+  Fields.field("pollers", Config.Pollers_, FewRange);
+  Fields.field("evidence_grace_ms", Config.EvidenceGraceMs_, MillisRange);
+  Fields.field("first_wait_ms", Config.FirstWaitMs_, MillisRange);
+  Fields.field("log_revisions", Config.LogRevisions_, LogRange);
+}
+
+static void visitFields(FieldReader &Fields, MembershipSettings &Membership) {
+  Fields.field("heartbeat_ms", Membership.HeartbeatMs_, HeartbeatRange);
+  Fields.field("suspect_ms", Membership.SuspectMs_, MillisRange);
+  Fields.field("gone_ms", Membership.GoneMs_, MillisRange);
+  Fields.field("pause_ms", Membership.PauseMs_, MillisRange);
+  Fields.field("list_ms", Membership.ListMs_, MillisRange);
+  Fields.field("representatives", Membership.Representatives_, FewRange);
 }
 
 static void visitFields(FieldReader &Fields, TargetSettings &Targets) {
@@ -64,6 +80,7 @@
   Fields.records("peers", Settings.Peers_);
   Fields.record("caller_limits", Settings.CallerLimits_);
   Fields.record("config", Settings.Config_);
+  Fields.record("membership", Settings.Membership_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
 }
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -46,6 +46,28 @@
 /// How the configuration is kept current.
 struct ConfigSettings {
   std::int64_t PollMs_ = 1000;
+  /// VMs of a data centre that read the head from the platform.
+  std::int64_t Pollers_ = 2;
+  /// The age of evidence up to which every key is believed.
+  std::int64_t EvidenceGraceMs_ = 5000;
+  /// How long a fresh VM looks for the head before it makes do with the
+  /// highest revision of the members that it reaches.
+  std::int64_t FirstWaitMs_ = 3000;
+  /// Changes kept for members that are behind.
+  std::int64_t LogRevisions_ = 256;
+};
+
+/// How other VMs are watched.
+struct MembershipSettings {
+  std::int64_t HeartbeatMs_ = 1000;
+  std::int64_t SuspectMs_ = 4000;
+  std::int64_t GoneMs_ = 10000;
+  /// A longer gap between two ticks is a pause of this VM.
+  std::int64_t PauseMs_ = 2000;
+  /// How often the platform's list is read.
+  std::int64_t ListMs_ = 2000;
+  /// VMs of a data centre that speak to other data centres.
+  std::int64_t Representatives_ = 2;
 };
 
 /// How target requests are made.
@@ -75,6 +97,7 @@
   std::vector<PeerSettings> Peers_;
   CallerLimitSettings CallerLimits_;
   ConfigSettings Config_;
+  MembershipSettings Membership_;
   TargetSettings Targets_;
   ShutdownSettings Shutdown_;
 };
