Spread the configuration by peers and age the evidence for keys

Change: a few pollers read the head, members pull changes or the whole set from peers and check the digest; evidence of freshness travels in heartbeats and KeyGuard refuses and ends what lapsed; connections carry their key and close on withdrawal; an admin page says who confirmed a revision.

--- /dev/null
+++ b/Source/Admin/ConfirmationPage.h
@@ -0,0 +1,25 @@
+#ifndef ANVIL_ADMIN_CONFIRMATIONPAGE_H
+#define ANVIL_ADMIN_CONFIRMATIONPAGE_H
+
+#include "Admin/AdminServer.h"
+#include "Config/ConfigSpread.h"
+#include "Membership/MembershipService.h"
+#include "Peer/PeerNetwork.h"
+
+#include <memory>
+
+namespace anvil {
+
+/// Adds `GET /admin/config/confirmation?revision=N`: the VMs of each data
+/// centre that have said they hold that revision or a higher one. A data centre
+/// that can't be asked has confirmed nothing.
+void addConfirmationPage(AdminServer &Server,
+                         boost::asio::any_io_executor Executor,
+                         const DaemonSettings &Settings,
+                         std::shared_ptr<ConfigSpread> Spread,
+                         std::shared_ptr<MembershipService> Members,
+                         std::shared_ptr<PeerNetwork> Network);
+
+} // namespace anvil
+
+#endif // ANVIL_ADMIN_CONFIRMATIONPAGE_H
--- /dev/null
+++ b/Source/Admission/KeyFreshness.cpp
@@ -0,0 +1,27 @@
+#include "Admission/KeyFreshness.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// When a caller whose key can't be confirmed here may come back.
+static constexpr Duration StaleRetry = std::chrono::seconds(5);
+
+bool KeyFreshness::isBelieved(const Customer &Owner,
+                              std::optional<TimePoint> Evidence,
+                              TimePoint Now) const {
+  Duration Own = std::chrono::seconds(Owner.OfflineKeySeconds_);
+  return Evidence && Now - *Evidence <= std::max(Grace_, Own);
+}
+
+std::optional<Refusal> KeyFreshness::check(const Customer &Owner,
+                                           std::optional<TimePoint> Evidence,
+                                           TimePoint Now) const {
+  if (isBelieved(Owner, Evidence, Now))
+    return std::nullopt;
+  return Refusal{RefusalCode::ConfigurationStale,
+                 "this data centre can't confirm that the key is still valid",
+                 Execution::No, StaleRetry};
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Gateway/KeyGuard.h
@@ -0,0 +1,43 @@
+#ifndef ANVIL_GATEWAY_KEYGUARD_H
+#define ANVIL_GATEWAY_KEYGUARD_H
+
+#include "Admission/KeyFreshness.h"
+#include "Config/ConfigSpread.h"
+#include "Gateway/RequestPipeline.h"
+#include "Kernel/TimerService.h"
+#include "Settings/DaemonSettings.h"
+
+#include <memory>
+
+namespace anvil {
+
+/// Refuses keys, and ends what runs on them, once this VM has been too long
+/// without evidence that its configuration is current.
+class KeyGuard : public Service {
+public:
+  static constexpr std::string_view Name = "key_guard";
+
+  KeyGuard(const DaemonSettings &Settings, TimerService &Timers,
+           std::shared_ptr<ConfigState> State,
+           std::shared_ptr<ConfigSpread> Spread,
+           std::shared_ptr<RequestPipeline> Pipeline);
+
+  std::string_view serviceName() const override { return Name; }
+  std::vector<std::string> dependencies() const override;
+  Status start() override;
+  void stop() override;
+
+private:
+  bool isBelieved(const std::string &KeyName, TimePoint Now) const;
+
+  TimerService &Timers_;
+  std::shared_ptr<ConfigState> State_;
+  std::shared_ptr<ConfigSpread> Spread_;
+  std::shared_ptr<RequestPipeline> Pipeline_;
+  KeyFreshness Rule_;
+  TimerService::Subscription Check_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_GATEWAY_KEYGUARD_H
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -63,15 +63,22 @@
   });
   State_->Changed_.attach([this](const SnapshotPtr &) {
     Admission_.adopt();
-    auto Ended = Active_.cancelInvalid([this](const std::string &KeyName) {
+    auto IsValid = [this](const std::string &KeyName) {
       return Admission_.keys().isValid(KeyName);
-    });
-    if (Ended > 0)
-      logEvent(LogLevel::Info, "requests_ended_by_withdrawal",
-               {{"count", Ended}});
+    };
+    endRequests("requests_ended_by_withdrawal", IsValid);
+    Server_.closeTagged(std::not_fn(IsValid));
   });
 }
 
+void RequestPipeline::endRequests(
+    std::string_view Why,
+    const std::function<bool(const std::string &)> &IsBelieved) {
+  auto Ended = Active_.cancelInvalid(IsBelieved);
+  if (Ended > 0)
+    logEvent(LogLevel::Info, Why, {{"count", Ended}});
+}
+
 RequestPipeline::~RequestPipeline() = default;
 
 std::vector<std::string> RequestPipeline::dependencies() const {
@@ -134,6 +141,7 @@
     co_return;
   }
   const AdmittedRequest &Request = std::get<AdmittedRequest>(Admitted);
+  Exchange.tag(Request.Context_.KeyName_);
   co_await serve(Exchange, Request, Ended);
   report(Request.Context_, Ended);
 }
--- a/Source/Gateway/RequestPipeline.h
+++ b/Source/Gateway/RequestPipeline.h
@@ -44,6 +44,11 @@
   /// The number of requests being served.
   std::size_t runningRequests() const;
 
+  /// Ends the running repeatable requests whose key `IsBelieved` denies and
+  /// logs how many there were as the event `Why`.
+  void endRequests(std::string_view Why,
+                   const std::function<bool(const std::string &)> &IsBelieved);
+
   /// The admission step, for parts that add their checks to it.
   RequestAdmission &admission() { return Admission_; }
 
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -33,6 +33,7 @@
   bool KeepAlive_ = true;
   bool Handling_ = false;
   bool CallerGone_ = false;
+  std::string Tag_;
   std::function<void()> GoneCall_;
 };
 
@@ -135,6 +136,8 @@
   Owner_.close();
 }
 
+void HttpExchange::tag(std::string Mark) { Owner_.Tag_ = std::move(Mark); }
+
 void HttpExchange::closeAfterwards() { Owner_.KeepAlive_ = false; }
 
 /// Notices that a caller closes its connection while its request runs. More
@@ -291,6 +294,17 @@
 
 void HttpServer::beginDrain() { Core_->Draining_ = true; }
 
+void HttpServer::closeTagged(
+    const std::function<bool(const std::string &)> &IsEnded) {
+  for (const auto &Peer : Core_->Connections_) {
+    if (Peer->Tag_.empty() || !IsEnded(Peer->Tag_))
+      continue;
+    Peer->KeepAlive_ = false;
+    if (!Peer->Handling_)
+      Peer->close();
+  }
+}
+
 void HttpServer::close() {
   Core_->Closed_ = true;
   error_code Ignored;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -49,6 +49,10 @@
   /// counts as gone from then on.
   void abort();
 
+  /// Marks the connection, for `HttpServer::closeTagged`. A later request's
+  /// mark replaces it.
+  void tag(std::string Mark);
+
   /// Makes the server close the connection after this answer.
   void closeAfterwards();
 
@@ -94,6 +98,10 @@
   /// their next request or `close`.
   void beginDrain();
 
+  /// Closes the connections whose mark `IsEnded` names; those with a running
+  /// request close after its answer. Connections without a mark stay.
+  void closeTagged(const std::function<bool(const std::string &)> &IsEnded);
+
   /// Stops accepting and closes the connections without a running request.
   void close();
 
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -45,9 +45,8 @@
 
 Status MembershipService::start() {
   listenToPeers<HeartbeatMessage>(
-      *Network_, [this](const std::string &From, const HeartbeatMessage &Given) {
-        hear(From, Given);
-      });
+      *Network_, [this](const std::string &From,
+                        const HeartbeatMessage &Given) { hear(From, Given); });
   listenToPeers<GoodbyeMessage>(
       *Network_, [this](const std::string &From, const GoodbyeMessage &Given) {
         if (!Table_.goodbye(From, Given.Incarnation_))
@@ -59,8 +58,8 @@
   TimePoint Now = BootClock::now();
   auto Read = [this](TimePoint) { spawn(Executor_, refresh()); };
   const MembershipSettings &Periods = Settings_.Membership_;
-  Refresh_ = Timers_.every(std::chrono::milliseconds(Periods.ListMs_), Now,
-                           Read);
+  Refresh_ =
+      Timers_.every(std::chrono::milliseconds(Periods.ListMs_), Now, Read);
   Beat_ = Timers_.every(std::chrono::milliseconds(Periods.HeartbeatMs_), Now,
                         [this](TimePoint) { beat(); });
   Tick_ = Timers_.every(TickPeriod, Now,
@@ -92,8 +91,7 @@
     if (!isOk(Address) || Vm.Name_ == Settings_.Vm_)
       continue;
     Addresses_[Vm.Name_] = valueOf(Address);
-    List.push_back(
-        {Vm.Name_, Vm.DataCentre_, Vm.State_ == VmState::Leaving});
+    List.push_back({Vm.Name_, Vm.DataCentre_, Vm.State_ == VmState::Leaving});
   }
   // The settings know better how this VM reaches a peer.
   for (const PeerSettings &Peer : Settings_.Peers_) {
@@ -206,8 +204,9 @@
     if (Known.DataCentre_ == Settings_.DataCentre_)
       beatTo(VmName, false, Now);
   ++Round_;
-  if (!isAmong(std::string(RepresentativeKey) + Settings_.DataCentre_,
-               static_cast<std::size_t>(Settings_.Membership_.Representatives_)))
+  if (!isAmong(
+          std::string(RepresentativeKey) + Settings_.DataCentre_,
+          static_cast<std::size_t>(Settings_.Membership_.Representatives_)))
     return;
   // One representative a round; if one is dead the next round finds another.
   for (const std::string &Other : otherDataCentres()) {
@@ -281,6 +280,11 @@
   return Known->isAlive() || (IsFar && Known->Listed_);
 }
 
+bool MembershipService::wasHeard(const std::string &VmName) const {
+  const MemberTable::Entry *Known = Table_.find(VmName);
+  return Known && Known->isAlive();
+}
+
 bool MembershipService::isLeaving(const std::string &VmName) const {
   if (VmName == Settings_.Vm_)
     return Leaving_;
@@ -288,8 +292,7 @@
   return Known && Known->isLeaving();
 }
 
-std::string
-MembershipService::incarnationOf(const std::string &VmName) const {
+std::string MembershipService::incarnationOf(const std::string &VmName) const {
   if (VmName == Settings_.Vm_)
     return Incarnation_;
   const MemberTable::Entry *Known = Table_.find(VmName);
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -70,6 +70,9 @@
   /// Whether a VM is alive, leaving or not. This one always is.
   bool isAlive(const std::string &VmName) const;
 
+  /// Whether a VM was heard itself not long ago.
+  bool wasHeard(const std::string &VmName) const;
+
   /// Whether a VM is about to stop.
   bool isLeaving(const std::string &VmName) const;
 
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -2,9 +2,11 @@
 
 #include "Admin/AdminServer.h"
 #include "Admin/ConfigEndpoints.h"
+#include "Admin/ConfirmationPage.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
-#include "Config/ConfigPoller.h"
+#include "Config/ConfigSpread.h"
+#include "Gateway/KeyGuard.h"
 #include "Gateway/RequestPipeline.h"
 #include "Http/Spawn.h"
 #include "Ledger/TableLedger.h"
@@ -72,8 +74,10 @@
   auto Publisher = std::make_shared<ConfigPublisher>(Platform, State);
   Services_.add(State);
   Services_.add(Publisher);
-  Services_.add(std::make_shared<ConfigPoller>(
-      Loop_.get_executor(), Settings_, Timers_, Platform, Publisher, State));
+  Services_.add(std::make_shared<ConfigSpread>(
+      Loop_.get_executor(), Settings_, Timers_, Platform, Publisher, State,
+      Services_.require<MembershipService>(MembershipService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name)));
 }
 
 void Daemon::addDeciders() {
@@ -105,6 +109,14 @@
       *Server, Services_.require<ConfigPublisher>(ConfigPublisher::Name), State,
       Services_.require<PlatformService>(PlatformService::Name));
   addStatusEndpoint(*Server, Status);
+  auto Spread = Services_.require<ConfigSpread>(ConfigSpread::Name);
+  addConfirmationPage(
+      *Server, Loop_.get_executor(), Settings_, Spread,
+      Services_.require<MembershipService>(MembershipService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name));
+  Services_.add(std::make_shared<KeyGuard>(
+      Settings_, Timers_, State, Spread,
+      Services_.require<RequestPipeline>(RequestPipeline::Name)));
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
@@ -120,8 +132,14 @@
   auto Platform = Services_.require<PlatformService>(PlatformService::Name);
   auto Directory = Services_.require<TargetDirectory>(TargetDirectory::Name);
   auto Members = Services_.require<MembershipService>(MembershipService::Name);
-  Page->addSection("vm", [this, State, Platform] {
-    return json{{"name", Settings_.Vm_},
+  auto Spread = Services_.require<ConfigSpread>(ConfigSpread::Name);
+  Page->addSection("vm", [this, State, Platform, Spread] {
+    auto Evidence = Spread->evidenceAt();
+    json EvidenceAge;
+    if (Evidence)
+      EvidenceAge = toMillis(BootClock::now() - *Evidence);
+    return json{{"evidence_age_ms", EvidenceAge},
+                {"name", Settings_.Vm_},
                 {"data_centre", Settings_.DataCentre_},
                 {"revision", State->current()->Revision_},
                 {"current", State->isCurrent()},
@@ -133,6 +151,8 @@
     for (const auto &[Name, Known] : Members->members())
       List.push_back({{"name", Name},
                       {"data_centre", Known.DataCentre_},
+                      {"alive", Members->isAlive(Name)},
+                      {"revision", Known.Revision_},
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
@@ -178,6 +198,7 @@
   logEvent(LogLevel::Info, "stopping");
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   Callers->beginDrain();
+  Services_.require<MembershipService>(MembershipService::Name)->markLeaving();
   StopDeadline_ = BootClock::now() + std::chrono::milliseconds(
                                          Settings_.Shutdown_.BalancerNoticeMs_ +
                                          Settings_.Shutdown_.DrainMs_);
