--- a/Source/Config/ConfigPublisher.cpp
+++ b/Source/Config/ConfigPublisher.cpp
@@ -122,6 +122,21 @@
 
 asio::awaitable<PublishOutcome> ConfigPublisher::publish(ChangeSet Change,
                                                          bool DryRun) {
+  if (Closed_) {
+    ErrorList Refused;
+    Refused.push_back({ErrorCode::Unavailable, "publish",
+                       "this VM is stopping; nothing changed",
+                       "apply through another VM"});
+    co_return Refused;
+  }
+  ++Running_;
+  auto Ended = co_await publishOpen(std::move(Change), DryRun);
+  --Running_;
+  co_return Ended;
+}
+
+asio::awaitable<PublishOutcome> ConfigPublisher::publishOpen(ChangeSet Change,
+                                                             bool DryRun) {
   if (Change.SubmitId_.empty())
     Change.SubmitId_ = randomHex(16);
   int Lookups = 0;
--- a/Source/Config/ConfigPublisher.h
+++ b/Source/Config/ConfigPublisher.h
@@ -38,6 +38,12 @@
   boost::asio::awaitable<std::variant<PublishedChange, ErrorList>>
   publish(ChangeSet Change, bool DryRun);
 
+  /// Refuses publications from now on, as on a VM that stops.
+  void close() { Closed_ = true; }
+
+  /// Whether a publication is under way whose outcome is not known yet.
+  bool isPublishing() const { return Running_ > 0; }
+
   /// Reads the snapshot that a head points to.
   boost::asio::awaitable<Result<SnapshotPtr>> load(ConfigHead Head);
 
@@ -49,6 +55,8 @@
     std::uint64_t SubmittedRevision_ = 0;
   };
 
+  boost::asio::awaitable<std::variant<PublishedChange, ErrorList>>
+  publishOpen(ChangeSet Change, bool DryRun);
   boost::asio::awaitable<Result<HeadRow>> readHead(std::string SubmitId);
   boost::asio::awaitable<std::optional<ErrorList>>
   checkBase(const ChangeSet &Change, const ConfigHead &Head,
@@ -59,6 +67,8 @@
 
   std::shared_ptr<PlatformService> Platform_;
   std::shared_ptr<ConfigState> State_;
+  std::size_t Running_ = 0;
+  bool Closed_ = false;
 };
 
 } // namespace anvil
--- a/Source/Config/ConfigSpread.cpp
+++ b/Source/Config/ConfigSpread.cpp
@@ -10,6 +10,7 @@
 #include "Telemetry/Log.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace anvil {
@@ -65,6 +66,12 @@
 Status ConfigSpread::start() {
   Members_->onFill(
       [this](HeartbeatMessage &Message, TimePoint Now) { fill(Message, Now); });
+  Members_->onGoodbye([this] {
+    // While a publication's outcome is open no revision can be named.
+    return Publisher_->isPublishing()
+               ? std::numeric_limits<std::uint64_t>::max()
+               : Follower_.held();
+  });
   Members_->Heard_.attach([this](const HeardHeartbeat &Heard) { hear(Heard); });
   Members_->Left_.attach([this](const std::string &Vm, std::uint64_t Revision) {
     Outage_.noteLeft(Vm, Revision);
@@ -93,6 +100,11 @@
 
 void ConfigSpread::stop() { Period_.cancel(); }
 
+asio::awaitable<void> ConfigSpread::handOver() {
+  Publisher_->close();
+  co_return;
+}
+
 bool ConfigSpread::shouldPoll(TimePoint Now) const {
   if (!State_->isCurrent() || !Evidence_.at())
     return true;
--- a/Source/Config/ConfigSpread.h
+++ b/Source/Config/ConfigSpread.h
@@ -11,6 +11,7 @@
 #include "Kernel/TimerService.h"
 #include "Membership/MembershipService.h"
 #include "Platform/PlatformService.h"
+#include "Requests/HandOver.h"
 #include "Settings/DaemonSettings.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -24,7 +25,7 @@
 /// Keeps this VM's configuration current: a few VMs read the head from the
 /// platform, the others pull what they lack from peers, and all of them gather
 /// evidence of how fresh their revision is.
-class ConfigSpread : public Service {
+class ConfigSpread : public Service, public HandOver {
 public:
   static constexpr std::string_view Name = "config_spread";
 
@@ -41,6 +42,9 @@
   Status start() override;
   void stop() override;
 
+  /// Ends publishing through this VM, so that its goodbye can be believed.
+  boost::asio::awaitable<void> handOver() override;
+
   /// The latest moment at which this VM's revision was certainly in force.
   std::optional<TimePoint> evidenceAt() const { return Evidence_.at(); }
 
--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -59,8 +59,8 @@
       Given.EchoIncarnation_ != Incarnation_)
     return std::nullopt;
   // The sender's clock may run fast, so a little of what it held is dropped.
-  Duration Held(static_cast<std::int64_t>(
-      static_cast<double>(Given.EchoHeld_) * (1 - Limits_.Drift_)));
+  Duration Held(static_cast<std::int64_t>(static_cast<double>(Given.EchoHeld_) *
+                                          (1 - Limits_.Drift_)));
   TimePoint Sent = TimePoint(Duration(Given.EchoStamp_)) + Held;
   if (Sent > Now)
     return std::nullopt;
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -6,6 +6,10 @@
 #include "Peer/PeerMessage.h"
 #include "Telemetry/Log.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -16,6 +20,12 @@
 /// How often silences and pauses are looked at.
 static constexpr Duration TickPeriod = std::chrono::milliseconds(250);
 
+/// The address of a VM that listens on all of its own; it leads nowhere.
+static constexpr std::string_view AnyAddress = "0.0.0.0";
+
+/// The time that a goodbye is given to leave this VM.
+static constexpr std::chrono::milliseconds GoodbyeTime(100);
+
 /// The key by which the representatives of a data centre are chosen.
 static constexpr std::string_view RepresentativeKey = "representative/";
 
@@ -138,7 +148,8 @@
   // What came in while this VM slept is judged after the pause is noticed.
   tick(Now);
   auto Address = parseEndpoint(Given.Address_);
-  if (!Addresses_.contains(From) && isOk(Address))
+  bool IsUsable = isOk(Address) && valueOf(Address).Address_ != AnyAddress;
+  if (!Addresses_.contains(From) && IsUsable)
     Addresses_[From] = valueOf(Address);
   HeartbeatSeen Seen{From,
                      Given.DataCentre_,
@@ -237,14 +248,16 @@
 
 asio::awaitable<void> MembershipService::handOver() {
   markLeaving();
-  HeartbeatMessage Own;
-  if (Fill_)
-    Fill_(Own, BootClock::now());
-  GoodbyeMessage Last{Incarnation_, Own.Revision_};
+  GoodbyeMessage Last;
+  Last.Incarnation_ = Incarnation_;
+  Last.Revision_ = LastRevision_ ? LastRevision_() : 0;
   for (const auto &[VmName, Known] : Members_)
     if (Known.DataCentre_ == Settings_.DataCentre_)
       notifyPeer(*Network_, VmName, Last);
-  co_return;
+  // The frames leave before the process does.
+  asio::steady_timer Timer(Executor_, GoodbyeTime);
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
 std::vector<std::string> MembershipService::otherDataCentres() const {
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -93,7 +93,8 @@
   /// representatives of the others if this VM is one or `Everywhere`.
   void announce(bool Everywhere);
 
-  /// Tells the peers that this VM takes no new part in anything.
+  /// Tells the peers that this VM takes no new part in anything. From then on
+  /// it is not among the live ones of its data centre.
   void markLeaving();
   bool isLeavingItself() const { return Leaving_; }
 
@@ -104,6 +105,12 @@
   using FillHook = std::function<void(HeartbeatMessage &, TimePoint Now)>;
   void onFill(FillHook Hook) { Fill_ = std::move(Hook); }
 
+  /// Sets what gives the revision that this VM's goodbye names: one that no
+  /// publication through this VM will exceed.
+  void onGoodbye(std::function<std::uint64_t()> Hook) {
+    LastRevision_ = std::move(Hook);
+  }
+
   /// Fired when a VM comes, goes, leaves or starts anew.
   Hook<> Changed_;
 
@@ -137,6 +144,7 @@
   std::map<std::string, std::uint64_t> Revisions_;
   std::map<std::string, Member> Members_;
   FillHook Fill_;
+  std::function<std::uint64_t()> LastRevision_;
   std::uint64_t Sequence_ = 0;
   std::uint64_t Round_ = 0;
   std::uint64_t SeenVersion_ = 0;
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -92,6 +92,22 @@
     Fields.report(Name, errorOf(Parsed).Message_, errorOf(Parsed).Action_);
 }
 
+/// Settings that only make sense together.
+static void checkTimes(FieldReader &Fields, const DaemonSettings &Settings) {
+  const MembershipSettings &Times = Settings.Membership_;
+  if (Times.SuspectMs_ < 2 * Times.HeartbeatMs_)
+    Fields.report("membership.suspect_ms", "is under two heartbeats",
+                  "make it at least twice heartbeat_ms");
+  if (Times.GoneMs_ <= Times.SuspectMs_)
+    Fields.report("membership.gone_ms", "is not above suspect_ms",
+                  "make it longer than suspect_ms");
+  std::int64_t Spread = Settings.Config_.PollMs_ + 2 * Times.HeartbeatMs_;
+  if (Settings.Config_.EvidenceGraceMs_ < Spread)
+    Fields.report("config.evidence_grace_ms",
+                  "is shorter than evidence needs to spread",
+                  "make it at least poll_ms + 2 x heartbeat_ms");
+}
+
 std::variant<DaemonSettings, std::vector<Error>>
 parseDaemonSettings(const std::string &Path, const std::string &Text) {
   auto Parsed = parseSettings(Path, Text);
@@ -103,6 +119,7 @@
   visitFields(Reader, Settings);
   Reader.finish();
   checkAddress(Reader, "platform.address", Settings.Platform_.Address_);
+  checkTimes(Reader, Settings);
   for (const PeerSettings &Peer : Settings.Peers_)
     checkAddress(Reader, "peers." + Peer.Name_, Peer.Address_);
   if (Errors.empty())
