Take changes over on a thread of their own

Change: pulled changes are applied and digested on a background thread, the publisher passes on the difference and digest it already has, and a replaced VM's own address counts while the list can't be read.

--- /dev/null
+++ b/Source/Config/ConfigDelta.h
@@ -0,0 +1,20 @@
+#ifndef ANVIL_CONFIG_CONFIGDELTA_H
+#define ANVIL_CONFIG_CONFIGDELTA_H
+
+#include "Config/ConfigMessages.h"
+#include "Objects/ObjectSet.h"
+
+namespace anvil {
+
+/// The set that a peer's answer leads to from a base. Null when a change can't
+/// be read or applied, or when the digest is not the one that the peer named.
+SnapshotPtr applyPulledChanges(const ConfigSnapshot &Base,
+                               const ConfigPullReply &Reply);
+
+/// The whole set in a peer's answer; null when there is none or its digest is
+/// not the one that the peer named.
+SnapshotPtr readPulledSnapshot(const ConfigPullReply &Reply);
+
+} // namespace anvil
+
+#endif // ANVIL_CONFIG_CONFIGDELTA_H
--- a/Source/Config/ConfigPublisher.cpp
+++ b/Source/Config/ConfigPublisher.cpp
@@ -179,9 +179,10 @@
       co_return Published;
 
     std::string Text = encodeSnapshot(*Next);
+    std::string Digest = sha256Hex(Text);
     ConfigHead NextHead{Next->Revision_,
                         "config/" + std::to_string(Next->Revision_) + "-" +
-                            sha256Hex(Text).substr(0, 16),
+                            Digest.substr(0, 16),
                         Change.SubmitId_};
     auto Stored = co_await Platform_->putObject(NextHead.Object_, Text);
     if (!isOk(Stored))
@@ -191,6 +192,7 @@
       logEvent(
           LogLevel::Info, "config_published",
           {{"revision", Next->Revision_}, {"submit_id", Change.SubmitId_}});
+      LastPublication_ = {Next->Revision_, Published.Difference_, Digest};
       State_->accept(Next);
       co_return Published;
     }
--- a/Source/Config/ConfigPublisher.h
+++ b/Source/Config/ConfigPublisher.h
@@ -44,6 +44,16 @@
   /// Whether a publication is under way whose outcome is not known yet.
   bool isPublishing() const { return Running_ > 0; }
 
+  /// What this VM published last.
+  struct Publication {
+    std::uint64_t Revision_ = 0;
+    ChangeSet Difference_;
+    /// SHA-256 of the set's text.
+    std::string Digest_;
+  };
+
+  const Publication &lastPublication() const { return LastPublication_; }
+
   /// Reads the snapshot that a head points to.
   boost::asio::awaitable<Result<SnapshotPtr>> load(ConfigHead Head);
 
@@ -67,6 +77,7 @@
 
   std::shared_ptr<PlatformService> Platform_;
   std::shared_ptr<ConfigState> State_;
+  Publication LastPublication_;
   std::size_t Running_ = 0;
   bool Closed_ = false;
 };
--- a/Source/Config/ConfigSpread.cpp
+++ b/Source/Config/ConfigSpread.cpp
@@ -1,5 +1,7 @@
 #include "Config/ConfigSpread.h"
 
+#include "Config/ConfigDelta.h"
+
 #include "Http/Spawn.h"
 
 #include "Membership/Rendezvous.h"
@@ -53,7 +55,7 @@
       Follower_(std::chrono::milliseconds(Settings.Config_.FirstWaitMs_),
                 BootClock::now()),
       Log_(static_cast<std::size_t>(Settings.Config_.LogRevisions_), LogBytes),
-      Last_(State_->current()) {
+      Last_(State_->current()), Worker_(Executor_) {
   // Before all others, so that evidence is at hand when they look at a change.
   State_->Changed_.attach([this](const SnapshotPtr &Now) { changed(Now); });
 }
@@ -173,89 +175,89 @@
   std::uint64_t Before = 0;
   do {
     Before = Follower_.held();
+    // A fresh VM spares its peers the making of a whole set.
+    if (Before == 0)
+      co_await loadHead();
     std::string Peer = choosePeer();
-    bool Taken = !Peer.empty() && co_await pullFrom(Peer);
-    if (Taken || !Head_ || Head_->Revision_ <= Follower_.held())
-      continue;
-    ConfigHead Wanted = *Head_;
-    auto Snapshot = co_await Publisher_->load(Wanted);
-    if (isOk(Snapshot))
-      State_->accept(valueOf(Snapshot));
-    else
-      logEvent(LogLevel::Warning, "config_load_failed",
-               {{"problem", errorOf(Snapshot).describe()}});
+    if (!Peer.empty())
+      co_await pullFrom(std::move(Peer));
+    if (Follower_.held() == Before)
+      co_await loadHead();
   } while (Follower_.held() > Before &&
            Follower_.held() < Follower_.highestKnown());
   Following_ = false;
 }
 
+asio::awaitable<void> ConfigSpread::loadHead() {
+  if (!Head_ || Head_->Revision_ <= Follower_.held())
+    co_return;
+  auto Snapshot = co_await Publisher_->load(*Head_);
+  if (isOk(Snapshot))
+    State_->accept(valueOf(Snapshot));
+  else
+    logEvent(LogLevel::Warning, "config_load_failed",
+             {{"problem", errorOf(Snapshot).describe()}});
+}
+
+/// Whether a digest is the one that the head names for its revision.
+static bool matchesHead(const std::optional<ConfigHead> &Head,
+                        const ConfigPullReply &Reply) {
+  if (!Head || Head->Revision_ != Reply.Revision_)
+    return true;
+  std::size_t Dash = Head->Object_.rfind('-');
+  return Dash != std::string::npos &&
+         Reply.Digest_.starts_with(Head->Object_.substr(Dash + 1));
+}
+
 asio::awaitable<bool> ConfigSpread::pullFrom(std::string Peer) {
   ConfigPullMessage Ask;
   Ask.From_ = Follower_.held();
   auto Reply =
       co_await callPeer<ConfigPullReply>(*Network_, Peer, Ask, PullTimeout);
-  if (!isOk(Reply))
+  if (!isOk(Reply) || valueOf(Reply).Revision_ <= Follower_.held())
     co_return false;
-  // A publication of this VM's own may have come in between.
-  if (Ask.From_ == Follower_.held() && takeChanges(valueOf(Reply)))
+  if (co_await take(valueOf(Reply)))
     co_return true;
   if (!valueOf(Reply).Snapshot_.empty())
-    co_return takeSnapshot(valueOf(Reply));
+    co_return false;
+  logEvent(LogLevel::Warning, "config_changes_rejected",
+           {{"revision", valueOf(Reply).Revision_}, {"peer", Peer}});
   Ask.From_ = Follower_.held();
   Ask.WantSnapshot_ = true;
   auto Whole =
       co_await callPeer<ConfigPullReply>(*Network_, Peer, Ask, PullTimeout);
-  co_return isOk(Whole) && takeSnapshot(valueOf(Whole));
-}
-
-/// Whether a digest is the one that the head names for its revision.
-static bool matchesHead(const std::optional<ConfigHead> &Head,
-                        const ConfigPullReply &Reply) {
-  if (!Head || Head->Revision_ != Reply.Revision_)
-    return true;
-  std::size_t Dash = Head->Object_.rfind('-');
-  return Dash != std::string::npos &&
-         Reply.Digest_.starts_with(Head->Object_.substr(Dash + 1));
+  if (!isOk(Whole))
+    co_return false;
+  co_return co_await take(valueOf(Whole));
 }
 
-bool ConfigSpread::takeChanges(const ConfigPullReply &Reply) {
-  if (Reply.Changes_.empty() || !matchesHead(Head_, Reply))
-    return false;
-  ObjectSet Objects = State_->current()->Objects_;
-  for (const std::string &Text : Reply.Changes_) {
-    auto Change = decodeChangeSet(Text);
-    if (!std::holds_alternative<ChangeSet>(Change))
-      return false;
-    auto Applied = applyChange(Objects, std::get<ChangeSet>(Change));
-    if (!std::holds_alternative<ObjectSet>(Applied))
-      return false;
-    Objects = std::move(std::get<ObjectSet>(Applied));
-  }
-  auto Next = std::make_shared<ConfigSnapshot>();
-  Next->Revision_ = Reply.Revision_;
-  Next->Objects_ = std::move(Objects);
-  if (sha256Hex(encodeSnapshot(*Next)) != Reply.Digest_) {
-    logEvent(LogLevel::Error, "config_digest_differs",
-             {{"revision", Reply.Revision_}});
-    return false;
-  }
-  Digest_ = Reply.Digest_;
-  DigestRevision_ = Reply.Revision_;
-  Taking_ = &Reply;
-  bool Taken = State_->accept(std::move(Next));
+asio::awaitable<bool> ConfigSpread::take(ConfigPullReply Given) {
+  if (!matchesHead(Head_, Given))
+    co_return false;
+  struct Job {
+    SnapshotPtr Base_;
+    ConfigPullReply Reply_;
+    SnapshotPtr Next_;
+  };
+  auto Work = std::make_shared<Job>();
+  Work->Base_ = State_->current();
+  Work->Reply_ = std::move(Given);
+  // g++ 12 frees a lambda made inside a co_await expression twice.
+  std::function<void()> Build = [Work] {
+    Work->Next_ = Work->Reply_.Snapshot_.empty()
+                      ? applyPulledChanges(*Work->Base_, Work->Reply_)
+                      : readPulledSnapshot(Work->Reply_);
+  };
+  co_await Worker_.run(std::move(Build));
+  // A publication through this VM may have come in between.
+  if (!Work->Next_ || State_->current() != Work->Base_)
+    co_return false;
+  Digest_ = Work->Reply_.Digest_;
+  DigestRevision_ = Work->Next_->Revision_;
+  Taking_ = &Work->Reply_;
+  bool Taken = State_->accept(Work->Next_);
   Taking_ = nullptr;
-  return Taken;
-}
-
-bool ConfigSpread::takeSnapshot(const ConfigPullReply &Reply) {
-  if (Reply.Snapshot_.empty() || !matchesHead(Head_, Reply) ||
-      sha256Hex(Reply.Snapshot_) != Reply.Digest_)
-    return false;
-  auto Decoded = decodeSnapshot(Reply.Snapshot_);
-  if (!isOk(Decoded))
-    return false;
-  return State_->accept(
-      std::make_shared<const ConfigSnapshot>(std::move(valueOf(Decoded))));
+  co_return Taken;
 }
 
 const std::string &ConfigSpread::digest() {
@@ -285,12 +287,20 @@
 }
 
 void ConfigSpread::logChange(const SnapshotPtr &Next) {
-  if (Taking_) {
+  if (Taking_ && !Taking_->Changes_.empty()) {
     std::uint64_t Revision = Next->Revision_ - Taking_->Changes_.size();
     for (const std::string &Change : Taking_->Changes_)
       Log_.append(++Revision, Change);
     return;
   }
+  const ConfigPublisher::Publication &Own = Publisher_->lastPublication();
+  if (Own.Revision_ == Next->Revision_ &&
+      Next->Revision_ == Last_->Revision_ + 1) {
+    Digest_ = Own.Digest_;
+    DigestRevision_ = Own.Revision_;
+    Log_.append(Own.Revision_, encodeChangeSet(Own.Difference_));
+    return;
+  }
   if (Next->Revision_ != Last_->Revision_ + 1) {
     Log_.clear();
     return;
--- a/Source/Config/ConfigSpread.h
+++ b/Source/Config/ConfigSpread.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_CONFIG_CONFIGSPREAD_H
 #define ANVIL_CONFIG_CONFIGSPREAD_H
 
+#include "Config/BackgroundWorker.h"
 #include "Config/ConfigFollower.h"
 #include "Config/ConfigLog.h"
 #include "Config/ConfigMessages.h"
@@ -65,9 +66,9 @@
   ConfigPullReply answerPull(const ConfigPullMessage &Asked);
   boost::asio::awaitable<void> poll();
   boost::asio::awaitable<void> follow();
+  boost::asio::awaitable<void> loadHead();
   boost::asio::awaitable<bool> pullFrom(std::string Peer);
-  bool takeChanges(const ConfigPullReply &Reply);
-  bool takeSnapshot(const ConfigPullReply &Reply);
+  boost::asio::awaitable<bool> take(ConfigPullReply Given);
 
   boost::asio::any_io_executor Executor_;
   const DaemonSettings &Settings_;
@@ -85,7 +86,7 @@
   /// The head as last read; its object's name ends with the set's digest.
   std::optional<ConfigHead> Head_;
   std::optional<TimePoint> OutageAt_;
-  /// The changes that are being taken over from a peer.
+  /// The peer's answer that is being taken over.
   const ConfigPullReply *Taking_ = nullptr;
   std::string Digest_;
   std::uint64_t DigestRevision_ = 0;
@@ -93,6 +94,7 @@
   bool Polling_ = false;
   bool Following_ = false;
   TimerService::Subscription Period_;
+  BackgroundWorker Worker_;
 };
 
 } // namespace anvil
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -142,15 +142,29 @@
   Changed_.fire();
 }
 
+void MembershipService::learnAddress(const std::string &From,
+                                     const HeartbeatMessage &Given) {
+  auto Address = parseEndpoint(Given.Address_);
+  if (!isOk(Address) || valueOf(Address).Address_ == AnyAddress)
+    return;
+  bool IsInSettings = std::ranges::any_of(
+      Settings_.Peers_, [&](const auto &Peer) { return Peer.Name_ == From; });
+  // The list knows where a VM is, but while it can't be read a VM that was
+  // replaced has to say so itself.
+  bool IsReplaced = !Platform_->reachable() && !IsInSettings &&
+                    incarnationOf(From) != Given.Incarnation_;
+  if (Addresses_.contains(From) && !IsReplaced)
+    return;
+  Addresses_[From] = valueOf(Address);
+  SeenVersion_ = 0;
+}
+
 void MembershipService::hear(const std::string &From,
                              const HeartbeatMessage &Given) {
   TimePoint Now = BootClock::now();
   // What came in while this VM slept is judged after the pause is noticed.
   tick(Now);
-  auto Address = parseEndpoint(Given.Address_);
-  bool IsUsable = isOk(Address) && valueOf(Address).Address_ != AnyAddress;
-  if (!Addresses_.contains(From) && IsUsable)
-    Addresses_[From] = valueOf(Address);
+  learnAddress(From, Given);
   HeartbeatSeen Seen{From,
                      Given.DataCentre_,
                      Given.Incarnation_,
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -129,6 +129,7 @@
   void beat();
   void beatTo(const std::string &Peer, bool IsAnswer, TimePoint Now);
   void hear(const std::string &From, const HeartbeatMessage &Given);
+  void learnAddress(const std::string &From, const HeartbeatMessage &Given);
   void adopt(const std::vector<VmRecord> &Listed);
   void update();
   std::vector<std::string> otherDataCentres() const;
