Decide about requests that may not be repeated in a core

Cause: the ledger wrote one transaction a claim, gave up on a lost answer and left a late claim row in a resend's way, and a crash of the claiming VM read as "in progress" for ever. Change: ClaimSession decides step by step without I/O; ClaimBook holds what a VM has claimed and not recorded; GroupCommitter puts row changes of many requests to one transaction and resends an ambiguous one, recognising its own rows; ends that can't be recorded are kept and recorded later; a claim that was never dispatched is taken over once its VM says so; old rows are swept.

--- /dev/null
+++ b/Source/Ledger/ClaimBook.cpp
@@ -0,0 +1,73 @@
+#include "Ledger/ClaimBook.h"
+
+#include "Kernel/Invariant.h"
+
+namespace anvil {
+
+bool ClaimBook::begin(const std::string &Row, std::string Id,
+                      std::string Digest) {
+  HeldClaim Held;
+  Held.Id_ = std::move(Id);
+  Held.Digest_ = std::move(Digest);
+  return Claims_.emplace(Row, std::move(Held)).second;
+}
+
+void ClaimBook::confirm(const std::string &Row, std::uint64_t Version) {
+  auto Found = Claims_.find(Row);
+  checkInvariant(Found != Claims_.end() &&
+                     Found->second.Phase_ == ClaimPhase::Claiming,
+                 "a claim was won that was not being made");
+  Found->second.Phase_ = ClaimPhase::Running;
+  Found->second.Version_ = Version;
+}
+
+void ClaimBook::abandon(const std::string &Row) {
+  auto Found = Claims_.find(Row);
+  checkInvariant(Found != Claims_.end() &&
+                     Found->second.Phase_ == ClaimPhase::Claiming,
+                 "a claim was abandoned that may have been dispatched");
+  Claims_.erase(Found);
+}
+
+void ClaimBook::finish(const std::string &Row, ClaimRow End,
+                       std::optional<std::string> EndText) {
+  auto Found = Claims_.find(Row);
+  checkInvariant(Found != Claims_.end() &&
+                     Found->second.Phase_ == ClaimPhase::Running,
+                 "a claim ended that was not running");
+  Found->second.Phase_ = ClaimPhase::Ended;
+  UnrecordedBytes_ += EndText.value_or("").size();
+  Found->second.End_ = std::move(End);
+  Found->second.EndText_ = std::move(EndText);
+}
+
+void ClaimBook::settle(const std::string &Row) {
+  auto Found = Claims_.find(Row);
+  checkInvariant(Found != Claims_.end() &&
+                     Found->second.Phase_ == ClaimPhase::Ended,
+                 "an end was recorded of a claim that had none");
+  UnrecordedBytes_ -= Found->second.EndText_.value_or("").size();
+  Claims_.erase(Found);
+}
+
+const HeldClaim *ClaimBook::find(const std::string &Row) const {
+  auto Found = Claims_.find(Row);
+  return Found == Claims_.end() ? nullptr : &Found->second;
+}
+
+ClaimantState ClaimBook::lookUp(const std::string &Row,
+                                const std::string &Id) const {
+  const HeldClaim *Held = find(Row);
+  return Held && Held->Id_ == Id ? ClaimantState::Running
+                                 : ClaimantState::NotRunning;
+}
+
+std::vector<std::string> ClaimBook::unrecorded() const {
+  std::vector<std::string> Rows;
+  for (const auto &[Row, Held] : Claims_)
+    if (Held.Phase_ == ClaimPhase::Ended)
+      Rows.push_back(Row);
+  return Rows;
+}
+
+} // namespace anvil
--- a/Source/Ledger/ClaimCodec.cpp
+++ b/Source/Ledger/ClaimCodec.cpp
@@ -31,6 +31,7 @@
              {"digest", Row.Digest_},
              {"vm", Row.Vm_},
              {"incarnation", Row.Incarnation_},
+             {"expires_at", Row.ExpiresAt_},
              {"status", Row.Answer_.Status_},
              {"headers", Headers},
              {"body", json::binary({Row.Answer_.Body_.begin(),
@@ -52,6 +53,7 @@
     Source.at("digest").get_to(Row.Digest_);
     Source.at("vm").get_to(Row.Vm_);
     Source.at("incarnation").get_to(Row.Incarnation_);
+    Row.ExpiresAt_ = Source.value("expires_at", std::int64_t(0));
     Source.at("status").get_to(Row.Answer_.Status_);
     for (const json &Header : Source.at("headers"))
       Row.Answer_.Headers_.add(Header.at(0).get<std::string>(),
--- a/Source/Ledger/ClaimCodec.h
+++ b/Source/Ledger/ClaimCodec.h
@@ -4,6 +4,7 @@
 #include "Http/HttpMessage.h"
 #include "Kernel/Error.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -11,11 +12,12 @@
 namespace anvil {
 
 /// What a claim's row says of its request.
-enum class ClaimState { Running, Answered, Unknown };
+enum class ClaimState { Running, Answered, AnsweredWithoutBody, Unknown };
 
 inline constexpr std::pair<ClaimState, std::string_view> ClaimStateNames[] = {
     {ClaimState::Running, "running"},
     {ClaimState::Answered, "answered"},
+    {ClaimState::AnsweredWithoutBody, "answered_without_body"},
     {ClaimState::Unknown, "unknown"},
 };
 
@@ -24,9 +26,13 @@
   ClaimState State_ = ClaimState::Running;
   /// SHA-256 of the request, so that a key can't be used for another one.
   std::string Digest_;
-  /// The VM that runs it, with the incarnation of its process.
+  /// The VM that runs it.
   std::string Vm_;
+  /// The claim's own id: the incarnation of the VM's process, a slash and the
+  /// request's id.
   std::string Incarnation_;
+  /// When the row may be removed, in seconds of the Unix clock.
+  std::int64_t ExpiresAt_ = 0;
   HttpReply Answer_;
 };
 
--- /dev/null
+++ b/Source/Ledger/ClaimSweeper.cpp
@@ -0,0 +1,23 @@
+#include "Ledger/ClaimSweeper.h"
+
+#include "Ledger/ClaimCodec.h"
+
+namespace anvil {
+
+TableTransaction ClaimSweeper::takePage(const std::vector<TableRow> &Rows,
+                                        std::size_t Limit,
+                                        std::int64_t NowSeconds) {
+  TableTransaction Removal;
+  for (const TableRow &Row : Rows) {
+    auto Known = decodeClaim(Row.Value_);
+    if (!isOk(Known) || valueOf(Known).ExpiresAt_ > NowSeconds)
+      continue;
+    Removal.Checks_.push_back({Row.Key_, Row.Version_});
+    Removal.Writes_.push_back({Row.Key_, std::nullopt});
+  }
+  bool IsLast = Rows.size() < Limit;
+  Cursor_ = IsLast ? std::string() : Rows.back().Key_;
+  return Removal;
+}
+
+} // namespace anvil
--- a/Source/Ledger/TableLedger.cpp
+++ b/Source/Ledger/TableLedger.cpp
@@ -1,121 +1,290 @@
 #include "Ledger/TableLedger.h"
 
+#include "Http/Spawn.h"
+#include "Ledger/ClaimMessages.h"
+#include "Membership/Rendezvous.h"
 #include "Objects/Digest.h"
+#include "Platform/Backoff.h"
 #include "Telemetry/Log.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace anvil {
 
 namespace asio = boost::asio;
 
-/// When to ask again for the outcome of a running request.
-static constexpr Duration InProgressRetry = std::chrono::seconds(1);
-
-/// When to come back after the platform was not reachable.
-static constexpr Duration PlatformRetry = std::chrono::seconds(2);
-
-/// Times that a lost answer is looked up, and an end is recorded.
-static constexpr int TableTries = 3;
-
-TableLedger::TableLedger(std::shared_ptr<PlatformService> Platform,
-                         std::string Vm, std::string Incarnation)
-    : Platform_(std::move(Platform)), Vm_(std::move(Vm)),
-      Incarnation_(std::move(Incarnation)) {}
-
-static Refusal platformRefusal() {
-  return {RefusalCode::PlatformUnavailable,
-          "requests that may not be repeated can't be recorded now",
-          Execution::No, PlatformRetry};
-}
-
-Outcome<ClaimDecision> TableLedger::decide(const TableRow &Row,
-                                           const std::string &Digest) {
-  auto Claim = decodeClaim(Row.Value_);
-  if (!isOk(Claim))
-    return Refusal{RefusalCode::OutcomeUnknown, "its record can't be read",
-                   Execution::Unknown, std::nullopt};
-  ClaimRow &Known = valueOf(Claim);
-  if (Known.Digest_ != Digest)
-    return Refusal{RefusalCode::IdempotencyConflict,
-                   "the Idempotency-Key belongs to another request",
-                   Execution::No, std::nullopt};
-  if (Known.State_ == ClaimState::Answered)
-    return ClaimDecision(std::move(Known.Answer_));
-  if (Known.State_ == ClaimState::Unknown)
-    return Refusal{RefusalCode::OutcomeUnknown,
-                   "it may have run and is not run again", Execution::Unknown,
-                   std::nullopt};
-  return Refusal{RefusalCode::InProgress, "it is running now",
-                 Execution::Unknown, InProgressRetry};
+/// The beginning of every claim's key.
+static constexpr std::string_view ClaimPrefix = "claim/";
+
+/// The waits between tries to record an end.
+static constexpr Duration LeastRecordWait = std::chrono::milliseconds(100);
+static constexpr Duration MostRecordWait = std::chrono::seconds(5);
+
+/// The first and the last wait before a refused claim's row is looked for.
+static constexpr Duration FirstTraceWait = std::chrono::seconds(1);
+static constexpr Duration LastTraceWait = std::chrono::seconds(300);
+
+/// How long a stopping VM waits for ends to be recorded, and how often it
+/// looks.
+static constexpr Duration HandOverTime = std::chrono::milliseconds(1500);
+static constexpr Duration HandOverCheckPeriod = std::chrono::milliseconds(20);
+
+/// How long the sweeper rests after it has seen every row.
+static constexpr Duration SweepRest = std::chrono::seconds(60);
+
+static GroupCommitOptions committerOptions(const LedgerSettings &Given) {
+  GroupCommitOptions Options;
+  Options.Window_ = std::chrono::milliseconds(Given.WindowMs_);
+  Options.BatchRows_ = static_cast<std::size_t>(Given.BatchRows_);
+  return Options;
+}
+
+static std::int64_t systemUnixSeconds() {
+  auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(Now).count();
+}
+
+static asio::awaitable<void> pause(asio::any_io_executor Executor,
+                                   Duration Span) {
+  asio::steady_timer Timer(Executor, Span);
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
+TableLedger::TableLedger(asio::any_io_executor Executor,
+                         const DaemonSettings &Settings, TimerService &Timers,
+                         const ServiceRegistry &Services,
+                         std::string Incarnation)
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
+      Platform_(Services.require<PlatformService>(PlatformService::Name)),
+      Network_(Services.require<PeerNetwork>(PeerNetwork::Name)),
+      Members_(Services.require<MembershipService>(MembershipService::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
+      Incarnation_(std::move(Incarnation)), UnixSeconds_(systemUnixSeconds),
+      Writer_(std::make_shared<LedgerWriter>(
+          Executor_, Platform_, Metrics_, committerOptions(Settings.Ledger_))) {
+  IsClaimantAlive_ = [this](const std::string &Vm, const std::string &) {
+    return Members_->members().count(Vm) > 0;
+  };
+}
+
+std::vector<std::string> TableLedger::dependencies() const {
+  return {std::string(PlatformService::Name), std::string(PeerNetwork::Name),
+          std::string(MembershipService::Name)};
+}
+
+Status TableLedger::start() {
+  answerPeers<ClaimLookupRequest>(
+      *Network_,
+      [this](std::string,
+             ClaimLookupRequest Asked) -> asio::awaitable<ClaimLookupReply> {
+        ClaimLookupReply Reply;
+        Reply.Incarnation_ = Incarnation_;
+        Reply.Running_ =
+            Book_.lookUp(Asked.Row_, Asked.Id_) == ClaimantState::Running;
+        co_return Reply;
+      });
+  Tick_ = Timers_.every(std::chrono::milliseconds(Settings_.Ledger_.SweepMs_),
+                        BootClock::now(), [this](TimePoint Now) { tick(Now); });
+  return std::monostate{};
+}
+
+void TableLedger::stop() { Tick_.cancel(); }
+
+void TableLedger::tick(TimePoint Now) {
+  auto Vms = static_cast<double>(Members_->members().size() + 1);
+  double Gap = Vms / static_cast<double>(Settings_.Ledger_.WritesPerSecond_);
+  Writer_->setPace(Duration(static_cast<std::int64_t>(Gap * 1e6)));
+  Metrics_->gauge("anvil_ledger_unrecorded_bytes", {},
+                  static_cast<double>(Book_.unrecordedBytes()));
+  if (!RemovingTraces_ && !Traces_.empty())
+    spawn(Executor_, removeTraces());
+  if (!Sweeping_ && Now >= NextSweep_ && isSweeper())
+    spawn(Executor_, sweep());
 }
 
 asio::awaitable<Outcome<ClaimDecision>>
 TableLedger::claim(const RequestContext &Request) {
   if (Request.IdempotencyKey_.empty())
     co_return ClaimDecision(ClaimToken{});
-  ClaimToken Token;
-  Token.Row_ =
-      "claim/" + Request.Customer_ + "/" + sha256Hex(Request.IdempotencyKey_);
-  ClaimRow Wanted;
+  bool IsFull = Book_.unrecordedBytes() >
+                static_cast<std::size_t>(Settings_.Ledger_.UnrecordedBytes_);
+  if (IsFull)
+    co_return Refusal{RefusalCode::PlatformUnavailable,
+                      "too many outcomes wait to be recorded", Execution::No,
+                      PlatformRetry};
+  ClaimRequest Wanted;
+  Wanted.Row_ = std::string(ClaimPrefix) + Request.Customer_ + "/" +
+                sha256Hex(Request.IdempotencyKey_);
   Wanted.Digest_ = Request.Digest_;
-  Wanted.Vm_ = Vm_;
-  Wanted.Incarnation_ = Incarnation_ + "/" + Request.RequestId_;
-  std::string Text = encodeClaim(Wanted);
-  TableTransaction Transaction;
-  Transaction.Checks_.push_back({Token.Row_, 0});
-  Transaction.Writes_.push_back({Token.Row_, Text});
-  auto Ended = co_await Platform_->commit(std::move(Transaction));
-  if (Ended.Result_ == CommitResult::Committed) {
-    Token.Version_ = Ended.Version_;
-    co_return ClaimDecision(Token);
+  Wanted.Vm_ = Settings_.Vm_;
+  Wanted.Incarnation_ = Incarnation_;
+  Wanted.RequestId_ = Request.RequestId_;
+  Wanted.ExpiresAt_ = UnixSeconds_() + Settings_.Ledger_.RetentionS_;
+  ClaimSession Session(Book_, Wanted);
+  ClaimStep Step = Session.begin();
+  while (!std::holds_alternative<Outcome<ClaimDecision>>(Step)) {
+    if (auto *Write = std::get_if<WriteClaim>(&Step)) {
+      auto End = co_await Writer_->write(std::move(Write->Change_));
+      Step = Session.writeEnded(End);
+    } else {
+      AskClaimant Whom = std::get<AskClaimant>(Step);
+      auto Said = co_await ask(Wanted.Row_, std::move(Whom));
+      Step = Session.claimantSaid(Said);
+    }
   }
-  if (Ended.Result_ == CommitResult::Conflict && !Ended.Conflicts_.empty())
-    co_return decide(Ended.Conflicts_.front(), Request.Digest_);
-  if (Ended.Result_ != CommitResult::Ambiguous)
-    co_return platformRefusal();
-  for (int Try = 0; Try < TableTries; ++Try) {
-    std::vector<std::string> Keys{Token.Row_};
-    auto Rows = co_await Platform_->read(std::move(Keys));
-    if (!isOk(Rows))
-      continue;
-    const TableRow &Row = valueOf(Rows).front();
-    if (Row.Version_ == 0)
-      break;
-    if (Row.Value_ != Text)
-      co_return decide(Row, Request.Digest_);
-    Token.Version_ = Row.Version_;
-    co_return ClaimDecision(Token);
+  if (Session.leftTrace()) {
+    TimePoint Due = BootClock::now() + FirstTraceWait;
+    Traces_.push_back({Wanted.Row_, Session.text(), Due, FirstTraceWait});
   }
-  // The write may still arrive; the request itself was not dispatched.
-  co_return platformRefusal();
+  co_return std::get<Outcome<ClaimDecision>>(std::move(Step));
+}
+
+asio::awaitable<ClaimantState> TableLedger::ask(std::string Row,
+                                                AskClaimant Whom) {
+  std::string Life = Whom.Id_.substr(0, Whom.Id_.find('/'));
+  bool IsOldLife = Whom.Vm_ == Settings_.Vm_ && Life != Incarnation_;
+  if (IsOldLife || !IsClaimantAlive_(Whom.Vm_, Life))
+    co_return ClaimantState::Gone;
+  ClaimLookupRequest Asked;
+  Asked.Row_ = std::move(Row);
+  Asked.Id_ = std::move(Whom.Id_);
+  auto Reply = co_await callPeer<ClaimLookupReply>(
+      *Network_, std::move(Whom.Vm_), std::move(Asked),
+      std::chrono::milliseconds(Settings_.Ledger_.LookupMs_));
+  if (!isOk(Reply))
+    co_return ClaimantState::NoAnswer;
+  if (valueOf(Reply).Incarnation_ != Life)
+    co_return ClaimantState::Gone;
+  co_return valueOf(Reply).Running_ ? ClaimantState::Running
+                                    : ClaimantState::NotRunning;
 }
 
 asio::awaitable<void> TableLedger::record(ClaimToken Claim, ClaimEnd End) {
   if (Claim.Row_.empty())
     co_return;
-  TableTransaction Transaction;
-  Transaction.Checks_.push_back({Claim.Row_, Claim.Version_});
-  RowWrite Write{Claim.Row_, std::nullopt};
-  if (End.Ran_ != Execution::No) {
-    std::vector<std::string> Keys{Claim.Row_};
-    auto Rows = co_await Platform_->read(std::move(Keys));
-    auto Known = isOk(Rows) ? decodeClaim(valueOf(Rows).front().Value_)
-                            : Result<ClaimRow>(errorOf(Rows));
-    ClaimRow Row;
-    if (isOk(Known))
-      Row = valueOf(Known);
-    Row.State_ =
-        End.Ran_ == Execution::Yes ? ClaimState::Answered : ClaimState::Unknown;
-    Row.Answer_ = std::move(End.Answer_);
-    Write.Value_ = encodeClaim(Row);
+  const HeldClaim *Held = Book_.find(Claim.Row_);
+  checkInvariant(Held != nullptr, "an end is recorded of an unknown claim");
+  ClaimRow Row;
+  Row.Digest_ = Held->Digest_;
+  Row.Vm_ = Settings_.Vm_;
+  Row.Incarnation_ = Held->Id_;
+  Row.ExpiresAt_ = UnixSeconds_() + Settings_.Ledger_.RetentionS_;
+  Row.State_ =
+      End.Ran_ == Execution::Yes ? ClaimState::Answered : ClaimState::Unknown;
+  Row.Answer_ = std::move(End.Answer_);
+  auto Limit = static_cast<std::size_t>(Settings_.Ledger_.AnswerLimitBytes_);
+  if (Row.Answer_.Body_.size() > Limit) {
+    Row.State_ = ClaimState::AnsweredWithoutBody;
+    Row.Answer_ = {Row.Answer_.Status_, {}, {}};
+  }
+  std::optional<std::string> Text;
+  if (End.Ran_ != Execution::No)
+    Text = encodeClaim(Row);
+  Book_.finish(Claim.Row_, std::move(Row), std::move(Text));
+  // The caller gets its answer after one try: its run is over, and until the
+  // end is recorded a resend elsewhere learns that it is in progress.
+  if (!co_await tryToSettle(Claim.Row_))
+    spawn(Executor_, settleLater(Claim.Row_));
+}
+
+asio::awaitable<bool> TableLedger::tryToSettle(std::string Row) {
+  const HeldClaim *Held = Book_.find(Row);
+  RowChange Change{Row, Held->Version_, Held->EndText_};
+  auto End = co_await Writer_->write(std::move(Change));
+  bool IsOver = End.Result_ == CommitResult::Committed ||
+                End.Result_ == CommitResult::Conflict;
+  // Only this process writes the row of its running claim, so a conflict means
+  // that somebody removed or changed it by hand.
+  if (End.Result_ == CommitResult::Conflict)
+    logEvent(LogLevel::Error, "outcome_not_recorded", {{"row", Row}});
+  if (IsOver)
+    Book_.settle(Row);
+  co_return IsOver;
+}
+
+asio::awaitable<void> TableLedger::settleLater(std::string Row) {
+  logEvent(LogLevel::Warning, "outcome_recorded_later", {{"row", Row}});
+  Metrics_->count("anvil_ledger_recorded_later_total");
+  Backoff Waits(LeastRecordWait, MostRecordWait);
+  double Random =
+      static_cast<double>(stableHash(Row) % 1000) / 1000; // spreads the rows
+  do
+    co_await pause(Executor_, Waits.next(Random));
+  while (!co_await tryToSettle(Row));
+}
+
+asio::awaitable<void> TableLedger::removeTraces() {
+  RemovingTraces_ = true;
+  TimePoint Now = BootClock::now();
+  std::vector<Trace> Due;
+  for (const Trace &Known : Traces_)
+    if (Known.Due_ <= Now && Due.size() < 100)
+      Due.push_back(Known);
+  std::vector<std::string> Keys;
+  for (const Trace &Known : Due)
+    Keys.push_back(Known.Row_);
+  if (Keys.empty()) {
+    RemovingTraces_ = false;
+    co_return;
   }
-  Transaction.Writes_.push_back(std::move(Write));
-  for (int Try = 0; Try < TableTries; ++Try) {
-    auto Ended = co_await Platform_->commit(Transaction);
-    if (Ended.Result_ == CommitResult::Committed ||
-        Ended.Result_ == CommitResult::Conflict)
-      co_return;
+  auto Rows = co_await Platform_->read(std::move(Keys));
+  if (isOk(Rows)) {
+    for (const Trace &Known : Due) {
+      for (const TableRow &Row : valueOf(Rows)) {
+        if (Row.Key_ != Known.Row_ || Row.Value_ != Known.Text_)
+          continue;
+        RowChange Removal{Row.Key_, Row.Version_, std::nullopt};
+        co_await Writer_->write(std::move(Removal));
+      }
+      // A write may arrive late, so the row is looked for a few times more.
+      std::erase_if(Traces_, [&](Trace &Left) {
+        if (Left.Text_ != Known.Text_)
+          return false;
+        Left.Wait_ *= 2;
+        Left.Due_ = Now + Left.Wait_;
+        return Left.Wait_ > LastTraceWait;
+      });
+    }
   }
-  logEvent(LogLevel::Error, "outcome_not_recorded", {{"row", Claim.Row_}});
+  RemovingTraces_ = false;
+}
+
+bool TableLedger::isSweeper() const {
+  std::vector<std::string> Vms{Settings_.Vm_};
+  for (const auto &[Vm, Known] : Members_->members())
+    if (Known.State_ == VmState::Live)
+      Vms.push_back(Vm);
+  return rendezvousOrder("claim-sweeper", std::move(Vms)).front() ==
+         Settings_.Vm_;
+}
+
+asio::awaitable<void> TableLedger::sweep() {
+  Sweeping_ = true;
+  auto Limit = static_cast<std::size_t>(Settings_.Ledger_.SweepRows_);
+  auto Rows = co_await Platform_->scan(std::string(ClaimPrefix),
+                                       Sweeper_.cursor(), Limit);
+  if (isOk(Rows)) {
+    auto Removal = Sweeper_.takePage(valueOf(Rows), Limit, UnixSeconds_());
+    if (Sweeper_.cursor().empty())
+      NextSweep_ = BootClock::now() + SweepRest;
+    double Count = static_cast<double>(Removal.Writes_.size());
+    if (Count > 0) {
+      // What a race leaves behind is found on the next pass.
+      auto Ended = co_await Platform_->commit(std::move(Removal));
+      if (Ended.Result_ == CommitResult::Committed)
+        Metrics_->count("anvil_ledger_rows_expired_total", {}, Count);
+    }
+  }
+  Sweeping_ = false;
+}
+
+asio::awaitable<void> TableLedger::handOver() {
+  TimePoint GiveUp = BootClock::now() + HandOverTime;
+  while (!Book_.unrecorded().empty() && BootClock::now() < GiveUp)
+    co_await pause(Executor_, HandOverCheckPeriod);
 }
 
 } // namespace anvil
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -89,8 +89,7 @@
   Services_.add(std::make_shared<RandomSelector>(
       Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
   Services_.add(std::make_shared<TableLedger>(
-      Services_.require<PlatformService>(PlatformService::Name), Settings_.Vm_,
-      Incarnation_));
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
 }
 
 void Daemon::addFrontDoors() {
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -54,6 +54,21 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+/// Claims outlive every request that they stand for.
+static constexpr NumberRange RetentionRange{3600, 30 * 24 * 3600};
+
+static void visitFields(FieldReader &Fields, LedgerSettings &Ledger) {
+  Fields.field("window_ms", Ledger.WindowMs_, {0, 1000});
+  Fields.field("batch_rows", Ledger.BatchRows_, CountRange);
+  Fields.field("writes_per_second", Ledger.WritesPerSecond_, {1, 100000});
+  Fields.field("answer_limit_bytes", Ledger.AnswerLimitBytes_, {0, 1 << 24});
+  Fields.field("unrecorded_bytes", Ledger.UnrecordedBytes_, BytesRange);
+  Fields.field("retention_s", Ledger.RetentionS_, RetentionRange);
+  Fields.field("sweep_ms", Ledger.SweepMs_, MillisRange);
+  Fields.field("sweep_rows", Ledger.SweepRows_, CountRange);
+  Fields.field("lookup_ms", Ledger.LookupMs_, MillisRange);
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -66,6 +81,7 @@
   Fields.record("config", Settings.Config_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
+  Fields.record("ledger", Settings.Ledger_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -63,6 +63,24 @@
   std::int64_t DrainMs_ = 60000;
 };
 
+/// How requests that may not be repeated are remembered.
+struct LedgerSettings {
+  /// How long a claim waits for others to share its transaction.
+  std::int64_t WindowMs_ = 3;
+  std::int64_t BatchRows_ = 100;
+  /// Transactions a second that all VMs together may send for claims.
+  std::int64_t WritesPerSecond_ = 200;
+  /// The longest answer that is kept for resends.
+  std::int64_t AnswerLimitBytes_ = 256 * 1024;
+  /// Outcomes that may wait in memory while the platform is away.
+  std::int64_t UnrecordedBytes_ = 32 * 1024 * 1024;
+  std::int64_t RetentionS_ = 24 * 3600;
+  std::int64_t SweepMs_ = 500;
+  std::int64_t SweepRows_ = 50;
+  /// How long the VM that made a claim is waited for.
+  std::int64_t LookupMs_ = 500;
+};
+
 /// Everything a VM is told at its start.
 struct DaemonSettings {
   std::string Vm_;
@@ -77,6 +95,7 @@
   ConfigSettings Config_;
   TargetSettings Targets_;
   ShutdownSettings Shutdown_;
+  LedgerSettings Ledger_;
 };
 
 /// Reads and checks the settings of `anvild`. Every error names the file, the
