Quarantine requests that crash targets

Cause: nothing implemented PoisonGuard, so a request that crashes engines could be sent again and retried without end. Change: CrashTracker quarantines a digest after two crashes of different target lives; CrashConfirmer takes a broken connection for a crash only when the target's report (or, without reports, a refused connection) says so in time; the VMs of the data centre are told, other data centres through one VM each; operators list and clear at /admin/quarantine. A second crash under a suspect ends its retries at once.

--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -257,6 +257,7 @@
       co_return Try == 0 ? refusalOf(Granted) : Last;
     const Permit &Held = std::get<Permit>(Granted);
     Ended.Target_ = Held.Target_;
+    bool WasSuspect = Poison_ && Poison_->isSuspect(Request, BootClock::now());
     TryOutcome Run = co_await runOnce(Exchange, Admitted, Held);
     Ended.FirstByte_ = Run.FirstByte_;
     Ended.UsedTokens_ = std::max(Ended.UsedTokens_, Run.UsedTokens_);
@@ -276,6 +277,9 @@
       co_return Last;
     }
     bool MayRepeat = Request.Repeatable_ || Run.Ran_ == Execution::No;
+    // A second crash under the same request is no accident of the target.
+    MayRepeat &= Run.Result_ != TryResult::Crashed || !WasSuspect;
+    MayRepeat &= !Poison_ || !Poison_->check(Request, BootClock::now());
     if (!MayRepeat || Exchange.callerGone() ||
         !Selector_->allowRetry(Request, BootClock::now()))
       co_return Last;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Admin/AdminServer.h"
 #include "Admin/ConfigEndpoints.h"
+#include "Admin/QuarantineEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
 #include "Config/ConfigPoller.h"
@@ -16,6 +17,7 @@
 #include "Placement/LocalPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
+#include "Routing/FleetPoisonGuard.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -88,6 +90,8 @@
                                                     Settings_, Directory));
   Services_.add(std::make_shared<RandomSelector>(
       Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
+  Services_.add(std::make_shared<FleetPoisonGuard>(
+      Loop_.get_executor(), Settings_, Timers_, Services_));
   Services_.add(std::make_shared<TableLedger>(
       Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
 }
@@ -104,6 +108,8 @@
       *Server, Services_.require<ConfigPublisher>(ConfigPublisher::Name), State,
       Services_.require<PlatformService>(PlatformService::Name));
   addStatusEndpoint(*Server, Status);
+  addQuarantineEndpoints(
+      *Server, Services_.require<FleetPoisonGuard>(PoisonGuard::Name));
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
--- a/Source/Requests/PoisonGuard.h
+++ b/Source/Requests/PoisonGuard.h
@@ -22,6 +22,10 @@
   virtual std::optional<Refusal> check(const RequestContext &Request,
                                        TimePoint Now) = 0;
 
+  /// Whether a target has crashed, or may have crashed, under the request, so
+  /// that one more crash is enough to give it up.
+  virtual bool isSuspect(const RequestContext &Request, TimePoint Now) = 0;
+
   /// Notes that a request begins and ends to run on a target.
   virtual void began(const RequestContext &Request, const Permit &Used,
                      TimePoint Now) = 0;
--- /dev/null
+++ b/Source/Routing/CrashTracker.cpp
@@ -0,0 +1,83 @@
+#include "Routing/CrashTracker.h"
+
+#include "Kernel/Invariant.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// Crashes of different target lives that quarantine a request.
+static constexpr std::size_t QuarantineCrashes = 2;
+
+const CrashTracker::Suspect *CrashTracker::find(const std::string &Digest,
+                                                TimePoint Now) const {
+  auto Found = Suspects_.find(Digest);
+  bool IsKnown = Found != Suspects_.end() && Found->second.Until_ > Now;
+  return IsKnown ? &Found->second : nullptr;
+}
+
+bool CrashTracker::note(const std::string &Digest, const TargetLife &Crashed,
+                        TimePoint Now) {
+  bool IsNew = Suspects_.count(Digest) == 0;
+  if (IsNew && Suspects_.size() >= Options_.MostDigests_) {
+    // The one that would be forgotten first makes room.
+    auto Oldest = std::ranges::min_element(
+        Suspects_, {}, [](const auto &Entry) { return Entry.second.Until_; });
+    Suspects_.erase(Oldest);
+  }
+  Suspect &Known = Suspects_[Digest];
+  if (Known.Until_ <= Now)
+    Known = Suspect();
+  if (Known.Quarantined_)
+    return false;
+  std::erase_if(Known.Crashes_, [&](const auto &Entry) {
+    return Entry.second + Options_.SuspectTime_ <= Now;
+  });
+  bool IsFirstNews = Known.Crashes_.emplace(Crashed, Now).second;
+  if (IsFirstNews)
+    Known.Until_ = Now + Options_.SuspectTime_;
+  if (Known.Crashes_.size() < QuarantineCrashes)
+    return false;
+  Known.Quarantined_ = true;
+  Known.Until_ = Now + Options_.QuarantineTime_;
+  return true;
+}
+
+bool CrashTracker::isSuspect(const std::string &Digest, TimePoint Now) const {
+  return find(Digest, Now) != nullptr;
+}
+
+bool CrashTracker::isQuarantined(const std::string &Digest,
+                                 TimePoint Now) const {
+  const Suspect *Known = find(Digest, Now);
+  checkInvariant(!Known || !Known->Quarantined_ ||
+                     Known->Crashes_.size() >= QuarantineCrashes,
+                 "a request is quarantined for fewer than two crashes");
+  return Known && Known->Quarantined_;
+}
+
+Duration CrashTracker::timeLeft(const std::string &Digest,
+                                TimePoint Now) const {
+  const Suspect *Known = find(Digest, Now);
+  return Known ? Known->Until_ - Now : Duration(0);
+}
+
+bool CrashTracker::clear(const std::string &Digest) {
+  return Suspects_.erase(Digest) > 0;
+}
+
+std::vector<std::string> CrashTracker::quarantined(TimePoint Now) const {
+  std::vector<std::string> Digests;
+  for (const auto &[Digest, Known] : Suspects_)
+    if (isQuarantined(Digest, Now))
+      Digests.push_back(Digest);
+  return Digests;
+}
+
+void CrashTracker::expire(TimePoint Now) {
+  std::erase_if(Suspects_, [Now](const auto &Entry) {
+    return Entry.second.Until_ <= Now;
+  });
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Routing/FleetPoisonGuard.cpp
@@ -0,0 +1,172 @@
+#include "Routing/FleetPoisonGuard.h"
+
+#include "Http/HttpConnection.h"
+#include "Http/Spawn.h"
+#include "Membership/Rendezvous.h"
+#include "Routing/CrashMessages.h"
+#include "Telemetry/Log.h"
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// How often doubts are compared with the targets' reports.
+static constexpr Duration SettlePeriod = std::chrono::milliseconds(50);
+
+static CrashTrackerOptions trackerOptions(const PoisonSettings &Given) {
+  CrashTrackerOptions Options;
+  Options.SuspectTime_ = std::chrono::seconds(Given.SuspectS_);
+  Options.QuarantineTime_ = std::chrono::seconds(Given.QuarantineS_);
+  Options.MostDigests_ = static_cast<std::size_t>(Given.MostDigests_);
+  return Options;
+}
+
+FleetPoisonGuard::FleetPoisonGuard(asio::any_io_executor Executor,
+                                   const DaemonSettings &Settings,
+                                   TimerService &Timers,
+                                   const ServiceRegistry &Services)
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
+      Directory_(Services.require<TargetDirectory>(TargetDirectory::Name)),
+      Network_(Services.require<PeerNetwork>(PeerNetwork::Name)),
+      Members_(Services.require<MembershipService>(MembershipService::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
+      Crashes_(trackerOptions(Settings.Poison_)),
+      Doubts_(std::chrono::milliseconds(Settings.Poison_.ConfirmMs_)) {}
+
+std::vector<std::string> FleetPoisonGuard::dependencies() const {
+  return {std::string(PeerNetwork::Name), std::string(MembershipService::Name)};
+}
+
+Status FleetPoisonGuard::start() {
+  listenToPeers<CrashSuspectNotice>(
+      *Network_, [this](const std::string &, CrashSuspectNotice Given) {
+        take(Given.Digests_, {Given.Target_, Given.Incarnation_});
+        if (Given.Relay_)
+          tellOwnDataCentre(std::move(Given));
+      });
+  listenToPeers<QuarantineClearNotice>(
+      *Network_, [this](const std::string &, QuarantineClearNotice Given) {
+        Crashes_.clear(Given.Digest_);
+        if (Given.Relay_)
+          tellOwnDataCentre(std::move(Given));
+      });
+  Tick_ = Timers_.every(SettlePeriod, BootClock::now(),
+                        [this](TimePoint Now) { settle(Now); });
+  return std::monostate{};
+}
+
+void FleetPoisonGuard::stop() { Tick_.cancel(); }
+
+std::optional<Refusal> FleetPoisonGuard::check(const RequestContext &Request,
+                                               TimePoint Now) {
+  if (!Crashes_.isQuarantined(Request.Digest_, Now))
+    return std::nullopt;
+  Metrics_->count("anvil_quarantined_requests_total");
+  return Refusal{RefusalCode::Quarantined,
+                 "targets crashed while they ran this request", Execution::No,
+                 std::nullopt};
+}
+
+bool FleetPoisonGuard::isSuspect(const RequestContext &Request, TimePoint Now) {
+  return Crashes_.isSuspect(Request.Digest_, Now) ||
+         Doubts_.holds(Request.Digest_);
+}
+
+void FleetPoisonGuard::began(const RequestContext &, const Permit &,
+                             TimePoint) {}
+
+void FleetPoisonGuard::ended(const RequestContext &Request, const Permit &Used,
+                             TryResult Result, TimePoint Now) {
+  if (Result != TryResult::Crashed)
+    return;
+  Doubts_.add(Request.Digest_, {Used.Target_, Used.Incarnation_}, Now);
+  if (!Directory_->find(Used.Target_))
+    spawn(Executor_, probe(Used.Target_, Used.Address_));
+}
+
+asio::awaitable<void> FleetPoisonGuard::probe(std::string TargetName,
+                                              Endpoint Address) {
+  HttpConnection Connection;
+  Status Opened = co_await Connection.open(
+      Address, std::chrono::milliseconds(Settings_.Targets_.ConnectTimeoutMs_));
+  if (!isOk(Opened))
+    Unconnectable_.insert(TargetName);
+  settle(BootClock::now());
+  Unconnectable_.erase(TargetName);
+}
+
+LifeSign FleetPoisonGuard::look(const TargetLife &Life) const {
+  const TargetReport *Report = Directory_->find(Life.Target_);
+  bool Ended =
+      Report ? !Report->Reachable_ || Report->Incarnation_ != Life.Incarnation_
+             : Unconnectable_.count(Life.Target_) > 0;
+  return Ended ? LifeSign::Ended : LifeSign::Same;
+}
+
+void FleetPoisonGuard::settle(TimePoint Now) {
+  Crashes_.expire(Now);
+  auto Confirmed = Doubts_.settle(
+      [this](const TargetLife &Life) { return look(Life); }, Now);
+  std::map<TargetLife, std::vector<std::string>> ByCrash;
+  for (const CrashConfirmer::Doubt &Known : Confirmed)
+    ByCrash[Known.Life_].push_back(Known.Digest_);
+  for (const auto &[Life, Digests] : ByCrash) {
+    logEvent(LogLevel::Warning, "target_crashed",
+             {{"target", Life.Target_},
+              {"incarnation", Life.Incarnation_},
+              {"requests", Digests.size()}});
+    Metrics_->count("anvil_target_crashes_total", {{"target", Life.Target_}});
+    take(Digests, Life);
+    CrashSuspectNotice Told{Life.Target_, Life.Incarnation_, Digests, false};
+    tellAll(std::move(Told), Digests.front());
+  }
+}
+
+void FleetPoisonGuard::take(const std::vector<std::string> &Digests,
+                            const TargetLife &Crashed) {
+  TimePoint Now = BootClock::now();
+  for (const std::string &Digest : Digests) {
+    if (!Crashes_.note(Digest, Crashed, Now))
+      continue;
+    Metrics_->count("anvil_quarantines_total");
+    logEvent(LogLevel::Warning, "request_quarantined", {{"digest", Digest}});
+  }
+}
+
+template <class Notice> void FleetPoisonGuard::tellOwnDataCentre(Notice Given) {
+  Given.Relay_ = false;
+  for (const auto &[Vm, Known] : Members_->members())
+    if (Known.DataCentre_ == Settings_.DataCentre_)
+      notifyPeer(*Network_, Vm, Given);
+}
+
+template <class Notice>
+void FleetPoisonGuard::tellAll(Notice Given, const std::string &RelayKey) {
+  tellOwnDataCentre(Given);
+  std::map<std::string, std::vector<std::string>> Others;
+  for (const auto &[Vm, Known] : Members_->members())
+    if (Known.DataCentre_ != Settings_.DataCentre_ &&
+        Known.State_ == VmState::Live)
+      Others[Known.DataCentre_].push_back(Vm);
+  Given.Relay_ = true;
+  for (auto &[DataCentre, Vms] : Others)
+    notifyPeer(*Network_, rendezvousOrder(RelayKey, std::move(Vms)).front(),
+               Given);
+}
+
+std::vector<FleetPoisonGuard::Entry>
+FleetPoisonGuard::list(TimePoint Now) const {
+  std::vector<Entry> Entries;
+  for (const std::string &Digest : Crashes_.quarantined(Now))
+    Entries.push_back({Digest, Crashes_.timeLeft(Digest, Now)});
+  return Entries;
+}
+
+bool FleetPoisonGuard::clear(const std::string &Digest) {
+  bool WasKnown = Crashes_.clear(Digest);
+  QuarantineClearNotice Told{Digest, false};
+  tellAll(std::move(Told), Digest);
+  return WasKnown;
+}
+
+} // namespace anvil
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -69,6 +69,13 @@
   Fields.field("lookup_ms", Ledger.LookupMs_, MillisRange);
 }
 
+static void visitFields(FieldReader &Fields, PoisonSettings &Poison) {
+  Fields.field("confirm_ms", Poison.ConfirmMs_, MillisRange);
+  Fields.field("suspect_s", Poison.SuspectS_, {1, 86400});
+  Fields.field("quarantine_s", Poison.QuarantineS_, {1, 7 * 86400});
+  Fields.field("most_digests", Poison.MostDigests_, {1, 1000000});
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -82,6 +89,7 @@
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
   Fields.record("ledger", Settings.Ledger_);
+  Fields.record("poison", Settings.Poison_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -81,6 +81,15 @@
   std::int64_t LookupMs_ = 500;
 };
 
+/// How requests that crash targets are recognised.
+struct PoisonSettings {
+  /// How long a broken connection waits for news that its target crashed.
+  std::int64_t ConfirmMs_ = 3000;
+  std::int64_t SuspectS_ = 600;
+  std::int64_t QuarantineS_ = 3600;
+  std::int64_t MostDigests_ = 10000;
+};
+
 /// Everything a VM is told at its start.
 struct DaemonSettings {
   std::string Vm_;
@@ -96,6 +105,7 @@
   TargetSettings Targets_;
   ShutdownSettings Shutdown_;
   LedgerSettings Ledger_;
+  PoisonSettings Poison_;
 };
 
 /// Reads and checks the settings of `anvild`. Every error names the file, the
--- a/Tests/Property/LedgerProperty.cpp
+++ b/Tests/Property/LedgerProperty.cpp
@@ -337,23 +337,23 @@
 TEST_CASE("what a resend finds") {
   ClaimRow Known;
   Known.Digest_ = "d";
-  auto refusalFor = [&](ClaimState State, ClaimantState Maker) {
+  auto RefusalFor = [&](ClaimState State, ClaimantState Maker) {
     Known.State_ = State;
     return refusalOf(*decideClaim(Known, "d", Maker));
   };
   SECTION("a run whose VM lives is in progress, with a time to come back") {
-    auto Given = refusalFor(ClaimState::Running, ClaimantState::Running);
+    auto Given = RefusalFor(ClaimState::Running, ClaimantState::Running);
     REQUIRE(Given.Code_ == RefusalCode::InProgress);
     REQUIRE(Given.RetryAfter_);
   }
   SECTION("a run whose VM is gone is unknown and is not repeated") {
-    auto Given = refusalFor(ClaimState::Running, ClaimantState::Gone);
+    auto Given = RefusalFor(ClaimState::Running, ClaimantState::Gone);
     REQUIRE(Given.Code_ == RefusalCode::OutcomeUnknown);
     REQUIRE(Given.Ran_ == Execution::Unknown);
   }
   SECTION("an answer too large to keep is said to have been given") {
     auto Given =
-        refusalFor(ClaimState::AnsweredWithoutBody, ClaimantState::NoAnswer);
+        RefusalFor(ClaimState::AnsweredWithoutBody, ClaimantState::NoAnswer);
     REQUIRE(Given.Ran_ == Execution::Yes);
   }
   SECTION("another request under the key is a conflict") {
