Choose targets by residency, load, warmth and health

Cause: targets were drawn at random, failing ones were tried again and again and retries had no bound. Change: TargetChooser scores the targets of one group, which TargetIndex makes once a revision; TargetLoad corrects reports by what was sent since; the better of two drawn at random avoids herding; cold adapters go by rendezvous order; OutlierEjector takes failing targets out with a probe and a bound a group; RetryBudget bounds retries for the whole fleet. routing.policy "random" keeps the baseline.

--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -201,14 +201,20 @@
   Refusal Last{RefusalCode::NoTarget, "no target can serve the request now",
                Execution::No, NoTargetRetry};
   auto Ranked = Selector_->rank(Request, Tried, BootClock::now());
-  for (const std::string &TargetName : Ranked) {
-    if (BootClock::now() >= Request.Deadline_)
-      break;
-    Tried.insert(TargetName);
-    auto Granted = co_await Permits_->acquire(Request, TargetName);
-    if (std::holds_alternative<Permit>(Granted))
-      co_return Granted;
-    Last = refusalOf(Granted);
+  // A ranking holds only the best targets; when all decline, the next follow.
+  while (!Ranked.empty()) {
+    for (const std::string &TargetName : Ranked) {
+      if (BootClock::now() >= Request.Deadline_)
+        co_return Last;
+      Tried.insert(TargetName);
+      Selector_->noteChosen(Request, TargetName, BootClock::now());
+      auto Granted = co_await Permits_->acquire(Request, TargetName);
+      if (std::holds_alternative<Permit>(Granted))
+        co_return Granted;
+      Selector_->noteDeclined(Request, TargetName, BootClock::now());
+      Last = refusalOf(Granted);
+    }
+    Ranked = Selector_->rank(Request, Tried, BootClock::now());
   }
   co_return Last;
 }
@@ -278,8 +284,11 @@
     }
     bool MayRepeat = Request.Repeatable_ || Run.Ran_ == Execution::No;
     // A second crash under the same request is no accident of the target.
-    MayRepeat &= Run.Result_ != TryResult::Crashed || !WasSuspect;
-    MayRepeat &= !Poison_ || !Poison_->check(Request, BootClock::now());
+    bool IsPoison = WasSuspect && Run.Result_ == TryResult::Crashed;
+    IsPoison |= Poison_ && Poison_->check(Request, BootClock::now());
+    if (IsPoison)
+      Last.RetryAfter_.reset();
+    MayRepeat &= !IsPoison;
     if (!MayRepeat || Exchange.callerGone() ||
         !Selector_->allowRetry(Request, BootClock::now()))
       co_return Last;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -18,6 +18,7 @@
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
 #include "Routing/FleetPoisonGuard.h"
+#include "Routing/InformedSelector.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -88,10 +89,22 @@
       std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
   Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
                                                     Settings_, Directory));
-  Services_.add(std::make_shared<RandomSelector>(
-      Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
-  Services_.add(std::make_shared<FleetPoisonGuard>(
-      Loop_.get_executor(), Settings_, Timers_, Services_));
+  auto Guard = std::make_shared<FleetPoisonGuard>(
+      Loop_.get_executor(), Settings_, Timers_, Services_);
+  Services_.add(Guard);
+  std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
+  if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
+    Services_.add(
+        std::make_shared<RandomSelector>(Settings_.DataCentre_, Seed));
+  } else {
+    auto Selector =
+        std::make_shared<InformedSelector>(Settings_, Services_, Seed);
+    Selector->onSuspectCheck(
+        [Guard](const RequestContext &Request, TimePoint Now) {
+          return Guard->isSuspect(Request, Now);
+        });
+    Services_.add(std::move(Selector));
+  }
   Services_.add(std::make_shared<TableLedger>(
       Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
 }
--- a/Source/Requests/TargetSelector.h
+++ b/Source/Requests/TargetSelector.h
@@ -26,6 +26,14 @@
                                         const std::set<std::string> &Excluded,
                                         TimePoint Now) = 0;
 
+  /// Notes that the request is about to ask for a permit on the target.
+  virtual void noteChosen(const RequestContext &, const std::string &,
+                          TimePoint) {}
+
+  /// Notes that it got none, so that no try follows.
+  virtual void noteDeclined(const RequestContext &, const std::string &,
+                            TimePoint) {}
+
   /// Notes how a try ended and how long its answer took to begin.
   virtual void noteTry(const RequestContext &Request, const Permit &Used,
                        TryResult Result, Duration FirstByte, TimePoint Now) = 0;
--- /dev/null
+++ b/Source/Routing/InformedSelector.cpp
@@ -0,0 +1,140 @@
+#include "Routing/InformedSelector.h"
+
+#include "Telemetry/Log.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// Revisions whose index is kept.
+static constexpr std::size_t KeptIndexes = 4;
+
+static EjectionOptions ejectionOptions(const RoutingSettings &Given) {
+  EjectionOptions Options;
+  Options.Failures_ = static_cast<int>(Given.EjectFailures_);
+  Options.LeastTime_ = std::chrono::milliseconds(Given.EjectLeastMs_);
+  Options.MostTime_ = std::chrono::milliseconds(Given.EjectMostMs_);
+  Options.MostShare_ = Given.EjectShare_;
+  return Options;
+}
+
+static RetryBudgetOptions budgetOptions(const RoutingSettings &Given) {
+  RetryBudgetOptions Options;
+  Options.Ratio_ = Given.RetryRatio_;
+  Options.FloorPerSecond_ = Given.RetryFloorPerSecond_;
+  return Options;
+}
+
+InformedSelector::InformedSelector(const DaemonSettings &Settings,
+                                   const ServiceRegistry &Services,
+                                   std::uint64_t Seed)
+    : Directory_(Services.require<TargetDirectory>(TargetDirectory::Name)),
+      Members_(Services.require<MembershipService>(MembershipService::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
+      IsSuspect_([](const RequestContext &, TimePoint) { return false; }),
+      Chooser_(Settings.DataCentre_, ChooserOptions()),
+      Load_(std::chrono::milliseconds(Settings.Routing_.ReportLagMs_)),
+      Prefixes_(static_cast<std::size_t>(Settings.Routing_.PrefixEntries_)),
+      Ejector_(ejectionOptions(Settings.Routing_)),
+      Budget_(budgetOptions(Settings.Routing_)), Random_(Seed) {}
+
+const TargetIndex &InformedSelector::indexOf(const SnapshotPtr &Snapshot) {
+  auto &Index = Indexes_[Snapshot->Revision_];
+  if (!Index)
+    Index = std::make_unique<TargetIndex>(*Snapshot);
+  const TargetIndex &Found = *Index;
+  while (Indexes_.size() > KeptIndexes) {
+    auto Oldest = Indexes_.begin();
+    if (Oldest->second.get() == &Found)
+      ++Oldest;
+    Indexes_.erase(Oldest);
+  }
+  return Found;
+}
+
+std::vector<std::string>
+InformedSelector::rank(const RequestContext &Request,
+                       const std::set<std::string> &Excluded, TimePoint Now) {
+  if (Excluded.empty()) {
+    Budget_.setVms(static_cast<double>(Members_->members().size() + 1));
+    Budget_.noteRequest();
+  }
+  const TargetGroup *Group = indexOf(Request.Snapshot_).find(Request);
+  if (!Group)
+    return {};
+  ChoiceInputs Inputs{*Group,
+                      Excluded,
+                      *Directory_,
+                      Load_,
+                      Ejector_,
+                      Prefixes_,
+                      IsSuspect_(Request, Now),
+                      Random_(),
+                      Now};
+  auto Ranked = Chooser_.rank(Request, Inputs);
+  // A target that began to leave after the request was admitted gets nothing.
+  const TargetIndex &Newest = *Indexes_.rbegin()->second;
+  std::erase_if(Ranked, [&](const std::string &Target) {
+    return !Newest.groupOf(Target);
+  });
+  return Ranked;
+}
+
+void InformedSelector::noteChosen(const RequestContext &Request,
+                                  const std::string &Target, TimePoint Now) {
+  Chosen_[{Request.RequestId_, Target}] = Now;
+  Load_.began(Target, Now);
+  Ejector_.noteBegan(Target, Now);
+}
+
+void InformedSelector::endLoad(const RequestContext &Request,
+                               const std::string &Target, TimePoint Now) {
+  auto Found = Chosen_.find({Request.RequestId_, Target});
+  if (Found == Chosen_.end())
+    return;
+  Load_.ended(Target, Found->second, Now);
+  Chosen_.erase(Found);
+}
+
+void InformedSelector::noteDeclined(const RequestContext &Request,
+                                    const std::string &Target, TimePoint Now) {
+  endLoad(Request, Target, Now);
+  Ejector_.noteNeutral(Target);
+}
+
+void InformedSelector::noteFailure(const std::string &Target, TimePoint Now) {
+  const TargetIndex &Newest = *Indexes_.rbegin()->second;
+  const TargetGroup *Group = Newest.groupOf(Target);
+  if (!Group || !Ejector_.noteFailure(Target, Group->Name_, Group->Size_, Now))
+    return;
+  Metrics_->count("anvil_target_ejections_total", {{"target", Target}});
+  logEvent(LogLevel::Warning, "target_ejected", {{"target", Target}});
+}
+
+void InformedSelector::noteTry(const RequestContext &Request,
+                               const Permit &Used, TryResult Result, Duration,
+                               TimePoint Now) {
+  endLoad(Request, Used.Target_, Now);
+  switch (Result) {
+  case TryResult::Answered:
+    Ejector_.noteSuccess(Used.Target_);
+    if (!Request.Adapter_.empty())
+      Prefixes_.note(TargetChooser::prefixKey(Request), Used.Target_);
+    break;
+  case TryResult::RefusedBeforeRunning:
+    Ejector_.noteNeutral(Used.Target_);
+    break;
+  case TryResult::Failed:
+  case TryResult::Crashed:
+    noteFailure(Used.Target_, Now);
+    break;
+  }
+}
+
+bool InformedSelector::allowRetry(const RequestContext &, TimePoint Now) {
+  bool Allowed = Budget_.take(Now);
+  Metrics_->count("anvil_retries_total", {{"allowed", Allowed ? "yes" : "no"}});
+  return Allowed;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Routing/InformedSelector.h
@@ -0,0 +1,63 @@
+#ifndef ANVIL_ROUTING_INFORMEDSELECTOR_H
+#define ANVIL_ROUTING_INFORMEDSELECTOR_H
+
+#include "Membership/MembershipService.h"
+#include "Requests/TargetSelector.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/TargetChooser.h"
+#include "Settings/DaemonSettings.h"
+#include "Telemetry/Metrics.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace anvil {
+
+/// Chooses targets by residency, load, warm prefixes, data centre and health.
+class InformedSelector : public TargetSelector {
+public:
+  /// Whether a target has crashed under the request.
+  using SuspectHook = std::function<bool(const RequestContext &, TimePoint)>;
+
+  InformedSelector(const DaemonSettings &Settings,
+                   const ServiceRegistry &Services, std::uint64_t Seed);
+
+  void onSuspectCheck(SuspectHook Hook) { IsSuspect_ = std::move(Hook); }
+
+  std::vector<std::string> rank(const RequestContext &Request,
+                                const std::set<std::string> &Excluded,
+                                TimePoint Now) override;
+  void noteChosen(const RequestContext &Request, const std::string &Target,
+                  TimePoint Now) override;
+  void noteDeclined(const RequestContext &Request, const std::string &Target,
+                    TimePoint Now) override;
+  void noteTry(const RequestContext &Request, const Permit &Used,
+               TryResult Result, Duration FirstByte, TimePoint Now) override;
+  bool allowRetry(const RequestContext &Request, TimePoint Now) override;
+
+private:
+  const TargetIndex &indexOf(const SnapshotPtr &Snapshot);
+  void endLoad(const RequestContext &Request, const std::string &Target,
+               TimePoint Now);
+  void noteFailure(const std::string &Target, TimePoint Now);
+
+  std::shared_ptr<TargetDirectory> Directory_;
+  std::shared_ptr<MembershipService> Members_;
+  std::shared_ptr<Metrics> Metrics_;
+  SuspectHook IsSuspect_;
+  TargetChooser Chooser_;
+  TargetLoad Load_;
+  PrefixMemory Prefixes_;
+  OutlierEjector Ejector_;
+  RetryBudget Budget_;
+  std::mt19937_64 Random_;
+  /// Of the latest revisions; requests end under the one they began with.
+  std::map<std::uint64_t, std::unique_ptr<TargetIndex>> Indexes_;
+  /// When each request chose its target.
+  std::map<std::pair<std::string, std::string>, TimePoint> Chosen_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ROUTING_INFORMEDSELECTOR_H
--- /dev/null
+++ b/Source/Routing/RetryBudget.cpp
@@ -0,0 +1,25 @@
+#include "Routing/RetryBudget.h"
+
+#include "Kernel/Invariant.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+void RetryBudget::noteRequest() {
+  Tokens_ = std::min(Options_.Burst_, Tokens_ + Options_.Ratio_);
+}
+
+bool RetryBudget::take(TimePoint Now) {
+  double Passed = std::max(0.0, toSeconds(Now - Updated_));
+  Updated_ = std::max(Updated_, Now);
+  double Earned = Passed * Options_.FloorPerSecond_ / Vms_;
+  Tokens_ = std::min(Options_.Burst_, Tokens_ + Earned);
+  if (Tokens_ < 1)
+    return false;
+  Tokens_ -= 1;
+  checkInvariant(Tokens_ >= 0, "the retry budget is overdrawn");
+  return true;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Routing/RetryBudget.h
@@ -0,0 +1,44 @@
+#ifndef ANVIL_ROUTING_RETRYBUDGET_H
+#define ANVIL_ROUTING_RETRYBUDGET_H
+
+#include "Kernel/Clock.h"
+
+namespace anvil {
+
+/// How many retries there may be.
+struct RetryBudgetOptions {
+  /// Retries for each first try.
+  double Ratio_ = 0.1;
+  /// Retries a second that all VMs together have besides.
+  double FloorPerSecond_ = 10;
+  /// Retries that may be saved up.
+  double Burst_ = 10;
+};
+
+/// Bounds retries to a share of the first tries, so that a fault of many
+/// targets isn't made worse. Each VM spends only what its own requests and its
+/// part of the floor have earned, so the bound holds for the whole fleet.
+class RetryBudget {
+public:
+  explicit RetryBudget(RetryBudgetOptions Options)
+      : Options_(Options), Tokens_(Options.Burst_) {}
+
+  /// Sets how many VMs share the floor.
+  void setVms(double Count) { Vms_ = Count; }
+
+  /// Notes the first try of a request.
+  void noteRequest();
+
+  /// Whether one more retry is allowed; a yes uses it.
+  bool take(TimePoint Now);
+
+private:
+  RetryBudgetOptions Options_;
+  double Tokens_;
+  double Vms_ = 1;
+  TimePoint Updated_{};
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ROUTING_RETRYBUDGET_H
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -76,6 +76,19 @@
   Fields.field("most_digests", Poison.MostDigests_, {1, 1000000});
 }
 
+static void visitFields(FieldReader &Fields, RoutingSettings &Routing) {
+  Fields.choice("policy", Routing.Policy_, RoutingPolicyNames);
+  Fields.field("report_lag_ms", Routing.ReportLagMs_, {0, 60000});
+  Fields.field("prefix_entries", Routing.PrefixEntries_, {2, 1000000});
+  Fields.field("eject_failures", Routing.EjectFailures_, CountRange);
+  Fields.field("eject_least_ms", Routing.EjectLeastMs_, MillisRange);
+  Fields.field("eject_most_ms", Routing.EjectMostMs_, MillisRange);
+  Fields.field("eject_share", Routing.EjectShare_, {0, 0.9});
+  Fields.field("retry_ratio", Routing.RetryRatio_, {0, 1});
+  Fields.field("retry_floor_per_second", Routing.RetryFloorPerSecond_,
+               {0, 10000});
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -90,6 +103,7 @@
   Fields.record("shutdown", Settings.Shutdown_);
   Fields.record("ledger", Settings.Ledger_);
   Fields.record("poison", Settings.Poison_);
+  Fields.record("routing", Settings.Routing_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -90,6 +92,33 @@
   std::int64_t MostDigests_ = 10000;
 };
 
+/// How targets are chosen.
+enum class RoutingPolicy { Informed, Random };
+
+inline constexpr std::pair<RoutingPolicy, std::string_view>
+    RoutingPolicyNames[] = {
+        {RoutingPolicy::Informed, "informed"},
+        {RoutingPolicy::Random, "random"},
+};
+
+/// How targets are chosen, ejected and tried again.
+struct RoutingSettings {
+  RoutingPolicy Policy_ = RoutingPolicy::Informed;
+  /// How old a target's figures may be when its report arrives.
+  std::int64_t ReportLagMs_ = 50;
+  std::int64_t PrefixEntries_ = 20000;
+  /// Failures in a row that eject a target.
+  std::int64_t EjectFailures_ = 5;
+  std::int64_t EjectLeastMs_ = 1000;
+  std::int64_t EjectMostMs_ = 60000;
+  /// The most of a group of targets that is ejected at once.
+  double EjectShare_ = 0.5;
+  /// Retries for each request.
+  double RetryRatio_ = 0.1;
+  /// Retries a second that all VMs together have besides.
+  double RetryFloorPerSecond_ = 10;
+};
+
 /// Everything a VM is told at its start.
 struct DaemonSettings {
   std::string Vm_;
@@ -106,6 +135,7 @@
   ShutdownSettings Shutdown_;
   LedgerSettings Ledger_;
   PoisonSettings Poison_;
+  RoutingSettings Routing_;
 };
 
 /// Reads and checks the settings of `anvild`. Every error names the file, the
--- a/Tests/Property/LedgerProperty.cpp
+++ b/Tests/Property/LedgerProperty.cpp
@@ -275,7 +275,7 @@
     if (Running_.empty())
       return;
     auto Place = Running_.begin() + draw(static_cast<int>(Running_.size()));
-    CallPtr Ended = *Place;
+    CallPtr Ended = std::move(*Place);
     Running_.erase(Place);
     Vm &Where = Vms_[Ended->Vm_];
     ClaimRow End;
