--- a/Source/Ledger/TableLedger.cpp
+++ b/Source/Ledger/TableLedger.cpp
@@ -65,8 +65,9 @@
       Incarnation_(std::move(Incarnation)), UnixSeconds_(systemUnixSeconds),
       Writer_(std::make_shared<LedgerWriter>(
           Executor_, Platform_, Metrics_, committerOptions(Settings.Ledger_))) {
-  IsClaimantAlive_ = [this](const std::string &Vm, const std::string &) {
-    return Members_->members().count(Vm) > 0;
+  IsClaimantAlive_ = [this](const std::string &Vm, const std::string &Life) {
+    std::string Known = Members_->incarnationOf(Vm);
+    return Members_->isAlive(Vm) && (Known.empty() || Known == Life);
   };
 }
 
@@ -146,8 +147,11 @@
                                                 AskClaimant Whom) {
   std::string Life = Whom.Id_.substr(0, Whom.Id_.find('/'));
   bool IsOldLife = Whom.Vm_ == Settings_.Vm_ && Life != Incarnation_;
-  if (IsOldLife || !IsClaimantAlive_(Whom.Vm_, Life))
+  if (IsOldLife)
     co_return ClaimantState::Gone;
+  // A VM that is leaving still answers, so it is asked before the others are
+  // believed.
+  std::string Vm = Whom.Vm_;
   ClaimLookupRequest Asked;
   Asked.Row_ = std::move(Row);
   Asked.Id_ = std::move(Whom.Id_);
@@ -155,7 +159,8 @@
       *Network_, std::move(Whom.Vm_), std::move(Asked),
       std::chrono::milliseconds(Settings_.Ledger_.LookupMs_));
   if (!isOk(Reply))
-    co_return ClaimantState::NoAnswer;
+    co_return IsClaimantAlive_(Vm, Life) ? ClaimantState::NoAnswer
+                                         : ClaimantState::Gone;
   if (valueOf(Reply).Incarnation_ != Life)
     co_return ClaimantState::Gone;
   co_return valueOf(Reply).Running_ ? ClaimantState::Running
@@ -255,7 +260,7 @@
 bool TableLedger::isSweeper() const {
   std::vector<std::string> Vms{Settings_.Vm_};
   for (const auto &[Vm, Known] : Members_->members())
-    if (Known.State_ == VmState::Live)
+    if (Known.State_ == VmState::Live && Members_->isAlive(Vm))
       Vms.push_back(Vm);
   return rendezvousOrder("claim-sweeper", std::move(Vms)).front() ==
          Settings_.Vm_;
--- a/Source/Ledger/TableLedger.h
+++ b/Source/Ledger/TableLedger.h
@@ -24,8 +24,8 @@
 /// later; old rows are removed by one VM at a time.
 class TableLedger : public RequestLedger, public HandOver {
 public:
-  /// Whether a process of that VM is known to live. Without a hook every VM
-  /// that is known counts as alive, and says itself which process it is.
+  /// Whether a process of that VM is known to live; asked when the VM itself
+  /// gives no answer. Without a hook membership says it.
   using AliveHook = std::function<bool(const std::string &Vm,
                                        const std::string &Incarnation)>;
 
--- a/Source/Routing/FleetPoisonGuard.cpp
+++ b/Source/Routing/FleetPoisonGuard.cpp
@@ -6,6 +6,8 @@
 #include "Routing/CrashMessages.h"
 #include "Telemetry/Log.h"
 
+#include <algorithm>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -13,6 +15,9 @@
 /// How often doubts are compared with the targets' reports.
 static constexpr Duration SettlePeriod = std::chrono::milliseconds(50);
 
+/// VMs of another data centre that are told and pass it on.
+static constexpr std::size_t RelayVms = 2;
+
 static CrashTrackerOptions trackerOptions(const PoisonSettings &Given) {
   CrashTrackerOptions Options;
   Options.SuspectTime_ = std::chrono::seconds(Given.SuspectS_);
@@ -143,15 +148,17 @@
 template <class Notice>
 void FleetPoisonGuard::tellAll(Notice Given, const std::string &RelayKey) {
   tellOwnDataCentre(Given);
-  std::map<std::string, std::vector<std::string>> Others;
+  std::set<std::string> Others;
   for (const auto &[Vm, Known] : Members_->members())
-    if (Known.DataCentre_ != Settings_.DataCentre_ &&
-        Known.State_ == VmState::Live)
-      Others[Known.DataCentre_].push_back(Vm);
+    if (Known.DataCentre_ != Settings_.DataCentre_)
+      Others.insert(Known.DataCentre_);
   Given.Relay_ = true;
-  for (auto &[DataCentre, Vms] : Others)
-    notifyPeer(*Network_, rendezvousOrder(RelayKey, std::move(Vms)).front(),
-               Given);
+  for (const std::string &DataCentre : Others) {
+    auto Vms = rendezvousOrder(RelayKey, Members_->liveIn(DataCentre));
+    // Two, as one of them may be gone without its data centre being so.
+    for (std::size_t Index = 0; Index < std::min(Vms.size(), RelayVms); ++Index)
+      notifyPeer(*Network_, Vms[Index], Given);
+  }
 }
 
 std::vector<FleetPoisonGuard::Entry>
--- a/Source/Routing/FleetPoisonGuard.h
+++ b/Source/Routing/FleetPoisonGuard.h
@@ -19,7 +19,7 @@
 
 /// Keeps the crashes that this VM has seen or been told of, and tells the other
 /// VMs of its own. Inside the data centre every VM is told; of each other data
-/// centre one VM, which passes it on.
+/// centre two VMs, which pass it on.
 class FleetPoisonGuard : public PoisonGuard {
 public:
   FleetPoisonGuard(boost::asio::any_io_executor Executor,
