--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -70,6 +70,41 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+/// Claims outlive every request that they stand for.
+static constexpr NumberRange RetentionRange{3600, 30 * 24 * 3600};
+
+static void visitFields(FieldReader &Fields, LedgerSettings &Ledger) {
+  Fields.field("window_ms", Ledger.WindowMs_, {0, 1000});
+  Fields.field("batch_rows", Ledger.BatchRows_, CountRange);
+  Fields.field("writes_per_second", Ledger.WritesPerSecond_, {1, 100000});
+  Fields.field("answer_limit_bytes", Ledger.AnswerLimitBytes_, {0, 1 << 24});
+  Fields.field("unrecorded_bytes", Ledger.UnrecordedBytes_, BytesRange);
+  Fields.field("retention_s", Ledger.RetentionS_, RetentionRange);
+  Fields.field("sweep_ms", Ledger.SweepMs_, MillisRange);
+  Fields.field("sweep_rows", Ledger.SweepRows_, CountRange);
+  Fields.field("lookup_ms", Ledger.LookupMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, PoisonSettings &Poison) {
+  Fields.field("confirm_ms", Poison.ConfirmMs_, MillisRange);
+  Fields.field("suspect_s", Poison.SuspectS_, {1, 86400});
+  Fields.field("quarantine_s", Poison.QuarantineS_, {1, 7 * 86400});
+  Fields.field("most_digests", Poison.MostDigests_, {1, 1000000});
+}
+
+static void visitFields(FieldReader &Fields, RoutingSettings &Routing) {
+  Fields.choice("policy", Routing.Policy_, RoutingPolicyNames);
+  Fields.field("report_lag_ms", Routing.ReportLagMs_, {0, 60000});
+  Fields.field("prefix_entries", Routing.PrefixEntries_, {2, 1000000});
+  Fields.field("eject_failures", Routing.EjectFailures_, CountRange);
+  Fields.field("eject_least_ms", Routing.EjectLeastMs_, MillisRange);
+  Fields.field("eject_most_ms", Routing.EjectMostMs_, MillisRange);
+  Fields.field("eject_share", Routing.EjectShare_, {0, 0.9});
+  Fields.field("retry_ratio", Routing.RetryRatio_, {0, 1});
+  Fields.field("retry_floor_per_second", Routing.RetryFloorPerSecond_,
+               {0, 10000});
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -83,6 +118,9 @@
   Fields.record("membership", Settings.Membership_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
+  Fields.record("ledger", Settings.Ledger_);
+  Fields.record("poison", Settings.Poison_);
+  Fields.record("routing", Settings.Routing_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
