--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -33,6 +33,9 @@
 /// Tokens fetched ahead, in seconds of demand.
 static constexpr double FetchSeconds = 0.5;
 
+/// How long after a VM began to hand over its lease is not taken for granted.
+static constexpr Duration HandoverRecheck = std::chrono::seconds(5);
+
 /// The shortest honest time until tokens can be there.
 static constexpr Duration ShortestRetry = std::chrono::milliseconds(100);
 
@@ -335,6 +338,8 @@
       [this](std::string From,
              QuotaHandover Asked) -> asio::awaitable<QuotaHandoverReply> {
         QuotaHandoverReply Reply;
+        // Its parts are free soon: look at its lease again before long.
+        AliveFrom_ = BootClock::now() + HandoverRecheck;
         for (const std::string &Name : Asked.Customers_) {
           auto Given = limitsOf(Name);
           if (!Given || Stopped_)
--- a/Source/Admission/QuotaService.h
+++ b/Source/Admission/QuotaService.h
@@ -119,6 +119,8 @@
   std::map<std::string, Tracked> Tracked_;
   std::set<std::string> Alive_;
   TimePoint AliveAt_{};
+  /// Until then leases are read anew each time.
+  TimePoint AliveFrom_{};
   bool FloorsKnown_ = false;
   double Reserve_ = 0;
   bool Renewing_ = false;
--- a/Source/Admission/QuotaServiceRows.cpp
+++ b/Source/Admission/QuotaServiceRows.cpp
@@ -195,7 +195,8 @@
   bool AreAllKnown = std::ranges::all_of(Row.ByLease_, [&](const auto &Entry) {
     return Alive_.contains(Entry.first);
   });
-  bool IsFresh = BootClock::now() - AliveAt_ < Age;
+  TimePoint Now = BootClock::now();
+  bool IsFresh = Now - AliveAt_ < Age && Now >= AliveFrom_;
   if (IsFresh && AreAllKnown && Alive_.contains(Holder_.lease()))
     co_return Alive_;
   // This read begins after that of the customer's row: a lease in that row and
--- a/Source/Config/ConfigPublisher.cpp
+++ b/Source/Config/ConfigPublisher.cpp
@@ -122,6 +122,21 @@
 
 asio::awaitable<PublishOutcome> ConfigPublisher::publish(ChangeSet Change,
                                                          bool DryRun) {
+  if (Closed_) {
+    ErrorList Refused;
+    Refused.push_back({ErrorCode::Unavailable, "publish",
+                       "this VM is stopping; nothing changed",
+                       "apply through another VM"});
+    co_return Refused;
+  }
+  ++Running_;
+  auto Ended = co_await publishOpen(std::move(Change), DryRun);
+  --Running_;
+  co_return Ended;
+}
+
+asio::awaitable<PublishOutcome> ConfigPublisher::publishOpen(ChangeSet Change,
+                                                             bool DryRun) {
   if (Change.SubmitId_.empty())
     Change.SubmitId_ = randomHex(16);
   int Lookups = 0;
@@ -164,9 +179,10 @@
       co_return Published;
 
     std::string Text = encodeSnapshot(*Next);
+    std::string Digest = sha256Hex(Text);
     ConfigHead NextHead{Next->Revision_,
                         "config/" + std::to_string(Next->Revision_) + "-" +
-                            sha256Hex(Text).substr(0, 16),
+                            Digest.substr(0, 16),
                         Change.SubmitId_};
     auto Stored = co_await Platform_->putObject(NextHead.Object_, Text);
     if (!isOk(Stored))
@@ -176,6 +192,7 @@
       logEvent(
           LogLevel::Info, "config_published",
           {{"revision", Next->Revision_}, {"submit_id", Change.SubmitId_}});
+      LastPublication_ = {Next->Revision_, Published.Difference_, Digest};
       State_->accept(Next);
       co_return Published;
     }
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -63,15 +63,22 @@
   });
   State_->Changed_.attach([this](const SnapshotPtr &) {
     Admission_.adopt();
-    auto Ended = Active_.cancelInvalid([this](const std::string &KeyName) {
+    auto IsValid = [this](const std::string &KeyName) {
       return Admission_.keys().isValid(KeyName);
-    });
-    if (Ended > 0)
-      logEvent(LogLevel::Info, "requests_ended_by_withdrawal",
-               {{"count", Ended}});
+    };
+    endRequests("requests_ended_by_withdrawal", IsValid);
+    Server_.closeTagged(std::not_fn(IsValid));
   });
 }
 
+void RequestPipeline::endRequests(
+    std::string_view Why,
+    const std::function<bool(const std::string &)> &IsBelieved) {
+  auto Ended = Active_.cancelInvalid(IsBelieved);
+  if (Ended > 0)
+    logEvent(LogLevel::Info, Why, {{"count", Ended}});
+}
+
 RequestPipeline::~RequestPipeline() = default;
 
 std::vector<std::string> RequestPipeline::dependencies() const {
@@ -134,6 +141,7 @@
     co_return;
   }
   const AdmittedRequest &Request = std::get<AdmittedRequest>(Admitted);
+  Exchange.tag(Request.Context_.KeyName_);
   co_await serve(Exchange, Request, Ended);
   report(Request.Context_, Ended);
 }
@@ -201,14 +209,20 @@
   Refusal Last{RefusalCode::NoTarget, "no target can serve the request now",
                Execution::No, NoTargetRetry};
   auto Ranked = Selector_->rank(Request, Tried, BootClock::now());
-  for (const std::string &TargetName : Ranked) {
-    if (BootClock::now() >= Request.Deadline_)
-      break;
-    Tried.insert(TargetName);
-    auto Granted = co_await Permits_->acquire(Request, TargetName);
-    if (std::holds_alternative<Permit>(Granted))
-      co_return Granted;
-    Last = refusalOf(Granted);
+  // A ranking holds only the best targets; when all decline, the next follow.
+  while (!Ranked.empty()) {
+    for (const std::string &TargetName : Ranked) {
+      if (BootClock::now() >= Request.Deadline_)
+        co_return Last;
+      Tried.insert(TargetName);
+      Selector_->noteChosen(Request, TargetName, BootClock::now());
+      auto Granted = co_await Permits_->acquire(Request, TargetName);
+      if (std::holds_alternative<Permit>(Granted))
+        co_return Granted;
+      Selector_->noteDeclined(Request, TargetName, BootClock::now());
+      Last = refusalOf(Granted);
+    }
+    Ranked = Selector_->rank(Request, Tried, BootClock::now());
   }
   co_return Last;
 }
@@ -257,6 +271,7 @@
       co_return Try == 0 ? refusalOf(Granted) : Last;
     const Permit &Held = std::get<Permit>(Granted);
     Ended.Target_ = Held.Target_;
+    bool WasSuspect = Poison_ && Poison_->isSuspect(Request, BootClock::now());
     TryOutcome Run = co_await runOnce(Exchange, Admitted, Held);
     Ended.FirstByte_ = Run.FirstByte_;
     Ended.UsedTokens_ = std::max(Ended.UsedTokens_, Run.UsedTokens_);
@@ -267,8 +282,10 @@
               {"target", Held.Target_},
               {"ran", executionName(Run.Ran_)},
               {"problem", Run.Problem_}});
+    // A later try that did not run doesn't undo an earlier one that did.
+    Execution Ran = Run.Ran_ == Execution::No ? Last.Ran_ : Run.Ran_;
     Last = {RefusalCode::TargetFailed, "the target failed: " + Run.Problem_,
-            Run.Ran_, NoTargetRetry};
+            Ran, NoTargetRetry};
     if (Run.Ran_ != Execution::No)
       Ended.UsedTokens_ = Request.UpperBoundTokens_;
     if (Run.CallerSawBytes_) {
@@ -276,6 +293,12 @@
       co_return Last;
     }
     bool MayRepeat = Request.Repeatable_ || Run.Ran_ == Execution::No;
+    // A second crash under the same request is no accident of the target.
+    bool IsPoison = WasSuspect && Run.Result_ == TryResult::Crashed;
+    IsPoison |= Poison_ && Poison_->check(Request, BootClock::now());
+    if (IsPoison)
+      Last.RetryAfter_.reset();
+    MayRepeat &= !IsPoison;
     if (!MayRepeat || Exchange.callerGone() ||
         !Selector_->allowRetry(Request, BootClock::now()))
       co_return Last;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -2,10 +2,13 @@
 
 #include "Admin/AdminServer.h"
 #include "Admin/ConfigEndpoints.h"
+#include "Admin/ConfirmationPage.h"
+#include "Admin/QuarantineEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
 #include "Admission/QuotaService.h"
-#include "Config/ConfigPoller.h"
+#include "Config/ConfigSpread.h"
+#include "Gateway/KeyGuard.h"
 #include "Gateway/RequestPipeline.h"
 #include "Http/Spawn.h"
 #include "Ledger/TableLedger.h"
@@ -17,6 +20,8 @@
 #include "Placement/LocalPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
+#include "Routing/FleetPoisonGuard.h"
+#include "Routing/InformedSelector.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -62,7 +67,7 @@
   Services_.add(std::make_shared<PeerNetwork>(
       Loop_.get_executor(), Settings_.Vm_, PeerAddress, Measured));
   Services_.add(std::make_shared<MembershipService>(
-      Loop_.get_executor(), Settings_, Timers_,
+      Loop_.get_executor(), Settings_, Incarnation_, Timers_,
       Services_.require<PlatformService>(PlatformService::Name),
       Services_.require<PeerNetwork>(PeerNetwork::Name)));
 }
@@ -73,8 +78,10 @@
   auto Publisher = std::make_shared<ConfigPublisher>(Platform, State);
   Services_.add(State);
   Services_.add(Publisher);
-  Services_.add(std::make_shared<ConfigPoller>(
-      Loop_.get_executor(), Settings_, Timers_, Platform, Publisher, State));
+  Services_.add(std::make_shared<ConfigSpread>(
+      Loop_.get_executor(), Settings_, Timers_, Platform, Publisher, State,
+      Services_.require<MembershipService>(MembershipService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name)));
 }
 
 void Daemon::addDeciders() {
@@ -86,16 +93,29 @@
   addQuota();
   Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
                                                     Settings_, Directory));
-  Services_.add(std::make_shared<RandomSelector>(
-      Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
+  auto Guard = std::make_shared<FleetPoisonGuard>(
+      Loop_.get_executor(), Settings_, Timers_, Services_);
+  Services_.add(Guard);
+  std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
+  if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
+    Services_.add(
+        std::make_shared<RandomSelector>(Settings_.DataCentre_, Seed));
+  } else {
+    auto Selector =
+        std::make_shared<InformedSelector>(Settings_, Services_, Seed);
+    Selector->onSuspectCheck(
+        [Guard](const RequestContext &Request, TimePoint Now) {
+          return Guard->isSuspect(Request, Now);
+        });
+    Services_.add(std::move(Selector));
+  }
   Services_.add(std::make_shared<TableLedger>(
-      Services_.require<PlatformService>(PlatformService::Name), Settings_.Vm_,
-      Incarnation_));
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
 }
 
 void Daemon::addQuota() {
   auto State = Services_.require<ConfigState>(ConfigState::Name);
-  if (Settings_.Quota_.Policy_ == "fixed_split") {
+  if (Settings_.Quota_.Policy_ == QuotaPolicy::FixedSplit) {
     Services_.add(
         std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
     return;
@@ -121,6 +141,22 @@
       *Server, Services_.require<ConfigPublisher>(ConfigPublisher::Name), State,
       Services_.require<PlatformService>(PlatformService::Name));
   addStatusEndpoint(*Server, Status);
+  Server->addPage(
+      "POST", "/admin/drain",
+      [this](const HttpRequest &) -> boost::asio::awaitable<HttpReply> {
+        beginStop();
+        co_return jsonReply(202, "{}");
+      });
+  auto Spread = Services_.require<ConfigSpread>(ConfigSpread::Name);
+  addConfirmationPage(
+      *Server, Loop_.get_executor(), Settings_, Spread,
+      Services_.require<MembershipService>(MembershipService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name));
+  Services_.add(std::make_shared<KeyGuard>(
+      Settings_, Timers_, State, Spread,
+      Services_.require<RequestPipeline>(RequestPipeline::Name)));
+  addQuarantineEndpoints(
+      *Server, Services_.require<FleetPoisonGuard>(PoisonGuard::Name));
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
@@ -136,8 +172,14 @@
   auto Platform = Services_.require<PlatformService>(PlatformService::Name);
   auto Directory = Services_.require<TargetDirectory>(TargetDirectory::Name);
   auto Members = Services_.require<MembershipService>(MembershipService::Name);
-  Page->addSection("vm", [this, State, Platform] {
-    return json{{"name", Settings_.Vm_},
+  auto Spread = Services_.require<ConfigSpread>(ConfigSpread::Name);
+  Page->addSection("vm", [this, State, Platform, Spread] {
+    auto Evidence = Spread->evidenceAt();
+    json EvidenceAge;
+    if (Evidence)
+      EvidenceAge = toMillis(BootClock::now() - *Evidence);
+    return json{{"evidence_age_ms", EvidenceAge},
+                {"name", Settings_.Vm_},
                 {"data_centre", Settings_.DataCentre_},
                 {"revision", State->current()->Revision_},
                 {"current", State->isCurrent()},
@@ -149,6 +191,8 @@
     for (const auto &[Name, Known] : Members->members())
       List.push_back({{"name", Name},
                       {"data_centre", Known.DataCentre_},
+                      {"alive", Members->isAlive(Name)},
+                      {"revision", Known.Revision_},
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
@@ -192,10 +236,12 @@
 }
 
 void Daemon::beginStop() {
-  Stopping_ = true;
+  if (std::exchange(Stopping_, true))
+    return;
   logEvent(LogLevel::Info, "stopping");
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   Callers->beginDrain();
+  Services_.require<MembershipService>(MembershipService::Name)->markLeaving();
   StopDeadline_ = BootClock::now() + std::chrono::milliseconds(
                                          Settings_.Shutdown_.BalancerNoticeMs_ +
                                          Settings_.Shutdown_.DrainMs_);
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -10,6 +10,9 @@
 static constexpr NumberRange PortRange{0, 65535};
 static constexpr NumberRange MillisRange{1, 3600000};
 static constexpr NumberRange CountRange{1, 1000};
+static constexpr NumberRange FewRange{1, 10};
+static constexpr NumberRange HeartbeatRange{50, 60000};
+static constexpr NumberRange LogRange{1, 100000};
 static constexpr NumberRange BytesRange{1024, 1 << 30};
 
 static void visitFields(FieldReader &Fields, ListenSettings &Listen) {
@@ -41,6 +44,19 @@
 
 static void visitFields(FieldReader &Fields, ConfigSettings &Config) {
   Fields.field("poll_ms", Config.PollMs_, MillisRange);
+  Fields.field("pollers", Config.Pollers_, FewRange);
+  Fields.field("evidence_grace_ms", Config.EvidenceGraceMs_, MillisRange);
+  Fields.field("first_wait_ms", Config.FirstWaitMs_, MillisRange);
+  Fields.field("log_revisions", Config.LogRevisions_, LogRange);
+}
+
+static void visitFields(FieldReader &Fields, MembershipSettings &Membership) {
+  Fields.field("heartbeat_ms", Membership.HeartbeatMs_, HeartbeatRange);
+  Fields.field("suspect_ms", Membership.SuspectMs_, MillisRange);
+  Fields.field("gone_ms", Membership.GoneMs_, MillisRange);
+  Fields.field("pause_ms", Membership.PauseMs_, MillisRange);
+  Fields.field("list_ms", Membership.ListMs_, MillisRange);
+  Fields.field("representatives", Membership.Representatives_, FewRange);
 }
 
 static void visitFields(FieldReader &Fields, TargetSettings &Targets) {
@@ -56,7 +72,7 @@
 
 static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
   constexpr NumberRange LoanRange{10, 60000};
-  Fields.field("policy", Quota.Policy_);
+  Fields.choice("policy", Quota.Policy_, QuotaPolicyNames);
   Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
   Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
   Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
@@ -65,8 +81,41 @@
   Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
   Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
   Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
-  if (Quota.Policy_ != "shares" && Quota.Policy_ != "fixed_split")
-    Fields.report("policy", "is no policy", "use shares or fixed_split");
+}
+
+/// Claims outlive every request that they stand for.
+static constexpr NumberRange RetentionRange{3600, 30 * 24 * 3600};
+
+static void visitFields(FieldReader &Fields, LedgerSettings &Ledger) {
+  Fields.field("window_ms", Ledger.WindowMs_, {0, 1000});
+  Fields.field("batch_rows", Ledger.BatchRows_, CountRange);
+  Fields.field("writes_per_second", Ledger.WritesPerSecond_, {1, 100000});
+  Fields.field("answer_limit_bytes", Ledger.AnswerLimitBytes_, {0, 1 << 24});
+  Fields.field("unrecorded_bytes", Ledger.UnrecordedBytes_, BytesRange);
+  Fields.field("retention_s", Ledger.RetentionS_, RetentionRange);
+  Fields.field("sweep_ms", Ledger.SweepMs_, MillisRange);
+  Fields.field("sweep_rows", Ledger.SweepRows_, CountRange);
+  Fields.field("lookup_ms", Ledger.LookupMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, PoisonSettings &Poison) {
+  Fields.field("confirm_ms", Poison.ConfirmMs_, MillisRange);
+  Fields.field("suspect_s", Poison.SuspectS_, {1, 86400});
+  Fields.field("quarantine_s", Poison.QuarantineS_, {1, 7 * 86400});
+  Fields.field("most_digests", Poison.MostDigests_, {1, 1000000});
+}
+
+static void visitFields(FieldReader &Fields, RoutingSettings &Routing) {
+  Fields.choice("policy", Routing.Policy_, RoutingPolicyNames);
+  Fields.field("report_lag_ms", Routing.ReportLagMs_, {0, 60000});
+  Fields.field("prefix_entries", Routing.PrefixEntries_, {2, 1000000});
+  Fields.field("eject_failures", Routing.EjectFailures_, CountRange);
+  Fields.field("eject_least_ms", Routing.EjectLeastMs_, MillisRange);
+  Fields.field("eject_most_ms", Routing.EjectMostMs_, MillisRange);
+  Fields.field("eject_share", Routing.EjectShare_, {0, 0.9});
+  Fields.field("retry_ratio", Routing.RetryRatio_, {0, 1});
+  Fields.field("retry_floor_per_second", Routing.RetryFloorPerSecond_,
+               {0, 10000});
 }
 
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
@@ -79,8 +128,12 @@
   Fields.records("peers", Settings.Peers_);
   Fields.record("caller_limits", Settings.CallerLimits_);
   Fields.record("config", Settings.Config_);
+  Fields.record("membership", Settings.Membership_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
+  Fields.record("ledger", Settings.Ledger_);
+  Fields.record("poison", Settings.Poison_);
+  Fields.record("routing", Settings.Routing_);
   Fields.record("quota", Settings.Quota_);
 }
 
@@ -91,6 +144,22 @@
     Fields.report(Name, errorOf(Parsed).Message_, errorOf(Parsed).Action_);
 }
 
+/// Settings that only make sense together.
+static void checkTimes(FieldReader &Fields, const DaemonSettings &Settings) {
+  const MembershipSettings &Times = Settings.Membership_;
+  if (Times.SuspectMs_ < 2 * Times.HeartbeatMs_)
+    Fields.report("membership.suspect_ms", "is under two heartbeats",
+                  "make it at least twice heartbeat_ms");
+  if (Times.GoneMs_ <= Times.SuspectMs_)
+    Fields.report("membership.gone_ms", "is not above suspect_ms",
+                  "make it longer than suspect_ms");
+  std::int64_t Spread = Settings.Config_.PollMs_ + 2 * Times.HeartbeatMs_;
+  if (Settings.Config_.EvidenceGraceMs_ < Spread)
+    Fields.report("config.evidence_grace_ms",
+                  "is shorter than evidence needs to spread",
+                  "make it at least poll_ms + 2 x heartbeat_ms");
+}
+
 std::variant<DaemonSettings, std::vector<Error>>
 parseDaemonSettings(const std::string &Path, const std::string &Text) {
   auto Parsed = parseSettings(Path, Text);
@@ -102,6 +171,7 @@
   visitFields(Reader, Settings);
   Reader.finish();
   checkAddress(Reader, "platform.address", Settings.Platform_.Address_);
+  checkTimes(Reader, Settings);
   for (const PeerSettings &Peer : Settings.Peers_)
     checkAddress(Reader, "peers." + Peer.Name_, Peer.Address_);
   if (Errors.empty())
