Keep leases by promises when the platform is away

Now a lease is 10 s, and a VM that can't renew asks every VM that it has seen in its data centre's row not to end its lease; a VM that it may not have seen waits promise_ms (600 s).

--- a/Source/Admission/QuotaHolder.cpp
+++ b/Source/Admission/QuotaHolder.cpp
@@ -19,10 +19,10 @@
 /// Slack for sums of parts.
 static constexpr double RoundingPart = 1e-9;
 
-QuotaHolder::QuotaHolder(QuotaTiming Timing, Duration Term, std::string Vm,
-                         std::string DataCentre, std::string Incarnation,
-                         TimePoint Now)
-    : Timing_(Timing), Term_(Term), Vm_(std::move(Vm)),
+QuotaHolder::QuotaHolder(QuotaTiming Timing, Duration Term, Duration LongTerm,
+                         std::string Vm, std::string DataCentre,
+                         std::string Incarnation, TimePoint Now)
+    : Timing_(Timing), Term_(Term), LongTerm_(LongTerm), Vm_(std::move(Vm)),
       DataCentre_(std::move(DataCentre)), Incarnation_(std::move(Incarnation)),
       Born_(Now) {}
 
@@ -55,6 +55,7 @@
   if (!Lease_.empty()) {
     Asked.Wish_ = QuotaLeaseWish::Renew;
     Asked.Id_ = Lease_;
+    Asked.Seen_ = SeenVersion_;
     return Asked;
   }
   Asked.Id_ = Vm_ + "#" + Incarnation_ + "#" + std::to_string(Counter_);
@@ -100,6 +101,26 @@
     End_ = End;
   }
   End_ = std::max(End_, End);
+  Confirmed_ = std::max(Confirmed_, Asked);
+  if (Reply.Version_ > SeenVersion_) {
+    SeenVersion_ = Reply.Version_;
+    Mates_ = Reply.Mates_;
+    std::erase(Mates_, Vm_);
+  }
+  spreadLease(Now);
+}
+
+void QuotaHolder::promised(const std::string &Lease, TimePoint Asked,
+                           TimePoint Now) {
+  expire(Now);
+  if (Lease_.empty() || Lease != Lease_)
+    return;
+  TimePoint End = std::min(Asked + Term_, Confirmed_ + LongTerm_);
+  End_ = std::max(End_, End);
+  spreadLease(Now);
+}
+
+void QuotaHolder::spreadLease(TimePoint Now) {
   for (auto &[Customer, Known] : Entries_)
     Known.Share_.setLease(From_, End_, Now);
 }
--- a/Source/Admission/QuotaHolder.h
+++ b/Source/Admission/QuotaHolder.h
@@ -41,8 +41,9 @@
 /// customer's row may be under way at a time.
 class QuotaHolder {
 public:
-  QuotaHolder(QuotaTiming Timing, Duration Term, std::string Vm,
-              std::string DataCentre, std::string Incarnation, TimePoint Now);
+  QuotaHolder(QuotaTiming Timing, Duration Term, Duration LongTerm,
+              std::string Vm, std::string DataCentre, std::string Incarnation,
+              TimePoint Now);
 
   /// The next lease message. It counts as sent at `Now`.
   QuotaRenewal renewal(TimePoint Now);
@@ -55,6 +56,14 @@
   void renewed(const QuotaRenewal &Renewal, const QuotaRenewalReply &Reply,
                TimePoint Asked, TimePoint Now);
 
+  /// Goes on with the lease because every VM in `mates()` promised, after this
+  /// VM asked at `Asked`, not to end it for a term. Promises hold it up to the
+  /// long term after the last renewal.
+  void promised(const std::string &Lease, TimePoint Asked, TimePoint Now);
+
+  /// The other VMs that may end this VM's lease after a term.
+  const std::vector<std::string> &mates() const { return Mates_; }
+
   /// Drops a lease that has run out, so that it is never taken up again.
   void expire(TimePoint Now);
 
@@ -97,10 +106,12 @@
   };
 
   void drop(TimePoint Now);
+  void spreadLease(TimePoint Now);
   bool oldLoansEnded(TimePoint Now) const;
 
   QuotaTiming Timing_;
   Duration Term_;
+  Duration LongTerm_;
   std::string Vm_;
   std::string DataCentre_;
   std::string Incarnation_;
@@ -108,6 +119,10 @@
   std::string Lease_;
   TimePoint From_{};
   TimePoint End_{};
+  /// When the newest renewal that took effect was sent.
+  TimePoint Confirmed_{};
+  std::uint64_t SeenVersion_ = 0;
+  std::vector<std::string> Mates_;
   /// The lease that the next join has to replace.
   std::string Replaces_;
   std::uint64_t Counter_ = 0;
--- a/Source/Admission/QuotaKeeper.cpp
+++ b/Source/Admission/QuotaKeeper.cpp
@@ -20,8 +20,11 @@
 /// How long a VM waits for the one that writes its renewal.
 static constexpr Duration RenewalTimeout = std::chrono::milliseconds(2500);
 
+/// How long one VM may take to promise.
+static constexpr Duration PromiseTimeout = std::chrono::milliseconds(300);
+
 /// How often a row is looked at for leases that nobody renews.
-static constexpr Duration WatchPeriod = std::chrono::seconds(5);
+static constexpr Duration WatchPeriod = std::chrono::seconds(2);
 
 /// VMs that watch each row, and that a renewal is sent through before the VM
 /// writes the row itself.
@@ -55,6 +58,17 @@
                                      -> asio::awaitable<QuotaShareReply> {
                                    co_return co_await write(std::move(Asked));
                                  });
+  answerPeers<QuotaPromise>(
+      *Network_,
+      [this](std::string From,
+             QuotaPromise Asked) -> asio::awaitable<QuotaPromiseReply> {
+        auto Watch = Watches_.find(Asked.DataCentre_);
+        QuotaPromiseReply Reply;
+        Reply.Given_ = From == Asked.Vm_ &&
+                       (Watch == Watches_.end() ||
+                        Watch->second.promise(From, BootClock::now()));
+        co_return Reply;
+      });
   WatchTimer_ = Timers_.every(WatchPeriod, BootClock::now(),
                               [this](TimePoint) { watchAll(); });
   return std::monostate{};
@@ -158,8 +172,10 @@
                            Asked.Id_,
                            Asked.Replaces_,
                            Asked.Counter_,
-                           Asked.OldLoansEnded_};
-      Replies.push_back(applyQuotaRenewal(valueOf(Leases), Renewal));
+                           Asked.OldLoansEnded_,
+                           Asked.Seen_};
+      Replies.push_back(applyQuotaRenewal(valueOf(Leases), Renewal,
+                                          valueOf(Rows).front().Version_));
     }
     TableTransaction Change;
     Change.Checks_.push_back({Key, valueOf(Rows).front().Version_});
@@ -170,9 +186,10 @@
     // After a lost answer nothing is said: the VM sends a new message.
     if (Ended.Result_ != CommitResult::Committed)
       co_return;
+    auto Mates = liveQuotaVms(valueOf(Leases));
     for (std::size_t Index = 0; Index < Group.size(); ++Index)
       Group[Index]->Reply_ = {true, Replies[Index].Accepted_,
-                              Replies[Index].CurrentId_};
+                              Replies[Index].CurrentId_, Ended.Version_, Mates};
     co_return;
   }
 }
@@ -195,6 +212,17 @@
   co_return Alive;
 }
 
+asio::awaitable<bool> QuotaKeeper::askPromises(std::vector<std::string> Mates) {
+  QuotaPromise Asked{Settings_.Vm_, Settings_.DataCentre_};
+  for (const std::string &Vm : Mates) {
+    auto Reply = co_await callPeer<QuotaPromiseReply>(*Network_, Vm, Asked,
+                                                      PromiseTimeout);
+    if (!isOk(Reply) || !valueOf(Reply).Given_)
+      co_return false;
+  }
+  co_return true;
+}
+
 void QuotaKeeper::watchAll() {
   std::set<std::string> DataCentres{Settings_.DataCentre_};
   std::vector<std::string> Vms{Settings_.Vm_};
@@ -203,11 +231,16 @@
     Vms.push_back(Vm);
   }
   for (const std::string &DataCentre : DataCentres) {
-    auto Order = rendezvousOrder("quota-watch/" + DataCentre, Vms);
+    // VMs of the data centre end leases soon, others only after the long term,
+    // for when the whole data centre is gone.
+    bool IsOwn = DataCentre == Settings_.DataCentre_;
+    auto Order = rendezvousOrder("quota-watch/" + DataCentre,
+                                 IsOwn ? Members_->liveIn(DataCentre) : Vms);
     Order.resize(std::min(Order.size(), Watchers));
-    if (std::ranges::count(Order, Settings_.Vm_) == 0)
-      Watches_.erase(DataCentre);
-    else if (Watching_.insert(DataCentre).second)
+    // A watch is kept when another VM's turn has come: its ends may be on their
+    // way.
+    bool IsTurn = std::ranges::count(Order, Settings_.Vm_) > 0;
+    if (IsTurn && Watching_.insert(DataCentre).second)
       spawn(Executor_, watch(DataCentre));
   }
 }
@@ -223,10 +256,12 @@
   if (!isOk(Leases))
     co_return;
   Duration Term = std::chrono::milliseconds(Settings_.Quota_.LeaseMs_);
+  Duration LongTerm = std::chrono::milliseconds(Settings_.Quota_.PromiseMs_);
   Duration Margin = std::chrono::milliseconds(Settings_.Quota_.LeaseMarginMs_);
   auto [Seen, IsNew] =
-      Watches_.try_emplace(DataCentre, QuotaLeaseWatch(Term + Margin));
-  auto Over = Seen->second.see(valueOf(Leases), BootClock::now());
+      Watches_.try_emplace(DataCentre, QuotaLeaseWatch(Term, LongTerm, Margin));
+  auto Over = Seen->second.see(valueOf(Leases), valueOf(Rows).front().Version_,
+                               OwnLease_(), BootClock::now());
   if (Over.empty())
     co_return;
   for (const std::string &Vm : Over) {
--- a/Source/Admission/QuotaKeeper.h
+++ b/Source/Admission/QuotaKeeper.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,6 +43,15 @@
   /// or through others of the data centre, or from here.
   boost::asio::awaitable<QuotaShareReply> send(QuotaShareRenewal Renewal);
 
+  /// Whether the lease of a VM is still to be had: asks every VM in `Mates` not
+  /// to end it for a term. True when all have promised.
+  boost::asio::awaitable<bool> askPromises(std::vector<std::string> Mates);
+
+  /// Says how to find this VM's own lease.
+  void onOwnLease(std::function<std::string()> Find) {
+    OwnLease_ = std::move(Find);
+  }
+
   /// The leases of those data centres that haven't ended.
   boost::asio::awaitable<Result<std::set<std::string>>>
   readAlive(std::set<std::string> DataCentres);
@@ -82,6 +92,7 @@
   std::map<std::string, Batch> Batches_;
   std::map<std::string, QuotaLeaseWatch> Watches_;
   std::set<std::string> Watching_;
+  std::function<std::string()> OwnLease_ = [] { return std::string(); };
   TimerService::Subscription WatchTimer_;
 };
 
--- a/Source/Admission/QuotaLeaseWatch.cpp
+++ b/Source/Admission/QuotaLeaseWatch.cpp
@@ -2,24 +2,58 @@
 
 namespace anvil {
 
+/// Two clocks differ by less than this part of a time, as a divisor.
+static constexpr int DriftDivisor = 250;
+
+static Duration waitFor(Duration Term, Duration Margin) {
+  return Term + Term / DriftDivisor + Margin;
+}
+
+QuotaLeaseWatch::QuotaLeaseWatch(Duration Term, Duration LongTerm,
+                                 Duration Margin)
+    : Wait_(waitFor(Term, Margin)), LongWait_(waitFor(LongTerm, Margin)) {}
+
 std::vector<std::string> QuotaLeaseWatch::see(const QuotaLeases &Row,
+                                              std::uint64_t Version,
+                                              const std::string &Lease,
                                               TimePoint Now) {
+  // An end that checks an older version can no longer take effect.
+  std::erase_if(Ending_,
+                [&](const auto &Entry) { return Entry.second < Version; });
+  const QuotaLease *Own = nullptr;
+  for (const auto &[Vm, Known] : Row)
+    if (Known.Id_ == Lease && !Known.Ended_)
+      Own = &Known;
   std::vector<std::string> Over;
   std::map<std::string, Sight> Seen;
-  for (const auto &[Vm, Lease] : Row) {
-    if (Lease.Ended_)
+  for (const auto &[Vm, Known] : Row) {
+    if (Known.Ended_ || &Known == Own)
       continue;
-    Sight Current{Lease.Id_, Lease.Counter_, Now};
-    auto Known = Seen_.find(Vm);
-    if (Known != Seen_.end() && Known->second.Id_ == Current.Id_ &&
-        Known->second.Counter_ == Current.Counter_)
-      Current.Since_ = Known->second.Since_;
-    if (Now - Current.Since_ >= TermAndMargin_)
+    Sight Current{Known.Id_, Known.Counter_, Now};
+    auto Before = Seen_.find(Vm);
+    if (Before != Seen_.end() && Before->second.Id_ == Current.Id_ &&
+        Before->second.Counter_ == Current.Counter_)
+      Current.Since_ = Before->second.Since_;
+    // Only a VM that has seen this one in the row asks it for promises.
+    bool AsksThis = Own && Known.Seen_ > Own->Joined_;
+    if (Now - Current.Since_ >= (AsksThis ? Wait_ : LongWait_))
       Over.push_back(Vm);
     Seen[Vm] = Current;
   }
+  for (const std::string &Vm : Over)
+    Ending_[Vm] = Version;
   Seen_ = std::move(Seen);
   return Over;
 }
 
+bool QuotaLeaseWatch::promise(const std::string &Vm, TimePoint Now) {
+  if (Ending_.contains(Vm))
+    return false;
+  // Without a sight the wait begins with the first one, which is later.
+  auto Found = Seen_.find(Vm);
+  if (Found != Seen_.end())
+    Found->second.Since_ = Now;
+  return true;
+}
+
 } // namespace anvil
--- a/Source/Admission/QuotaMessages.h
+++ b/Source/Admission/QuotaMessages.h
@@ -40,8 +40,9 @@
   std::string Replaces_;
   std::uint64_t Counter_ = 0;
   bool OldLoansEnded_ = false;
+  std::uint64_t Seen_ = 0;
   MSGPACK_DEFINE(Wish_, Vm_, DataCentre_, Id_, Replaces_, Counter_,
-                 OldLoansEnded_)
+                 OldLoansEnded_, Seen_)
 };
 
 /// What became of it; when it isn't known, nothing else here counts.
@@ -49,7 +50,23 @@
   bool Known_ = false;
   bool Accepted_ = false;
   std::string CurrentId_;
-  MSGPACK_DEFINE(Known_, Accepted_, CurrentId_)
+  std::uint64_t Version_ = 0;
+  std::vector<std::string> Mates_;
+  MSGPACK_DEFINE(Known_, Accepted_, CurrentId_, Version_, Mates_)
+};
+
+/// Asks for the promise not to end the sender's lease for a term.
+struct QuotaPromise {
+  static constexpr MessageType Type = MessageType::QuotaPromise;
+  std::string Vm_;
+  std::string DataCentre_;
+  MSGPACK_DEFINE(Vm_, DataCentre_)
+};
+
+/// Whether it is given.
+struct QuotaPromiseReply {
+  bool Given_ = false;
+  MSGPACK_DEFINE(Given_)
 };
 
 /// Says that the sender stops, so that the receiver asks it for its balances.
--- a/Source/Admission/QuotaRows.cpp
+++ b/Source/Admission/QuotaRows.cpp
@@ -17,27 +17,28 @@
 /// evenly; in tokens a second.
 static constexpr double IdleDemand = 1e-3;
 
-QuotaRenewalReply applyQuotaRenewal(QuotaLeases &Row,
-                                    const QuotaRenewal &Asked) {
+QuotaRenewalReply applyQuotaRenewal(QuotaLeases &Row, const QuotaRenewal &Asked,
+                                    std::uint64_t Version) {
   auto Found = Row.find(Asked.Vm_);
   if (Asked.Wish_ == QuotaLeaseWish::Join) {
     std::string Current = Found == Row.end() ? "" : Found->second.Id_;
     bool IsFree =
         Found == Row.end() || Found->second.Ended_ || Asked.OldLoansEnded_;
     if (Current != Asked.Replaces_ || !IsFree)
-      return {false, Current};
-    Row[Asked.Vm_] = {Asked.Id_, Asked.Counter_, false};
-    return {true, Asked.Id_};
+      return {false, Current, 0, {}};
+    Row[Asked.Vm_] = {Asked.Id_, Asked.Counter_, false, Version, 0};
+    return {true, Asked.Id_, 0, {}};
   }
   if (Found == Row.end())
     return {};
   QuotaLease &Lease = Found->second;
   if (Lease.Id_ != Asked.Id_ || Lease.Ended_ ||
       Asked.Counter_ <= Lease.Counter_)
-    return {false, Lease.Id_};
+    return {false, Lease.Id_, 0, {}};
   Lease.Counter_ = Asked.Counter_;
+  Lease.Seen_ = std::max(Lease.Seen_, Asked.Seen_);
   Lease.Ended_ = Asked.Wish_ == QuotaLeaseWish::Release;
-  return {true, Lease.Id_};
+  return {true, Lease.Id_, 0, {}};
 }
 
 std::set<std::string> liveQuotaLeases(const QuotaLeases &Row) {
@@ -48,6 +49,14 @@
   return Ids;
 }
 
+std::vector<std::string> liveQuotaVms(const QuotaLeases &Row) {
+  std::vector<std::string> Vms;
+  for (const auto &[Vm, Lease] : Row)
+    if (!Lease.Ended_)
+      Vms.push_back(Vm);
+  return Vms;
+}
+
 double QuotaHoldings::total() const {
   double Sum = 0;
   for (const auto &[Lease, Held] : ByLease_)
@@ -90,7 +99,8 @@
 std::string encodeQuotaLeases(const QuotaLeases &Given) {
   json Out = json::object();
   for (const auto &[Vm, Lease] : Given)
-    Out[Vm] = json::array({Lease.Id_, Lease.Counter_, Lease.Ended_});
+    Out[Vm] = json::array(
+        {Lease.Id_, Lease.Counter_, Lease.Ended_, Lease.Joined_, Lease.Seen_});
   return Out.dump();
 }
 
@@ -123,7 +133,8 @@
 Result<QuotaLeases> decodeQuotaLeases(const std::string &Text) {
   return decode<QuotaLeases>(Text, [](const json &In, QuotaLeases &Found) {
     for (const auto &[Vm, Entry] : In.items())
-      Found[Vm] = {Entry.at(0), Entry.at(1), Entry.at(2)};
+      Found[Vm] = {Entry.at(0), Entry.at(1), Entry.at(2), Entry.at(3),
+                   Entry.at(4)};
   });
 }
 
--- a/Source/Admission/QuotaRows.h
+++ b/Source/Admission/QuotaRows.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace anvil {
 
@@ -20,6 +21,10 @@
   /// Grows with each renewal; observers wait until it has stood still.
   std::uint64_t Counter_ = 0;
   bool Ended_ = false;
+  /// The version of the row before the VM joined.
+  std::uint64_t Joined_ = 0;
+  /// The newest version of the row that the VM is known to have seen.
+  std::uint64_t Seen_ = 0;
 };
 
 /// The leases of a data centre, by VM.
@@ -42,17 +47,26 @@
   std::uint64_t Counter_ = 0;
   /// Join: what an earlier life of the VM lent has been used up by now.
   bool OldLoansEnded_ = false;
+  /// The newest version of the row that the VM has seen.
+  std::uint64_t Seen_ = 0;
 };
 
 /// Whether a renewal took effect, and the VM's lease as the row has it.
 struct QuotaRenewalReply {
   bool Accepted_ = false;
   std::string CurrentId_;
+  /// The row after the renewal: its version and the VMs whose lease hasn't
+  /// ended.
+  std::uint64_t Version_ = 0;
+  std::vector<std::string> Mates_;
 };
 
-/// Changes the row as the renewal asks, or says why not.
-QuotaRenewalReply applyQuotaRenewal(QuotaLeases &Row,
-                                    const QuotaRenewal &Asked);
+/// Changes the row, read at that version, as the renewal asks, or says why not.
+QuotaRenewalReply applyQuotaRenewal(QuotaLeases &Row, const QuotaRenewal &Asked,
+                                    std::uint64_t Version);
+
+/// The VMs whose lease hasn't ended.
+std::vector<std::string> liveQuotaVms(const QuotaLeases &Row);
 
 /// The ids of the leases that haven't ended.
 std::set<std::string> liveQuotaLeases(const QuotaLeases &Row);
--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -62,8 +62,8 @@
       Keeper_(Services.require<QuotaKeeper>(QuotaKeeper::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       Holder_(timingOf(Settings.Quota_), millis(Settings.Quota_.LeaseMs_),
-              Settings.Vm_, Settings.DataCentre_, std::move(Incarnation),
-              BootClock::now()) {}
+              millis(Settings.Quota_.PromiseMs_), Settings.Vm_,
+              Settings.DataCentre_, std::move(Incarnation), BootClock::now()) {}
 
 std::vector<std::string> QuotaService::dependencies() const {
   return {std::string(ConfigState::Name), std::string(QuotaKeeper::Name)};
@@ -71,6 +71,7 @@
 
 Status QuotaService::start() {
   answerOthers();
+  Keeper_->onOwnLease([this] { return Holder_.lease(); });
   Tick_ = Timers_.every(std::chrono::milliseconds(50), BootClock::now(),
                         [this](TimePoint Now) { tick(Now); });
   tick(BootClock::now());
--- a/Source/Admission/QuotaService.h
+++ b/Source/Admission/QuotaService.h
@@ -101,6 +101,7 @@
   aliveFor(const QuotaHoldings &Row);
   boost::asio::awaitable<void> renew();
   boost::asio::awaitable<void> readFloors();
+  boost::asio::awaitable<void> gatherPromises();
   void answerOthers();
   void tick(TimePoint Now);
   void publishGauges(TimePoint Now);
@@ -124,6 +125,7 @@
   bool FloorsKnown_ = false;
   double Reserve_ = 0;
   bool Renewing_ = false;
+  bool Promising_ = false;
   bool GivesAll_ = false;
   bool Stopped_ = false;
   TimePoint NextRenewal_{};
--- a/Source/Admission/QuotaServiceRows.cpp
+++ b/Source/Admission/QuotaServiceRows.cpp
@@ -60,6 +60,12 @@
   Holder_.expire(Now);
   if (Now >= NextRenewal_ && !GivesAll_ && !std::exchange(Renewing_, true))
     spawn(Executor_, renew());
+  // Renewals take effect well before half of the term is over, unless the
+  // platform can't be reached.
+  Duration Late = std::chrono::milliseconds(Settings_.Quota_.LeaseMs_ / 2);
+  if (Holder_.leased(Now) && Holder_.leaseEnd() - Now < Late && !GivesAll_ &&
+      !std::exchange(Promising_, true))
+    spawn(Executor_, gatherPromises());
   if (Now >= NextGauges_) {
     NextGauges_ = Now + GaugePeriod;
     publishGauges(Now);
@@ -96,12 +102,14 @@
                             Renewal.Id_,
                             Renewal.Replaces_,
                             Renewal.Counter_,
-                            Renewal.OldLoansEnded_};
+                            Renewal.OldLoansEnded_,
+                            Renewal.Seen_};
   QuotaShareReply Reply = co_await Keeper_->send(std::move(Message));
   TimePoint Now = BootClock::now();
   NextRenewal_ = Now + RenewalRetry;
   if (Reply.Known_) {
-    QuotaRenewalReply Given{Reply.Accepted_, Reply.CurrentId_};
+    QuotaRenewalReply Given{Reply.Accepted_, Reply.CurrentId_, Reply.Version_,
+                            Reply.Mates_};
     Holder_.renewed(Renewal, Given, Asked, Now);
     if (Reply.Accepted_ && FloorsKnown_)
       NextRenewal_ = Now + std::chrono::milliseconds(Settings_.Quota_.LeaseMs_ /
@@ -110,6 +118,18 @@
   Renewing_ = false;
 }
 
+asio::awaitable<void> QuotaService::gatherPromises() {
+  std::string Lease = Holder_.lease();
+  TimePoint Asked = BootClock::now();
+  std::vector<std::string> Mates = Holder_.mates();
+  bool AreGiven = co_await Keeper_->askPromises(std::move(Mates));
+  if (AreGiven)
+    Holder_.promised(Lease, Asked, BootClock::now());
+  else
+    co_await pause(Executor_, RenewalRetry);
+  Promising_ = false;
+}
+
 asio::awaitable<void> QuotaService::readFloors() {
   std::vector<std::string> Keys{FloorsRow};
   auto Rows = co_await Platform_->read(std::move(Keys));
@@ -293,7 +313,8 @@
                           Renewal.Id_,
                           Renewal.Replaces_,
                           Renewal.Counter_,
-                          Renewal.OldLoansEnded_};
+                          Renewal.OldLoansEnded_,
+                          Renewal.Seen_};
   co_await Keeper_->send(std::move(Asked));
 }
 
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -75,6 +75,7 @@
   Fields.choice("policy", Quota.Policy_, QuotaPolicyNames);
   Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
   Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
+  Fields.field("promise_ms", Quota.PromiseMs_, {2000, 24 * 3600000});
   Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
   Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
   Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -152,8 +152,10 @@
 /// How customers' rates are kept over all VMs, and how fast.
 struct QuotaSettings {
   QuotaPolicy Policy_ = QuotaPolicy::Shares;
-  std::int64_t LeaseMs_ = 60000;
-  std::int64_t LeaseMarginMs_ = 2000;
+  std::int64_t LeaseMs_ = 10000;
+  std::int64_t LeaseMarginMs_ = 1000;
+  /// How long promises of the other VMs can keep a lease without the platform.
+  std::int64_t PromiseMs_ = 600000;
   /// How long tokens from another VM may be used.
   std::int64_t LoanMs_ = 1000;
   std::int64_t LoanMarginMs_ = 250;
--- a/Tests/Property/QuotaProperty.cpp
+++ b/Tests/Property/QuotaProperty.cpp
@@ -16,6 +16,7 @@
 constexpr double Rate = 100;
 constexpr double Reserve = 0.1;
 constexpr Duration Term = 10s;
+constexpr Duration LongTerm = 60s;
 constexpr Duration Margin = 1s;
 const QuotaTiming Timing{1s, 250ms, 0.001};
 const std::string Customer = "serenas";
@@ -75,7 +76,7 @@
     share(At);
     if (chance(1))
       Busy_ = !Busy_;
-    switch (pick(8)) {
+    switch (pick(9)) {
     case 0:
       renew(At);
       break;
@@ -94,6 +95,9 @@
     case 5:
       flood();
       break;
+    case 6:
+      gatherPromises(At);
+      break;
     default:
       if (Busy_)
         admit(At, Burst_ * static_cast<double>(pick(300)) / 1000);
@@ -122,9 +126,10 @@
     At.Paused_ = At.EditRuns_ = false;
     At.Charges_.clear();
     At.Holder_ = std::make_unique<QuotaHolder>(
-        Timing, Term, At.Name_, "bilbao", std::to_string(At.Life_), now(At));
+        Timing, Term, LongTerm, At.Name_, "bilbao", std::to_string(At.Life_),
+        now(At));
     At.Holder_->setFloor(Reserve / 8);
-    At.Watch_ = std::make_unique<QuotaLeaseWatch>(Term + Margin);
+    At.Watch_ = std::make_unique<QuotaLeaseWatch>(Term, LongTerm, Margin);
   }
 
   void disturb(Vm &At) {
@@ -228,9 +233,11 @@
       return;
     send(Keeper, [this, &At, Life = At.Life_, Renewal, Asked] {
       auto Known = readLeases(Leases_.Value_);
-      auto Reply = applyQuotaRenewal(Known, Renewal);
+      auto Reply = applyQuotaRenewal(Known, Renewal, Leases_.Version_);
       if (Reply.Accepted_)
         commit(Leases_, Leases_.Version_, encodeQuotaLeases(Known));
+      Reply.Version_ = Leases_.Version_;
+      Reply.Mates_ = liveQuotaVms(Known);
       if (At.Life_ != Life)
         return;
       send(At, [this, &At, Renewal, Reply, Asked] {
@@ -239,19 +246,52 @@
     });
   }
 
+  /// Asks all mates for promises; each request and each answer can get lost.
+  void gatherPromises(Vm &At) {
+    TimePoint Asked = now(At);
+    std::string Lease = At.Holder_->lease();
+    auto Open = std::make_shared<std::set<std::string>>();
+    for (const std::string &Name : At.Holder_->mates())
+      Open->insert(Name);
+    if (Open->empty())
+      At.Holder_->promised(Lease, Asked, Asked);
+    for (auto &Mate : Vms_) {
+      if (!Open->contains(Mate->Name_) || At.CutFromPeers_ ||
+          Mate->CutFromPeers_)
+        continue;
+      send(*Mate,
+           [this, &At, &Mate = *Mate, Life = At.Life_, Asked, Lease, Open] {
+             if (!Mate.Watch_->promise(At.Name_, now(Mate)) || At.Life_ != Life)
+               return;
+             send(At, [this, &At, &Mate, Asked, Lease, Open] {
+               Open->erase(Mate.Name_);
+               if (Open->empty())
+                 At.Holder_->promised(Lease, Asked, now(At));
+             });
+           });
+    }
+  }
+
   void observe(Vm &At) {
     if (At.CutFromTable_)
       return;
     auto Known = readLeases(Leases_.Value_);
-    auto Over = At.Watch_->see(Known, now(At));
+    auto Over =
+        At.Watch_->see(Known, Leases_.Version_, At.Holder_->lease(), now(At));
     if (Over.empty())
       return;
     for (const std::string &Name : Over)
       Known[Name].Ended_ = true;
     std::uint64_t Version = Leases_.Version_;
-    send(At, [this, Version, Value = encodeQuotaLeases(Known)] {
-      commit(Leases_, Version, Value);
-    });
+    // The end reaches the table even if its VM has promised something since.
+    Duration Late(pick(chance(20) ? 5000000 : 100000));
+    if (chance(95))
+      Mail_.emplace(
+          True_ + Late,
+          std::pair<Vm *, std::function<void()>>(
+              &Table_, [this, Version, Value = encodeQuotaLeases(Known)] {
+                commit(Leases_, Version, Value);
+              }));
   }
 
   void edit(Vm &At) {
--- a/Tests/Unit/QuotaTest.cpp
+++ b/Tests/Unit/QuotaTest.cpp
@@ -11,6 +11,7 @@
 
 static const std::string Customer = "serenas";
 static constexpr Duration Term = 60s;
+static constexpr Duration LongTerm = 600s;
 static const QuotaTiming Timing{1s, 250ms, 0.001};
 
 static const TimePoint Start{1000s};
@@ -90,17 +91,18 @@
 
 static void join(QuotaHolder &Holder, QuotaLeases &Row, TimePoint Now) {
   QuotaRenewal Asked = Holder.renewal(Now);
-  Holder.renewed(Asked, applyQuotaRenewal(Row, Asked), Now, Now);
+  Holder.renewed(Asked, applyQuotaRenewal(Row, Asked, 0), Now, Now);
 }
 
 TEST_CASE("leases of shares", "[rate-limit]") {
   QuotaLeases Row;
-  QuotaHolder First(Timing, Term, "vm-1", "bilbao", "a", Start);
+  QuotaHolder First(Timing, Term, LongTerm, "vm-1", "bilbao", "a", Start);
   join(First, Row, Start);
   REQUIRE(First.leased(Start));
   std::string Lease = First.lease();
   SECTION("a VM that starts again waits until its old loans have ended") {
-    QuotaHolder Second(Timing, Term, "vm-1", "bilbao", "b", Start + 5s);
+    QuotaHolder Second(Timing, Term, LongTerm, "vm-1", "bilbao", "b",
+                       Start + 5s);
     join(Second, Row, Start + 5s);
     join(Second, Row, Start + 6s);
     CHECK_FALSE(Second.leased(Start + 6s));
@@ -109,37 +111,63 @@
     CHECK_FALSE(liveQuotaLeases(Row).contains(Lease));
   }
   SECTION("an observer waits a whole term by its own clock") {
-    QuotaLeaseWatch Watch(Term + 2s);
+    QuotaLeaseWatch Watch(Term, LongTerm, 2s);
     TimePoint Other{5s};
-    CHECK(Watch.see(Row, Other).empty());
-    CHECK(Watch.see(Row, Other + Term).empty());
+    Row["vm-2"] = {"own", 1, false, 3, 0};
+    Row["vm-1"].Seen_ = 4;
+    TimePoint Over = Other + Term + Term / 250 + 2s;
+    CHECK(Watch.see(Row, 4, "own", Other).empty());
+    CHECK(Watch.see(Row, 4, "own", Other + Term).empty());
     SECTION("and ends a lease that stood still") {
-      CHECK(Watch.see(Row, Other + Term + 2s).size() == 1);
+      REQUIRE(Watch.see(Row, 4, "own", Over).size() == 1);
+      SECTION("after which it promises nothing until the row has changed") {
+        CHECK_FALSE(Watch.promise("vm-1", Over));
+        Watch.see(Row, 5, "own", Over);
+        CHECK_FALSE(Watch.promise("vm-1", Over));
+      }
     }
     SECTION("and begins anew when it was renewed") {
       join(First, Row, Start + 30s);
-      CHECK(Watch.see(Row, Other + Term + 2s).empty());
+      CHECK(Watch.see(Row, 5, "own", Over).empty());
+    }
+    SECTION("and begins anew when it has promised") {
+      REQUIRE(Watch.promise("vm-1", Other + 30s));
+      CHECK(Watch.see(Row, 4, "own", Over).empty());
     }
+    SECTION("and the long term when the holder may not know it") {
+      Row["vm-1"].Seen_ = 3;
+      CHECK(Watch.see(Row, 4, "own", Over).empty());
+      TimePoint LongOver = Other + LongTerm + LongTerm / 250 + 2s;
+      CHECK(Watch.see(Row, 4, "own", LongOver).size() == 1);
+    }
+  }
+  SECTION("promises keep a lease up to the long term") {
+    First.promised(Lease, Start + 50s, Start + 51s);
+    CHECK(First.leaseEnd() == Start + 50s + Term);
+    for (Duration At = 100s; At < 700s; At += 50s)
+      First.promised(Lease, Start + At, Start + At);
+    CHECK(First.leaseEnd() == Start + LongTerm);
   }
   SECTION("the term counts from when the renewal was sent") {
     QuotaRenewal Asked = First.renewal(Start + 10s);
-    auto Reply = applyQuotaRenewal(Row, Asked);
+    auto Reply = applyQuotaRenewal(Row, Asked, 0);
     First.renewed(Asked, Reply, Start + 10s, Start + 40s);
     CHECK(First.leaseEnd() == Start + 10s + Term);
   }
   SECTION("a message that comes twice or late changes nothing") {
     QuotaRenewal Asked = First.renewal(Start + 10s);
-    CHECK(applyQuotaRenewal(Row, Asked).Accepted_);
-    CHECK_FALSE(applyQuotaRenewal(Row, Asked).Accepted_);
+    CHECK(applyQuotaRenewal(Row, Asked, 0).Accepted_);
+    CHECK_FALSE(applyQuotaRenewal(Row, Asked, 0).Accepted_);
     Row["vm-1"].Ended_ = true;
-    CHECK_FALSE(applyQuotaRenewal(Row, First.renewal(Start + 20s)).Accepted_);
+    CHECK_FALSE(
+        applyQuotaRenewal(Row, First.renewal(Start + 20s), 0).Accepted_);
   }
 }
 
 TEST_CASE("parts in a customer's row", "[rate-limit]") {
   QuotaLeases Leases;
-  QuotaHolder First(Timing, Term, "vm-1", "bilbao", "a", Start);
-  QuotaHolder Second(Timing, Term, "vm-2", "bilbao", "b", Start);
+  QuotaHolder First(Timing, Term, LongTerm, "vm-1", "bilbao", "a", Start);
+  QuotaHolder Second(Timing, Term, LongTerm, "vm-2", "bilbao", "b", Start);
   join(First, Leases, Start);
   join(Second, Leases, Start);
   auto Alive = liveQuotaLeases(Leases);
@@ -215,7 +243,7 @@
   SkewedFleet() {
     for (int Index = 0; Index < Vms; ++Index) {
       std::string Name = "vm-" + std::to_string(Index);
-      Holders_.emplace_back(Timing, Term, Name, "bilbao", "a", Start);
+      Holders_.emplace_back(Timing, Term, LongTerm, Name, "bilbao", "a", Start);
       Fixed_.emplace_back(Rate / Vms, Burst / Vms, Burst / Vms, Start);
       join(Holders_.back(), Leases_, Start);
     }
