Let faults heal and renewals fail in the quota property

With cuts and pauses that lasted half of the time no lease lived by promises, so that a broken promise went unseen.

--- a/Tests/Property/QuotaProperty.cpp
+++ b/Tests/Property/QuotaProperty.cpp
@@ -53,8 +53,8 @@
 /// the seed draws. It keeps the truth: what was admitted, and when.
 class Fleet {
 public:
-  Fleet(std::uint64_t Seed, int Count, double Burst)
-      : Random_(Seed), Burst_(Burst) {
+  Fleet(std::uint64_t Seed, int Count, double Burst, std::uint64_t Lost)
+      : Random_(Seed), Burst_(Burst), LostRenewals_(Lost) {
     for (int Index = 0; Index < Count; ++Index) {
       Vms_.push_back(std::make_unique<Vm>());
       Vm &Made = *Vms_.back();
@@ -71,6 +71,8 @@
     Vm &At = *Vms_[pick(Vms_.size())];
     if (chance(2))
       disturb(At);
+    if (chance(Healing_))
+      At.Paused_ = At.CutFromTable_ = At.CutFromPeers_ = false;
     if (At.Paused_ || !At.Holder_)
       return;
     share(At);
@@ -104,6 +106,9 @@
     }
   }
 
+  /// The percent of steps that end a VM's cuts and pauses.
+  void healFaults(std::uint64_t Percent) { Healing_ = Percent; }
+
   /// The most that any interval up to now had above its rate.
   double excess() const { return Worst_; }
   double admitted() const { return Admitted_; }
@@ -228,6 +233,8 @@
   void renew(Vm &At) {
     TimePoint Asked = now(At);
     QuotaRenewal Renewal = At.Holder_->renewal(Asked);
+    if (!At.Holder_->lease().empty() && chance(LostRenewals_))
+      return;
     Vm &Keeper = At.CutFromTable_ ? *Vms_[pick(Vms_.size())] : At;
     if (Keeper.CutFromTable_ || (&Keeper != &At && At.CutFromPeers_))
       return;
@@ -353,6 +360,8 @@
 
   std::mt19937_64 Random_;
   double Burst_;
+  std::uint64_t LostRenewals_;
+  std::uint64_t Healing_ = 0;
   Duration True_{0};
   std::vector<std::unique_ptr<Vm>> Vms_;
   Vm Table_{};
@@ -374,7 +383,10 @@
              // A small burst shows a part held twice, a large one tokens that
              // were kept too long.
              double Burst = *rc::gen::element(20.0, 100.0, 1000.0);
-             Fleet Running(Seed, *rc::gen::inRange(2, 6), Burst);
+             // Where most renewals are lost, leases live by promises.
+             auto Lost = *rc::gen::element<std::uint64_t>(0, 80, 97);
+             Fleet Running(Seed, *rc::gen::inRange(2, 6), Burst, Lost);
+             Running.healFaults(*rc::gen::element<std::uint64_t>(0, 5));
              for (int Step = 0; Step < 3000; ++Step)
                Running.step();
              RC_ASSERT(Running.excess() <= Burst + 1e-3);
