--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -33,8 +33,8 @@
 /// Tokens fetched ahead, in seconds of demand.
 static constexpr double FetchSeconds = 0.5;
 
-/// How long after a VM began to hand over its lease is not taken for granted.
-static constexpr Duration HandoverRecheck = std::chrono::seconds(5);
+/// How long leases are read anew after a holder stopped or didn't answer.
+static constexpr Duration HolderRecheck = std::chrono::seconds(5);
 
 /// The shortest honest time until tokens can be there.
 static constexpr Duration ShortestRetry = std::chrono::milliseconds(100);
@@ -299,8 +299,11 @@
   OtherHolder &Other = Tracked_[Given.Name_].Holders_[Vm];
   Other.At_ = Now;
   Other.Left_ = 0;
-  if (!isOk(Reply))
+  if (!isOk(Reply)) {
+    // It may be gone: see soon whether its lease has ended.
+    AliveFrom_ = std::max(AliveFrom_, Now + HolderRecheck);
     co_return 0;
+  }
   const QuotaBalanceReply &Got = valueOf(Reply);
   Other.Left_ = Got.Left_;
   if (Got.Tokens_ <= 0)
@@ -340,7 +343,7 @@
              QuotaHandover Asked) -> asio::awaitable<QuotaHandoverReply> {
         QuotaHandoverReply Reply;
         // Its parts are free soon: look at its lease again before long.
-        AliveFrom_ = BootClock::now() + HandoverRecheck;
+        AliveFrom_ = BootClock::now() + HolderRecheck;
         for (const std::string &Name : Asked.Customers_) {
           auto Given = limitsOf(Name);
           if (!Given || Stopped_)
