--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -105,6 +105,21 @@
                {0, 10000});
 }
 
+static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
+  constexpr NumberRange LoanRange{10, 60000};
+  Fields.field("policy", Quota.Policy_);
+  Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
+  Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
+  Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
+  Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
+  Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
+  Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
+  Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
+  Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
+  if (Quota.Policy_ != "shares" && Quota.Policy_ != "fixed_split")
+    Fields.report("policy", "is no policy", "use shares or fixed_split");
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -121,6 +136,7 @@
   Fields.record("ledger", Settings.Ledger_);
   Fields.record("poison", Settings.Poison_);
   Fields.record("routing", Settings.Routing_);
+  Fields.record("quota", Settings.Quota_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
