Grant permits through the owners of targets

Cause: the owners' cores were not used by the daemon.

Change: OwnershipService keeps the lease row, one write for all VMs of a data centre; TargetOwnerService runs the owners; OwnerPermitBroker asks them and works without them for resident adapters; StoreGate splits the weight store's budget. placement.policy chooses owners or the local baseline.

--- a/Source/Placement/EngineMonitor.cpp
+++ b/Source/Placement/EngineMonitor.cpp
@@ -8,6 +8,9 @@
 
 namespace asio = boost::asio;
 
+/// Polls of targets without a fresh report that run at once.
+static constexpr std::size_t MostStalePolls = 8;
+
 EngineMonitor::EngineMonitor(asio::any_io_executor Executor,
                              const DaemonSettings &Settings,
                              TimerService &Timers,
@@ -25,11 +28,20 @@
 
 void EngineMonitor::stop() { Period_.cancel(); }
 
+bool EngineMonitor::isFresh(const std::string &TargetName) const {
+  const TargetReport *Known = Directory_->find(TargetName);
+  return Known && BootClock::now() - Known->ReportedAt_ < StaleAge_;
+}
+
 void EngineMonitor::pollAll() {
   for (const auto &[Name, Known] : State_->current()->Objects_.all<Target>()) {
     if (Known.TargetKind_ != TargetKind::Engine)
       continue;
-    if (!Polling_.insert(Name).second)
+    if (isFresh(Name))
+      continue;
+    bool IsOneTooMany =
+        StaleAge_ > Duration{0} && Polling_.size() >= MostStalePolls;
+    if (IsOneTooMany || !Polling_.insert(Name).second)
       continue;
     Endpoint Address{Known.Address_, static_cast<std::uint16_t>(Known.Port_)};
     spawn(Executor_, poll(Name, std::move(Address)));
@@ -48,6 +60,7 @@
   Report.Target_ = TargetName;
   Report.ReportedAt_ = BootClock::now();
   Report.Reachable_ = isOk(Answer);
+  Report.Owner_.clear();
   if (Report.Reachable_) {
     const EngineStatus &Given = valueOf(Answer);
     Report.Incarnation_ = Given.Incarnation_;
--- a/Source/Placement/EngineMonitor.h
+++ b/Source/Placement/EngineMonitor.h
@@ -24,11 +24,16 @@
                 std::shared_ptr<ConfigState> State,
                 std::shared_ptr<TargetDirectory> Directory);
 
+  /// Polls only targets whose report is older than this, and at most a few in
+  /// each period. Zero polls all of them.
+  void onlyWhenOlderThan(Duration Age) { StaleAge_ = Age; }
+
   std::string_view serviceName() const override { return Name; }
   Status start() override;
   void stop() override;
 
 private:
+  bool isFresh(const std::string &TargetName) const;
   void pollAll();
   boost::asio::awaitable<void> poll(std::string TargetName, Endpoint Address);
 
@@ -38,6 +43,7 @@
   std::shared_ptr<ConfigState> State_;
   std::shared_ptr<TargetDirectory> Directory_;
   std::set<std::string> Polling_;
+  Duration StaleAge_{0};
   TimerService::Subscription Period_;
 };
 
--- a/Source/Placement/OwnerLease.cpp
+++ b/Source/Placement/OwnerLease.cpp
@@ -1,6 +1,5 @@
 #include "Placement/OwnerLease.h"
 
-#include "Kernel/Invariant.h"
 #include "Membership/Rendezvous.h"
 
 #include <nlohmann/json.hpp>
@@ -150,11 +149,10 @@
 
 void OwnerLease::adopt(const LeaseRow &Row, std::uint64_t Version,
                        TimePoint Now) {
-  if (Version < RowVersion_)
+  // A generation that went back would mean that the table lost the row.
+  if (Version < RowVersion_ || Row.Generation_ < Row_.Generation_)
     return;
   RowVersion_ = Version;
-  checkInvariant(Row.Generation_ >= Row_.Generation_,
-                 "the generation of a lease row went back");
   observe(Row, Now);
   if (Row.Generation_ != Row_.Generation_) {
     bool IsNext = Row.Generation_ == Row_.Generation_ + 1;
--- /dev/null
+++ b/Source/Placement/OwnerPermitBroker.h
@@ -0,0 +1,70 @@
+#ifndef ANVIL_PLACEMENT_OWNERPERMITBROKER_H
+#define ANVIL_PLACEMENT_OWNERPERMITBROKER_H
+
+#include "Placement/TargetOwnerService.h"
+#include "Requests/HandOver.h"
+#include "Requests/PermitBroker.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace anvil {
+
+/// Gets permits from the owners of targets, wherever they are. Where no owner
+/// can be reached it lets requests go to adapters known to be resident.
+class OwnerPermitBroker : public PermitBroker, public HandOver {
+public:
+  OwnerPermitBroker(const DaemonSettings &Settings, TimerService &Timers,
+                    std::string Incarnation, const ServiceRegistry &Services);
+
+  std::vector<std::string> dependencies() const override;
+  Status start() override;
+  void stop() override;
+
+  boost::asio::awaitable<Outcome<Permit>>
+  acquire(const RequestContext &Request, std::string TargetName) override;
+  void release(const Permit &Held, PermitEnd End) override;
+  boost::asio::awaitable<void> handOver() override;
+
+private:
+  struct Entry {
+    std::string Target_;
+    AdapterRef Adapter_;
+    bool Awaited_ = true;
+  };
+
+  Outcome<Permit> acquireService(const Target &Where);
+  boost::asio::awaitable<Outcome<Permit>>
+  acquireEngine(const RequestContext &Request, const Target &Where,
+                std::uint64_t Id);
+  boost::asio::awaitable<Result<PermitReplyMessage>>
+  ask(std::string Owner, PermitRequestMessage Given);
+  Outcome<Permit> withoutOwner(const RequestContext &Request,
+                               const Target &Where, Permit Made);
+  std::string firstOwner(const Target &Where) const;
+  void giveBack(const std::string &Owner, const std::string &TargetName,
+                std::uint64_t Id, PermitEnd End);
+  PermitInventoryMessage inventory() const;
+  void sendInventories(TimePoint Now);
+
+  const DaemonSettings &Settings_;
+  TimerService &Timers_;
+  std::string Incarnation_;
+  std::shared_ptr<MembershipService> Members_;
+  std::shared_ptr<PeerNetwork> Network_;
+  std::shared_ptr<OwnershipService> Ownership_;
+  std::shared_ptr<TargetOwnerService> Owners_;
+  std::shared_ptr<TargetDirectory> Directory_;
+  std::shared_ptr<Metrics> Metrics_;
+  std::uint64_t NextId_ = 1;
+  std::map<std::uint64_t, Entry> Entries_;
+  std::map<std::string, std::int64_t> ServiceSlots_;
+  /// VMs of other data centres that granted permits, and when last.
+  std::map<std::string, TimePoint> FarOwners_;
+  TimerService::Subscription Period_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_PLACEMENT_OWNERPERMITBROKER_H
--- /dev/null
+++ b/Source/Placement/OwnershipService.h
@@ -0,0 +1,77 @@
+#ifndef ANVIL_PLACEMENT_OWNERSHIPSERVICE_H
+#define ANVIL_PLACEMENT_OWNERSHIPSERVICE_H
+
+#include "Kernel/Hook.h"
+#include "Kernel/TimerService.h"
+#include "Membership/MembershipService.h"
+#include "Peer/PeerNetwork.h"
+#include "Placement/OwnerLease.h"
+#include "Placement/PermitMessages.h"
+#include "Platform/PlatformService.h"
+#include "Settings/DaemonSettings.h"
+#include "Telemetry/Metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace anvil {
+
+/// Keeps this VM's part in the ownership of its data centre's targets. One VM
+/// of the data centre writes the renewals of all of them together; a VM that
+/// can't reach it writes its own.
+class OwnershipService : public Service {
+public:
+  static constexpr std::string_view Name = "ownership";
+
+  OwnershipService(boost::asio::any_io_executor Executor,
+                   const DaemonSettings &Settings, TimerService &Timers,
+                   std::string Incarnation,
+                   std::shared_ptr<PlatformService> Platform,
+                   std::shared_ptr<MembershipService> Members,
+                   std::shared_ptr<PeerNetwork> Network,
+                   std::shared_ptr<Metrics> Counts);
+
+  std::string_view serviceName() const override { return Name; }
+  std::vector<std::string> dependencies() const override;
+  Status start() override;
+  void stop() override { Period_.cancel(); }
+
+  const OwnerLease &lease() const { return Lease_; }
+
+  /// Gives the lease up and tells the others. `Idle` are the targets without an
+  /// order in flight.
+  boost::asio::awaitable<void> giveUp(std::vector<std::string> Idle);
+
+  /// Called after the row known here has changed.
+  Hook<> Changed_;
+
+private:
+  boost::asio::awaitable<void> renew();
+  boost::asio::awaitable<LeaseRowMessage> writeWithOthers(LeaseClaim Claim);
+  boost::asio::awaitable<bool> write(std::vector<LeaseClaim> Claims);
+  boost::asio::awaitable<bool> readBack();
+  void adopt(const std::string &Text, std::uint64_t Version);
+  std::string rowKey() const { return "owners/" + Settings_.DataCentre_; }
+  std::string writer() const;
+
+  boost::asio::any_io_executor Executor_;
+  const DaemonSettings &Settings_;
+  TimerService &Timers_;
+  std::shared_ptr<PlatformService> Platform_;
+  std::shared_ptr<MembershipService> Members_;
+  std::shared_ptr<PeerNetwork> Network_;
+  std::shared_ptr<Metrics> Counts_;
+  OwnerLease Lease_;
+  std::uint64_t Version_ = 0;
+  /// Claims for the next write, and the timer that those who wait for it share.
+  std::vector<LeaseClaim> Claims_;
+  std::shared_ptr<boost::asio::steady_timer> Batch_;
+  bool Renewing_ = false;
+  bool GivenUp_ = false;
+  TimerService::Subscription Period_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_PLACEMENT_OWNERSHIPSERVICE_H
--- a/Source/Placement/TargetOwner.cpp
+++ b/Source/Placement/TargetOwner.cpp
@@ -3,6 +3,7 @@
 #include "Kernel/Invariant.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace anvil {
 
@@ -12,6 +13,10 @@
 /// The part of the newest permit in the mean time that permits are held.
 static constexpr int NewestHoldPart = 8;
 
+/// The part of an engine's slots that one adapter may need before a second
+/// engine should hold it.
+static constexpr double CrowdedPart = 0.5;
+
 /// The least time after which a refused caller is told to come back.
 static constexpr Duration LeastRetryAfter = std::chrono::seconds(1);
 
@@ -350,16 +355,38 @@
   return std::exchange(Actions_, {});
 }
 
-Duration TargetOwner::estimateWait(const AdapterRef &Adapter,
-                                   std::int64_t Priority, TimePoint Now) const {
+Duration TargetOwner::queueWait(std::int64_t Priority, TimePoint Now) const {
+  if (std::ssize(Permits_) < Options_.Slots_)
+    return Duration{0};
   std::int64_t Ahead = 0;
   Queue_.forEach([&](const QueuedRequest &Item) {
     Ahead += Item.Priority_ >= Priority || Item.isAged(Now);
   });
-  Duration Wait{0};
-  bool IsFull = std::ssize(Permits_) >= Options_.Slots_;
-  if (IsFull)
-    Wait = MeanHold_ * (Ahead + 1) / std::max<std::int64_t>(1, Options_.Slots_);
+  return MeanHold_ * (Ahead + 1) / std::max<std::int64_t>(1, Options_.Slots_);
+}
+
+std::set<AdapterRef> TargetOwner::crowded(TimePoint Now) const {
+  std::set<AdapterRef> Found;
+  double MeanLife = toSeconds(Options_.Terms_.DemandHalfLife_) / std::log(2.0);
+  for (const auto &[Adapter, Known] : Adapters_.all()) {
+    double PerSecond = Adapters_.demand(Adapter, Now) / MeanLife;
+    double SlotsNeeded = PerSecond * toSeconds(MeanHold_);
+    if (SlotsNeeded > CrowdedPart * static_cast<double>(Options_.Slots_))
+      Found.insert(Adapter);
+  }
+  return Found;
+}
+
+std::set<std::string> TargetOwner::vmsInvolved() const {
+  std::set<std::string> Vms = Unheard_;
+  for (const auto &[Key, Permit] : Permits_)
+    Vms.insert(Key.Vm_);
+  return Vms;
+}
+
+Duration TargetOwner::estimateWait(const AdapterRef &Adapter,
+                                   std::int64_t Priority, TimePoint Now) const {
+  Duration Wait = queueWait(Priority, Now);
   const AdapterRecord *Known = Adapters_.find(Adapter);
   if (!Known || Known->State_ != Residency::Resident)
     Wait += Known ? Known->LoadTime_ : AdapterRecord().LoadTime_;
--- a/Source/Placement/TargetOwner.h
+++ b/Source/Placement/TargetOwner.h
@@ -80,6 +80,15 @@
   Duration estimateWait(const AdapterRef &Adapter, std::int64_t Priority,
                         TimePoint Now) const;
 
+  /// How long a request of that priority would wait for a slot.
+  Duration queueWait(std::int64_t Priority, TimePoint Now) const;
+
+  /// Adapters so wanted that a second engine should hold them as well.
+  std::set<AdapterRef> crowded(TimePoint Now) const;
+
+  /// The VMs that have a permit out or whose inventory is missing.
+  std::set<std::string> vmsInvolved() const;
+
   std::size_t waiting() const { return Queue_.size(); }
   std::size_t permitsOut() const { return Permits_.size(); }
   bool holds(const PermitKey &Key) const { return Permits_.count(Key) > 0; }
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -14,6 +14,7 @@
 #include "Peer/PeerNetwork.h"
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
+#include "Placement/OwnerPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
 #include "Routing/RandomSelector.h"
@@ -80,12 +81,16 @@
   auto State = Services_.require<ConfigState>(ConfigState::Name);
   auto Directory = std::make_shared<TargetDirectory>();
   Services_.add(Directory);
-  Services_.add(std::make_shared<EngineMonitor>(Loop_.get_executor(), Settings_,
-                                                Timers_, State, Directory));
+  auto Monitor = std::make_shared<EngineMonitor>(
+      Loop_.get_executor(), Settings_, Timers_, State, Directory);
+  Services_.add(Monitor);
   Services_.add(
       std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
-  Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
-                                                    Settings_, Directory));
+  if (Settings_.Placement_.Policy_ == PlacementPolicy::Owners)
+    addOwners(*Monitor);
+  else
+    Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
+                                                      Settings_, Directory));
   Services_.add(std::make_shared<RandomSelector>(
       Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
   Services_.add(std::make_shared<TableLedger>(
@@ -93,6 +98,25 @@
       Incarnation_));
 }
 
+void Daemon::addOwners(EngineMonitor &Monitor) {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  auto Members = Services_.require<MembershipService>(MembershipService::Name);
+  auto Network = Services_.require<PeerNetwork>(PeerNetwork::Name);
+  Services_.add(std::make_shared<OwnershipService>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_,
+      Services_.require<PlatformService>(PlatformService::Name), Members,
+      Network, Services_.require<Metrics>(Metrics::Name)));
+  Services_.add(
+      std::make_shared<StoreGate>(Settings_, Timers_, State, Members, Network));
+  Services_.add(std::make_shared<TargetOwnerService>(
+      Loop_.get_executor(), Settings_, Timers_, Services_));
+  Services_.add(std::make_shared<OwnerPermitBroker>(Settings_, Timers_,
+                                                    Incarnation_, Services_));
+  // Owners report; what they don't reach is polled slowly.
+  Monitor.onlyWhenOlderThan(
+      3 * std::chrono::milliseconds(Settings_.Placement_.ReportMs_));
+}
+
 void Daemon::addFrontDoors() {
   Services_.add(std::make_shared<RequestPipeline>(Loop_.get_executor(),
                                                   Settings_, Services_));
@@ -136,6 +160,18 @@
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
+  if (auto Owners =
+          Services_.find<TargetOwnerService>(TargetOwnerService::Name))
+    Page->addSection("owned_targets", [Owners] {
+      json List = json::array();
+      for (const OwnedTargetView &Seen : Owners->view())
+        List.push_back({{"name", Seen.Target_},
+                        {"epoch", Seen.Epoch_},
+                        {"settled", Seen.Settled_},
+                        {"permits", Seen.Permits_},
+                        {"waiting", Seen.Waiting_}});
+      return List;
+    });
   Page->addSection("targets", [Directory] {
     json List = json::array();
     for (const auto &[Name, Report] : Directory->all())
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -4,6 +4,7 @@
 #include "Http/TimerPump.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Kernel/TimerService.h"
+#include "Placement/EngineMonitor.h"
 #include "Settings/DaemonSettings.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -38,6 +39,7 @@
   void addPlatform();
   void addConfig();
   void addDeciders();
+  void addOwners(EngineMonitor &Monitor);
   void addFrontDoors();
   void addStatusSections();
   void waitForSignal();
--- a/Source/Routing/TargetDirectory.h
+++ b/Source/Routing/TargetDirectory.h
@@ -20,6 +20,13 @@
   std::int64_t Running_ = 0;
   std::int64_t Waiting_ = 0;
   bool Reachable_ = true;
+  /// The VM that owns the target and told this; empty when this VM asked the
+  /// target itself.
+  std::string Owner_;
+  /// How long a request of the lowest class would wait for a slot.
+  Duration EstimatedWait_{0};
+  /// Adapters so wanted that a second target should hold them as well.
+  std::set<std::string> Crowded_;
   /// When this VM took the report in.
   TimePoint ReportedAt_{};
 };
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -54,6 +54,31 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+/// Below a second renewals would follow each other too fast for the table.
+static constexpr NumberRange LeaseRange{1000, 60000};
+static constexpr NumberRange QueueRange{1, 100000};
+static constexpr NumberRange FactorRange{1, 100};
+
+static void visitFields(FieldReader &Fields, PlacementSettings &Placement) {
+  Fields.choice("policy", Placement.Policy_, PlacementPolicyNames);
+  Fields.choice("queue", Placement.Queue_, QueuePolicyNames);
+  Fields.field("lease_term_ms", Placement.LeaseTermMs_, LeaseRange);
+  Fields.field("lease_margin_ms", Placement.LeaseMarginMs_, MillisRange);
+  Fields.field("queue_length", Placement.QueueLength_, QueueRange);
+  Fields.field("queue_length_per_customer", Placement.QueueLengthPerCustomer_,
+               QueueRange);
+  Fields.field("inventory_ms", Placement.InventoryMs_, MillisRange);
+  Fields.field("report_ms", Placement.ReportMs_, MillisRange);
+  Fields.field("silent_vm_ms", Placement.SilentVmMs_, MillisRange);
+  Fields.field("min_residence_ms", Placement.MinResidenceMs_, MillisRange);
+  Fields.field("patience_ms", Placement.PatienceMs_, MillisRange);
+  Fields.field("challenge_factor", Placement.ChallengeFactor_, FactorRange);
+  // The holder must keep some of its lease, and a renewal must fit in.
+  if (2 * Placement.LeaseMarginMs_ >= Placement.LeaseTermMs_)
+    Fields.report("lease_margin_ms", "is not under half of lease_term_ms",
+                  "lower lease_margin_ms or raise lease_term_ms");
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -66,6 +91,7 @@
   Fields.record("config", Settings.Config_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
+  Fields.record("placement", Settings.Placement_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -55,6 +55,42 @@
   std::int64_t LoadTimeoutMs_ = 20000;
 };
 
+/// How permits are granted.
+enum class PlacementPolicy { Owners, LocalLru };
+
+inline constexpr std::pair<PlacementPolicy, std::string_view>
+    PlacementPolicyNames[] = {
+        {PlacementPolicy::Owners, "owners"},
+        {PlacementPolicy::LocalLru, "local_lru"},
+};
+
+/// In what order requests that wait for a target go.
+enum class QueuePolicy { Fair, FirstCome };
+
+inline constexpr std::pair<QueuePolicy, std::string_view> QueuePolicyNames[] = {
+    {QueuePolicy::Fair, "fair"},
+    {QueuePolicy::FirstCome, "first_come"},
+};
+
+/// How targets are owned, and how requests wait for them.
+struct PlacementSettings {
+  PlacementPolicy Policy_ = PlacementPolicy::Owners;
+  QueuePolicy Queue_ = QueuePolicy::Fair;
+  /// How long the ownership of targets lasts without renewal.
+  std::int64_t LeaseTermMs_ = 6000;
+  /// What its holder stops early and others wait longer.
+  std::int64_t LeaseMarginMs_ = 500;
+  std::int64_t QueueLength_ = 512;
+  std::int64_t QueueLengthPerCustomer_ = 256;
+  std::int64_t InventoryMs_ = 2000;
+  std::int64_t ReportMs_ = 2000;
+  /// A VM that has sent no inventory for so long counts as gone.
+  std::int64_t SilentVmMs_ = 10000;
+  std::int64_t MinResidenceMs_ = 1000;
+  std::int64_t PatienceMs_ = 300;
+  double ChallengeFactor_ = 1.5;
+};
+
 /// How the daemon stops.
 struct ShutdownSettings {
   /// How long new requests are still taken after the VM reports not ready.
@@ -77,6 +113,7 @@
   ConfigSettings Config_;
   TargetSettings Targets_;
   ShutdownSettings Shutdown_;
+  PlacementSettings Placement_;
 };
 
 /// Reads and checks the settings of `anvild`. Every error names the file, the
