Hand targets over between live owners at once

Change: owners yield what they lose; every change of owner within the longest wait counts; a VM that comes new watches the row for a term before it joins; requests wait up to 3 s for an owner that is getting ready.

--- a/Source/Placement/OwnerLease.cpp
+++ b/Source/Placement/OwnerLease.cpp
@@ -152,6 +152,8 @@
   // A generation that went back would mean that the table lost the row.
   if (Version < RowVersion_ || Row.Generation_ < Row_.Generation_)
     return;
+  if (RowVersion_ == 0)
+    FirstSeenAt_ = Now;
   RowVersion_ = Version;
   observe(Row, Now);
   if (Row.Generation_ != Row_.Generation_) {
@@ -167,10 +169,11 @@
 }
 
 void OwnerLease::yielded(const std::string &From,
+                         const std::string &Incarnation,
                          const std::vector<std::string> &Targets,
                          std::uint64_t Generation) {
   for (const std::string &Target : Targets)
-    Yielded_[From + "/" + Target] = Generation;
+    Yielded_[From + "/" + Incarnation + "/" + Target] = Generation;
 }
 
 TimePoint OwnerLease::waitAfter(const Change &Seen, const std::string &Target,
@@ -184,7 +187,8 @@
   const LeaseHolder *Last = Seen.Before_.ownerOf(Target);
   if (!Last)
     return Seen.SeenAt_ + Orders;
-  auto Said = Yielded_.find(Last->Vm_ + "/" + Target);
+  auto Said =
+      Yielded_.find(Last->Vm_ + "/" + Last->Incarnation_ + "/" + Target);
   if (Said != Yielded_.end() && Said->second >= Seen.After_.Generation_)
     return Seen.SeenAt_;
   const LeaseHolder *Still = Seen.After_.find(Last->Vm_);
@@ -201,12 +205,19 @@
 
 TimePoint OwnerLease::readyAt(const std::string &Target,
                               bool ChecksFencing) const {
-  for (auto Seen = Changes_.rbegin(); Seen != Changes_.rend(); ++Seen) {
-    bool WasMine = isSelf(Seen->Before_.ownerOf(Target));
-    if (!WasMine || !Seen->IsNext_)
-      return waitAfter(*Seen, Target, ChecksFencing);
+  // An owner between may never have got ready itself, so every change of the
+  // recent past counts, not only the last.
+  TimePoint Ready = TimePoint::min();
+  for (const Change &Seen : Changes_) {
+    const LeaseHolder *Before = Seen.Before_.ownerOf(Target);
+    const LeaseHolder *After = Seen.After_.ownerOf(Target);
+    bool IsSame = Seen.IsNext_ && Before && After &&
+                  Before->Vm_ == After->Vm_ &&
+                  Before->Incarnation_ == After->Incarnation_;
+    if (!IsSame)
+      Ready = std::max(Ready, waitAfter(Seen, Target, ChecksFencing));
   }
-  return TimePoint::min();
+  return Ready;
 }
 
 bool OwnerLease::mayOrder(const std::string &Target, bool ChecksFencing,
@@ -221,6 +232,12 @@
   ClaimsSent_.clear();
 }
 
+bool OwnerLease::mayJoin(TimePoint Now) const {
+  if (RowVersion_ == 0 || isSelf(Row_.find(Vm_)) || Row_.Holders_.empty())
+    return true;
+  return Now - FirstSeenAt_ > Terms_.Term_ + Terms_.Margin_;
+}
+
 bool OwnerLease::owns(const std::string &Target) const {
   return isSelf(Row_.ownerOf(Target));
 }
--- a/Source/Placement/OwnerLease.h
+++ b/Source/Placement/OwnerLease.h
@@ -66,6 +66,10 @@
 public:
   OwnerLease(LeaseTerms Terms, std::string Vm, std::string Incarnation);
 
+  /// Whether it is time to claim. A VM that comes new watches the row for a
+  /// term first, so that it knows who ordered what it gets.
+  bool mayJoin(TimePoint Now) const;
+
   /// A new claim, which leaves now. The lease it brings counts from now.
   LeaseClaim claim(TimePoint Now);
 
@@ -83,7 +87,8 @@
 
   /// The previous owner says that it gives no more orders for these targets as
   /// of that generation, and that none is in flight.
-  void yielded(const std::string &From, const std::vector<std::string> &Targets,
+  void yielded(const std::string &From, const std::string &Incarnation,
+               const std::vector<std::string> &Targets,
                std::uint64_t Generation);
 
   /// Whether the holder may order and grant for the target now.
@@ -131,6 +136,7 @@
   std::string Incarnation_;
   LeaseRow Row_;
   std::uint64_t RowVersion_ = 0;
+  TimePoint FirstSeenAt_{};
   std::uint64_t LastClaim_ = 0;
   std::map<std::uint64_t, TimePoint> ClaimsSent_;
   std::optional<TimePoint> LeaseEnd_;
--- a/Source/Placement/OwnerPermitBroker.cpp
+++ b/Source/Placement/OwnerPermitBroker.cpp
@@ -2,6 +2,10 @@
 
 #include "Membership/Rendezvous.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -19,14 +23,20 @@
 /// How often a request follows the owner's name from VM to VM.
 static constexpr int MostRedirects = 3;
 
+/// How long a request waits for a new owner to get ready, and how often it
+/// asks meanwhile.
+static constexpr Duration LongestOwnerWait = std::chrono::seconds(3);
+static constexpr Duration OwnerWaitStep = std::chrono::milliseconds(100);
+
 /// How long an owner of another data centre still gets inventories.
 static constexpr Duration FarOwnerTime = std::chrono::seconds(60);
 
-OwnerPermitBroker::OwnerPermitBroker(const DaemonSettings &Settings,
+OwnerPermitBroker::OwnerPermitBroker(asio::any_io_executor Executor,
+                                     const DaemonSettings &Settings,
                                      TimerService &Timers,
                                      std::string Incarnation,
                                      const ServiceRegistry &Services)
-    : Settings_(Settings), Timers_(Timers),
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
       Incarnation_(std::move(Incarnation)),
       Members_(Services.require<MembershipService>(MembershipService::Name)),
       Network_(Services.require<PeerNetwork>(PeerNetwork::Name)),
@@ -182,6 +192,7 @@
   Made.Address_ = {Where.Address_, static_cast<std::uint16_t>(Where.Port_)};
   Made.Adapter_ = Request.Adapter_;
   std::string Owner = firstOwner(Where);
+  TimePoint Began = BootClock::now();
   int Redirects = 0;
   while (!Owner.empty()) {
     TimePoint Now = BootClock::now();
@@ -215,26 +226,48 @@
     if (Reply.answer() == PermitAnswer::Waiting)
       continue;
     // The VM named as the owner may itself not be ready to order yet.
-    if (Reply.Owner_ == Owner || ++Redirects > MostRedirects)
+    bool IsReadySoon = Reply.Owner_ == Owner;
+    if (IsReadySoon && !co_await waitForOwner(Request, Where, Began))
+      break;
+    if (!IsReadySoon && ++Redirects > MostRedirects)
       break;
     Owner = Reply.Owner_;
   }
   co_return withoutOwner(Request, Where, std::move(Made));
 }
 
+bool OwnerPermitBroker::isResident(const RequestContext &Request,
+                                   const Target &Where) const {
+  const TargetReport *Known = Directory_->find(Where.Name_);
+  return Known && Known->Reachable_ &&
+         Known->Resident_.count(Request.Adapter_.text()) > 0;
+}
+
+asio::awaitable<bool>
+OwnerPermitBroker::waitForOwner(const RequestContext &Request,
+                                const Target &Where, TimePoint Since) {
+  TimePoint Now = BootClock::now();
+  bool IsOver = Now - Since >= LongestOwnerWait ||
+                Now + OwnerWaitStep >= Request.Deadline_;
+  if (IsOver || isResident(Request, Where))
+    co_return false;
+  asio::steady_timer Timer(Executor_, OwnerWaitStep);
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  co_return true;
+}
+
 Outcome<Permit> OwnerPermitBroker::withoutOwner(const RequestContext &Request,
                                                 const Target &Where,
                                                 Permit Made) {
-  const TargetReport *Known = Directory_->find(Where.Name_);
-  bool IsResident = Known && Known->Reachable_ &&
-                    Known->Resident_.count(Request.Adapter_.text()) > 0;
+  bool IsResident = isResident(Request, Where);
   Metrics_->count("anvil_permits_without_owner_total",
                   {{"result", IsResident ? "granted" : "refused"}});
   if (!IsResident)
     return Refusal{RefusalCode::AdapterUnavailable,
                    "the target has no owner now and the adapter is not loaded",
                    Execution::No, NoOwnerRetry};
-  Made.Incarnation_ = Known->Incarnation_;
+  Made.Incarnation_ = Directory_->find(Where.Name_)->Incarnation_;
   return Made;
 }
 
--- a/Source/Placement/OwnerPermitBroker.h
+++ b/Source/Placement/OwnerPermitBroker.h
@@ -15,7 +15,8 @@
 /// can be reached it lets requests go to adapters known to be resident.
 class OwnerPermitBroker : public PermitBroker, public HandOver {
 public:
-  OwnerPermitBroker(const DaemonSettings &Settings, TimerService &Timers,
+  OwnerPermitBroker(boost::asio::any_io_executor Executor,
+                    const DaemonSettings &Settings, TimerService &Timers,
                     std::string Incarnation, const ServiceRegistry &Services);
 
   std::vector<std::string> dependencies() const override;
@@ -40,6 +41,11 @@
                 std::uint64_t Id);
   boost::asio::awaitable<Result<PermitReplyMessage>>
   ask(std::string Owner, PermitRequestMessage Given);
+  /// Pauses while a new owner gets ready; false when it is not worth it.
+  boost::asio::awaitable<bool> waitForOwner(const RequestContext &Request,
+                                            const Target &Where,
+                                            TimePoint Since);
+  bool isResident(const RequestContext &Request, const Target &Where) const;
   Outcome<Permit> withoutOwner(const RequestContext &Request,
                                const Target &Where, Permit Made);
   std::string firstOwner(const Target &Where) const;
@@ -48,6 +54,7 @@
   PermitInventoryMessage inventory() const;
   void sendInventories(TimePoint Now);
 
+  boost::asio::any_io_executor Executor_;
   const DaemonSettings &Settings_;
   TimerService &Timers_;
   std::string Incarnation_;
--- a/Source/Placement/OwnershipService.cpp
+++ b/Source/Placement/OwnershipService.cpp
@@ -43,7 +43,8 @@
     : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
       Platform_(std::move(Platform)), Members_(std::move(Members)),
       Network_(std::move(Network)), Counts_(std::move(Counts)),
-      Lease_(termsOf(Settings), Settings.Vm_, std::move(Incarnation)) {}
+      Incarnation_(std::move(Incarnation)),
+      Lease_(termsOf(Settings), Settings.Vm_, Incarnation_) {}
 
 std::vector<std::string> OwnershipService::dependencies() const {
   return {std::string(MembershipService::Name)};
@@ -62,7 +63,8 @@
   listenToPeers<OwnershipHandoverMessage>(
       *Network_,
       [this](const std::string &From, const OwnershipHandoverMessage &Given) {
-        Lease_.yielded(From, Given.Targets_, Given.Generation_);
+        Lease_.yielded(From, Given.Incarnation_, Given.Targets_,
+                       Given.Generation_);
         adopt(Given.Row_, Given.Version_);
       });
   Duration Period =
@@ -98,6 +100,16 @@
 asio::awaitable<void> OwnershipService::renew() {
   if (GivenUp_ || std::exchange(Renewing_, true))
     co_return;
+  bool MayJoin = HasRead_ && Lease_.mayJoin(BootClock::now());
+  if (!MayJoin) {
+    bool WasRead = co_await readBack();
+    HasRead_ |= WasRead;
+    MayJoin = HasRead_ && Lease_.mayJoin(BootClock::now());
+  }
+  if (!MayJoin) {
+    Renewing_ = false;
+    co_return;
+  }
   LeaseClaim Claim = Lease_.claim(BootClock::now());
   std::string Writer = writer();
   bool IsDone = false;
@@ -165,7 +177,14 @@
     CommitOutcome Ended = co_await Platform_->commit(std::move(Change));
     Counts_->count("anvil_lease_writes_total");
     if (Ended.Result_ == CommitResult::Committed) {
-      adopt(encodeLeaseRow(Next), Ended.Version_);
+      bool HolderChanged = Next.Generation_ != Lease_.fencing();
+      OwnershipHandoverMessage Notice;
+      Notice.Row_ = encodeLeaseRow(Next);
+      Notice.Version_ = Ended.Version_;
+      adopt(Notice.Row_, Notice.Version_);
+      // Those who lose or gain targets need not wait for their next renewal.
+      if (HolderChanged)
+        tellHolders(Notice);
       co_return true;
     }
     if (Ended.Result_ == CommitResult::Unavailable)
@@ -185,6 +204,19 @@
   co_return false;
 }
 
+void OwnershipService::tellHolders(const OwnershipHandoverMessage &Notice) {
+  for (const std::string &Vm : Members_->liveIn(Settings_.DataCentre_))
+    if (Vm != Settings_.Vm_)
+      notifyPeer(*Network_, Vm, Notice);
+}
+
+void OwnershipService::yield(std::vector<std::string> Targets) {
+  OwnershipHandoverMessage Notice{encodeLeaseRow(Lease_.row()), Version_,
+                                  Lease_.fencing(), Incarnation_,
+                                  std::move(Targets)};
+  tellHolders(Notice);
+}
+
 asio::awaitable<void> OwnershipService::giveUp(std::vector<std::string> Idle) {
   GivenUp_ = true;
   Lease_.stop();
@@ -198,10 +230,8 @@
     CommitOutcome Ended = co_await Platform_->commit(std::move(Change));
     if (Ended.Result_ == CommitResult::Committed) {
       OwnershipHandoverMessage Notice{Text, Ended.Version_, Next.Generation_,
-                                      std::move(Idle)};
-      for (const std::string &Vm : Members_->liveIn(Settings_.DataCentre_))
-        if (Vm != Settings_.Vm_)
-          notifyPeer(*Network_, Vm, Notice);
+                                      Incarnation_, std::move(Idle)};
+      tellHolders(Notice);
       co_return;
     }
     // Without the platform the lease lapses by itself.
--- a/Source/Placement/OwnershipService.h
+++ b/Source/Placement/OwnershipService.h
@@ -43,6 +43,10 @@
   /// order in flight.
   boost::asio::awaitable<void> giveUp(std::vector<std::string> Idle);
 
+  /// Tells the others that this VM gives no more orders for targets that the
+  /// row gives to others, and has none in flight.
+  void yield(std::vector<std::string> Targets);
+
   /// Called after the row known here has changed.
   Hook<> Changed_;
 
@@ -52,6 +56,7 @@
   boost::asio::awaitable<bool> write(std::vector<LeaseClaim> Claims);
   boost::asio::awaitable<bool> readBack();
   void adopt(const std::string &Text, std::uint64_t Version);
+  void tellHolders(const OwnershipHandoverMessage &Notice);
   std::string rowKey() const { return "owners/" + Settings_.DataCentre_; }
   std::string writer() const;
 
@@ -62,12 +67,14 @@
   std::shared_ptr<MembershipService> Members_;
   std::shared_ptr<PeerNetwork> Network_;
   std::shared_ptr<Metrics> Counts_;
+  std::string Incarnation_;
   OwnerLease Lease_;
   std::uint64_t Version_ = 0;
   /// Claims for the next write, and the timer that those who wait for it share.
   std::vector<LeaseClaim> Claims_;
   std::shared_ptr<boost::asio::steady_timer> Batch_;
   bool Renewing_ = false;
+  bool HasRead_ = false;
   bool GivenUp_ = false;
   TimerService::Subscription Period_;
 };
--- a/Source/Placement/PermitMessages.h
+++ b/Source/Placement/PermitMessages.h
@@ -142,9 +142,10 @@
   std::string Row_;
   std::uint64_t Version_ = 0;
   std::uint64_t Generation_ = 0;
+  std::string Incarnation_;
   /// Those without an order in flight.
   std::vector<std::string> Targets_;
-  MSGPACK_DEFINE(Row_, Version_, Generation_, Targets_)
+  MSGPACK_DEFINE(Row_, Version_, Generation_, Incarnation_, Targets_)
 };
 
 /// Asks a holder of the weight store's budget to start or end a load.
--- a/Source/Placement/TargetOwnerService.cpp
+++ b/Source/Placement/TargetOwnerService.cpp
@@ -162,9 +162,16 @@
     MineGeneration_ = Lease.fencing();
   }
   auto Before = Owned_;
-  for (const auto &[TargetName, Entry] : Before)
-    if (!Targets.count(TargetName) || !mayOrder(*Entry))
-      drop(Entry);
+  std::vector<std::string> Yielded;
+  for (const auto &[TargetName, Entry] : Before) {
+    if (Targets.count(TargetName) && mayOrder(*Entry))
+      continue;
+    drop(Entry);
+    if (!Lease.owns(TargetName) && !Entry->Core_.hasOrderInFlight())
+      Yielded.push_back(TargetName);
+  }
+  if (!Yielded.empty())
+    Ownership_->yield(std::move(Yielded));
   for (const std::string &TargetName : Mine_) {
     const Target &Known = Targets.at(TargetName);
     auto Found = Owned_.find(TargetName);
@@ -283,8 +290,12 @@
 asio::awaitable<PermitReplyMessage>
 TargetOwnerService::answer(PermitRequestMessage Request) {
   auto Found = Owned_.find(Request.Target_);
-  if (Found == Owned_.end() || !mayOrder(*Found->second))
-    co_return notOwner(Ownership_->lease().ownerOf(Request.Target_));
+  if (Found == Owned_.end() || !mayOrder(*Found->second)) {
+    const OwnerLease &Lease = Ownership_->lease();
+    // An owner that will not be ready soon names nobody.
+    bool IsStuck = Lease.owns(Request.Target_) && !Lease.leaseEnd();
+    co_return notOwner(IsStuck ? "" : Lease.ownerOf(Request.Target_));
+  }
   OwnedPtr Entry = Found->second;
   QueuedRequest Queued = queuedFrom(Request, BootClock::now());
   PermitKey Key = Queued.Key_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -110,8 +110,8 @@
       std::make_shared<StoreGate>(Settings_, Timers_, State, Members, Network));
   Services_.add(std::make_shared<TargetOwnerService>(
       Loop_.get_executor(), Settings_, Timers_, Services_));
-  Services_.add(std::make_shared<OwnerPermitBroker>(Settings_, Timers_,
-                                                    Incarnation_, Services_));
+  Services_.add(std::make_shared<OwnerPermitBroker>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_, Services_));
   // Owners report; what they don't reach is polled slowly.
   Monitor.onlyWhenOlderThan(
       3 * std::chrono::milliseconds(Settings_.Placement_.ReportMs_));
--- a/Tests/Property/PlacementLeaseProperty.cpp
+++ b/Tests/Property/PlacementLeaseProperty.cpp
@@ -14,8 +14,8 @@
 /// One VM with a clock that runs at its own rate.
 struct SimulatedVm {
   SimulatedVm(std::string Vm, int Life, double Rate, Duration Offset)
-      : Name_(std::move(Vm)), Rate_(Rate), Offset_(Offset),
-        Lease_({}, Name_, std::to_string(Life)) {}
+      : Name_(std::move(Vm)), Life_(std::to_string(Life)), Rate_(Rate),
+        Offset_(Offset), Lease_({}, Name_, Life_) {}
 
   TimePoint local(Duration Real) const {
     auto Passed =
@@ -24,6 +24,7 @@
   }
 
   std::string Name_;
+  std::string Life_;
   double Rate_;
   Duration Offset_;
   OwnerLease Lease_;
@@ -55,7 +56,8 @@
     TimePoint Now = Vm.local(Real_);
     Vm.Lease_.adopt(Row_, Version_, Now);
     auto Claims = Extra;
-    Claims.push_back(Vm.Lease_.claim(Now));
+    if (Vm.Lease_.mayJoin(Now))
+      Claims.push_back(Vm.Lease_.claim(Now));
     Duration Delay(*rc::gen::inRange(0, 1500) * 1000);
     Vm.Write_ = {Vm.Lease_.renewed(Row_, Claims, Now), Version_, Real_ + Delay};
   }
@@ -71,6 +73,24 @@
       Vm.Lease_.adopt(Row_, Version_, Vm.local(Real_));
   }
 
+  /// Says truly that it orders nothing for targets of others; some hear it.
+  void yield(SimulatedVm &Vm) {
+    for (const std::string &Target : TargetNames) {
+      const auto &[By, Until] = Orders_[Target];
+      bool IsInFlight = By == lifeOf(Vm) && Until > Real_;
+      if (Vm.Lease_.owns(Target) || IsInFlight)
+        continue;
+      for (SimulatedVm &Other : Vms_)
+        if (*rc::gen::inRange(0, 3) > 0)
+          Other.Lease_.yielded(Vm.Name_, Vm.Life_, {Target},
+                               Vm.Lease_.fencing());
+    }
+  }
+
+  static std::string lifeOf(const SimulatedVm &Vm) {
+    return Vm.Name_ + "/" + Vm.Life_;
+  }
+
   /// Whoever believes that it may order does so.
   void order() {
     for (const std::string &Target : TargetNames) {
@@ -80,8 +100,7 @@
         Owners += Vm.Lease_.mayOrder(Target, true, Now);
         if (!Vm.Lease_.mayOrder(Target, false, Now))
           continue;
-        std::string Life =
-            Vm.Name_ + Vm.Lease_.row().find(Vm.Name_)->Incarnation_;
+        std::string Life = lifeOf(Vm);
         auto &[By, Until] = Orders_[Target];
         RC_ASSERT(By.empty() || By == Life || Until <= Real_);
         By = Life;
@@ -107,7 +126,7 @@
                auto Index = *rc::gen::inRange<std::size_t>(0, 3);
                SimulatedVm &Vm = Centre.Vms_[Index];
                switch (*rc::gen::weightedElement<int>(
-                   {{20, 0}, {1, 1}, {1, 2}, {3, 3}, {1, 4}, {3, 5}})) {
+                   {{20, 0}, {1, 1}, {1, 2}, {3, 3}, {1, 4}, {6, 6}})) {
                case 1:
                  Vm.PausedUntil_ = Centre.Real_ + *rc::gen::inRange(1, 30) * 1s;
                  break;
@@ -122,6 +141,9 @@
                  Vm.Write_ = {Vm.Lease_.withoutSelf(Centre.Row_),
                               Centre.Version_, Centre.Real_};
                  break;
+               case 6:
+                 Centre.yield(Vm);
+                 break;
                default:
                  if (!Vm.Write_ && Vm.PausedUntil_ <= Centre.Real_)
                    Centre.prepare(Vm, std::exchange(Sent, {}));
