--- a/Source/Placement/OwnerLease.cpp
+++ b/Source/Placement/OwnerLease.cpp
@@ -242,6 +242,12 @@
   return isSelf(Row_.ownerOf(Target));
 }
 
+std::string OwnerLease::successorOf(const std::string &Target) const {
+  LeaseRow Others = withoutSelf(Row_);
+  const LeaseHolder *Known = Others.ownerOf(Target);
+  return Known ? Known->Vm_ : "";
+}
+
 std::string OwnerLease::ownerOf(const std::string &Target) const {
   const LeaseHolder *Known = Row_.ownerOf(Target);
   return Known ? Known->Vm_ : "";
--- a/Source/Placement/OwnerLease.h
+++ b/Source/Placement/OwnerLease.h
@@ -101,6 +101,10 @@
   /// The owner of the target by the row; empty when there is none.
   std::string ownerOf(const std::string &Target) const;
 
+  /// The owner of the target when this VM is left out; empty when there is
+  /// none.
+  std::string successorOf(const std::string &Target) const;
+
   /// Gives up everything at once.
   void stop();
 
--- a/Source/Placement/OwnerPermitBroker.cpp
+++ b/Source/Placement/OwnerPermitBroker.cpp
@@ -226,12 +226,16 @@
     if (Reply.answer() == PermitAnswer::Waiting)
       continue;
     // The VM named as the owner may itself not be ready to order yet.
-    bool IsReadySoon = Reply.Owner_ == Owner;
-    if (IsReadySoon && !co_await waitForOwner(Request, Where, Began))
+    if (Reply.Owner_.empty())
       break;
-    if (!IsReadySoon && ++Redirects > MostRedirects)
+    if (Reply.Owner_ != Owner && ++Redirects <= MostRedirects) {
+      Owner = Reply.Owner_;
+      continue;
+    }
+    bool MayWait = co_await waitForOwner(Request, Where, Began);
+    if (!MayWait)
       break;
-    Owner = Reply.Owner_;
+    Owner = firstOwner(Where);
   }
   co_return withoutOwner(Request, Where, std::move(Made));
 }
--- a/Source/Placement/OwnershipService.cpp
+++ b/Source/Placement/OwnershipService.cpp
@@ -32,6 +32,9 @@
   return Terms;
 }
 
+OwnershipService::Batch::Batch(const asio::any_io_executor &Executor)
+    : Done_(Executor, asio::steady_timer::time_point::max()) {}
+
 OwnershipService::OwnershipService(asio::any_io_executor Executor,
                                    const DaemonSettings &Settings,
                                    TimerService &Timers,
@@ -138,24 +141,24 @@
   Claims_.push_back(std::move(Claim));
   boost::system::error_code Ignored;
   LeaseRowMessage Reply;
-  if (Batch_) {
-    auto Shared = Batch_;
-    co_await Shared->async_wait(
+  auto Shared = Batch_;
+  if (Shared) {
+    co_await Shared->Done_.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
   } else {
     // A VM without a lease waits for nobody.
     asio::steady_timer Collect(Executor_,
                                Lease_.leaseEnd() ? BatchTime : Duration{0});
-    Batch_ = std::make_shared<asio::steady_timer>(
-        Executor_, asio::steady_timer::time_point::max());
+    Shared = std::make_shared<Batch>(Executor_);
+    Batch_ = Shared;
     co_await Collect.async_wait(
         asio::redirect_error(asio::use_awaitable, Ignored));
-    auto Shared = std::exchange(Batch_, nullptr);
-    co_await write(std::exchange(Claims_, {}));
-    Shared->cancel();
+    Batch_.reset();
+    Shared->Written_ = co_await write(std::exchange(Claims_, {}));
+    Shared->Done_.cancel();
   }
   Reply.Row_ = encodeLeaseRow(Lease_.row());
-  Reply.Version_ = Version_;
+  Reply.Version_ = Shared->Written_ ? Version_ : 0;
   co_return Reply;
 }
 
@@ -232,6 +235,7 @@
       OwnershipHandoverMessage Notice{Text, Ended.Version_, Next.Generation_,
                                       Incarnation_, std::move(Idle)};
       tellHolders(Notice);
+      adopt(Text, Ended.Version_);
       co_return;
     }
     // Without the platform the lease lapses by itself.
--- a/Source/Placement/OwnershipService.h
+++ b/Source/Placement/OwnershipService.h
@@ -39,6 +39,9 @@
 
   const OwnerLease &lease() const { return Lease_; }
 
+  /// Whether this VM has given its lease up for good.
+  bool hasGivenUp() const { return GivenUp_; }
+
   /// Gives the lease up and tells the others. `Idle` are the targets without an
   /// order in flight.
   boost::asio::awaitable<void> giveUp(std::vector<std::string> Idle);
@@ -51,6 +54,13 @@
   Hook<> Changed_;
 
 private:
+  /// Renewals that are written together.
+  struct Batch {
+    explicit Batch(const boost::asio::any_io_executor &Executor);
+    boost::asio::steady_timer Done_;
+    bool Written_ = false;
+  };
+
   boost::asio::awaitable<void> renew();
   boost::asio::awaitable<LeaseRowMessage> writeWithOthers(LeaseClaim Claim);
   boost::asio::awaitable<bool> write(std::vector<LeaseClaim> Claims);
@@ -70,9 +80,9 @@
   std::string Incarnation_;
   OwnerLease Lease_;
   std::uint64_t Version_ = 0;
-  /// Claims for the next write, and the timer that those who wait for it share.
+  /// Claims for the next write, and what those who wait for it share.
   std::vector<LeaseClaim> Claims_;
-  std::shared_ptr<boost::asio::steady_timer> Batch_;
+  std::shared_ptr<Batch> Batch_;
   bool Renewing_ = false;
   bool HasRead_ = false;
   bool GivenUp_ = false;
--- a/Source/Placement/TargetOwnerOrders.cpp
+++ b/Source/Placement/TargetOwnerOrders.cpp
@@ -10,6 +10,9 @@
 /// Brief reports between two full ones.
 static constexpr int BriefReportsPerFull = 10;
 
+/// How long after a no the weight store's budget is asked again.
+static constexpr Duration StoreAskPeriod = std::chrono::milliseconds(100);
+
 TargetOwnerService::OwnedPtr TargetOwnerService::bestWish(TimePoint Now) const {
   OwnedPtr Best;
   std::optional<LoadWish> BestWish;
@@ -26,8 +29,11 @@
 asio::awaitable<void> TargetOwnerService::startLoads() {
   while (bestWish(BootClock::now())) {
     std::string LoadName = Settings_.Vm_ + "/" + std::to_string(NextLoad_++);
-    if (!co_await StoreStart_(LoadName))
+    bool IsAllowed = co_await StoreStart_(LoadName);
+    if (!IsAllowed) {
+      StoreAgainAt_ = BootClock::now() + StoreAskPeriod;
       break;
+    }
     // The asking took time: the lease and the wishes may have changed.
     TimePoint Now = BootClock::now();
     OwnedPtr Entry = bestWish(Now);
--- a/Source/Placement/TargetOwnerService.cpp
+++ b/Source/Placement/TargetOwnerService.cpp
@@ -139,7 +139,10 @@
   Entry->Dropped_ = true;
   Owned_.erase(Entry->Name_);
   for (const auto &[Key, Waiting] : Entry->Waiters_) {
-    Waiting->Reply_ = notOwner(Ownership_->lease().ownerOf(Entry->Name_));
+    const OwnerLease &Lease = Ownership_->lease();
+    Waiting->Reply_ =
+        notOwner(Ownership_->hasGivenUp() ? Lease.successorOf(Entry->Name_)
+                                          : Lease.ownerOf(Entry->Name_));
     Waiting->Timer_.cancel();
   }
   Entry->Waiters_.clear();
@@ -215,7 +218,7 @@
   TimePoint Now = BootClock::now();
   for (OwnerAction &Action : Entry->Core_.advance(Now))
     carryOut(Entry, Action);
-  if (!Starting_ && Entry->Core_.loadWish(Now)) {
+  if (!Starting_ && Now >= StoreAgainAt_ && Entry->Core_.loadWish(Now)) {
     Starting_ = true;
     spawn(Executor_, startLoads());
   }
@@ -292,6 +295,8 @@
   auto Found = Owned_.find(Request.Target_);
   if (Found == Owned_.end() || !mayOrder(*Found->second)) {
     const OwnerLease &Lease = Ownership_->lease();
+    if (Ownership_->hasGivenUp())
+      co_return notOwner(Lease.successorOf(Request.Target_));
     // An owner that will not be ready soon names nobody.
     bool IsStuck = Lease.owns(Request.Target_) && !Lease.leaseEnd();
     co_return notOwner(IsStuck ? "" : Lease.ownerOf(Request.Target_));
--- a/Source/Placement/TargetOwnerService.h
+++ b/Source/Placement/TargetOwnerService.h
@@ -123,6 +123,8 @@
   std::map<std::string, TimePoint> HeardAt_;
   std::uint64_t NextLoad_ = 1;
   bool Starting_ = false;
+  /// When the weight store's budget is asked again after a no.
+  TimePoint StoreAgainAt_{};
   TimerService::Subscription Tick_;
   TimerService::Subscription Poll_;
 };
