--- a/Source/Placement/OwnershipService.cpp
+++ b/Source/Placement/OwnershipService.cpp
@@ -80,8 +80,9 @@
 }
 
 std::string OwnershipService::writer() const {
-  return rendezvousOrder(rowKey(), Members_->liveIn(Settings_.DataCentre_))
-      .front();
+  auto Order =
+      rendezvousOrder(rowKey(), Members_->liveIn(Settings_.DataCentre_));
+  return Order.empty() ? Settings_.Vm_ : Order.front();
 }
 
 void OwnershipService::adopt(const std::string &Text, std::uint64_t Version) {
--- a/Source/Placement/TargetOwnerService.cpp
+++ b/Source/Placement/TargetOwnerService.cpp
@@ -188,15 +188,14 @@
 
 void TargetOwnerService::dropSilentVms(Owned &Entry, TimePoint Now) {
   Duration Bound = std::chrono::milliseconds(Settings_.Placement_.SilentVmMs_);
-  // The list lags, so a VM that is not in it may have come just now.
-  Duration UnlistedBound =
+  // A VM that does not count as alive may have come just now.
+  Duration DeadBound =
       3 * std::chrono::milliseconds(Settings_.Placement_.InventoryMs_);
   for (const std::string &Vm : Entry.Core_.vmsInvolved()) {
     if (Vm == Settings_.Vm_)
       continue;
     TimePoint Heard = std::max(HeardAt_[Vm], Entry.Began_);
-    bool IsListed = Members_->members().count(Vm) > 0;
-    if (Now - Heard > (IsListed ? Bound : UnlistedBound))
+    if (Now - Heard > (Members_->isAlive(Vm) ? Bound : DeadBound))
       Entry.Core_.vmGone(Vm, Now);
   }
 }
