Start whole systems of real processes in tests, with faults on every link

Cause: the promises have to be shown with real processes under failure, and nothing could start and disturb a whole system.

--- /dev/null
+++ b/Tests/Integration/Fleet.cpp
@@ -0,0 +1,341 @@
+#include "Integration/Fleet.h"
+
+#include "Objects/Digest.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace anvil {
+
+using nlohmann::json;
+
+Fleet::Fleet(FleetPlan Plan) : Plan_(std::move(Plan)) {
+  std::string Template =
+      std::filesystem::temp_directory_path() / "anvil-test-XXXXXX";
+  Directory_ = ::mkdtemp(Template.data());
+  startStandins();
+  startProxy();
+  for (const Placed &Vm : Plan_.Vms_)
+    startVm(Vm.Name_);
+  publishSet();
+}
+
+Fleet::~Fleet() {
+  for (auto &[Name, Running] : Processes_)
+    if (Running->diedByItself()) {
+      UNSCOPED_INFO(Running->log());
+      FAIL_CHECK(Name << " ended by itself");
+    }
+  Processes_.clear();
+  std::error_code Ignored;
+  if (!std::getenv("ANVIL_KEEP_LOGS"))
+    std::filesystem::remove_all(Directory_, Ignored);
+}
+
+void Fleet::startStandins() {
+  auto Start = [this](const std::string &Name,
+                      std::vector<std::string> Arguments) {
+    Processes_[Name] = std::make_unique<Process>(
+        ANVIL_STANDIN, std::move(Arguments), Directory_, Name);
+  };
+  Start("platform", {"--kind", "platform"});
+  Start("service", {"--kind", "service"});
+  for (const Placed &Engine : Plan_.Engines_) {
+    std::vector<std::string> Arguments{"--kind", "engine"};
+    Arguments.insert(Arguments.end(), Plan_.EngineOptions_.begin(),
+                     Plan_.EngineOptions_.end());
+    Start(Engine.Name_, std::move(Arguments));
+  }
+}
+
+void Fleet::startProxy() {
+  std::vector<std::string> Links{"service"};
+  for (const Placed &Engine : Plan_.Engines_)
+    Links.push_back(Engine.Name_);
+  for (const Placed &Vm : Plan_.Vms_) {
+    Links.push_back(Vm.Name_ + ">platform");
+    for (const Placed &Peer : Plan_.Vms_)
+      if (Peer.Name_ != Vm.Name_)
+        Links.push_back(Vm.Name_ + ">" + Peer.Name_);
+  }
+  std::vector<std::string> Arguments{"--kind", "proxy"};
+  for (const std::string &Link : Links)
+    Arguments.insert(Arguments.end(), {"--link", Link});
+  Processes_["proxy"] =
+      std::make_unique<Process>(ANVIL_STANDIN, Arguments, Directory_, "proxy");
+  for (const std::string &Link : Links) {
+    std::string To = Link.substr(Link.find('>') + 1);
+    if (Processes_.contains(To))
+      control("proxy",
+              {{"link", Link},
+               {"target", "127.0.0.1:" + std::to_string(at(To).port())}});
+  }
+}
+
+void Fleet::startVm(const std::string &Name) {
+  json Settings{
+      {"vm", Name},
+      {"listen", {{"caller_port", 0}, {"admin_port", 0}, {"peer_port", 0}}},
+      {"shutdown", {{"balancer_notice_ms", 200}}},
+      {"peers", json::array()}};
+  auto Address = [this](const std::string &Link) {
+    return "127.0.0.1:" + std::to_string(at("proxy").port(Link));
+  };
+  Settings["platform"]["address"] = Address(Name + ">platform");
+  for (const Placed &Vm : Plan_.Vms_) {
+    if (Vm.Name_ == Name)
+      Settings["data_centre"] = Vm.DataCentre_;
+    else
+      Settings["peers"].push_back(
+          {{"name", Vm.Name_},
+           {"data_centre", Vm.DataCentre_},
+           {"address", Address(Name + ">" + Vm.Name_)}});
+  }
+  Settings.merge_patch(Plan_.Settings_);
+  std::string Path = Directory_ + "/" + Name + ".json";
+  std::ofstream(Path) << Settings.dump();
+  Processes_[Name] = std::make_unique<Process>(
+      ANVIL_DAEMON, std::vector<std::string>{"--settings", Path}, Directory_,
+      Name);
+  std::string Real = "127.0.0.1:" + std::to_string(at(Name).port("peer"));
+  for (const Placed &Vm : Plan_.Vms_)
+    if (Vm.Name_ != Name)
+      control("proxy", {{"link", Vm.Name_ + ">" + Name}, {"target", Real}});
+  announceVms();
+}
+
+void Fleet::announceVms() {
+  json Vms = json::array();
+  for (const Placed &Vm : Plan_.Vms_)
+    if (Processes_.contains(Vm.Name_))
+      Vms.push_back(
+          {{"name", Vm.Name_},
+           {"data_centre", Vm.DataCentre_},
+           {"address",
+            "127.0.0.1:" + std::to_string(at(Vm.Name_).port("peer"))}});
+  sendJson(at("platform").port(), "PUT", "/vms", {{"vms", Vms}});
+}
+
+json object(const std::string &Kind, const std::string &Name, json Fields) {
+  Fields["kind"] = Kind;
+  Fields["name"] = Name;
+  return Fields;
+}
+
+json keyObject(const std::string &Customer, bool Withdrawn) {
+  return object("key", Customer + "-key",
+                {{"customer", Customer},
+                 {"sha256", sha256Hex("secret-" + Customer)},
+                 {"withdrawn", Withdrawn}});
+}
+
+void Fleet::put(const json &Object) {
+  for (json &Known : Set_)
+    if (Known["kind"] == Object["kind"] && Known["name"] == Object["name"]) {
+      Known.merge_patch(Object);
+      return;
+    }
+  Set_.push_back(Object);
+}
+
+void Fleet::publishSet() {
+  std::set<std::string> DataCentres;
+  for (const Placed &Vm : Plan_.Vms_)
+    DataCentres.insert(Vm.DataCentre_);
+  for (const std::string &Name : DataCentres)
+    put(object("data_centre", Name));
+  for (const char *Customer : {"large", "small"}) {
+    put(object(
+        "customer", Customer,
+        {{"rate_tokens_per_second", 1000000}, {"burst_tokens", 1000000}}));
+    put(keyObject(Customer));
+  }
+  put(object("base_model", "base", {{"max_output_tokens", 100000}}));
+  json Versions{{{"name", "1"}, {"weights", "w/1"}},
+                {{"name", "2"}, {"weights", "w/2"}}};
+  for (const char *Adapter : {"a", "b", "c", "d", "e", "f"})
+    put(object("adapter", Adapter,
+               {{"base_model", "base"},
+                {"versions", Versions},
+                {"current_version", "2"}}));
+  put(object("service", "bookings"));
+  put(object("request_class", "plain"));
+  put(object("route", "models",
+             {{"path_prefix", "/v1"}, {"request_class", "plain"}}));
+  put(object("route", "open",
+             {{"path_prefix", "/open/v1"},
+              {"request_class", "plain"},
+              {"route_kind", "service"},
+              {"service", "bookings"},
+              {"open", true}}));
+  put(object("route", "bookings",
+             {{"path_prefix", "/bookings"},
+              {"route_kind", "service"},
+              {"service", "bookings"},
+              {"request_class", "plain"},
+              {"repeatable", false}}));
+  put(object("weight_store", "store",
+             {{"loads_per_second", 50}, {"concurrent_loads", 8}}));
+  for (const Placed &Engine : Plan_.Engines_) {
+    json Target = object("target", Engine.Name_,
+                         {{"data_centre", Engine.DataCentre_},
+                          {"address", "127.0.0.1"},
+                          {"port", at("proxy").port(Engine.Name_)},
+                          {"base_model", "base"}});
+    Target.merge_patch(Plan_.TargetFields_);
+    put(Target);
+  }
+  put(object("target", "service",
+             {{"data_centre", Plan_.Vms_.front().DataCentre_},
+              {"target_kind", "service"},
+              {"service", "bookings"},
+              {"address", "127.0.0.1"},
+              {"port", at("proxy").port("service")}}));
+  for (const json &Object : Plan_.Objects_)
+    put(Object);
+  Answer Published = apply(Plan_.Vms_.front().Name_, Set_, "initial-set");
+  INFO(Published.Body_);
+  REQUIRE(Published.Status_ == 200);
+  REQUIRE(reached(1, vmNames(), SettleBound));
+  for (const std::string &Vm : vmNames())
+    REQUIRE(eventually(
+        [&] {
+          Call Ready{"GET", "/readyz", {}, ""};
+          return callOnce(at(Vm).port("admin"), Ready).Status_ == 200;
+        },
+        SettleBound));
+}
+
+void Fleet::link(const std::string &Name, const std::string &Mode,
+                 std::int64_t DelayMs) {
+  control("proxy", {{"link", Name}, {"mode", Mode}, {"delay_ms", DelayMs}});
+}
+
+void Fleet::dataCentreLinks(const std::string &DataCentre,
+                            const std::string &Mode) {
+  for (const Placed &From : Plan_.Vms_)
+    for (const Placed &To : Plan_.Vms_)
+      if ((From.DataCentre_ == DataCentre) != (To.DataCentre_ == DataCentre))
+        link(From.Name_ + ">" + To.Name_, Mode);
+}
+
+void Fleet::platformLinks(const std::string &Mode,
+                          const std::string &DataCentre) {
+  for (const Placed &Vm : Plan_.Vms_)
+    if (DataCentre.empty() || Vm.DataCentre_ == DataCentre)
+      link(Vm.Name_ + ">platform", Mode);
+}
+
+void Fleet::control(const std::string &Standin, const json &Change) {
+  std::string Port = Standin == "proxy" ? "admin" : "port";
+  Answer Done = sendJson(at(Standin).port(Port), "POST", "/control", Change);
+  INFO(Standin << " " << Change.dump() << " " << Done.Body_);
+  REQUIRE(Done.Status_ == 200);
+}
+
+json Fleet::records(const std::string &Standin, const std::string &Event) {
+  Answer Given = callOnce(at(Standin).port(), {"GET", "/records", {}, ""});
+  json Found = json::array();
+  for (const json &Entry : Given.json())
+    if (Event.empty() || Entry["event"] == Event)
+      Found.push_back(Entry);
+  return Found;
+}
+
+json Fleet::engineRecords(const std::string &Event) {
+  json Found = json::array();
+  for (const Placed &Engine : Plan_.Engines_)
+    for (const json &Entry : records(Engine.Name_, Event))
+      Found.push_back(Entry);
+  return Found;
+}
+
+Answer Fleet::apply(const std::string &Vm, const json &Objects,
+                    const std::string &SubmitId) {
+  std::string Id =
+      SubmitId.empty() ? "submit-" + std::to_string(++NextSubmit_) : SubmitId;
+  return sendJson(at(Vm).port("admin"), "POST", "/admin/config/apply",
+                  {{"submit_id", Id}, {"put", Objects}});
+}
+
+std::uint64_t Fleet::revision(const std::string &Vm) {
+  Answer Given =
+      callOnce(at(Vm).port("admin"), {"GET", "/admin/config", {}, ""});
+  json Body = Given.json();
+  return Body.is_object() ? Body.value("revision", std::uint64_t(0)) : 0;
+}
+
+bool Fleet::reached(std::uint64_t Revision, const std::vector<std::string> &Vms,
+                    Millis Bound) {
+  return eventually(
+      [&] {
+        return std::ranges::all_of(Vms, [&](const std::string &Vm) {
+          return revision(Vm) >= Revision;
+        });
+      },
+      Bound);
+}
+
+std::vector<std::string> Fleet::vmNames() const {
+  std::vector<std::string> Names;
+  for (const Placed &Vm : Plan_.Vms_)
+    Names.push_back(Vm.Name_);
+  return Names;
+}
+
+Answer Fleet::call(const std::string &Vm, const Call &Request, Millis Bound) {
+  return callOnce(at(Vm).port("caller"), Request, Bound);
+}
+
+Call completion(const std::string &Model, const std::string &Prompt,
+                int MaxTokens, bool Stream, const std::string &Secret) {
+  Call Request{"POST", "/v1/completions", {}, ""};
+  if (!Secret.empty())
+    Request.Headers_.push_back({"Authorization", "Bearer " + Secret});
+  Request.Body_ = json{
+      {"model", Model},
+      {"prompt", Prompt},
+      {"max_tokens", MaxTokens},
+      {"stream",
+       Stream}}.dump();
+  return Request;
+}
+
+Call booking(const std::string &IdempotencyKey, const std::string &Body,
+             const std::string &Secret) {
+  Call Request{"POST", "/bookings/vans", {}, Body};
+  Request.Headers_.push_back({"Authorization", "Bearer " + Secret});
+  if (!IdempotencyKey.empty())
+    Request.Headers_.push_back({"Idempotency-Key", IdempotencyKey});
+  return Request;
+}
+
+std::string words(const std::string &Model, int Count) {
+  std::string Text;
+  for (int Token = 0; Token < Count; ++Token)
+    Text += Model + "#" + std::to_string(Token) + " ";
+  return Text;
+}
+
+std::string streamedText(const std::string &Body) {
+  std::string Text;
+  std::istringstream Lines(Body);
+  for (std::string Line; std::getline(Lines, Line);) {
+    if (!Line.starts_with("data: {"))
+      continue;
+    json Event = json::parse(Line.substr(6), nullptr, false);
+    if (!Event.is_object() || !Event.contains("choices"))
+      continue;
+    for (const json &Choice : Event["choices"])
+      Text += Choice.value("text", "");
+  }
+  return Text;
+}
+
+} // namespace anvil
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -1,5 +1,6 @@
 #include "Programs/ReadyFile.h"
 #include "Standins/EngineStandin.h"
+#include "Standins/FaultProxy.h"
 #include "Standins/PlatformStandin.h"
 #include "Standins/ServiceStandin.h"
 
@@ -12,13 +13,13 @@
 
 namespace options = boost::program_options;
 
-/// Runs a stand-in that listens on a port of its own until a signal ends it.
-template <class Standin>
-static int serve(boost::asio::io_context &Loop, Standin &Server,
-                 const std::string &ReadyPath) {
-  anvil::Status Outcome = Server.listen({"127.0.0.1", 0});
+/// Announces the ports of what has begun to listen and runs it until a signal
+/// ends it.
+static int run(boost::asio::io_context &Loop, anvil::Status Outcome,
+               const std::map<std::string, std::uint16_t> &Ports,
+               const std::string &ReadyPath) {
   if (anvil::isOk(Outcome))
-    Outcome = anvil::writeReadyFile(ReadyPath, {{"port", Server.port()}});
+    Outcome = anvil::writeReadyFile(ReadyPath, Ports);
   if (!anvil::isOk(Outcome)) {
     std::cerr << "anvil-standin: " << anvil::errorOf(Outcome).describe()
               << "\n";
@@ -30,13 +31,21 @@
   return 0;
 }
 
+/// Runs a stand-in on a port of its own.
+template <class Standin>
+static int serve(boost::asio::io_context &Loop, Standin &Server,
+                 const std::string &ReadyPath) {
+  anvil::Status Outcome = Server.listen({"127.0.0.1", 0});
+  return run(Loop, Outcome, {{"port", Server.port()}}, ReadyPath);
+}
+
 int main(int Count, char **Arguments) {
   anvil::EngineBehaviour Behaviour;
   options::options_description Known("Options of anvil-standin");
   auto Add = Known.add_options();
   Add("help", "show this text");
   Add("kind", options::value<std::string>()->required(),
-      "platform, engine or service");
+      "platform, engine, service or proxy");
   Add("ready-file", options::value<std::string>()->required(),
       "write the port in use to this file");
   Add("adapter-slots", options::value(&Behaviour.AdapterSlots_),
@@ -47,6 +56,9 @@
   Add("load-ms", options::value(&Behaviour.LoadMs_), "time of one load");
   Add("checks-fencing", options::value(&Behaviour.ChecksFencing_),
       "whether an engine refuses old fencing numbers");
+  std::vector<std::string> Links;
+  Add("link", options::value(&Links),
+      "name of a link of the proxy; repeatable");
   options::variables_map Given;
   try {
     options::store(options::parse_command_line(Count, Arguments, Known), Given);
@@ -74,6 +86,11 @@
     anvil::ServiceStandin Server(Loop.get_executor());
     return serve(Loop, Server, ReadyPath);
   }
+  if (Kind == "proxy") {
+    anvil::FaultProxy Proxy(Loop.get_executor(), Links);
+    anvil::Status Outcome = Proxy.listen();
+    return run(Loop, Outcome, Proxy.ports(), ReadyPath);
+  }
   std::cerr << "anvil-standin: there is no kind " << Kind << "\n";
   return 2;
 }
