--- a/Tests/Integration/Fleet.cpp
+++ b/Tests/Integration/Fleet.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <set>
 #include <sstream>
 
@@ -293,6 +294,46 @@
   return callOnce(at(Vm).port("caller"), Request, Bound);
 }
 
+std::vector<Answer> callAll(Fleet &System, const std::vector<Sent> &Requests,
+                            Millis Bound) {
+  std::vector<std::future<Answer>> Running;
+  for (const Sent &Next : Requests) {
+    std::uint16_t Port = System.at(Next.Vm_).port("caller");
+    Running.push_back(
+        std::async(std::launch::async, callOnce, Port, Next.Request_, Bound));
+  }
+  std::vector<Answer> Answers;
+  for (auto &Each : Running)
+    Answers.push_back(Each.get());
+  return Answers;
+}
+
+Background::Background(std::function<void()> Step)
+    : Thread_([this, Step = std::move(Step)] {
+        while (!Stop_)
+          Step();
+      }) {}
+
+Background::~Background() {
+  Stop_ = true;
+  Thread_.join();
+}
+
+std::vector<std::string> untrueRefusals(Fleet &System,
+                                        const std::vector<Answer> &Answers) {
+  std::set<std::string> Ran;
+  for (const json &Entry : System.engineRecords("run"))
+    Ran.insert(Entry["request_id"]);
+  for (const json &Entry : System.records("service", "call"))
+    Ran.insert(Entry["headers"].value("x-request-id", ""));
+  std::vector<std::string> Untrue;
+  for (const Answer &Given : Answers)
+    if (Given.problem("ran") == "no" &&
+        Ran.contains(Given.problem("request_id")))
+      Untrue.push_back(Given.Body_);
+  return Untrue;
+}
+
 Call completion(const std::string &Model, const std::string &Prompt,
                 int MaxTokens, bool Stream, const std::string &Secret) {
   Call Request{"POST", "/v1/completions", {}, ""};
--- a/Tests/Integration/Fleet.h
+++ b/Tests/Integration/Fleet.h
@@ -3,7 +3,9 @@
 
 #include "Integration/CallerConnection.h"
 
+#include <atomic>
 #include <memory>
+#include <thread>
 
 namespace anvil {
 
@@ -13,6 +15,9 @@
 /// The time after which a fleet that isn't settled counts as broken.
 inline constexpr Millis SettleBound{20000};
 
+/// Longer than every lease that a VM may hold.
+inline constexpr Millis PauseBeyondLease{8000};
+
 /// A VM or an engine and its data centre.
 struct Placed {
   std::string Name_;
@@ -101,6 +106,31 @@
   int NextSubmit_ = 0;
 };
 
+/// A request and the VM that it goes to.
+struct Sent {
+  std::string Vm_;
+  Call Request_;
+};
+
+/// Sends all requests at once and gives their answers in order.
+std::vector<Answer> callAll(Fleet &System, const std::vector<Sent> &Requests,
+                            Millis Bound = Millis(20000));
+
+/// Runs something again and again beside the test, until destroyed.
+class Background {
+public:
+  explicit Background(std::function<void()> Step);
+  ~Background();
+
+private:
+  std::atomic<bool> Stop_ = false;
+  std::thread Thread_;
+};
+
+/// The refusals that say `not run` although a stand-in ran the request.
+std::vector<std::string> untrueRefusals(Fleet &System,
+                                        const std::vector<Answer> &Answers);
+
 /// A completion of an adapter for the holder of a key.
 Call completion(const std::string &Model, const std::string &Prompt,
                 int MaxTokens, bool Stream = false,
--- /dev/null
+++ b/Tests/Integration/RateTest.cpp
@@ -0,0 +1,147 @@
+#include "Integration/Fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvil;
+using nlohmann::json;
+
+static constexpr double RateTokens = 400;
+static constexpr double BurstTokens = 800;
+
+/// A run is recorded a little after its tokens were charged.
+static constexpr double RecordLagSeconds = 0.25;
+
+/// Tokens that one request of these tests uses: a prompt of four bytes counts
+/// as two.
+static constexpr int OutputTokens = 18;
+static constexpr double RequestTokens = 20;
+
+/// The most tokens above rate and burst that a customer's runs used in any
+/// interval; zero or less is within them.
+static double worstExcess(Fleet &System, const std::string &Customer) {
+  json Runs = json::array();
+  for (const json &Run : System.engineRecords("run"))
+    if (Run["customer"] == Customer)
+      Runs.push_back(Run);
+  std::vector<double> Seconds;
+  for (const json &Run : Runs)
+    Seconds.push_back(Run["at_us"].get<double>() / 1e6);
+  std::ranges::sort(Seconds);
+  double Worst = -BurstTokens;
+  for (std::size_t First = 0; First < Seconds.size(); ++First)
+    for (std::size_t Last = First; Last < Seconds.size(); ++Last) {
+      double Used = static_cast<double>(Last - First + 1) * RequestTokens;
+      double Length = Seconds[Last] - Seconds[First] + RecordLagSeconds;
+      Worst = std::max(Worst, Used - RateTokens * Length - BurstTokens);
+    }
+  return Worst;
+}
+
+/// Sends from a customer through some VMs at a rate of tokens.
+class CustomerLoad {
+public:
+  CustomerLoad(Fleet &System, std::vector<std::string> Vms,
+               const std::string &Customer, double TokensPerSecond) {
+    auto Pause = Millis(static_cast<std::int64_t>(
+        1000 * RequestTokens * static_cast<double>(Vms.size()) /
+        TokensPerSecond));
+    Call Request =
+        completion("a@1", "load", OutputTokens, false, "secret-" + Customer);
+    for (const std::string &Vm : Vms) {
+      std::uint16_t Port = System.at(Vm).port("caller");
+      auto Next = std::make_shared<std::chrono::steady_clock::time_point>(
+          std::chrono::steady_clock::now());
+      Senders_.push_back(std::make_unique<Background>([=, this] {
+        std::this_thread::sleep_until(*Next);
+        *Next += Pause;
+        Answer Given = callOnce(Port, Request, Millis(2000));
+        ++(Given.Status_ == 200 ? Served_ : Refused_);
+      }));
+    }
+  }
+
+  int served() const { return Served_; }
+  int refused() const { return Refused_; }
+
+private:
+  std::atomic<int> Served_ = 0;
+  std::atomic<int> Refused_ = 0;
+  std::vector<std::unique_ptr<Background>> Senders_;
+};
+
+TEST_CASE("no customer gets more than its rate and burst over all VMs",
+          "[rate-limit]") {
+  FleetPlan Plan;
+  Plan.Vms_ = {{"vm-1", "north"}, {"vm-2", "north"}, {"vm-3", "south"}};
+  Plan.Engines_ = {{"engine-1", "north"}, {"engine-2", "south"}};
+  for (const char *Customer : {"large", "small"})
+    Plan.Objects_.push_back(object("customer", Customer,
+                                   {{"rate_tokens_per_second", RateTokens},
+                                    {"burst_tokens", BurstTokens}}));
+  Fleet System(Plan);
+  auto Pass = [](int Milliseconds) {
+    eventually([] { return false; }, Millis(Milliseconds));
+  };
+
+  SECTION("when one sends five times its rate, and one within its own is "
+          "served") {
+    CustomerLoad Large(System, System.vmNames(), "large", 5 * RateTokens);
+    CustomerLoad Small(System, System.vmNames(), "small", 0.5 * RateTokens);
+    Pass(6000);
+    WARN("small: " << Small.served() << " served, " << Small.refused()
+                   << " refused; large: " << Large.served() << " served");
+    CHECK(Small.refused() == 0);
+    CHECK(worstExcess(System, "large") <= 0);
+    CHECK(Large.served() * RequestTokens > 3 * RateTokens);
+  }
+
+  SECTION("when a customer sends within its rate through one VM only") {
+    CustomerLoad Small(System, {"vm-3"}, "small", 0.9 * RateTokens);
+    Pass(8000);
+    WARN("small through one VM: " << Small.served() << " served, "
+                                  << Small.refused() << " refused");
+    CHECK(worstExcess(System, "small") <= 0);
+    CHECK(Small.refused() * 20 <= Small.served());
+  }
+
+  SECTION("when VMs are killed and start anew under load") {
+    {
+      CustomerLoad Large(System, {"vm-1"}, "large", 5 * RateTokens);
+      for (int Round = 0; Round < 3; ++Round) {
+        System.at("vm-2").kill();
+        System.startVm("vm-2");
+        CustomerLoad Fresh(System, {"vm-2"}, "large", 5 * RateTokens);
+        Pass(1500);
+      }
+    }
+    CHECK(worstExcess(System, "large") <= 0);
+  }
+
+  SECTION("when a VM is paused beyond every lease and goes on, while its data "
+          "centre is cut off") {
+    CustomerLoad Large(System, System.vmNames(), "large", 5 * RateTokens);
+    Pass(1500);
+    System.at("vm-3").signal(SIGSTOP);
+    System.dataCentreLinks("south", "cut");
+    System.platformLinks("cut", "south");
+    Pass(static_cast<int>(PauseBeyondLease.count()));
+    System.at("vm-3").signal(SIGCONT);
+    Pass(2000);
+    System.dataCentreLinks("south", "pass");
+    System.platformLinks("pass", "south");
+    Pass(2000);
+    CHECK(worstExcess(System, "large") <= 0);
+  }
+
+  SECTION("when the platform is away for all, and comes back") {
+    CustomerLoad Large(System, System.vmNames(), "large", 5 * RateTokens);
+    Pass(1000);
+    System.platformLinks("cut");
+    int Before = Large.served();
+    Pass(static_cast<int>(PauseBeyondLease.count()));
+    CHECK(Large.served() > Before);
+    System.platformLinks("pass");
+    Pass(2000);
+    CHECK(worstExcess(System, "large") <= 0);
+  }
+}
--- a/Tests/Standins/EngineStandin.cpp
+++ b/Tests/Standins/EngineStandin.cpp
@@ -13,6 +13,9 @@
 /// How often a waiting request looks for a free slot.
 static constexpr Duration SlotCheckPeriod = std::chrono::milliseconds(1);
 
+/// The part of a prompt that a cache event stands for, in bytes.
+static constexpr std::size_t PrefixBytes = 256;
+
 EngineStandin::EngineStandin(asio::any_io_executor Executor,
                              EngineBehaviour Behaviour)
     : Executor_(Executor), Behaviour_(Behaviour), Incarnation_(randomHex(8)),
@@ -34,6 +37,13 @@
     co_await unload(Exchange);
   } else if (Path == "/v1/completions" || Path == "/v1/chat/completions") {
     co_await complete(Exchange);
+  } else if (Path == "/cache_events") {
+    co_await Exchange.respond(cacheEvents(Request));
+  } else if (Path == "/batches") {
+    json Counts = json::object();
+    for (const auto &[Requests, Tokens] : Batches_)
+      Counts[std::to_string(Requests)] = Tokens;
+    co_await Exchange.respond(jsonReply(200, Counts.dump()));
   } else if (Path == "/status") {
     co_await Exchange.respond(status());
   } else if (Path == "/records") {
@@ -50,21 +60,66 @@
   json Given = json::parse(Request.Body_, nullptr, false);
   if (!Given.is_object())
     return;
-  Behaviour_.TokenMs_ = Given.value("token_ms", Behaviour_.TokenMs_);
-  Behaviour_.LoadMs_ = Given.value("load_ms", Behaviour_.LoadMs_);
-  Behaviour_.FailLoads_ = Given.value("fail_loads", Behaviour_.FailLoads_);
+  const std::pair<const char *, std::int64_t EngineBehaviour::*> Fields[] = {
+      {"token_ms", &EngineBehaviour::TokenMs_},
+      {"batch_percent", &EngineBehaviour::BatchPercent_},
+      {"load_ms", &EngineBehaviour::LoadMs_},
+      {"fail_loads", &EngineBehaviour::FailLoads_},
+      {"status_lag_ms", &EngineBehaviour::StatusLagMs_},
+      {"order_delay_ms", &EngineBehaviour::OrderDelayMs_},
+      {"hold_answers", &EngineBehaviour::HoldAnswers_},
+      {"crossed_ids", &EngineBehaviour::CrossedIds_},
+      {"crossed_models", &EngineBehaviour::CrossedModels_},
+      {"crossed_events", &EngineBehaviour::CrossedEvents_},
+      {"cache_lag_ms", &EngineBehaviour::CacheLagMs_},
+      {"cache_gap", &EngineBehaviour::CacheGap_}};
+  for (const auto &[Name, Field] : Fields)
+    Behaviour_.*Field = Given.value(Name, Behaviour_.*Field);
   if (Given.value("crash", false))
     crash();
 }
 
-HttpReply EngineStandin::status() const {
+HttpReply EngineStandin::status() {
+  TimePoint Now = BootClock::now();
+  auto Lag = std::chrono::milliseconds(Behaviour_.StatusLagMs_);
+  if (!Status_.Body_.empty() && Now - StatusAt_ < Lag)
+    return Status_;
   EngineStatus Status;
   Status.Incarnation_ = Incarnation_;
   Status.Running_ = Running_;
   Status.Waiting_ = Waiting_;
   for (const auto &[Model, Runs] : Resident_)
     Status.Resident_.push_back({Model, Runs});
-  return jsonReply(200, encodeEngineStatus(Status));
+  Status_ = jsonReply(200, encodeEngineStatus(Status));
+  StatusAt_ = Now;
+  return Status_;
+}
+
+HttpReply EngineStandin::cacheEvents(const HttpRequest &Request) const {
+  std::string Text(Request.query("after"));
+  std::int64_t After = std::strtoll(Text.c_str(), nullptr, 10);
+  auto Lag = std::chrono::milliseconds(Behaviour_.CacheLagMs_);
+  json List = json::array();
+  for (const CacheEvent &Event : CacheEvents_) {
+    bool Lost =
+        Behaviour_.CacheGap_ > 0 && Event.Sequence_ % Behaviour_.CacheGap_ == 0;
+    if (Event.Sequence_ <= After || Lost || BootClock::now() - Event.At_ < Lag)
+      continue;
+    List.push_back({{"sequence", Event.Sequence_},
+                    {"model", Event.Model_},
+                    {"prefix_sha256", Event.PrefixSha256_}});
+  }
+  return jsonReply(
+      200, json{{"incarnation", Incarnation_}, {"events", List}}.dump());
+}
+
+void EngineStandin::noteCached(const Run &Work) {
+  CacheEvent Event;
+  Event.Sequence_ = std::ssize(CacheEvents_) + 1;
+  Event.Model_ = Work.Model_;
+  Event.PrefixSha256_ = sha256Hex(Work.Prompt_.substr(0, PrefixBytes));
+  Event.At_ = BootClock::now();
+  CacheEvents_.push_back(std::move(Event));
 }
 
 void EngineStandin::crash() {
@@ -72,6 +127,8 @@
   Incarnation_ = randomHex(8);
   HighestFencing_ = 0;
   Resident_.clear();
+  Remembered_.clear();
+  CacheEvents_.clear();
 }
 
 bool EngineStandin::acceptFencing(const HttpRequest &Request,
@@ -96,6 +153,7 @@
 
 asio::awaitable<void> EngineStandin::load(HttpExchange &Exchange) {
   std::string Model = modelOf(Exchange.request());
+  co_await pause(Executor_, Behaviour_.OrderDelayMs_);
   int Status = 200;
   if (!acceptFencing(Exchange.request(), "load", Model)) {
     Status = 412;
@@ -118,6 +176,7 @@
 
 asio::awaitable<void> EngineStandin::unload(HttpExchange &Exchange) {
   std::string Model = modelOf(Exchange.request());
+  co_await pause(Executor_, Behaviour_.OrderDelayMs_);
   int Status = 200;
   if (!acceptFencing(Exchange.request(), "unload", Model))
     Status = 412;
@@ -126,6 +185,22 @@
   co_await Exchange.respond(jsonReply(Status, "{}"));
 }
 
+asio::awaitable<bool> EngineStandin::waitForSlot(HttpExchange &Exchange) {
+  ++Waiting_;
+  while (Running_ >= Behaviour_.RequestSlots_ && !Exchange.callerGone())
+    co_await pause(Executor_, toMillis(SlotCheckPeriod));
+  --Waiting_;
+  co_return !Exchange.callerGone();
+}
+
+/// An answer that says that the request did not run.
+static HttpReply notRun(int Status, const std::string &Code,
+                        const std::string &RequestId) {
+  HttpReply Reply = jsonReply(Status, json{{"error", {{"code", Code}}}}.dump());
+  Reply.Headers_.add("X-Request-Id", RequestId);
+  return Reply;
+}
+
 asio::awaitable<void> EngineStandin::complete(HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   json Body = json::parse(Request.Body_, nullptr, false);
@@ -140,27 +215,37 @@
   json Seen{{"request_id", Work.Id_},
             {"model", Work.Model_},
             {"prompt", Work.Prompt_},
+            {"customer", Request.Headers_.find("X-Customer").value_or("")},
+            {"tokens", Work.MaxTokens_},
             {"headers", headersToJson(Request)}};
+  std::string Event = "run";
+  if (auto Resumed = Request.Headers_.find("X-Resume-Request")) {
+    std::string Offset(Request.Headers_.find("X-Resume-Offset").value_or("0"));
+    Event = "resume";
+    Seen["resumes"] = *Resumed;
+    Seen["offset"] = Work.Offset_ = std::strtoll(Offset.c_str(), nullptr, 10);
+    if (!Remembered_.contains(std::string(*Resumed))) {
+      Records_.add("resume_unknown", Seen);
+      co_await Exchange.respond(notRun(409, "run_not_known", Work.Id_));
+      co_return;
+    }
+  }
   if (!Resident_.count(Work.Model_)) {
     Records_.add("missing", Seen);
-    HttpReply Reply = jsonReply(
-        404, json{{"error", {{"code", "adapter_not_loaded"}}}}.dump());
-    Reply.Headers_.add("X-Request-Id", Work.Id_);
-    co_await Exchange.respond(std::move(Reply));
+    co_await Exchange.respond(notRun(404, "adapter_not_loaded", Work.Id_));
     co_return;
   }
-  ++Waiting_;
-  while (Running_ >= Behaviour_.RequestSlots_ && !Exchange.callerGone())
-    co_await pause(Executor_, toMillis(SlotCheckPeriod));
-  --Waiting_;
-  if (Exchange.callerGone())
+  if (!co_await waitForSlot(Exchange))
     co_return;
-  Records_.add("run", Seen);
+  Records_.add(Event, Seen);
+  ++Begun_;
   if (Work.Prompt_.find("crash-engine") != std::string::npos) {
     crash();
     Exchange.abort();
     co_return;
   }
+  Remembered_[Work.Id_] = Work;
+  noteCached(Work);
   std::string Life = Incarnation_;
   ++Running_;
   ++Resident_[Work.Model_];
@@ -170,6 +255,32 @@
     --Resident_[Work.Model_];
 }
 
+asio::awaitable<void> EngineStandin::holdAnswer() {
+  --Behaviour_.HoldAnswers_;
+  std::int64_t Mine = Begun_;
+  while (Begun_ == Mine)
+    co_await pause(Executor_, toMillis(SlotCheckPeriod));
+  Records_.add("late_answer", json::object());
+}
+
+std::int64_t EngineStandin::tokenTime() {
+  ++Batches_[Running_];
+  return Behaviour_.TokenMs_ +
+         Behaviour_.TokenMs_ * Behaviour_.BatchPercent_ * (Running_ - 1) / 100;
+}
+
+EngineStandin::Run EngineStandin::misdirect(const Run &Work) {
+  Run Other = Work;
+  if (Behaviour_.CrossedIds_ > 0) {
+    --Behaviour_.CrossedIds_;
+    Other.Id_ = "another-request";
+  } else if (Behaviour_.CrossedModels_ > 0) {
+    --Behaviour_.CrossedModels_;
+    Other.Model_ = "another@1";
+  }
+  return Other;
+}
+
 static json choiceOf(bool IsChat, bool IsStream, const std::string &Text) {
   if (!IsChat)
     return {{"index", 0}, {"text", Text}};
@@ -180,13 +291,21 @@
 
 asio::awaitable<void> EngineStandin::generate(HttpExchange &Exchange,
                                               const Run &Work) {
-  HttpReplyHead Head{200,
-                     {{"X-Request-Id", Work.Id_}, {"X-Adapter", Work.Model_}}};
+  if (Behaviour_.HoldAnswers_ > 0)
+    co_await holdAnswer();
+  Run Shown = misdirect(Work);
+  HttpReplyHead Head{
+      200, {{"X-Request-Id", Shown.Id_}, {"X-Adapter", Shown.Model_}}};
   Head.Headers_.add("Content-Type",
                     Work.Stream_ ? "text/event-stream" : "application/json");
+  if (Work.Stream_ && Behaviour_.CrossedEvents_ > 0) {
+    --Behaviour_.CrossedEvents_;
+    Shown.Id_ = "another-request";
+    Shown.Model_ = "another@1";
+  }
   auto PromptTokens = static_cast<std::int64_t>(Work.Prompt_.size() / 4 + 1);
-  json Answer{{"id", Work.Id_},
-              {"model", Work.Model_},
+  json Answer{{"id", Shown.Id_},
+              {"model", Shown.Model_},
               {"usage",
                {{"prompt_tokens", PromptTokens},
                 {"completion_tokens", Work.MaxTokens_},
@@ -195,8 +314,8 @@
   std::string Text;
   if (Work.Stream_)
     co_await Exchange.startStream(Head);
-  for (std::int64_t Token = 0; Token < Work.MaxTokens_; ++Token) {
-    co_await pause(Executor_, Behaviour_.TokenMs_);
+  for (std::int64_t Token = Work.Offset_; Token < Work.MaxTokens_; ++Token) {
+    co_await pause(Executor_, tokenTime());
     if (Exchange.callerGone()) {
       Records_.add("cancelled", {{"request_id", Work.Id_}});
       co_return;
@@ -211,12 +330,12 @@
       Exchange.abort();
       co_return;
     }
-    std::string Word = Work.Model_ + "#" + std::to_string(Token) + " ";
+    std::string Word = Shown.Model_ + "#" + std::to_string(Token) + " ";
     Text += Word;
     if (!Work.Stream_)
       continue;
-    json Event{{"id", Work.Id_},
-               {"model", Work.Model_},
+    json Event{{"id", Shown.Id_},
+               {"model", Shown.Model_},
                {"choices", {choiceOf(Work.IsChat_, true, Word)}}};
     co_await Exchange.write("data: " + Event.dump() + "\n\n");
   }
