Keep what ran over later tries, and check every event of a stream

Cause: the promise tests failed on the running system: [refusal-truth] and [response-identity] got "ran: no" for requests that an earlier try had run, since each try overwrote the one before; and a stream with the right head and the events of another request was passed on. Change: a later try no longer undoes an earlier one that ran; streams go on event by event after their model and id were checked, whole answers too. Measured: ctest -R promise-refusal-truth and promise-response-identity.

--- a/Source/Gateway/OpenAiCodec.cpp
+++ b/Source/Gateway/OpenAiCodec.cpp
@@ -132,6 +132,19 @@
   return Usage;
 }
 
+bool isAnswerTo(std::string_view Text, const RequestContext &Request) {
+  json Body = json::parse(Text, nullptr, false);
+  if (!Body.is_object())
+    return true;
+  auto Model = Body.find("model");
+  if (Model != Body.end() && *Model != Request.Adapter_.text())
+    return false;
+  auto Id = Body.find("id");
+  return Id == Body.end() || !Id->is_string() ||
+         Id->get_ref<const std::string &>().find(Request.RequestId_) !=
+             std::string::npos;
+}
+
 static std::string refusalBody(const Refusal &Given,
                                const std::string &RequestId) {
   const RefusalTraits &Traits = refusalTraits(Given.Code_);
--- a/Source/Gateway/OpenAiCodec.h
+++ b/Source/Gateway/OpenAiCodec.h
@@ -4,6 +4,7 @@
 #include "Http/HttpMessage.h"
 #include "Kernel/Error.h"
 #include "Requests/Refusal.h"
+#include "Requests/RequestContext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,6 +50,10 @@
 /// nothing when the text has neither.
 std::optional<CompletionUsage> decodeUsage(std::string_view Text);
 
+/// Whether an answer, or one event of it, names no other adapter and no other
+/// request. Engines may set their own marks around the request's id.
+bool isAnswerTo(std::string_view Text, const RequestContext &Request);
+
 /// The caller's view of a refusal: JSON in OpenAI's shape, with a stable code,
 /// what to do, whether the request ran, and Retry-After.
 HttpReply encodeRefusal(const Refusal &Given, const std::string &RequestId);
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -275,8 +275,10 @@
               {"target", Held.Target_},
               {"ran", executionName(Run.Ran_)},
               {"problem", Run.Problem_}});
+    // A later try that did not run doesn't undo an earlier one that did.
+    Execution Ran = Run.Ran_ == Execution::No ? Last.Ran_ : Run.Ran_;
     Last = {RefusalCode::TargetFailed, "the target failed: " + Run.Problem_,
-            Run.Ran_, NoTargetRetry};
+            Ran, NoTargetRetry};
     if (Run.Ran_ != Execution::No)
       Ended.UsedTokens_ = Request.UpperBoundTokens_;
     if (Run.CallerSawBytes_) {
--- a/Source/Gateway/SseParser.h
+++ b/Source/Gateway/SseParser.h
@@ -20,6 +20,9 @@
   /// too large.
   Result<std::vector<std::string>> feed(std::string_view Piece);
 
+  /// The bytes at the end of the last piece that belong to no whole event yet.
+  std::size_t unfinishedBytes() const { return Rest_.size(); }
+
   /// Whether the last piece ended between events.
   bool betweenEvents() const { return Rest_.empty(); }
 
--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -94,6 +94,7 @@
                               HttpConnection &Connection,
                               HttpExchange &Exchange, TryOutcome &Try) {
   SseParser Events;
+  std::string Unsent;
   HttpReplyHead Head{Try.Answer_.Status_, Try.Answer_.Headers_};
   bool Complete = false;
   bool MustFinish = !Admitted.Context_.Repeatable_;
@@ -109,19 +110,31 @@
       co_return fail(Try, errorOf(Parsed));
     for (const std::string &Event : valueOf(Parsed)) {
       Complete |= Event == StreamEnd;
+      if (!isAnswerTo(Event, Admitted.Context_)) {
+        Connection.close();
+        co_return fail(Try, {ErrorCode::Protocol, "target",
+                             "streamed the events of another request", ""});
+      }
       if (Event.find("\"usage\"") == std::string::npos)
         continue;
       if (auto Usage = decodeUsage(Event); Usage && Usage->TotalTokens_ > 0)
         Try.UsedTokens_ = static_cast<double>(Usage->TotalTokens_);
     }
+    // Only whole events go on, since only those can be checked.
+    Unsent += Piece;
+    std::size_t Checked = Unsent.size() - Events.unfinishedBytes();
+    std::string Ready = Unsent.substr(0, Checked);
+    Unsent.erase(0, Checked);
+    if (Ready.empty())
+      continue;
     if (MustFinish)
-      Try.Answer_.Body_ += Piece;
+      Try.Answer_.Body_ += Ready;
     bool Reached = true;
     if (!Try.CallerSawBytes_)
       Reached = co_await Exchange.startStream(Head);
     Try.CallerSawBytes_ = true;
     if (Reached)
-      Reached = co_await Exchange.write(Piece);
+      Reached = co_await Exchange.write(Ready);
     if (!Reached && !MustFinish) {
       // Closing the connection makes the engine cancel the request.
       Connection.close();
@@ -160,9 +173,11 @@
   const RequestContext &Request = Admitted.Context_;
   if (!Request.Adapter_.empty() && Try.Answer_.Status_ == 200) {
     auto Usage = decodeUsage(Try.Answer_.Body_);
-    if (!Usage || Usage->Model_ != Request.Adapter_.text())
+    bool IsOwn = Usage && Usage->Model_ == Request.Adapter_.text() &&
+                 isAnswerTo(Try.Answer_.Body_, Request);
+    if (!IsOwn)
       co_return fail(Try, {ErrorCode::Protocol, "target",
-                           "the answer is of another adapter", ""});
+                           "the answer is that of another request", ""});
     Try.UsedTokens_ = static_cast<double>(Usage->TotalTokens_);
   } else {
     Try.UsedTokens_ = Request.UpperBoundTokens_;
