--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "Admin/AdminServer.h"
 #include "Admin/ConfigEndpoints.h"
 #include "Admin/ConfirmationPage.h"
+#include "Admin/QuarantineEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
 #include "Config/ConfigSpread.h"
@@ -18,6 +19,8 @@
 #include "Placement/LocalPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
+#include "Routing/FleetPoisonGuard.h"
+#include "Routing/InformedSelector.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -90,11 +93,24 @@
       std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
   Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
                                                     Settings_, Directory));
-  Services_.add(std::make_shared<RandomSelector>(
-      Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
+  auto Guard = std::make_shared<FleetPoisonGuard>(
+      Loop_.get_executor(), Settings_, Timers_, Services_);
+  Services_.add(Guard);
+  std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
+  if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
+    Services_.add(
+        std::make_shared<RandomSelector>(Settings_.DataCentre_, Seed));
+  } else {
+    auto Selector =
+        std::make_shared<InformedSelector>(Settings_, Services_, Seed);
+    Selector->onSuspectCheck(
+        [Guard](const RequestContext &Request, TimePoint Now) {
+          return Guard->isSuspect(Request, Now);
+        });
+    Services_.add(std::move(Selector));
+  }
   Services_.add(std::make_shared<TableLedger>(
-      Services_.require<PlatformService>(PlatformService::Name), Settings_.Vm_,
-      Incarnation_));
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
 }
 
 void Daemon::addFrontDoors() {
@@ -123,6 +139,8 @@
   Services_.add(std::make_shared<KeyGuard>(
       Settings_, Timers_, State, Spread,
       Services_.require<RequestPipeline>(RequestPipeline::Name)));
+  addQuarantineEndpoints(
+      *Server, Services_.require<FleetPoisonGuard>(PoisonGuard::Name));
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
