--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -209,14 +209,20 @@
   Refusal Last{RefusalCode::NoTarget, "no target can serve the request now",
                Execution::No, NoTargetRetry};
   auto Ranked = Selector_->rank(Request, Tried, BootClock::now());
-  for (const std::string &TargetName : Ranked) {
-    if (BootClock::now() >= Request.Deadline_)
-      break;
-    Tried.insert(TargetName);
-    auto Granted = co_await Permits_->acquire(Request, TargetName);
-    if (std::holds_alternative<Permit>(Granted))
-      co_return Granted;
-    Last = refusalOf(Granted);
+  // A ranking holds only the best targets; when all decline, the next follow.
+  while (!Ranked.empty()) {
+    for (const std::string &TargetName : Ranked) {
+      if (BootClock::now() >= Request.Deadline_)
+        co_return Last;
+      Tried.insert(TargetName);
+      Selector_->noteChosen(Request, TargetName, BootClock::now());
+      auto Granted = co_await Permits_->acquire(Request, TargetName);
+      if (std::holds_alternative<Permit>(Granted))
+        co_return Granted;
+      Selector_->noteDeclined(Request, TargetName, BootClock::now());
+      Last = refusalOf(Granted);
+    }
+    Ranked = Selector_->rank(Request, Tried, BootClock::now());
   }
   co_return Last;
 }
@@ -265,6 +271,7 @@
       co_return Try == 0 ? refusalOf(Granted) : Last;
     const Permit &Held = std::get<Permit>(Granted);
     Ended.Target_ = Held.Target_;
+    bool WasSuspect = Poison_ && Poison_->isSuspect(Request, BootClock::now());
     TryOutcome Run = co_await runOnce(Exchange, Admitted, Held);
     Ended.FirstByte_ = Run.FirstByte_;
     Ended.UsedTokens_ = std::max(Ended.UsedTokens_, Run.UsedTokens_);
@@ -275,8 +282,10 @@
               {"target", Held.Target_},
               {"ran", executionName(Run.Ran_)},
               {"problem", Run.Problem_}});
+    // A later try that did not run doesn't undo an earlier one that did.
+    Execution Ran = Run.Ran_ == Execution::No ? Last.Ran_ : Run.Ran_;
     Last = {RefusalCode::TargetFailed, "the target failed: " + Run.Problem_,
-            Run.Ran_, NoTargetRetry};
+            Ran, NoTargetRetry};
     if (Run.Ran_ != Execution::No)
       Ended.UsedTokens_ = Request.UpperBoundTokens_;
     if (Run.CallerSawBytes_) {
@@ -284,6 +293,12 @@
       co_return Last;
     }
     bool MayRepeat = Request.Repeatable_ || Run.Ran_ == Execution::No;
+    // A second crash under the same request is no accident of the target.
+    bool IsPoison = WasSuspect && Run.Result_ == TryResult::Crashed;
+    IsPoison |= Poison_ && Poison_->check(Request, BootClock::now());
+    if (IsPoison)
+      Last.RetryAfter_.reset();
+    MayRepeat &= !IsPoison;
     if (!MayRepeat || Exchange.callerGone() ||
         !Selector_->allowRetry(Request, BootClock::now()))
       co_return Last;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -3,8 +3,10 @@
 #include "Admin/AdminServer.h"
 #include "Admin/ConfigEndpoints.h"
 #include "Admin/ConfirmationPage.h"
+#include "Admin/QuarantineEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
+#include "Admission/QuotaService.h"
 #include "Config/ConfigSpread.h"
 #include "Gateway/KeyGuard.h"
 #include "Gateway/RequestPipeline.h"
@@ -16,8 +18,11 @@
 #include "Peer/PeerNetwork.h"
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
+#include "Placement/OwnerPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
+#include "Routing/FleetPoisonGuard.h"
+#include "Routing/InformedSelector.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -84,17 +89,72 @@
   auto State = Services_.require<ConfigState>(ConfigState::Name);
   auto Directory = std::make_shared<TargetDirectory>();
   Services_.add(Directory);
-  Services_.add(std::make_shared<EngineMonitor>(Loop_.get_executor(), Settings_,
-                                                Timers_, State, Directory));
-  Services_.add(
-      std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
-  Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
-                                                    Settings_, Directory));
-  Services_.add(std::make_shared<RandomSelector>(
-      Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
+  auto Monitor = std::make_shared<EngineMonitor>(
+      Loop_.get_executor(), Settings_, Timers_, State, Directory);
+  Services_.add(Monitor);
+  addQuota();
+  if (Settings_.Placement_.Policy_ == PlacementPolicy::Owners)
+    addOwners(*Monitor);
+  else
+    Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
+                                                      Settings_, Directory));
+  addRouting();
   Services_.add(std::make_shared<TableLedger>(
-      Services_.require<PlatformService>(PlatformService::Name), Settings_.Vm_,
-      Incarnation_));
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
+}
+
+void Daemon::addRouting() {
+  auto Guard = std::make_shared<FleetPoisonGuard>(
+      Loop_.get_executor(), Settings_, Timers_, Services_);
+  Services_.add(Guard);
+  std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
+  if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
+    Services_.add(
+        std::make_shared<RandomSelector>(Settings_.DataCentre_, Seed));
+  } else {
+    auto Selector =
+        std::make_shared<InformedSelector>(Settings_, Services_, Seed);
+    Selector->onSuspectCheck(
+        [Guard](const RequestContext &Request, TimePoint Now) {
+          return Guard->isSuspect(Request, Now);
+        });
+    Services_.add(std::move(Selector));
+  }
+}
+
+void Daemon::addQuota() {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  if (Settings_.Quota_.Policy_ == "fixed_split") {
+    Services_.add(
+        std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+    return;
+  }
+  Services_.add(std::make_shared<QuotaKeeper>(
+      Loop_.get_executor(), Settings_, Timers_,
+      Services_.require<PlatformService>(PlatformService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name),
+      Services_.require<MembershipService>(MembershipService::Name)));
+  Services_.add(std::make_shared<QuotaService>(
+      Loop_.get_executor(), Settings_, Incarnation_, Timers_, Services_));
+}
+
+void Daemon::addOwners(EngineMonitor &Monitor) {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  auto Members = Services_.require<MembershipService>(MembershipService::Name);
+  auto Network = Services_.require<PeerNetwork>(PeerNetwork::Name);
+  Services_.add(std::make_shared<OwnershipService>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_,
+      Services_.require<PlatformService>(PlatformService::Name), Members,
+      Network, Services_.require<Metrics>(Metrics::Name)));
+  Services_.add(
+      std::make_shared<StoreGate>(Settings_, Timers_, State, Members, Network));
+  Services_.add(std::make_shared<TargetOwnerService>(
+      Loop_.get_executor(), Settings_, Timers_, Services_));
+  Services_.add(std::make_shared<OwnerPermitBroker>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_, Services_));
+  // Owners report; what they don't reach is polled slowly.
+  Monitor.onlyWhenOlderThan(
+      3 * std::chrono::milliseconds(Settings_.Placement_.ReportMs_));
 }
 
 void Daemon::addFrontDoors() {
@@ -109,6 +169,12 @@
       *Server, Services_.require<ConfigPublisher>(ConfigPublisher::Name), State,
       Services_.require<PlatformService>(PlatformService::Name));
   addStatusEndpoint(*Server, Status);
+  Server->addPage(
+      "POST", "/admin/drain",
+      [this](const HttpRequest &) -> boost::asio::awaitable<HttpReply> {
+        beginStop();
+        co_return jsonReply(202, "{}");
+      });
   auto Spread = Services_.require<ConfigSpread>(ConfigSpread::Name);
   addConfirmationPage(
       *Server, Loop_.get_executor(), Settings_, Spread,
@@ -117,6 +183,8 @@
   Services_.add(std::make_shared<KeyGuard>(
       Settings_, Timers_, State, Spread,
       Services_.require<RequestPipeline>(RequestPipeline::Name)));
+  addQuarantineEndpoints(
+      *Server, Services_.require<FleetPoisonGuard>(PoisonGuard::Name));
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
@@ -156,6 +224,20 @@
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
+  if (auto Quota = Services_.find<QuotaService>(QuotaGate::Name))
+    Page->addSection("quotas", [Quota] { return Quota->status(); });
+  if (auto Owners =
+          Services_.find<TargetOwnerService>(TargetOwnerService::Name))
+    Page->addSection("owned_targets", [Owners] {
+      json List = json::array();
+      for (const OwnedTargetView &Seen : Owners->view())
+        List.push_back({{"name", Seen.Target_},
+                        {"epoch", Seen.Epoch_},
+                        {"settled", Seen.Settled_},
+                        {"permits", Seen.Permits_},
+                        {"waiting", Seen.Waiting_}});
+      return List;
+    });
   Page->addSection("targets", [Directory] {
     json List = json::array();
     for (const auto &[Name, Report] : Directory->all())
@@ -194,7 +276,8 @@
 }
 
 void Daemon::beginStop() {
-  Stopping_ = true;
+  if (std::exchange(Stopping_, true))
+    return;
   logEvent(LogLevel::Info, "stopping");
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   Callers->beginDrain();
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -70,6 +70,81 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+/// Claims outlive every request that they stand for.
+static constexpr NumberRange RetentionRange{3600, 30 * 24 * 3600};
+
+static void visitFields(FieldReader &Fields, LedgerSettings &Ledger) {
+  Fields.field("window_ms", Ledger.WindowMs_, {0, 1000});
+  Fields.field("batch_rows", Ledger.BatchRows_, CountRange);
+  Fields.field("writes_per_second", Ledger.WritesPerSecond_, {1, 100000});
+  Fields.field("answer_limit_bytes", Ledger.AnswerLimitBytes_, {0, 1 << 24});
+  Fields.field("unrecorded_bytes", Ledger.UnrecordedBytes_, BytesRange);
+  Fields.field("retention_s", Ledger.RetentionS_, RetentionRange);
+  Fields.field("sweep_ms", Ledger.SweepMs_, MillisRange);
+  Fields.field("sweep_rows", Ledger.SweepRows_, CountRange);
+  Fields.field("lookup_ms", Ledger.LookupMs_, MillisRange);
+}
+
+static void visitFields(FieldReader &Fields, PoisonSettings &Poison) {
+  Fields.field("confirm_ms", Poison.ConfirmMs_, MillisRange);
+  Fields.field("suspect_s", Poison.SuspectS_, {1, 86400});
+  Fields.field("quarantine_s", Poison.QuarantineS_, {1, 7 * 86400});
+  Fields.field("most_digests", Poison.MostDigests_, {1, 1000000});
+}
+
+static void visitFields(FieldReader &Fields, RoutingSettings &Routing) {
+  Fields.choice("policy", Routing.Policy_, RoutingPolicyNames);
+  Fields.field("report_lag_ms", Routing.ReportLagMs_, {0, 60000});
+  Fields.field("prefix_entries", Routing.PrefixEntries_, {2, 1000000});
+  Fields.field("eject_failures", Routing.EjectFailures_, CountRange);
+  Fields.field("eject_least_ms", Routing.EjectLeastMs_, MillisRange);
+  Fields.field("eject_most_ms", Routing.EjectMostMs_, MillisRange);
+  Fields.field("eject_share", Routing.EjectShare_, {0, 0.9});
+  Fields.field("retry_ratio", Routing.RetryRatio_, {0, 1});
+  Fields.field("retry_floor_per_second", Routing.RetryFloorPerSecond_,
+               {0, 10000});
+}
+
+static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
+  constexpr NumberRange LoanRange{10, 60000};
+  Fields.field("policy", Quota.Policy_);
+  Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
+  Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
+  Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
+  Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
+  Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
+  Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
+  Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
+  Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
+  if (Quota.Policy_ != "shares" && Quota.Policy_ != "fixed_split")
+    Fields.report("policy", "is no policy", "use shares or fixed_split");
+}
+
+/// Below a second renewals would follow each other too fast for the table.
+static constexpr NumberRange LeaseRange{1000, 60000};
+static constexpr NumberRange QueueRange{1, 100000};
+static constexpr NumberRange FactorRange{1, 100};
+
+static void visitFields(FieldReader &Fields, PlacementSettings &Placement) {
+  Fields.choice("policy", Placement.Policy_, PlacementPolicyNames);
+  Fields.choice("queue", Placement.Queue_, QueuePolicyNames);
+  Fields.field("lease_term_ms", Placement.LeaseTermMs_, LeaseRange);
+  Fields.field("lease_margin_ms", Placement.LeaseMarginMs_, MillisRange);
+  Fields.field("queue_length", Placement.QueueLength_, QueueRange);
+  Fields.field("queue_length_per_customer", Placement.QueueLengthPerCustomer_,
+               QueueRange);
+  Fields.field("inventory_ms", Placement.InventoryMs_, MillisRange);
+  Fields.field("report_ms", Placement.ReportMs_, MillisRange);
+  Fields.field("silent_vm_ms", Placement.SilentVmMs_, MillisRange);
+  Fields.field("min_residence_ms", Placement.MinResidenceMs_, MillisRange);
+  Fields.field("patience_ms", Placement.PatienceMs_, MillisRange);
+  Fields.field("challenge_factor", Placement.ChallengeFactor_, FactorRange);
+  // The holder must keep some of its lease, and a renewal must fit in.
+  if (2 * Placement.LeaseMarginMs_ >= Placement.LeaseTermMs_)
+    Fields.report("lease_margin_ms", "is not under half of lease_term_ms",
+                  "lower lease_margin_ms or raise lease_term_ms");
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -83,6 +158,11 @@
   Fields.record("membership", Settings.Membership_);
   Fields.record("targets", Settings.Targets_);
   Fields.record("shutdown", Settings.Shutdown_);
+  Fields.record("ledger", Settings.Ledger_);
+  Fields.record("poison", Settings.Poison_);
+  Fields.record("routing", Settings.Routing_);
+  Fields.record("quota", Settings.Quota_);
+  Fields.record("placement", Settings.Placement_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
