--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -33,6 +33,9 @@
 /// Tokens fetched ahead, in seconds of demand.
 static constexpr double FetchSeconds = 0.5;
 
+/// How long after a VM began to hand over its lease is not taken for granted.
+static constexpr Duration HandoverRecheck = std::chrono::seconds(5);
+
 /// The shortest honest time until tokens can be there.
 static constexpr Duration ShortestRetry = std::chrono::milliseconds(100);
 
@@ -59,8 +62,8 @@
       Keeper_(Services.require<QuotaKeeper>(QuotaKeeper::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       Holder_(timingOf(Settings.Quota_), millis(Settings.Quota_.LeaseMs_),
-              Settings.Vm_, Settings.DataCentre_, std::move(Incarnation),
-              BootClock::now()) {}
+              millis(Settings.Quota_.PromiseMs_), Settings.Vm_,
+              Settings.DataCentre_, std::move(Incarnation), BootClock::now()) {}
 
 std::vector<std::string> QuotaService::dependencies() const {
   return {std::string(ConfigState::Name), std::string(QuotaKeeper::Name)};
@@ -68,6 +71,7 @@
 
 Status QuotaService::start() {
   answerOthers();
+  Keeper_->onOwnLease([this] { return Holder_.lease(); });
   Tick_ = Timers_.every(std::chrono::milliseconds(50), BootClock::now(),
                         [this](TimePoint Now) { tick(Now); });
   tick(BootClock::now());
@@ -237,7 +241,7 @@
     double Left = IsHolder ? guess(Known.Limits_, Found->second, Now) : 0;
     return std::pair(!isIn(Vm, Settings_.DataCentre_), -Left);
   };
-  std::ranges::stable_sort(Order, {}, Rank);
+  std::ranges::sort(Order, {}, Rank);
   return Order;
 }
 
@@ -335,6 +339,8 @@
       [this](std::string From,
              QuotaHandover Asked) -> asio::awaitable<QuotaHandoverReply> {
         QuotaHandoverReply Reply;
+        // Its parts are free soon: look at its lease again before long.
+        AliveFrom_ = BootClock::now() + HandoverRecheck;
         for (const std::string &Name : Asked.Customers_) {
           auto Given = limitsOf(Name);
           if (!Given || Stopped_)
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -124,7 +124,7 @@
 
 void Daemon::addQuota() {
   auto State = Services_.require<ConfigState>(ConfigState::Name);
-  if (Settings_.Quota_.Policy_ == "fixed_split") {
+  if (Settings_.Quota_.Policy_ == QuotaPolicy::FixedSplit) {
     Services_.add(
         std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
     return;
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -70,6 +70,20 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
+  constexpr NumberRange LoanRange{10, 60000};
+  Fields.choice("policy", Quota.Policy_, QuotaPolicyNames);
+  Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
+  Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
+  Fields.field("promise_ms", Quota.PromiseMs_, {2000, 24 * 3600000});
+  Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
+  Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
+  Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
+  Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
+  Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
+  Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
+}
+
 /// Claims outlive every request that they stand for.
 static constexpr NumberRange RetentionRange{3600, 30 * 24 * 3600};
 
@@ -105,21 +119,6 @@
                {0, 10000});
 }
 
-static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
-  constexpr NumberRange LoanRange{10, 60000};
-  Fields.field("policy", Quota.Policy_);
-  Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
-  Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
-  Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
-  Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
-  Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
-  Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
-  Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
-  Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
-  if (Quota.Policy_ != "shares" && Quota.Policy_ != "fixed_split")
-    Fields.report("policy", "is no policy", "use shares or fixed_split");
-}
-
 /// Below a second renewals would follow each other too fast for the table.
 static constexpr NumberRange LeaseRange{1000, 60000};
 static constexpr NumberRange QueueRange{1, 100000};
