Foresee waits for the weight store

Cause: a request whose adapter's load could not begin in time waited until its deadline to be refused.

Change: the estimate adds how long loads have waited of late, which fades.

--- a/Source/Placement/TargetOwner.cpp
+++ b/Source/Placement/TargetOwner.cpp
@@ -10,9 +10,6 @@
 /// The part of a request's time after which its load is urgent.
 static constexpr int UrgentPart = 4;
 
-/// The part of the newest permit in the mean time that permits are held.
-static constexpr int NewestHoldPart = 8;
-
 /// The part of an engine's slots that one adapter may need before a second
 /// engine should hold it.
 static constexpr double CrowdedPart = 0.5;
@@ -61,8 +58,7 @@
   checkInvariant(Known.Permits_ > 0, "a permit was not counted");
   --Known.Permits_;
   Known.LastUse_ = Now;
-  Duration Held = Now - Entry->second.GrantedAt_;
-  MeanHold_ += (Held - MeanHold_) / NewestHoldPart;
+  Estimate_.noteHold(Now - Entry->second.GrantedAt_);
   Permits_.erase(Entry);
 }
 
@@ -229,7 +225,7 @@
     refuse(std::move(Item),
            {RefusalCode::DeadlineUnreachable,
             "the request waited for the target until its deadline",
-            Execution::No, std::max(MeanHold_, LeastRetryAfter)});
+            Execution::No, std::max(Estimate_.meanHold(), LeastRetryAfter)});
 }
 
 void TargetOwner::grantAll(TimePoint Now) {
@@ -286,6 +282,7 @@
 LoadAction TargetOwner::startLoad(const LoadWish &Wish, TimePoint Now) {
   checkInvariant(Adapters_.placesTaken() < Options_.AdapterSlots_,
                  "a load has no place on the engine");
+  Estimate_.noteLoadWait(Now - Wish.Oldest_, Now);
   Adapters_.loadStarted(Wish.Adapter_, Now);
   return {Wish.Adapter_, Wish.Weights_};
 }
@@ -362,7 +359,8 @@
   Queue_.forEach([&](const QueuedRequest &Item) {
     Ahead += Item.Priority_ >= Priority || Item.isAged(Now);
   });
-  return MeanHold_ * (Ahead + 1) / std::max<std::int64_t>(1, Options_.Slots_);
+  return Estimate_.meanHold() * (Ahead + 1) /
+         std::max<std::int64_t>(1, Options_.Slots_);
 }
 
 std::set<AdapterRef> TargetOwner::crowded(TimePoint Now) const {
@@ -370,7 +368,7 @@
   double MeanLife = toSeconds(Options_.Terms_.DemandHalfLife_) / std::log(2.0);
   for (const auto &[Adapter, Known] : Adapters_.all()) {
     double PerSecond = Adapters_.demand(Adapter, Now) / MeanLife;
-    double SlotsNeeded = PerSecond * toSeconds(MeanHold_);
+    double SlotsNeeded = PerSecond * toSeconds(Estimate_.meanHold());
     if (SlotsNeeded > CrowdedPart * static_cast<double>(Options_.Slots_))
       Found.insert(Adapter);
   }
@@ -390,6 +388,8 @@
   const AdapterRecord *Known = Adapters_.find(Adapter);
   if (!Known || Known->State_ != Residency::Resident)
     Wait += Known ? Known->LoadTime_ : AdapterRecord().LoadTime_;
+  if (!Known || Known->State_ == Residency::Absent)
+    Wait += Estimate_.loadWait(Now);
   if (Known && Known->NotBefore_ > Now)
     Wait += Known->NotBefore_ - Now;
   return Wait;
--- a/Source/Placement/TargetOwner.h
+++ b/Source/Placement/TargetOwner.h
@@ -3,6 +3,7 @@
 
 #include "Placement/FairQueue.h"
 #include "Placement/ResidencyTable.h"
+#include "Placement/WaitEstimate.h"
 
 #include <set>
 
@@ -129,7 +130,7 @@
   ResidencyTable Adapters_;
   std::map<PermitKey, PermitOut> Permits_;
   std::vector<OwnerAction> Actions_;
-  Duration MeanHold_{0};
+  WaitEstimate Estimate_;
   bool PollAsked_ = false;
 };
 
--- a/Tests/Property/PlacementOwnerProperty.cpp
+++ b/Tests/Property/PlacementOwnerProperty.cpp
@@ -312,6 +312,18 @@
       REQUIRE(Owner.permitsOut() == 0);
     }
   }
+  SECTION("that has waited long for the weight store") {
+    Owner.engineStatus({"life", 0, 0, {}}, Now, Now);
+    Ask(1, "a");
+    auto Wish = *Owner.loadWish(Now);
+    Now += 60s;
+    Owner.startLoad(Wish, Now);
+
+    SECTION("refuses at once whose deadline comes before, but not for long") {
+      REQUIRE(Owner.estimateWait({"b", "1"}, 0, Now) > 10s);
+      REQUIRE(Owner.estimateWait({"b", "1"}, 0, Now + 60s) < 1s);
+    }
+  }
   SECTION("that is leaving grants nothing") {
     Ask(1, "a");
     Owner.configure(2, 1, true);
--- a/Tests/Unit/SettingsTest.cpp
+++ b/Tests/Unit/SettingsTest.cpp
@@ -31,6 +31,17 @@
     }
   }
 
+  SECTION("a lease must outlast its margin") {
+    auto Errors = errorsIn(R"({
+      "vm": "vm-1", "data_centre": "bilbao",
+      "platform": {"address": "127.0.0.1:9000"},
+      "placement": {"policy": "none", "lease_term_ms": 1000,
+                    "lease_margin_ms": 500}})");
+    REQUIRE(Errors.size() == 2);
+    REQUIRE(Errors[0].Where_ == "anvild.json: placement.policy");
+    REQUIRE(Errors[1].Where_ == "anvild.json: placement.lease_margin_ms");
+  }
+
   SECTION("a torn file names the line") {
     auto Errors = errorsIn("{\n\"vm\": \"a\",\n");
     REQUIRE(Errors.size() == 1);
