Fence an engine before the first permit of a new owner

Cause: an engine that checks fencing knows the new number only with the new owner's first order, so a late unload of the last owner could still take an adapter that the new one had permitted.

Change: a new owner first sends an order that changes nothing.

--- a/Source/Placement/TargetOwnerOrders.cpp
+++ b/Source/Placement/TargetOwnerOrders.cpp
@@ -17,7 +17,8 @@
   OwnedPtr Best;
   std::optional<LoadWish> BestWish;
   for (const auto &[TargetName, Entry] : Owned_) {
-    auto Wish = mayOrder(*Entry) ? Entry->Core_.loadWish(Now) : std::nullopt;
+    bool IsReady = Entry->Fenced_ && mayOrder(*Entry);
+    auto Wish = IsReady ? Entry->Core_.loadWish(Now) : std::nullopt;
     if (!Wish || (BestWish && !Wish->goesBefore(*BestWish)))
       continue;
     Best = Entry;
@@ -26,6 +27,22 @@
   return Best;
 }
 
+asio::awaitable<void> TargetOwnerService::fence(OwnedPtr Entry) {
+  if (Entry->Fenced_ || std::exchange(Entry->Fencing_, true))
+    co_return;
+  // An order that changes nothing tells the engine the new number, so that it
+  // refuses what an earlier owner sent and what is still on its way.
+  AdapterRef Nothing;
+  Status Ended = Error{ErrorCode::Refused, Entry->Name_, "lease lost", ""};
+  if (mayOrder(*Entry))
+    Ended = co_await Entry->Client_.unload(
+        Nothing, Ownership_->lease().fencing(),
+        std::chrono::milliseconds(Settings_.Targets_.ConnectTimeoutMs_));
+  Entry->Fencing_ = false;
+  Entry->Fenced_ = isOk(Ended) || errorOf(Ended).Code_ == ErrorCode::NotFound;
+  drive(Entry);
+}
+
 asio::awaitable<void> TargetOwnerService::startLoads() {
   while (bestWish(BootClock::now())) {
     std::string LoadName = Settings_.Vm_ + "/" + std::to_string(NextLoad_++);
--- a/Source/Placement/TargetOwnerService.cpp
+++ b/Source/Placement/TargetOwnerService.cpp
@@ -116,23 +116,19 @@
     notifyPeer(*Network_, Vm, Ask);
   Endpoint Address{Known.Address_, static_cast<std::uint16_t>(Known.Port_)};
   TargetOwner Core(optionsOf(Known), std::move(Unheard), Now);
-  auto Entry = std::make_shared<Owned>(Owned{Known.Name_,
-                                             EngineClient(std::move(Address)),
-                                             Known.ChecksFencing_,
-                                             std::move(Core),
-                                             Now,
-                                             false,
-                                             false,
-                                             {},
-                                             {},
-                                             {},
-                                             {}});
+  auto Entry = std::make_shared<Owned>(
+      Known.Name_, EngineClient(std::move(Address)), std::move(Core));
+  Entry->ChecksFencing_ = Known.ChecksFencing_;
+  Entry->Began_ = Now;
+  // The wait for the lease was long enough for orders that nobody checks.
+  Entry->Fenced_ = !Known.ChecksFencing_;
   Owned_[Known.Name_] = Entry;
   if (Inventory_)
     takeInventory(Settings_.Vm_, Inventory_());
   logEvent(LogLevel::Info, "target_owned",
            {{"target", Known.Name_}, {"epoch", Ownership_->lease().fencing()}});
   spawn(Executor_, poll(Entry));
+  spawn(Executor_, fence(Entry));
 }
 
 void TargetOwnerService::drop(const OwnedPtr &Entry) {
@@ -205,6 +201,8 @@
   auto Entries = Owned_;
   for (const auto &[TargetName, Entry] : Entries) {
     dropSilentVms(*Entry, Now);
+    if (!Entry->Fenced_)
+      spawn(Executor_, fence(Entry));
     drive(Entry);
   }
 }
@@ -214,6 +212,8 @@
     return;
   if (!mayOrder(*Entry))
     return drop(Entry);
+  if (!Entry->Fenced_)
+    return;
   TimePoint Now = BootClock::now();
   for (OwnerAction &Action : Entry->Core_.advance(Now))
     carryOut(Entry, Action);
@@ -301,6 +301,8 @@
     co_return notOwner(IsStuck ? "" : Lease.ownerOf(Request.Target_));
   }
   OwnedPtr Entry = Found->second;
+  if (!Entry->Fenced_)
+    co_return notOwner(Settings_.Vm_);
   QueuedRequest Queued = queuedFrom(Request, BootClock::now());
   PermitKey Key = Queued.Key_;
   HeardAt_[Key.Vm_] = BootClock::now();
--- a/Source/Placement/TargetOwnerService.h
+++ b/Source/Placement/TargetOwnerService.h
@@ -70,6 +70,10 @@
     std::optional<PermitReplyMessage> Reply_;
   };
   struct Owned {
+    Owned(std::string Target, EngineClient Client, TargetOwner Core)
+        : Name_(std::move(Target)), Client_(std::move(Client)),
+          Core_(std::move(Core)) {}
+
     std::string Name_;
     EngineClient Client_;
     bool ChecksFencing_ = true;
@@ -77,6 +81,9 @@
     TimePoint Began_{};
     bool Polling_ = false;
     bool Dropped_ = false;
+    /// Whether late orders of earlier owners can no longer take effect.
+    bool Fenced_ = false;
+    bool Fencing_ = false;
     std::map<PermitKey, std::shared_ptr<Waiter>> Waiters_;
     TargetReport Last_;
     TimePoint BriefAt_{};
@@ -95,6 +102,7 @@
   void carryOut(const OwnedPtr &Entry, OwnerAction &Action);
   void reply(Owned &Entry, const PermitKey &Key, PermitReplyMessage Given);
   void noteGrant(const Owned &Entry, const GrantAction &Given);
+  boost::asio::awaitable<void> fence(OwnedPtr Entry);
   OwnedPtr bestWish(TimePoint Now) const;
   boost::asio::awaitable<void> startLoads();
   boost::asio::awaitable<void> load(OwnedPtr Entry, LoadAction Order,
