--- a/Source/Placement/StoreGate.cpp
+++ b/Source/Placement/StoreGate.cpp
@@ -2,6 +2,8 @@
 
 #include "Placement/PermitMessages.h"
 
+#include <set>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -50,10 +52,13 @@
 }
 
 std::vector<std::string> StoreGate::vms() const {
-  std::vector<std::string> Names{Settings_.Vm_};
-  for (const auto &[Name, Known] : Members_->members())
-    if (Known.State_ == VmState::Live)
-      Names.push_back(Name);
+  std::set<std::string> DataCentres{Settings_.DataCentre_};
+  for (const auto &[VmName, Known] : Members_->members())
+    DataCentres.insert(Known.DataCentre_);
+  std::vector<std::string> Names;
+  for (const std::string &DataCentre : DataCentres)
+    for (std::string &VmName : Members_->liveIn(DataCentre))
+      Names.push_back(std::move(VmName));
   return Names;
 }
 
--- a/Source/Placement/TargetOwnerService.cpp
+++ b/Source/Placement/TargetOwnerService.cpp
@@ -108,7 +108,7 @@
   std::set<std::string> Unheard;
   // Leaving VMs still have requests running.
   for (const auto &[Vm, Member] : Members_->members())
-    if (Member.DataCentre_ == Settings_.DataCentre_)
+    if (Member.DataCentre_ == Settings_.DataCentre_ && Members_->isAlive(Vm))
       Unheard.insert(Vm);
   PermitInventoryMessage Ask;
   Ask.Ask_ = true;
