--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -3,8 +3,10 @@
 #include "Admin/AdminServer.h"
 #include "Admin/ConfigEndpoints.h"
 #include "Admin/ConfirmationPage.h"
+#include "Admin/QuarantineEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
+#include "Admission/QuotaService.h"
 #include "Config/ConfigSpread.h"
 #include "Gateway/KeyGuard.h"
 #include "Gateway/RequestPipeline.h"
@@ -19,6 +21,8 @@
 #include "Placement/OwnerPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
+#include "Routing/FleetPoisonGuard.h"
+#include "Routing/InformedSelector.h"
 #include "Routing/RandomSelector.h"
 #include "Telemetry/Log.h"
 
@@ -88,18 +92,50 @@
   auto Monitor = std::make_shared<EngineMonitor>(
       Loop_.get_executor(), Settings_, Timers_, State, Directory);
   Services_.add(Monitor);
-  Services_.add(
-      std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+  addQuota();
   if (Settings_.Placement_.Policy_ == PlacementPolicy::Owners)
     addOwners(*Monitor);
   else
     Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
                                                       Settings_, Directory));
-  Services_.add(std::make_shared<RandomSelector>(
-      Settings_.DataCentre_, stableHash(Settings_.Vm_ + Incarnation_)));
+  addRouting();
   Services_.add(std::make_shared<TableLedger>(
-      Services_.require<PlatformService>(PlatformService::Name), Settings_.Vm_,
-      Incarnation_));
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
+}
+
+void Daemon::addRouting() {
+  auto Guard = std::make_shared<FleetPoisonGuard>(
+      Loop_.get_executor(), Settings_, Timers_, Services_);
+  Services_.add(Guard);
+  std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
+  if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
+    Services_.add(
+        std::make_shared<RandomSelector>(Settings_.DataCentre_, Seed));
+  } else {
+    auto Selector =
+        std::make_shared<InformedSelector>(Settings_, Services_, Seed);
+    Selector->onSuspectCheck(
+        [Guard](const RequestContext &Request, TimePoint Now) {
+          return Guard->isSuspect(Request, Now);
+        });
+    Services_.add(std::move(Selector));
+  }
+}
+
+void Daemon::addQuota() {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  if (Settings_.Quota_.Policy_ == "fixed_split") {
+    Services_.add(
+        std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+    return;
+  }
+  Services_.add(std::make_shared<QuotaKeeper>(
+      Loop_.get_executor(), Settings_, Timers_,
+      Services_.require<PlatformService>(PlatformService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name),
+      Services_.require<MembershipService>(MembershipService::Name)));
+  Services_.add(std::make_shared<QuotaService>(
+      Loop_.get_executor(), Settings_, Incarnation_, Timers_, Services_));
 }
 
 void Daemon::addOwners(EngineMonitor &Monitor) {
@@ -147,6 +183,8 @@
   Services_.add(std::make_shared<KeyGuard>(
       Settings_, Timers_, State, Spread,
       Services_.require<RequestPipeline>(RequestPipeline::Name)));
+  addQuarantineEndpoints(
+      *Server, Services_.require<FleetPoisonGuard>(PoisonGuard::Name));
   Server->onReadyCheck([this, State]() -> std::string {
     if (Stopping_)
       return "stopping";
@@ -186,6 +224,8 @@
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
+  if (auto Quota = Services_.find<QuotaService>(QuotaGate::Name))
+    Page->addSection("quotas", [Quota] { return Quota->status(); });
   if (auto Owners =
           Services_.find<TargetOwnerService>(TargetOwnerService::Name))
     Page->addSection("owned_targets", [Owners] {
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -39,6 +39,8 @@
   void addPlatform();
   void addConfig();
   void addDeciders();
+  void addQuota();
+  void addRouting();
   void addOwners(EngineMonitor &Monitor);
   void addFrontDoors();
   void addStatusSections();
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -121,6 +123,78 @@
   std::int64_t DrainMs_ = 60000;
 };
 
+/// How requests that may not be repeated are remembered.
+struct LedgerSettings {
+  /// How long a claim waits for others to share its transaction.
+  std::int64_t WindowMs_ = 3;
+  std::int64_t BatchRows_ = 100;
+  /// Transactions a second that all VMs together may send for claims.
+  std::int64_t WritesPerSecond_ = 200;
+  /// The longest answer that is kept for resends.
+  std::int64_t AnswerLimitBytes_ = 256 * 1024;
+  /// Outcomes that may wait in memory while the platform is away.
+  std::int64_t UnrecordedBytes_ = 32 * 1024 * 1024;
+  std::int64_t RetentionS_ = 24 * 3600;
+  std::int64_t SweepMs_ = 500;
+  std::int64_t SweepRows_ = 50;
+  /// How long the VM that made a claim is waited for.
+  std::int64_t LookupMs_ = 500;
+};
+
+/// How requests that crash targets are recognised.
+struct PoisonSettings {
+  /// How long a broken connection waits for news that its target crashed.
+  std::int64_t ConfirmMs_ = 3000;
+  std::int64_t SuspectS_ = 600;
+  std::int64_t QuarantineS_ = 3600;
+  std::int64_t MostDigests_ = 10000;
+};
+
+/// How targets are chosen.
+enum class RoutingPolicy { Informed, Random };
+
+inline constexpr std::pair<RoutingPolicy, std::string_view>
+    RoutingPolicyNames[] = {
+        {RoutingPolicy::Informed, "informed"},
+        {RoutingPolicy::Random, "random"},
+};
+
+/// How targets are chosen, ejected and tried again.
+struct RoutingSettings {
+  RoutingPolicy Policy_ = RoutingPolicy::Informed;
+  /// How old a target's figures may be when its report arrives.
+  std::int64_t ReportLagMs_ = 50;
+  std::int64_t PrefixEntries_ = 20000;
+  /// Failures in a row that eject a target.
+  std::int64_t EjectFailures_ = 5;
+  std::int64_t EjectLeastMs_ = 1000;
+  std::int64_t EjectMostMs_ = 60000;
+  /// The most of a group of targets that is ejected at once.
+  double EjectShare_ = 0.5;
+  /// Retries for each request.
+  double RetryRatio_ = 0.1;
+  /// Retries a second that all VMs together have besides.
+  double RetryFloorPerSecond_ = 10;
+};
+
+/// How customers' rates are kept over all VMs.
+struct QuotaSettings {
+  /// `shares` or `fixed_split`.
+  std::string Policy_ = "shares";
+  std::int64_t LeaseMs_ = 60000;
+  std::int64_t LeaseMarginMs_ = 2000;
+  /// How long tokens from another VM may be used.
+  std::int64_t LoanMs_ = 1000;
+  std::int64_t LoanMarginMs_ = 250;
+  /// The longest that a request waits for tokens of other VMs.
+  std::int64_t BorrowWaitMs_ = 100;
+  /// The part of every quota that is reserved as floors, and for how many VMs.
+  std::int64_t FloorPercent_ = 5;
+  std::int64_t FloorVms_ = 50;
+  /// Changes of customers' rows that all VMs together may write.
+  std::int64_t WritesPerSecond_ = 100;
+};
+
 /// Everything a VM is told at its start.
 struct DaemonSettings {
   std::string Vm_;
@@ -136,6 +210,10 @@
   MembershipSettings Membership_;
   TargetSettings Targets_;
   ShutdownSettings Shutdown_;
+  LedgerSettings Ledger_;
+  PoisonSettings Poison_;
+  RoutingSettings Routing_;
+  QuotaSettings Quota_;
   PlacementSettings Placement_;
 };
 
