Reuse connections, resume broken streams, stop before dispatch

Cause: each request opened a connection of its own, a stream that broke was lost although engines can take it up, and a request whose key was withdrawn or whose caller left while it waited for a permit was still dispatched. Change: ConnectionPool keeps idle connections for repeatable requests only and drops those on which anything arrived; a broken stream of a repeatable request is taken up at its event offset, at most twice, never after a cancel; keys and callers are looked at again before dispatch; a refusal of what may have run and may not run again has no Retry-After.

--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -50,9 +50,10 @@
       Selector_(Services.require<TargetSelector>(TargetSelector::Name)),
       Ledger_(Services.require<RequestLedger>(RequestLedger::Name)),
       Poison_(Services.find<PoisonGuard>(PoisonGuard::Name)),
-      Admission_(State_), Dispatcher_(std::chrono::milliseconds(
-                                          Settings.Targets_.ConnectTimeoutMs_),
-                                      AnswerIdleTimeout),
+      Admission_(State_),
+      Dispatcher_(
+          std::chrono::milliseconds(Settings.Targets_.ConnectTimeoutMs_),
+          AnswerIdleTimeout, Settings.Routing_.ResumeStreams_),
       Server_(std::move(Executor), serverLimits(Settings.CallerLimits_),
               [this](HttpExchange &Exchange) { return handle(Exchange); }),
       IdPrefix_(Settings.Vm_ + "-" + randomHex(4) + "-") {
@@ -182,19 +183,21 @@
 RequestPipeline::runClaimed(HttpExchange &Exchange,
                             const AdmittedRequest &Admitted, ClaimToken Claim,
                             Summary &Ended) {
+  const RequestContext &Request = Admitted.Context_;
   auto Ran = co_await runOnTargets(Exchange, Admitted, Ended);
   ClaimEnd End;
   if (std::holds_alternative<Refusal>(Ran)) {
     End.Ran_ = refusalOf(Ran).Ran_;
     co_await Ledger_->record(std::move(Claim), End);
-    co_await refuse(Exchange, refusalOf(Ran), Admitted.Context_.RequestId_,
-                    Ended);
+    co_await refuse(Exchange, refusalOf(Ran), Request.RequestId_, Ended);
     co_return;
   }
   TryOutcome &Try = std::get<TryOutcome>(Ran);
   Ended.Status_ = Try.Answer_.Status_;
   Ended.UsedTokens_ = Try.UsedTokens_;
   Ended.FirstByte_ = Try.FirstByte_;
+  if (Request.Repeatable_ && Exchange.callerGone())
+    Ended.Refusal_ = refusalTraits(RefusalCode::CallerGone).Name_;
   End.Ran_ = Execution::Yes;
   if (!Claim.Row_.empty())
     End.Answer_ = Try.Answer_;
@@ -227,11 +230,28 @@
   co_return Last;
 }
 
+std::optional<Refusal>
+RequestPipeline::stopBeforeDispatch(const HttpExchange &Exchange,
+                                    const RequestContext &Request) {
+  bool IsWithdrawn =
+      !Request.KeyName_.empty() && !Admission_.keys().isValid(Request.KeyName_);
+  if (IsWithdrawn)
+    return Refusal{RefusalCode::InvalidKey,
+                   "the key was withdrawn while the request waited",
+                   Execution::No, std::nullopt};
+  if (Request.Repeatable_ && Exchange.callerGone())
+    return Refusal{RefusalCode::CallerGone, "the caller went away",
+                   Execution::No, std::nullopt};
+  return std::nullopt;
+}
+
 asio::awaitable<TryOutcome>
 RequestPipeline::runOnce(HttpExchange &Exchange,
                          const AdmittedRequest &Admitted, const Permit &Held) {
   const RequestContext &Request = Admitted.Context_;
   HttpConnection Connection;
+  if (Request.Repeatable_)
+    Connection = Connections_.take(Held.Address_, BootClock::now());
   auto Cancel = [&Connection, &Exchange] {
     Connection.close();
     Exchange.abort();
@@ -245,6 +265,8 @@
   TryOutcome Try =
       co_await Dispatcher_.run(Admitted, Held, Connection, Exchange);
   Exchange.onCallerGone({});
+  if (Try.Resumes_ > 0)
+    Metrics_->count("anvil_streams_resumed_total", {}, Try.Resumes_);
   if (Exchange.callerGone() && Try.Result_ == TryResult::Crashed) {
     // This VM closed the connection itself; the target is not at fault.
     Try.Result_ = TryResult::Answered;
@@ -253,6 +275,8 @@
   if (Poison_)
     Poison_->ended(Request, Held, Try.Result_, BootClock::now());
   Permits_->release(Held, Try.End_);
+  if (Request.Repeatable_ && Try.Result_ == TryResult::Answered)
+    Connections_.give(Held.Address_, std::move(Connection), BootClock::now());
   Selector_->noteTry(Request, Held, Try.Result_, Try.FirstByte_,
                      BootClock::now());
   co_return Try;
@@ -270,6 +294,12 @@
     if (std::holds_alternative<Refusal>(Granted))
       co_return Try == 0 ? refusalOf(Granted) : Last;
     const Permit &Held = std::get<Permit>(Granted);
+    if (auto Stopped = stopBeforeDispatch(Exchange, Request)) {
+      Permits_->release(Held, PermitEnd::NotStarted);
+      Selector_->noteDeclined(Request, Held.Target_, BootClock::now());
+      Stopped->Ran_ = Last.Ran_;
+      co_return *Stopped;
+    }
     Ended.Target_ = Held.Target_;
     bool WasSuspect = Poison_ && Poison_->isSuspect(Request, BootClock::now());
     TryOutcome Run = co_await runOnce(Exchange, Admitted, Held);
@@ -296,7 +326,8 @@
     // A second crash under the same request is no accident of the target.
     bool IsPoison = WasSuspect && Run.Result_ == TryResult::Crashed;
     IsPoison |= Poison_ && Poison_->check(Request, BootClock::now());
-    if (IsPoison)
+    // Sending it again helps only what may run again.
+    if (IsPoison || (!Request.Repeatable_ && Ran != Execution::No))
       Last.RetryAfter_.reset();
     MayRepeat &= !IsPoison;
     if (!MayRepeat || Exchange.callerGone() ||
--- a/Source/Gateway/RequestPipeline.h
+++ b/Source/Gateway/RequestPipeline.h
@@ -2,6 +2,7 @@
 #define ANVIL_GATEWAY_REQUESTPIPELINE_H
 
 #include "Gateway/ActiveRequests.h"
+#include "Gateway/ConnectionPool.h"
 #include "Gateway/RequestAdmission.h"
 #include "Gateway/TargetDispatcher.h"
 #include "Http/HttpServer.h"
@@ -77,6 +78,8 @@
   boost::asio::awaitable<TryOutcome> runOnce(HttpExchange &Exchange,
                                              const AdmittedRequest &Admitted,
                                              const Permit &Held);
+  std::optional<Refusal> stopBeforeDispatch(const HttpExchange &Exchange,
+                                            const RequestContext &Request);
   boost::asio::awaitable<void> refuse(HttpExchange &Exchange,
                                       const Refusal &Given,
                                       const std::string &RequestId,
@@ -93,6 +96,7 @@
   std::shared_ptr<PoisonGuard> Poison_;
   RequestAdmission Admission_;
   TargetDispatcher Dispatcher_;
+  ConnectionPool Connections_;
   ActiveRequests Active_;
   HttpServer Server_;
   std::string IdPrefix_;
--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -14,6 +14,9 @@
 /// The last event of a complete stream.
 static constexpr std::string_view StreamEnd = "[DONE]";
 
+/// Times that one broken stream is taken up again.
+static constexpr int MostResumes = 2;
+
 /// Whether the head of an answer belongs to the request.
 static bool isOurs(const HttpReplyHead &Head, const RequestContext &Request) {
   auto Id = Head.Headers_.find("X-Request-Id");
@@ -50,11 +53,13 @@
   const RequestContext &Request = Admitted.Context_;
   TryOutcome Try;
   TimePoint Started = BootClock::now();
-  Status Opened = co_await Connection.open(Held.Address_, ConnectTimeout_);
-  if (!isOk(Opened)) {
-    Try.Problem_ = errorOf(Opened).describe();
-    Try.Ran_ = Execution::No;
-    co_return Try;
+  if (!Connection.isIdle()) {
+    Status Opened = co_await Connection.open(Held.Address_, ConnectTimeout_);
+    if (!isOk(Opened)) {
+      Try.Problem_ = errorOf(Opened).describe();
+      Try.Ran_ = Execution::No;
+      co_return Try;
+    }
   }
   Duration Left = Request.Deadline_ - BootClock::now();
   auto Head = co_await Connection.exchange(Admitted.Outgoing_,
@@ -83,37 +88,40 @@
   Try.Answer_.Headers_ = headersForCaller(Given.Headers_, Request);
   bool IsStream = Admitted.Stream_ && Given.Status_ == 200;
   if (IsStream)
-    co_await relayStream(Admitted, Connection, Exchange, Try);
+    co_await relayStream(Admitted, Held, Connection, Exchange, Try);
   else
     co_await collect(Admitted, Connection, Try);
   co_return Try;
 }
 
-asio::awaitable<void>
-TargetDispatcher::relayStream(const AdmittedRequest &Admitted,
-                              HttpConnection &Connection,
-                              HttpExchange &Exchange, TryOutcome &Try) {
+asio::awaitable<TargetDispatcher::RelayEnd> TargetDispatcher::relayEvents(
+    const AdmittedRequest &Admitted, HttpConnection &Connection,
+    HttpExchange &Exchange, Relay &Stream, TryOutcome &Try) {
   SseParser Events;
   std::string Unsent;
   HttpReplyHead Head{Try.Answer_.Status_, Try.Answer_.Headers_};
-  bool Complete = false;
   bool MustFinish = !Admitted.Context_.Repeatable_;
   while (true) {
     auto Part = co_await Connection.readPart(IdleTimeout_);
-    if (!isOk(Part))
-      co_return fail(Try, errorOf(Part));
+    if (!isOk(Part)) {
+      Stream.Problem_ = errorOf(Part);
+      co_return RelayEnd::Broken;
+    }
     const std::string &Piece = valueOf(Part);
     if (Piece.empty())
       break;
     auto Parsed = Events.feed(Piece);
-    if (!isOk(Parsed))
-      co_return fail(Try, errorOf(Parsed));
+    if (!isOk(Parsed)) {
+      Stream.Problem_ = errorOf(Parsed);
+      co_return RelayEnd::Unusable;
+    }
     for (const std::string &Event : valueOf(Parsed)) {
-      Complete |= Event == StreamEnd;
+      Stream.Complete_ |= Event == StreamEnd;
+      ++Stream.Events_;
       if (!isAnswerTo(Event, Admitted.Context_)) {
-        Connection.close();
-        co_return fail(Try, {ErrorCode::Protocol, "target",
-                             "streamed the events of another request", ""});
+        Stream.Problem_ = {ErrorCode::Protocol, "target",
+                           "streamed the events of another request", ""};
+        co_return RelayEnd::Unusable;
       }
       if (Event.find("\"usage\"") == std::string::npos)
         continue;
@@ -135,20 +143,62 @@
     Try.CallerSawBytes_ = true;
     if (Reached)
       Reached = co_await Exchange.write(Ready);
-    if (!Reached && !MustFinish) {
-      // Closing the connection makes the engine cancel the request.
-      Connection.close();
-      Try.Problem_ = "the caller went away";
-      Try.Result_ = TryResult::Answered;
-      Try.End_ = PermitEnd::Finished;
-      Try.Ran_ = Execution::Yes;
-      co_return;
-    }
+    if (!Reached && !MustFinish)
+      co_return RelayEnd::CallerGone;
+  }
+  Stream.Problem_ = {ErrorCode::ConnectionClosed, "target",
+                     "the stream ended too early", ""};
+  co_return Stream.Complete_ ? RelayEnd::Complete : RelayEnd::Broken;
+}
+
+asio::awaitable<bool> TargetDispatcher::resume(const AdmittedRequest &Admitted,
+                                               const Permit &Held,
+                                               HttpConnection &Connection,
+                                               const Relay &Stream) {
+  const RequestContext &Request = Admitted.Context_;
+  Status Opened = co_await Connection.open(Held.Address_, ConnectTimeout_);
+  if (!isOk(Opened))
+    co_return false;
+  HttpRequest Again = Admitted.Outgoing_;
+  Again.Headers_.add("X-Resume-Request", Request.RequestId_);
+  Again.Headers_.add("X-Resume-Offset", std::to_string(Stream.Events_));
+  auto Head = co_await Connection.exchange(Again, IdleTimeout_);
+  bool Resumed = isOk(Head) && valueOf(Head).Status_ == 200 &&
+                 isOurs(valueOf(Head), Request);
+  if (!Resumed)
+    Connection.close();
+  co_return Resumed;
+}
+
+asio::awaitable<void>
+TargetDispatcher::relayStream(const AdmittedRequest &Admitted,
+                              const Permit &Held, HttpConnection &Connection,
+                              HttpExchange &Exchange, TryOutcome &Try) {
+  Relay Stream;
+  RelayEnd End =
+      co_await relayEvents(Admitted, Connection, Exchange, Stream, Try);
+  for (int Resumes = 0; End == RelayEnd::Broken; ++Resumes) {
+    Error Problem = Stream.Problem_;
+    // A caller that went away, or whose key was withdrawn, gets no more.
+    bool MayResume = ResumeStreams_ && Admitted.Context_.Repeatable_ &&
+                     Stream.Events_ > 0 && Resumes < MostResumes &&
+                     !Exchange.callerGone();
+    if (!MayResume || !co_await resume(Admitted, Held, Connection, Stream))
+      co_return fail(Try, Problem);
+    ++Try.Resumes_;
+    End = co_await relayEvents(Admitted, Connection, Exchange, Stream, Try);
+  }
+  if (End == RelayEnd::Unusable) {
+    Connection.close();
+    co_return fail(Try, Stream.Problem_);
+  }
+  if (End == RelayEnd::CallerGone) {
+    // Closing the connection makes the engine cancel the request.
+    Connection.close();
+    Try.Problem_ = "the caller went away";
+  } else {
+    co_await Exchange.finishStream();
   }
-  if (!Complete)
-    co_return fail(Try, {ErrorCode::ConnectionClosed, "target",
-                         "the stream ended too early", ""});
-  co_await Exchange.finishStream();
   Try.Result_ = TryResult::Answered;
   Try.End_ = PermitEnd::Finished;
   Try.Ran_ = Execution::Yes;
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -152,6 +152,18 @@
          State_->Parser_->is_done() && State_->Parser_->keep_alive();
 }
 
+bool HttpConnection::isIdle() const {
+  if (!reusable() || State_->Buffer_.size() > 0)
+    return false;
+  auto &Socket = State_->Stream_.socket();
+  error_code Cause;
+  Socket.non_blocking(true, Cause);
+  char Byte = 0;
+  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek,
+                 Cause);
+  return Cause == asio::error::would_block;
+}
+
 void HttpConnection::close() {
   if (!State_)
     return;
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -40,6 +40,10 @@
   /// Whether another request may follow on this connection.
   bool reusable() const;
 
+  /// Whether it is open and nothing has arrived on it since the last answer.
+  /// Bytes that did, and an end of the connection, make it unusable.
+  bool isIdle() const;
+
   /// Closes at once; what waits on the connection ends with an error.
   void close();
 
--- a/Source/Requests/Refusal.cpp
+++ b/Source/Requests/Refusal.cpp
@@ -60,6 +60,8 @@
     {RefusalCode::NotReady, "not_ready", 503,
      "send again after the time in Retry-After"},
     {RefusalCode::Draining, "draining", 503, "send again now"},
+    {RefusalCode::CallerGone, "caller_gone", 499,
+     "keep the connection open until the answer has come"},
     {RefusalCode::Internal, "internal", 500, "tell your operator"},
 };
 
--- a/Source/Requests/Refusal.h
+++ b/Source/Requests/Refusal.h
@@ -39,6 +39,7 @@
   PlatformUnavailable,
   NotReady,
   Draining,
+  CallerGone,
   Internal,
 };
 
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -126,6 +126,9 @@
 /// How targets are chosen, ejected and tried again.
 struct RoutingSettings {
   RoutingPolicy Policy_ = RoutingPolicy::Informed;
+  /// Whether engines can take up a broken stream; one that does not know the
+  /// headers would begin it again.
+  bool ResumeStreams_ = true;
   /// How old a target's figures may be when its report arrives.
   std::int64_t ReportLagMs_ = 50;
   std::int64_t PrefixEntries_ = 20000;
