--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -333,6 +333,8 @@
     if (!MayRepeat || Exchange.callerGone() ||
         !Selector_->allowRetry(Request, BootClock::now()))
       co_return Last;
+    if (Poison_ && Run.Result_ == TryResult::Crashed)
+      co_await Poison_->confirm(Held);
   }
   co_return Last;
 }
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -15,6 +15,7 @@
 #include "Membership/Rendezvous.h"
 #include "Objects/Digest.h"
 #include "Peer/PeerNetwork.h"
+#include "Placement/EngineClient.h"
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
@@ -95,6 +96,15 @@
                                                     Settings_, Directory));
   auto Guard = std::make_shared<FleetPoisonGuard>(
       Loop_.get_executor(), Settings_, Timers_, Services_);
+  Guard->onLifeProbe(
+      [](Endpoint Address,
+         Duration Timeout) -> boost::asio::awaitable<Result<std::string>> {
+        EngineClient Client(std::move(Address));
+        auto Answer = co_await Client.status(Timeout);
+        if (!isOk(Answer))
+          co_return errorOf(Answer);
+        co_return valueOf(Answer).Incarnation_;
+      });
   Services_.add(Guard);
   std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
   if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
--- a/Source/Requests/PoisonGuard.h
+++ b/Source/Requests/PoisonGuard.h
@@ -7,6 +7,8 @@
 #include "Requests/RequestContext.h"
 #include "Requests/TargetSelector.h"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <optional>
 
 namespace anvil {
@@ -26,6 +28,10 @@
   /// that one more crash is enough to give it up.
   virtual bool isSuspect(const RequestContext &Request, TimePoint Now) = 0;
 
+  /// Waits a short, bounded time until it is known whether the target crashed
+  /// under a request, so that a retry knows of it and the other VMs do.
+  virtual boost::asio::awaitable<void> confirm(const Permit &Used) = 0;
+
   /// Notes that a request begins and ends to run on a target.
   virtual void began(const RequestContext &Request, const Permit &Used,
                      TimePoint Now) = 0;
--- a/Source/Routing/FleetPoisonGuard.cpp
+++ b/Source/Routing/FleetPoisonGuard.cpp
@@ -15,6 +15,9 @@
 /// How often doubts are compared with the targets' reports.
 static constexpr Duration SettlePeriod = std::chrono::milliseconds(50);
 
+/// How long a target that may have crashed is waited for.
+static constexpr Duration ProbeTimeout = std::chrono::milliseconds(250);
+
 /// VMs of another data centre that are told and pass it on.
 static constexpr std::size_t RelayVms = 2;
 
@@ -85,27 +88,44 @@
   if (Result != TryResult::Crashed)
     return;
   Doubts_.add(Request.Digest_, {Used.Target_, Used.Incarnation_}, Now);
-  if (!Directory_->find(Used.Target_))
-    spawn(Executor_, probe(Used.Target_, Used.Address_));
+  spawn(Executor_, probe(Used.Target_, Used.Address_));
+}
+
+asio::awaitable<void> FleetPoisonGuard::confirm(const Permit &Used) {
+  co_await probe(Used.Target_, Used.Address_);
 }
 
 asio::awaitable<void> FleetPoisonGuard::probe(std::string TargetName,
                                               Endpoint Address) {
-  HttpConnection Connection;
-  Status Opened = co_await Connection.open(
-      Address, std::chrono::milliseconds(Settings_.Targets_.ConnectTimeoutMs_));
-  if (!isOk(Opened))
-    Unconnectable_.insert(TargetName);
+  std::optional<std::string> Found;
+  if (ProbeLife_ && Directory_->find(TargetName)) {
+    auto Life = co_await ProbeLife_(Address, ProbeTimeout);
+    if (isOk(Life))
+      Found = std::move(valueOf(Life));
+  } else {
+    HttpConnection Connection;
+    Status Opened = co_await Connection.open(Address, ProbeTimeout);
+    if (isOk(Opened))
+      Found.emplace();
+  }
+  Probed_[TargetName] = std::move(Found);
   settle(BootClock::now());
-  Unconnectable_.erase(TargetName);
+  Probed_.erase(TargetName);
 }
 
 LifeSign FleetPoisonGuard::look(const TargetLife &Life) const {
-  const TargetReport *Report = Directory_->find(Life.Target_);
-  bool Ended =
-      Report ? !Report->Reachable_ || Report->Incarnation_ != Life.Incarnation_
-             : Unconnectable_.count(Life.Target_) > 0;
-  return Ended ? LifeSign::Ended : LifeSign::Same;
+  std::optional<std::string> Now;
+  if (auto Probed = Probed_.find(Life.Target_); Probed != Probed_.end()) {
+    Now = Probed->second;
+  } else if (const auto *Report = Directory_->find(Life.Target_)) {
+    if (Report->Reachable_)
+      Now = Report->Incarnation_;
+  } else {
+    return LifeSign::Same;
+  }
+  // A life that is not known by its incarnation only ends with its address.
+  bool IsOther = Now && !Life.Incarnation_.empty() && *Now != Life.Incarnation_;
+  return !Now || IsOther ? LifeSign::Ended : LifeSign::Same;
 }
 
 void FleetPoisonGuard::settle(TimePoint Now) {
--- a/Source/Routing/FleetPoisonGuard.h
+++ b/Source/Routing/FleetPoisonGuard.h
@@ -10,8 +10,10 @@
 #include "Routing/TargetDirectory.h"
 #include "Settings/DaemonSettings.h"
 
+#include <functional>
+#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,8 +32,16 @@
   Status start() override;
   void stop() override;
 
+  /// Asks a target for the incarnation it is in.
+  using LifeProbe = std::function<boost::asio::awaitable<Result<std::string>>(
+      Endpoint Address, Duration Timeout)>;
+
+  /// Sets how targets that give reports are asked after a connection broke.
+  void onLifeProbe(LifeProbe Hook) { ProbeLife_ = std::move(Hook); }
+
   std::optional<Refusal> check(const RequestContext &Request,
                                TimePoint Now) override;
+  boost::asio::awaitable<void> confirm(const Permit &Used) override;
   bool isSuspect(const RequestContext &Request, TimePoint Now) override;
   void began(const RequestContext &Request, const Permit &Used,
              TimePoint Now) override;
@@ -68,8 +78,10 @@
   std::shared_ptr<Metrics> Metrics_;
   CrashTracker Crashes_;
   CrashConfirmer Doubts_;
-  /// Targets without reports that refused a connection after one broke.
-  std::set<std::string> Unconnectable_;
+  LifeProbe ProbeLife_;
+  /// What targets answered that were just asked: their incarnation, or nothing
+  /// when they can't be reached.
+  std::map<std::string, std::optional<std::string>> Probed_;
   TimerService::Subscription Tick_;
 };
 
