--- a/Source/Routing/CrashConfirmer.cpp
+++ b/Source/Routing/CrashConfirmer.cpp
@@ -8,9 +8,10 @@
 static constexpr std::size_t MostDoubts = 10000;
 
 void CrashConfirmer::add(const std::string &Digest, TargetLife Life,
-                         TimePoint Now) {
+                         std::string Adapter, TimePoint Now) {
   if (Doubts_.size() < MostDoubts)
-    Doubts_.push_back({std::move(Life), Digest, Now + Wait_});
+    Doubts_.push_back(
+        {std::move(Life), Digest, std::move(Adapter), Now + Wait_});
 }
 
 bool CrashConfirmer::holds(const std::string &Digest) const {
@@ -18,11 +19,11 @@
 }
 
 std::vector<CrashConfirmer::Doubt>
-CrashConfirmer::settle(const std::function<LifeSign(const TargetLife &)> &Look,
+CrashConfirmer::settle(const std::function<LifeSign(const Doubt &)> &Look,
                        TimePoint Now) {
   std::vector<Doubt> Confirmed;
   std::erase_if(Doubts_, [&](Doubt &Open) {
-    bool Ended = Look(Open.Life_) == LifeSign::Ended;
+    bool Ended = Look(Open) == LifeSign::Ended;
     if (Ended)
       Confirmed.push_back(Open);
     return Ended || Open.Until_ <= Now;
--- a/Source/Routing/CrashConfirmer.h
+++ b/Source/Routing/CrashConfirmer.h
@@ -25,20 +25,22 @@
   struct Doubt {
     TargetLife Life_;
     std::string Digest_;
+    /// The adapter that the target held for the request.
+    std::string Adapter_;
     TimePoint Until_{};
   };
 
   explicit CrashConfirmer(Duration Wait) : Wait_(Wait) {}
 
-  void add(const std::string &Digest, TargetLife Life, TimePoint Now);
+  void add(const std::string &Digest, TargetLife Life, std::string Adapter,
+           TimePoint Now);
 
   /// Whether the digest waits for news of a crash.
   bool holds(const std::string &Digest) const;
 
   /// Gives the doubts whose life has ended, and drops those past their time.
-  std::vector<Doubt>
-  settle(const std::function<LifeSign(const TargetLife &)> &Look,
-         TimePoint Now);
+  std::vector<Doubt> settle(const std::function<LifeSign(const Doubt &)> &Look,
+                            TimePoint Now);
 
 private:
   Duration Wait_;
