Confirm a crash by asking the target at once

Cause: a crash was confirmed by the next poll of the engine, a quarter second later, and not at all before the first poll; a caller that sent its request again at once crashed engine after engine. Change: after a broken connection the target is asked for its report, before a retry the pipeline waits for that answer (at most 250 ms), and the report goes into the directory. Where the incarnation was not known at dispatch, an engine that lost the adapter held under the permit counts as restarted.

--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -96,14 +96,20 @@
                                                     Settings_, Directory));
   auto Guard = std::make_shared<FleetPoisonGuard>(
       Loop_.get_executor(), Settings_, Timers_, Services_);
-  Guard->onLifeProbe(
+  Guard->onReportProbe(
       [](Endpoint Address,
-         Duration Timeout) -> boost::asio::awaitable<Result<std::string>> {
+         Duration Timeout) -> boost::asio::awaitable<Result<TargetReport>> {
         EngineClient Client(std::move(Address));
         auto Answer = co_await Client.status(Timeout);
         if (!isOk(Answer))
           co_return errorOf(Answer);
-        co_return valueOf(Answer).Incarnation_;
+        TargetReport Report;
+        Report.Incarnation_ = valueOf(Answer).Incarnation_;
+        Report.Running_ = valueOf(Answer).Running_;
+        Report.Waiting_ = valueOf(Answer).Waiting_;
+        for (const ResidentAdapter &Adapter : valueOf(Answer).Resident_)
+          Report.Resident_.insert(Adapter.Name_);
+        co_return Report;
       });
   Services_.add(Guard);
   std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
--- a/Source/Routing/FleetPoisonGuard.cpp
+++ b/Source/Routing/FleetPoisonGuard.cpp
@@ -87,54 +87,69 @@
                              TryResult Result, TimePoint Now) {
   if (Result != TryResult::Crashed)
     return;
-  Doubts_.add(Request.Digest_, {Used.Target_, Used.Incarnation_}, Now);
-  spawn(Executor_, probe(Used.Target_, Used.Address_));
+  Doubts_.add(Request.Digest_, {Used.Target_, Used.Incarnation_},
+              Used.Adapter_.empty() ? "" : Used.Adapter_.text(), Now);
+  spawn(Executor_, probe(Used));
 }
 
 asio::awaitable<void> FleetPoisonGuard::confirm(const Permit &Used) {
-  co_await probe(Used.Target_, Used.Address_);
+  co_await probe(Used);
 }
 
-asio::awaitable<void> FleetPoisonGuard::probe(std::string TargetName,
-                                              Endpoint Address) {
-  std::optional<std::string> Found;
-  if (ProbeLife_ && Directory_->find(TargetName)) {
-    auto Life = co_await ProbeLife_(Address, ProbeTimeout);
-    if (isOk(Life))
-      Found = std::move(valueOf(Life));
+asio::awaitable<void> FleetPoisonGuard::probe(Permit Used) {
+  std::optional<TargetReport> Found;
+  bool IsEngine = ProbeReport_ && !Used.Adapter_.empty();
+  if (IsEngine) {
+    auto Report = co_await ProbeReport_(Used.Address_, ProbeTimeout);
+    if (isOk(Report))
+      Found = std::move(valueOf(Report));
   } else {
     HttpConnection Connection;
-    Status Opened = co_await Connection.open(Address, ProbeTimeout);
+    Status Opened = co_await Connection.open(Used.Address_, ProbeTimeout);
     if (isOk(Opened))
       Found.emplace();
   }
-  Probed_[TargetName] = std::move(Found);
+  if (Found && IsEngine) {
+    Found->Target_ = Used.Target_;
+    Found->ReportedAt_ = BootClock::now();
+    Directory_->update(*Found);
+  }
+  Probed_[Used.Target_] = std::move(Found);
   settle(BootClock::now());
-  Probed_.erase(TargetName);
+  Probed_.erase(Used.Target_);
 }
 
-LifeSign FleetPoisonGuard::look(const TargetLife &Life) const {
-  std::optional<std::string> Now;
-  if (auto Probed = Probed_.find(Life.Target_); Probed != Probed_.end()) {
-    Now = Probed->second;
-  } else if (const auto *Report = Directory_->find(Life.Target_)) {
-    if (Report->Reachable_)
-      Now = Report->Incarnation_;
-  } else {
+LifeSign FleetPoisonGuard::look(const CrashConfirmer::Doubt &Open) const {
+  const TargetReport *Report = Directory_->find(Open.Life_.Target_);
+  auto Probed = Probed_.find(Open.Life_.Target_);
+  bool WasAsked = Probed != Probed_.end();
+  if (WasAsked && !Probed->second)
+    return LifeSign::Ended;
+  if (!Report)
     return LifeSign::Same;
-  }
-  // A life that is not known by its incarnation only ends with its address.
-  bool IsOther = Now && !Life.Incarnation_.empty() && *Now != Life.Incarnation_;
-  return !Now || IsOther ? LifeSign::Ended : LifeSign::Same;
+  if (!Report->Reachable_)
+    return LifeSign::Ended;
+  // Without the incarnation that the request began in, an engine that lost the
+  // adapter right after has restarted: it is not evicted under a permit.
+  if (Open.Life_.Incarnation_.empty())
+    return WasAsked && !Report->Resident_.count(Open.Adapter_) ? LifeSign::Ended
+                                                               : LifeSign::Same;
+  return Report->Incarnation_ != Open.Life_.Incarnation_ ? LifeSign::Ended
+                                                         : LifeSign::Same;
 }
 
 void FleetPoisonGuard::settle(TimePoint Now) {
   Crashes_.expire(Now);
   auto Confirmed = Doubts_.settle(
-      [this](const TargetLife &Life) { return look(Life); }, Now);
+      [this](const CrashConfirmer::Doubt &Open) { return look(Open); }, Now);
   std::map<TargetLife, std::vector<std::string>> ByCrash;
-  for (const CrashConfirmer::Doubt &Known : Confirmed)
-    ByCrash[Known.Life_].push_back(Known.Digest_);
+  for (const CrashConfirmer::Doubt &Known : Confirmed) {
+    TargetLife Life = Known.Life_;
+    const TargetReport *Report = Directory_->find(Life.Target_);
+    if (Life.Incarnation_.empty() && Report)
+      Life.Incarnation_ = "before " + Report->Incarnation_;
+    ByCrash[Life].push_back(Known.Digest_);
+  }
   for (const auto &[Life, Digests] : ByCrash) {
     logEvent(LogLevel::Warning, "target_crashed",
              {{"target", Life.Target_},
--- a/Source/Routing/FleetPoisonGuard.h
+++ b/Source/Routing/FleetPoisonGuard.h
@@ -32,12 +32,13 @@
   Status start() override;
   void stop() override;
 
-  /// Asks a target for the incarnation it is in.
-  using LifeProbe = std::function<boost::asio::awaitable<Result<std::string>>(
-      Endpoint Address, Duration Timeout)>;
+  /// Asks an engine for its report.
+  using ReportProbe =
+      std::function<boost::asio::awaitable<Result<TargetReport>>(
+          Endpoint Address, Duration Timeout)>;
 
-  /// Sets how targets that give reports are asked after a connection broke.
-  void onLifeProbe(LifeProbe Hook) { ProbeLife_ = std::move(Hook); }
+  /// Sets how engines are asked after a connection broke.
+  void onReportProbe(ReportProbe Hook) { ProbeReport_ = std::move(Hook); }
 
   std::optional<Refusal> check(const RequestContext &Request,
                                TimePoint Now) override;
@@ -62,8 +63,8 @@
 
 private:
   void settle(TimePoint Now);
-  LifeSign look(const TargetLife &Life) const;
-  boost::asio::awaitable<void> probe(std::string TargetName, Endpoint Address);
+  LifeSign look(const CrashConfirmer::Doubt &Open) const;
+  boost::asio::awaitable<void> probe(Permit Used);
   void take(const std::vector<std::string> &Digests, const TargetLife &Crashed);
   template <class Notice>
   void tellAll(Notice Given, const std::string &RelayKey);
@@ -78,10 +79,10 @@
   std::shared_ptr<Metrics> Metrics_;
   CrashTracker Crashes_;
   CrashConfirmer Doubts_;
-  LifeProbe ProbeLife_;
-  /// What targets answered that were just asked: their incarnation, or nothing
-  /// when they can't be reached.
-  std::map<std::string, std::optional<std::string>> Probed_;
+  ReportProbe ProbeReport_;
+  /// What targets answered that were just asked; nothing when they can't be
+  /// reached.
+  std::map<std::string, std::optional<TargetReport>> Probed_;
   TimerService::Subscription Tick_;
 };
 
--- a/Tests/Property/PoisonProperty.cpp
+++ b/Tests/Property/PoisonProperty.cpp
@@ -71,9 +71,9 @@
 TEST_CASE("a connection that breaks under a request") {
   CrashConfirmer Doubts(std::chrono::seconds(3));
   TimePoint Now{};
-  Doubts.add("d", {"t", "a"}, Now);
+  Doubts.add("d", {"t", "a"}, "x@1", Now);
   LifeSign Sign = LifeSign::Same;
-  auto Look = [&](const TargetLife &) { return Sign; };
+  auto Look = [&](const CrashConfirmer::Doubt &) { return Sign; };
   REQUIRE(Doubts.settle(Look, Now).empty());
   REQUIRE(Doubts.holds("d"));
   SECTION("is a crash when the target comes back in another life") {
