--- a/Source/Routing/FleetPoisonGuard.h
+++ b/Source/Routing/FleetPoisonGuard.h
@@ -10,8 +10,10 @@
 #include "Routing/TargetDirectory.h"
 #include "Settings/DaemonSettings.h"
 
+#include <functional>
+#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,8 +32,17 @@
   Status start() override;
   void stop() override;
 
+  /// Asks an engine for its report.
+  using ReportProbe =
+      std::function<boost::asio::awaitable<Result<TargetReport>>(
+          Endpoint Address, Duration Timeout)>;
+
+  /// Sets how engines are asked after a connection broke.
+  void onReportProbe(ReportProbe Hook) { ProbeReport_ = std::move(Hook); }
+
   std::optional<Refusal> check(const RequestContext &Request,
                                TimePoint Now) override;
+  boost::asio::awaitable<void> confirm(const Permit &Used) override;
   bool isSuspect(const RequestContext &Request, TimePoint Now) override;
   void began(const RequestContext &Request, const Permit &Used,
              TimePoint Now) override;
@@ -52,8 +63,8 @@
 
 private:
   void settle(TimePoint Now);
-  LifeSign look(const TargetLife &Life) const;
-  boost::asio::awaitable<void> probe(std::string TargetName, Endpoint Address);
+  LifeSign look(const CrashConfirmer::Doubt &Open) const;
+  boost::asio::awaitable<void> probe(Permit Used);
   void take(const std::vector<std::string> &Digests, const TargetLife &Crashed);
   template <class Notice>
   void tellAll(Notice Given, const std::string &RelayKey);
@@ -68,8 +79,10 @@
   std::shared_ptr<Metrics> Metrics_;
   CrashTracker Crashes_;
   CrashConfirmer Doubts_;
-  /// Targets without reports that refused a connection after one broke.
-  std::set<std::string> Unconnectable_;
+  ReportProbe ProbeReport_;
+  /// What targets answered that were just asked; nothing when they can't be
+  /// reached.
+  std::map<std::string, std::optional<TargetReport>> Probed_;
   TimerService::Subscription Tick_;
 };
 
