--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -16,8 +16,10 @@
 #include "Membership/Rendezvous.h"
 #include "Objects/Digest.h"
 #include "Peer/PeerNetwork.h"
+#include "Placement/EngineClient.h"
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
+#include "Placement/OwnerPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
 #include "Routing/FleetPoisonGuard.h"
@@ -88,13 +90,38 @@
   auto State = Services_.require<ConfigState>(ConfigState::Name);
   auto Directory = std::make_shared<TargetDirectory>();
   Services_.add(Directory);
-  Services_.add(std::make_shared<EngineMonitor>(Loop_.get_executor(), Settings_,
-                                                Timers_, State, Directory));
+  auto Monitor = std::make_shared<EngineMonitor>(
+      Loop_.get_executor(), Settings_, Timers_, State, Directory);
+  Services_.add(Monitor);
   addQuota();
-  Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
-                                                    Settings_, Directory));
+  if (Settings_.Placement_.Policy_ == PlacementPolicy::Owners)
+    addOwners(*Monitor);
+  else
+    Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
+                                                      Settings_, Directory));
+  addRouting();
+  Services_.add(std::make_shared<TableLedger>(
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
+}
+
+void Daemon::addRouting() {
   auto Guard = std::make_shared<FleetPoisonGuard>(
       Loop_.get_executor(), Settings_, Timers_, Services_);
+  Guard->onReportProbe(
+      [](Endpoint Address,
+         Duration Timeout) -> boost::asio::awaitable<Result<TargetReport>> {
+        EngineClient Client(std::move(Address));
+        auto Answer = co_await Client.status(Timeout);
+        if (!isOk(Answer))
+          co_return errorOf(Answer);
+        TargetReport Report;
+        Report.Incarnation_ = valueOf(Answer).Incarnation_;
+        Report.Running_ = valueOf(Answer).Running_;
+        Report.Waiting_ = valueOf(Answer).Waiting_;
+        for (const ResidentAdapter &Adapter : valueOf(Answer).Resident_)
+          Report.Resident_.insert(Adapter.Name_);
+        co_return Report;
+      });
   Services_.add(Guard);
   std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
   if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
@@ -109,8 +136,6 @@
         });
     Services_.add(std::move(Selector));
   }
-  Services_.add(std::make_shared<TableLedger>(
-      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
 }
 
 void Daemon::addQuota() {
@@ -129,6 +154,25 @@
       Loop_.get_executor(), Settings_, Incarnation_, Timers_, Services_));
 }
 
+void Daemon::addOwners(EngineMonitor &Monitor) {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  auto Members = Services_.require<MembershipService>(MembershipService::Name);
+  auto Network = Services_.require<PeerNetwork>(PeerNetwork::Name);
+  Services_.add(std::make_shared<OwnershipService>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_,
+      Services_.require<PlatformService>(PlatformService::Name), Members,
+      Network, Services_.require<Metrics>(Metrics::Name)));
+  Services_.add(
+      std::make_shared<StoreGate>(Settings_, Timers_, State, Members, Network));
+  Services_.add(std::make_shared<TargetOwnerService>(
+      Loop_.get_executor(), Settings_, Timers_, Services_));
+  Services_.add(std::make_shared<OwnerPermitBroker>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_, Services_));
+  // Owners report; what they don't reach is polled slowly.
+  Monitor.onlyWhenOlderThan(
+      3 * std::chrono::milliseconds(Settings_.Placement_.ReportMs_));
+}
+
 void Daemon::addFrontDoors() {
   Services_.add(std::make_shared<RequestPipeline>(Loop_.get_executor(),
                                                   Settings_, Services_));
@@ -198,6 +242,18 @@
   });
   if (auto Quota = Services_.find<QuotaService>(QuotaGate::Name))
     Page->addSection("quotas", [Quota] { return Quota->status(); });
+  if (auto Owners =
+          Services_.find<TargetOwnerService>(TargetOwnerService::Name))
+    Page->addSection("owned_targets", [Owners] {
+      json List = json::array();
+      for (const OwnedTargetView &Seen : Owners->view())
+        List.push_back({{"name", Seen.Target_},
+                        {"epoch", Seen.Epoch_},
+                        {"settled", Seen.Settled_},
+                        {"permits", Seen.Permits_},
+                        {"waiting", Seen.Waiting_}});
+      return List;
+    });
   Page->addSection("targets", [Directory] {
     json List = json::array();
     for (const auto &[Name, Report] : Directory->all())
--- a/Source/Routing/FleetPoisonGuard.cpp
+++ b/Source/Routing/FleetPoisonGuard.cpp
@@ -15,6 +15,9 @@
 /// How often doubts are compared with the targets' reports.
 static constexpr Duration SettlePeriod = std::chrono::milliseconds(50);
 
+/// How long a target that may have crashed is waited for.
+static constexpr Duration ProbeTimeout = std::chrono::milliseconds(250);
+
 /// VMs of another data centre that are told and pass it on.
 static constexpr std::size_t RelayVms = 2;
 
@@ -84,37 +87,69 @@
                              TryResult Result, TimePoint Now) {
   if (Result != TryResult::Crashed)
     return;
-  Doubts_.add(Request.Digest_, {Used.Target_, Used.Incarnation_}, Now);
-  if (!Directory_->find(Used.Target_))
-    spawn(Executor_, probe(Used.Target_, Used.Address_));
+  Doubts_.add(Request.Digest_, {Used.Target_, Used.Incarnation_},
+              Used.Adapter_.empty() ? "" : Used.Adapter_.text(), Now);
+  spawn(Executor_, probe(Used));
+}
+
+asio::awaitable<void> FleetPoisonGuard::confirm(const Permit &Used) {
+  co_await probe(Used);
 }
 
-asio::awaitable<void> FleetPoisonGuard::probe(std::string TargetName,
-                                              Endpoint Address) {
-  HttpConnection Connection;
-  Status Opened = co_await Connection.open(
-      Address, std::chrono::milliseconds(Settings_.Targets_.ConnectTimeoutMs_));
-  if (!isOk(Opened))
-    Unconnectable_.insert(TargetName);
+asio::awaitable<void> FleetPoisonGuard::probe(Permit Used) {
+  std::optional<TargetReport> Found;
+  bool IsEngine = ProbeReport_ && !Used.Adapter_.empty();
+  if (IsEngine) {
+    auto Report = co_await ProbeReport_(Used.Address_, ProbeTimeout);
+    if (isOk(Report))
+      Found = std::move(valueOf(Report));
+  } else {
+    HttpConnection Connection;
+    Status Opened = co_await Connection.open(Used.Address_, ProbeTimeout);
+    if (isOk(Opened))
+      Found.emplace();
+  }
+  if (Found && IsEngine) {
+    Found->Target_ = Used.Target_;
+    Found->ReportedAt_ = BootClock::now();
+    Directory_->update(*Found);
+  }
+  Probed_[Used.Target_] = std::move(Found);
   settle(BootClock::now());
-  Unconnectable_.erase(TargetName);
+  Probed_.erase(Used.Target_);
 }
 
-LifeSign FleetPoisonGuard::look(const TargetLife &Life) const {
-  const TargetReport *Report = Directory_->find(Life.Target_);
-  bool Ended =
-      Report ? !Report->Reachable_ || Report->Incarnation_ != Life.Incarnation_
-             : Unconnectable_.count(Life.Target_) > 0;
-  return Ended ? LifeSign::Ended : LifeSign::Same;
+LifeSign FleetPoisonGuard::look(const CrashConfirmer::Doubt &Open) const {
+  const TargetReport *Report = Directory_->find(Open.Life_.Target_);
+  auto Probed = Probed_.find(Open.Life_.Target_);
+  bool WasAsked = Probed != Probed_.end();
+  if (WasAsked && !Probed->second)
+    return LifeSign::Ended;
+  if (!Report)
+    return LifeSign::Same;
+  if (!Report->Reachable_)
+    return LifeSign::Ended;
+  // Without the incarnation that the request began in, an engine that lost the
+  // adapter right after has restarted: it is not evicted under a permit.
+  if (Open.Life_.Incarnation_.empty())
+    return WasAsked && !Report->Resident_.count(Open.Adapter_) ? LifeSign::Ended
+                                                               : LifeSign::Same;
+  return Report->Incarnation_ != Open.Life_.Incarnation_ ? LifeSign::Ended
+                                                         : LifeSign::Same;
 }
 
 void FleetPoisonGuard::settle(TimePoint Now) {
   Crashes_.expire(Now);
   auto Confirmed = Doubts_.settle(
-      [this](const TargetLife &Life) { return look(Life); }, Now);
+      [this](const CrashConfirmer::Doubt &Open) { return look(Open); }, Now);
   std::map<TargetLife, std::vector<std::string>> ByCrash;
-  for (const CrashConfirmer::Doubt &Known : Confirmed)
-    ByCrash[Known.Life_].push_back(Known.Digest_);
+  for (const CrashConfirmer::Doubt &Known : Confirmed) {
+    TargetLife Life = Known.Life_;
+    const TargetReport *Report = Directory_->find(Life.Target_);
+    if (Life.Incarnation_.empty() && Report)
+      Life.Incarnation_ = "before " + Report->Incarnation_;
+    ByCrash[Life].push_back(Known.Digest_);
+  }
   for (const auto &[Life, Digests] : ByCrash) {
     logEvent(LogLevel::Warning, "target_crashed",
              {{"target", Life.Target_},
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -108,6 +108,7 @@
 
 static void visitFields(FieldReader &Fields, RoutingSettings &Routing) {
   Fields.choice("policy", Routing.Policy_, RoutingPolicyNames);
+  Fields.field("resume_streams", Routing.ResumeStreams_);
   Fields.field("report_lag_ms", Routing.ReportLagMs_, {0, 60000});
   Fields.field("prefix_entries", Routing.PrefixEntries_, {2, 1000000});
   Fields.field("eject_failures", Routing.EjectFailures_, CountRange);
@@ -119,6 +120,31 @@
                {0, 10000});
 }
 
+/// Below a second renewals would follow each other too fast for the table.
+static constexpr NumberRange LeaseRange{1000, 60000};
+static constexpr NumberRange QueueRange{1, 100000};
+static constexpr NumberRange FactorRange{1, 100};
+
+static void visitFields(FieldReader &Fields, PlacementSettings &Placement) {
+  Fields.choice("policy", Placement.Policy_, PlacementPolicyNames);
+  Fields.choice("queue", Placement.Queue_, QueuePolicyNames);
+  Fields.field("lease_term_ms", Placement.LeaseTermMs_, LeaseRange);
+  Fields.field("lease_margin_ms", Placement.LeaseMarginMs_, MillisRange);
+  Fields.field("queue_length", Placement.QueueLength_, QueueRange);
+  Fields.field("queue_length_per_customer", Placement.QueueLengthPerCustomer_,
+               QueueRange);
+  Fields.field("inventory_ms", Placement.InventoryMs_, MillisRange);
+  Fields.field("report_ms", Placement.ReportMs_, MillisRange);
+  Fields.field("silent_vm_ms", Placement.SilentVmMs_, MillisRange);
+  Fields.field("min_residence_ms", Placement.MinResidenceMs_, MillisRange);
+  Fields.field("patience_ms", Placement.PatienceMs_, MillisRange);
+  Fields.field("challenge_factor", Placement.ChallengeFactor_, FactorRange);
+  // The holder must keep some of its lease, and a renewal must fit in.
+  if (2 * Placement.LeaseMarginMs_ >= Placement.LeaseTermMs_)
+    Fields.report("lease_margin_ms", "is not under half of lease_term_ms",
+                  "lower lease_margin_ms or raise lease_term_ms");
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -136,6 +162,7 @@
   Fields.record("poison", Settings.Poison_);
   Fields.record("routing", Settings.Routing_);
   Fields.record("quota", Settings.Quota_);
+  Fields.record("placement", Settings.Placement_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
