--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -4,6 +4,8 @@
 #include "Gateway/OpenAiCodec.h"
 #include "Gateway/SseParser.h"
 
+#include <algorithm>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -14,6 +16,9 @@
 /// The last event of a complete stream.
 static constexpr std::string_view StreamEnd = "[DONE]";
 
+/// How long an engine may take to answer that it takes up a broken stream.
+static constexpr Duration ResumeTimeout = std::chrono::seconds(5);
+
 /// Times that one broken stream is taken up again.
 static constexpr int MostResumes = 2;
 
@@ -162,7 +167,7 @@
   HttpRequest Again = Admitted.Outgoing_;
   Again.Headers_.add("X-Resume-Request", Request.RequestId_);
   Again.Headers_.add("X-Resume-Offset", std::to_string(Stream.Events_));
-  auto Head = co_await Connection.exchange(Again, IdleTimeout_);
+  auto Head = co_await Connection.exchange(Again, ResumeTimeout);
   bool Resumed = isOk(Head) && valueOf(Head).Status_ == 200 &&
                  isOurs(valueOf(Head), Request);
   if (!Resumed)
@@ -208,7 +213,10 @@
                                                 HttpConnection &Connection,
                                                 TryOutcome &Try) {
   while (true) {
-    auto Part = co_await Connection.readPart(IdleTimeout_);
+    // Nothing has gone to the caller, so the deadline holds to the end.
+    Duration Left = Admitted.Context_.Deadline_ - BootClock::now();
+    Duration Wait = std::clamp(Left, Duration(1), IdleTimeout_);
+    auto Part = co_await Connection.readPart(Wait);
     if (!isOk(Part))
       co_return fail(Try, errorOf(Part));
     if (valueOf(Part).empty())
--- a/Source/Ledger/GroupCommitter.cpp
+++ b/Source/Ledger/GroupCommitter.cpp
@@ -15,10 +15,6 @@
   return Id;
 }
 
-bool GroupCommitter::maySend(TimePoint Now) const {
-  return Now + Gap_ * Options_.BurstBatches_ >= Pace_;
-}
-
 std::optional<GroupCommitter::Batch> GroupCommitter::takeBatch(TimePoint Now) {
   auto Due = nextDue();
   if (!Due || *Due > Now)
--- a/Source/Ledger/GroupCommitter.h
+++ b/Source/Ledger/GroupCommitter.h
@@ -93,7 +93,6 @@
     int AmbiguousTries_ = 0;
   };
 
-  bool maySend(TimePoint Now) const;
   void endConflict(Waiting &Change, const CommitOutcome &Outcome, TimePoint Now,
                    std::vector<ChangeEnd> &Ended, std::deque<Waiting> &Again);
 
--- a/Source/Ledger/TableLedger.cpp
+++ b/Source/Ledger/TableLedger.cpp
@@ -106,6 +106,15 @@
     spawn(Executor_, sweep());
 }
 
+/// What a claim came to, for the metrics.
+static std::string resultName(const Outcome<ClaimDecision> &Decided) {
+  if (const auto *Refused = std::get_if<Refusal>(&Decided))
+    return std::string(refusalTraits(Refused->Code_).Name_);
+  bool MayRun =
+      std::holds_alternative<ClaimToken>(std::get<ClaimDecision>(Decided));
+  return MayRun ? "run" : "recorded_answer";
+}
+
 asio::awaitable<Outcome<ClaimDecision>>
 TableLedger::claim(const RequestContext &Request) {
   if (Request.IdempotencyKey_.empty())
@@ -140,7 +149,9 @@
     TimePoint Due = BootClock::now() + FirstTraceWait;
     Traces_.push_back({Wanted.Row_, Session.text(), Due, FirstTraceWait});
   }
-  co_return std::get<Outcome<ClaimDecision>>(std::move(Step));
+  auto Decided = std::get<Outcome<ClaimDecision>>(std::move(Step));
+  Metrics_->count("anvil_claims_total", {{"result", resultName(Decided)}});
+  co_return Decided;
 }
 
 asio::awaitable<ClaimantState> TableLedger::ask(std::string Row,
