--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "Admin/QuarantineEndpoints.h"
 #include "Admin/StatusEndpoints.h"
 #include "Admission/FixedSplitQuota.h"
+#include "Admission/QuotaService.h"
 #include "Config/ConfigSpread.h"
 #include "Gateway/KeyGuard.h"
 #include "Gateway/RequestPipeline.h"
@@ -18,6 +19,7 @@
 #include "Placement/EngineClient.h"
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
+#include "Placement/OwnerPermitBroker.h"
 #include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
 #include "Routing/FleetPoisonGuard.h"
@@ -88,12 +90,21 @@
   auto State = Services_.require<ConfigState>(ConfigState::Name);
   auto Directory = std::make_shared<TargetDirectory>();
   Services_.add(Directory);
-  Services_.add(std::make_shared<EngineMonitor>(Loop_.get_executor(), Settings_,
-                                                Timers_, State, Directory));
-  Services_.add(
-      std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
-  Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
-                                                    Settings_, Directory));
+  auto Monitor = std::make_shared<EngineMonitor>(
+      Loop_.get_executor(), Settings_, Timers_, State, Directory);
+  Services_.add(Monitor);
+  addQuota();
+  if (Settings_.Placement_.Policy_ == PlacementPolicy::Owners)
+    addOwners(*Monitor);
+  else
+    Services_.add(std::make_shared<LocalPermitBroker>(Loop_.get_executor(),
+                                                      Settings_, Directory));
+  addRouting();
+  Services_.add(std::make_shared<TableLedger>(
+      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
+}
+
+void Daemon::addRouting() {
   auto Guard = std::make_shared<FleetPoisonGuard>(
       Loop_.get_executor(), Settings_, Timers_, Services_);
   Guard->onReportProbe(
@@ -125,8 +136,41 @@
         });
     Services_.add(std::move(Selector));
   }
-  Services_.add(std::make_shared<TableLedger>(
-      Loop_.get_executor(), Settings_, Timers_, Services_, Incarnation_));
+}
+
+void Daemon::addQuota() {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  if (Settings_.Quota_.Policy_ == QuotaPolicy::FixedSplit) {
+    Services_.add(
+        std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+    return;
+  }
+  Services_.add(std::make_shared<QuotaKeeper>(
+      Loop_.get_executor(), Settings_, Timers_,
+      Services_.require<PlatformService>(PlatformService::Name),
+      Services_.require<PeerNetwork>(PeerNetwork::Name),
+      Services_.require<MembershipService>(MembershipService::Name)));
+  Services_.add(std::make_shared<QuotaService>(
+      Loop_.get_executor(), Settings_, Incarnation_, Timers_, Services_));
+}
+
+void Daemon::addOwners(EngineMonitor &Monitor) {
+  auto State = Services_.require<ConfigState>(ConfigState::Name);
+  auto Members = Services_.require<MembershipService>(MembershipService::Name);
+  auto Network = Services_.require<PeerNetwork>(PeerNetwork::Name);
+  Services_.add(std::make_shared<OwnershipService>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_,
+      Services_.require<PlatformService>(PlatformService::Name), Members,
+      Network, Services_.require<Metrics>(Metrics::Name)));
+  Services_.add(
+      std::make_shared<StoreGate>(Settings_, Timers_, State, Members, Network));
+  Services_.add(std::make_shared<TargetOwnerService>(
+      Loop_.get_executor(), Settings_, Timers_, Services_));
+  Services_.add(std::make_shared<OwnerPermitBroker>(
+      Loop_.get_executor(), Settings_, Timers_, Incarnation_, Services_));
+  // Owners report; what they don't reach is polled slowly.
+  Monitor.onlyWhenOlderThan(
+      3 * std::chrono::milliseconds(Settings_.Placement_.ReportMs_));
 }
 
 void Daemon::addFrontDoors() {
@@ -196,6 +240,20 @@
                       {"leaving", Known.State_ == VmState::Leaving}});
     return List;
   });
+  if (auto Quota = Services_.find<QuotaService>(QuotaGate::Name))
+    Page->addSection("quotas", [Quota] { return Quota->status(); });
+  if (auto Owners =
+          Services_.find<TargetOwnerService>(TargetOwnerService::Name))
+    Page->addSection("owned_targets", [Owners] {
+      json List = json::array();
+      for (const OwnedTargetView &Seen : Owners->view())
+        List.push_back({{"name", Seen.Target_},
+                        {"epoch", Seen.Epoch_},
+                        {"settled", Seen.Settled_},
+                        {"permits", Seen.Permits_},
+                        {"waiting", Seen.Waiting_}});
+      return List;
+    });
   Page->addSection("targets", [Directory] {
     json List = json::array();
     for (const auto &[Name, Report] : Directory->all())
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -70,6 +70,20 @@
   Fields.field("drain_ms", Shutdown.DrainMs_, MillisRange);
 }
 
+static void visitFields(FieldReader &Fields, QuotaSettings &Quota) {
+  constexpr NumberRange LoanRange{10, 60000};
+  Fields.choice("policy", Quota.Policy_, QuotaPolicyNames);
+  Fields.field("lease_ms", Quota.LeaseMs_, {2000, 3600000});
+  Fields.field("lease_margin_ms", Quota.LeaseMarginMs_, {100, 60000});
+  Fields.field("promise_ms", Quota.PromiseMs_, {2000, 24 * 3600000});
+  Fields.field("loan_ms", Quota.LoanMs_, LoanRange);
+  Fields.field("loan_margin_ms", Quota.LoanMarginMs_, LoanRange);
+  Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
+  Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
+  Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
+  Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
+}
+
 /// Claims outlive every request that they stand for.
 static constexpr NumberRange RetentionRange{3600, 30 * 24 * 3600};
 
@@ -106,6 +120,31 @@
                {0, 10000});
 }
 
+/// Below a second renewals would follow each other too fast for the table.
+static constexpr NumberRange LeaseRange{1000, 60000};
+static constexpr NumberRange QueueRange{1, 100000};
+static constexpr NumberRange FactorRange{1, 100};
+
+static void visitFields(FieldReader &Fields, PlacementSettings &Placement) {
+  Fields.choice("policy", Placement.Policy_, PlacementPolicyNames);
+  Fields.choice("queue", Placement.Queue_, QueuePolicyNames);
+  Fields.field("lease_term_ms", Placement.LeaseTermMs_, LeaseRange);
+  Fields.field("lease_margin_ms", Placement.LeaseMarginMs_, MillisRange);
+  Fields.field("queue_length", Placement.QueueLength_, QueueRange);
+  Fields.field("queue_length_per_customer", Placement.QueueLengthPerCustomer_,
+               QueueRange);
+  Fields.field("inventory_ms", Placement.InventoryMs_, MillisRange);
+  Fields.field("report_ms", Placement.ReportMs_, MillisRange);
+  Fields.field("silent_vm_ms", Placement.SilentVmMs_, MillisRange);
+  Fields.field("min_residence_ms", Placement.MinResidenceMs_, MillisRange);
+  Fields.field("patience_ms", Placement.PatienceMs_, MillisRange);
+  Fields.field("challenge_factor", Placement.ChallengeFactor_, FactorRange);
+  // The holder must keep some of its lease, and a renewal must fit in.
+  if (2 * Placement.LeaseMarginMs_ >= Placement.LeaseTermMs_)
+    Fields.report("lease_margin_ms", "is not under half of lease_term_ms",
+                  "lower lease_margin_ms or raise lease_term_ms");
+}
+
 static void visitFields(FieldReader &Fields, DaemonSettings &Settings) {
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
@@ -122,6 +161,8 @@
   Fields.record("ledger", Settings.Ledger_);
   Fields.record("poison", Settings.Poison_);
   Fields.record("routing", Settings.Routing_);
+  Fields.record("quota", Settings.Quota_);
+  Fields.record("placement", Settings.Placement_);
 }
 
 static void checkAddress(FieldReader &Fields, std::string_view Name,
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -79,6 +79,42 @@
   std::int64_t LoadTimeoutMs_ = 20000;
 };
 
+/// How permits are granted.
+enum class PlacementPolicy { Owners, LocalLru };
+
+inline constexpr std::pair<PlacementPolicy, std::string_view>
+    PlacementPolicyNames[] = {
+        {PlacementPolicy::Owners, "owners"},
+        {PlacementPolicy::LocalLru, "local_lru"},
+};
+
+/// In what order requests that wait for a target go.
+enum class QueuePolicy { Fair, FirstCome };
+
+inline constexpr std::pair<QueuePolicy, std::string_view> QueuePolicyNames[] = {
+    {QueuePolicy::Fair, "fair"},
+    {QueuePolicy::FirstCome, "first_come"},
+};
+
+/// How targets are owned, and how requests wait for them.
+struct PlacementSettings {
+  PlacementPolicy Policy_ = PlacementPolicy::Owners;
+  QueuePolicy Queue_ = QueuePolicy::Fair;
+  /// How long the ownership of targets lasts without renewal.
+  std::int64_t LeaseTermMs_ = 6000;
+  /// What its holder stops early and others wait longer.
+  std::int64_t LeaseMarginMs_ = 500;
+  std::int64_t QueueLength_ = 512;
+  std::int64_t QueueLengthPerCustomer_ = 256;
+  std::int64_t InventoryMs_ = 2000;
+  std::int64_t ReportMs_ = 2000;
+  /// A VM that has sent no inventory for so long counts as gone.
+  std::int64_t SilentVmMs_ = 10000;
+  std::int64_t MinResidenceMs_ = 1000;
+  std::int64_t PatienceMs_ = 300;
+  double ChallengeFactor_ = 1.5;
+};
+
 /// How the daemon stops.
 struct ShutdownSettings {
   /// How long new requests are still taken after the VM reports not ready.
@@ -144,6 +180,33 @@
   double RetryFloorPerSecond_ = 10;
 };
 
+/// How customers' rates are kept over all VMs.
+enum class QuotaPolicy { Shares, FixedSplit };
+
+inline constexpr std::pair<QuotaPolicy, std::string_view> QuotaPolicyNames[] = {
+    {QuotaPolicy::Shares, "shares"},
+    {QuotaPolicy::FixedSplit, "fixed_split"},
+};
+
+/// How customers' rates are kept over all VMs, and how fast.
+struct QuotaSettings {
+  QuotaPolicy Policy_ = QuotaPolicy::Shares;
+  std::int64_t LeaseMs_ = 10000;
+  std::int64_t LeaseMarginMs_ = 1000;
+  /// How long promises of the other VMs can keep a lease without the platform.
+  std::int64_t PromiseMs_ = 600000;
+  /// How long tokens from another VM may be used.
+  std::int64_t LoanMs_ = 1000;
+  std::int64_t LoanMarginMs_ = 250;
+  /// The longest that a request waits for tokens of other VMs.
+  std::int64_t BorrowWaitMs_ = 100;
+  /// The part of every quota that is reserved as floors, and for how many VMs.
+  std::int64_t FloorPercent_ = 5;
+  std::int64_t FloorVms_ = 50;
+  /// Changes of customers' rows that all VMs together may write.
+  std::int64_t WritesPerSecond_ = 100;
+};
+
 /// Everything a VM is told at its start.
 struct DaemonSettings {
   std::string Vm_;
@@ -162,6 +225,8 @@
   LedgerSettings Ledger_;
   PoisonSettings Poison_;
   RoutingSettings Routing_;
+  QuotaSettings Quota_;
+  PlacementSettings Placement_;
 };
 
 /// Reads and checks the settings of `anvild`. Every error names the file, the
