--- a/Source/Admission/QuotaService.h
+++ b/Source/Admission/QuotaService.h
@@ -101,6 +101,7 @@
   aliveFor(const QuotaHoldings &Row);
   boost::asio::awaitable<void> renew();
   boost::asio::awaitable<void> readFloors();
+  boost::asio::awaitable<void> gatherPromises();
   void answerOthers();
   void tick(TimePoint Now);
   void publishGauges(TimePoint Now);
@@ -119,9 +120,12 @@
   std::map<std::string, Tracked> Tracked_;
   std::set<std::string> Alive_;
   TimePoint AliveAt_{};
+  /// Until then leases are read anew each time.
+  TimePoint AliveFrom_{};
   bool FloorsKnown_ = false;
   double Reserve_ = 0;
   bool Renewing_ = false;
+  bool Promising_ = false;
   bool GivesAll_ = false;
   bool Stopped_ = false;
   TimePoint NextRenewal_{};
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -16,6 +16,7 @@
 #include "Membership/Rendezvous.h"
 #include "Objects/Digest.h"
 #include "Peer/PeerNetwork.h"
+#include "Placement/EngineClient.h"
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
 #include "Placement/OwnerPermitBroker.h"
@@ -106,6 +107,21 @@
 void Daemon::addRouting() {
   auto Guard = std::make_shared<FleetPoisonGuard>(
       Loop_.get_executor(), Settings_, Timers_, Services_);
+  Guard->onReportProbe(
+      [](Endpoint Address,
+         Duration Timeout) -> boost::asio::awaitable<Result<TargetReport>> {
+        EngineClient Client(std::move(Address));
+        auto Answer = co_await Client.status(Timeout);
+        if (!isOk(Answer))
+          co_return errorOf(Answer);
+        TargetReport Report;
+        Report.Incarnation_ = valueOf(Answer).Incarnation_;
+        Report.Running_ = valueOf(Answer).Running_;
+        Report.Waiting_ = valueOf(Answer).Waiting_;
+        for (const ResidentAdapter &Adapter : valueOf(Answer).Resident_)
+          Report.Resident_.insert(Adapter.Name_);
+        co_return Report;
+      });
   Services_.add(Guard);
   std::uint64_t Seed = stableHash(Settings_.Vm_ + Incarnation_);
   if (Settings_.Routing_.Policy_ == RoutingPolicy::Random) {
@@ -124,7 +140,7 @@
 
 void Daemon::addQuota() {
   auto State = Services_.require<ConfigState>(ConfigState::Name);
-  if (Settings_.Quota_.Policy_ == "fixed_split") {
+  if (Settings_.Quota_.Policy_ == QuotaPolicy::FixedSplit) {
     Services_.add(
         std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
     return;
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -162,6 +162,9 @@
 /// How targets are chosen, ejected and tried again.
 struct RoutingSettings {
   RoutingPolicy Policy_ = RoutingPolicy::Informed;
+  /// Whether engines can take up a broken stream; one that does not know the
+  /// headers would begin it again.
+  bool ResumeStreams_ = true;
   /// How old a target's figures may be when its report arrives.
   std::int64_t ReportLagMs_ = 50;
   std::int64_t PrefixEntries_ = 20000;
@@ -178,11 +181,20 @@
 };
 
 /// How customers' rates are kept over all VMs.
+enum class QuotaPolicy { Shares, FixedSplit };
+
+inline constexpr std::pair<QuotaPolicy, std::string_view> QuotaPolicyNames[] = {
+    {QuotaPolicy::Shares, "shares"},
+    {QuotaPolicy::FixedSplit, "fixed_split"},
+};
+
+/// How customers' rates are kept over all VMs, and how fast.
 struct QuotaSettings {
-  /// `shares` or `fixed_split`.
-  std::string Policy_ = "shares";
-  std::int64_t LeaseMs_ = 60000;
-  std::int64_t LeaseMarginMs_ = 2000;
+  QuotaPolicy Policy_ = QuotaPolicy::Shares;
+  std::int64_t LeaseMs_ = 10000;
+  std::int64_t LeaseMarginMs_ = 1000;
+  /// How long promises of the other VMs can keep a lease without the platform.
+  std::int64_t PromiseMs_ = 600000;
   /// How long tokens from another VM may be used.
   std::int64_t LoanMs_ = 1000;
   std::int64_t LoanMarginMs_ = 250;
