--- a/Tests/Integration/ConfigTest.cpp
+++ b/Tests/Integration/ConfigTest.cpp
@@ -65,6 +65,7 @@
   Plan.TargetFields_ = {{"adapter_slots", 40}};
   Plan.Objects_ = {adapterAt(1)};
   Fleet System(Plan);
+  warmUp(System);
   auto AllServe = [&](int Version, const std::vector<std::string> &Vms) {
     return eventually(
         [&] {
