--- a/Tests/Integration/RateTest.cpp
+++ b/Tests/Integration/RateTest.cpp
@@ -78,6 +78,8 @@
     Plan.Objects_.push_back(object("customer", Customer,
                                    {{"rate_tokens_per_second", RateTokens},
                                     {"burst_tokens", BurstTokens}}));
+  // Shorter than the pauses of this test.
+  Plan.Settings_["quota"] = {{"lease_ms", 4000}, {"lease_margin_ms", 500}};
   Fleet System(Plan);
   auto Pass = [](int Milliseconds) {
     eventually([] { return false; }, Millis(Milliseconds));
@@ -145,3 +147,20 @@
     CHECK(worstExcess(System, "large") <= 0);
   }
 }
+
+TEST_CASE("a customer whom no VM has seen is served while the platform is away",
+          "[unseen-customer]") {
+  FleetPlan Plan;
+  for (const char *Customer : {"large", "small"})
+    Plan.Objects_.push_back(object("customer", Customer,
+                                   {{"rate_tokens_per_second", RateTokens},
+                                    {"burst_tokens", BurstTokens}}));
+  Fleet System(Plan);
+  eventually([] { return false; }, Millis(3000));
+  System.platformLinks("cut");
+  for (const std::string &Vm : System.vmNames()) {
+    Answer Given = System.call(Vm, completion("a@1", "x", 2));
+    INFO(Vm << " " << Given.Body_);
+    CHECK(Given.Status_ == 200);
+  }
+}
