Notice owners that are cut off sooner

Cause: a request to an owner behind a cut waited 1.5 s, and a load asked cut-off VMs for the store's budget before this VM's own part.

Change: the first answer is due within 200 ms and 500 ms for the way; one's own part is asked first.

--- a/Source/Placement/OwnerPermitBroker.cpp
+++ b/Source/Placement/OwnerPermitBroker.cpp
@@ -14,6 +14,9 @@
 /// not answer is known to be away.
 static constexpr Duration AnswerWithin = std::chrono::seconds(1);
 
+/// The same for the first answer: an owner that is cut off is known soon.
+static constexpr Duration FirstAnswerWithin = std::chrono::milliseconds(200);
+
 /// What the way to the owner and back may take beyond that.
 static constexpr Duration NetworkTime = std::chrono::milliseconds(500);
 
@@ -193,6 +196,7 @@
   Made.Adapter_ = Request.Adapter_;
   std::string Owner = firstOwner(Where);
   TimePoint Began = BootClock::now();
+  Duration Within = FirstAnswerWithin;
   int Redirects = 0;
   while (!Owner.empty()) {
     TimePoint Now = BootClock::now();
@@ -205,7 +209,8 @@
     }
     Message.WaitedUs_ = (Now - Request.Arrived_).count();
     Message.LeftUs_ = Left.count();
-    Message.AnswerWithinUs_ = std::min(Left, AnswerWithin).count();
+    Message.AnswerWithinUs_ = std::min(Left, Within).count();
+    Within = AnswerWithin;
     auto Answer = co_await ask(Owner, Message);
     if (!isOk(Answer)) {
       // The grant may have been lost on its way.
--- a/Source/Placement/StoreGate.cpp
+++ b/Source/Placement/StoreGate.cpp
@@ -2,6 +2,7 @@
 
 #include "Placement/PermitMessages.h"
 
+#include <algorithm>
 #include <set>
 
 namespace anvil {
@@ -79,6 +80,9 @@
   if (State_->current()->Objects_.all<WeightStore>().empty())
     co_return true;
   auto Holders = storeHolders(whole(), vms());
+  // One's own part needs no message, which might go to a VM that is cut off.
+  std::partition(Holders.begin(), Holders.end(),
+                 [this](const std::string &Vm) { return Vm == Settings_.Vm_; });
   for (const std::string &Holder : Holders) {
     bool Allowed = false;
     if (Holder == Settings_.Vm_) {
