Ask an engine for its status at most every 50 ms while a place is sought

Cause: each status that came in allowed the next one to be asked for, so an owner with a waiting load and only busy adapters asked as fast as the engine answered. Ruled out: traffic between VMs and platform calls, which the metrics show small. Change: the owner's core keeps when it last asked. The new test counts 1000 asks in a simulated second before and passes (at most 21) after.

--- a/Source/Placement/TargetOwner.cpp
+++ b/Source/Placement/TargetOwner.cpp
@@ -164,7 +164,6 @@
 
 void TargetOwner::engineStatus(const EngineStatus &Status, TimePoint SentAt,
                                TimePoint Now) {
-  PollAsked_ = false;
   if (Status.Incarnation_ != Incarnation_) {
     // What ran on the engine's earlier life ended with it.
     if (!Incarnation_.empty()) {
@@ -315,8 +314,10 @@
       continue;
     }
     // A status may show an adapter idle whose permits have all ended.
-    if (!Idle && !PollAsked_) {
-      PollAsked_ = true;
+    // Asking as soon as the last answer is there would keep both busy.
+    bool MayAsk = !PollAskedAt_ || Now - *PollAskedAt_ >= LeastPollGap;
+    if (!Idle && MayAsk) {
+      PollAskedAt_ = Now;
       Actions_.push_back(PollAction{});
     }
     if (Idle || !Wish.Urgent_ || IsDrained)
--- a/Source/Placement/TargetOwner.h
+++ b/Source/Placement/TargetOwner.h
@@ -36,6 +36,10 @@
 /// Call `advance` after each event and carry out what it returns.
 class TargetOwner {
 public:
+  /// The least time between two requests for the status that serve the search
+  /// for a place; the regular polls come besides.
+  static constexpr Duration LeastPollGap = std::chrono::milliseconds(50);
+
   /// Evicts nothing until every VM of `Unheard` has sent its inventory or is
   /// gone.
   TargetOwner(TargetOwnerOptions Options, std::set<std::string> Unheard,
@@ -131,7 +135,8 @@
   std::map<PermitKey, PermitOut> Permits_;
   std::vector<OwnerAction> Actions_;
   WaitEstimate Estimate_;
-  bool PollAsked_ = false;
+  /// When the status was last asked for to find a place.
+  std::optional<TimePoint> PollAskedAt_;
 };
 
 } // namespace anvil
--- a/Tests/Property/PlacementOwnerProperty.cpp
+++ b/Tests/Property/PlacementOwnerProperty.cpp
@@ -332,3 +332,34 @@
     REQUIRE_FALSE(Owner.loadWish(Now));
   }
 }
+
+TEST_CASE("an owner whose engine is full of busy adapters") {
+  TimePoint Now(100s);
+  TargetOwner Owner(TargetOwnerOptions{Slots, 1, {}, {}, {}}, {}, Now);
+  EngineStatus Busy;
+  Busy.Incarnation_ = "1";
+  Busy.Resident_ = {{"a@1", 1}};
+  Owner.engineStatus(Busy, Now, Now);
+  auto Ask = [&](std::uint64_t Id, const std::string &Adapter) {
+    QueuedRequest Made;
+    Made.Key_ = {"vm-1", "x", Id};
+    Made.Customer_ = "c";
+    Made.Adapter_ = {Adapter, "1"};
+    Made.Arrived_ = Now;
+    Made.Deadline_ = Now + 10s;
+    Owner.request(Made, Now);
+  };
+  Ask(1, "a");
+  Ask(2, "b");
+
+  SECTION("asks for its status now and then, not as fast as answers come") {
+    int Polls = 0;
+    for (TimePoint End = Now + 1s; Now < End; Now += 1ms) {
+      for (const OwnerAction &Action : Owner.advance(Now))
+        Polls += std::holds_alternative<PollAction>(Action);
+      Owner.engineStatus(Busy, Now, Now);
+    }
+    CHECK(Polls >= 1);
+    CHECK(Polls <= 1s / TargetOwner::LeastPollGap + 1);
+  }
+}
