Check pulled changes by a digest that follows them; wait for confirmation

Change: peers name the set's SetDigest, and a VM that follows a change works on what the change touches; the whole was checked when it was published. A property holds that the changes lead to the peer's set and that one damaged change is refused.

The stand-ins get a weight store with a rate, a concurrency and slower transfers when many wait, and the load tool counts refusals that take longer than a second.

--- a/Source/Commands/ApplyCommand.cpp
+++ b/Source/Commands/ApplyCommand.cpp
@@ -6,10 +6,15 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <thread>
 
 namespace anvil {
 
 namespace options = boost::program_options;
+using nlohmann::json;
+
+/// How often `--wait` asks who has confirmed.
+static constexpr Duration ConfirmationPeriod = std::chrono::milliseconds(200);
 
 void ApplyCommand::describe(
     options::options_description &Options,
@@ -18,9 +23,54 @@
   Add("file", options::value<std::string>()->required(),
       "the change set, JSON with comments");
   Add("dry-run", options::bool_switch(), "only check and show the difference");
+  Add("wait", options::bool_switch(),
+      "wait until the revision is in force in every data centre");
+  Add("wait-seconds", options::value<std::int64_t>()->default_value(30),
+      "how long --wait waits");
   Arguments.add("file", 1);
 }
 
+/// Who has confirmed and who has not, a line for each data centre.
+static void printConfirmation(const json &Page) {
+  for (const json &Place : Page["data_centres"]) {
+    std::cout << Place.value("name", "")
+              << "\tconfirmed=" << Place["confirmed"].size()
+              << "\tunconfirmed=" << Place["unconfirmed"].dump();
+    if (!Place.value("reachable", true))
+      std::cout << "\tnot reachable";
+    std::cout << "\n";
+  }
+}
+
+ExitStatus ApplyCommand::waitInForce(CommandContext &Context,
+                                     std::uint64_t Revision) {
+  auto Limit =
+      std::chrono::seconds(Context.Options_["wait-seconds"].as<std::int64_t>());
+  TimePoint End = BootClock::now() + Limit;
+  json Page;
+  do {
+    auto Reply = Context.Client_.get("/admin/config/confirmation?revision=" +
+                                     std::to_string(Revision));
+    ExitStatus Status = reportReply(Reply);
+    if (Status != ExitStatus::Success)
+      return Status;
+    Page = json::parse(valueOf(Reply).Body_, nullptr, false);
+    if (Page.value("in_force", false))
+      break;
+    std::this_thread::sleep_for(ConfirmationPeriod);
+  } while (BootClock::now() < End);
+  if (Context.Output_ == OutputFormat::Json)
+    std::cout << Page.dump() << "\n";
+  else
+    printConfirmation(Page);
+  if (Page.value("in_force", false))
+    return ExitStatus::Success;
+  printError({ErrorCode::Timeout, "apply",
+              "the revision is published, but not confirmed everywhere",
+              "look at the VMs and data centres listed as unconfirmed"});
+  return ExitStatus::Unknown;
+}
+
 ExitStatus ApplyCommand::run(CommandContext &Context) const {
   auto Text = readTextFile(Context.Options_["file"].as<std::string>());
   if (!isOk(Text)) {
@@ -36,16 +86,17 @@
   if (Status != ExitStatus::Success)
     return Status;
   const std::string &Body = valueOf(Reply).Body_;
+  json Published = json::parse(Body, nullptr, false);
+  bool Wait = Context.Options_["wait"].as<bool>() && !DryRun;
   if (Context.Output_ == OutputFormat::Json) {
     std::cout << Body << "\n";
-    return Status;
+    return Wait ? waitInForce(Context, Published.value("revision", 0)) : Status;
   }
-  auto Published = nlohmann::json::parse(Body, nullptr, false);
-  const auto &Difference = Published["difference"];
+  const json &Difference = Published["difference"];
   std::cout << (DryRun ? "would become revision " : "published revision ")
             << Published["revision"] << ": " << Difference["put"].size()
             << " put, " << Difference["remove"].size() << " removed\n";
-  return Status;
+  return Wait ? waitInForce(Context, Published.value("revision", 0)) : Status;
 }
 
 } // namespace anvil
--- a/Source/Commands/ApplyCommand.h
+++ b/Source/Commands/ApplyCommand.h
@@ -5,7 +5,8 @@
 
 namespace anvil {
 
-/// `anvilctl apply FILE [--dry-run]`: checks and publishes a change set.
+/// `anvilctl apply FILE [--dry-run] [--wait]`: checks and publishes a change
+/// set, and waits until every data centre has confirmed it.
 class ApplyCommand : public Command {
 public:
   std::string_view name() const override { return "apply"; }
@@ -16,6 +17,10 @@
                 boost::program_options::positional_options_description
                     &Arguments) const override;
   ExitStatus run(CommandContext &Context) const override;
+
+private:
+  static ExitStatus waitInForce(CommandContext &Context,
+                                std::uint64_t Revision);
 };
 
 } // namespace anvil
--- a/Source/Config/ConfigDelta.cpp
+++ b/Source/Config/ConfigDelta.cpp
@@ -1,12 +1,11 @@
 #include "Config/ConfigDelta.h"
 
 #include "Objects/ChangeSet.h"
-#include "Objects/Digest.h"
 #include "Objects/ObjectCodec.h"
 
 namespace anvil {
 
-SnapshotPtr applyPulledChanges(const ConfigSnapshot &Base,
+SnapshotPtr applyPulledChanges(const ConfigSnapshot &Base, SetDigest BaseDigest,
                                const ConfigPullReply &Reply) {
   if (Reply.Changes_.empty())
     return nullptr;
@@ -14,24 +13,27 @@
   Next->Revision_ = Reply.Revision_;
   Next->Objects_ = Base.Objects_;
   for (const std::string &Text : Reply.Changes_) {
-    auto Change = decodeChangeSet(Text);
-    if (!std::holds_alternative<ChangeSet>(Change))
+    auto Decoded = decodeChangeSet(Text);
+    if (!std::holds_alternative<ChangeSet>(Decoded))
       return nullptr;
-    auto Applied = applyChange(Next->Objects_, std::get<ChangeSet>(Change));
-    if (!std::holds_alternative<ObjectSet>(Applied))
-      return nullptr;
-    Next->Objects_ = std::move(std::get<ObjectSet>(Applied));
+    const auto &Change = std::get<ChangeSet>(Decoded);
+    BaseDigest.follow(Next->Objects_, Change);
+    for (const ObjectRemoval &Removal : Change.Removals_)
+      Next->Objects_.remove(Removal.Kind_, Removal.Name_);
+    for (const AnyObject &Object : Change.Put_)
+      Next->Objects_.put(Object);
   }
-  if (sha256Hex(encodeSnapshot(*Next)) != Reply.Digest_)
+  if (BaseDigest.text() != Reply.Digest_)
     return nullptr;
   return Next;
 }
 
 SnapshotPtr readPulledSnapshot(const ConfigPullReply &Reply) {
-  if (Reply.Snapshot_.empty() || sha256Hex(Reply.Snapshot_) != Reply.Digest_)
+  if (Reply.Snapshot_.empty())
     return nullptr;
   auto Decoded = decodeSnapshot(Reply.Snapshot_);
-  if (!isOk(Decoded))
+  if (!isOk(Decoded) ||
+      SetDigest::of(valueOf(Decoded).Objects_).text() != Reply.Digest_)
     return nullptr;
   return std::make_shared<const ConfigSnapshot>(std::move(valueOf(Decoded)));
 }
--- a/Source/Config/ConfigPublisher.cpp
+++ b/Source/Config/ConfigPublisher.cpp
@@ -2,6 +2,7 @@
 
 #include "Objects/Digest.h"
 #include "Objects/ObjectCodec.h"
+#include "Objects/SetDigest.h"
 #include "Telemetry/Log.h"
 
 #include <nlohmann/json.hpp>
@@ -179,7 +180,7 @@
       co_return Published;
 
     std::string Text = encodeSnapshot(*Next);
-    std::string Digest = sha256Hex(Text);
+    std::string Digest = SetDigest::of(Next->Objects_).text();
     ConfigHead NextHead{Next->Revision_,
                         "config/" + std::to_string(Next->Revision_) + "-" +
                             Digest.substr(0, 16),
--- a/Source/Config/ConfigPublisher.h
+++ b/Source/Config/ConfigPublisher.h
@@ -48,7 +48,7 @@
   struct Publication {
     std::uint64_t Revision_ = 0;
     ChangeSet Difference_;
-    /// SHA-256 of the set's text.
+    /// The text of the set's `SetDigest`.
     std::string Digest_;
   };
 
--- a/Source/Config/ConfigSpread.cpp
+++ b/Source/Config/ConfigSpread.cpp
@@ -5,8 +5,8 @@
 #include "Http/Spawn.h"
 
 #include "Membership/Rendezvous.h"
-#include "Objects/Digest.h"
 #include "Objects/ObjectCodec.h"
+#include "Objects/SetDigest.h"
 #include "Peer/FrameCodec.h"
 #include "Peer/PeerMessage.h"
 #include "Telemetry/Log.h"
@@ -236,17 +236,25 @@
     co_return false;
   struct Job {
     SnapshotPtr Base_;
+    std::optional<SetDigest> BaseDigest_;
     ConfigPullReply Reply_;
     SnapshotPtr Next_;
   };
   auto Work = std::make_shared<Job>();
   Work->Base_ = State_->current();
+  if (DigestRevision_ == Work->Base_->Revision_)
+    Work->BaseDigest_ = SetDigest::parse(Digest_);
   Work->Reply_ = std::move(Given);
   // g++ 12 frees a lambda made inside a co_await expression twice.
   std::function<void()> Build = [Work] {
-    Work->Next_ = Work->Reply_.Snapshot_.empty()
-                      ? applyPulledChanges(*Work->Base_, Work->Reply_)
-                      : readPulledSnapshot(Work->Reply_);
+    if (!Work->Reply_.Snapshot_.empty()) {
+      Work->Next_ = readPulledSnapshot(Work->Reply_);
+      return;
+    }
+    if (!Work->BaseDigest_)
+      Work->BaseDigest_ = SetDigest::of(Work->Base_->Objects_);
+    Work->Next_ =
+        applyPulledChanges(*Work->Base_, *Work->BaseDigest_, Work->Reply_);
   };
   co_await Worker_.run(std::move(Build));
   // A publication through this VM may have come in between.
@@ -263,7 +271,7 @@
 const std::string &ConfigSpread::digest() {
   const SnapshotPtr &Current = State_->current();
   if (Digest_.empty() || DigestRevision_ != Current->Revision_) {
-    Digest_ = sha256Hex(encodeSnapshot(*Current));
+    Digest_ = SetDigest::of(Current->Objects_).text();
     DigestRevision_ = Current->Revision_;
   }
   return Digest_;
--- a/Source/LoadTool/DeploymentPlan.cpp
+++ b/Source/LoadTool/DeploymentPlan.cpp
@@ -145,8 +145,8 @@
     bool IsLargest = &Given == &Plan.Customers_.front();
     if (Kind == "overload" && IsLargest) {
       Source["surge_factor"] = 5;
-      Source["surge_from_seconds"] = Seconds / 3;
-      Source["surge_to_seconds"] = Seconds * 2 / 3;
+      Source["surge_from_seconds"] = Seconds * 6 / 10;
+      Source["surge_to_seconds"] = Seconds * 8 / 10;
     }
     Sources.push_back(std::move(Source));
     Entitlements.push_back(
@@ -157,7 +157,7 @@
   json Run{{"name", Plan.Name_ + " " + std::string(Kind)},
            {"seed", 20261203},
            {"duration_seconds", Seconds},
-           {"warmup_seconds", Seconds / 5},
+           {"warmup_seconds", Seconds / 2},
            {"vms", Vms},
            {"engines", Engines},
            {"engine_slots", Plan.EngineSlots_},
@@ -166,12 +166,12 @@
            {"sources", Sources},
            {"entitlements", Entitlements}};
   if (Kind == "shift")
-    Run["shift_at_seconds"] = Seconds / 2;
+    Run["shift_at_seconds"] = Seconds * 6 / 10;
   if (Kind == "outage")
-    Run["faults"] = {{{"at_seconds", Seconds / 3},
+    Run["faults"] = {{{"at_seconds", Seconds * 6 / 10},
                       {"server", Platform},
                       {"body", json{{"down", true}}.dump()}},
-                     {{"at_seconds", Seconds * 2 / 3},
+                     {{"at_seconds", Seconds * 8 / 10},
                       {"server", Platform},
                       {"body", json{{"down", false}}.dump()}}};
   return Run.dump(2);
--- a/Source/LoadTool/DeploymentPlan.h
+++ b/Source/LoadTool/DeploymentPlan.h
@@ -57,9 +57,10 @@
                      const std::vector<std::string> &Engines);
 
 /// A scenario's JSON: all customers at their part of `RequestsPerSecond`.
-/// `Kind` is calm, overload (the largest customer at five times its rate in the
-/// middle third), shift (of popularity) or outage (of the platform, whose
-/// control port is `Platform`).
+/// The first half is warm-up. `Kind` is calm, overload (the largest customer at
+/// five times its rate), shift (of popularity) or outage (of the platform,
+/// whose control port is `Platform`); these begin at six tenths of the run, and
+/// overload and outage end at eight tenths.
 std::string planScenario(const DeploymentPlan &Plan, std::string_view Kind,
                          double RequestsPerSecond, double Seconds,
                          const std::vector<std::string> &Vms,
--- a/Source/LoadTool/LoadReport.cpp
+++ b/Source/LoadTool/LoadReport.cpp
@@ -115,6 +115,7 @@
     ByCustomer[Record.Customer_].push_back(&Record);
     if (!isAnswer(Record)) {
       ++Report.RefusalsByCause_[Record.Cause_];
+      Report.LateRefusals_ += Record.Taken_ > LateRefusal;
     } else if (Record.FirstToken_ > StallThreshold) {
       ++Report.Stalls_;
       Report.StallSeconds_ += toSeconds(Record.FirstToken_);
@@ -162,6 +163,7 @@
               {"customers", Customers},
               {"worst_served", Report.WorstServed_},
               {"refusals", Report.RefusalsByCause_},
+              {"late_refusals", Report.LateRefusals_},
               {"not_sent", Report.NotSent_},
               {"loads", Report.Loads_},
               {"unloads", Report.Unloads_},
@@ -198,7 +200,8 @@
       << Report.EvictedWhileServing_ << "; stalls " << Report.Stalls_ << " ("
       << std::setprecision(1) << Report.StallSeconds_
       << " s); batch efficiency " << std::setprecision(3)
-      << Report.BatchEfficiency_ << "; not sent " << Report.NotSent_ << "\n";
+      << Report.BatchEfficiency_ << "; refused late " << Report.LateRefusals_
+      << "; not sent " << Report.NotSent_ << "\n";
   for (const auto &[Cause, Count] : Report.RefusalsByCause_)
     Out << "  " << Cause << " " << Count << "\n";
   return Out.str();
--- a/Source/LoadTool/LoadReport.h
+++ b/Source/LoadTool/LoadReport.h
@@ -36,6 +36,9 @@
   double FirstTokenP95Ms_ = 0;
 };
 
+/// A refusal that takes longer was held back or foreseen too late.
+inline constexpr Duration LateRefusal = std::chrono::seconds(1);
+
 /// The figures of a run.
 struct LoadReport {
   std::string Scenario_;
@@ -45,6 +48,8 @@
   std::string WorstServed_;
   CustomerReport Total_;
   std::map<std::string, std::int64_t> RefusalsByCause_;
+  /// Refusals that came only after `LateRefusal`.
+  std::int64_t LateRefusals_ = 0;
   std::int64_t NotSent_ = 0;
   std::int64_t Loads_ = 0;
   std::int64_t Unloads_ = 0;
--- a/Source/Objects/SetDigest.cpp
+++ b/Source/Objects/SetDigest.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <optional>
 
 namespace anvil {
 
@@ -15,16 +14,33 @@
 /// The hexadecimal signs of one digit.
 static constexpr std::size_t DigitSigns = 8;
 
-static Digits digitsOf(const AnyObject &Object) {
-  std::string Hex = sha256Hex(encodeObject(Object).dump());
+/// Nothing when the text has another length or other signs than digits.
+static std::optional<Digits> parseDigits(std::string_view Hex) {
   Digits Parsed{};
+  if (Hex.size() != Parsed.size() * DigitSigns)
+    return std::nullopt;
   for (std::size_t Index = 0; Index < Parsed.size(); ++Index) {
     const char *Begin = Hex.data() + Index * DigitSigns;
-    std::from_chars(Begin, Begin + DigitSigns, Parsed[Index], 16);
+    const char *End = Begin + DigitSigns;
+    if (std::from_chars(Begin, End, Parsed[Index], 16).ptr != End)
+      return std::nullopt;
   }
   return Parsed;
 }
 
+static Digits digitsOf(const AnyObject &Object) {
+  return *parseDigits(sha256Hex(encodeObject(Object).dump()));
+}
+
+std::optional<SetDigest> SetDigest::parse(std::string_view Text) {
+  auto Parsed = parseDigits(Text);
+  if (!Parsed)
+    return std::nullopt;
+  SetDigest Read;
+  Read.Sum_ = *Parsed;
+  return Read;
+}
+
 SetDigest SetDigest::of(const ObjectSet &Objects) {
   SetDigest Whole;
   Objects.forEach([&](const auto &Object) { Whole.add(AnyObject(Object)); });
--- a/Source/Objects/SetDigest.h
+++ b/Source/Objects/SetDigest.h
@@ -6,7 +6,9 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace anvil {
 
@@ -22,6 +24,9 @@
   /// The digest of a whole set.
   static SetDigest of(const ObjectSet &Objects);
 
+  /// Reads what `text` wrote; nothing when the text is no digest.
+  static std::optional<SetDigest> parse(std::string_view Text);
+
   /// Adds or takes away one object.
   void add(const AnyObject &Object);
   void subtract(const AnyObject &Object);
--- a/Tests/Property/SetDigestProperty.cpp
+++ b/Tests/Property/SetDigestProperty.cpp
@@ -1,3 +1,5 @@
+#include "Config/ConfigDelta.h"
+#include "Objects/ObjectCodec.h"
 #include "Objects/SetDigest.h"
 
 #include <catch2/catch.hpp>
@@ -16,6 +18,7 @@
   for (int Count = *rc::gen::inRange(0, 4); Count > 0; --Count) {
     Customer Put;
     Put.Name_ = anyName();
+    Put.RateTokensPerSecond_ = 1;
     Put.BurstTokens_ = *rc::gen::inRange(1, 100);
     Change.Put_.push_back(Put);
   }
@@ -53,3 +56,35 @@
     RC_ASSERT(SetDigest::of(Left).text() != SetDigest::of(Right).text());
   });
 }
+
+TEST_CASE("changes that a peer sends") {
+  rc::prop("lead to its set, or to nothing when one of them is damaged", [] {
+    ConfigSnapshot Base{4, {}};
+    for (const AnyObject &Object : anyChange({}).Put_)
+      Base.Objects_.put(Object);
+    ConfigSnapshot Peer = Base;
+    ConfigPullReply Reply;
+    int Steps = *rc::gen::inRange(1, 5);
+    for (int Step = 0; Step < Steps; ++Step) {
+      ChangeSet Change = anyChange(Peer.Objects_);
+      for (const ObjectRemoval &Removal : Change.Removals_)
+        Peer.Objects_.remove(Removal.Kind_, Removal.Name_);
+      for (const AnyObject &Object : Change.Put_)
+        Peer.Objects_.put(Object);
+      Reply.Changes_.push_back(encodeChangeSet(Change));
+    }
+    Reply.Revision_ = Base.Revision_ + static_cast<std::uint64_t>(Steps);
+    Reply.Digest_ = SetDigest::of(Peer.Objects_).text();
+    auto Read = SetDigest::parse(SetDigest::of(Base.Objects_).text());
+    RC_ASSERT(Read.has_value());
+    auto Next = applyPulledChanges(Base, *Read, Reply);
+    bool IsTaken = Next != nullptr;
+    RC_ASSERT(IsTaken);
+    Peer.Revision_ = Reply.Revision_;
+    RC_ASSERT(encodeSnapshot(*Next) == encodeSnapshot(Peer));
+    Reply.Changes_.push_back(
+        R"({"put": [{"kind": "data_centre", "name": "other"}]})");
+    bool IsRefused = !applyPulledChanges(Base, *Read, Reply);
+    RC_ASSERT(IsRefused);
+  });
+}
--- a/Tests/Standins/EngineStandin.cpp
+++ b/Tests/Standins/EngineStandin.cpp
@@ -1,5 +1,6 @@
 #include "Standins/EngineStandin.h"
 
+#include "Http/HttpConnection.h"
 #include "Objects/Digest.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,9 @@
 namespace asio = boost::asio;
 using nlohmann::json;
 
+/// How long a transfer from the weight store may take.
+static constexpr Duration TransferTimeout = std::chrono::seconds(60);
+
 /// How often a waiting request looks for a free slot.
 static constexpr Duration SlotCheckPeriod = std::chrono::milliseconds(1);
 
@@ -151,6 +155,18 @@
   return Given.is_object() ? Given.value("lora_name", "") : "";
 }
 
+asio::awaitable<void> EngineStandin::transfer(const std::string &Model) {
+  if (Behaviour_.Store_.empty()) {
+    co_await pause(Executor_, Behaviour_.LoadMs_);
+    co_return;
+  }
+  auto Store = parseEndpoint(Behaviour_.Store_);
+  if (!isOk(Store))
+    co_return;
+  HttpRequest Request{"GET", "/weights/" + Model, {}, {}};
+  co_await fetch(valueOf(Store), std::move(Request), TransferTimeout);
+}
+
 asio::awaitable<void> EngineStandin::load(HttpExchange &Exchange) {
   std::string Model = modelOf(Exchange.request());
   co_await pause(Executor_, Behaviour_.OrderDelayMs_);
@@ -159,7 +175,7 @@
     Status = 412;
   } else {
     std::string Life = Incarnation_;
-    co_await pause(Executor_, Behaviour_.LoadMs_);
+    co_await transfer(Model);
     bool HasRoom = Resident_.count(Model) ||
                    std::ssize(Resident_) < Behaviour_.AdapterSlots_;
     if (Life != Incarnation_ || Behaviour_.FailLoads_ > 0) {
--- a/Tests/Standins/EngineStandin.h
+++ b/Tests/Standins/EngineStandin.h
@@ -19,8 +19,10 @@
   std::int64_t TokenMs_ = 1;
   /// How much longer a token takes for each further request of the batch.
   std::int64_t BatchPercent_ = 0;
-  /// Time of a load.
+  /// Time of a load without a weight store.
   std::int64_t LoadMs_ = 20;
+  /// The weight store's `address:port`; its transfers set the time of loads.
+  std::string Store_;
   bool ChecksFencing_ = true;
   /// Loads that fail from now on.
   std::int64_t FailLoads_ = 0;
@@ -77,6 +79,7 @@
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> load(HttpExchange &Exchange);
   boost::asio::awaitable<void> unload(HttpExchange &Exchange);
+  boost::asio::awaitable<void> transfer(const std::string &Model);
   boost::asio::awaitable<void> complete(HttpExchange &Exchange);
   boost::asio::awaitable<void> generate(HttpExchange &Exchange,
                                         const Run &Work);
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -3,6 +3,7 @@
 #include "Standins/FaultProxy.h"
 #include "Standins/PlatformStandin.h"
 #include "Standins/ServiceStandin.h"
+#include "Standins/WeightStoreStandin.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -45,7 +46,7 @@
   auto Add = Known.add_options();
   Add("help", "show this text");
   Add("kind", options::value<std::string>()->required(),
-      "platform, engine, service or proxy");
+      "platform, engine, service, weight-store or proxy");
   Add("ready-file", options::value<std::string>()->required(),
       "write the port in use to this file");
   Add("adapter-slots", options::value(&Behaviour.AdapterSlots_),
@@ -54,6 +55,17 @@
       "requests that an engine runs at once");
   Add("token-ms", options::value(&Behaviour.TokenMs_), "time of one token");
   Add("load-ms", options::value(&Behaviour.LoadMs_), "time of one load");
+  Add("batch-percent", options::value(&Behaviour.BatchPercent_),
+      "how much longer a token takes for each further request of the batch");
+  Add("store", options::value(&Behaviour.Store_),
+      "the weight store that an engine loads from");
+  anvil::WeightStoreLimits Limits;
+  Add("loads-per-second", options::value(&Limits.LoadsPerSecond_),
+      "rate of a weight store");
+  Add("concurrent-loads", options::value(&Limits.ConcurrentLoads_),
+      "loads of a weight store at once");
+  Add("in-transit", options::value(&Limits.InTransit_),
+      "transfers beyond which a weight store is slower");
   Add("checks-fencing", options::value(&Behaviour.ChecksFencing_),
       "whether an engine refuses old fencing numbers");
   std::vector<std::string> Links;
@@ -82,6 +94,10 @@
     anvil::EngineStandin Server(Loop.get_executor(), Behaviour);
     return serve(Loop, Server, ReadyPath);
   }
+  if (Kind == "weight-store") {
+    anvil::WeightStoreStandin Server(Loop.get_executor(), Limits);
+    return serve(Loop, Server, ReadyPath);
+  }
   if (Kind == "service") {
     anvil::ServiceStandin Server(Loop.get_executor());
     return serve(Loop, Server, ReadyPath);
