Foresee loads by their pace and refuse at once what they can't reach

Cause: the wait for a load was learned from the requests that got one, which were those close to their deadline; requests for cold adapters were taken in, waited for 10 s and were refused then, and each load went to a request about to expire. Change: the owner learns the time from load to load while some wait, counts the loads ahead, takes a request in when the wait fits twice, and refuses what can no longer be reached. Wishes of equal demand go oldest first.

--- a/Source/Placement/TargetOwner.cpp
+++ b/Source/Placement/TargetOwner.cpp
@@ -14,6 +14,9 @@
 /// engine should hold it.
 static constexpr double CrowdedPart = 0.5;
 
+/// How often waiting requests are compared with the loads to come.
+static constexpr Duration ForesightPeriod = std::chrono::milliseconds(100);
+
 /// The least time after which a refused caller is told to come back.
 static constexpr Duration LeastRetryAfter = std::chrono::seconds(1);
 
@@ -24,7 +27,9 @@
     return Oldest_ < Other.Oldest_;
   if (Priority_ != Other.Priority_)
     return Priority_ > Other.Priority_;
-  return WaitingTokens_ > Other.WaitingTokens_;
+  if (WaitingTokens_ != Other.WaitingTokens_)
+    return WaitingTokens_ > Other.WaitingTokens_;
+  return Oldest_ < Other.Oldest_;
 }
 
 TargetOwner::TargetOwner(TargetOwnerOptions Options,
@@ -77,7 +82,12 @@
   Adapters_.noteDemand(Asked.Adapter_, Now);
   Duration Wait = estimateWait(Asked.Adapter_, Asked.Priority_, Now);
   Duration Back = std::max(Wait, LeastRetryAfter);
-  if (Now + Wait >= Asked.Deadline_)
+  // Loads that come first may still be asked for, so a wait for the weight
+  // store has to fit in twice.
+  const AdapterRecord *Known = Adapters_.find(Asked.Adapter_);
+  bool IsAbsent = !Known || Known->State_ == Residency::Absent;
+  Duration Spare = IsAbsent ? loadDelay(Asked.Adapter_, Now) : Duration{0};
+  if (Now + Wait + Spare >= Asked.Deadline_)
     return refuse(std::move(Asked),
                   {RefusalCode::DeadlineUnreachable,
                    "the wait for the target would pass the deadline",
@@ -227,6 +237,27 @@
             Execution::No, std::max(Estimate_.meanHold(), LeastRetryAfter)});
 }
 
+void TargetOwner::refuseHopeless(TimePoint Now) {
+  if (Now - ForeseenAt_ < ForesightPeriod)
+    return;
+  ForeseenAt_ = Now;
+  std::int64_t Before = 0;
+  for (const LoadWish &Wish : wishes(Now)) {
+    const AdapterRecord *Known = Adapters_.find(Wish.Adapter_);
+    Duration LoadTime = Known ? Known->LoadTime_ : AdapterRecord().LoadTime_;
+    TimePoint Ready = Estimate_.expectedLoad(Before, Now) + LoadTime;
+    auto Hopeless = Queue_.removeIf([&](const QueuedRequest &Item) {
+      return Item.Adapter_ == Wish.Adapter_ && Item.Deadline_ <= Ready;
+    });
+    for (QueuedRequest &Item : Hopeless)
+      refuse(std::move(Item),
+             {RefusalCode::DeadlineUnreachable,
+              "the adapter can't be loaded before the deadline", Execution::No,
+              std::max(Ready - Now, LeastRetryAfter)});
+    ++Before;
+  }
+}
+
 void TargetOwner::grantAll(TimePoint Now) {
   auto MayGo = [this](const QueuedRequest &Item) { return isGrantable(Item); };
   while (std::ssize(Permits_) < Options_.Slots_) {
@@ -281,7 +312,7 @@
 LoadAction TargetOwner::startLoad(const LoadWish &Wish, TimePoint Now) {
   checkInvariant(Adapters_.placesTaken() < Options_.AdapterSlots_,
                  "a load has no place on the engine");
-  Estimate_.noteLoadWait(Now - Wish.Oldest_, Now);
+  Estimate_.noteLoadStart(Wish.Oldest_, Now);
   Adapters_.loadStarted(Wish.Adapter_, Now);
   return {Wish.Adapter_, Wish.Weights_};
 }
@@ -335,6 +366,7 @@
 std::vector<OwnerAction> TargetOwner::advance(TimePoint Now) {
   Adapters_.expire(Now);
   refuseExpired(Now);
+  refuseHopeless(Now);
   if (Leaving_) {
     auto Rest = Queue_.removeIf([](const QueuedRequest &) { return true; });
     for (QueuedRequest &Item : Rest)
@@ -383,6 +415,17 @@
   return Vms;
 }
 
+Duration TargetOwner::loadDelay(const AdapterRef &Adapter,
+                                TimePoint Now) const {
+  std::int64_t Before = 0;
+  for (const LoadWish &Wish : wishes(Now)) {
+    if (Wish.Adapter_ == Adapter)
+      break;
+    ++Before;
+  }
+  return Estimate_.expectedLoad(Before, Now) - Now;
+}
+
 Duration TargetOwner::estimateWait(const AdapterRef &Adapter,
                                    std::int64_t Priority, TimePoint Now) const {
   Duration Wait = queueWait(Priority, Now);
@@ -390,7 +433,7 @@
   if (!Known || Known->State_ != Residency::Resident)
     Wait += Known ? Known->LoadTime_ : AdapterRecord().LoadTime_;
   if (!Known || Known->State_ == Residency::Absent)
-    Wait += Estimate_.loadWait(Now);
+    Wait += loadDelay(Adapter, Now);
   if (Known && Known->NotBefore_ > Now)
     Wait += Known->NotBefore_ - Now;
   return Wait;
--- a/Source/Placement/TargetOwner.h
+++ b/Source/Placement/TargetOwner.h
@@ -119,6 +119,8 @@
   void dropOrphans(TimePoint SentAt, TimePoint Now);
   void refuse(QueuedRequest Given, Refusal Reason);
   void refuseExpired(TimePoint Now);
+  void refuseHopeless(TimePoint Now);
+  Duration loadDelay(const AdapterRef &Adapter, TimePoint Now) const;
   void grantAll(TimePoint Now);
   void makeRoom(TimePoint Now);
   void evict(const AdapterRef &Victim, TimePoint Now);
@@ -135,6 +137,8 @@
   std::map<PermitKey, PermitOut> Permits_;
   std::vector<OwnerAction> Actions_;
   WaitEstimate Estimate_;
+  /// When the waiting requests were last compared with the loads to come.
+  TimePoint ForeseenAt_{};
   /// When the status was last asked for to find a place.
   std::optional<TimePoint> PollAskedAt_;
 };
--- a/Source/Placement/WaitEstimate.cpp
+++ b/Source/Placement/WaitEstimate.cpp
@@ -1,5 +1,6 @@
 #include "Placement/WaitEstimate.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace anvil {
@@ -7,25 +8,34 @@
 /// The part of the newest permit in the mean time that permits are held.
 static constexpr int NewestHoldPart = 8;
 
-/// The part of the newest wait for a load in their mean, and how fast it fades.
-static constexpr int NewestLoadWaitPart = 4;
-static constexpr Duration LoadWaitHalfLife = std::chrono::seconds(5);
+/// The part of the newest interval between loads in their mean, and how fast it
+/// fades.
+static constexpr int NewestIntervalPart = 4;
+static constexpr Duration IntervalHalfLife = std::chrono::seconds(20);
 
 void WaitEstimate::noteHold(Duration Held) {
   MeanHold_ += (Held - MeanHold_) / NewestHoldPart;
 }
 
-void WaitEstimate::noteLoadWait(Duration Waited, TimePoint Now) {
-  Duration Before = loadWait(Now);
-  LoadWait_ = Before + (Waited - Before) / NewestLoadWaitPart;
-  LoadWaitAt_ = Now;
+void WaitEstimate::noteLoadStart(TimePoint Asked, TimePoint Now) {
+  Duration Before = loadInterval(Now);
+  // Time in which no load was asked for is not the store's.
+  Duration Newest = Now - std::max(Asked, LastLoadAt_);
+  LoadInterval_ = Before + (Newest - Before) / NewestIntervalPart;
+  LastLoadAt_ = Now;
 }
 
-Duration WaitEstimate::loadWait(TimePoint Now) const {
-  double HalfLives = toSeconds(Now - LoadWaitAt_) / toSeconds(LoadWaitHalfLife);
-  std::chrono::duration<double> Faded(toSeconds(LoadWait_) *
+Duration WaitEstimate::loadInterval(TimePoint Now) const {
+  double HalfLives = toSeconds(Now - LastLoadAt_) / toSeconds(IntervalHalfLife);
+  std::chrono::duration<double> Faded(toSeconds(LoadInterval_) *
                                       std::exp2(-HalfLives));
   return std::chrono::duration_cast<Duration>(Faded);
 }
 
+TimePoint WaitEstimate::expectedLoad(std::int64_t Before, TimePoint Now) const {
+  Duration Interval = loadInterval(Now);
+  TimePoint First = std::max(Now, LastLoadAt_ + Interval);
+  return First + Interval * Before;
+}
+
 } // namespace anvil
--- a/Source/Placement/WaitEstimate.h
+++ b/Source/Placement/WaitEstimate.h
@@ -11,19 +11,22 @@
   /// A permit was held that long.
   void noteHold(Duration Held);
 
-  /// Requests waited that long until the load of their adapter began.
-  void noteLoadWait(Duration Waited, TimePoint Now);
+  /// A load begins whose first request came at `Asked`.
+  void noteLoadStart(TimePoint Asked, TimePoint Now);
 
   Duration meanHold() const { return MeanHold_; }
 
-  /// How long the next load may wait to begin. It fades, since those who are
-  /// refused for it bring no new waits to learn from.
-  Duration loadWait(TimePoint Now) const;
+  /// The time from one load's begin to the next while some wait. It fades,
+  /// since those who are refused for it bring no new loads to learn from.
+  Duration loadInterval(TimePoint Now) const;
+
+  /// When the load with that many before it is expected to begin.
+  TimePoint expectedLoad(std::int64_t Before, TimePoint Now) const;
 
 private:
   Duration MeanHold_{0};
-  Duration LoadWait_{0};
-  TimePoint LoadWaitAt_{};
+  Duration LoadInterval_{0};
+  TimePoint LastLoadAt_{};
 };
 
 } // namespace anvil
--- a/Tests/Property/PlacementOwnerProperty.cpp
+++ b/Tests/Property/PlacementOwnerProperty.cpp
@@ -363,3 +363,53 @@
     CHECK(Polls <= 1s / TargetOwner::LeastPollGap + 1);
   }
 }
+
+TEST_CASE("an owner whose weight store is short") {
+  TimePoint Begin(100s);
+  TargetOwner Owner(TargetOwnerOptions{Slots, 1000, {}, {}, {}}, {}, Begin);
+  EngineStatus Empty;
+  Empty.Incarnation_ = "1";
+  Owner.engineStatus(Empty, Begin, Begin);
+
+  SECTION("refuses what it can't load in time at once") {
+    // Five new adapters a second ask, and one load may begin each second.
+    std::map<std::uint64_t, TimePoint> Arrivals;
+    std::vector<std::pair<TimePoint, AdapterRef>> Loads;
+    std::int64_t Late = 0;
+    std::int64_t Granted = 0;
+    TimePoint NextStart = Begin;
+    for (TimePoint Now = Begin; Now < Begin + 60s; Now += 50ms) {
+      if ((Now - Begin) % 200ms == 0ms) {
+        QueuedRequest Made;
+        Made.Key_ = {"vm-1", "x", Arrivals.size() + 1};
+        Made.Customer_ = "c";
+        Made.Adapter_ = {"a" + std::to_string(Arrivals.size()), "1"};
+        Made.Arrived_ = Now;
+        Made.Deadline_ = Now + 10s;
+        Arrivals[Made.Key_.Id_] = Now;
+        Owner.request(Made, Now);
+      }
+      for (const OwnerAction &Action : Owner.advance(Now)) {
+        if (auto *Refused = std::get_if<RefuseAction>(&Action)) {
+          TimePoint Came = Arrivals[Refused->Request_.Key_.Id_];
+          // The first seconds are for learning how fast loads go.
+          Late += Came > Begin + 10s && Now - Came > 1s;
+        } else if (auto *Grant = std::get_if<GrantAction>(&Action)) {
+          ++Granted;
+          Owner.release(Grant->Request_.Key_, PermitEnd::Finished, Now);
+        }
+      }
+      while (!Loads.empty() && Loads.front().first <= Now) {
+        Owner.loadEnded(Loads.front().second, std::monostate{}, Now);
+        Loads.erase(Loads.begin());
+      }
+      auto Wish = Owner.loadWish(Now);
+      if (Wish && Now >= NextStart) {
+        Loads.emplace_back(Now + 250ms, Owner.startLoad(*Wish, Now).Adapter_);
+        NextStart = Now + 1s;
+      }
+    }
+    CHECK(Late == 0);
+    CHECK(Granted >= 55);
+  }
+}
