--- a/Source/Admission/QuotaService.h
+++ b/Source/Admission/QuotaService.h
@@ -104,6 +104,9 @@
   boost::asio::awaitable<void> gatherPromises();
   void answerOthers();
   void tick(TimePoint Now);
+  /// Joins the quotas of customers that have not called yet, so that they are
+  /// served when the platform goes away before they do.
+  void trackUnseen(TimePoint Now);
   void publishGauges(TimePoint Now);
   bool isIn(const std::string &Vm, const std::string &DataCentre) const;
 
--- a/Source/Admission/QuotaServiceRows.cpp
+++ b/Source/Admission/QuotaServiceRows.cpp
@@ -56,6 +56,20 @@
   co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
+void QuotaService::trackUnseen(TimePoint Now) {
+  const auto &Customers = State_->current()->Objects_.all<Customer>();
+  if (std::ssize(Customers) > Settings_.Quota_.EagerCustomers_)
+    return;
+  for (const auto &[Name, Owner] : Customers) {
+    if (Tracked_.contains(Name))
+      continue;
+    // The least demand that is no idleness: the row is joined, and the part
+    // follows true demand from then on.
+    Limits Given{Name, Owner.RateTokensPerSecond_, Owner.BurstTokens_};
+    track(Given, 1, Now);
+  }
+}
+
 void QuotaService::tick(TimePoint Now) {
   Holder_.expire(Now);
   if (Now >= NextRenewal_ && !GivesAll_ && !std::exchange(Renewing_, true))
@@ -72,6 +86,7 @@
   }
   if (Now < NextRefresh_ || GivesAll_ || !Holder_.leased(Now))
     return;
+  trackUnseen(Now);
   Tracked *Oldest = nullptr;
   for (auto &[Name, Known] : Tracked_) {
     const QuotaShare *Share = Holder_.find(Name);
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -81,6 +81,7 @@
   Fields.field("borrow_wait_ms", Quota.BorrowWaitMs_, {1, 2000});
   Fields.field("floor_percent", Quota.FloorPercent_, {0, 50});
   Fields.field("floor_vms", Quota.FloorVms_, {1, 10000});
+  Fields.field("eager_customers", Quota.EagerCustomers_, {0, 10000});
   Fields.field("writes_per_second", Quota.WritesPerSecond_, CountRange);
 }
 
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -203,6 +203,9 @@
   /// The part of every quota that is reserved as floors, and for how many VMs.
   std::int64_t FloorPercent_ = 5;
   std::int64_t FloorVms_ = 50;
+  /// Up to this many customers, each VM joins all their quotas before they
+  /// call.
+  std::int64_t EagerCustomers_ = 64;
   /// Changes of customers' rows that all VMs together may write.
   std::int64_t WritesPerSecond_ = 100;
 };
