--- a/Source/Placement/TargetOwner.cpp
+++ b/Source/Placement/TargetOwner.cpp
@@ -237,15 +237,25 @@
             Execution::No, std::max(Estimate_.meanHold(), LeastRetryAfter)});
 }
 
+/// When the first of the wishes was asked for; `Now` when there are none.
+static TimePoint oldestOf(const std::vector<LoadWish> &Wishes, TimePoint Now) {
+  TimePoint Oldest = Now;
+  for (const LoadWish &Wish : Wishes)
+    Oldest = std::min(Oldest, Wish.Oldest_);
+  return Oldest;
+}
+
 void TargetOwner::refuseHopeless(TimePoint Now) {
   if (Now - ForeseenAt_ < ForesightPeriod)
     return;
   ForeseenAt_ = Now;
   std::int64_t Before = 0;
-  for (const LoadWish &Wish : wishes(Now)) {
+  auto Wishes = wishes(Now);
+  TimePoint Oldest = oldestOf(Wishes, Now);
+  for (const LoadWish &Wish : Wishes) {
     const AdapterRecord *Known = Adapters_.find(Wish.Adapter_);
     Duration LoadTime = Known ? Known->LoadTime_ : AdapterRecord().LoadTime_;
-    TimePoint Ready = Estimate_.expectedLoad(Before, Now) + LoadTime;
+    TimePoint Ready = Estimate_.expectedLoad(Before, Oldest, Now) + LoadTime;
     auto Hopeless = Queue_.removeIf([&](const QueuedRequest &Item) {
       return Item.Adapter_ == Wish.Adapter_ && Item.Deadline_ <= Ready;
     });
@@ -418,12 +428,13 @@
 Duration TargetOwner::loadDelay(const AdapterRef &Adapter,
                                 TimePoint Now) const {
   std::int64_t Before = 0;
-  for (const LoadWish &Wish : wishes(Now)) {
+  auto Wishes = wishes(Now);
+  for (const LoadWish &Wish : Wishes) {
     if (Wish.Adapter_ == Adapter)
       break;
     ++Before;
   }
-  return Estimate_.expectedLoad(Before, Now) - Now;
+  return Estimate_.expectedLoad(Before, oldestOf(Wishes, Now), Now) - Now;
 }
 
 Duration TargetOwner::estimateWait(const AdapterRef &Adapter,
--- a/Source/Placement/WaitEstimate.cpp
+++ b/Source/Placement/WaitEstimate.cpp
@@ -32,10 +32,13 @@
   return std::chrono::duration_cast<Duration>(Faded);
 }
 
-TimePoint WaitEstimate::expectedLoad(std::int64_t Before, TimePoint Now) const {
-  Duration Interval = loadInterval(Now);
-  TimePoint First = std::max(Now, LastLoadAt_ + Interval);
-  return First + Interval * Before;
+TimePoint WaitEstimate::expectedLoad(std::int64_t Before, TimePoint Oldest,
+                                     TimePoint Now) const {
+  Duration Usual = loadInterval(Now);
+  Duration Waited = Now - std::max(Oldest, LastLoadAt_);
+  if (Waited > Usual)
+    return Now + Waited / 2 + Waited * Before;
+  return std::max(Now, LastLoadAt_ + Usual) + Usual * Before;
 }
 
 } // namespace anvil
--- a/Source/Placement/WaitEstimate.h
+++ b/Source/Placement/WaitEstimate.h
@@ -20,8 +20,11 @@
   /// since those who are refused for it bring no new loads to learn from.
   Duration loadInterval(TimePoint Now) const;
 
-  /// When the load with that many before it is expected to begin.
-  TimePoint expectedLoad(std::int64_t Before, TimePoint Now) const;
+  /// When the load with that many before it is expected to begin; the oldest of
+  /// them was asked for at `Oldest`. A store that is slower than it was makes
+  /// itself known by loads that are overdue.
+  TimePoint expectedLoad(std::int64_t Before, TimePoint Oldest,
+                         TimePoint Now) const;
 
 private:
   Duration MeanHold_{0};
--- a/Tests/Standins/PlatformStandin.cpp
+++ b/Tests/Standins/PlatformStandin.cpp
@@ -11,8 +11,15 @@
 namespace asio = boost::asio;
 using nlohmann::json;
 
+/// Objects of the two-year size have some 12 MB.
+static HttpServerLimits standinLimits() {
+  HttpServerLimits Limits;
+  Limits.BodyBytes_ = 64 * 1024 * 1024;
+  return Limits;
+}
+
 PlatformStandin::PlatformStandin(asio::any_io_executor Executor)
-    : Server_(std::move(Executor), HttpServerLimits{},
+    : Server_(std::move(Executor), standinLimits(),
               [this](HttpExchange &Exchange) { return handle(Exchange); }) {}
 
 asio::awaitable<void> PlatformStandin::handle(HttpExchange &Exchange) {
