Use an adapter where it is resident, in another data centre too

Cause: a far target cost more than a load, so each data centre loaded popular adapters for itself and the fleet held a third or a quarter as many different ones. Change: routing.far_cost is 1, half of a load; a test holds that a resident far target comes before a cold near one.

The baseline with a fixed split counts the VMs that membership knows: it counted the settings' peers, so it gave every VM the whole rate where none were listed. The load plans' rates are lower, so that five times the traffic is above the rate.

--- a/Source/Admission/FixedSplitQuota.cpp
+++ b/Source/Admission/FixedSplitQuota.cpp
@@ -5,13 +5,13 @@
 namespace anvil {
 
 FixedSplitQuota::FixedSplitQuota(std::shared_ptr<ConfigState> State,
-                                 std::size_t VmCount)
-    : State_(std::move(State)),
-      VmCount_(static_cast<double>(std::max<std::size_t>(1, VmCount))) {}
+                                 VmCountHook VmCount)
+    : State_(std::move(State)), VmCount_(std::move(VmCount)) {}
 
 TokenBucket &FixedSplitQuota::bucketOf(const Customer &Owner, TimePoint Now) {
-  double Rate = Owner.RateTokensPerSecond_ / VmCount_;
-  double Burst = Owner.BurstTokens_ / VmCount_;
+  auto Vms = static_cast<double>(std::max<std::size_t>(1, VmCount_()));
+  double Rate = Owner.RateTokensPerSecond_ / Vms;
+  double Burst = Owner.BurstTokens_ / Vms;
   auto [Entry, IsNew] =
       Buckets_.try_emplace(Owner.Name_, Rate, Burst, Burst, Now);
   if (!IsNew)
--- a/Source/Admission/FixedSplitQuota.h
+++ b/Source/Admission/FixedSplitQuota.h
@@ -5,6 +5,7 @@
 #include "Config/ConfigState.h"
 #include "Requests/QuotaGate.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -14,8 +15,10 @@
 /// It is the baseline that shares are measured against.
 class FixedSplitQuota : public QuotaGate {
 public:
-  /// `VmCount` is the number of VMs that the quotas are split over.
-  FixedSplitQuota(std::shared_ptr<ConfigState> State, std::size_t VmCount);
+  /// Gives the number of VMs that the quotas are split over.
+  using VmCountHook = std::function<std::size_t()>;
+
+  FixedSplitQuota(std::shared_ptr<ConfigState> State, VmCountHook VmCount);
 
   boost::asio::awaitable<Outcome<QuotaCharge>>
   charge(const RequestContext &Request) override;
@@ -25,7 +28,7 @@
   TokenBucket &bucketOf(const Customer &Owner, TimePoint Now);
 
   std::shared_ptr<ConfigState> State_;
-  double VmCount_;
+  VmCountHook VmCount_;
   std::map<std::string, TokenBucket> Buckets_;
 };
 
--- a/Source/LoadTool/DeploymentPlan.cpp
+++ b/Source/LoadTool/DeploymentPlan.cpp
@@ -22,14 +22,15 @@
   return Count;
 }
 
-/// Two large customers and three small ones.
+/// Two large customers and three small ones. At 24 requests a second each uses
+/// about half of its rate.
 static std::vector<PlannedCustomer>
 planCustomers(const std::vector<std::string> &Names) {
-  return {{Names[0], 0.46, 2400, 4800},
-          {Names[1], 0.30, 1600, 3200},
-          {Names[2], 0.12, 640, 1280},
-          {Names[3], 0.08, 440, 880},
-          {Names[4], 0.04, 240, 480}};
+  return {{Names[0], 0.46, 600, 2400},
+          {Names[1], 0.30, 400, 1600},
+          {Names[2], 0.12, 160, 640},
+          {Names[3], 0.08, 110, 440},
+          {Names[4], 0.04, 60, 240}};
 }
 
 std::optional<DeploymentPlan> findPlan(std::string_view Name) {
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -141,8 +141,10 @@
 void Daemon::addQuota() {
   auto State = Services_.require<ConfigState>(ConfigState::Name);
   if (Settings_.Quota_.Policy_ == QuotaPolicy::FixedSplit) {
-    Services_.add(
-        std::make_shared<FixedSplitQuota>(State, Settings_.Peers_.size() + 1));
+    auto Members =
+        Services_.require<MembershipService>(MembershipService::Name);
+    Services_.add(std::make_shared<FixedSplitQuota>(
+        State, [Members] { return Members->members().size() + 1; }));
     return;
   }
   Services_.add(std::make_shared<QuotaKeeper>(
--- a/Source/Routing/InformedSelector.cpp
+++ b/Source/Routing/InformedSelector.cpp
@@ -9,6 +9,12 @@
 /// Revisions whose index is kept.
 static constexpr std::size_t KeptIndexes = 4;
 
+static ChooserOptions chooserOptions(const RoutingSettings &Given) {
+  ChooserOptions Options;
+  Options.FarCost_ = Given.FarCost_;
+  return Options;
+}
+
 static EjectionOptions ejectionOptions(const RoutingSettings &Given) {
   EjectionOptions Options;
   Options.Failures_ = static_cast<int>(Given.EjectFailures_);
@@ -32,7 +38,7 @@
       Members_(Services.require<MembershipService>(MembershipService::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       IsSuspect_([](const RequestContext &, TimePoint) { return false; }),
-      Chooser_(Settings.DataCentre_, ChooserOptions()),
+      Chooser_(Settings.DataCentre_, chooserOptions(Settings.Routing_)),
       Load_(std::chrono::milliseconds(Settings.Routing_.ReportLagMs_)),
       Prefixes_(static_cast<std::size_t>(Settings.Routing_.PrefixEntries_)),
       Ejector_(ejectionOptions(Settings.Routing_)),
--- a/Source/Routing/TargetChooser.h
+++ b/Source/Routing/TargetChooser.h
@@ -18,8 +18,9 @@
 struct ChooserOptions {
   /// An adapter that has to be loaded first.
   double ColdCost_ = 2;
-  /// A target of another data centre.
-  double FarCost_ = 4;
+  /// A target of another data centre. Below the cost of a load, an adapter that
+  /// is resident there is used there.
+  double FarCost_ = 1;
   /// A prompt whose beginning ran there last.
   double WarmGain_ = 0.5;
   /// The first of a prompt beginning's rendezvous order.
--- a/Source/Settings/DaemonSettings.cpp
+++ b/Source/Settings/DaemonSettings.cpp
@@ -110,6 +110,7 @@
 static void visitFields(FieldReader &Fields, RoutingSettings &Routing) {
   Fields.choice("policy", Routing.Policy_, RoutingPolicyNames);
   Fields.field("resume_streams", Routing.ResumeStreams_);
+  Fields.field("far_cost", Routing.FarCost_, {0, 1000});
   Fields.field("report_lag_ms", Routing.ReportLagMs_, {0, 60000});
   Fields.field("prefix_entries", Routing.PrefixEntries_, {2, 1000000});
   Fields.field("eject_failures", Routing.EjectFailures_, CountRange);
--- a/Source/Settings/DaemonSettings.h
+++ b/Source/Settings/DaemonSettings.h
@@ -165,6 +165,9 @@
   /// Whether engines can take up a broken stream; one that does not know the
   /// headers would begin it again.
   bool ResumeStreams_ = true;
+  /// What a target of another data centre costs, where a load costs two and a
+  /// full set of slots one.
+  double FarCost_ = 1;
   /// How old a target's figures may be when its report arrives.
   std::int64_t ReportLagMs_ = 50;
   std::int64_t PrefixEntries_ = 20000;
--- a/Tests/Property/RoutingProperty.cpp
+++ b/Tests/Property/RoutingProperty.cpp
@@ -127,6 +127,18 @@
     }
     REQUIRE(Known.rank().front() == "f1");
   }
+  SECTION("uses an adapter far away rather than load it here again") {
+    TargetReport Report = Known.report("f1");
+    Report.Resident_.insert("a@1");
+    Known.Directory_.update(Report);
+    REQUIRE(Known.rank().front() == "f1");
+    SECTION("unless it is resident here as well") {
+      TargetReport Near = Known.report("n3");
+      Near.Resident_.insert("a@1");
+      Known.Directory_.update(Near);
+      REQUIRE(Known.rank().front() == "n3");
+    }
+  }
   SECTION("counts what was sent since the report") {
     for (std::string Name : {"n1", "n2", "n3", "n4"}) {
       TargetReport Report = Known.report(Name);
