Let the commands that show a page share one piece of code

Four commands fetched a page, passed JSON through and printed a table, each with its own copy of the steps. showPage does it; every command of docs/OPERATIONS.md was run against the quickstart's system before and after.

--- a/Source/Commands/PublishChange.cpp
+++ b/Source/Commands/CommandSupport.cpp
@@ -1,4 +1,4 @@
-#include "Commands/PublishChange.h"
+#include "Commands/CommandSupport.h"
 
 #include "Objects/ChangeSet.h"
 #include "Objects/Digest.h"
@@ -37,6 +37,20 @@
   return ExitStatus::Unavailable;
 }
 
+ExitStatus showPage(CommandContext &Context, const std::string &Target,
+                    const std::function<void(const json &)> &PrintTable) {
+  auto Reply = Context.Client_.get(Target);
+  ExitStatus Status = reportReply(Reply);
+  if (Status != ExitStatus::Success)
+    return Status;
+  const std::string &Body = valueOf(Reply).Body_;
+  if (Context.Output_ == OutputFormat::Json)
+    std::cout << Body << "\n";
+  else
+    PrintTable(json::parse(Body, nullptr, false));
+  return Status;
+}
+
 ExitStatus publishObject(CommandContext &Context, AnyObject Changed,
                          json Shown) {
   ChangeSet Change;
--- a/Source/Commands/PublishChange.h
+++ b/Source/Commands/CommandSupport.h
@@ -1,11 +1,12 @@
-#ifndef ANVIL_COMMANDS_PUBLISHCHANGE_H
-#define ANVIL_COMMANDS_PUBLISHCHANGE_H
+#ifndef ANVIL_COMMANDS_COMMANDSUPPORT_H
+#define ANVIL_COMMANDS_COMMANDSUPPORT_H
 
 #include "Commands/Command.h"
 #include "Objects/ObjectSet.h"
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -15,6 +16,12 @@
 /// status otherwise.
 std::variant<ConfigSnapshot, ExitStatus> readSnapshot(CommandContext &Context);
 
+/// Gets a page of the admin port and shows it: as it came when the output is
+/// JSON, else by `PrintTable`.
+ExitStatus
+showPage(CommandContext &Context, const std::string &Target,
+         const std::function<void(const nlohmann::json &)> &PrintTable);
+
 /// Publishes one object, then prints `Shown` with the new revision.
 ExitStatus publishObject(CommandContext &Context, AnyObject Changed,
                          nlohmann::json Shown);
@@ -27,4 +34,4 @@
 
 } // namespace anvil
 
-#endif // ANVIL_COMMANDS_PUBLISHCHANGE_H
+#endif // ANVIL_COMMANDS_COMMANDSUPPORT_H
--- a/Source/Commands/DiffCommand.cpp
+++ b/Source/Commands/DiffCommand.cpp
@@ -1,5 +1,7 @@
 #include "Commands/DiffCommand.h"
 
+#include "Commands/CommandSupport.h"
+
 #include <boost/program_options/value_semantic.hpp>
 #include <nlohmann/json.hpp>
 
@@ -19,25 +21,19 @@
   Arguments.add("revision", 1);
 }
 
-ExitStatus DiffCommand::run(CommandContext &Context) const {
-  auto Revision = Context.Options_["revision"].as<std::uint64_t>();
-  auto Reply = Context.Client_.get("/admin/config/diff?from=" +
-                                   std::to_string(Revision));
-  ExitStatus Status = reportReply(Reply);
-  if (Status != ExitStatus::Success)
-    return Status;
-  const std::string &Body = valueOf(Reply).Body_;
-  if (Context.Output_ == OutputFormat::Json) {
-    std::cout << Body << "\n";
-    return Status;
-  }
-  json Difference = json::parse(Body, nullptr, false);
+static void printDifference(const json &Difference) {
   for (const json &Object : Difference["put"])
     std::cout << "put\t" << Object.dump() << "\n";
   for (const json &Object : Difference["remove"])
     std::cout << "remove\t" << Object.value("kind", "") << "\t"
               << Object.value("name", "") << "\n";
-  return Status;
+}
+
+ExitStatus DiffCommand::run(CommandContext &Context) const {
+  auto Revision = Context.Options_["revision"].as<std::uint64_t>();
+  return showPage(Context,
+                  "/admin/config/diff?from=" + std::to_string(Revision),
+                  printDifference);
 }
 
 } // namespace anvil
--- a/Source/Commands/DrainCommand.cpp
+++ b/Source/Commands/DrainCommand.cpp
@@ -1,6 +1,6 @@
 #include "Commands/DrainCommand.h"
 
-#include "Commands/PublishChange.h"
+#include "Commands/CommandSupport.h"
 
 #include <boost/program_options/value_semantic.hpp>
 #include <nlohmann/json.hpp>
--- a/Source/Commands/HistoryCommand.cpp
+++ b/Source/Commands/HistoryCommand.cpp
@@ -1,5 +1,7 @@
 #include "Commands/HistoryCommand.h"
 
+#include "Commands/CommandSupport.h"
+
 #include <boost/program_options/value_semantic.hpp>
 #include <nlohmann/json.hpp>
 
@@ -17,25 +19,19 @@
                         "only revisions after this one");
 }
 
-ExitStatus HistoryCommand::run(CommandContext &Context) const {
-  auto After = Context.Options_["after"].as<std::uint64_t>();
-  auto Reply = Context.Client_.get("/admin/config/history?after=" +
-                                   std::to_string(After));
-  ExitStatus Status = reportReply(Reply);
-  if (Status != ExitStatus::Success)
-    return Status;
-  const std::string &Body = valueOf(Reply).Body_;
-  if (Context.Output_ == OutputFormat::Json) {
-    std::cout << Body << "\n";
-    return Status;
-  }
-  json Page = json::parse(Body, nullptr, false);
+static void printHistory(const json &Page) {
   std::cout << "revision\ttime_ms\tchanged\tremoved\tsubmit_id\n";
   for (const json &Entry : Page["history"])
     std::cout << Entry["revision"] << "\t" << Entry["time_ms"] << "\t"
               << Entry["changed"] << "\t" << Entry["removed"] << "\t"
               << Entry.value("submit_id", "") << "\n";
-  return Status;
+}
+
+ExitStatus HistoryCommand::run(CommandContext &Context) const {
+  auto After = Context.Options_["after"].as<std::uint64_t>();
+  return showPage(Context,
+                  "/admin/config/history?after=" + std::to_string(After),
+                  printHistory);
 }
 
 } // namespace anvil
--- a/Source/Commands/KeyCommand.cpp
+++ b/Source/Commands/KeyCommand.cpp
@@ -1,6 +1,6 @@
 #include "Commands/KeyCommand.h"
 
-#include "Commands/PublishChange.h"
+#include "Commands/CommandSupport.h"
 #include "Objects/Digest.h"
 
 #include <boost/program_options/value_semantic.hpp>
--- a/Source/Commands/QuarantineCommand.cpp
+++ b/Source/Commands/QuarantineCommand.cpp
@@ -1,6 +1,6 @@
 #include "Commands/QuarantineCommand.h"
 
-#include "Commands/PublishChange.h"
+#include "Commands/CommandSupport.h"
 
 #include <boost/program_options/value_semantic.hpp>
 #include <nlohmann/json.hpp>
@@ -23,17 +23,7 @@
   Arguments.add("digest", 1);
 }
 
-static ExitStatus list(CommandContext &Context) {
-  auto Reply = Context.Client_.get("/admin/quarantine");
-  ExitStatus Status = reportReply(Reply);
-  if (Status != ExitStatus::Success)
-    return Status;
-  const std::string &Body = valueOf(Reply).Body_;
-  if (Context.Output_ == OutputFormat::Json) {
-    std::cout << Body << "\n";
-    return Status;
-  }
-  json Page = json::parse(Body, nullptr, false);
+static void printQuarantine(const json &Page) {
   for (const auto &[Title, Rows] : Page.items())
     for (const json &Row : Rows) {
       std::cout << Title;
@@ -41,14 +31,13 @@
         std::cout << "\t" << Field << "=" << cellText(Value);
       std::cout << "\n";
     }
-  return Status;
 }
 
 ExitStatus QuarantineCommand::run(CommandContext &Context) const {
   auto Action = Context.Options_["action"].as<std::string>();
   auto Digest = Context.Options_["digest"].as<std::string>();
   if (Action == "list")
-    return list(Context);
+    return showPage(Context, "/admin/quarantine", printQuarantine);
   if (Action != "clear" || Digest.empty()) {
     printError({ErrorCode::InvalidInput, "quarantine",
                 "needs list, or clear and a digest",
--- a/Source/Commands/StatusCommand.cpp
+++ b/Source/Commands/StatusCommand.cpp
@@ -1,6 +1,6 @@
 #include "Commands/StatusCommand.h"
 
-#include "Commands/PublishChange.h"
+#include "Commands/CommandSupport.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,19 +26,10 @@
 }
 
 ExitStatus StatusCommand::run(CommandContext &Context) const {
-  auto Reply = Context.Client_.get("/admin/status");
-  ExitStatus Status = reportReply(Reply);
-  if (Status != ExitStatus::Success)
-    return Status;
-  const std::string &Body = valueOf(Reply).Body_;
-  if (Context.Output_ == OutputFormat::Json) {
-    std::cout << Body << "\n";
-    return Status;
-  }
-  json Whole = json::parse(Body, nullptr, false);
-  for (const auto &[Title, Section] : Whole.items())
-    printSection(Title, Section);
-  return Status;
+  return showPage(Context, "/admin/status", [](const json &Whole) {
+    for (const auto &[Title, Section] : Whole.items())
+      printSection(Title, Section);
+  });
 }
 
 } // namespace anvil
