Measure refusals within the rate by a bucket that knows only the requests

The ideal bucket got back all that a refused request might have cost, so it never ran dry while the system refused, and called every refusal one within the rate. It is now charged what such a request uses.

--- a/Source/LoadTool/LoadRunner.cpp
+++ b/Source/LoadTool/LoadRunner.cpp
@@ -127,8 +127,13 @@
     Record.Cause_ = "no_connection";
   }
   Record.Taken_ = since() - Arrived;
+  // The ideal bucket knows nothing of this system's refusals: a request that it
+  // admits costs it what such a request uses.
+  double &Typical = TypicalUse_[Source.Customer_];
+  if (Record.UsedTokens_ > 0)
+    Typical = Record.UsedTokens_;
   if (Record.WithinRate_)
-    Reference_.refund(Source.Customer_, Bound - Record.UsedTokens_, since());
+    Reference_.refund(Source.Customer_, Bound - Typical, since());
   Log_.Records_.push_back(std::move(Record));
   --Open_;
 }
--- a/Source/LoadTool/LoadRunner.h
+++ b/Source/LoadTool/LoadRunner.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <map>
 #include <random>
 #include <vector>
 
@@ -43,6 +44,8 @@
   Scenario Run_;
   ZipfSampler Popularity_;
   ReferenceQuota Reference_;
+  /// What the last whole answer of each customer used, in tokens.
+  std::map<std::string, double> TypicalUse_;
   RequestLog Log_;
   std::vector<EngineUsage> Engines_;
   std::int64_t Open_ = 0;
