--- a/Source/Placement/EngineMonitor.cpp
+++ b/Source/Placement/EngineMonitor.cpp
@@ -1,6 +1,7 @@
 #include "Placement/EngineMonitor.h"
 
 #include "Http/Spawn.h"
+#include "Placement/PlacementLookup.h"
 
 #include "Placement/EngineClient.h"
 
@@ -43,7 +44,7 @@
         StaleAge_ > Duration{0} && Polling_.size() >= MostStalePolls;
     if (IsOneTooMany || !Polling_.insert(Name).second)
       continue;
-    Endpoint Address{Known.Address_, static_cast<std::uint16_t>(Known.Port_)};
+    Endpoint Address = endpointOf(Known);
     spawn(Executor_, poll(Name, std::move(Address)));
   }
 }
--- a/Source/Placement/LocalPermitBroker.cpp
+++ b/Source/Placement/LocalPermitBroker.cpp
@@ -1,6 +1,7 @@
 #include "Placement/LocalPermitBroker.h"
 
 #include "Placement/EngineClient.h"
+#include "Placement/PlacementLookup.h"
 #include "Telemetry/Log.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -22,10 +23,6 @@
     : Executor_(std::move(Executor)), Settings_(Settings),
       Directory_(std::move(Directory)) {}
 
-static Endpoint addressOf(const Target &Where) {
-  return {Where.Address_, static_cast<std::uint16_t>(Where.Port_)};
-}
-
 void LocalPermitBroker::learn(Engine &Known, const std::string &TargetName) {
   const TargetReport *Report = Directory_->find(TargetName);
   if (!Report || Report->Incarnation_ == Known.Incarnation_)
@@ -49,7 +46,7 @@
   if (Held <= Where.AdapterSlots_ || !Oldest)
     co_return;
   Known.Uses_[*Oldest].Resident_ = false;
-  EngineClient Client(addressOf(Where));
+  EngineClient Client(endpointOf(Where));
   co_await Client.unload(
       *Oldest, 1, std::chrono::milliseconds(Settings_.Targets_.LoadTimeoutMs_));
 }
@@ -73,7 +70,7 @@
   auto Started = std::make_shared<Load>(Executor_);
   Known.Loads_[Adapter] = Started;
   co_await makeRoom(Where);
-  EngineClient Client(addressOf(Where));
+  EngineClient Client(endpointOf(Where));
   Status Loaded = co_await Client.load(
       Adapter, std::move(Weights), 1,
       std::chrono::milliseconds(Settings_.Targets_.LoadTimeoutMs_));
@@ -84,17 +81,6 @@
   co_return Loaded;
 }
 
-/// Where the weights of an adapter version are; empty when it is unknown.
-static std::string weightsOf(const ConfigSnapshot &Snapshot,
-                             const AdapterRef &Ref) {
-  const Adapter *Known = Snapshot.Objects_.find<Adapter>(Ref.Adapter_);
-  if (Known)
-    for (const AdapterVersion &Version : Known->Versions_)
-      if (Version.Name_ == Ref.Version_)
-        return Version.Weights_;
-  return "";
-}
-
 asio::awaitable<Outcome<Permit>>
 LocalPermitBroker::acquire(const RequestContext &Request,
                            std::string TargetName) {
@@ -105,7 +91,7 @@
   Permit Granted;
   Granted.Id_ = NextPermit_++;
   Granted.Target_ = TargetName;
-  Granted.Address_ = addressOf(*Where);
+  Granted.Address_ = endpointOf(*Where);
   Granted.Adapter_ = Request.Adapter_;
   if (Request.Adapter_.empty())
     co_return Granted;
--- a/Source/Placement/OwnerPermitBroker.cpp
+++ b/Source/Placement/OwnerPermitBroker.cpp
@@ -1,6 +1,7 @@
 #include "Placement/OwnerPermitBroker.h"
 
 #include "Membership/Rendezvous.h"
+#include "Placement/PlacementLookup.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -101,21 +102,10 @@
   Permit Made;
   Made.Id_ = NextId_++;
   Made.Target_ = Where.Name_;
-  Made.Address_ = {Where.Address_, static_cast<std::uint16_t>(Where.Port_)};
+  Made.Address_ = endpointOf(Where);
   return Made;
 }
 
-/// Where the weights of an adapter version are; empty when it is unknown.
-static std::string weightsOf(const ConfigSnapshot &Snapshot,
-                             const AdapterRef &Ref) {
-  const Adapter *Known = Snapshot.Objects_.find<Adapter>(Ref.Adapter_);
-  if (Known)
-    for (const AdapterVersion &Version : Known->Versions_)
-      if (Version.Name_ == Ref.Version_)
-        return Version.Weights_;
-  return "";
-}
-
 static PermitRequestMessage messageOf(const RequestContext &Request,
                                       const std::string &TargetName) {
   PermitRequestMessage Made;
@@ -192,7 +182,7 @@
   Permit Made;
   Made.Id_ = Id;
   Made.Target_ = Where.Name_;
-  Made.Address_ = {Where.Address_, static_cast<std::uint16_t>(Where.Port_)};
+  Made.Address_ = endpointOf(Where);
   Made.Adapter_ = Request.Adapter_;
   std::string Owner = firstOwner(Where);
   TimePoint Began = BootClock::now();
--- a/Source/Placement/TargetOwnerService.cpp
+++ b/Source/Placement/TargetOwnerService.cpp
@@ -1,6 +1,7 @@
 #include "Placement/TargetOwnerService.h"
 
 #include "Http/Spawn.h"
+#include "Placement/PlacementLookup.h"
 #include "Telemetry/Log.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -114,7 +115,7 @@
   Ask.Ask_ = true;
   for (const std::string &Vm : Unheard)
     notifyPeer(*Network_, Vm, Ask);
-  Endpoint Address{Known.Address_, static_cast<std::uint16_t>(Known.Port_)};
+  Endpoint Address = endpointOf(Known);
   TargetOwner Core(optionsOf(Known), std::move(Unheard), Now);
   auto Entry = std::make_shared<Owned>(
       Known.Name_, EngineClient(std::move(Address)), std::move(Core));
