--- a/Source/Admin/ConfigEndpoints.h
+++ b/Source/Admin/ConfigEndpoints.h
@@ -4,7 +4,7 @@
 #include "Admin/AdminServer.h"
 #include "Config/ConfigPublisher.h"
 #include "Config/ConfigState.h"
-#include "Platform/PlatformService.h"
+#include "TableService/PlatformService.h"
 
 namespace anvil {
 
--- a/Source/Admission/QuotaKeeper.h
+++ b/Source/Admission/QuotaKeeper.h
@@ -4,8 +4,8 @@
 #include "Admission/QuotaLeaseWatch.h"
 #include "Admission/QuotaMessages.h"
 #include "Membership/MembershipService.h"
-#include "Platform/PlatformService.h"
 #include "Settings/DaemonSettings.h"
+#include "TableService/PlatformService.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/Source/Admission/TokenBucket.cpp
+++ b/Source/Admission/TokenBucket.cpp
@@ -25,6 +25,11 @@
   return true;
 }
 
+void TokenBucket::charge(double Tokens, TimePoint Now) {
+  grow(Now);
+  Balance_ -= Tokens;
+}
+
 void TokenBucket::putBack(double Tokens, TimePoint Now) {
   grow(Now);
   Balance_ = std::min(Balance_ + Tokens, Capacity_);
--- a/Source/Admission/TokenBucket.h
+++ b/Source/Admission/TokenBucket.h
@@ -14,6 +14,9 @@
   /// Takes the tokens if they are there.
   bool take(double Tokens, TimePoint Now);
 
+  /// Takes tokens that were spent elsewhere; the balance may fall below zero.
+  void charge(double Tokens, TimePoint Now);
+
   /// Puts tokens back; what exceeds the capacity is lost.
   void putBack(double Tokens, TimePoint Now);
 
--- a/Source/Config/ConfigPublisher.h
+++ b/Source/Config/ConfigPublisher.h
@@ -4,7 +4,7 @@
 #include "Config/ConfigHead.h"
 #include "Config/ConfigState.h"
 #include "Objects/ChangeSet.h"
-#include "Platform/PlatformService.h"
+#include "TableService/PlatformService.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/Source/Config/ConfigSpread.h
+++ b/Source/Config/ConfigSpread.h
@@ -11,9 +11,9 @@
 #include "Config/OutageQuorum.h"
 #include "Kernel/TimerService.h"
 #include "Membership/MembershipService.h"
-#include "Platform/PlatformService.h"
 #include "Requests/HandOver.h"
 #include "Settings/DaemonSettings.h"
+#include "TableService/PlatformService.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- /dev/null
+++ b/Source/Entry/EntryDaemon.cpp
@@ -0,0 +1,117 @@
+#include "Entry/EntryDaemon.h"
+
+#include "Entry/EntryGateway.h"
+#include "Entry/FleetLink.h"
+#include "Entry/FleetState.h"
+#include "Entry/OwnerService.h"
+#include "Entry/PlanService.h"
+#include "Entry/TargetListService.h"
+#include "Entry/TargetPicker.h"
+#include "Objects/Digest.h"
+#include "Telemetry/Log.h"
+#include "Telemetry/Metrics.h"
+#include "platform/StoreClient.h"
+
+#include <csignal>
+
+namespace anvil {
+
+/// How long the balancer may need to notice that a VM is not ready: two checks
+/// at one second, with their answers.
+static constexpr Duration BalancerNotice = std::chrono::milliseconds(3000);
+
+/// What is kept back of the time to stop, before the process is killed.
+static constexpr Duration StopMargin = std::chrono::milliseconds(400);
+
+/// How often a stopping daemon looks whether its requests have ended.
+static constexpr Duration StopCheckPeriod = std::chrono::milliseconds(50);
+
+EntryDaemon::EntryDaemon(EntrySettings Settings)
+    : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
+      Pump_(Loop_.get_executor(), Timers_, [] { return BootClock::now(); }),
+      Signals_(Loop_, SIGTERM, SIGINT, SIGHUP), StopTimer_(Loop_) {
+  auto Executor = Loop_.get_executor();
+  auto Measured = std::make_shared<Metrics>();
+  Services_.add(Measured);
+  // The settings were checked, so the address parses.
+  auto StoreAddress =
+      std::get<Endpoint>(parseEndpoint(Settings_.Store_.Address_));
+  auto Store = std::make_shared<platform::StoreClient>(
+      StoreAddress, std::chrono::milliseconds(Settings_.Store_.TimeoutMs_),
+      Measured);
+  Services_.add(Store);
+  Services_.add(std::make_shared<PlanService>(Executor, Settings_, Store));
+  Services_.add(
+      std::make_shared<TargetListService>(Executor, Settings_, Store));
+  Services_.add(std::make_shared<FleetLink>(Executor, Settings_, Timers_));
+  std::string Self = Settings_.Vm_ + "@" + Settings_.Listen_.Address_;
+  Services_.add(std::make_shared<FleetState>(Self, Incarnation_, Services_));
+  Services_.add(std::make_shared<OwnerService>(Executor, Settings_,
+                                               Incarnation_, Services_));
+  Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
+  Services_.add(std::make_shared<EntryGateway>(Executor, Settings_, Services_));
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+Status EntryDaemon::start() {
+  Status Started = Services_.startAll();
+  if (isOk(Started)) {
+    logEvent(LogLevel::Info, "started",
+             {{"incarnation", Incarnation_},
+              {"data_centre", Settings_.DataCentre_}});
+    waitForSignal();
+  }
+  return Started;
+}
+
+void EntryDaemon::run() { Loop_.run(); }
+
+void EntryDaemon::waitForSignal() {
+  Signals_.async_wait([this](boost::system::error_code Cause, int Signal) {
+    if (Cause)
+      return;
+    if (Signal == SIGHUP) {
+      if (Reload_)
+        Reload_();
+    } else {
+      beginStop();
+    }
+    waitForSignal();
+  });
+}
+
+void EntryDaemon::beginStop() {
+  if (std::exchange(Stopping_, true))
+    return;
+  auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
+  logEvent(LogLevel::Info, "stopping",
+           {{"running_requests", Gateway->runningRequests()}});
+  Gateway->beginDrain();
+  Services_.require<FleetState>(FleetState::Name)->markLeaving();
+  auto Grace = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Settings_.Bounds_.StopS_));
+  StopDeadline_ = BootClock::now() + Grace - StopMargin;
+  // The balancer goes on sending connections until it has asked again.
+  StopTimer_.expires_after(std::min(BalancerNotice, Grace / 2));
+  StopTimer_.async_wait([this](auto) {
+    Services_.require<EntryGateway>(EntryGateway::Name)->closeIdle();
+    waitForRequests();
+  });
+}
+
+void EntryDaemon::waitForRequests() {
+  auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
+  bool IsDone = Gateway->runningRequests() == 0;
+  if (IsDone || BootClock::now() >= StopDeadline_) {
+    logEvent(LogLevel::Info, "stopped",
+             {{"requests_cut", Gateway->runningRequests()}});
+    Services_.stopAll();
+    Loop_.stop();
+    return;
+  }
+  StopTimer_.expires_after(StopCheckPeriod);
+  StopTimer_.async_wait([this](auto) { waitForRequests(); });
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/EntryDaemon.h
@@ -0,0 +1,54 @@
+#ifndef ANVIL_ENTRY_ENTRYDAEMON_H
+#define ANVIL_ENTRY_ENTRYDAEMON_H
+
+#include "Http/TimerPump.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Kernel/TimerService.h"
+#include "Settings/EntrySettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+
+namespace anvil {
+
+/// The process of one entry VM that serves routes on registered targets: makes
+/// the services, runs them and stops them in good order on SIGTERM.
+class EntryDaemon {
+public:
+  explicit EntryDaemon(EntrySettings Settings);
+  ~EntryDaemon();
+
+  /// Starts all services. The error names the service that failed.
+  Status start();
+
+  /// Runs until the daemon has stopped.
+  void run();
+
+  /// Sets what reads the settings anew on SIGHUP.
+  void onReload(std::function<void()> Hook) { Reload_ = std::move(Hook); }
+
+private:
+  void waitForSignal();
+  void beginStop();
+  void waitForRequests();
+
+  EntrySettings Settings_;
+  std::string Incarnation_;
+  boost::asio::io_context Loop_;
+  TimerService Timers_;
+  TimerPump Pump_;
+  ServiceRegistry Services_;
+  boost::asio::signal_set Signals_;
+  boost::asio::steady_timer StopTimer_;
+  TimePoint StopDeadline_{};
+  std::function<void()> Reload_;
+  bool Stopping_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_ENTRYDAEMON_H
--- /dev/null
+++ b/Source/Entry/EntryGateway.cpp
@@ -0,0 +1,232 @@
+#include "Entry/EntryGateway.h"
+
+#include "Entry/Pause.h"
+#include "Membership/Rendezvous.h"
+#include "Telemetry/Log.h"
+
+#include <cstdio>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// What callers are told to wait while this VM lacks what it needs.
+static constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
+
+/// The longest wait that is named to a caller over its rate.
+static constexpr Duration MostRateRetryAfter = std::chrono::seconds(2);
+
+/// How long a request without a limit of its own is served.
+static constexpr Duration DefaultPatience = std::chrono::seconds(30);
+
+/// The part of the fleet's extra retries that is handed out; the rest covers
+/// VMs that start anew.
+static constexpr double ExtraPart = 0.6;
+
+/// The part of the retries' ratio that is handed out.
+static constexpr double RatioPart = 0.8;
+
+static RetryBudgetOptions retryOptions(const EntrySettings &Settings) {
+  const EntryBoundSettings &Bounds = Settings.Bounds_;
+  RetryBudgetOptions Options;
+  Options.Ratio_ = Bounds.RetryRatio_ * RatioPart;
+  Options.FloorPerSecond_ = Bounds.RetryExtra_ * ExtraPart /
+                            static_cast<double>(Bounds.RetryWindowS_);
+  // What may be saved up is this VM's part of the extra retries.
+  constexpr double AssumedVms = 8;
+  Options.Burst_ = std::max(1.0, Bounds.RetryExtra_ * ExtraPart / AssumedVms);
+  return Options;
+}
+
+EntryGateway::EntryGateway(asio::any_io_executor Executor,
+                           const EntrySettings &Settings,
+                           const ServiceRegistry &Services)
+    : Executor_(std::move(Executor)), Settings_(Settings),
+      Plans_(Services.require<PlanService>(PlanService::Name)),
+      Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      Owners_(Services.require<OwnerService>(OwnerService::Name)),
+      Shared_{Executor_,
+              Services.require<TargetPicker>(TargetPicker::Name),
+              Services.require<FleetState>(FleetState::Name),
+              Services.require<Metrics>(Metrics::Name),
+              {},
+              retryOptions(Settings),
+              {}},
+      Callers_(Executor_, {},
+               [this](HttpExchange &Exchange) { return handle(Exchange); }),
+      Ready_(Executor_, {},
+             [this](HttpExchange &Exchange) { return answerReady(Exchange); }),
+      MetricsPage_(Executor_, {},
+                   [this](HttpExchange &Exchange) -> asio::awaitable<void> {
+                     HttpReply Page{200,
+                                    {{"Content-Type", "text/plain"}},
+                                    Shared_.Metrics_->page()};
+                     co_await Exchange.respond(std::move(Page));
+                   }) {}
+
+Status EntryGateway::start() {
+  Callers_.onMalformed([](int Status, std::string_view Reason) {
+    return platform::ownAnswer(Status, "", Reason, std::nullopt);
+  });
+  Plans_->Changed_.attach([this](const ServingPlan &Plan) {
+    HttpServerLimits Limits;
+    Limits.HeadBytes_ = Plan.limits().HeadBytes_;
+    Limits.BodyBytes_ = Plan.limits().BodyBytes_;
+    Limits.IdleTime_ = Plan.limits().IdleTime_;
+    Callers_.setLimits(Limits);
+  });
+  Owners_->Read_.attach([this] {
+    auto Vms = static_cast<double>(
+        std::max<std::size_t>(1, Owners_->ownership().knownVms()));
+    for (auto &[Service, Budget] : Shared_.Retries_)
+      Budget.setVms(Vms);
+  });
+  // The settings were checked, so the addresses parse.
+  auto Where = [](const std::string &Text) {
+    return std::get<Endpoint>(parseEndpoint(Text));
+  };
+  Status Opened = Callers_.listen(Where(Settings_.Listen_.Callers_));
+  if (isOk(Opened))
+    Opened = Ready_.listen(Where(Settings_.Listen_.Ready_));
+  if (isOk(Opened) && Settings_.Listen_.MetricsPort_ > 0)
+    Opened = MetricsPage_.listen(
+        {Settings_.Listen_.Address_,
+         static_cast<std::uint16_t>(Settings_.Listen_.MetricsPort_)});
+  return Opened;
+}
+
+void EntryGateway::stop() {
+  Callers_.close();
+  Ready_.close();
+  MetricsPage_.close();
+}
+
+void EntryGateway::beginDrain() {
+  Draining_ = true;
+  Callers_.beginDrain();
+}
+
+void EntryGateway::closeIdle() { Callers_.close(); }
+
+std::string EntryGateway::whyNotReady() const {
+  if (Draining_)
+    return "stopping";
+  if (!Plans_->current())
+    return "no configuration";
+  if (!Targets_->roster().age(BootClock::now()))
+    return "no list of targets";
+  if (!Plans_->keysAreFresh(BootClock::now()))
+    return "configuration not confirmed";
+  return "";
+}
+
+asio::awaitable<void> EntryGateway::answerReady(HttpExchange &Exchange) {
+  std::string Why = whyNotReady();
+  HttpReply Reply{Why.empty() ? 200 : 503,
+                  {{"Content-Type", "text/plain"}},
+                  Why.empty() ? "ready" : Why};
+  co_await Exchange.respond(std::move(Reply));
+}
+
+/// A short name for requests with the same path, customer and body.
+static std::string digestOf(const HttpRequest &Request,
+                            const CustomerPlan *Customer) {
+  std::string Text = Request.Method_ + ' ' + Request.Target_ + '\n';
+  if (Customer)
+    Text += Customer->Name_;
+  Text += '\n' + Request.Body_;
+  char Digest[17];
+  std::snprintf(Digest, sizeof(Digest), "%016llx",
+                static_cast<unsigned long long>(stableHash(Text)));
+  return Digest;
+}
+
+std::optional<EntryGateway::Refusal>
+EntryGateway::admitKey(AdmittedRequest &Admitted) {
+  const ServingPlan &Plan = *Admitted.Plan_;
+  Admitted.Customer_ = Plan.findCustomerOfKey(Admitted.Fields_.Key_);
+  bool NeedsKey = Plan.hasCustomers() && !Admitted.Route_->Open_;
+  if (!NeedsKey)
+    return std::nullopt;
+  // A withdrawn key can't be told from a good one without a fresh plan.
+  if (!Plans_->keysAreFresh(Admitted.ArrivedAt_))
+    return Refusal{503, "the configuration is not confirmed",
+                   NotReadyRetryAfter};
+  if (!Admitted.Customer_)
+    return Refusal{401, "the key is not known", std::nullopt};
+  return std::nullopt;
+}
+
+double EntryGateway::chargeOf(const AdmittedRequest &Admitted) const {
+  return Admitted.Fields_.HasTokenCounts_
+             ? Admitted.Fields_.ChargeTokens_
+             : Admitted.Customer_->PlainRequestTokens_;
+}
+
+std::optional<EntryGateway::Refusal>
+EntryGateway::admitCharge(AdmittedRequest &Admitted) {
+  if (!Admitted.Customer_)
+    return std::nullopt;
+  BudgetVerdict Verdict = Shared_.Fleet_->budget().charge(
+      Admitted.Customer_->Name_, chargeOf(Admitted), Admitted.ArrivedAt_);
+  if (Verdict.Allowed_)
+    return std::nullopt;
+  Duration Wait = std::min(Verdict.RetryAfter_, MostRateRetryAfter);
+  return Refusal{429, "the customer's rate is used up", Wait};
+}
+
+std::optional<EntryGateway::Refusal>
+EntryGateway::admit(const HttpRequest &Request, AdmittedRequest &Admitted) {
+  Admitted.Plan_ = Plans_->current();
+  if (!Admitted.Plan_)
+    return Refusal{503, "no configuration yet", NotReadyRetryAfter};
+  Admitted.Route_ =
+      Admitted.Plan_->findRoute(Admitted.Fields_.Host_, Request.path());
+  if (!Admitted.Route_)
+    return Refusal{404, "no route matches", std::nullopt};
+  if (auto Refused = admitKey(Admitted))
+    return Refused;
+  Admitted.Digest_ = digestOf(Request, Admitted.Customer_);
+  if (Shared_.Fleet_->isPoison(Admitted.Digest_, Admitted.ArrivedAt_))
+    return Refusal{503, "the request crashes targets", std::nullopt};
+  Admitted.Service_ = chooseSplit(*Admitted.Route_, randomPart());
+  Duration Patience =
+      std::min(Admitted.Fields_.Patience_.value_or(DefaultPatience),
+               Admitted.Route_->Timeout_);
+  Admitted.Deadline_ = Admitted.ArrivedAt_ + Patience;
+  return admitCharge(Admitted);
+}
+
+asio::awaitable<void> EntryGateway::handle(HttpExchange &Exchange) {
+  AdmittedRequest Admitted;
+  Admitted.ArrivedAt_ = BootClock::now();
+  Admitted.Fields_ = platform::decodeCallerFields(Exchange.request());
+  if (auto Refused = admit(Exchange.request(), Admitted)) {
+    auto Evidence = Plans_->evidence();
+    logEvent(LogLevel::Info, "request_refused",
+             {{"request", Admitted.Fields_.RequestId_},
+              {"status", Refused->Status_},
+              {"reason", Refused->Reason_},
+              {"route", Admitted.Route_ ? Admitted.Route_->Name_ : ""},
+              {"customer", Admitted.Customer_ ? Admitted.Customer_->Name_ : ""},
+              {"revision", Admitted.Plan_ ? Admitted.Plan_->revision() : 0},
+              {"evidence_age_ms",
+               Evidence ? toMillis(Admitted.ArrivedAt_ - *Evidence) : -1}});
+    Shared_.Metrics_->count("anvil_refusals_total",
+                            {{"status", std::to_string(Refused->Status_)},
+                             {"reason", std::string(Refused->Reason_)}});
+    HttpReply Reply =
+        platform::ownAnswer(Refused->Status_, Admitted.Fields_.RequestId_,
+                            Refused->Reason_, Refused->RetryAfter_);
+    co_await Exchange.respond(std::move(Reply));
+    co_return;
+  }
+  std::string Customer = Admitted.Customer_ ? Admitted.Customer_->Name_ : "";
+  double Charge = Admitted.Customer_ ? chargeOf(Admitted) : 0;
+  RequestRun Run(Shared_, Exchange, std::move(Admitted));
+  co_await Run.serve();
+  if (Run.neverRan() && !Customer.empty())
+    Shared_.Fleet_->budget().refund(Customer, Charge, BootClock::now());
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/EntryGateway.h
@@ -0,0 +1,69 @@
+#ifndef ANVIL_ENTRY_ENTRYGATEWAY_H
+#define ANVIL_ENTRY_ENTRYGATEWAY_H
+
+#include "Entry/RequestRun.h"
+#include "Http/HttpServer.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Settings/EntrySettings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace anvil {
+
+/// Takes callers' requests, admits them and serves them; answers the
+/// balancer's health check and shows the metrics.
+class EntryGateway : public Service {
+public:
+  static constexpr std::string_view Name = "entry_gateway";
+
+  EntryGateway(boost::asio::any_io_executor Executor,
+               const EntrySettings &Settings, const ServiceRegistry &Services);
+
+  std::string_view serviceName() const override { return Name; }
+  Status start() override;
+  void stop() override;
+
+  /// Reports not ready from now on; answers close their connections.
+  void beginDrain();
+
+  /// Takes no new connections and closes those without a request.
+  void closeIdle();
+
+  std::size_t runningRequests() const { return Callers_.runningRequests(); }
+
+private:
+  /// Why a request is not admitted.
+  struct Refusal {
+    int Status_ = 503;
+    std::string_view Reason_;
+    std::optional<Duration> RetryAfter_;
+  };
+
+  boost::asio::awaitable<void> handle(HttpExchange &Exchange);
+  boost::asio::awaitable<void> answerReady(HttpExchange &Exchange);
+  std::optional<Refusal> admit(const HttpRequest &Request,
+                               AdmittedRequest &Admitted);
+  std::optional<Refusal> admitKey(AdmittedRequest &Admitted);
+  std::optional<Refusal> admitCharge(AdmittedRequest &Admitted);
+  double chargeOf(const AdmittedRequest &Admitted) const;
+  std::string whyNotReady() const;
+
+  boost::asio::any_io_executor Executor_;
+  const EntrySettings &Settings_;
+  std::shared_ptr<PlanService> Plans_;
+  std::shared_ptr<TargetListService> Targets_;
+  std::shared_ptr<OwnerService> Owners_;
+  RequestServices Shared_;
+  HttpServer Callers_;
+  HttpServer Ready_;
+  HttpServer MetricsPage_;
+  bool Draining_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_ENTRYGATEWAY_H
--- /dev/null
+++ b/Source/Entry/FleetCodec.h
@@ -0,0 +1,41 @@
+#ifndef ANVIL_ENTRY_FLEETCODEC_H
+#define ANVIL_ENTRY_FLEETCODEC_H
+
+#include "Kernel/Error.h"
+#include "Serving/FleetBook.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace anvil {
+
+/// A VM asks an engine's owner for an adapter there.
+struct AdapterWant {
+  std::string Vm_;
+  std::string Engine_;
+  std::string Adapter_;
+  std::uint64_t Version_ = 0;
+  /// The engine refused a request for it though it was believed to hold it.
+  bool WasMissing_ = false;
+};
+
+/// An engine's owner says at once what the engine holds.
+struct HoldingsNotice {
+  std::string Engine_;
+  EngineHoldings Holdings_;
+};
+
+/// A datagram between VMs. Each says all that its reader needs, so that lost
+/// ones are made good by the next.
+using FleetMessage = std::variant<VmNews, AdapterWant, HoldingsNotice>;
+
+/// The bytes of a message.
+std::string encodeFleetMessage(const FleetMessage &Message);
+
+/// Reads a message. Bytes of another shape or release are a protocol error.
+Result<FleetMessage> decodeFleetMessage(std::string_view Bytes);
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_FLEETCODEC_H
--- /dev/null
+++ b/Source/Entry/FleetLink.cpp
@@ -0,0 +1,128 @@
+#include "Entry/FleetLink.h"
+
+#include "Telemetry/Log.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+/// How often news go out in a small fleet.
+static constexpr Duration LeastPeriod = std::chrono::milliseconds(100);
+
+/// What each other VM adds to the period, so that a VM's cost of control stays
+/// the same in a larger fleet.
+static constexpr Duration PeriodPerPeer = std::chrono::milliseconds(12);
+
+/// The longest datagram of IPv4, in bytes.
+static constexpr std::size_t DatagramBytes = 65507;
+
+struct FleetLink::Socket {
+  explicit Socket(const asio::any_io_executor &Executor) : Udp_(Executor) {}
+
+  udp::socket Udp_;
+  udp::endpoint From_;
+  std::array<char, DatagramBytes> Buffer_{};
+};
+
+FleetLink::FleetLink(asio::any_io_executor Executor,
+                     const EntrySettings &Settings, TimerService &Timers)
+    : Settings_(Settings), Timers_(Timers),
+      Socket_(std::make_unique<Socket>(Executor)) {}
+
+FleetLink::~FleetLink() = default;
+
+Status FleetLink::start() {
+  error_code Cause;
+  auto Address = asio::ip::make_address(Settings_.Listen_.Address_, Cause);
+  udp::endpoint Local(Address,
+                      static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_));
+  if (!Cause)
+    Socket_->Udp_.open(Local.protocol(), Cause);
+  if (!Cause)
+    Socket_->Udp_.bind(Local, Cause);
+  if (Cause)
+    return Error{ErrorCode::Unavailable, "listen.peer_port",
+                 "can't be bound: " + Cause.message(), "choose a free port"};
+  Socket_->Udp_.non_blocking(true, Cause);
+  receive();
+  schedule();
+  return std::monostate{};
+}
+
+void FleetLink::stop() {
+  News_.cancel();
+  error_code Ignored;
+  Socket_->Udp_.close(Ignored);
+}
+
+void FleetLink::setPeers(std::map<std::string, Endpoint> Peers) {
+  Peers_ = std::move(Peers);
+}
+
+void FleetLink::receive() {
+  Socket_->Udp_.async_receive_from(
+      asio::buffer(Socket_->Buffer_), Socket_->From_,
+      [this](error_code Cause, std::size_t Size) {
+        if (Cause == asio::error::operation_aborted)
+          return;
+        if (!Cause) {
+          auto Message = decodeFleetMessage(
+              std::string_view(Socket_->Buffer_.data(), Size));
+          if (isOk(Message))
+            Received_.fire(valueOf(Message));
+          else
+            logEvent(LogLevel::Warning, "datagram_unreadable",
+                     {{"from", Socket_->From_.address().to_string()},
+                      {"bytes", Size}});
+        }
+        receive();
+      });
+}
+
+void FleetLink::send(const std::string &Vm, const FleetMessage &Message) {
+  auto Found = Peers_.find(Vm);
+  if (Found == Peers_.end())
+    return;
+  std::string Bytes = encodeFleetMessage(Message);
+  error_code Cause;
+  auto Address = asio::ip::make_address(Found->second.Address_, Cause);
+  // A datagram that doesn't fit the socket's buffer counts as lost.
+  if (!Cause)
+    Socket_->Udp_.send_to(asio::buffer(Bytes),
+                          udp::endpoint(Address, Found->second.Port_), 0,
+                          Cause);
+}
+
+void FleetLink::sendToAll(const FleetMessage &Message) {
+  std::string Bytes = encodeFleetMessage(Message);
+  for (const auto &[Vm, Where] : Peers_) {
+    error_code Cause;
+    auto Address = asio::ip::make_address(Where.Address_, Cause);
+    if (!Cause)
+      Socket_->Udp_.send_to(asio::buffer(Bytes),
+                            udp::endpoint(Address, Where.Port_), 0, Cause);
+  }
+}
+
+void FleetLink::sendNews() {
+  if (Compose_ && !Peers_.empty())
+    sendToAll(Compose_());
+}
+
+void FleetLink::schedule() {
+  Duration Period = std::max<Duration>(
+      LeastPeriod, PeriodPerPeer * static_cast<int>(Peers_.size()));
+  News_ = Timers_.once(BootClock::now() + Period, [this](TimePoint) {
+    sendNews();
+    schedule();
+  });
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/FleetState.cpp
@@ -0,0 +1,142 @@
+#include "Entry/FleetState.h"
+
+#include "Telemetry/Log.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// For how long a crash is repeated in the news, in case datagrams are lost.
+static constexpr Duration CrashNewsTime = std::chrono::seconds(2);
+
+/// For how long a digest stays suspect or refused. Much shorter than a
+/// deployment's life, since a request may be good again with a new release.
+static constexpr Duration SuspectTime = std::chrono::seconds(60);
+static constexpr Duration QuarantineTime = std::chrono::minutes(5);
+static constexpr std::size_t MostDigests = 2000;
+
+/// The part of its burst that a customer starts with at a VM that has just
+/// started; the others may have spent the rest.
+static constexpr double StartShare = 0.5;
+
+/// How often unchanged holdings are told, in news.
+static constexpr std::uint64_t HoldingsEvery = 5;
+
+FleetState::FleetState(std::string Self, std::string Incarnation,
+                       const ServiceRegistry &Services)
+    : Self_(std::move(Self)), Incarnation_(std::move(Incarnation)),
+      Link_(Services.require<FleetLink>(FleetLink::Name)),
+      Plans_(Services.require<PlanService>(PlanService::Name)),
+      Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      Crashes_({SuspectTime, QuarantineTime, MostDigests}) {}
+
+Status FleetState::start() {
+  Link_->onCompose([this] { return compose(); });
+  Link_->Received_.attach(
+      [this](const FleetMessage &Message) { receive(Message); });
+  Plans_->Changed_.attach([this](const ServingPlan &Plan) {
+    Budget_.setPlan(Plan, StartShare, BootClock::now());
+  });
+  Targets_->Read_.attach([this] {
+    ServingPlanPtr Plan = Plans_->current();
+    if (!Plan)
+      return;
+    TimePoint Now = BootClock::now();
+    for (const auto &[Id, Listed] : Targets_->roster().all()) {
+      const ServicePlan *Service = Plan->findService(Listed.Entry_.Service_);
+      if (Service && Service->Engine_ && !Service->Engine_->Models_.empty())
+        Book_.applyEntry(Listed.Entry_, Service->Engine_->Models_.front().Name_,
+                         Now);
+    }
+  });
+  return std::monostate{};
+}
+
+void FleetState::noteBegin(const std::string &Target,
+                           const std::string &Adapter, std::int64_t Tokens) {
+  RunningShare &Share = Running_[Target];
+  ++Share.Requests_;
+  Share.Tokens_ += Tokens;
+  if (!Adapter.empty())
+    ++Share.Adapters_[Adapter];
+}
+
+void FleetState::noteEnd(const std::string &Target, const std::string &Adapter,
+                         std::int64_t Tokens) {
+  auto Found = Running_.find(Target);
+  if (Found == Running_.end())
+    return;
+  RunningShare &Share = Found->second;
+  --Share.Requests_;
+  Share.Tokens_ -= Tokens;
+  if (!Adapter.empty() && --Share.Adapters_[Adapter] <= 0)
+    Share.Adapters_.erase(Adapter);
+  if (Share.Requests_ <= 0)
+    Running_.erase(Found);
+}
+
+RunningShare FleetState::ownOn(const std::string &Target) const {
+  auto Found = Running_.find(Target);
+  return Found == Running_.end() ? RunningShare() : Found->second;
+}
+
+void FleetState::noteCrash(const std::string &Digest, const std::string &Target,
+                           std::int64_t Incarnation, TimePoint Now) {
+  VmNews::Crash Seen{Digest, Target, Incarnation};
+  RecentCrashes_.emplace_back(Now, Seen);
+  applyCrash(Seen, Now);
+}
+
+void FleetState::applyCrash(const VmNews::Crash &Seen, TimePoint Now) {
+  TargetLife Life{Seen.Target_, std::to_string(Seen.Incarnation_)};
+  if (Crashes_.note(Seen.Digest_, Life, Now))
+    logEvent(LogLevel::Warning, "request_quarantined",
+             {{"digest", Seen.Digest_}, {"target", Seen.Target_}});
+}
+
+void FleetState::setVms(std::size_t Count, TimePoint Now) {
+  Vms_ = std::max<std::size_t>(1, Count);
+  updateReach(Now);
+}
+
+void FleetState::updateReach(TimePoint Now) {
+  std::size_t Heard = std::min(Vms_, Book_.heardVms(Now) + 1);
+  Budget_.setReach(static_cast<double>(Heard) / static_cast<double>(Vms_), Now);
+}
+
+VmNews FleetState::compose() {
+  TimePoint Now = BootClock::now();
+  updateReach(Now);
+  VmNews News;
+  News.Vm_ = Self_;
+  News.Incarnation_ = Incarnation_;
+  News.Sequence_ = ++Sequence_;
+  News.Revision_ = Plans_->current() ? Plans_->current()->revision() : 0;
+  News.Leaving_ = Leaving_;
+  News.Spent_ = Budget_.spent();
+  News.Running_ = Running_;
+  std::erase_if(RecentCrashes_, [&](const auto &Entry) {
+    return Entry.first + CrashNewsTime < Now;
+  });
+  for (const auto &[At, Seen] : RecentCrashes_)
+    News.Crashes_.push_back(Seen);
+  if (Holdings_ && Sequence_ % HoldingsEvery == 0)
+    News.Holdings_ = Holdings_();
+  return News;
+}
+
+void FleetState::receive(const FleetMessage &Message) {
+  TimePoint Now = BootClock::now();
+  if (const auto *Notice = std::get_if<HoldingsNotice>(&Message))
+    Book_.applyHoldings(Notice->Engine_, Notice->Holdings_, Now);
+  const auto *News = std::get_if<VmNews>(&Message);
+  if (!News || News->Vm_ == Self_ || !Book_.apply(*News, Now))
+    return;
+  Budget_.notePeer(News->Vm_, News->Incarnation_, News->Spent_, Now);
+  for (const VmNews::Crash &Seen : News->Crashes_)
+    applyCrash(Seen, Now);
+  for (const auto &[Target, Incarnation] : News->Leavers_)
+    Targets_->roster().noteLeaving(Target, Incarnation);
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/FleetState.h
@@ -0,0 +1,91 @@
+#ifndef ANVIL_ENTRY_FLEETSTATE_H
+#define ANVIL_ENTRY_FLEETSTATE_H
+
+#include "Entry/FleetLink.h"
+#include "Entry/PlanService.h"
+#include "Entry/TargetListService.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Routing/CrashTracker.h"
+#include "Serving/CustomerBudget.h"
+#include "Serving/FleetBook.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// What this VM knows together with the others: what runs where, what engines
+/// hold, what customers have spent and which requests crash targets.
+class FleetState : public Service {
+public:
+  static constexpr std::string_view Name = "fleet_state";
+
+  FleetState(std::string Self, std::string Incarnation,
+             const ServiceRegistry &Services);
+
+  std::string_view serviceName() const override { return Name; }
+  Status start() override;
+
+  FleetBook &book() { return Book_; }
+  CustomerBudget &budget() { return Budget_; }
+
+  /// Notes that a request begins or ends at a target.
+  void noteBegin(const std::string &Target, const std::string &Adapter,
+                 std::int64_t Tokens);
+  void noteEnd(const std::string &Target, const std::string &Adapter,
+               std::int64_t Tokens);
+
+  /// What this VM runs on a target.
+  RunningShare ownOn(const std::string &Target) const;
+  const std::map<std::string, RunningShare> &running() const {
+    return Running_;
+  }
+
+  /// Notes that a request was running when a target crashed, and tells the
+  /// others.
+  void noteCrash(const std::string &Digest, const std::string &Target,
+                 std::int64_t Incarnation, TimePoint Now);
+
+  /// Whether a request crashes the targets that run it.
+  bool isPoison(const std::string &Digest, TimePoint Now) const {
+    return Crashes_.isQuarantined(Digest, Now);
+  }
+
+  /// Sets how many VMs there are, silent ones included.
+  void setVms(std::size_t Count, TimePoint Now);
+
+  /// Sets what adds the holdings of the engines that this VM owns.
+  void onHoldings(std::function<std::map<std::string, EngineHoldings>()> Hook) {
+    Holdings_ = std::move(Hook);
+  }
+
+  /// Marks this VM as leaving in its news.
+  void markLeaving() { Leaving_ = true; }
+
+private:
+  VmNews compose();
+  void receive(const FleetMessage &Message);
+  void applyCrash(const VmNews::Crash &Seen, TimePoint Now);
+  void updateReach(TimePoint Now);
+
+  std::string Self_;
+  std::string Incarnation_;
+  std::shared_ptr<FleetLink> Link_;
+  std::shared_ptr<PlanService> Plans_;
+  std::shared_ptr<TargetListService> Targets_;
+  FleetBook Book_;
+  CustomerBudget Budget_;
+  CrashTracker Crashes_;
+  std::map<std::string, RunningShare> Running_;
+  std::vector<std::pair<TimePoint, VmNews::Crash>> RecentCrashes_;
+  std::function<std::map<std::string, EngineHoldings>()> Holdings_;
+  std::uint64_t Sequence_ = 0;
+  std::size_t Vms_ = 1;
+  bool Leaving_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_FLEETSTATE_H
--- /dev/null
+++ b/Source/Entry/OwnerService.cpp
@@ -0,0 +1,433 @@
+#include "Entry/OwnerService.h"
+
+#include "Entry/FleetState.h"
+#include "Entry/OwnerRows.h"
+#include "Entry/Pause.h"
+#include "Http/Spawn.h"
+#include "Membership/Rendezvous.h"
+#include "Telemetry/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// How long an order or a report may take; answers come within milliseconds.
+static constexpr Duration ControlTimeout = std::chrono::milliseconds(400);
+
+/// How often an engine's keeper looks for something to do unasked.
+static constexpr Duration KeeperPeriod = std::chrono::milliseconds(250);
+
+/// Reports are as old as this at the most, so beliefs are cleared up by one
+/// only this long after what made them doubtful.
+static constexpr Duration ReportLag = std::chrono::milliseconds(150);
+
+/// How long before an adapter version's bound running requests no longer hold
+/// back its replacement.
+static constexpr Duration ReplaceMargin = std::chrono::milliseconds(2000);
+
+/// How often rows are written and read until the first claims are settled.
+static constexpr Duration StartPeriod = std::chrono::milliseconds(500);
+
+static std::string vmName(const EntrySettings &Settings) {
+  // A machine that takes another's name is another holder.
+  return Settings.Vm_ + "@" + Settings.Listen_.Address_;
+}
+
+static TargetOwnershipOptions ownershipOptions(const EntrySettings &Settings) {
+  TargetOwnershipOptions Options;
+  constexpr Duration OrderTravel = std::chrono::milliseconds(300);
+  Options.HandoverPause_ =
+      std::chrono::milliseconds(Settings.Bounds_.OrderHandoverMs_) +
+      OrderTravel;
+  return Options;
+}
+
+OwnerService::OwnerService(asio::any_io_executor Executor,
+                           const EntrySettings &Settings,
+                           std::string Incarnation,
+                           const ServiceRegistry &Services)
+    : Executor_(std::move(Executor)), Settings_(Settings),
+      Self_(vmName(Settings)), Incarnation_(std::move(Incarnation)),
+      Store_(Services.require<platform::StoreClient>(PlatformService::Name)),
+      Plans_(Services.require<PlanService>(PlanService::Name)),
+      Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      Link_(Services.require<FleetLink>(FleetLink::Name)),
+      Fleet_(Services.require<FleetState>(FleetState::Name)),
+      Control_(ControlTimeout),
+      Ownership_(Self_, ownershipOptions(Settings), BootClock::now()) {}
+
+Status OwnerService::start() {
+  Link_->Received_.attach(
+      [this](const FleetMessage &Message) { receive(Message); });
+  Fleet_->onHoldings([this] { return holdings(); });
+  Targets_->Read_.attach([this] {
+    updateEngines();
+    checkEntries();
+  });
+  Plans_->VersionNamed_.attach([this](const std::string &,
+                                      const std::string &Adapter,
+                                      const KnownVersion &Known) {
+    Duration Bound =
+        std::chrono::milliseconds(Settings_.Bounds_.AdapterVersionMs_);
+    for (const auto &[Engine, Owned] : Owned_) {
+      Owned->Keeper_.noteVersion(Adapter, Known.Version_,
+                                 Known.Since_ + Bound - ReplaceMargin);
+      Owned->Wake_.cancel();
+    }
+  });
+  spawn(Executor_, keepRows());
+  return std::monostate{};
+}
+
+void OwnerService::stop() {
+  Stopping_ = true;
+  for (const auto &[Engine, Owned] : Owned_) {
+    Owned->Ended_ = true;
+    Owned->Wake_.cancel();
+  }
+}
+
+VmRow OwnerService::ownRow() const {
+  Endpoint Peer{Settings_.Listen_.Address_,
+                static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_)};
+  return {Self_,       Incarnation_, Settings_.DataCentre_,
+          Peer.text(), Renewals_,    OwnRowVersion_};
+}
+
+asio::awaitable<void> OwnerService::keepRows() {
+  while (!Stopping_) {
+    co_await readRows();
+    bool Renewed = co_await renew();
+    if (Renewed) {
+      co_await claimTargets();
+      co_await purgeSilent();
+    }
+    updateEngines();
+    bool Settled = HasRead_ && Renewals_ > 4;
+    Duration Period = std::chrono::milliseconds(Settings_.Store_.RenewMs_);
+    co_await pauseFor(Settled ? Period : StartPeriod);
+  }
+}
+
+asio::awaitable<void> OwnerService::readRows() {
+  auto Rows = co_await Store_->scan("", "", SIZE_MAX);
+  if (!isOk(Rows))
+    co_return;
+  TimePoint Now = BootClock::now();
+  ControlRows Sorted = decodeControlRows(valueOf(Rows));
+  Ownership_.applyVms(Sorted.Vms_, Now);
+  Ownership_.applyOwners(Sorted.Owners_, Now);
+  if (!HasRead_) {
+    // The row of an earlier life of this VM is taken over.
+    for (const VmRow &Row : Sorted.Vms_)
+      if (Row.Vm_ == Self_)
+        OwnRowVersion_ = Row.RowVersion_;
+    HasRead_ = true;
+  }
+  std::map<std::string, Endpoint> Peers;
+  for (const VmRow &Row : Sorted.Vms_) {
+    auto Where = parseEndpoint(Row.PeerAddress_);
+    if (Row.Vm_ != Self_ && isOk(Where))
+      Peers[Row.Vm_] = valueOf(Where);
+  }
+  Link_->setPeers(std::move(Peers));
+  Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
+  Read_.fire();
+}
+
+asio::awaitable<bool> OwnerService::renew() {
+  if (!HasRead_)
+    co_return false;
+  TableTransaction Change;
+  ++Renewals_;
+  Change.Checks_.push_back({vmRowKey(Self_), OwnRowVersion_});
+  Change.Writes_.push_back({vmRowKey(Self_), encodeVmRow(ownRow())});
+  TimePoint SentAt = BootClock::now();
+  CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
+  if (Outcome.Result_ == CommitResult::Committed) {
+    OwnRowVersion_ = Outcome.Version_;
+    Ownership_.noteRenewed(SentAt);
+    co_return true;
+  }
+  logEvent(LogLevel::Warning, "lease_not_renewed",
+           {{"reason", Outcome.Detail_}, {"renewals", Renewals_}});
+  if (Outcome.Result_ != CommitResult::Unavailable)
+    co_await resolveRenewal();
+  co_return false;
+}
+
+asio::awaitable<void> OwnerService::resolveRenewal() {
+  std::vector<std::string> Keys{vmRowKey(Self_)};
+  auto Rows = co_await Store_->read(std::move(Keys));
+  if (!isOk(Rows))
+    co_return;
+  const TableRow &Row = valueOf(Rows).front();
+  ControlRows Sorted = decodeControlRows({Row});
+  bool IsOwn = Row.Version_ > 0 && !Sorted.Vms_.empty() &&
+               Sorted.Vms_.front().Incarnation_ == Incarnation_;
+  if (!IsOwn) {
+    logEvent(LogLevel::Warning, "lease_lost", {{"row", Row.Version_}});
+    Ownership_.noteRenewalRefused();
+  }
+  OwnRowVersion_ = Row.Version_;
+}
+
+asio::awaitable<void> OwnerService::claimTargets() {
+  TimePoint Now = BootClock::now();
+  for (const OwnerClaim &Claim : Ownership_.claims(engines(), Now)) {
+    auto Change = claimTransaction(Claim, Self_, OwnRowVersion_);
+    TimePoint SentAt = BootClock::now();
+    Ownership_.noteClaimSent(Claim.Row_.Target_, SentAt);
+    CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
+    std::string Name(CommitResultNames[0].second);
+    for (const auto &[Known, Text] : CommitResultNames)
+      if (Known == Outcome.Result_)
+        Name = Text;
+    logEvent(LogLevel::Info, "engine_claimed",
+             {{"target", Claim.Row_.Target_},
+              {"fence", Claim.Row_.Fence_},
+              {"from", Claim.SilentVm_},
+              {"outcome", Name}});
+    if (Outcome.Result_ != CommitResult::Committed)
+      continue;
+    OwnerRow Row = Claim.Row_;
+    Row.RowVersion_ = Outcome.Version_;
+    Ownership_.noteClaimed(Row, SentAt);
+  }
+}
+
+asio::awaitable<void> OwnerService::purgeSilent() {
+  TimePoint Now = BootClock::now();
+  for (const VmRow &Row : Ownership_.rowsToPurge(Now)) {
+    TableTransaction Change;
+    Change.Checks_.push_back({vmRowKey(Row.Vm_), Row.RowVersion_});
+    Change.Writes_.push_back({vmRowKey(Row.Vm_), std::nullopt});
+    CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
+    logEvent(LogLevel::Info, "silent_vm_removed",
+             {{"peer", Row.Vm_}, {"outcome", Outcome.Detail_}});
+  }
+}
+
+std::set<std::string> OwnerService::engines() const {
+  std::set<std::string> Found;
+  for (const auto &[Id, Listed] : Targets_->roster().all())
+    if (Listed.Standing_ != TargetStanding::Gone && enginePlanOf(Id))
+      Found.insert(Id);
+  return Found;
+}
+
+const EnginePlan *OwnerService::enginePlanOf(const std::string &Engine) const {
+  const ListedTarget *Listed = Targets_->roster().find(Engine);
+  if (!Listed || !Plans_->current())
+    return nullptr;
+  const ServicePlan *Service =
+      Plans_->current()->findService(Listed->Entry_.Service_);
+  bool IsEngine = Service && Service->Engine_ &&
+                  !Service->Engine_->Models_.empty() &&
+                  Service->Engine_->MaxAdapters_ > 0;
+  return IsEngine ? &*Service->Engine_ : nullptr;
+}
+
+double OwnerService::transitFactor() const {
+  return static_cast<double>(Fleet_->book().inTransit(BootClock::now()) + 1) /
+         static_cast<double>(Settings_.TransitLimit_);
+}
+
+void OwnerService::updateEngines() {
+  std::set<std::string> Mine;
+  for (const OwnerRow &Row : Ownership_.owned()) {
+    const EnginePlan *Plan = enginePlanOf(Row.Target_);
+    const ListedTarget *Listed = Targets_->roster().find(Row.Target_);
+    bool IsThere = Plan && Listed->Standing_ != TargetStanding::Gone;
+    if (!IsThere)
+      continue;
+    Mine.insert(Row.Target_);
+    auto Found = Owned_.find(Row.Target_);
+    bool IsCurrent = Found != Owned_.end() &&
+                     Found->second->Incarnation_ == Listed->Entry_.Incarnation_;
+    if (IsCurrent)
+      continue;
+    if (Found != Owned_.end()) {
+      Found->second->Ended_ = true;
+      Found->second->Wake_.cancel();
+    }
+    EngineKeeperOptions Options;
+    Options.MaxAdapters_ = Plan->MaxAdapters_;
+    auto Owned = std::make_shared<OwnedEngine>(
+        Executor_, EngineKeeper(Plan->Models_.front().Name_, Options));
+    Owned->Incarnation_ = Listed->Entry_.Incarnation_;
+    Owned_[Row.Target_] = Owned;
+    spawn(Executor_, serveEngine(Row.Target_, Owned));
+  }
+  std::erase_if(Owned_, [&](const auto &Entry) {
+    if (Mine.contains(Entry.first))
+      return false;
+    Entry.second->Ended_ = true;
+    Entry.second->Wake_.cancel();
+    return true;
+  });
+}
+
+void OwnerService::checkEntries() {
+  for (const auto &[Engine, Owned] : Owned_) {
+    const ListedTarget *Listed = Targets_->roster().find(Engine);
+    // More orders than this VM knows of: one was carried out late.
+    if (Listed &&
+        Listed->Entry_.OrdersAccepted_ > Owned->Keeper_.ordersAccepted())
+      Owned->Keeper_.doubt();
+  }
+}
+
+asio::awaitable<void>
+OwnerService::serveEngine(std::string Engine,
+                          std::shared_ptr<OwnedEngine> Owned) {
+  while (!Owned->Ended_) {
+    TimePoint Now = BootClock::now();
+    auto Fence = Ownership_.mayOrder(Engine, Now);
+    if (Fence) {
+      if (Owned->Keeper_.needsReport()) {
+        co_await refresh(Engine, Owned);
+        continue;
+      }
+      for (const auto &[Adapter, Count] : Fleet_->ownOn(Engine).Adapters_)
+        Owned->Keeper_.noteUse(Adapter, Now);
+      if (auto Order = Owned->Keeper_.nextOrder(transitFactor(), Now)) {
+        co_await orderOnce(Engine, Owned, *Order, *Fence);
+        continue;
+      }
+    }
+    Owned->Wake_.expires_after(KeeperPeriod);
+    boost::system::error_code Ignored;
+    co_await Owned->Wake_.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+}
+
+/// The address of a listed target; nothing when it can't be used.
+static std::optional<platform::EngineAddress>
+addressOf(const TargetRoster &Roster, const std::string &Engine) {
+  const ListedTarget *Listed = Roster.find(Engine);
+  if (!Listed)
+    return std::nullopt;
+  auto Where = parseEndpoint(Listed->Entry_.Address_);
+  if (!isOk(Where))
+    return std::nullopt;
+  return platform::EngineAddress{Engine, valueOf(Where)};
+}
+
+asio::awaitable<void>
+OwnerService::orderOnce(const std::string &Engine,
+                        std::shared_ptr<OwnedEngine> Owned,
+                        const EngineOrder &Order, std::uint64_t Fence) {
+  auto Where = addressOf(Targets_->roster(), Engine);
+  OrderAnswer Answer = OrderAnswer::NotThere;
+  if (Where)
+    Answer = co_await Control_.order(*Where, Order, Self_, Fence);
+  Owned->Keeper_.noteAnswer(Answer, BootClock::now());
+  bool Took =
+      Answer == OrderAnswer::Accepted || Answer == OrderAnswer::AlreadyHolds;
+  logEvent(Took ? LogLevel::Debug : LogLevel::Warning, "engine_order",
+           {{"target", Engine},
+            {"order", orderKindName(Order.Kind_)},
+            {"adapter", Order.Adapter_},
+            {"version", Order.Version_},
+            {"expected_orders", Order.ExpectedOrders_},
+            {"fence", Fence},
+            {"outcome", orderAnswerName(Answer)}});
+  announce(Engine);
+  if (!Took)
+    co_await pauseFor(ReportLag);
+}
+
+asio::awaitable<void>
+OwnerService::refresh(const std::string &Engine,
+                      std::shared_ptr<OwnedEngine> Owned) {
+  auto Where = addressOf(Targets_->roster(), Engine);
+  Result<EngineReport> Report =
+      Error{ErrorCode::NotFound, Engine, "has no address", ""};
+  if (Where)
+    Report = co_await Control_.report(*Where);
+  if (!isOk(Report)) {
+    logEvent(LogLevel::Warning, "engine_report_failed",
+             {{"target", Engine}, {"reason", errorOf(Report).describe()}});
+    co_await pauseFor(KeeperPeriod);
+    co_return;
+  }
+  Owned->Keeper_.adopt(valueOf(Report), BootClock::now());
+  announce(Engine);
+  if (Owned->Keeper_.needsReport())
+    co_await pauseFor(KeeperPeriod);
+}
+
+std::map<std::string, EngineHoldings> OwnerService::holdings() const {
+  std::map<std::string, EngineHoldings> All;
+  TimePoint Now = BootClock::now();
+  for (const auto &[Engine, Owned] : Owned_) {
+    if (Owned->Keeper_.needsReport() || !Ownership_.mayOrder(Engine, Now))
+      continue;
+    EngineHoldings &Held = All[Engine];
+    Held.Incarnation_ = Owned->Incarnation_;
+    Held.HasModel_ = Owned->Keeper_.hasModel();
+    for (const auto &[Adapter, Place] : Owned->Keeper_.places())
+      Held.Adapters_[Adapter] = {
+          Place.Version_,
+          std::max<Duration>(Duration::zero(), Place.ReadyAt_ - Now)};
+  }
+  return All;
+}
+
+void OwnerService::announce(const std::string &Engine) {
+  auto All = holdings();
+  auto Found = All.find(Engine);
+  if (Found == All.end())
+    return;
+  Fleet_->book().applyHoldings(Engine, Found->second, BootClock::now());
+  Link_->sendToAll(HoldingsNotice{Engine, Found->second});
+}
+
+void OwnerService::want(const std::string &Engine, const std::string &Adapter,
+                        std::uint64_t Version, bool WasMissing) {
+  AdapterWant Wanted{Self_, Engine, Adapter, Version, WasMissing};
+  std::string Owner = Ownership_.ownerOf(Engine);
+  if (Owner == Self_)
+    receive(Wanted);
+  else
+    Link_->send(Owner, Wanted);
+}
+
+void OwnerService::receive(const FleetMessage &Message) {
+  if (const auto *News = std::get_if<VmNews>(&Message)) {
+    TimePoint Now = BootClock::now();
+    for (const auto &[Engine, Owned] : Owned_) {
+      auto Share = News->Running_.find(Engine);
+      if (Share == News->Running_.end())
+        continue;
+      for (const auto &[Adapter, Count] : Share->second.Adapters_)
+        Owned->Keeper_.noteUse(Adapter, Now);
+    }
+    return;
+  }
+  const auto *Wanted = std::get_if<AdapterWant>(&Message);
+  if (!Wanted)
+    return;
+  auto Found = Owned_.find(Wanted->Engine_);
+  if (Found == Owned_.end())
+    return;
+  EngineKeeper &Keeper = Found->second->Keeper_;
+  if (Wanted->WasMissing_)
+    Keeper.doubt();
+  auto ReadyAt =
+      Keeper.want(Wanted->Adapter_, Wanted->Version_, BootClock::now());
+  if (ReadyAt && !Wanted->WasMissing_) {
+    announce(Wanted->Engine_);
+    return;
+  }
+  Found->second->Wake_.cancel();
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/OwnerService.h
@@ -0,0 +1,113 @@
+#ifndef ANVIL_ENTRY_OWNERSERVICE_H
+#define ANVIL_ENTRY_OWNERSERVICE_H
+
+#include "Entry/FleetLink.h"
+#include "Entry/PlanService.h"
+#include "Entry/TargetListService.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Serving/EngineKeeper.h"
+#include "Serving/TargetOwnership.h"
+#include "Settings/EntrySettings.h"
+#include "platform/EngineControl.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace anvil {
+
+/// Keeps this VM's row in the store, claims engines and gives orders to those
+/// that it owns.
+class OwnerService : public Service {
+public:
+  static constexpr std::string_view Name = "owner";
+
+  OwnerService(boost::asio::any_io_executor Executor,
+               const EntrySettings &Settings, std::string Incarnation,
+               const ServiceRegistry &Services);
+
+  std::string_view serviceName() const override { return Name; }
+  Status start() override;
+  void stop() override;
+
+  const TargetOwnership &ownership() const { return Ownership_; }
+
+  /// The name under which this VM holds leases and orders engines.
+  const std::string &self() const { return Self_; }
+
+  /// Whether the rows of all VMs have been read once.
+  bool hasRead() const { return HasRead_; }
+
+  /// Asks an engine's owner for an adapter, this VM or another.
+  void want(const std::string &Engine, const std::string &Adapter,
+            std::uint64_t Version, bool WasMissing);
+
+  /// What the engines hold that this VM owns.
+  std::map<std::string, EngineHoldings> holdings() const;
+
+  /// Fired after the rows of all VMs were read.
+  Hook<> Read_;
+
+private:
+  /// An engine that this VM gives orders to.
+  struct OwnedEngine {
+    OwnedEngine(const boost::asio::any_io_executor &Executor,
+                EngineKeeper Keeper)
+        : Keeper_(std::move(Keeper)), Wake_(Executor) {}
+
+    EngineKeeper Keeper_;
+    std::int64_t Incarnation_ = 0;
+    boost::asio::steady_timer Wake_;
+    bool Ended_ = false;
+  };
+
+  boost::asio::awaitable<void> keepRows();
+  boost::asio::awaitable<bool> renew();
+  boost::asio::awaitable<void> resolveRenewal();
+  boost::asio::awaitable<void> readRows();
+  boost::asio::awaitable<void> claimTargets();
+  boost::asio::awaitable<void> purgeSilent();
+  boost::asio::awaitable<void> serveEngine(std::string Engine,
+                                           std::shared_ptr<OwnedEngine> Owned);
+  boost::asio::awaitable<void> orderOnce(const std::string &Engine,
+                                         std::shared_ptr<OwnedEngine> Owned,
+                                         const EngineOrder &Order,
+                                         std::uint64_t Fence);
+  boost::asio::awaitable<void> refresh(const std::string &Engine,
+                                       std::shared_ptr<OwnedEngine> Owned);
+  void updateEngines();
+  void checkEntries();
+  void announce(const std::string &Engine);
+  void receive(const FleetMessage &Message);
+  std::set<std::string> engines() const;
+  const EnginePlan *enginePlanOf(const std::string &Engine) const;
+  double transitFactor() const;
+  VmRow ownRow() const;
+
+  boost::asio::any_io_executor Executor_;
+  const EntrySettings &Settings_;
+  std::string Self_;
+  std::string Incarnation_;
+  std::shared_ptr<platform::StoreClient> Store_;
+  std::shared_ptr<PlanService> Plans_;
+  std::shared_ptr<TargetListService> Targets_;
+  std::shared_ptr<FleetLink> Link_;
+  std::shared_ptr<class FleetState> Fleet_;
+  platform::EngineControl Control_;
+  TargetOwnership Ownership_;
+  std::map<std::string, std::shared_ptr<OwnedEngine>> Owned_;
+  std::uint64_t Renewals_ = 0;
+  std::uint64_t OwnRowVersion_ = 0;
+  bool HasRead_ = false;
+  bool Stopping_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_OWNERSERVICE_H
--- /dev/null
+++ b/Source/Entry/Pause.cpp
@@ -0,0 +1,26 @@
+#include "Entry/Pause.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> pauseFor(Duration Time) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  Timer.expires_after(Time);
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
+double randomPart() {
+  static std::mt19937_64 Source{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(Source);
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/PlanService.h
@@ -0,0 +1,77 @@
+#ifndef ANVIL_ENTRY_PLANSERVICE_H
+#define ANVIL_ENTRY_PLANSERVICE_H
+
+#include "Kernel/Hook.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Serving/ServingPlan.h"
+#include "Settings/EntrySettings.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace anvil {
+
+/// A version of an adapter and since when this VM knows it.
+struct KnownVersion {
+  std::uint64_t Version_ = 0;
+  TimePoint Since_{};
+};
+
+/// Follows the operator's configuration and the adapter versions it names, and
+/// keeps the evidence that they are current.
+class PlanService : public Service {
+public:
+  static constexpr std::string_view Name = "plan";
+
+  PlanService(boost::asio::any_io_executor Executor,
+              const EntrySettings &Settings,
+              std::shared_ptr<platform::StoreClient> Store);
+
+  std::string_view serviceName() const override { return Name; }
+  Status start() override;
+
+  /// The newest plan, or null before the first.
+  const ServingPlanPtr &current() const { return Plan_; }
+
+  /// A moment at which the plan was certainly the newest; nothing before the
+  /// first read.
+  std::optional<TimePoint> evidence() const { return Evidence_; }
+
+  /// Whether requests with a key may go on at `Now`.
+  bool keysAreFresh(TimePoint Now) const;
+
+  /// The newest version of an adapter, if one was named.
+  const KnownVersion *newestVersion(const std::string &Model,
+                                    const std::string &Adapter) const;
+
+  /// Fired with each new plan.
+  Hook<const ServingPlan &> Changed_;
+
+  /// Fired when a version is named, with model and adapter.
+  Hook<const std::string &, const std::string &, const KnownVersion &>
+      VersionNamed_;
+
+private:
+  boost::asio::awaitable<void> follow();
+  void apply(const std::vector<TableRow> &Rows, TimePoint AskedAt);
+  void applyPlan(const TableRow &Row);
+  void applyVersion(const TableRow &Row);
+
+  boost::asio::any_io_executor Executor_;
+  const EntrySettings &Settings_;
+  std::shared_ptr<platform::StoreClient> Store_;
+  ServingPlanPtr Plan_;
+  std::optional<TimePoint> Evidence_;
+  /// By model, then adapter.
+  std::map<std::string, std::map<std::string, KnownVersion>> Versions_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_PLANSERVICE_H
--- /dev/null
+++ b/Source/Entry/RequestRun.cpp
@@ -0,0 +1,422 @@
+#include "Entry/RequestRun.h"
+
+#include "Entry/CrashProbe.h"
+#include "Entry/Pause.h"
+#include "Telemetry/Log.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// How long a connection to a target may take; in a data centre it takes
+/// about a millisecond.
+static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+
+/// The longest wait for an adapter before the choice is made anew.
+static constexpr Duration AdapterCheck = std::chrono::milliseconds(40);
+
+/// The pause after a target said that it can't run the request yet.
+static constexpr Duration RefusedPause = std::chrono::milliseconds(25);
+
+/// The most sends of one request that targets refuse to run.
+static constexpr int MostRefusedSends = 4;
+
+/// The part of a target's keep-alive time for which a connection is used
+/// again, so that the target doesn't close it while a request is on its way.
+static constexpr double KeepAlivePart = 0.6;
+
+/// What callers are told to wait where no target is free.
+static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(500);
+
+/// What is kept back of the time left for the answer's way.
+static constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
+
+/// The most urgent and least urgent ranks that targets know.
+static constexpr int LeastUrgentRank = 9;
+
+RetryBudget &RequestServices::retriesOf(const std::string &Service) {
+  return Retries_.try_emplace(Service, RetryOptions_).first->second;
+}
+
+RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
+                       AdmittedRequest Request)
+    : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)) {
+  Question_ = {Request_.Service_,
+               Request_.Fields_.Model_,
+               Request_.Fields_.Adapter_,
+               Request_.Fields_.Shape_,
+               {}};
+}
+
+Duration RequestRun::timeLeft() const {
+  return Request_.Deadline_ - BootClock::now();
+}
+
+asio::awaitable<void> RequestRun::serve() {
+  Shared_.retriesOf(Request_.Service_).noteRequest();
+  Exchange_.onCallerGone([this] { Connection_.close(); });
+  while (true) {
+    if (Exchange_.callerGone()) {
+      logEnd("caller_gone", 0);
+      co_return;
+    }
+    TimePoint Now = BootClock::now();
+    if (timeLeft() <= AnswerMargin)
+      co_return co_await endLost();
+    auto Chosen = Shared_.Picker_->pick(Question_, Now);
+    if (!Chosen && !Question_.Avoid_.empty()) {
+      // Every other target is worse off; one that refused may have room now.
+      Question_.Avoid_.clear();
+      Chosen = Shared_.Picker_->pick(Question_, Now);
+    }
+    if (!Chosen) {
+      LastReason_ = "no_target";
+      co_return co_await endLost();
+    }
+    bool MustWait = Chosen->Readiness_ == AdapterReadiness::Absent ||
+                    Chosen->Readiness_ == AdapterReadiness::Loading;
+    if (MustWait) {
+      if (!co_await awaitAdapter(Question_, *Chosen))
+        co_return co_await endLost();
+      continue;
+    }
+    TryEnd End = co_await tryTarget(std::move(*Chosen));
+    if (End == TryEnd::Done)
+      co_return;
+    if (!mayTryAgain(End, BootClock::now()))
+      co_return co_await endLost();
+    if (End == TryEnd::NotRun)
+      co_await pauseFor(RefusedPause);
+  }
+}
+
+asio::awaitable<bool> RequestRun::awaitAdapter(const PickQuestion &Question,
+                                               const Pick &Chosen) {
+  TimePoint Now = BootClock::now();
+  if (Chosen.ReadyIn_ >= timeLeft()) {
+    LastReason_ = "adapter_too_late";
+    co_return false;
+  }
+  Shared_.Picker_->wantAdapter(Question, Chosen, Now);
+  Duration Wait = AdapterCheck;
+  if (Chosen.Readiness_ == AdapterReadiness::Loading)
+    Wait = std::clamp<Duration>(Chosen.ReadyIn_, std::chrono::milliseconds(2),
+                                AdapterCheck);
+  else
+    Wait = std::chrono::milliseconds(8);
+  co_await pauseFor(Wait);
+  Waited_ += BootClock::now() - Now;
+  co_return true;
+}
+
+bool RequestRun::mayTryAgain(TryEnd End, TimePoint Now) {
+  const Route &Given = *Request_.Route_;
+  bool MayRunAgain = Given.Kind_ == RouteKind::Repeatable ||
+                     (Given.Kind_ == RouteKind::Stream && Given.Resumable_);
+  if (End == TryEnd::NotRun && Sends_ >= MostRefusedSends)
+    return false;
+  // A caller that got part of a stream can only be served by its rest.
+  if (End != TryEnd::NotRun && (!MayRunAgain || Runs_ >= Given.MaxTargets_))
+    return false;
+  if (timeLeft() <= AnswerMargin)
+    return false;
+  // A target that could not be connected to got nothing.
+  if (LastReason_ == "no_connection")
+    return true;
+  return Shared_.retriesOf(Request_.Service_).take(Now);
+}
+
+asio::awaitable<RequestRun::TryEnd> RequestRun::tryTarget(Pick Chosen) {
+  const std::string &Adapter = Request_.Fields_.Adapter_;
+  auto Tokens =
+      static_cast<std::int64_t>(Request_.Fields_.Shape_.PromptTokens_ +
+                                Request_.Fields_.Shape_.OutputTokens_);
+  LastTarget_ = Chosen.Target_;
+  Shared_.Fleet_->noteBegin(Chosen.Target_, Adapter, Tokens);
+  TryEnd End = co_await sendTo(Chosen);
+  Shared_.Fleet_->noteEnd(Chosen.Target_, Adapter, Tokens);
+  Connection_ = HttpConnection();
+  if (End != TryEnd::Done)
+    logEvent(LogLevel::Info, "try_failed",
+             {{"request", Request_.Fields_.RequestId_},
+              {"target", Chosen.Target_},
+              {"reason", LastReason_},
+              {"sends", Sends_},
+              {"runs", Runs_},
+              {"running", Chosen.Running_},
+              {"cost", Chosen.Cost_}});
+  bool Avoids = End != TryEnd::Done && LastReason_ != "adapter_missing";
+  if (Avoids)
+    Question_.Avoid_.insert(Chosen.Target_);
+  co_return End;
+}
+
+asio::awaitable<bool> RequestRun::connect(const Pick &Chosen) {
+  Connection_ = Shared_.Pool_.take(Chosen.Address_, BootClock::now());
+  if (Connection_.reusable())
+    co_return true;
+  Shared_.Metrics_->count("anvil_target_connections_total");
+  Status Opened = co_await Connection_.open(Chosen.Address_, ConnectTimeout);
+  co_return isOk(Opened);
+}
+
+HttpRequest RequestRun::targetRequest(const Pick &Chosen, TimePoint Now) const {
+  platform::TargetFields Fields;
+  Fields.TargetId_ = Chosen.Target_;
+  Fields.TimeLeft_ = Request_.Deadline_ - Now;
+  int Rank = Request_.Route_->Rank_;
+  if (Request_.Customer_) {
+    Fields.Customer_ = Request_.Customer_->Name_;
+    // A customer's rank goes before the route's.
+    constexpr int RanksPerCustomerRank = 3;
+    Rank += RanksPerCustomerRank * Request_.Customer_->Rank_.value_or(0);
+  }
+  Fields.Rank_ = std::clamp(Rank, 0, LeastUrgentRank);
+  Fields.Version_ = Chosen.Version_;
+  Fields.ResumeAfter_ = Events_.lastId();
+  return platform::encodeTargetRequest(Exchange_.request(), Fields);
+}
+
+asio::awaitable<Result<HttpReplyHead>>
+RequestRun::readOwnHead(Result<HttpReplyHead> Head, Duration Timeout) {
+  // An answer to an earlier request may come late on a kept connection.
+  TimePoint Deadline = BootClock::now() + Timeout;
+  while (isOk(Head)) {
+    auto Answer = platform::decodeTargetAnswer(valueOf(Head));
+    bool IsOwn = Answer.RequestId_.empty() ||
+                 Answer.RequestId_ == Request_.Fields_.RequestId_;
+    if (IsOwn)
+      co_return Head;
+    while (true) {
+      auto Part = co_await Connection_.readPart(Deadline - BootClock::now());
+      if (!isOk(Part))
+        co_return errorOf(Part);
+      if (valueOf(Part).empty())
+        break;
+    }
+    if (!Connection_.reusable())
+      co_return Error{ErrorCode::ConnectionClosed, LastTarget_,
+                      "answered another request and closed", ""};
+    Head = co_await Connection_.nextAnswer(Deadline - BootClock::now());
+  }
+  co_return Head;
+}
+
+asio::awaitable<RequestRun::TryEnd> RequestRun::sendTo(const Pick &Chosen) {
+  TimePoint SentAt = BootClock::now();
+  if (!co_await connect(Chosen)) {
+    if (Exchange_.callerGone())
+      co_return TryEnd::NotRun;
+    LastReason_ = "no_connection";
+    Shared_.Picker_->noteDown(Chosen.Target_, BootClock::now());
+    co_return TryEnd::NotRun;
+  }
+  if (Exchange_.callerGone())
+    co_return TryEnd::NotRun;
+  HttpRequest Outgoing = targetRequest(Chosen, BootClock::now());
+  ++Sends_;
+  ++Runs_;
+  Duration Timeout = std::max<Duration>(timeLeft(), AnswerMargin);
+  auto Head = co_await Connection_.exchange(Outgoing, Timeout);
+  Head = co_await readOwnHead(std::move(Head), timeLeft());
+  TimePoint Now = BootClock::now();
+  if (!isOk(Head)) {
+    LastReason_ = errorCodeName(errorOf(Head).Code_);
+    if (!Exchange_.callerGone()) {
+      Shared_.Picker_->health().note(Chosen.Target_, true, Now - SentAt, Now);
+      noteLoss(Chosen);
+    }
+    co_return TryEnd::Lost;
+  }
+  auto Answer = platform::decodeTargetAnswer(valueOf(Head));
+  if (Answer.NotRun_) {
+    --Runs_;
+    bool IsMissing = Answer.Status_ == 421;
+    LastReason_ = IsMissing ? "adapter_missing" : "target_refused";
+    if (IsMissing)
+      Shared_.Picker_->noteMissing(Question_, Chosen.Target_);
+    keepConnection(Chosen, Answer);
+    co_return TryEnd::NotRun;
+  }
+  bool Failed = Answer.Status_ >= 500 || !Answer.Sealed_;
+  Shared_.Picker_->health().note(Chosen.Target_, Failed, Now - SentAt, Now);
+  FirstByteAt_ = Now;
+  co_return co_await passOn(Chosen, std::move(valueOf(Head)), Answer);
+}
+
+asio::awaitable<RequestRun::TryEnd>
+RequestRun::passOn(const Pick &Chosen, HttpReplyHead Head,
+                   const platform::TargetAnswer &Answer) {
+  bool IsSuccess = Answer.Status_ >= 200 && Answer.Status_ < 300;
+  if (IsSuccess && !Answer.Sealed_) {
+    LastReason_ = "not_sealed";
+    co_return TryEnd::Lost;
+  }
+  bool IsStream = IsSuccess && Request_.Route_->Kind_ == RouteKind::Stream;
+  if (IsStream)
+    co_return co_await passStream(Chosen, std::move(Head), Answer);
+  co_return co_await passWhole(Chosen, std::move(Head), Answer);
+}
+
+asio::awaitable<RequestRun::TryEnd>
+RequestRun::passWhole(const Pick &Chosen, HttpReplyHead Head,
+                      const platform::TargetAnswer &Answer) {
+  HttpReplyHead Kept = platform::encodeCallerHead(Head);
+  HttpReply Reply{Kept.Status_, std::move(Kept.Headers_), {}};
+  while (true) {
+    auto Part = co_await Connection_.readPart(
+        std::max<Duration>(timeLeft(), AnswerMargin));
+    if (!isOk(Part)) {
+      LastReason_ = "answer_cut";
+      if (!Exchange_.callerGone())
+        Shared_.Picker_->health().note(Chosen.Target_, true, {},
+                                       BootClock::now());
+      co_return TryEnd::Lost;
+    }
+    if (valueOf(Part).empty())
+      break;
+    Reply.Body_ += valueOf(Part);
+  }
+  keepConnection(Chosen, Answer);
+  if (HeadSent_) {
+    // A stream that went on elsewhere met a failure; its head can't change.
+    LastReason_ = "resume_failed";
+    co_return TryEnd::Failed;
+  }
+  if (Answer.Status_ >= 500) {
+    LastReason_ = "target_failed";
+    Failure_ = std::move(Reply);
+    co_return TryEnd::Failed;
+  }
+  int Status = Reply.Status_;
+  co_await Exchange_.respond(std::move(Reply));
+  logEnd("served", Status);
+  co_return TryEnd::Done;
+}
+
+asio::awaitable<RequestRun::TryEnd>
+RequestRun::passStream(const Pick &Chosen, HttpReplyHead Head,
+                       const platform::TargetAnswer &Answer) {
+  bool IsResumable = Request_.Route_->Resumable_;
+  Events_.dropRest();
+  if (!HeadSent_) {
+    HeadSent_ = true;
+    int Status = Head.Status_;
+    HttpReplyHead Kept = platform::encodeCallerHead(Head);
+    if (!co_await Exchange_.startStream(std::move(Kept))) {
+      logEnd("caller_gone", Status);
+      co_return TryEnd::Done;
+    }
+  }
+  while (true) {
+    auto Part = co_await Connection_.readPart(
+        std::max<Duration>(timeLeft(), AnswerMargin));
+    if (!isOk(Part)) {
+      if (Exchange_.callerGone()) {
+        logEnd("caller_gone", Answer.Status_);
+        co_return TryEnd::Done;
+      }
+      LastReason_ = "stream_broken";
+      Shared_.Picker_->health().note(Chosen.Target_, true, {},
+                                     BootClock::now());
+      noteLoss(Chosen);
+      co_return TryEnd::Broken;
+    }
+    if (valueOf(Part).empty())
+      break;
+    // Only whole events can be followed by the rest from another target.
+    std::string Passed =
+        IsResumable ? Events_.feed(valueOf(Part)) : std::move(valueOf(Part));
+    if (!co_await Exchange_.write(Passed)) {
+      logEnd("caller_gone", Answer.Status_);
+      co_return TryEnd::Done;
+    }
+  }
+  keepConnection(Chosen, Answer);
+  if (IsResumable && !Events_.rest().empty())
+    co_await Exchange_.write(std::string(Events_.rest()));
+  co_await Exchange_.finishStream();
+  logEnd("served", Answer.Status_);
+  co_return TryEnd::Done;
+}
+
+void RequestRun::keepConnection(const Pick &Chosen,
+                                const platform::TargetAnswer &Answer) {
+  Duration Keep = ConnectionPool::MostIdleTime;
+  if (Answer.KeepAlive_)
+    Keep = std::chrono::duration_cast<Duration>(*Answer.KeepAlive_ *
+                                                KeepAlivePart);
+  Shared_.Pool_.give(Chosen.Address_, std::move(Connection_), BootClock::now(),
+                     Keep);
+}
+
+void RequestRun::noteLoss(const Pick &Chosen) {
+  if (LastReason_ == errorCodeName(ErrorCode::Timeout))
+    return;
+  probeAfterLoss(Shared_, Chosen, Request_.Digest_);
+}
+
+asio::awaitable<void> RequestRun::endLost() {
+  if (Exchange_.callerGone()) {
+    logEnd("caller_gone", 0);
+    co_return;
+  }
+  if (HeadSent_) {
+    // The rest of a stream can't be had; a closed connection says so.
+    logEnd("stream_cut", 0);
+    Exchange_.abort();
+    co_return;
+  }
+  if (Failure_) {
+    int Status = Failure_->Status_;
+    co_await Exchange_.respond(std::move(*Failure_));
+    logEnd("target_failed", Status);
+    co_return;
+  }
+  if (Runs_ > 0) {
+    bool IsLate = timeLeft() <= AnswerMargin;
+    co_return co_await refuse(IsLate ? 504 : 502, "the target gave no answer",
+                              std::nullopt);
+  }
+  co_return co_await refuse(503, "no target could take the request",
+                            BusyRetryAfter);
+}
+
+asio::awaitable<void> RequestRun::refuse(int Status, std::string_view Reason,
+                                         std::optional<Duration> RetryAfter) {
+  co_await Exchange_.respond(platform::ownAnswer(
+      Status, Request_.Fields_.RequestId_, Reason, RetryAfter));
+  logEnd("refused", Status);
+}
+
+void RequestRun::logEnd(std::string_view Outcome, int Status) {
+  TimePoint Now = BootClock::now();
+  Shared_.Metrics_->count("anvil_requests_total",
+                          {{"route", Request_.Route_->Name_},
+                           {"outcome", std::string(Outcome)},
+                           {"status", std::to_string(Status)}});
+  bool IsCalm = Outcome == "served" && Sends_ == 1;
+  logEvent(
+      IsCalm ? LogLevel::Debug : LogLevel::Info, "request_end",
+      {{"request", Request_.Fields_.RequestId_},
+       {"outcome", Outcome},
+       {"status", Status},
+       {"route", Request_.Route_->Name_},
+       {"kind", routeKindName(Request_.Route_->Kind_)},
+       {"adapter", Request_.Fields_.Adapter_},
+       {"target", LastTarget_},
+       {"reason", LastReason_},
+       {"sends", Sends_},
+       {"runs", Runs_},
+       {"adapter_wait_ms", toMillis(Waited_)},
+       {"first_byte_ms", FirstByteAt_ == TimePoint{}
+                             ? -1
+                             : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
+       {"took_ms", toMillis(Now - Request_.ArrivedAt_)},
+       {"left_ms", toMillis(Request_.Deadline_ - Now)},
+       {"revision", Request_.Plan_->revision()}});
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/TargetPicker.cpp
@@ -0,0 +1,190 @@
+#include "Entry/TargetPicker.h"
+
+#include "Membership/Rendezvous.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// How long a target that refused a connection is left alone.
+static constexpr Duration DownTime = std::chrono::milliseconds(800);
+
+/// How long after a want the engine counts as loading the adapter; an answer
+/// of the owner replaces this guess.
+static constexpr Duration WantGuess = std::chrono::milliseconds(320);
+
+/// How often a want is sent again.
+static constexpr Duration WantPeriod = std::chrono::milliseconds(120);
+
+/// How long old versions may still be used after a newer one became known,
+/// before the platform's bound.
+static constexpr Duration VersionMargin = std::chrono::milliseconds(1800);
+
+/// The share of its most output tokens that a request takes on average in a
+/// target's memory over its run.
+static constexpr double MeanOutputPart = 0.5;
+
+TargetPicker::TargetPicker(const EntrySettings &Settings,
+                           const ServiceRegistry &Services)
+    : Settings_(Settings),
+      Plans_(Services.require<PlanService>(PlanService::Name)),
+      Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      Fleet_(Services.require<FleetState>(FleetState::Name)),
+      Owners_(Services.require<OwnerService>(OwnerService::Name)) {}
+
+Candidate TargetPicker::describe(const ListedTarget &Listed,
+                                 const PickQuestion &Question,
+                                 const EnginePlan *Engine, TimePoint Now) {
+  const TargetEntry &Entry = Listed.Entry_;
+  Candidate Given;
+  Given.Id_ = Entry.Id_;
+  Given.SameDataCentre_ = Entry.DataCentre_ == Settings_.DataCentre_;
+  RunningShare Own = Fleet_->ownOn(Entry.Id_);
+  RunningShare Others = Fleet_->book().othersOn(Entry.Id_, Now);
+  Given.Running_ = Own.Requests_ + Others.Requests_;
+  Given.Tokens_ = static_cast<double>(Own.Tokens_ + Others.Tokens_);
+  Given.Slots_ = std::max(1, Entry.Slots_);
+  Given.FailureShare_ = Health_.failureShare(Entry.Id_, Now);
+  Given.Lateness_ = Health_.lateness(Entry.Id_, Now);
+  if (Engine) {
+    Given.KvTokens_ = Engine->KvTokens_;
+    Given.Places_ = Engine->MaxAdapters_;
+    describeAdapter(Given, Question, Now);
+  }
+  return Given;
+}
+
+void TargetPicker::describeAdapter(Candidate &Given,
+                                   const PickQuestion &Question,
+                                   TimePoint Now) {
+  const EngineBelief *Belief = Fleet_->book().engine(Given.Id_);
+  if (!Belief || !Belief->HasModel_) {
+    Given.Readiness_ = AdapterReadiness::Impossible;
+    return;
+  }
+  if (Question.Adapter_.empty())
+    return;
+  Given.PlacesTaken_ = static_cast<int>(Belief->Adapters_.size());
+  Given.HasOwner_ = !Owners_->ownership().ownerOf(Given.Id_).empty();
+  const KnownVersion *Newest =
+      Plans_->newestVersion(Question.Model_, Question.Adapter_);
+  Duration Grace =
+      std::chrono::milliseconds(Settings_.Bounds_.AdapterVersionMs_) -
+      VersionMargin;
+  bool OldWillDo = !Newest || Newest->Since_ + Grace > Now;
+  auto Held = Belief->Adapters_.find(Question.Adapter_);
+  bool IsHeld = Held != Belief->Adapters_.end() &&
+                (OldWillDo || Held->second.Version_ >= Newest->Version_);
+  if (IsHeld) {
+    Given.ReadyIn_ =
+        std::max<Duration>(Duration::zero(), Held->second.ReadyAt_ - Now);
+    Given.Readiness_ = Given.ReadyIn_ > Duration::zero()
+                           ? AdapterReadiness::Loading
+                           : AdapterReadiness::Resident;
+    return;
+  }
+  auto Sent = Wants_.find({Given.Id_, Question.Adapter_});
+  if (Sent != Wants_.end() && Sent->second.At_ + WantGuess > Now) {
+    Given.Readiness_ = AdapterReadiness::Loading;
+    Given.ReadyIn_ = Sent->second.At_ + WantGuess - Now;
+    return;
+  }
+  Given.Readiness_ = AdapterReadiness::Absent;
+}
+
+/// Ranks candidates by the adapter's stable order over engines.
+static void rankHomes(std::vector<Candidate> &Candidates,
+                      const std::string &Adapter) {
+  std::vector<std::pair<std::uint64_t, std::size_t>> Scores;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
+    Scores.emplace_back(rendezvousScore(Adapter, Candidates[Index].Id_), Index);
+  std::ranges::sort(Scores, std::greater<>());
+  for (std::size_t Rank = 0; Rank < Scores.size(); ++Rank)
+    Candidates[Scores[Rank].second].HomeRank_ = Rank;
+}
+
+std::optional<Pick> TargetPicker::pick(const PickQuestion &Question,
+                                       TimePoint Now) {
+  ServingPlanPtr Plan = Plans_->current();
+  const ServicePlan *Service =
+      Plan ? Plan->findService(Question.Service_) : nullptr;
+  if (!Service)
+    return std::nullopt;
+  const EnginePlan *Engine = Service->Engine_ ? &*Service->Engine_ : nullptr;
+  std::vector<const ListedTarget *> Listed;
+  std::vector<Candidate> Candidates;
+  for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
+    auto Down = DownUntil_.find(Target->Entry_.Id_);
+    bool IsDown = Down != DownUntil_.end() && Down->second > Now;
+    if (IsDown || Question.Avoid_.contains(Target->Entry_.Id_))
+      continue;
+    Listed.push_back(Target);
+    Candidates.push_back(describe(*Target, Question, Engine, Now));
+  }
+  if (Engine && !Question.Adapter_.empty())
+    rankHomes(Candidates, Question.Adapter_);
+  std::size_t Best = cheapest(Candidates, Question.Shape_);
+  if (Best == Candidates.size())
+    return std::nullopt;
+  const TargetEntry &Entry = Listed[Best]->Entry_;
+  auto Where = parseEndpoint(Entry.Address_);
+  if (!isOk(Where))
+    return std::nullopt;
+  const Candidate &Given = Candidates[Best];
+  Pick Chosen{Entry.Id_,
+              Entry.Incarnation_,
+              valueOf(Where),
+              Given.Readiness_,
+              Given.ReadyIn_,
+              std::nullopt,
+              Given.Running_,
+              Given.Slots_,
+              dispatchCost(Given, Question.Shape_),
+              Candidates.size()};
+  if (Engine && !Question.Adapter_.empty()) {
+    const KnownVersion *Newest =
+        Plans_->newestVersion(Question.Model_, Question.Adapter_);
+    const EngineBelief *Belief = Fleet_->book().engine(Entry.Id_);
+    auto Held = Belief->Adapters_.find(Question.Adapter_);
+    if (Newest)
+      Chosen.Version_ = Held == Belief->Adapters_.end() ? Newest->Version_
+                                                        : Held->second.Version_;
+  }
+  return Chosen;
+}
+
+void TargetPicker::wantAdapter(const PickQuestion &Question, const Pick &Chosen,
+                               TimePoint Now) {
+  if (NextPrune_ <= Now) {
+    std::erase_if(Wants_, [&](const auto &Entry) {
+      return Entry.second.At_ + WantGuess < Now;
+    });
+    std::erase_if(DownUntil_,
+                  [&](const auto &Entry) { return Entry.second < Now; });
+    NextPrune_ = Now + WantGuess;
+  }
+  SentWant &Sent = Wants_[{Chosen.Target_, Question.Adapter_}];
+  if (Sent.At_ + WantPeriod > Now)
+    return;
+  bool IsFirst = Sent.At_ == TimePoint{};
+  if (IsFirst)
+    Sent.At_ = Now;
+  const KnownVersion *Newest =
+      Plans_->newestVersion(Question.Model_, Question.Adapter_);
+  Owners_->want(Chosen.Target_, Question.Adapter_,
+                Newest ? Newest->Version_ : 1, false);
+}
+
+void TargetPicker::noteMissing(const PickQuestion &Question,
+                               const std::string &Target) {
+  Fleet_->book().noteMissing(Target, Question.Adapter_);
+  const KnownVersion *Newest =
+      Plans_->newestVersion(Question.Model_, Question.Adapter_);
+  Owners_->want(Target, Question.Adapter_, Newest ? Newest->Version_ : 1, true);
+}
+
+void TargetPicker::noteDown(const std::string &Target, TimePoint Now) {
+  DownUntil_[Target] = Now + DownTime;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/TargetPicker.h
@@ -0,0 +1,94 @@
+#ifndef ANVIL_ENTRY_TARGETPICKER_H
+#define ANVIL_ENTRY_TARGETPICKER_H
+
+#include "Entry/FleetState.h"
+#include "Entry/OwnerService.h"
+#include "Entry/PlanService.h"
+#include "Entry/TargetListService.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Serving/DispatchCost.h"
+#include "Serving/TargetHealth.h"
+#include "Settings/EntrySettings.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace anvil {
+
+/// What a request asks of a target.
+struct PickQuestion {
+  std::string Service_;
+  std::string Model_;
+  std::string Adapter_;
+  RequestShape Shape_;
+  /// Targets that the request must not go to again.
+  std::set<std::string> Avoid_;
+};
+
+/// The target for a request and what is known about it.
+struct Pick {
+  std::string Target_;
+  std::int64_t Incarnation_ = 0;
+  Endpoint Address_;
+  AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
+  /// How long until the adapter is usable.
+  Duration ReadyIn_{};
+  /// The adapter version that the target is told to run, if one was named.
+  std::optional<std::uint64_t> Version_;
+  int Running_ = 0;
+  int Slots_ = 0;
+  double Cost_ = 0;
+  std::size_t Candidates_ = 0;
+};
+
+/// Finds the target for a request from what this VM knows.
+class TargetPicker : public Service {
+public:
+  static constexpr std::string_view Name = "target_picker";
+
+  TargetPicker(const EntrySettings &Settings, const ServiceRegistry &Services);
+
+  std::string_view serviceName() const override { return Name; }
+
+  /// The best target, or nothing when none can run the request.
+  std::optional<Pick> pick(const PickQuestion &Question, TimePoint Now);
+
+  /// Asks for the adapter at the picked target, unless it was just asked for.
+  void wantAdapter(const PickQuestion &Question, const Pick &Chosen,
+                   TimePoint Now);
+
+  /// A target refused the request's adapter.
+  void noteMissing(const PickQuestion &Question, const std::string &Target);
+
+  /// Keeps requests off a target that can't be reached.
+  void noteDown(const std::string &Target, TimePoint Now);
+
+  TargetHealth &health() { return Health_; }
+
+private:
+  Candidate describe(const ListedTarget &Listed, const PickQuestion &Question,
+                     const EnginePlan *Engine, TimePoint Now);
+  void describeAdapter(Candidate &Given, const PickQuestion &Question,
+                       TimePoint Now);
+
+  struct SentWant {
+    TimePoint At_{};
+  };
+
+  const EntrySettings &Settings_;
+  std::shared_ptr<PlanService> Plans_;
+  std::shared_ptr<TargetListService> Targets_;
+  std::shared_ptr<FleetState> Fleet_;
+  std::shared_ptr<OwnerService> Owners_;
+  TargetHealth Health_;
+  std::map<std::string, TimePoint> DownUntil_;
+  /// Wants sent lately, by engine and adapter.
+  std::map<std::pair<std::string, std::string>, SentWant> Wants_;
+  TimePoint NextPrune_{};
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_TARGETPICKER_H
--- a/Source/Gateway/RequestPipeline.h
+++ b/Source/Gateway/RequestPipeline.h
@@ -2,9 +2,9 @@
 #define ANVIL_GATEWAY_REQUESTPIPELINE_H
 
 #include "Gateway/ActiveRequests.h"
-#include "Gateway/ConnectionPool.h"
 #include "Gateway/RequestAdmission.h"
 #include "Gateway/TargetDispatcher.h"
+#include "Http/ConnectionPool.h"
 #include "Http/HttpServer.h"
 #include "Requests/PermitBroker.h"
 #include "Requests/PoisonGuard.h"
--- /dev/null
+++ b/Source/Http/ConnectionPool.cpp
@@ -0,0 +1,72 @@
+#include "Http/ConnectionPool.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// How often connections that are idle for too long are looked for.
+static constexpr Duration PrunePeriod = std::chrono::seconds(1);
+
+/// The most idle connections to one server and to all.
+static constexpr std::size_t MostToOne = 16;
+static constexpr std::size_t MostToAll = 512;
+
+HttpConnection ConnectionPool::take(const Endpoint &Server, TimePoint Now) {
+  prune(Now);
+  auto Found = Servers_.find(Server.text());
+  if (Found == Servers_.end())
+    return HttpConnection();
+  // The one used last is the least likely to have been closed.
+  while (!Found->second.empty()) {
+    Idle Last = std::move(Found->second.back());
+    Found->second.pop_back();
+    --Size_;
+    HttpConnection Kept = std::move(Last.Connection_);
+    if (Last.Until_ > Now && Kept.isIdle())
+      return Kept;
+  }
+  return HttpConnection();
+}
+
+void ConnectionPool::give(const Endpoint &Server, HttpConnection Used,
+                          TimePoint Now, Duration Keep) {
+  prune(Now);
+  if (!Used.reusable() || Size_ >= MostToAll)
+    return;
+  auto &Kept = Servers_[Server.text()];
+  if (Kept.size() >= MostToOne)
+    return;
+  Kept.push_back({std::move(Used), Now + std::min(Keep, MostIdleTime)});
+  ++Size_;
+}
+
+void ConnectionPool::prune(TimePoint Now) {
+  if (Now < NextPrune_)
+    return;
+  NextPrune_ = Now + PrunePeriod;
+  for (auto Server = Servers_.begin(); Server != Servers_.end();) {
+    auto &Kept = Server->second;
+    Size_ -= std::erase_if(
+        Kept, [&](const Idle &Item) { return Item.Until_ <= Now; });
+    Server = Kept.empty() ? Servers_.erase(Server) : std::next(Server);
+  }
+}
+
+boost::asio::awaitable<Result<HttpReply>> fetchKept(ConnectionPool &Pool,
+                                                    Endpoint Server,
+                                                    HttpRequest Request,
+                                                    Duration Timeout) {
+  TimePoint Deadline = BootClock::now() + Timeout;
+  HttpConnection Connection = Pool.take(Server, BootClock::now());
+  if (!Connection.reusable()) {
+    Status Opened = co_await Connection.open(Server, Timeout);
+    if (!isOk(Opened))
+      co_return errorOf(Opened);
+  }
+  auto Reply = co_await readReply(Connection, Request, Deadline);
+  if (isOk(Reply))
+    Pool.give(Server, std::move(Connection), BootClock::now());
+  co_return Reply;
+}
+
+} // namespace anvil
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -82,7 +82,8 @@
   Message.method_string(Request.Method_);
   Message.target(Request.Target_);
   Message.version(11);
-  Message.set(http::field::host, State_->Server_);
+  if (!Request.Headers_.find("Host"))
+    Message.set(http::field::host, State_->Server_);
   for (const HttpHeader &Header : Request.Headers_)
     Message.insert(Header.Name_, Header.Value_);
   Message.body() = Request.Body_;
@@ -93,17 +94,30 @@
   error_code Cause;
   co_await http::async_write(State_->Stream_, Message,
                              asio::redirect_error(asio::use_awaitable, Cause));
-  if (!Cause) {
-    State_->Parser_.emplace();
-    State_->Parser_->header_limit(HeadLimitBytes);
-    // Readers set their own limits as they take the parts.
-    State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    if (Request.Method_ == "HEAD")
-      State_->Parser_->skip(true);
-    co_await http::async_read_header(
-        State_->Stream_, State_->Buffer_, *State_->Parser_,
-        asio::redirect_error(asio::use_awaitable, Cause));
+  if (Cause) {
+    close();
+    co_return networkError(State_->Server_, Cause);
   }
+  co_return co_await readHead(Request.Method_ != "HEAD");
+}
+
+asio::awaitable<Result<HttpReplyHead>>
+HttpConnection::nextAnswer(Duration Timeout) {
+  State_->Stream_.expires_after(Timeout);
+  co_return co_await readHead(true);
+}
+
+asio::awaitable<Result<HttpReplyHead>>
+HttpConnection::readHead(bool BodyFollows) {
+  State_->Parser_.emplace();
+  State_->Parser_->header_limit(HeadLimitBytes);
+  // Readers set their own limits as they take the parts.
+  State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  State_->Parser_->skip(!BodyFollows);
+  error_code Cause;
+  co_await http::async_read_header(
+      State_->Stream_, State_->Buffer_, *State_->Parser_,
+      asio::redirect_error(asio::use_awaitable, Cause));
   if (Cause) {
     close();
     co_return networkError(State_->Server_, Cause);
@@ -172,13 +186,9 @@
   State_->Stream_.socket().close(Ignored);
 }
 
-asio::awaitable<Result<HttpReply>> fetch(Endpoint Server, HttpRequest Request,
-                                         Duration Timeout) {
-  TimePoint Deadline = BootClock::now() + Timeout;
-  HttpConnection Connection;
-  Status Opened = co_await Connection.open(Server, Timeout);
-  if (!isOk(Opened))
-    co_return errorOf(Opened);
+asio::awaitable<Result<HttpReply>> readReply(HttpConnection &Connection,
+                                             const HttpRequest &Request,
+                                             TimePoint Deadline) {
   auto Head =
       co_await Connection.exchange(Request, Deadline - BootClock::now());
   if (!isOk(Head))
@@ -192,9 +202,18 @@
       co_return Reply;
     Reply.Body_ += valueOf(Part);
     if (Reply.Body_.size() > FetchBodyLimitBytes)
-      co_return Error{ErrorCode::TooLarge, Server.text(),
-                      "the answer is too long", ""};
+      co_return Error{ErrorCode::TooLarge, "the answer", "is too long", ""};
   }
 }
 
+asio::awaitable<Result<HttpReply>> fetch(Endpoint Server, HttpRequest Request,
+                                         Duration Timeout) {
+  TimePoint Deadline = BootClock::now() + Timeout;
+  HttpConnection Connection;
+  Status Opened = co_await Connection.open(Server, Timeout);
+  if (!isOk(Opened))
+    co_return errorOf(Opened);
+  co_return co_await readReply(Connection, Request, Deadline);
+}
+
 } // namespace anvil
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -25,11 +25,16 @@
   /// Connects within `Timeout`. Errors: unavailable, timeout.
   boost::asio::awaitable<Status> open(const Endpoint &Server, Duration Timeout);
 
-  /// Sends a request and reads the head of the answer within `Timeout`.
+  /// Sends a request and reads the head of the answer within `Timeout`. The
+  /// server's address is the host unless the request names one.
   /// Errors: timeout, connection closed, protocol.
   boost::asio::awaitable<Result<HttpReplyHead>>
   exchange(const HttpRequest &Request, Duration Timeout);
 
+  /// Reads the head of one more answer, after the whole answer before it: for
+  /// servers that send an old answer late. Errors: as for `exchange`.
+  boost::asio::awaitable<Result<HttpReplyHead>> nextAnswer(Duration Timeout);
+
   /// Reads more of the body, waiting at most `Timeout`. An empty part is the
   /// end of the answer. Errors: timeout, connection closed, protocol.
   boost::asio::awaitable<Result<std::string>> readPart(Duration Timeout);
@@ -49,12 +54,20 @@
 
 private:
   struct State;
+  boost::asio::awaitable<Result<HttpReplyHead>> readHead(bool BodyFollows);
+
   std::unique_ptr<State> State_;
 };
 
 /// The largest body that `fetch` accepts, in bytes.
 inline constexpr std::size_t FetchBodyLimitBytes = 64 * 1024 * 1024;
 
+/// Sends one request on an open connection and reads the whole answer by a
+/// deadline.
+boost::asio::awaitable<Result<HttpReply>> readReply(HttpConnection &Connection,
+                                                    const HttpRequest &Request,
+                                                    TimePoint Deadline);
+
 /// Sends one request on a connection of its own and reads the whole answer.
 /// All of it must end within `Timeout`.
 boost::asio::awaitable<Result<HttpReply>>
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -267,6 +267,8 @@
   Core_->Malformed_ = std::move(Hook);
 }
 
+void HttpServer::setLimits(HttpServerLimits Limits) { Core_->Limits_ = Limits; }
+
 Status HttpServer::listen(const Endpoint &Address) {
   error_code Cause;
   auto Number = asio::ip::make_address(Address.Address_, Cause);
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -88,6 +88,9 @@
   /// Sets the answer to malformed requests.
   void onMalformed(MalformedHook Hook);
 
+  /// Changes the limits; connections take them from their next request on.
+  void setLimits(HttpServerLimits Limits);
+
   /// Listens. The error says why the address can't be used.
   Status listen(const Endpoint &Address);
 
--- a/Source/Ledger/ClaimSweeper.h
+++ b/Source/Ledger/ClaimSweeper.h
@@ -1,7 +1,7 @@
 #ifndef ANVIL_LEDGER_CLAIMSWEEPER_H
 #define ANVIL_LEDGER_CLAIMSWEEPER_H
 
-#include "Platform/TableTypes.h"
+#include "TableService/TableTypes.h"
 
 #include <cstdint>
 #include <string>
--- a/Source/Ledger/GroupCommitter.h
+++ b/Source/Ledger/GroupCommitter.h
@@ -2,7 +2,7 @@
 #define ANVIL_LEDGER_GROUPCOMMITTER_H
 
 #include "Kernel/Clock.h"
-#include "Platform/TableTypes.h"
+#include "TableService/TableTypes.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/Source/Ledger/LedgerWriter.h
+++ b/Source/Ledger/LedgerWriter.h
@@ -2,7 +2,7 @@
 #define ANVIL_LEDGER_LEDGERWRITER_H
 
 #include "Ledger/GroupCommitter.h"
-#include "Platform/PlatformService.h"
+#include "TableService/PlatformService.h"
 #include "Telemetry/Metrics.h"
 
 #include <boost/asio/any_io_executor.hpp>
--- a/Source/Ledger/TableLedger.cpp
+++ b/Source/Ledger/TableLedger.cpp
@@ -4,7 +4,7 @@
 #include "Ledger/ClaimMessages.h"
 #include "Membership/Rendezvous.h"
 #include "Objects/Digest.h"
-#include "Platform/Backoff.h"
+#include "TableService/Backoff.h"
 #include "Telemetry/Log.h"
 
 #include <boost/asio/redirect_error.hpp>
--- a/Source/Membership/MembershipService.h
+++ b/Source/Membership/MembershipService.h
@@ -6,9 +6,9 @@
 #include "Membership/MemberMessages.h"
 #include "Membership/MemberTable.h"
 #include "Peer/PeerNetwork.h"
-#include "Platform/PlatformService.h"
 #include "Requests/HandOver.h"
 #include "Settings/DaemonSettings.h"
+#include "TableService/PlatformService.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/Source/Placement/OwnershipService.h
+++ b/Source/Placement/OwnershipService.h
@@ -7,8 +7,8 @@
 #include "Peer/PeerNetwork.h"
 #include "Placement/OwnerLease.h"
 #include "Placement/PermitMessages.h"
-#include "Platform/PlatformService.h"
 #include "Settings/DaemonSettings.h"
+#include "TableService/PlatformService.h"
 #include "Telemetry/Metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -20,11 +20,11 @@
 #include "Placement/EngineMonitor.h"
 #include "Placement/LocalPermitBroker.h"
 #include "Placement/OwnerPermitBroker.h"
-#include "Platform/HttpPlatformClient.h"
 #include "Requests/HandOver.h"
 #include "Routing/FleetPoisonGuard.h"
 #include "Routing/InformedSelector.h"
 #include "Routing/RandomSelector.h"
+#include "TableService/HttpPlatformClient.h"
 #include "Telemetry/Log.h"
 
 #include <nlohmann/json.hpp>
--- a/Source/Programs/anvild.cpp
+++ b/Source/Programs/anvild.cpp
@@ -1,9 +1,12 @@
+#include "Entry/EntryDaemon.h"
 #include "Programs/Daemon.h"
 #include "Programs/ReadyFile.h"
+#include "Settings/SettingsFile.h"
 #include "Telemetry/Log.h"
 
 #include <boost/program_options.hpp>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace options = boost::program_options;
@@ -16,13 +19,18 @@
     std::cerr << "anvild: " << Problem.describe() << "\n";
 }
 
+static bool openLog(const std::string &Vm, const std::string &Level) {
+  if (anvil::startLogging(Vm, Level))
+    return true;
+  printErrors({{anvil::ErrorCode::InvalidInput, "log_level",
+                "has the unknown value \"" + Level + "\"",
+                "use debug, info, warning or error"}});
+  return false;
+}
+
 static int serve(anvil::DaemonSettings Settings, const std::string &ReadyPath) {
-  if (!anvil::startLogging(Settings.Vm_, Settings.LogLevel_)) {
-    printErrors({{anvil::ErrorCode::InvalidInput, "log_level",
-                  "has the unknown value \"" + Settings.LogLevel_ + "\"",
-                  "use debug, info, warning or error"}});
+  if (!openLog(Settings.Vm_, Settings.LogLevel_))
     return UsageStatus;
-  }
   anvil::Daemon Server(std::move(Settings));
   anvil::Status Started = Server.start();
   if (anvil::isOk(Started) && !ReadyPath.empty())
@@ -35,11 +43,75 @@
   return 0;
 }
 
+/// Notes on SIGHUP whether the settings would still be taken. Addresses and
+/// bounds hold until the next start.
+static void checkAgain(const std::string &Path) {
+  auto Text = anvil::readTextFile(Path);
+  if (!anvil::isOk(Text)) {
+    anvil::logEvent(anvil::LogLevel::Error, "reload_failed",
+                    {{"reason", anvil::errorOf(Text).describe()}});
+    return;
+  }
+  auto Parsed = anvil::parseEntrySettings(Path, anvil::valueOf(Text));
+  if (const auto *Errors = std::get_if<std::vector<anvil::Error>>(&Parsed)) {
+    for (const anvil::Error &Problem : *Errors)
+      anvil::logEvent(anvil::LogLevel::Error, "reload_failed",
+                      {{"reason", Problem.describe()}});
+    return;
+  }
+  anvil::logEvent(anvil::LogLevel::Info, "reloaded", {{"file", Path}});
+}
+
+static int serveEntry(anvil::EntrySettings Settings, const std::string &Path) {
+  if (!openLog(Settings.Vm_, Settings.LogLevel_))
+    return UsageStatus;
+  anvil::EntryDaemon Server(std::move(Settings));
+  Server.onReload([Path] { checkAgain(Path); });
+  anvil::Status Started = Server.start();
+  if (!anvil::isOk(Started)) {
+    printErrors({anvil::errorOf(Started)});
+    return 1;
+  }
+  Server.run();
+  return 0;
+}
+
+/// Runs the mode that the settings ask for, or only checks them.
+static int runSettings(const std::string &Path, const std::string &ReadyPath,
+                       bool OnlyCheck) {
+  auto Text = anvil::readTextFile(Path);
+  if (!anvil::isOk(Text)) {
+    printErrors({anvil::errorOf(Text)});
+    return UsageStatus;
+  }
+  auto Run = [&](auto Loaded, auto Serve) {
+    if (const auto *Errors = std::get_if<std::vector<anvil::Error>>(&Loaded)) {
+      printErrors(*Errors);
+      return UsageStatus;
+    }
+    if (!OnlyCheck)
+      return Serve(std::get<0>(std::move(Loaded)));
+    std::cout << "the settings are good\n";
+    return 0;
+  };
+  if (anvil::asksForEntryMode(Path, anvil::valueOf(Text)))
+    return Run(anvil::parseEntrySettings(Path, anvil::valueOf(Text)),
+               [&](anvil::EntrySettings Settings) {
+                 return serveEntry(std::move(Settings), Path);
+               });
+  return Run(anvil::parseDaemonSettings(Path, anvil::valueOf(Text)),
+             [&](anvil::DaemonSettings Settings) {
+               return serve(std::move(Settings), ReadyPath);
+             });
+}
+
 int main(int Count, char **Arguments) {
   options::options_description Known("Options of anvild");
   auto Add = Known.add_options();
   Add("help", "show this text");
   Add("settings", options::value<std::string>(), "the settings file");
+  Add("settings-from", options::value<std::string>(),
+      "the environment variable that names the settings file");
   Add("check", "check the settings and exit");
   Add("ready-file", options::value<std::string>()->default_value(""),
       "write the ports in use to this file once they are open");
@@ -54,19 +126,18 @@
     std::cout << Known;
     return 0;
   }
-  if (!Given.count("settings")) {
-    std::cerr << "anvild: --settings is missing; see anvild --help\n";
-    return UsageStatus;
-  }
-  auto Loaded = anvil::loadDaemonSettings(Given["settings"].as<std::string>());
-  if (std::holds_alternative<std::vector<anvil::Error>>(Loaded)) {
-    printErrors(std::get<std::vector<anvil::Error>>(Loaded));
+  std::string Path;
+  if (Given.count("settings"))
+    Path = Given["settings"].as<std::string>();
+  else if (Given.count("settings-from"))
+    if (const char *Value =
+            std::getenv(Given["settings-from"].as<std::string>().c_str()))
+      Path = Value;
+  if (Path.empty()) {
+    std::cerr << "anvild: --settings or --settings-from is missing or names "
+                 "nothing; see anvild --help\n";
     return UsageStatus;
   }
-  if (Given.count("check")) {
-    std::cout << "the settings are good\n";
-    return 0;
-  }
-  return serve(std::get<anvil::DaemonSettings>(std::move(Loaded)),
-               Given["ready-file"].as<std::string>());
+  return runSettings(Path, Given["ready-file"].as<std::string>(),
+                     Given.count("check") > 0);
 }
--- /dev/null
+++ b/Source/Serving/CustomerBudget.cpp
@@ -0,0 +1,93 @@
+#include "Serving/CustomerBudget.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// The part of the rate that is handed out; the rest covers what VMs spend
+/// before they hear of each other.
+static constexpr double UsedRate = 1.0;
+
+void CustomerBudget::reshape(Account &Held, TimePoint Now) const {
+  Held.Bucket_.reshape(Held.RatePerSecond_ * Reach_ * UsedRate,
+                       Held.Burst_ * Reach_, Now);
+}
+
+void CustomerBudget::setPlan(const ServingPlan &Plan, double StartShare,
+                             TimePoint Now) {
+  std::map<std::string, Account> Kept;
+  for (const CustomerPlan &Customer : Plan.customers()) {
+    if (Customer.TokensPerSecond_ <= 0)
+      continue;
+    double Burst = std::max(Customer.BurstTokens_, 1.0);
+    auto Found = Accounts_.find(Customer.Name_);
+    Account Held = Found != Accounts_.end()
+                       ? Found->second
+                       : Account{TokenBucket(Customer.TokensPerSecond_, Burst,
+                                             Burst * StartShare, Now)};
+    Held.RatePerSecond_ = Customer.TokensPerSecond_;
+    Held.Burst_ = Burst;
+    reshape(Held, Now);
+    Kept.emplace(Customer.Name_, Held);
+  }
+  Accounts_ = std::move(Kept);
+}
+
+void CustomerBudget::setReach(double Part, TimePoint Now) {
+  if (Part == Reach_)
+    return;
+  Reach_ = Part;
+  for (auto &[Name, Held] : Accounts_)
+    reshape(Held, Now);
+}
+
+BudgetVerdict CustomerBudget::charge(const std::string &Customer, double Tokens,
+                                     TimePoint Now) {
+  auto Found = Accounts_.find(Customer);
+  if (Found == Accounts_.end())
+    return {};
+  TokenBucket &Bucket = Found->second.Bucket_;
+  BudgetVerdict Verdict;
+  Verdict.Allowed_ = Bucket.take(Tokens, Now);
+  Verdict.Balance_ = Bucket.balance(Now);
+  if (Verdict.Allowed_)
+    Spent_[Customer] += static_cast<std::uint64_t>(Tokens);
+  else
+    Verdict.RetryAfter_ = Bucket.waitFor(Tokens, Now);
+  return Verdict;
+}
+
+void CustomerBudget::refund(const std::string &Customer, double Tokens,
+                            TimePoint Now) {
+  auto Found = Accounts_.find(Customer);
+  if (Found == Accounts_.end())
+    return;
+  Found->second.Bucket_.putBack(Tokens, Now);
+  auto &Spent = Spent_[Customer];
+  Spent -= std::min(Spent, static_cast<std::uint64_t>(Tokens));
+}
+
+void CustomerBudget::notePeer(const std::string &Vm,
+                              const std::string &Incarnation,
+                              const SpentTokens &Spent, TimePoint Now) {
+  auto [Place, IsFirstNews] = Peers_.try_emplace(Vm);
+  PeerMark &Mark = Place->second;
+  // A process that started anew counts its spending from zero.
+  if (Mark.Incarnation_ != Incarnation)
+    Mark.Spent_.clear();
+  for (const auto &[Customer, Total] : Spent) {
+    auto Account = Accounts_.find(Customer);
+    if (IsFirstNews || Account == Accounts_.end())
+      continue;
+    std::uint64_t Before = Mark.Spent_[Customer];
+    if (Total > Before)
+      Account->second.Bucket_.charge(static_cast<double>(Total - Before), Now);
+    else
+      // A refund at the peer.
+      Account->second.Bucket_.putBack(static_cast<double>(Before - Total), Now);
+  }
+  Mark.Incarnation_ = Incarnation;
+  Mark.Spent_ = Spent;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Serving/DispatchCost.cpp
@@ -0,0 +1,97 @@
+#include "Serving/DispatchCost.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// What each running request adds to the wait for the first byte, ms: its part
+/// of a batch's step.
+static constexpr double PerRunningMs = 4;
+
+/// What each request beyond the slots adds, ms: the share of a mean run that a
+/// freed slot takes.
+static constexpr double PerWaitingMs = 80;
+
+/// A full target, before its queue is counted, ms.
+static constexpr double FullMs = 250;
+
+/// An adapter's load with the order's way, ms; from the users' sheets.
+static constexpr double LoadMs = 300;
+
+/// What each step away from the adapter's home costs, ms. Reloads at the home
+/// take a tenth, and shared prompts are kept there.
+static constexpr double PerHomeRankMs = 15;
+
+/// The way to another data centre and back, ms.
+static constexpr double FarMs = 2;
+
+/// A failure costs about the wait for one more try, ms.
+static constexpr double FailureMs = 1500;
+
+/// Loading on an engine whose places are all taken drops another adapter, ms.
+static constexpr double EvictionMs = 20;
+
+std::string_view adapterReadinessName(AdapterReadiness Readiness) {
+  for (const auto &[Known, Name] : AdapterReadinessNames)
+    if (Known == Readiness)
+      return Name;
+  return "unknown";
+}
+
+bool isFull(const Candidate &Given, const RequestShape &Shape) {
+  bool NoSlot = Given.Running_ >= Given.Slots_;
+  bool NoMemory = Given.KvTokens_ > 0 &&
+                  Given.Tokens_ + Shape.PromptTokens_ + Shape.OutputTokens_ >
+                      Given.KvTokens_;
+  return NoSlot || NoMemory;
+}
+
+double dispatchCost(const Candidate &Given, const RequestShape &Shape) {
+  double Cost = PerRunningMs * Given.Running_;
+  if (isFull(Given, Shape)) {
+    int Waiting = std::max(0, Given.Running_ - Given.Slots_) + 1;
+    Cost += FullMs + PerWaitingMs * Waiting;
+  }
+  switch (Given.Readiness_) {
+  case AdapterReadiness::NotNeeded:
+  case AdapterReadiness::Resident:
+    break;
+  case AdapterReadiness::Loading:
+    Cost += toSeconds(Given.ReadyIn_) * 1000;
+    break;
+  case AdapterReadiness::Absent:
+    Cost += LoadMs + PerHomeRankMs * static_cast<double>(Given.HomeRank_);
+    if (Given.PlacesTaken_ >= Given.Places_)
+      Cost += EvictionMs;
+    break;
+  case AdapterReadiness::Impossible:
+    break;
+  }
+  if (!Given.SameDataCentre_)
+    Cost += FarMs;
+  Cost += FailureMs * Given.FailureShare_;
+  Cost += toSeconds(Given.Lateness_) * 1000;
+  return Cost;
+}
+
+std::size_t cheapest(const std::vector<Candidate> &Candidates,
+                     const RequestShape &Shape) {
+  std::size_t Best = Candidates.size();
+  double BestCost = 0;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    const Candidate &Given = Candidates[Index];
+    bool CantRun =
+        Given.Readiness_ == AdapterReadiness::Impossible ||
+        (Given.Readiness_ == AdapterReadiness::Absent && !Given.HasOwner_);
+    if (CantRun)
+      continue;
+    double Cost = dispatchCost(Given, Shape);
+    if (Best == Candidates.size() || Cost < BestCost) {
+      Best = Index;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Serving/DispatchCost.h
@@ -0,0 +1,79 @@
+#ifndef ANVIL_SERVING_DISPATCHCOST_H
+#define ANVIL_SERVING_DISPATCHCOST_H
+
+#include "Kernel/Clock.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace anvil {
+
+/// Whether a target can run a request's adapter.
+enum class AdapterReadiness {
+  NotNeeded,
+  Resident,
+  Loading,
+  Absent,
+  Impossible
+};
+
+inline constexpr std::pair<AdapterReadiness, std::string_view>
+    AdapterReadinessNames[] = {
+        {AdapterReadiness::NotNeeded, "not_needed"},
+        {AdapterReadiness::Resident, "resident"},
+        {AdapterReadiness::Loading, "loading"},
+        {AdapterReadiness::Absent, "absent"},
+        {AdapterReadiness::Impossible, "impossible"},
+};
+
+/// The stable name of a readiness, as logs show it.
+std::string_view adapterReadinessName(AdapterReadiness Readiness);
+
+/// A target that a request may go to, as far as this VM knows.
+struct Candidate {
+  std::string Id_;
+  bool SameDataCentre_ = false;
+  /// Requests of all VMs on it, and the tokens that they take.
+  int Running_ = 0;
+  double Tokens_ = 0;
+  int Slots_ = 1;
+  double KvTokens_ = 0;
+  AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
+  /// How long until an adapter that is on its way is usable.
+  Duration ReadyIn_{};
+  /// The place of the target in the adapter's stable order; zero is its home.
+  std::size_t HomeRank_ = 0;
+  /// Whether anybody can order the adapter to be loaded.
+  bool HasOwner_ = false;
+  /// Places that are taken, of all.
+  int PlacesTaken_ = 0;
+  int Places_ = 0;
+  double FailureShare_ = 0;
+  Duration Lateness_{};
+};
+
+/// What a request takes.
+struct RequestShape {
+  double PromptTokens_ = 0;
+  double OutputTokens_ = 0;
+};
+
+/// The expected time until the request's first byte, in milliseconds, with
+/// what else makes a target the worse choice. Answers skewed demand: a popular
+/// adapter gets a further engine once its engines are so full that loading it
+/// elsewhere is quicker.
+double dispatchCost(const Candidate &Given, const RequestShape &Shape);
+
+/// The index of the cheapest candidate that can run the request, or the size
+/// of the list when none can.
+std::size_t cheapest(const std::vector<Candidate> &Candidates,
+                     const RequestShape &Shape);
+
+/// Whether a target has no free place for a request.
+bool isFull(const Candidate &Given, const RequestShape &Shape);
+
+} // namespace anvil
+
+#endif // ANVIL_SERVING_DISPATCHCOST_H
--- /dev/null
+++ b/Source/Serving/EngineKeeper.cpp
@@ -0,0 +1,213 @@
+#include "Serving/EngineKeeper.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// For how long after its last noted use an adapter counts as in use; VMs
+/// report uses at a period of a few hundred milliseconds at most.
+static constexpr Duration UseTime = std::chrono::milliseconds(700);
+
+/// What a model's load takes at the most before its state is read again.
+static constexpr Duration ModelLoadCheck = std::chrono::milliseconds(400);
+
+template <class Enum, std::size_t Size>
+static std::string_view
+nameOf(Enum Value, const std::pair<Enum, std::string_view> (&Table)[Size]) {
+  for (const auto &[Known, Name] : Table)
+    if (Known == Value)
+      return Name;
+  return "unknown";
+}
+
+std::string_view orderKindName(OrderKind Kind) {
+  return nameOf(Kind, OrderKindNames);
+}
+
+std::string_view orderAnswerName(OrderAnswer Answer) {
+  return nameOf(Answer, OrderAnswerNames);
+}
+
+void EngineKeeper::remember(const std::string &Adapter, TimePoint Now) {
+  Warm_[Adapter] = Now;
+  if (Warm_.size() <= WarmMemory)
+    return;
+  Warm_.erase(std::ranges::min_element(
+      Warm_, {}, [](const auto &Entry) { return Entry.second; }));
+}
+
+void EngineKeeper::adopt(const EngineReport &Report, TimePoint Now) {
+  auto Before = std::move(Places_);
+  Places_.clear();
+  auto Model = Report.Models_.find(Model_);
+  HasModel_ = Model != Report.Models_.end();
+  auto LastUse = [&](const std::string &Adapter) {
+    auto Found = Before.find(Adapter);
+    return Found == Before.end() ? Now - UseTime : Found->second.LastUse_;
+  };
+  if (HasModel_)
+    for (const auto &[Adapter, Version] : Model->second.Adapters_) {
+      Places_[Adapter] = {Version, Now, LastUse(Adapter)};
+      remember(Adapter, Now);
+    }
+  auto Loading = Report.Loading_.find(Model_);
+  if (Loading != Report.Loading_.end())
+    for (const auto &[Adapter, Version] : Loading->second)
+      Places_[Adapter] = {Version, Now + Options_.AdapterLoad_, Now};
+  OrdersAccepted_ = Report.OrdersAccepted_;
+  // A model is on its way while the engine is busy without one.
+  ModelReadyAt_ = HasModel_ ? Now : Now + ModelLoadCheck;
+  NeedsReport_ = !HasModel_ && Report.Busy_;
+}
+
+std::optional<TimePoint> EngineKeeper::want(const std::string &Adapter,
+                                            std::uint64_t Version,
+                                            TimePoint Now) {
+  auto Held = Places_.find(Adapter);
+  if (Held != Places_.end() && Held->second.Version_ >= Version) {
+    Held->second.LastUse_ = Now;
+    return Held->second.ReadyAt_;
+  }
+  Want &Wanted = Wants_[Adapter];
+  Wanted.Version_ = std::max(Wanted.Version_, Version);
+  Wanted.Since_ = Now;
+  return std::nullopt;
+}
+
+void EngineKeeper::noteUse(const std::string &Adapter, TimePoint Now) {
+  auto Held = Places_.find(Adapter);
+  if (Held != Places_.end())
+    Held->second.LastUse_ = std::max(Held->second.LastUse_, Now);
+}
+
+void EngineKeeper::noteVersion(const std::string &Adapter,
+                               std::uint64_t Version, TimePoint ReplaceBy) {
+  auto Held = Places_.find(Adapter);
+  if (Held == Places_.end() || Held->second.Version_ >= Version)
+    return;
+  Replacement &Planned = Replacements_[Adapter];
+  if (Planned.Version_ < Version)
+    Planned = {Version, ReplaceBy};
+}
+
+bool EngineKeeper::isInUse(const AdapterPlace &Place, TimePoint Now) const {
+  return Place.ReadyAt_ > Now || Place.LastUse_ + UseTime > Now;
+}
+
+int EngineKeeper::inTransit(TimePoint Now) const {
+  return static_cast<int>(std::ranges::count_if(
+      Places_, [&](const auto &Entry) { return Entry.second.ReadyAt_ > Now; }));
+}
+
+std::optional<std::string> EngineKeeper::victim(TimePoint Now) const {
+  std::optional<std::string> Oldest;
+  TimePoint OldestUse{};
+  for (const auto &[Adapter, Place] : Places_) {
+    bool MayGo = !isInUse(Place, Now) && !Wants_.contains(Adapter) &&
+                 Place.ReadyAt_ + Options_.MinResidence_ <= Now;
+    if (MayGo && (!Oldest || Place.LastUse_ < OldestUse)) {
+      Oldest = Adapter;
+      OldestUse = Place.LastUse_;
+    }
+  }
+  return Oldest;
+}
+
+std::optional<EngineOrder> EngineKeeper::give(EngineOrder Order, Duration Load,
+                                              TimePoint) {
+  Order.Model_ = Model_;
+  Order.ExpectedOrders_ = OrdersAccepted_;
+  Pending_ = Order;
+  PendingLoad_ = Load;
+  return Order;
+}
+
+std::optional<EngineOrder> EngineKeeper::nextOrder(double TransitFactor,
+                                                   TimePoint Now) {
+  if (Pending_ || NeedsReport_)
+    return std::nullopt;
+  if (!HasModel_) {
+    if (ModelReadyAt_ > Now)
+      return std::nullopt;
+    return give({OrderKind::LoadModel, "", "", 0, 0}, ModelLoadCheck, Now);
+  }
+  auto LoadTime = [&](const std::string &Adapter) {
+    Duration Base = Warm_.contains(Adapter) ? Options_.WarmAdapterLoad_
+                                            : Options_.AdapterLoad_;
+    return std::chrono::duration_cast<Duration>(Base *
+                                                std::max(1.0, TransitFactor));
+  };
+  bool MayLoad = inTransit(Now) < Options_.MaxInTransit_;
+  for (auto Place = Replacements_.begin(); Place != Replacements_.end();) {
+    auto Held = Places_.find(Place->first);
+    bool IsMoot = Held == Places_.end() ||
+                  Held->second.Version_ >= Place->second.Version_;
+    if (IsMoot) {
+      Place = Replacements_.erase(Place);
+      continue;
+    }
+    if (MayLoad && (!isInUse(Held->second, Now) || Place->second.By_ <= Now)) {
+      EngineOrder Order{OrderKind::LoadAdapter, "", Place->first,
+                        Place->second.Version_, 0};
+      return give(Order, Options_.AdapterLoad_, Now);
+    }
+    ++Place;
+  }
+  std::erase_if(Wants_, [&](const auto &Entry) {
+    return Entry.second.Since_ + Options_.WantTime_ < Now;
+  });
+  if (Wants_.empty() || !MayLoad)
+    return std::nullopt;
+  auto First = std::ranges::min_element(
+      Wants_, {}, [](const auto &Entry) { return Entry.second.Since_; });
+  bool TakesNewPlace = !Places_.contains(First->first);
+  if (TakesNewPlace &&
+      Places_.size() >= static_cast<std::size_t>(Options_.MaxAdapters_)) {
+    auto Oldest = victim(Now);
+    if (!Oldest)
+      return std::nullopt;
+    return give({OrderKind::UnloadAdapter, "", *Oldest, 0, 0}, {}, Now);
+  }
+  EngineOrder Order{OrderKind::LoadAdapter, "", First->first,
+                    First->second.Version_, 0};
+  return give(Order, LoadTime(First->first), Now);
+}
+
+void EngineKeeper::noteAnswer(OrderAnswer Answer, TimePoint Now) {
+  if (!Pending_)
+    return;
+  EngineOrder Order = *std::exchange(Pending_, std::nullopt);
+  bool Took =
+      Answer == OrderAnswer::Accepted || Answer == OrderAnswer::AlreadyHolds;
+  if (!Took) {
+    // A refused order holds no place; all else is cleared up by the report.
+    NeedsReport_ = true;
+    if (Answer == OrderAnswer::Refused)
+      Wants_.erase(Order.Adapter_);
+    return;
+  }
+  if (Answer == OrderAnswer::Accepted ||
+      Order.Kind_ == OrderKind::UnloadAdapter)
+    ++OrdersAccepted_;
+  switch (Order.Kind_) {
+  case OrderKind::LoadModel:
+    ModelReadyAt_ = Now + PendingLoad_;
+    NeedsReport_ = true;
+    break;
+  case OrderKind::LoadAdapter: {
+    AdapterPlace &Place = Places_[Order.Adapter_];
+    Place.Version_ = Order.Version_;
+    Place.ReadyAt_ = Answer == OrderAnswer::Accepted ? Now + PendingLoad_ : Now;
+    Place.LastUse_ = std::max(Place.LastUse_, Now);
+    Wants_.erase(Order.Adapter_);
+    remember(Order.Adapter_, Now);
+    break;
+  }
+  case OrderKind::UnloadAdapter:
+    remember(Order.Adapter_, Now);
+    Places_.erase(Order.Adapter_);
+    break;
+  }
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Serving/EventSplitter.cpp
@@ -0,0 +1,34 @@
+#include "Serving/EventSplitter.h"
+
+namespace anvil {
+
+std::string EventSplitter::feed(std::string_view Bytes) {
+  Rest_ += Bytes;
+  auto End = Rest_.rfind("\n\n");
+  if (End == std::string::npos)
+    return {};
+  std::string Whole = Rest_.substr(0, End + 2);
+  Rest_.erase(0, End + 2);
+  readIds(Whole);
+  return Whole;
+}
+
+void EventSplitter::readIds(std::string_view Events) {
+  static constexpr std::string_view Field = "id:";
+  auto Begin = Events.rfind("\nid:");
+  if (Begin != std::string_view::npos)
+    Begin += 1;
+  else if (Events.starts_with(Field))
+    Begin = 0;
+  else
+    return;
+  auto Value = Events.substr(Begin + Field.size());
+  Value = Value.substr(0, Value.find('\n'));
+  while (!Value.empty() && Value.front() == ' ')
+    Value.remove_prefix(1);
+  while (!Value.empty() && Value.back() == '\r')
+    Value.remove_suffix(1);
+  LastId_ = Value;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Serving/FleetBook.cpp
@@ -0,0 +1,116 @@
+#include "Serving/FleetBook.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+bool FleetBook::apply(const VmNews &News, TimePoint Now) {
+  auto Found = Vms_.find(News.Vm_);
+  bool IsOld = Found != Vms_.end() &&
+               Found->second.News_.Incarnation_ == News.Incarnation_ &&
+               Found->second.News_.Sequence_ >= News.Sequence_;
+  if (IsOld)
+    return false;
+  HeardVm &Heard = Vms_[News.Vm_];
+  Heard.News_ = News;
+  Heard.At_ = Now;
+  for (const auto &[Engine, Told] : News.Holdings_)
+    applyHoldings(Engine, Told, Now);
+  return true;
+}
+
+void FleetBook::applyHoldings(const std::string &Engine,
+                              const EngineHoldings &Told, TimePoint Now) {
+  EngineBelief &Belief = Engines_[Engine];
+  if (Belief.Incarnation_ > Told.Incarnation_)
+    return;
+  Belief.Incarnation_ = Told.Incarnation_;
+  Belief.HasModel_ = Told.HasModel_;
+  Belief.Adapters_.clear();
+  for (const auto &[Adapter, Item] : Told.Adapters_)
+    Belief.Adapters_[Adapter] = {Item.Version_, Now + Item.ReadyIn_};
+  Belief.ToldAt_ = Now;
+}
+
+void FleetBook::applyEntry(const TargetEntry &Entry, const std::string &Model,
+                           TimePoint Now) {
+  EngineBelief &Belief = Engines_[Entry.Id_];
+  bool IsSameLife = Belief.Incarnation_ == Entry.Incarnation_;
+  if (IsSameLife && Belief.ToldAt_ + OwnerWordTime > Now)
+    return;
+  Belief = EngineBelief();
+  Belief.Incarnation_ = Entry.Incarnation_;
+  auto Held = Entry.Models_.find(Model);
+  if (Held == Entry.Models_.end())
+    return;
+  Belief.HasModel_ = true;
+  for (const auto &[Adapter, Version] : Held->second.Adapters_)
+    Belief.Adapters_[Adapter] = {Version, Now};
+}
+
+RunningShare FleetBook::othersOn(const std::string &Target,
+                                 TimePoint Now) const {
+  RunningShare Sum;
+  for (const auto &[Vm, Heard] : Vms_) {
+    auto Share = Heard.News_.Running_.find(Target);
+    if (Heard.At_ + NewsTime < Now || Share == Heard.News_.Running_.end())
+      continue;
+    Sum.Requests_ += Share->second.Requests_;
+    Sum.Tokens_ += Share->second.Tokens_;
+  }
+  return Sum;
+}
+
+int FleetBook::othersUsing(const std::string &Target,
+                           const std::string &Adapter, TimePoint Now) const {
+  int Sum = 0;
+  for (const auto &[Vm, Heard] : Vms_) {
+    auto Share = Heard.News_.Running_.find(Target);
+    if (Heard.At_ + NewsTime < Now || Share == Heard.News_.Running_.end())
+      continue;
+    auto Uses = Share->second.Adapters_.find(Adapter);
+    if (Uses != Share->second.Adapters_.end())
+      Sum += Uses->second;
+  }
+  return Sum;
+}
+
+const EngineBelief *FleetBook::engine(const std::string &Engine) const {
+  auto Found = Engines_.find(Engine);
+  return Found == Engines_.end() ? nullptr : &Found->second;
+}
+
+void FleetBook::noteMissing(const std::string &Engine,
+                            const std::string &Adapter) {
+  auto Found = Engines_.find(Engine);
+  if (Found == Engines_.end())
+    return;
+  if (Adapter.empty())
+    Found->second.HasModel_ = false;
+  else
+    Found->second.Adapters_.erase(Adapter);
+}
+
+int FleetBook::inTransit(TimePoint Now) const {
+  int Sum = 0;
+  for (const auto &[Engine, Belief] : Engines_)
+    Sum += static_cast<int>(
+        std::ranges::count_if(Belief.Adapters_, [&](const auto &Entry) {
+          return Entry.second.ReadyAt_ > Now;
+        }));
+  return Sum;
+}
+
+std::size_t FleetBook::heardVms(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Vms_, [&](const auto &Entry) {
+        return Entry.second.At_ + NewsTime >= Now;
+      }));
+}
+
+bool FleetBook::isHeard(const std::string &Vm, TimePoint Now) const {
+  auto Found = Vms_.find(Vm);
+  return Found != Vms_.end() && Found->second.At_ + NewsTime >= Now;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Serving/ServingPlan.h
@@ -0,0 +1,163 @@
+#ifndef ANVIL_SERVING_SERVINGPLAN_H
+#define ANVIL_SERVING_SERVINGPLAN_H
+
+#include "Kernel/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace anvil {
+
+/// What may be done again with a route's requests.
+enum class RouteKind { Repeatable, AtMostOnce, Stream };
+
+inline constexpr std::pair<RouteKind, std::string_view> RouteKindNames[] = {
+    {RouteKind::Repeatable, "repeatable"},
+    {RouteKind::AtMostOnce, "at_most_once"},
+    {RouteKind::Stream, "stream"},
+};
+
+/// The stable name of a route's kind, as logs show it.
+std::string_view routeKindName(RouteKind Kind);
+
+/// A service that takes a share of a route's requests.
+struct RouteSplit {
+  std::string Service_;
+  double Weight_ = 1;
+};
+
+/// Requests to a host and a path prefix, and how they are served.
+struct Route {
+  std::string Name_;
+  std::string Host_;
+  /// Begins and ends with a slash.
+  std::string PathPrefix_;
+  RouteKind Kind_ = RouteKind::AtMostOnce;
+  /// The longest time that a request may stay without its final answer.
+  Duration Timeout_{};
+  /// The time within which an answer, or a stream's first event, is on time.
+  Duration LatencyTarget_{};
+  /// Zero is the most urgent.
+  int Rank_ = 0;
+  std::vector<RouteSplit> Splits_;
+  /// The most targets on which one request may run.
+  int MaxTargets_ = 1;
+  /// Whether requests need no key.
+  bool Open_ = false;
+  /// Whether a stream may go on at another target after its last event.
+  bool Resumable_ = false;
+};
+
+/// A base model and what its adapters take.
+struct ModelPlan {
+  std::string Name_;
+  double WeightsMb_ = 0;
+  double AdapterMb_ = 0;
+  /// Loading the weights from the weight store.
+  Duration StoreLoad_{};
+  /// Loading the weights from the target's own disk and memory.
+  Duration DiskLoad_{};
+  Duration MemoryLoad_{};
+};
+
+/// What all engines of a service have in common.
+struct EnginePlan {
+  int Slots_ = 1;
+  double KvTokens_ = 0;
+  double WeightsMb_ = 0;
+  /// The most adapters that an engine holds, those being loaded included.
+  int MaxAdapters_ = 0;
+  /// What the weight store allows over all engines.
+  double LoadsPerSecond_ = 0;
+  /// The tokens of one event of a stream.
+  int TokensPerEvent_ = 1;
+  std::vector<ModelPlan> Models_;
+
+  const ModelPlan *findModel(std::string_view Name) const;
+};
+
+/// A set of targets that routes refer to by name.
+struct ServicePlan {
+  std::string Name_;
+  std::string HealthPath_;
+  int MaxConnections_ = 0;
+  /// Set for services of model engines.
+  std::optional<EnginePlan> Engine_;
+};
+
+/// A customer, its keys and its token rate over all VMs.
+struct CustomerPlan {
+  std::string Name_;
+  std::vector<std::string> Keys_;
+  /// Goes before a route's rank; zero is the most urgent.
+  std::optional<int> Rank_;
+  /// Zero means no limit.
+  double TokensPerSecond_ = 0;
+  double BurstTokens_ = 0;
+  /// What a request without a token count is charged.
+  double PlainRequestTokens_ = 0;
+};
+
+/// What callers may send, and how long they may take.
+struct CallerLimits {
+  std::uint32_t HeadBytes_ = 16 * 1024;
+  std::uint64_t BodyBytes_ = 4 * 1024 * 1024;
+  Duration HeadTime_ = std::chrono::seconds(3);
+  Duration IdleTime_ = std::chrono::seconds(15);
+};
+
+/// One revision of everything that requests are served by. Immutable once
+/// built; a request keeps the plan it was admitted with.
+class ServingPlan {
+public:
+  ServingPlan(std::uint64_t Revision, std::vector<Route> Routes,
+              std::vector<ServicePlan> Services,
+              std::vector<CustomerPlan> Customers, CallerLimits Limits);
+
+  std::uint64_t revision() const { return Revision_; }
+  const CallerLimits &limits() const { return Limits_; }
+  const std::vector<Route> &routes() const { return Routes_; }
+  const std::vector<CustomerPlan> &customers() const { return Customers_; }
+
+  /// The route of the host with the longest prefix of the path, or null.
+  const Route *findRoute(std::string_view Host, std::string_view Path) const;
+
+  /// The customer that holds a key, or null.
+  const CustomerPlan *findCustomerOfKey(const std::string &Key) const;
+
+  /// The service of that name, or null.
+  const ServicePlan *findService(const std::string &Name) const;
+
+  const std::map<std::string, ServicePlan> &services() const {
+    return Services_;
+  }
+
+  /// Whether any customer is known; without one no request needs a key.
+  bool hasCustomers() const { return !Customers_.empty(); }
+
+private:
+  std::uint64_t Revision_;
+  std::vector<Route> Routes_;
+  std::map<std::string, ServicePlan> Services_;
+  std::vector<CustomerPlan> Customers_;
+  CallerLimits Limits_;
+  /// Indexes into `Routes_` by host, longest prefix first.
+  std::unordered_map<std::string, std::vector<std::size_t>> ByHost_;
+  std::unordered_map<std::string, std::size_t> ByKey_;
+};
+
+using ServingPlanPtr = std::shared_ptr<const ServingPlan>;
+
+/// The service that takes a request of the route. `Point` is in [0, 1).
+const std::string &chooseSplit(const Route &Given, double Point);
+
+} // namespace anvil
+
+#endif // ANVIL_SERVING_SERVINGPLAN_H
--- /dev/null
+++ b/Source/Serving/TargetOwnership.cpp
@@ -0,0 +1,154 @@
+#include "Serving/TargetOwnership.h"
+
+#include "Membership/Rendezvous.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+bool TargetOwnership::isSilent(const SeenVm &Known, TimePoint Now) const {
+  return Known.Since_ + Options_.LeaseTerm_ + Options_.Margin_ <= Now;
+}
+
+void TargetOwnership::applyVms(const std::vector<VmRow> &Rows,
+                               TimePoint ReadAt) {
+  std::map<std::string, SeenVm> Seen;
+  for (const VmRow &Row : Rows) {
+    auto Found = Vms_.find(Row.Vm_);
+    bool IsSame = Found != Vms_.end() &&
+                  Found->second.Row_.RowVersion_ >= Row.RowVersion_;
+    Seen.emplace(Row.Vm_, IsSame ? Found->second : SeenVm{Row, ReadAt});
+  }
+  Vms_ = std::move(Seen);
+}
+
+void TargetOwnership::applyOwners(const std::vector<OwnerRow> &Rows,
+                                  TimePoint ReadAt) {
+  std::map<std::string, SeenOwner> Seen;
+  for (const OwnerRow &Row : Rows) {
+    auto Found = Owners_.find(Row.Target_);
+    if (Found != Owners_.end() &&
+        Found->second.Row_.RowVersion_ >= Row.RowVersion_) {
+      Seen.emplace(Row.Target_, Found->second);
+      continue;
+    }
+    SeenOwner New{Row, ReadAt};
+    // A row of this VM is either from an earlier life of its process, which
+    // may go on at once, or from a claim whose answer was lost.
+    auto Sent = ClaimSentAt_.find(Row.Target_);
+    if (Row.Vm_ == Self_ && Sent != ClaimSentAt_.end() && Row.Fence_ > 1)
+      New.OrdersFrom_ = Sent->second + Options_.HandoverPause_;
+    Seen.emplace(Row.Target_, New);
+  }
+  Owners_ = std::move(Seen);
+}
+
+void TargetOwnership::noteRenewalRefused() {
+  RenewedAt_.reset();
+  Owners_.clear();
+}
+
+void TargetOwnership::noteClaimed(const OwnerRow &Row, TimePoint Now) {
+  // The first owner of a target follows nobody.
+  bool IsFirst = Row.Fence_ <= 1;
+  Duration Pause = IsFirst ? Duration::zero() : Options_.HandoverPause_;
+  Owners_[Row.Target_] = {Row, Now + Pause};
+}
+
+std::vector<OwnerClaim>
+TargetOwnership::claims(const std::set<std::string> &Targets,
+                        TimePoint Now) const {
+  std::vector<OwnerClaim> Wanted;
+  bool MayClaim = RenewedAt_ && *RenewedAt_ + Options_.LeaseTerm_ > Now &&
+                  StartedAt_ + Options_.SettleTime_ <= Now;
+  if (!MayClaim)
+    return Wanted;
+  std::vector<std::string> Live;
+  for (const VmRow &Row : liveVms(Now))
+    Live.push_back(Row.Vm_);
+  std::map<std::string, std::size_t> Held;
+  for (const auto &[Target, Known] : Owners_)
+    if (Targets.contains(Target))
+      ++Held[Known.Row_.Vm_];
+  std::size_t Fair = (Targets.size() + Live.size() - 1) /
+                     std::max<std::size_t>(1, Live.size());
+  for (const std::string &Target : Targets) {
+    auto Found = Owners_.find(Target);
+    OwnerClaim Claim;
+    if (Found != Owners_.end()) {
+      const OwnerRow &Row = Found->second.Row_;
+      auto Holder = Vms_.find(Row.Vm_);
+      bool IsFree = Row.Vm_.empty() || Holder == Vms_.end() ||
+                    (Row.Vm_ != Self_ && isSilent(Holder->second, Now));
+      if (!IsFree)
+        continue;
+      Claim.ExpectedRow_ = Row.RowVersion_;
+      Claim.Row_.Fence_ = Row.Fence_;
+      if (!Row.Vm_.empty()) {
+        Claim.SilentVm_ = Row.Vm_;
+        if (Holder != Vms_.end())
+          Claim.SilentVmRow_ = Holder->second.Row_.RowVersion_;
+      }
+    }
+    // The best VM that doesn't hold its fair share yet takes it.
+    for (const std::string &Vm : rendezvousOrder(Target, Live)) {
+      if (Held[Vm] >= Fair)
+        continue;
+      ++Held[Vm];
+      if (Vm == Self_) {
+        Claim.Row_.Target_ = Target;
+        Claim.Row_.Vm_ = Self_;
+        ++Claim.Row_.Fence_;
+        Wanted.push_back(Claim);
+      }
+      break;
+    }
+  }
+  return Wanted;
+}
+
+std::optional<std::uint64_t>
+TargetOwnership::mayOrder(const std::string &Target, TimePoint Now) const {
+  auto Found = Owners_.find(Target);
+  bool IsLeased = RenewedAt_ && *RenewedAt_ + Options_.LeaseTerm_ > Now;
+  if (!IsLeased || Found == Owners_.end() || Found->second.Row_.Vm_ != Self_ ||
+      Found->second.OrdersFrom_ > Now)
+    return std::nullopt;
+  return Found->second.Row_.Fence_;
+}
+
+std::string TargetOwnership::ownerOf(const std::string &Target) const {
+  auto Found = Owners_.find(Target);
+  return Found == Owners_.end() ? std::string() : Found->second.Row_.Vm_;
+}
+
+std::vector<OwnerRow> TargetOwnership::owned() const {
+  std::vector<OwnerRow> Rows;
+  for (const auto &[Target, Known] : Owners_)
+    if (Known.Row_.Vm_ == Self_)
+      Rows.push_back(Known.Row_);
+  return Rows;
+}
+
+std::vector<VmRow> TargetOwnership::liveVms(TimePoint Now) const {
+  std::vector<VmRow> Live;
+  for (const auto &[Name, Known] : Vms_)
+    if (Name == Self_ || !isSilent(Known, Now))
+      Live.push_back(Known.Row_);
+  return Live;
+}
+
+std::vector<VmRow> TargetOwnership::rowsToPurge(TimePoint Now) const {
+  std::vector<std::string> Live;
+  for (const VmRow &Row : liveVms(Now))
+    Live.push_back(Row.Vm_);
+  std::vector<VmRow> Rows;
+  for (const auto &[Name, Known] : Vms_) {
+    bool IsOld = Name != Self_ && Known.Since_ + Options_.RowMemory_ <= Now;
+    if (IsOld && rendezvousOrder(Name, Live).front() == Self_)
+      Rows.push_back(Known.Row_);
+  }
+  return Rows;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Settings/EntrySettings.cpp
@@ -0,0 +1,95 @@
+#include "Settings/EntrySettings.h"
+
+#include "Http/Endpoint.h"
+#include "Objects/FieldReader.h"
+#include "Settings/SettingsFile.h"
+
+#include <nlohmann/json.hpp>
+
+namespace anvil {
+
+static constexpr NumberRange PortRange{0, 65535};
+static constexpr NumberRange MillisRange{1, 3600000};
+
+/// The word by which settings ask for this mode.
+static constexpr std::string_view EntryMode = "entry";
+
+static void visitFields(FieldReader &Fields, EntryListenSettings &Listen) {
+  Fields.field("callers", Listen.Callers_, FieldNeed::Required);
+  Fields.field("ready", Listen.Ready_, FieldNeed::Required);
+  Fields.field("address", Listen.Address_, FieldNeed::Required);
+  Fields.field("peer_port", Listen.PeerPort_, PortRange, FieldNeed::Required);
+  Fields.field("metrics_port", Listen.MetricsPort_, PortRange);
+}
+
+static void visitFields(FieldReader &Fields, EntryStoreSettings &Store) {
+  Fields.field("address", Store.Address_, FieldNeed::Required);
+  Fields.field("timeout_ms", Store.TimeoutMs_, MillisRange);
+  Fields.field("watch_ms", Store.WatchMs_, {100, 30000});
+  Fields.field("target_list_ms", Store.TargetListMs_, {50, 60000});
+  Fields.field("renew_ms", Store.RenewMs_, {200, 60000});
+}
+
+static void visitFields(FieldReader &Fields, EntryBoundSettings &Bounds) {
+  Fields.field("key_withdrawal_ms", Bounds.KeyWithdrawalMs_, MillisRange);
+  Fields.field("adapter_version_ms", Bounds.AdapterVersionMs_, MillisRange);
+  Fields.field("order_handover_ms", Bounds.OrderHandoverMs_, MillisRange);
+  Fields.field("stop_s", Bounds.StopS_, {0.1, 3600});
+  Fields.field("retry_ratio", Bounds.RetryRatio_, {0, 10});
+  Fields.field("retry_extra", Bounds.RetryExtra_, {0, 1000000});
+  Fields.field("retry_window_s", Bounds.RetryWindowS_, {1, 3600});
+}
+
+static void visitFields(FieldReader &Fields, EntrySettings &Settings) {
+  Fields.field("mode", Settings.Mode_, FieldNeed::Required);
+  Fields.field("vm", Settings.Vm_, FieldNeed::Required);
+  Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
+  Fields.field("log_level", Settings.LogLevel_);
+  Fields.field("transit_limit", Settings.TransitLimit_, {1, 100000});
+  Fields.record("listen", Settings.Listen_, FieldNeed::Required);
+  Fields.record("store", Settings.Store_, FieldNeed::Required);
+  Fields.record("bounds", Settings.Bounds_);
+}
+
+static void checkEndpoint(FieldReader &Fields, std::string_view Name,
+                          const std::string &Text) {
+  auto Parsed = parseEndpoint(Text);
+  if (!Text.empty() && !isOk(Parsed))
+    Fields.report(Name, errorOf(Parsed).Message_, errorOf(Parsed).Action_);
+}
+
+std::variant<EntrySettings, std::vector<Error>>
+parseEntrySettings(const std::string &Path, const std::string &Text) {
+  auto Parsed = parseSettings(Path, Text);
+  if (!isOk(Parsed))
+    return std::vector<Error>{errorOf(Parsed)};
+  std::vector<Error> Errors;
+  EntrySettings Settings;
+  FieldReader Reader(valueOf(Parsed), "", Errors);
+  visitFields(Reader, Settings);
+  Reader.finish();
+  checkEndpoint(Reader, "listen.callers", Settings.Listen_.Callers_);
+  checkEndpoint(Reader, "listen.ready", Settings.Listen_.Ready_);
+  checkEndpoint(Reader, "store.address", Settings.Store_.Address_);
+  std::int64_t Slowest = Settings.Store_.WatchMs_ + Settings.Store_.TimeoutMs_;
+  if (Settings.Bounds_.KeyWithdrawalMs_ <= Slowest)
+    Reader.report("bounds.key_withdrawal_ms",
+                  "is not longer than one wait for changes",
+                  "lower store.watch_ms and store.timeout_ms below it");
+  if (Errors.empty())
+    return Settings;
+  for (Error &Problem : Errors)
+    Problem.Where_ = Path + ": " + Problem.Where_;
+  return Errors;
+}
+
+bool asksForEntryMode(const std::string &Path, const std::string &Text) {
+  auto Parsed = parseSettings(Path, Text);
+  if (!isOk(Parsed) || !valueOf(Parsed).is_object())
+    return false;
+  auto Mode = valueOf(Parsed).find("mode");
+  return Mode != valueOf(Parsed).end() && Mode->is_string() &&
+         Mode->get<std::string>() == EntryMode;
+}
+
+} // namespace anvil
--- a/Source/Platform/Backoff.cpp
+++ b/Source/TableService/Backoff.cpp
@@ -1,4 +1,4 @@
-#include "Platform/Backoff.h"
+#include "TableService/Backoff.h"
 
 #include <algorithm>
 
--- a/Source/Platform/CircuitBreaker.cpp
+++ b/Source/TableService/CircuitBreaker.cpp
@@ -1,4 +1,4 @@
-#include "Platform/CircuitBreaker.h"
+#include "TableService/CircuitBreaker.h"
 
 namespace anvil {
 
--- a/Source/Platform/HttpPlatformClient.cpp
+++ b/Source/TableService/HttpPlatformClient.cpp
@@ -1,7 +1,7 @@
-#include "Platform/HttpPlatformClient.h"
+#include "TableService/HttpPlatformClient.h"
 
 #include "Http/HttpConnection.h"
-#include "Platform/PlatformCodec.h"
+#include "TableService/PlatformCodec.h"
 #include "Telemetry/Log.h"
 
 namespace anvil {
--- a/Source/Platform/HttpPlatformClient.h
+++ b/Source/TableService/HttpPlatformClient.h
@@ -1,11 +1,11 @@
-#ifndef ANVIL_PLATFORM_HTTPPLATFORMCLIENT_H
-#define ANVIL_PLATFORM_HTTPPLATFORMCLIENT_H
+#ifndef ANVIL_TABLESERVICE_HTTPPLATFORMCLIENT_H
+#define ANVIL_TABLESERVICE_HTTPPLATFORMCLIENT_H
 
 #include "Http/Endpoint.h"
 #include "Http/HttpMessage.h"
 #include "Kernel/Clock.h"
-#include "Platform/CircuitBreaker.h"
-#include "Platform/PlatformService.h"
+#include "TableService/CircuitBreaker.h"
+#include "TableService/PlatformService.h"
 #include "Telemetry/Metrics.h"
 
 #include <memory>
@@ -53,4 +53,4 @@
 
 } // namespace anvil
 
-#endif // ANVIL_PLATFORM_HTTPPLATFORMCLIENT_H
+#endif // ANVIL_TABLESERVICE_HTTPPLATFORMCLIENT_H
--- a/Source/Platform/PlatformCodec.cpp
+++ b/Source/TableService/PlatformCodec.cpp
@@ -1,4 +1,4 @@
-#include "Platform/PlatformCodec.h"
+#include "TableService/PlatformCodec.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Platform/PlatformCodec.h
+++ b/Source/TableService/PlatformCodec.h
@@ -1,8 +1,8 @@
-#ifndef ANVIL_PLATFORM_PLATFORMCODEC_H
-#define ANVIL_PLATFORM_PLATFORMCODEC_H
+#ifndef ANVIL_TABLESERVICE_PLATFORMCODEC_H
+#define ANVIL_TABLESERVICE_PLATFORMCODEC_H
 
 #include "Http/HttpMessage.h"
-#include "Platform/PlatformService.h"
+#include "TableService/PlatformService.h"
 
 #include <string>
 #include <string_view>
@@ -39,4 +39,4 @@
 
 } // namespace anvil
 
-#endif // ANVIL_PLATFORM_PLATFORMCODEC_H
+#endif // ANVIL_TABLESERVICE_PLATFORMCODEC_H
--- a/Source/Platform/PlatformService.h
+++ b/Source/TableService/PlatformService.h
@@ -1,9 +1,9 @@
-#ifndef ANVIL_PLATFORM_PLATFORMSERVICE_H
-#define ANVIL_PLATFORM_PLATFORMSERVICE_H
+#ifndef ANVIL_TABLESERVICE_PLATFORMSERVICE_H
+#define ANVIL_TABLESERVICE_PLATFORMSERVICE_H
 
 #include "Kernel/Error.h"
 #include "Kernel/ServiceRegistry.h"
-#include "Platform/TableTypes.h"
+#include "TableService/TableTypes.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -70,4 +70,4 @@
 
 } // namespace anvil
 
-#endif // ANVIL_PLATFORM_PLATFORMSERVICE_H
+#endif // ANVIL_TABLESERVICE_PLATFORMSERVICE_H
--- a/Tests/Property/CodecProperty.cpp
+++ b/Tests/Property/CodecProperty.cpp
@@ -6,7 +6,7 @@
 #include "Objects/ObjectCodec.h"
 #include "Peer/FrameCodec.h"
 #include "Placement/EngineCodec.h"
-#include "Platform/PlatformCodec.h"
+#include "TableService/PlatformCodec.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/Tests/Standins/PlatformStandin.cpp
+++ b/Tests/Standins/PlatformStandin.cpp
@@ -1,6 +1,6 @@
 #include "Standins/PlatformStandin.h"
 
-#include "Platform/PlatformCodec.h"
+#include "TableService/PlatformCodec.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
--- a/Tests/Standins/PlatformStandin.h
+++ b/Tests/Standins/PlatformStandin.h
@@ -2,8 +2,8 @@
 #define ANVIL_TESTS_STANDINS_PLATFORMSTANDIN_H
 
 #include "Http/HttpServer.h"
-#include "Platform/PlatformService.h"
 #include "Standins/RequestRecord.h"
+#include "TableService/PlatformService.h"
 
 #include <map>
 #include <string>
--- a/Utilities/CMake/AnvilTargets.cmake
+++ b/Utilities/CMake/AnvilTargets.cmake
@@ -6,7 +6,8 @@
 target_compile_options(AnvilOptions INTERFACE -Wno-mismatched-new-delete)
 # Asio 1.74 uses std::exchange without including its header.
 target_compile_options(AnvilOptions INTERFACE -include utility)
-target_include_directories(AnvilOptions INTERFACE "${CMAKE_SOURCE_DIR}/Source"
+target_include_directories(AnvilOptions INTERFACE "${CMAKE_SOURCE_DIR}"
+                                                  "${CMAKE_SOURCE_DIR}/Source"
                                                   "${CMAKE_SOURCE_DIR}/Tests")
 
 # Adds the static library NAME made of SOURCES and linked with LINKS.
