Wait for late loads at their engine, date the plan's evidence by the store's clock

Now an old report is read again, and a load that should just have ended is expected 60 ms later. VMs tell each other of leaving targets, so the list is read every 1.3 s instead of 0.8 s. Names that the product's own objects already have are no longer used twice.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -6,8 +6,9 @@
 
 namespace anvil {
 
-/// For how long a crash is repeated in the news, in case datagrams are lost.
-static constexpr Duration CrashNewsTime = std::chrono::seconds(2);
+/// For how long a crash or a leaving is repeated in the news, in case datagrams
+/// are lost.
+static constexpr Duration NewsRepeatTime = std::chrono::seconds(2);
 
 /// For how long a digest stays suspect or refused. Much shorter than a
 /// deployment's life, since a request may be good again with a new release.
@@ -37,6 +38,14 @@
   Plans_->Changed_.attach([this](const ServingPlan &Plan) {
     Budget_.setPlan(Plan, StartShare, BootClock::now());
   });
+  Targets_->Changed_.attach([this](const RosterChange &Change) {
+    const ListedTarget *Listed = Targets_->roster().find(Change.Id_);
+    bool Leaves = Change.Standing_ == TargetStanding::Draining ||
+                  Change.Standing_ == TargetStanding::Gone;
+    if (Leaves && Listed)
+      RecentLeavers_[Change.Id_] = {BootClock::now(),
+                                    Listed->Entry_.Incarnation_};
+  });
   Targets_->Read_.attach([this] {
     ServingPlanPtr Plan = Plans_->current();
     if (!Plan)
@@ -116,10 +125,15 @@
   News.Spent_ = Budget_.spent();
   News.Running_ = Running_;
   std::erase_if(RecentCrashes_, [&](const auto &Entry) {
-    return Entry.first + CrashNewsTime < Now;
+    return Entry.first + NewsRepeatTime < Now;
   });
   for (const auto &[At, Seen] : RecentCrashes_)
     News.Crashes_.push_back(Seen);
+  std::erase_if(RecentLeavers_, [&](const auto &Entry) {
+    return Entry.second.first + NewsRepeatTime < Now;
+  });
+  for (const auto &[Target, Seen] : RecentLeavers_)
+    News.Leavers_[Target] = Seen.second;
   if (Holdings_ && Sequence_ % HoldingsEvery == 0)
     News.Holdings_ = Holdings_();
   return News;
@@ -136,7 +150,11 @@
   for (const VmNews::Crash &Seen : News->Crashes_)
     applyCrash(Seen, Now);
   for (const auto &[Target, Incarnation] : News->Leavers_)
-    Targets_->roster().noteLeaving(Target, Incarnation);
+    if (Targets_->roster().noteLeaving(Target, Incarnation))
+      logEvent(LogLevel::Info, "target_standing",
+               {{"target", Target},
+                {"standing", targetStandingName(TargetStanding::Draining)},
+                {"told_by", News->Vm_}});
 }
 
 } // namespace anvil
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -80,6 +80,8 @@
   CrashTracker Crashes_;
   std::map<std::string, RunningShare> Running_;
   std::vector<std::pair<TimePoint, VmNews::Crash>> RecentCrashes_;
+  /// Targets lately seen leaving, with their incarnation.
+  std::map<std::string, std::pair<TimePoint, std::int64_t>> RecentLeavers_;
   std::function<std::map<std::string, EngineHoldings>()> Holdings_;
   std::uint64_t Sequence_ = 0;
   std::size_t Vms_ = 1;
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -33,6 +33,9 @@
 /// How often rows are written and read until the first claims are settled.
 static constexpr Duration StartPeriod = std::chrono::milliseconds(500);
 
+/// The rows of all VMs are read at every so many renewals.
+static constexpr std::uint64_t ReadEvery = 2;
+
 static std::string vmName(const EntrySettings &Settings) {
   // A machine that takes another's name is another holder.
   return Settings.Vm_ + "@" + Settings.Listen_.Address_;
@@ -100,15 +103,16 @@
 }
 
 asio::awaitable<void> OwnerService::keepRows() {
-  while (!Stopping_) {
-    co_await readRows();
+  for (std::uint64_t Round = 0; !Stopping_; ++Round) {
+    bool Settled = HasRead_ && Renewals_ > 4;
+    if (!Settled || Round % ReadEvery == 0)
+      co_await readRows();
     bool Renewed = co_await renew();
     if (Renewed) {
       co_await claimTargets();
       co_await purgeSilent();
     }
     updateEngines();
-    bool Settled = HasRead_ && Renewals_ > 4;
     Duration Period = std::chrono::milliseconds(Settings_.Store_.RenewMs_);
     co_await pauseFor(Settled ? Period : StartPeriod);
   }
@@ -358,7 +362,10 @@
     co_await pauseFor(KeeperPeriod);
     co_return;
   }
-  Owned->Keeper_.adopt(valueOf(Report), BootClock::now());
+  if (!Owned->Keeper_.adopt(valueOf(Report), BootClock::now())) {
+    co_await pauseFor(ReportLag);
+    co_return;
+  }
   announce(Engine);
   if (Owned->Keeper_.needsReport())
     co_await pauseFor(KeeperPeriod);
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -60,7 +60,9 @@
     if (isOk(Page)) {
       Waits.reset();
       Version = valueOf(Page).Version_;
-      apply(valueOf(Page).Rows_, AskedAt);
+      TimePoint Now = BootClock::now();
+      apply(valueOf(Page).Rows_,
+            StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, Now));
       continue;
     }
     // The history is gone, so the whole table is read at once.
@@ -72,16 +74,16 @@
   }
 }
 
-void PlanService::apply(const std::vector<TableRow> &Rows, TimePoint AskedAt) {
+void PlanService::apply(const std::vector<TableRow> &Rows, TimePoint GivenAt) {
   for (const TableRow &Row : Rows) {
     if (Row.Key_ == "config")
       applyPlan(Row);
     else if (Row.Key_.starts_with("version/"))
       applyVersion(Row);
   }
-  bool WasFresh = keysAreFresh(AskedAt);
+  bool WasFresh = keysAreFresh(GivenAt);
   if (Plan_)
-    Evidence_ = AskedAt;
+    Evidence_ = GivenAt;
   if (!WasFresh && Evidence_)
     logEvent(LogLevel::Info, "plan_evidence_regained",
              {{"revision", Plan_->revision()}});
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -3,6 +3,7 @@
 
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Serving/RemoteClock.h"
 #include "Serving/ServingPlan.h"
 #include "Settings/EntrySettings.h"
 #include "platform/StoreClient.h"
@@ -59,7 +60,7 @@
 
 private:
   boost::asio::awaitable<void> follow();
-  void apply(const std::vector<TableRow> &Rows, TimePoint AskedAt);
+  void apply(const std::vector<TableRow> &Rows, TimePoint GivenAt);
   void applyPlan(const TableRow &Row);
   void applyVersion(const TableRow &Row);
 
@@ -68,6 +69,7 @@
   std::shared_ptr<platform::StoreClient> Store_;
   ServingPlanPtr Plan_;
   std::optional<TimePoint> Evidence_;
+  RemoteClock StoreClock_;
   /// By model, then adapter.
   std::map<std::string, std::map<std::string, KnownVersion>> Versions_;
 };
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -112,9 +112,9 @@
 }
 
 bool RequestRun::mayTryAgain(TryEnd End, TimePoint Now) {
-  const Route &Given = *Request_.Route_;
-  bool MayRunAgain = Given.Kind_ == RouteKind::Repeatable ||
-                     (Given.Kind_ == RouteKind::Stream && Given.Resumable_);
+  const RoutePlan &Given = *Request_.Route_;
+  bool MayRunAgain = Given.Kind_ == RequestKind::Repeatable ||
+                     (Given.Kind_ == RequestKind::Stream && Given.Resumable_);
   if (End == TryEnd::NotRun && Sends_ >= MostRefusedSends)
     return false;
   // A caller that got part of a stream can only be served by its rest.
@@ -254,7 +254,7 @@
     LastReason_ = "not_sealed";
     co_return TryEnd::Lost;
   }
-  bool IsStream = IsSuccess && Request_.Route_->Kind_ == RouteKind::Stream;
+  bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
   if (IsStream)
     co_return co_await passStream(Chosen, std::move(Head), Answer);
   co_return co_await passWhole(Chosen, std::move(Head), Answer);
@@ -404,7 +404,7 @@
        {"outcome", Outcome},
        {"status", Status},
        {"route", Request_.Route_->Name_},
-       {"kind", routeKindName(Request_.Route_->Kind_)},
+       {"kind", requestKindName(Request_.Route_->Kind_)},
        {"adapter", Request_.Fields_.Adapter_},
        {"target", LastTarget_},
        {"reason", LastReason_},
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -37,7 +37,7 @@
 /// An admitted request and what was settled at its admission.
 struct AdmittedRequest {
   ServingPlanPtr Plan_;
-  const Route *Route_ = nullptr;
+  const RoutePlan *Route_ = nullptr;
   const CustomerPlan *Customer_ = nullptr;
   platform::CallerFields Fields_;
   std::string Service_;
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -37,9 +37,9 @@
 }
 
 void TargetListService::apply(const std::vector<TableRow> &Rows) {
-  std::vector<TargetEntry> Entries;
+  std::vector<RegisteredTarget> Entries;
   for (const TableRow &Row : Rows)
-    if (auto Entry = platform::decodeTargetEntry(Row.Key_, Row.Value_))
+    if (auto Entry = platform::decodeRegisteredTarget(Row.Key_, Row.Value_))
       Entries.push_back(std::move(*Entry));
   TimePoint Now = BootClock::now();
   for (const RosterChange &Change :
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -32,11 +32,12 @@
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Owners_(Services.require<OwnerService>(OwnerService::Name)) {}
 
-Candidate TargetPicker::describe(const ListedTarget &Listed,
-                                 const PickQuestion &Question,
-                                 const EnginePlan *Engine, TimePoint Now) {
-  const TargetEntry &Entry = Listed.Entry_;
-  Candidate Given;
+DispatchCandidate TargetPicker::describe(const ListedTarget &Listed,
+                                         const PickQuestion &Question,
+                                         const EnginePlan *Engine,
+                                         TimePoint Now) {
+  const RegisteredTarget &Entry = Listed.Entry_;
+  DispatchCandidate Given;
   Given.Id_ = Entry.Id_;
   Given.SameDataCentre_ = Entry.DataCentre_ == Settings_.DataCentre_;
   RunningShare Own = Fleet_->ownOn(Entry.Id_);
@@ -54,7 +55,7 @@
   return Given;
 }
 
-void TargetPicker::describeAdapter(Candidate &Given,
+void TargetPicker::describeAdapter(DispatchCandidate &Given,
                                    const PickQuestion &Question,
                                    TimePoint Now) {
   const EngineBelief *Belief = Fleet_->book().engine(Given.Id_);
@@ -65,6 +66,13 @@
   if (Question.Adapter_.empty())
     return;
   Given.PlacesTaken_ = static_cast<int>(Belief->Adapters_.size());
+  Given.InTransit_ = static_cast<int>(
+      std::ranges::count_if(Belief->Adapters_, [&](const auto &Entry) {
+        return Entry.second.ReadyAt_ > Now;
+      }));
+  Given.LoadFactor_ =
+      std::max(1.0, static_cast<double>(Fleet_->book().inTransit(Now) + 1) /
+                        static_cast<double>(Settings_.TransitLimit_));
   Given.HasOwner_ = !Owners_->ownership().ownerOf(Given.Id_).empty();
   const KnownVersion *Newest =
       Plans_->newestVersion(Question.Model_, Question.Adapter_);
@@ -93,7 +101,7 @@
 }
 
 /// Ranks candidates by the adapter's stable order over engines.
-static void rankHomes(std::vector<Candidate> &Candidates,
+static void rankHomes(std::vector<DispatchCandidate> &Candidates,
                       const std::string &Adapter) {
   std::vector<std::pair<std::uint64_t, std::size_t>> Scores;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
@@ -112,7 +120,7 @@
     return std::nullopt;
   const EnginePlan *Engine = Service->Engine_ ? &*Service->Engine_ : nullptr;
   std::vector<const ListedTarget *> Listed;
-  std::vector<Candidate> Candidates;
+  std::vector<DispatchCandidate> Candidates;
   for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
     auto Down = DownUntil_.find(Target->Entry_.Id_);
     bool IsDown = Down != DownUntil_.end() && Down->second > Now;
@@ -126,11 +134,11 @@
   std::size_t Best = cheapest(Candidates, Question.Shape_);
   if (Best == Candidates.size())
     return std::nullopt;
-  const TargetEntry &Entry = Listed[Best]->Entry_;
+  const RegisteredTarget &Entry = Listed[Best]->Entry_;
   auto Where = parseEndpoint(Entry.Address_);
   if (!isOk(Where))
     return std::nullopt;
-  const Candidate &Given = Candidates[Best];
+  const DispatchCandidate &Given = Candidates[Best];
   Pick Chosen{Entry.Id_,
               Entry.Incarnation_,
               valueOf(Where),
@@ -177,7 +185,8 @@
 
 void TargetPicker::noteMissing(const PickQuestion &Question,
                                const std::string &Target) {
-  Fleet_->book().noteMissing(Target, Question.Adapter_);
+  if (!Fleet_->book().noteMissing(Target, Question.Adapter_, BootClock::now()))
+    return;
   const KnownVersion *Newest =
       Plans_->newestVersion(Question.Model_, Question.Adapter_);
   Owners_->want(Target, Question.Adapter_, Newest ? Newest->Version_ : 1, true);
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -68,9 +68,10 @@
   TargetHealth &health() { return Health_; }
 
 private:
-  Candidate describe(const ListedTarget &Listed, const PickQuestion &Question,
-                     const EnginePlan *Engine, TimePoint Now);
-  void describeAdapter(Candidate &Given, const PickQuestion &Question,
+  DispatchCandidate describe(const ListedTarget &Listed,
+                             const PickQuestion &Question,
+                             const EnginePlan *Engine, TimePoint Now);
+  void describeAdapter(DispatchCandidate &Given, const PickQuestion &Question,
                        TimePoint Now);
 
   struct SentWant {
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -22,6 +22,10 @@
 /// take a tenth, and shared prompts are kept there.
 static constexpr double PerHomeRankMs = 15;
 
+/// The adapters that may be on their way to one target; from the platform's
+/// documentation.
+static constexpr int MostInTransit = 4;
+
 /// The way to another data centre and back, ms.
 static constexpr double FarMs = 2;
 
@@ -38,7 +42,7 @@
   return "unknown";
 }
 
-bool isFull(const Candidate &Given, const RequestShape &Shape) {
+bool isFull(const DispatchCandidate &Given, const RequestShape &Shape) {
   bool NoSlot = Given.Running_ >= Given.Slots_;
   bool NoMemory = Given.KvTokens_ > 0 &&
                   Given.Tokens_ + Shape.PromptTokens_ + Shape.OutputTokens_ >
@@ -46,7 +50,7 @@
   return NoSlot || NoMemory;
 }
 
-double dispatchCost(const Candidate &Given, const RequestShape &Shape) {
+double dispatchCost(const DispatchCandidate &Given, const RequestShape &Shape) {
   double Cost = PerRunningMs * Given.Running_;
   if (isFull(Given, Shape)) {
     int Waiting = std::max(0, Given.Running_ - Given.Slots_) + 1;
@@ -60,7 +64,10 @@
     Cost += toSeconds(Given.ReadyIn_) * 1000;
     break;
   case AdapterReadiness::Absent:
-    Cost += LoadMs + PerHomeRankMs * static_cast<double>(Given.HomeRank_);
+    Cost += LoadMs * Given.LoadFactor_ +
+            PerHomeRankMs * static_cast<double>(Given.HomeRank_);
+    if (Given.InTransit_ >= MostInTransit)
+      Cost += LoadMs;
     if (Given.PlacesTaken_ >= Given.Places_)
       Cost += EvictionMs;
     break;
@@ -74,12 +81,12 @@
   return Cost;
 }
 
-std::size_t cheapest(const std::vector<Candidate> &Candidates,
+std::size_t cheapest(const std::vector<DispatchCandidate> &Candidates,
                      const RequestShape &Shape) {
   std::size_t Best = Candidates.size();
   double BestCost = 0;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
-    const Candidate &Given = Candidates[Index];
+    const DispatchCandidate &Given = Candidates[Index];
     bool CantRun =
         Given.Readiness_ == AdapterReadiness::Impossible ||
         (Given.Readiness_ == AdapterReadiness::Absent && !Given.HasOwner_);
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -32,7 +32,7 @@
 std::string_view adapterReadinessName(AdapterReadiness Readiness);
 
 /// A target that a request may go to, as far as this VM knows.
-struct Candidate {
+struct DispatchCandidate {
   std::string Id_;
   bool SameDataCentre_ = false;
   /// Requests of all VMs on it, and the tokens that they take.
@@ -50,6 +50,10 @@
   /// Places that are taken, of all.
   int PlacesTaken_ = 0;
   int Places_ = 0;
+  /// Adapters on their way to the target, and by how much loads take longer
+  /// than usual over the whole fleet.
+  int InTransit_ = 0;
+  double LoadFactor_ = 1;
   double FailureShare_ = 0;
   Duration Lateness_{};
 };
@@ -64,15 +68,15 @@
 /// what else makes a target the worse choice. Answers skewed demand: a popular
 /// adapter gets a further engine once its engines are so full that loading it
 /// elsewhere is quicker.
-double dispatchCost(const Candidate &Given, const RequestShape &Shape);
+double dispatchCost(const DispatchCandidate &Given, const RequestShape &Shape);
 
 /// The index of the cheapest candidate that can run the request, or the size
 /// of the list when none can.
-std::size_t cheapest(const std::vector<Candidate> &Candidates,
+std::size_t cheapest(const std::vector<DispatchCandidate> &Candidates,
                      const RequestShape &Shape);
 
 /// Whether a target has no free place for a request.
-bool isFull(const Candidate &Given, const RequestShape &Shape);
+bool isFull(const DispatchCandidate &Given, const RequestShape &Shape);
 
 } // namespace anvil
 
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -8,6 +8,9 @@
 /// report uses at a period of a few hundred milliseconds at most.
 static constexpr Duration UseTime = std::chrono::milliseconds(700);
 
+/// By how much an expected end that proved too early is put off.
+static constexpr Duration LateLoadStep = std::chrono::milliseconds(60);
+
 /// What a model's load takes at the most before its state is read again.
 static constexpr Duration ModelLoadCheck = std::chrono::milliseconds(400);
 
@@ -36,7 +39,10 @@
       Warm_, {}, [](const auto &Entry) { return Entry.second; }));
 }
 
-void EngineKeeper::adopt(const EngineReport &Report, TimePoint Now) {
+bool EngineKeeper::adopt(const EngineReport &Report, TimePoint Now) {
+  if (HasAdopted_ && Report.OrdersAccepted_ < OrdersAccepted_)
+    return false;
+  HasAdopted_ = true;
   auto Before = std::move(Places_);
   Places_.clear();
   auto Model = Report.Models_.find(Model_);
@@ -52,12 +58,18 @@
     }
   auto Loading = Report.Loading_.find(Model_);
   if (Loading != Report.Loading_.end())
-    for (const auto &[Adapter, Version] : Loading->second)
-      Places_[Adapter] = {Version, Now + Options_.AdapterLoad_, Now};
+    for (const auto &[Adapter, Version] : Loading->second) {
+      auto Known = Before.find(Adapter);
+      // An expected end that has passed was too early.
+      TimePoint ReadyAt = Known == Before.end() ? Now + Options_.AdapterLoad_
+                                                : Known->second.ReadyAt_;
+      Places_[Adapter] = {Version, std::max(ReadyAt, Now + LateLoadStep), Now};
+    }
   OrdersAccepted_ = Report.OrdersAccepted_;
   // A model is on its way while the engine is busy without one.
   ModelReadyAt_ = HasModel_ ? Now : Now + ModelLoadCheck;
   NeedsReport_ = !HasModel_ && Report.Busy_;
+  return true;
 }
 
 std::optional<TimePoint> EngineKeeper::want(const std::string &Adapter,
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -99,7 +99,9 @@
       : Model_(std::move(Model)), Options_(Options) {}
 
   /// Takes over what the engine says it holds, and forgets what was believed.
-  void adopt(const EngineReport &Report, TimePoint Now);
+  /// False when the report is older than the last accepted order; then it must
+  /// be read again.
+  bool adopt(const EngineReport &Report, TimePoint Now);
 
   /// Whether the engine's state must be read before the next order.
   bool needsReport() const { return NeedsReport_; }
@@ -164,6 +166,7 @@
   Duration PendingLoad_{};
   std::uint64_t OrdersAccepted_ = 0;
   bool NeedsReport_ = true;
+  bool HasAdopted_ = false;
   bool HasModel_ = false;
   TimePoint ModelReadyAt_{};
 };
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -4,6 +4,12 @@
 
 namespace anvil {
 
+/// For how long after its expected end a load may still be under way.
+static constexpr Duration YoungTime = std::chrono::milliseconds(1500);
+
+/// By how much the expected end is put off then.
+static constexpr Duration LateStep = std::chrono::milliseconds(60);
+
 bool FleetBook::apply(const VmNews &News, TimePoint Now) {
   auto Found = Vms_.find(News.Vm_);
   bool IsOld = Found != Vms_.end() &&
@@ -29,11 +35,16 @@
   Belief.Adapters_.clear();
   for (const auto &[Adapter, Item] : Told.Adapters_)
     Belief.Adapters_[Adapter] = {Item.Version_, Now + Item.ReadyIn_};
+  for (const auto &[Place, When] : NotBefore_) {
+    auto Held = Belief.Adapters_.find(Place.second);
+    if (Place.first == Engine && Held != Belief.Adapters_.end())
+      Held->second.ReadyAt_ = std::max(Held->second.ReadyAt_, When);
+  }
   Belief.ToldAt_ = Now;
 }
 
-void FleetBook::applyEntry(const TargetEntry &Entry, const std::string &Model,
-                           TimePoint Now) {
+void FleetBook::applyEntry(const RegisteredTarget &Entry,
+                           const std::string &Model, TimePoint Now) {
   EngineBelief &Belief = Engines_[Entry.Id_];
   bool IsSameLife = Belief.Incarnation_ == Entry.Incarnation_;
   if (IsSameLife && Belief.ToldAt_ + OwnerWordTime > Now)
@@ -80,15 +91,27 @@
   return Found == Engines_.end() ? nullptr : &Found->second;
 }
 
-void FleetBook::noteMissing(const std::string &Engine,
-                            const std::string &Adapter) {
+bool FleetBook::noteMissing(const std::string &Engine,
+                            const std::string &Adapter, TimePoint Now) {
   auto Found = Engines_.find(Engine);
   if (Found == Engines_.end())
-    return;
-  if (Adapter.empty())
+    return true;
+  if (Adapter.empty()) {
     Found->second.HasModel_ = false;
-  else
+    return true;
+  }
+  std::erase_if(NotBefore_,
+                [&](const auto &Entry) { return Entry.second <= Now; });
+  auto Held = Found->second.Adapters_.find(Adapter);
+  bool IsYoung = Held != Found->second.Adapters_.end() &&
+                 Held->second.ReadyAt_ + YoungTime > Now;
+  if (!IsYoung) {
     Found->second.Adapters_.erase(Adapter);
+    return true;
+  }
+  Held->second.ReadyAt_ = Now + LateStep;
+  NotBefore_[{Engine, Adapter}] = Now + LateStep;
+  return false;
 }
 
 int FleetBook::inTransit(TimePoint Now) const {
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -87,7 +87,7 @@
                      TimePoint Now);
 
   /// Takes in an engine's own entry.
-  void applyEntry(const TargetEntry &Entry, const std::string &Model,
+  void applyEntry(const RegisteredTarget &Entry, const std::string &Model,
                   TimePoint Now);
 
   /// Drops what is known of an engine, which has another incarnation now.
@@ -104,7 +104,10 @@
   const EngineBelief *engine(const std::string &Engine) const;
 
   /// An engine refused a request for an adapter that it was believed to hold.
-  void noteMissing(const std::string &Engine, const std::string &Adapter);
+  /// One that should have been ready just before is expected a little later.
+  /// True when the belief was wrong otherwise.
+  bool noteMissing(const std::string &Engine, const std::string &Adapter,
+                   TimePoint Now);
 
   /// Adapters in transit to all engines.
   int inTransit(TimePoint Now) const;
@@ -123,6 +126,8 @@
 
   std::map<std::string, HeardVm> Vms_;
   std::map<std::string, EngineBelief> Engines_;
+  /// Adapters that were not ready when expected, by engine and name.
+  std::map<std::pair<std::string, std::string>, TimePoint> NotBefore_;
 };
 
 } // namespace anvil
--- a/Source/Serving/ServingPlan.cpp
+++ b/Source/Serving/ServingPlan.cpp
@@ -4,8 +4,8 @@
 
 namespace anvil {
 
-std::string_view routeKindName(RouteKind Kind) {
-  for (const auto &[Known, Name] : RouteKindNames)
+std::string_view requestKindName(RequestKind Kind) {
+  for (const auto &[Known, Name] : RequestKindNames)
     if (Known == Kind)
       return Name;
   return "unknown";
@@ -25,7 +25,7 @@
   return Key;
 }
 
-ServingPlan::ServingPlan(std::uint64_t Revision, std::vector<Route> Routes,
+ServingPlan::ServingPlan(std::uint64_t Revision, std::vector<RoutePlan> Routes,
                          std::vector<ServicePlan> Services,
                          std::vector<CustomerPlan> Customers,
                          CallerLimits Limits)
@@ -46,8 +46,8 @@
       ByKey_.emplace(Key, Index);
 }
 
-const Route *ServingPlan::findRoute(std::string_view Host,
-                                    std::string_view Path) const {
+const RoutePlan *ServingPlan::findRoute(std::string_view Host,
+                                        std::string_view Path) const {
   auto Found = ByHost_.find(hostKey(Host));
   if (Found == ByHost_.end())
     return nullptr;
@@ -68,7 +68,7 @@
   return Found == Services_.end() ? nullptr : &Found->second;
 }
 
-const std::string &chooseSplit(const Route &Given, double Point) {
+const std::string &chooseSplit(const RoutePlan &Given, double Point) {
   static const std::string None;
   double Total = 0;
   for (const RouteSplit &Split : Given.Splits_)
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -16,16 +16,16 @@
 namespace anvil {
 
 /// What may be done again with a route's requests.
-enum class RouteKind { Repeatable, AtMostOnce, Stream };
+enum class RequestKind { Repeatable, AtMostOnce, Stream };
 
-inline constexpr std::pair<RouteKind, std::string_view> RouteKindNames[] = {
-    {RouteKind::Repeatable, "repeatable"},
-    {RouteKind::AtMostOnce, "at_most_once"},
-    {RouteKind::Stream, "stream"},
+inline constexpr std::pair<RequestKind, std::string_view> RequestKindNames[] = {
+    {RequestKind::Repeatable, "repeatable"},
+    {RequestKind::AtMostOnce, "at_most_once"},
+    {RequestKind::Stream, "stream"},
 };
 
 /// The stable name of a route's kind, as logs show it.
-std::string_view routeKindName(RouteKind Kind);
+std::string_view requestKindName(RequestKind Kind);
 
 /// A service that takes a share of a route's requests.
 struct RouteSplit {
@@ -34,12 +34,12 @@
 };
 
 /// Requests to a host and a path prefix, and how they are served.
-struct Route {
+struct RoutePlan {
   std::string Name_;
   std::string Host_;
   /// Begins and ends with a slash.
   std::string PathPrefix_;
-  RouteKind Kind_ = RouteKind::AtMostOnce;
+  RequestKind Kind_ = RequestKind::AtMostOnce;
   /// The longest time that a request may stay without its final answer.
   Duration Timeout_{};
   /// The time within which an answer, or a stream's first event, is on time.
@@ -117,17 +117,18 @@
 /// built; a request keeps the plan it was admitted with.
 class ServingPlan {
 public:
-  ServingPlan(std::uint64_t Revision, std::vector<Route> Routes,
+  ServingPlan(std::uint64_t Revision, std::vector<RoutePlan> Routes,
               std::vector<ServicePlan> Services,
               std::vector<CustomerPlan> Customers, CallerLimits Limits);
 
   std::uint64_t revision() const { return Revision_; }
   const CallerLimits &limits() const { return Limits_; }
-  const std::vector<Route> &routes() const { return Routes_; }
+  const std::vector<RoutePlan> &routes() const { return Routes_; }
   const std::vector<CustomerPlan> &customers() const { return Customers_; }
 
   /// The route of the host with the longest prefix of the path, or null.
-  const Route *findRoute(std::string_view Host, std::string_view Path) const;
+  const RoutePlan *findRoute(std::string_view Host,
+                             std::string_view Path) const;
 
   /// The customer that holds a key, or null.
   const CustomerPlan *findCustomerOfKey(const std::string &Key) const;
@@ -144,7 +145,7 @@
 
 private:
   std::uint64_t Revision_;
-  std::vector<Route> Routes_;
+  std::vector<RoutePlan> Routes_;
   std::map<std::string, ServicePlan> Services_;
   std::vector<CustomerPlan> Customers_;
   CallerLimits Limits_;
@@ -156,7 +157,7 @@
 using ServingPlanPtr = std::shared_ptr<const ServingPlan>;
 
 /// The service that takes a request of the route. `Point` is in [0, 1).
-const std::string &chooseSplit(const Route &Given, double Point);
+const std::string &chooseSplit(const RoutePlan &Given, double Point);
 
 } // namespace anvil
 
--- a/Source/Serving/Target.h
+++ b/Source/Serving/Target.h
@@ -29,7 +29,7 @@
 };
 
 /// A target's own entry in the platform's list.
-struct TargetEntry {
+struct RegisteredTarget {
   std::string Id_;
   /// When the process started; a new value is a new incarnation.
   std::int64_t Incarnation_ = 0;
--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -16,13 +16,13 @@
 }
 
 std::vector<RosterChange>
-TargetRoster::applyList(std::vector<TargetEntry> Listed, TimePoint Now) {
+TargetRoster::applyList(std::vector<RegisteredTarget> Listed, TimePoint Now) {
   if (std::exchange(Away_, false))
     LapseUntil_ = Now + Options_.LapseGrace_;
   ReadAt_ = Now;
   std::vector<RosterChange> Changes;
   std::set<std::string> Present;
-  for (TargetEntry &Entry : Listed) {
+  for (RegisteredTarget &Entry : Listed) {
     Present.insert(Entry.Id_);
     auto [Place, IsNew] = Targets_.try_emplace(Entry.Id_);
     ListedTarget &Known = Place->second;
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -34,7 +34,7 @@
 
 /// A target as the platform's list shows it.
 struct ListedTarget {
-  TargetEntry Entry_;
+  RegisteredTarget Entry_;
   TargetStanding Standing_ = TargetStanding::Usable;
   /// When the target was last seen in the list.
   TimePoint SeenAt_{};
@@ -56,7 +56,7 @@
   explicit TargetRoster(TargetRosterOptions Options = {}) : Options_(Options) {}
 
   /// Takes over the whole list as read at `Now`. Returns what changed.
-  std::vector<RosterChange> applyList(std::vector<TargetEntry> Listed,
+  std::vector<RosterChange> applyList(std::vector<RegisteredTarget> Listed,
                                       TimePoint Now);
 
   /// Notes that the list could not be read.
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -27,11 +27,11 @@
   std::string Address_;
   std::int64_t TimeoutMs_ = 1000;
   /// How long one wait for changes of the configuration lasts.
-  std::int64_t WatchMs_ = 1500;
+  std::int64_t WatchMs_ = 2000;
   /// How often the list of targets is read.
-  std::int64_t TargetListMs_ = 800;
+  std::int64_t TargetListMs_ = 1300;
   /// How often a VM renews its row and reads those of the others.
-  std::int64_t RenewMs_ = 2000;
+  std::int64_t RenewMs_ = 2200;
 };
 
 /// The platform's promises and demands that the entry VM keeps to.
