--- /dev/null
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -0,0 +1,91 @@
+#include "Serving/DispatchCost.h"
+#include "Serving/TargetHealth.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvil;
+using namespace std::chrono_literals;
+
+static const TimePoint Start{1000s};
+static constexpr RequestShape Usual{800, 200};
+
+static DispatchCandidate engine(std::string Id, AdapterReadiness Readiness,
+                                int Running) {
+  DispatchCandidate Given;
+  Given.Id_ = std::move(Id);
+  Given.SameDataCentre_ = true;
+  Given.Readiness_ = Readiness;
+  Given.Running_ = Running;
+  Given.Slots_ = 32;
+  Given.KvTokens_ = 100000;
+  Given.Places_ = 20;
+  Given.HasOwner_ = true;
+  return Given;
+}
+
+TEST_CASE("the choice of an engine", "[dispatch][load]") {
+  auto Resident = engine("resident", AdapterReadiness::Resident, 10);
+  auto Absent = engine("absent", AdapterReadiness::Absent, 0);
+  SECTION("falls on one that holds the adapter, though others are idle") {
+    CHECK(cheapest({Absent, Resident}, Usual) == 1);
+  }
+  SECTION("falls on another once those that hold it are full") {
+    Resident.Running_ = 36;
+    CHECK(cheapest({Absent, Resident}, Usual) == 0);
+    SECTION("but not where nobody can order the load") {
+      Absent.HasOwner_ = false;
+      CHECK(cheapest({Absent, Resident}, Usual) == 1);
+    }
+  }
+  SECTION("counts the memory that the request takes") {
+    Resident.Tokens_ = 99500;
+    CHECK(isFull(Resident, Usual));
+    CHECK(cheapest({Absent, Resident}, Usual) == 0);
+  }
+  SECTION("falls on the adapter's home for a load") {
+    auto Home = engine("home", AdapterReadiness::Absent, 2);
+    auto Second = engine("second", AdapterReadiness::Absent, 2);
+    Second.HomeRank_ = 1;
+    CHECK(cheapest({Second, Home}, Usual) == 1);
+  }
+  SECTION("waits for a load that ends soon rather than loading elsewhere") {
+    auto Loading = engine("loading", AdapterReadiness::Loading, 5);
+    Loading.ReadyIn_ = 200ms;
+    CHECK(cheapest({Absent, Loading}, Usual) == 1);
+  }
+  SECTION("avoids targets that fail, as long as there are others") {
+    auto Failing = engine("failing", AdapterReadiness::NotNeeded, 0);
+    Failing.FailureShare_ = 0.4;
+    auto Good = engine("good", AdapterReadiness::NotNeeded, 10);
+    CHECK(cheapest({Failing, Good}, Usual) == 1);
+    CHECK(cheapest({Failing}, Usual) == 0);
+  }
+  SECTION("is none where no candidate can run the request") {
+    auto Empty = engine("empty", AdapterReadiness::Impossible, 0);
+    CHECK(cheapest({Empty}, Usual) == 1);
+    CHECK(cheapest({}, Usual) == 0);
+  }
+}
+
+TEST_CASE("how requests to a target go", "[dispatch]") {
+  TargetHealth Health;
+  SECTION("one failure doesn't condemn a target") {
+    Health.note("t", true, 10ms, Start);
+    CHECK(Health.failureShare("t", Start) < 0.5);
+  }
+  for (int Index = 0; Index < 20; ++Index) {
+    Health.note("bad", Index % 2 == 0, 10ms, Start);
+    Health.note("good", false, 10ms, Start);
+    Health.note("slow", false, 400ms, Start);
+  }
+  SECTION("tells failing and slow ones from good ones") {
+    CHECK(Health.failureShare("bad", Start) > 0.3);
+    CHECK(Health.failureShare("good", Start) == 0);
+    CHECK(Health.lateness("slow", Start) > 100ms);
+    CHECK(Health.lateness("good", Start) == 0ms);
+  }
+  SECTION("is forgotten while the target isn't tried") {
+    CHECK(Health.failureShare("bad", Start + 20s) < 0.05);
+    CHECK(Health.lateness("slow", Start + 20s) < 20ms);
+  }
+}
--- /dev/null
+++ b/Tests/Serving/FleetBookTest.cpp
@@ -0,0 +1,105 @@
+#include "Serving/FleetBook.h"
+#include "Entry/FleetCodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace anvil;
+using namespace std::chrono_literals;
+
+static const TimePoint Start{1000s};
+
+static VmNews newsOf(std::string Vm, std::uint64_t Sequence, int Requests) {
+  VmNews News;
+  News.Vm_ = std::move(Vm);
+  News.Incarnation_ = "life";
+  News.Sequence_ = Sequence;
+  News.Running_["e1"] = {Requests, Requests * 100, {{"a1", Requests}}};
+  return News;
+}
+
+TEST_CASE("what the other VMs tell", "[fleet]") {
+  FleetBook Book;
+  REQUIRE(Book.apply(newsOf("b", 1, 2), Start));
+  REQUIRE(Book.apply(newsOf("c", 1, 3), Start));
+  SECTION("is added up by target") {
+    CHECK(Book.othersOn("e1", Start).Requests_ == 5);
+    CHECK(Book.othersOn("e1", Start).Tokens_ == 500);
+    CHECK(Book.othersUsing("e1", "a1", Start) == 5);
+    CHECK(Book.heardVms(Start) == 2);
+  }
+  SECTION("is not taken back by a datagram that was overtaken") {
+    REQUIRE(Book.apply(newsOf("b", 3, 7), Start));
+    CHECK_FALSE(Book.apply(newsOf("b", 2, 1), Start));
+    CHECK(Book.othersOn("e1", Start).Requests_ == 10);
+  }
+  SECTION("no longer counts once a VM is silent") {
+    CHECK(Book.othersOn("e1", Start + 2s).Requests_ == 0);
+    CHECK(Book.heardVms(Start + 2s) == 0);
+  }
+}
+
+TEST_CASE("what an engine holds", "[fleet]") {
+  FleetBook Book;
+  EngineHoldings Told{1, true, {{"a1", {1, 0ms}}, {"a2", {1, 250ms}}}};
+  Book.applyHoldings("e1", Told, Start);
+  REQUIRE(Book.engine("e1"));
+  CHECK(Book.inTransit(Start) == 1);
+  SECTION("is the owner's word rather than the engine's older entry") {
+    RegisteredTarget Entry;
+    Entry.Id_ = "e1";
+    Entry.Incarnation_ = 1;
+    Entry.Models_["base"] = {1, {{"a9", 1}}};
+    Book.applyEntry(Entry, "base", Start + 1s);
+    CHECK(Book.engine("e1")->Adapters_.contains("a1"));
+    SECTION("unless the engine started anew") {
+      Entry.Incarnation_ = 2;
+      Book.applyEntry(Entry, "base", Start + 1s);
+      CHECK(Book.engine("e1")->Adapters_.contains("a9"));
+      Book.applyHoldings("e1", Told, Start + 2s);
+      CHECK_FALSE(Book.engine("e1")->Adapters_.contains("a1"));
+    }
+    SECTION("or the owner has been silent") {
+      Book.applyEntry(Entry, "base", Start + 4s);
+      CHECK(Book.engine("e1")->Adapters_.contains("a9"));
+    }
+  }
+  SECTION("expects a load that is late a little later") {
+    CHECK_FALSE(Book.noteMissing("e1", "a2", Start + 300ms));
+    CHECK(Book.engine("e1")->Adapters_.at("a2").ReadyAt_ > Start + 300ms);
+    SECTION("also after the owner repeats its word") {
+      Book.applyHoldings("e1", {1, true, {{"a2", {1, 0ms}}}}, Start + 310ms);
+      CHECK(Book.engine("e1")->Adapters_.at("a2").ReadyAt_ > Start + 310ms);
+    }
+  }
+  SECTION("is doubted when an adapter held for long is missing") {
+    CHECK(Book.noteMissing("e1", "a1", Start + 10s));
+    CHECK_FALSE(Book.engine("e1")->Adapters_.contains("a1"));
+  }
+}
+
+TEST_CASE("datagrams between VMs", "[fleet][codec]") {
+  SECTION("say the same after a round trip") {
+    VmNews News = newsOf("b", 9, 4);
+    News.Spent_ = {{"serenas", 123456789}};
+    News.Crashes_ = {{"digest", "e1", 77}};
+    News.Leavers_ = {{"e2", 5}};
+    News.Holdings_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
+    auto Read = decodeFleetMessage(encodeFleetMessage(News));
+    REQUIRE(isOk(Read));
+    const auto &Same = std::get<VmNews>(valueOf(Read));
+    CHECK(Same.Spent_ == News.Spent_);
+    CHECK(Same.Crashes_.front().Incarnation_ == 77);
+    CHECK(Same.Leavers_ == News.Leavers_);
+    CHECK(Same.Running_.at("e1").Adapters_.at("a1") == 4);
+    CHECK(Same.Holdings_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
+  }
+  SECTION("of any other bytes are refused") {
+    rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
+      decodeFleetMessage(Bytes);
+      decodeFleetMessage("\x01\x01" + Bytes);
+      decodeFleetMessage("\x01\x02" + Bytes);
+      decodeFleetMessage("\x01\x03" + Bytes);
+    });
+  }
+}
--- /dev/null
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -0,0 +1,150 @@
+#include "platform/PlanCodec.h"
+#include "platform/RowCodec.h"
+#include "platform/TargetCodec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace anvil;
+using namespace anvil::platform;
+using namespace std::chrono_literals;
+
+TEST_CASE("the operator's configuration", "[platform]") {
+  auto Decoded = decodePlan(R"({"Version":7,
+    "Routes":[
+      {"Name":"r","Host":"f.example","PathPrefix":"/p/","RouteType":"streaming",
+       "TimeoutMs":20000,"TargetLatencyMs":1000,"Priority":1,"Service":"s",
+       "MaxAttempts":2,"Public":false,"Resumable":true},
+      {"Name":"w","Host":"f.example","PathPrefix":"/q/","RouteType":"unsafe",
+       "TrafficSplit":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}]},
+      {"Name":"broken","Host":"f.example"}],
+    "Services":[{"Name":"s","HealthPath":"/health","MaxConnections":240,
+      "Engine":{"Slots":32,"KvTokens":117260,"MaxAdapters":21,"LoadsPerS":5.5,
+        "Models":[{"Name":"m","LoadTimeS":2.5,"WarmS":0.38,"DiskLoadS":1.0}]}}],
+    "Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000},
+    "Tenants":[{"Name":"c","ApiKeys":["k1"],"Priority":1,"Unit":"tokens",
+      "PlainTokens":200,"RatePerS":1000,"Burst":2000}]})");
+  REQUIRE(isOk(Decoded));
+  const ServingPlan &Plan = *valueOf(Decoded);
+  CHECK(Plan.revision() == 7);
+  CHECK(Plan.routes().size() == 2);
+  const RoutePlan *Stream = Plan.findRoute("f.example", "/p/1");
+  REQUIRE(Stream);
+  CHECK(Stream->Kind_ == RequestKind::Stream);
+  CHECK(Stream->Timeout_ == Duration(20s));
+  CHECK(Stream->MaxTargets_ == 2);
+  CHECK(Stream->Resumable_);
+  CHECK(Plan.findRoute("f.example", "/q/1")->Splits_.size() == 2);
+  const ServicePlan *Service = Plan.findService("s");
+  REQUIRE(Service);
+  REQUIRE(Service->Engine_);
+  CHECK(Service->Engine_->MaxAdapters_ == 21);
+  CHECK(Service->Engine_->findModel("m")->DiskLoad_ == Duration(1s));
+  CHECK(Plan.findCustomerOfKey("k1")->BurstTokens_ == 2000);
+  CHECK(Plan.limits().IdleTime_ == Duration(15s));
+  SECTION("is refused without a revision") {
+    CHECK_FALSE(isOk(decodePlan("{}")));
+    CHECK_FALSE(isOk(decodePlan("nonsense")));
+  }
+}
+
+TEST_CASE("a target's entry", "[platform]") {
+  std::string Bytes = R"({"Service":"s","Address":"10.128.0.9:8080",
+    "Zone":"z","Version":"v1","Slots":32,"State":"ready","born":1700000000123,
+    "Models":[{"Name":"m","Version":1,"Adapters":["a3@2","a4"]}],"Seq":4})";
+  auto Entry = decodeRegisteredTarget("i-1", Bytes);
+  REQUIRE(Entry);
+  CHECK(Entry->Incarnation_ == 1700000000123);
+  CHECK(Entry->OrdersAccepted_ == 4);
+  CHECK(Entry->Models_.at("m").Adapters_.at("a3") == 2);
+  SECTION("from another writer names no target") {
+    CHECK_FALSE(decodeRegisteredTarget("i", "\xff\x00"));
+    CHECK_FALSE(decodeRegisteredTarget("i", "[]"));
+    CHECK_FALSE(decodeRegisteredTarget(
+        "i", R"({"Service":"s","Address":"a","Slots":1,"State":"odd"})"));
+    CHECK_FALSE(decodeRegisteredTarget(
+        "i", R"({"Service":7,"Address":"a","Slots":1,"State":"ready"})"));
+  }
+}
+
+TEST_CASE("an engine's report", "[platform]") {
+  auto Report = decodeEngineReport(R"({"Busy":true,"Seq":5,"Active":12,
+    "Models":[{"Name":"m","Version":1,"Adapters":["a1@1"]}],
+    "Pending":["m/a9@3"]})");
+  REQUIRE(isOk(Report));
+  CHECK(valueOf(Report).OrdersAccepted_ == 5);
+  CHECK(valueOf(Report).Running_ == 12);
+  CHECK(valueOf(Report).Loading_.at("m").at("a9") == 3);
+}
+
+TEST_CASE("an order", "[platform]") {
+  EngineOrder Order{OrderKind::LoadAdapter, "m", "a3", 2, 7};
+  std::string Body = encodeOrder(Order, "vm-1", 41);
+  CHECK(Body.find(R"("Operation":"load")") != std::string::npos);
+  CHECK(Body.find(R"("Precondition":7)") != std::string::npos);
+  CHECK(Body.find(R"("Fence":41)") != std::string::npos);
+  CHECK(decodeOrderAnswer(202) == OrderAnswer::Accepted);
+  CHECK(decodeOrderAnswer(409) == OrderAnswer::Conflict);
+  // No promise: it may be carried out yet.
+  CHECK(decodeOrderAnswer(503) == OrderAnswer::Unknown);
+}
+
+TEST_CASE("rows of the store", "[platform]") {
+  auto Answer = decodeRows(R"({"Rows":[
+    {"Table":"t","part":"","Key":"k","Value":"bm9kZS0x","RowVersion":412},
+    {"Table":"t","part":"","Key":"gone","Deleted":true,"RowVersion":413},
+    {"Key":"odd","Value":"!","RowVersion":1}],
+    "HasMore":false,"RowVersion":530,"NowMs":51230})");
+  REQUIRE(isOk(Answer));
+  REQUIRE(valueOf(Answer).Rows_.size() == 2);
+  CHECK(valueOf(Answer).Rows_[0].Value_ == "node-1");
+  CHECK(valueOf(Answer).Rows_[1].Version_ == 0);
+  CHECK(valueOf(Answer).Version_ == 530);
+  CHECK(valueOf(Answer).StoreTime_ == Duration(51230ms));
+  SECTION("are written and read back the same, whatever their bytes") {
+    rc::prop("a value survives", [](const std::string &Value) {
+      std::string Body = encodeTransaction("t", {{}, {{"k", Value}}});
+      auto Mark = Body.find(R"("Value":")") + 9;
+      std::string Text = Body.substr(Mark, Body.find('"', Mark) - Mark);
+      auto Read = decodeRows(R"({"RowVersion":1,"Rows":[{"Key":"k","Value":")" +
+                             Text + R"(","RowVersion":1}]})");
+      RC_ASSERT(isOk(Read));
+      RC_ASSERT(valueOf(Read).Rows_.at(0).Value_ == Value);
+    });
+  }
+  SECTION("a transaction without a promise is ambiguous") {
+    CHECK(decodeCommit(200, R"({"RowVersion":3})").Version_ == 3);
+    CHECK(decodeCommit(412, "{}").Result_ == CommitResult::Conflict);
+    CHECK(decodeCommit(503, "").Result_ == CommitResult::Unavailable);
+    CHECK(decodeCommit(500, "").Result_ == CommitResult::Ambiguous);
+  }
+}
+
+TEST_CASE("no bytes crash the platform's decoders", "[platform][fuzz]") {
+  rc::prop("any bytes", [](const std::string &Bytes) {
+    decodePlan(Bytes);
+    decodeNamedVersion(Bytes);
+    decodeRegisteredTarget("i", Bytes);
+    decodeEngineReport(Bytes);
+    decodeRows(Bytes);
+    decodeCommit(412, Bytes);
+  });
+  rc::prop("fields of any type", [](const std::string &Text, int Number) {
+    nlohmann::json Values[] = {Text, Number,   nullptr,
+                               true, {1, "x"}, {{"a", 1}}};
+    const char *Names[] = {"Version", "Routes",  "Services",   "Tenants",
+                           "Limits",  "Service", "Address",    "State",
+                           "Slots",   "Models",  "Adapters",   "Rows",
+                           "Seq",     "born",    "RowVersion", "Pending"};
+    nlohmann::json Object;
+    for (const char *Name : Names)
+      Object[Name] = Values[*rc::gen::inRange(0, 6)];
+    std::string Bytes =
+        Object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    decodePlan(Bytes);
+    decodeRegisteredTarget("i", Bytes);
+    decodeEngineReport(Bytes);
+    decodeRows(Bytes);
+  });
+}
--- /dev/null
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -0,0 +1,95 @@
+#include "Serving/TargetOwnership.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvil;
+using namespace std::chrono_literals;
+
+static const TimePoint Start{1000s};
+
+static VmRow vmRow(std::string Vm, std::uint64_t Version) {
+  VmRow Row;
+  Row.Vm_ = std::move(Vm);
+  Row.RowVersion_ = Version;
+  return Row;
+}
+
+static OwnerRow ownerRow(std::string Target, std::string Vm,
+                         std::uint64_t Fence, std::uint64_t Version) {
+  return {std::move(Target), std::move(Vm), Fence, Version};
+}
+
+TEST_CASE("the ownership of targets", "[ownership]") {
+  TargetOwnershipOptions Options;
+  TargetOwnership Own("a", Options, Start);
+  Own.applyVms({vmRow("a", 1), vmRow("b", 2)}, Start);
+  Own.applyOwners({}, Start);
+  Own.noteRenewed(Start + 2s);
+  SECTION("is claimed for free targets once the VMs know each other") {
+    CHECK(Own.claims({"e1", "e2"}, Start + 1s).empty());
+    auto Claims = Own.claims({"e1", "e2", "e3", "e4"}, Start + 2s);
+    // Two VMs share four targets.
+    REQUIRE(Claims.size() == 2);
+    CHECK(Claims[0].ExpectedRow_ == 0);
+    SECTION("and orders may be given at once, since nobody did before") {
+      OwnerRow Row = Claims[0].Row_;
+      Own.noteClaimed(Row, Start + 2s);
+      CHECK(Own.mayOrder(Row.Target_, Start + 2s) == 1);
+      SECTION("but not after the lease ended") {
+        CHECK_FALSE(Own.mayOrder(Row.Target_, Start + 2s + Options.LeaseTerm_));
+      }
+    }
+  }
+  SECTION("stays with a VM that renews") {
+    Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
+    Own.applyVms({vmRow("a", 1), vmRow("b", 3)}, Start + 5s);
+    Own.noteRenewed(Start + 9s);
+    CHECK(Own.claims({"e1"}, Start + 9s).empty());
+    CHECK_FALSE(Own.mayOrder("e1", Start + 9s));
+  }
+  SECTION("is taken from a VM that doesn't") {
+    Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
+    TimePoint Later = Start + Options.LeaseTerm_ + Options.Margin_;
+    Own.noteRenewed(Later);
+    auto Claims = Own.claims({"e1"}, Later);
+    REQUIRE(Claims.size() == 1);
+    CHECK(Claims[0].SilentVm_ == "b");
+    CHECK(Claims[0].SilentVmRow_ == 2);
+    CHECK(Claims[0].Row_.Fence_ == 2);
+    SECTION("and nobody gives orders for the handover's pause") {
+      Own.noteClaimed(Claims[0].Row_, Later);
+      CHECK_FALSE(Own.mayOrder("e1", Later + Options.HandoverPause_ - 1ms));
+      Own.noteRenewed(Later + Options.HandoverPause_);
+      CHECK(Own.mayOrder("e1", Later + Options.HandoverPause_) == 2);
+    }
+    SECTION("also when the claim's answer is lost") {
+      Own.noteClaimSent("e1", Later);
+      Own.applyOwners({ownerRow("e1", "a", 2, 9)}, Later + 1s);
+      Own.noteRenewed(Later + 1s);
+      CHECK_FALSE(Own.mayOrder("e1", Later + 1s));
+      CHECK(Own.mayOrder("e1", Later + Options.HandoverPause_));
+    }
+  }
+  SECTION("goes on at once in a new process of the same VM") {
+    TargetOwnership Again("a", Options, Start + 20s);
+    Again.applyVms({vmRow("a", 1)}, Start + 20s);
+    Again.applyOwners({ownerRow("e1", "a", 4, 5)}, Start + 20s);
+    CHECK_FALSE(Again.mayOrder("e1", Start + 20s));
+    Again.noteRenewed(Start + 20s);
+    CHECK(Again.mayOrder("e1", Start + 20s) == 4);
+  }
+  SECTION("ends when the VM's own row was taken away") {
+    Own.applyOwners({ownerRow("e1", "a", 1, 5)}, Start + 2s);
+    REQUIRE(Own.mayOrder("e1", Start + 3s));
+    Own.noteRenewalRefused();
+    CHECK_FALSE(Own.mayOrder("e1", Start + 3s));
+    CHECK(Own.owned().empty());
+  }
+  SECTION("leaves the row of a silent VM for a while, then removes it") {
+    Own.applyVms({vmRow("a", 9), vmRow("b", 2)}, Start + 11s);
+    CHECK(Own.rowsToPurge(Start + 11s).empty());
+    auto Rows = Own.rowsToPurge(Start + Options.RowMemory_);
+    REQUIRE(Rows.size() == 1);
+    CHECK(Rows[0].Vm_ == "b");
+  }
+}
