Give engines owners of their own data centre and keep off targets that can't be reached

Owners now come from the engine's data centre, and an engine counts for loads only while its owner speaks. A target that refuses connections is tried beside the callers instead of by one of them every 0.8 s. Not measured after yet.

--- a/Source/Entry/CrashProbe.h
+++ b/Source/Entry/CrashProbe.h
@@ -14,6 +14,10 @@
 void probeAfterLoss(RequestServices &Shared, const Pick &Lost,
                     const std::string &Digest);
 
+/// Keeps requests off a target that can't be reached, and tries it from time
+/// to time until it can be, or is no longer listed.
+void keepOff(RequestServices &Shared, const Pick &Unreachable);
+
 } // namespace anvil
 
 #endif // ANVIL_ENTRY_CRASHPROBE_H
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -217,11 +217,11 @@
   }
 }
 
-std::set<std::string> OwnerService::engines() const {
-  std::set<std::string> Found;
+std::map<std::string, std::string> OwnerService::engines() const {
+  std::map<std::string, std::string> Found;
   for (const auto &[Id, Listed] : Targets_->roster().all())
     if (Listed.Standing_ != TargetStanding::Gone && enginePlanOf(Id))
-      Found.insert(Id);
+      Found[Id] = Listed.Entry_.DataCentre_;
   return Found;
 }
 
--- a/Source/Entry/OwnerService.h
+++ b/Source/Entry/OwnerService.h
@@ -85,7 +85,8 @@
   void checkEntries();
   void announce(const std::string &Engine);
   void receive(const FleetMessage &Message);
-  std::set<std::string> engines() const;
+  /// The engines and their data centres.
+  std::map<std::string, std::string> engines() const;
   const EnginePlan *enginePlanOf(const std::string &Engine) const;
   double transitFactor() const;
   VmRow ownRow() const;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -210,7 +210,7 @@
     if (Exchange_.callerGone())
       co_return TryEnd::NotRun;
     LastReason_ = "no_connection";
-    Shared_.Picker_->noteDown(Chosen.Target_, BootClock::now());
+    keepOff(Shared_, Chosen);
     co_return TryEnd::NotRun;
   }
   if (Exchange_.callerGone())
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -6,13 +6,14 @@
 
 namespace anvil {
 
-/// How long a target that refused a connection is left alone.
-static constexpr Duration DownTime = std::chrono::milliseconds(800);
-
 /// How long after a want the engine counts as loading the adapter; an answer
 /// of the owner replaces this guess.
 static constexpr Duration WantGuess = std::chrono::milliseconds(320);
 
+/// For how long after its last word an owner is believed to be there; it
+/// repeats itself every half second.
+static constexpr Duration OwnerWordTime = std::chrono::milliseconds(1300);
+
 /// How often a want is sent again.
 static constexpr Duration WantPeriod = std::chrono::milliseconds(120);
 
@@ -73,7 +74,8 @@
   Given.LoadFactor_ =
       std::max(1.0, static_cast<double>(Fleet_->book().inTransit(Now) + 1) /
                         static_cast<double>(Settings_.TransitLimit_));
-  Given.HasOwner_ = !Owners_->ownership().ownerOf(Given.Id_).empty();
+  // An owner that may not order, or isn't heard, leaves wants unanswered.
+  Given.HasOwner_ = Belief->ToldAt_ + OwnerWordTime > Now;
   const KnownVersion *Newest =
       Plans_->newestVersion(Question.Model_, Question.Adapter_);
   Duration Grace =
@@ -122,8 +124,9 @@
   std::vector<const ListedTarget *> Listed;
   std::vector<DispatchCandidate> Candidates;
   for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
-    auto Down = DownUntil_.find(Target->Entry_.Id_);
-    bool IsDown = Down != DownUntil_.end() && Down->second > Now;
+    auto Down = Down_.find(Target->Entry_.Id_);
+    bool IsDown =
+        Down != Down_.end() && Down->second == Target->Entry_.Incarnation_;
     if (IsDown || Question.Avoid_.contains(Target->Entry_.Id_))
       continue;
     Listed.push_back(Target);
@@ -167,8 +170,6 @@
     std::erase_if(Wants_, [&](const auto &Entry) {
       return Entry.second.At_ + WantGuess < Now;
     });
-    std::erase_if(DownUntil_,
-                  [&](const auto &Entry) { return Entry.second < Now; });
     NextPrune_ = Now + WantGuess;
   }
   SentWant &Sent = Wants_[{Chosen.Target_, Question.Adapter_}];
@@ -192,8 +193,24 @@
   Owners_->want(Target, Question.Adapter_, Newest ? Newest->Version_ : 1, true);
 }
 
-void TargetPicker::noteDown(const std::string &Target, TimePoint Now) {
-  DownUntil_[Target] = Now + DownTime;
+bool TargetPicker::noteDown(const Pick &Chosen) {
+  auto [Place, IsNew] = Down_.try_emplace(Chosen.Target_, Chosen.Incarnation_);
+  bool IsNews = IsNew || Place->second != Chosen.Incarnation_;
+  Place->second = Chosen.Incarnation_;
+  return IsNews;
+}
+
+bool TargetPicker::isDown(const Pick &Chosen) const {
+  auto Found = Down_.find(Chosen.Target_);
+  const ListedTarget *Listed = Targets_->roster().find(Chosen.Target_);
+  return Found != Down_.end() && Found->second == Chosen.Incarnation_ &&
+         Listed && Listed->Entry_.Incarnation_ == Chosen.Incarnation_;
+}
+
+void TargetPicker::noteUp(const Pick &Chosen) {
+  auto Found = Down_.find(Chosen.Target_);
+  if (Found != Down_.end() && Found->second == Chosen.Incarnation_)
+    Down_.erase(Found);
 }
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -62,8 +62,13 @@
   /// A target refused the request's adapter.
   void noteMissing(const PickQuestion &Question, const std::string &Target);
 
-  /// Keeps requests off a target that can't be reached.
-  void noteDown(const std::string &Target, TimePoint Now);
+  /// Keeps requests off a target that can't be reached, until `noteUp` or a
+  /// new incarnation. True when this is news.
+  bool noteDown(const Pick &Chosen);
+  void noteUp(const Pick &Chosen);
+
+  /// Whether requests are kept off a target that is still listed.
+  bool isDown(const Pick &Chosen) const;
 
   TargetHealth &health() { return Health_; }
 
@@ -84,7 +89,8 @@
   std::shared_ptr<FleetState> Fleet_;
   std::shared_ptr<OwnerService> Owners_;
   TargetHealth Health_;
-  std::map<std::string, TimePoint> DownUntil_;
+  /// The incarnations that can't be reached, by target.
+  std::map<std::string, std::int64_t> Down_;
   /// Wants sent lately, by engine and adapter.
   std::map<std::pair<std::string, std::string>, SentWant> Wants_;
   TimePoint NextPrune_{};
--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -55,52 +55,62 @@
   Owners_[Row.Target_] = {Row, Now + Pause};
 }
 
+std::optional<OwnerClaim> TargetOwnership::claimOf(const std::string &Target,
+                                                   TimePoint Now) const {
+  OwnerClaim Claim;
+  Claim.Row_ = {Target, Self_, 1, 0};
+  auto Found = Owners_.find(Target);
+  if (Found == Owners_.end())
+    return Claim;
+  const OwnerRow &Row = Found->second.Row_;
+  auto Holder = Vms_.find(Row.Vm_);
+  bool IsFree = Row.Vm_.empty() || Holder == Vms_.end() ||
+                (Row.Vm_ != Self_ && isSilent(Holder->second, Now));
+  if (!IsFree)
+    return std::nullopt;
+  Claim.ExpectedRow_ = Row.RowVersion_;
+  Claim.Row_.Fence_ = Row.Fence_ + 1;
+  Claim.SilentVm_ = Row.Vm_;
+  if (Holder != Vms_.end())
+    Claim.SilentVmRow_ = Holder->second.Row_.RowVersion_;
+  return Claim;
+}
+
 std::vector<OwnerClaim>
-TargetOwnership::claims(const std::set<std::string> &Targets,
+TargetOwnership::claims(const std::map<std::string, std::string> &Targets,
                         TimePoint Now) const {
   std::vector<OwnerClaim> Wanted;
   bool MayClaim = RenewedAt_ && *RenewedAt_ + Options_.LeaseTerm_ > Now &&
                   StartedAt_ + Options_.SettleTime_ <= Now;
   if (!MayClaim)
     return Wanted;
-  std::vector<std::string> Live;
-  for (const VmRow &Row : liveVms(Now))
-    Live.push_back(Row.Vm_);
+  std::map<std::string, std::vector<std::string>> Live;
+  std::vector<std::string> AllLive;
+  for (const VmRow &Row : liveVms(Now)) {
+    Live[Row.DataCentre_].push_back(Row.Vm_);
+    AllLive.push_back(Row.Vm_);
+  }
   std::map<std::string, std::size_t> Held;
-  for (const auto &[Target, Known] : Owners_)
-    if (Targets.contains(Target))
-      ++Held[Known.Row_.Vm_];
-  std::size_t Fair = (Targets.size() + Live.size() - 1) /
-                     std::max<std::size_t>(1, Live.size());
-  for (const std::string &Target : Targets) {
-    auto Found = Owners_.find(Target);
-    OwnerClaim Claim;
-    if (Found != Owners_.end()) {
-      const OwnerRow &Row = Found->second.Row_;
-      auto Holder = Vms_.find(Row.Vm_);
-      bool IsFree = Row.Vm_.empty() || Holder == Vms_.end() ||
-                    (Row.Vm_ != Self_ && isSilent(Holder->second, Now));
-      if (!IsFree)
-        continue;
-      Claim.ExpectedRow_ = Row.RowVersion_;
-      Claim.Row_.Fence_ = Row.Fence_;
-      if (!Row.Vm_.empty()) {
-        Claim.SilentVm_ = Row.Vm_;
-        if (Holder != Vms_.end())
-          Claim.SilentVmRow_ = Holder->second.Row_.RowVersion_;
-      }
-    }
+  std::map<std::string, std::size_t> Near;
+  for (const auto &[Target, DataCentre] : Targets) {
+    ++Near[DataCentre];
+    ++Held[ownerOf(Target)];
+  }
+  for (const auto &[Target, DataCentre] : Targets) {
+    auto Claim = claimOf(Target, Now);
+    if (!Claim)
+      continue;
+    const auto &Neighbours = Live[DataCentre];
+    const auto &Able = Neighbours.empty() ? AllLive : Neighbours;
+    std::size_t Shared = Neighbours.empty() ? Targets.size() : Near[DataCentre];
+    std::size_t Fair = (Shared + Able.size() - 1) / Able.size();
     // The best VM that doesn't hold its fair share yet takes it.
-    for (const std::string &Vm : rendezvousOrder(Target, Live)) {
+    for (const std::string &Vm : rendezvousOrder(Target, Able)) {
       if (Held[Vm] >= Fair)
         continue;
       ++Held[Vm];
-      if (Vm == Self_) {
-        Claim.Row_.Target_ = Target;
-        Claim.Row_.Vm_ = Self_;
-        ++Claim.Row_.Fence_;
-        Wanted.push_back(Claim);
-      }
+      if (Vm == Self_)
+        Wanted.push_back(*Claim);
       break;
     }
   }
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -89,9 +88,12 @@
   /// A claim was confirmed.
   void noteClaimed(const OwnerRow &Row, TimePoint Now);
 
-  /// The claims that should be written for the given targets.
-  std::vector<OwnerClaim> claims(const std::set<std::string> &Targets,
-                                 TimePoint Now) const;
+  /// The claims that should be written for the given targets, which come with
+  /// their data centres. A target goes to a VM of its own data centre if one
+  /// lives, so that a cut between data centres takes no owner away.
+  std::vector<OwnerClaim>
+  claims(const std::map<std::string, std::string> &Targets,
+         TimePoint Now) const;
 
   /// The fence under which this VM may give a target orders now.
   std::optional<std::uint64_t> mayOrder(const std::string &Target,
@@ -126,6 +128,8 @@
   };
 
   bool isSilent(const SeenVm &Known, TimePoint Now) const;
+  std::optional<OwnerClaim> claimOf(const std::string &Target,
+                                    TimePoint Now) const;
 
   std::string Self_;
   TargetOwnershipOptions Options_;
--- a/Tests/Serving/TargetOwnershipTest.cpp
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -26,8 +26,9 @@
   Own.applyOwners({}, Start);
   Own.noteRenewed(Start + 2s);
   SECTION("is claimed for free targets once the VMs know each other") {
-    CHECK(Own.claims({"e1", "e2"}, Start + 1s).empty());
-    auto Claims = Own.claims({"e1", "e2", "e3", "e4"}, Start + 2s);
+    CHECK(Own.claims({{"e1", "z"}, {"e2", "z"}}, Start + 1s).empty());
+    auto Claims = Own.claims(
+        {{"e1", "z"}, {"e2", "z"}, {"e3", "z"}, {"e4", "z"}}, Start + 2s);
     // Two VMs share four targets.
     REQUIRE(Claims.size() == 2);
     CHECK(Claims[0].ExpectedRow_ == 0);
@@ -40,18 +41,28 @@
       }
     }
   }
+  SECTION("goes to a VM of the target's own data centre") {
+    VmRow Near = vmRow("b", 4);
+    Near.DataCentre_ = "near";
+    Own.applyVms({vmRow("a", 1), Near}, Start);
+    CHECK(Own.claims({{"e1", "near"}, {"e2", "near"}}, Start + 2s).empty());
+    SECTION("or to any VM where none lives there") {
+      CHECK_FALSE(
+          Own.claims({{"e1", "far"}, {"e2", "far"}}, Start + 2s).empty());
+    }
+  }
   SECTION("stays with a VM that renews") {
     Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
     Own.applyVms({vmRow("a", 1), vmRow("b", 3)}, Start + 5s);
     Own.noteRenewed(Start + 9s);
-    CHECK(Own.claims({"e1"}, Start + 9s).empty());
+    CHECK(Own.claims({{"e1", "z"}}, Start + 9s).empty());
     CHECK_FALSE(Own.mayOrder("e1", Start + 9s));
   }
   SECTION("is taken from a VM that doesn't") {
     Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
     TimePoint Later = Start + Options.LeaseTerm_ + Options.Margin_;
     Own.noteRenewed(Later);
-    auto Claims = Own.claims({"e1"}, Later);
+    auto Claims = Own.claims({{"e1", "z"}}, Later);
     REQUIRE(Claims.size() == 1);
     CHECK(Claims[0].SilentVm_ == "b");
     CHECK(Claims[0].SilentVmRow_ == 2);
