Prefer engines that held an adapter lately, count what a cold load costs others

Engines reload what they held lately ten times as fast and without the store, so VMs remember what each engine held; a cold load costs more than waiting at an engine that is not full.

--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -100,6 +100,7 @@
     return;
   }
   Given.Readiness_ = AdapterReadiness::Absent;
+  Given.Warm_ = Belief->Warm_.contains(Question.Adapter_);
 }
 
 /// Ranks candidates by the adapter's stable order over engines.
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -6,18 +6,28 @@
 
 /// What each running request adds to the wait for the first byte, ms: its part
 /// of a batch's step.
-static constexpr double PerRunningMs = 4;
+static constexpr double PerRunningMs = 2;
 
 /// What each request beyond the slots adds, ms: the share of a mean run that a
 /// freed slot takes.
 static constexpr double PerWaitingMs = 80;
 
+/// A target whose memory is full: it puts off requests that already run, ms.
+static constexpr double NoMemoryMs = 600;
+
 /// A full target, before its queue is counted, ms.
 static constexpr double FullMs = 250;
 
 /// An adapter's load with the order's way, ms; from the users' sheets.
 static constexpr double LoadMs = 300;
 
+/// An adapter's load where it was held lately, with the order's way, ms.
+static constexpr double WarmLoadMs = 60;
+
+/// What a load from the weight store costs the loads of others, ms: it takes
+/// one of few places in transit for a load's time.
+static constexpr double StoreMs = 250;
+
 /// What each step away from the adapter's home costs, ms. Reloads at the home
 /// take a tenth, and shared prompts are kept there.
 static constexpr double PerHomeRankMs = 15;
@@ -42,20 +52,23 @@
   return "unknown";
 }
 
+static bool hasNoMemory(const DispatchCandidate &Given,
+                        const RequestShape &Shape) {
+  return Given.KvTokens_ > 0 &&
+         Given.Tokens_ + Shape.PromptTokens_ + Shape.OutputTokens_ >
+             Given.KvTokens_;
+}
+
 bool isFull(const DispatchCandidate &Given, const RequestShape &Shape) {
-  bool NoSlot = Given.Running_ >= Given.Slots_;
-  bool NoMemory = Given.KvTokens_ > 0 &&
-                  Given.Tokens_ + Shape.PromptTokens_ + Shape.OutputTokens_ >
-                      Given.KvTokens_;
-  return NoSlot || NoMemory;
+  return Given.Running_ >= Given.Slots_ || hasNoMemory(Given, Shape);
 }
 
 double dispatchCost(const DispatchCandidate &Given, const RequestShape &Shape) {
   double Cost = PerRunningMs * Given.Running_;
-  if (isFull(Given, Shape)) {
-    int Waiting = std::max(0, Given.Running_ - Given.Slots_) + 1;
-    Cost += FullMs + PerWaitingMs * Waiting;
-  }
+  if (Given.Running_ >= Given.Slots_)
+    Cost += FullMs + PerWaitingMs * (Given.Running_ - Given.Slots_ + 1);
+  if (hasNoMemory(Given, Shape))
+    Cost += NoMemoryMs;
   switch (Given.Readiness_) {
   case AdapterReadiness::NotNeeded:
   case AdapterReadiness::Resident:
@@ -64,8 +77,8 @@
     Cost += toSeconds(Given.ReadyIn_) * 1000;
     break;
   case AdapterReadiness::Absent:
-    Cost += LoadMs * Given.LoadFactor_ +
-            PerHomeRankMs * static_cast<double>(Given.HomeRank_);
+    Cost += Given.Warm_ ? WarmLoadMs : LoadMs * Given.LoadFactor_ + StoreMs;
+    Cost += PerHomeRankMs * static_cast<double>(Given.HomeRank_);
     if (Given.InTransit_ >= MostInTransit)
       Cost += LoadMs;
     if (Given.PlacesTaken_ >= Given.Places_)
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -45,6 +45,8 @@
   Duration ReadyIn_{};
   /// The place of the target in the adapter's stable order; zero is its home.
   std::size_t HomeRank_ = 0;
+  /// Whether the target held the adapter lately, so that it loads fast.
+  bool Warm_ = false;
   /// Whether anybody can order the adapter to be loaded.
   bool HasOwner_ = false;
   /// Places that are taken, of all.
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -93,7 +93,7 @@
 class EngineKeeper {
 public:
   /// The adapters that were held lately are believed to load fast.
-  static constexpr std::size_t WarmMemory = 100;
+  static constexpr std::size_t WarmMemory = 120;
 
   EngineKeeper(std::string Model, EngineKeeperOptions Options)
       : Model_(std::move(Model)), Options_(Options) {}
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -30,6 +30,8 @@
   EngineBelief &Belief = Engines_[Engine];
   if (Belief.Incarnation_ > Told.Incarnation_)
     return;
+  if (Belief.Incarnation_ != Told.Incarnation_)
+    Belief.Warm_.clear();
   Belief.Incarnation_ = Told.Incarnation_;
   Belief.HasModel_ = Told.HasModel_;
   Belief.Adapters_.clear();
@@ -40,6 +42,7 @@
     if (Place.first == Engine && Held != Belief.Adapters_.end())
       Held->second.ReadyAt_ = std::max(Held->second.ReadyAt_, When);
   }
+  noteHeld(Belief, Now);
   Belief.ToldAt_ = Now;
 }
 
@@ -49,7 +52,10 @@
   bool IsSameLife = Belief.Incarnation_ == Entry.Incarnation_;
   if (IsSameLife && Belief.ToldAt_ + OwnerWordTime > Now)
     return;
+  auto Warm =
+      IsSameLife ? std::move(Belief.Warm_) : std::map<std::string, TimePoint>();
   Belief = EngineBelief();
+  Belief.Warm_ = std::move(Warm);
   Belief.Incarnation_ = Entry.Incarnation_;
   auto Held = Entry.Models_.find(Model);
   if (Held == Entry.Models_.end())
@@ -57,6 +63,15 @@
   Belief.HasModel_ = true;
   for (const auto &[Adapter, Version] : Held->second.Adapters_)
     Belief.Adapters_[Adapter] = {Version, Now};
+  noteHeld(Belief, Now);
+}
+
+void FleetBook::noteHeld(EngineBelief &Belief, TimePoint Now) {
+  for (const auto &[Adapter, Held] : Belief.Adapters_)
+    Belief.Warm_[Adapter] = Now;
+  while (Belief.Warm_.size() > EngineKeeper::WarmMemory)
+    Belief.Warm_.erase(std::ranges::min_element(
+        Belief.Warm_, {}, [](const auto &Entry) { return Entry.second; }));
 }
 
 RunningShare FleetBook::othersOn(const std::string &Target,
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -65,6 +65,8 @@
   std::int64_t Incarnation_ = 0;
   bool HasModel_ = false;
   std::map<std::string, AdapterBelief> Adapters_;
+  /// Adapters that it held lately, which load fast, and when it last did.
+  std::map<std::string, TimePoint> Warm_;
   /// When the owner said so; the default when only the engine's own entry did.
   TimePoint ToldAt_{};
 };
@@ -119,6 +121,8 @@
   bool isHeard(const std::string &Vm, TimePoint Now) const;
 
 private:
+  static void noteHeld(EngineBelief &Belief, TimePoint Now);
+
   struct HeardVm {
     VmNews News_;
     TimePoint At_{};
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -48,6 +48,13 @@
     Second.HomeRank_ = 1;
     CHECK(cheapest({Second, Home}, Usual) == 1);
   }
+  SECTION("falls on one that held the adapter lately rather than its home") {
+    auto Home = engine("home", AdapterReadiness::Absent, 0);
+    auto Lately = engine("lately", AdapterReadiness::Absent, 12);
+    Lately.HomeRank_ = 3;
+    Lately.Warm_ = true;
+    CHECK(cheapest({Home, Lately}, Usual) == 1);
+  }
   SECTION("waits for a load that ends soon rather than loading elsewhere") {
     auto Loading = engine("loading", AdapterReadiness::Loading, 5);
     Loading.ReadyIn_ = 200ms;
