Give an unanswered order again at once, and don't wait for owners that don't answer

An order without answer needs no report: the next one expects the same count of orders, so only one of the two is carried out. Orders time out after 100 ms. An engine whose owner leaves a want open for 180 ms is no longer the best place for the load, and a request that has waited its whole latency target without one is refused with a time to come back. Not measured after yet.

--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -17,7 +17,7 @@
 namespace asio = boost::asio;
 
 /// How long an order or a report may take; answers come within milliseconds.
-static constexpr Duration ControlTimeout = std::chrono::milliseconds(400);
+static constexpr Duration ControlTimeout = std::chrono::milliseconds(100);
 
 /// How often an engine's keeper looks for something to do unasked.
 static constexpr Duration KeeperPeriod = std::chrono::milliseconds(250);
@@ -344,7 +344,7 @@
             {"fence", Fence},
             {"outcome", orderAnswerName(Answer)}});
   announce(Engine);
-  if (!Took)
+  if (!Took && Answer != OrderAnswer::Unknown)
     co_await pauseFor(ReportLag);
 }
 
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -30,6 +30,9 @@
 /// What callers are told to wait where no target is free.
 static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(500);
 
+/// Streams with a longer pause between events are logged.
+static constexpr Duration NotedGap = std::chrono::milliseconds(250);
+
 /// What is kept back of the time left for the answer's way.
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
 
@@ -99,6 +102,12 @@
     LastReason_ = "adapter_too_late";
     co_return false;
   }
+  bool IsHopeless = Chosen.Readiness_ == AdapterReadiness::Absent &&
+                    Waited_ > Request_.Route_->LatencyTarget_;
+  if (IsHopeless) {
+    LastReason_ = "adapter_not_loaded";
+    co_return false;
+  }
   Shared_.Picker_->wantAdapter(Question, Chosen, Now);
   Duration Wait = AdapterCheck;
   if (Chosen.Readiness_ == AdapterReadiness::Loading)
@@ -134,6 +143,7 @@
       static_cast<std::int64_t>(Request_.Fields_.Shape_.PromptTokens_ +
                                 Request_.Fields_.Shape_.OutputTokens_);
   LastTarget_ = Chosen.Target_;
+  RunningAtPick_ = Chosen.Running_;
   Shared_.Fleet_->noteBegin(Chosen.Target_, Adapter, Tokens);
   TryEnd End = co_await sendTo(Chosen);
   Shared_.Fleet_->noteEnd(Chosen.Target_, Adapter, Tokens);
@@ -326,6 +336,10 @@
     }
     if (valueOf(Part).empty())
       break;
+    TimePoint Now = BootClock::now();
+    if (LastPartAt_ != TimePoint{})
+      LongestGap_ = std::max(LongestGap_, Now - LastPartAt_);
+    LastPartAt_ = Now;
     // Only whole events can be followed by the rest from another target.
     std::string Passed =
         IsResumable ? Events_.feed(valueOf(Part)) : std::move(valueOf(Part));
@@ -397,7 +411,10 @@
                           {{"route", Request_.Route_->Name_},
                            {"outcome", std::string(Outcome)},
                            {"status", std::to_string(Status)}});
-  bool IsCalm = Outcome == "served" && Sends_ == 1;
+  bool IsLate =
+      FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
+      LongestGap_ > NotedGap;
+  bool IsCalm = Outcome == "served" && Sends_ == 1 && !IsLate;
   logEvent(
       IsCalm ? LogLevel::Debug : LogLevel::Info, "request_end",
       {{"request", Request_.Fields_.RequestId_},
@@ -414,6 +431,8 @@
        {"first_byte_ms", FirstByteAt_ == TimePoint{}
                              ? -1
                              : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
+       {"longest_gap_ms", toMillis(LongestGap_)},
+       {"running", RunningAtPick_},
        {"took_ms", toMillis(Now - Request_.ArrivedAt_)},
        {"left_ms", toMillis(Request_.Deadline_ - Now)},
        {"revision", Request_.Plan_->revision()}});
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -116,6 +116,9 @@
   std::string LastReason_;
   Duration Waited_{};
   TimePoint FirstByteAt_{};
+  TimePoint LastPartAt_{};
+  Duration LongestGap_{};
+  int RunningAtPick_ = 0;
 };
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -14,8 +14,13 @@
 /// repeats itself every half second.
 static constexpr Duration OwnerWordTime = std::chrono::milliseconds(1300);
 
+/// How long a want may go unanswered before the engine counts as stalled, and
+/// for how long it does.
+static constexpr Duration WantPatience = std::chrono::milliseconds(180);
+static constexpr Duration WantMemory = std::chrono::milliseconds(1000);
+
 /// How often a want is sent again.
-static constexpr Duration WantPeriod = std::chrono::milliseconds(120);
+static constexpr Duration WantPeriod = std::chrono::milliseconds(60);
 
 /// How long old versions may still be used after a newer one became known,
 /// before the platform's bound.
@@ -94,12 +99,14 @@
     return;
   }
   auto Sent = Wants_.find({Given.Id_, Question.Adapter_});
-  if (Sent != Wants_.end() && Sent->second.At_ + WantGuess > Now) {
+  if (Sent != Wants_.end() && Sent->second.FirstAt_ + WantPatience > Now) {
     Given.Readiness_ = AdapterReadiness::Loading;
-    Given.ReadyIn_ = Sent->second.At_ + WantGuess - Now;
+    Given.ReadyIn_ = Sent->second.FirstAt_ + WantGuess - Now;
     return;
   }
   Given.Readiness_ = AdapterReadiness::Absent;
+  Given.Stalled_ =
+      Sent != Wants_.end() && Sent->second.FirstAt_ + WantMemory > Now;
   Given.Warm_ = Belief->Warm_.contains(Question.Adapter_);
 }
 
@@ -169,16 +176,16 @@
                                TimePoint Now) {
   if (NextPrune_ <= Now) {
     std::erase_if(Wants_, [&](const auto &Entry) {
-      return Entry.second.At_ + WantGuess < Now;
+      return Entry.second.FirstAt_ + WantMemory < Now;
     });
     NextPrune_ = Now + WantGuess;
   }
   SentWant &Sent = Wants_[{Chosen.Target_, Question.Adapter_}];
-  if (Sent.At_ + WantPeriod > Now)
+  if (Sent.LastAt_ + WantPeriod > Now)
     return;
-  bool IsFirst = Sent.At_ == TimePoint{};
-  if (IsFirst)
-    Sent.At_ = Now;
+  if (Sent.FirstAt_ == TimePoint{} || Sent.FirstAt_ + WantMemory < Now)
+    Sent.FirstAt_ = Now;
+  Sent.LastAt_ = Now;
   const KnownVersion *Newest =
       Plans_->newestVersion(Question.Model_, Question.Adapter_);
   Owners_->want(Chosen.Target_, Question.Adapter_,
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -79,8 +79,10 @@
   void describeAdapter(DispatchCandidate &Given, const PickQuestion &Question,
                        TimePoint Now);
 
+  /// A want that the owner has not answered yet.
   struct SentWant {
-    TimePoint At_{};
+    TimePoint FirstAt_{};
+    TimePoint LastAt_{};
   };
 
   const EntrySettings &Settings_;
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -36,6 +36,9 @@
 /// documentation.
 static constexpr int MostInTransit = 4;
 
+/// An engine that leaves wants unanswered may do so for as long again, ms.
+static constexpr double StalledMs = 400;
+
 /// The way to another data centre and back, ms.
 static constexpr double FarMs = 2;
 
@@ -81,6 +84,8 @@
     Cost += PerHomeRankMs * static_cast<double>(Given.HomeRank_);
     if (Given.InTransit_ >= MostInTransit)
       Cost += LoadMs;
+    if (Given.Stalled_)
+      Cost += StalledMs;
     if (Given.PlacesTaken_ >= Given.Places_)
       Cost += EvictionMs;
     break;
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -52,6 +52,8 @@
   /// Places that are taken, of all.
   int PlacesTaken_ = 0;
   int Places_ = 0;
+  /// Whether its owner has left a want for the adapter unanswered.
+  bool Stalled_ = false;
   /// Adapters on their way to the target, and by how much loads take longer
   /// than usual over the whole fleet.
   int InTransit_ = 0;
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -192,8 +192,10 @@
   bool Took =
       Answer == OrderAnswer::Accepted || Answer == OrderAnswer::AlreadyHolds;
   if (!Took) {
-    // A refused order holds no place; all else is cleared up by the report.
-    NeedsReport_ = true;
+    // An order without answer is void once another one has been accepted, since
+    // it expects the same count; until then a conflict tells of it.
+    if (Answer != OrderAnswer::Unknown)
+      NeedsReport_ = true;
     if (Answer == OrderAnswer::Refused)
       Wants_.erase(Order.Adapter_);
     return;
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -82,8 +82,8 @@
   Duration WarmAdapterLoad_ = std::chrono::milliseconds(25);
   /// How long an adapter stays before it may be dropped, against thrashing.
   Duration MinResidence_ = std::chrono::milliseconds(1500);
-  /// How long an unanswered want is kept.
-  Duration WantTime_ = std::chrono::milliseconds(1500);
+  /// How long a want is kept that isn't repeated.
+  Duration WantTime_ = std::chrono::milliseconds(400);
 };
 
 /// Decides the orders to one engine that this VM owns: which adapters come and
--- a/Tests/Serving/EngineKeeperTest.cpp
+++ b/Tests/Serving/EngineKeeperTest.cpp
@@ -61,12 +61,18 @@
         CHECK(Keeper.places().contains("a2"));
       }
     }
-    SECTION("and reads the engine's state after an order without answer") {
+    SECTION("and gives one without answer again, as void as the first") {
       Keeper.noteAnswer(OrderAnswer::Unknown, Start);
-      CHECK(Keeper.needsReport());
-      CHECK_FALSE(Keeper.nextOrder(1, Start + 1s));
+      auto Again = Keeper.nextOrder(1, Start);
+      REQUIRE(Again);
+      CHECK(Again->Adapter_ == "a2");
+      CHECK(Again->ExpectedOrders_ == 3);
       SECTION("so that one carried out late can't exceed the places") {
-        // The engine counts the late order; the next one expects that.
+        // The engine has counted the late order and refuses this one.
+        Keeper.noteAnswer(OrderAnswer::Conflict, Start);
+        CHECK(Keeper.needsReport());
+        CHECK_FALSE(Keeper.nextOrder(1, Start));
+        // The next one expects the engine's own count.
         REQUIRE(Keeper.adopt(reportOf(4, {{"a1", 1}, {"a2", 1}}), Start + 1s));
         Keeper.want("a3", 1, Start + 5s);
         auto Next = Keeper.nextOrder(1, Start + 5s);
