Give popular adapters homes by their use and spread prompts over engines

Engines read prompts between the tokens of running requests, so prompts sent at once to one engine stall its streams. VMs now tell each other of the prompts they send, an engine with unread prompts costs more, and an adapter gets one more home for every four requests that run with it. Not measured after yet.

--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -43,11 +43,12 @@
   bool Leaving_ = false;
   SpentTokens Spent_;
   std::map<std::string, WireRunning> Running_;
+  std::map<std::string, std::int64_t> PromptTokens_;
   std::map<std::string, WireHoldings> Holdings_;
   std::vector<WireCrash> Crashes_;
   std::map<std::string, std::int64_t> Leavers_;
   MSGPACK_DEFINE(Vm_, Incarnation_, Sequence_, Revision_, Leaving_, Spent_,
-                 Running_, Holdings_, Crashes_, Leavers_)
+                 Running_, PromptTokens_, Holdings_, Crashes_, Leavers_)
 };
 
 struct WireWant {
@@ -82,16 +83,15 @@
 }
 
 static WireNews toWire(const VmNews &Given) {
-  WireNews Wire{Given.Vm_,
-                Given.Incarnation_,
-                Given.Sequence_,
-                Given.Revision_,
-                Given.Leaving_,
-                Given.Spent_,
-                {},
-                {},
-                {},
-                Given.Leavers_};
+  WireNews Wire;
+  Wire.Vm_ = Given.Vm_;
+  Wire.Incarnation_ = Given.Incarnation_;
+  Wire.Sequence_ = Given.Sequence_;
+  Wire.Revision_ = Given.Revision_;
+  Wire.Leaving_ = Given.Leaving_;
+  Wire.Spent_ = Given.Spent_;
+  Wire.PromptTokens_ = Given.PromptTokens_;
+  Wire.Leavers_ = Given.Leavers_;
   for (const auto &[Target, Share] : Given.Running_)
     Wire.Running_[Target] = {Share.Requests_, Share.Tokens_, Share.Adapters_};
   for (const auto &[Engine, Held] : Given.Holdings_)
@@ -109,6 +109,7 @@
   Given.Revision_ = Wire.Revision_;
   Given.Leaving_ = Wire.Leaving_;
   Given.Spent_ = Wire.Spent_;
+  Given.PromptTokens_ = Wire.PromptTokens_;
   Given.Leavers_ = Wire.Leavers_;
   for (const auto &[Target, Share] : Wire.Running_)
     Given.Running_[Target] = {Share.Requests_, Share.Tokens_, Share.Adapters_};
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -23,13 +23,14 @@
 /// How often unchanged holdings are told, in news.
 static constexpr std::uint64_t HoldingsEvery = 5;
 
-FleetState::FleetState(std::string Self, std::string Incarnation,
-                       const ServiceRegistry &Services)
+FleetState::FleetState(const EntrySettings &Settings, std::string Self,
+                       std::string Incarnation, const ServiceRegistry &Services)
     : Self_(std::move(Self)), Incarnation_(std::move(Incarnation)),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
-      Crashes_({SuspectTime, QuarantineTime, MostDigests}) {}
+      Crashes_({SuspectTime, QuarantineTime, MostDigests}),
+      Prefill_(Settings.PrefillTokensPerMs_) {}
 
 Status FleetState::start() {
   Link_->onCompose([this] { return compose(); });
@@ -62,12 +63,17 @@
 }
 
 void FleetState::noteBegin(const std::string &Target,
-                           const std::string &Adapter, std::int64_t Tokens) {
+                           const std::string &Adapter, std::int64_t Tokens,
+                           std::int64_t PromptTokens) {
+  Prefill_.note(Target, static_cast<double>(PromptTokens), BootClock::now());
+  NewPrompts_[Target] += PromptTokens;
   RunningShare &Share = Running_[Target];
   ++Share.Requests_;
   Share.Tokens_ += Tokens;
-  if (!Adapter.empty())
-    ++Share.Adapters_[Adapter];
+  if (Adapter.empty())
+    return;
+  ++Share.Adapters_[Adapter];
+  ++OwnUses_[Adapter];
 }
 
 void FleetState::noteEnd(const std::string &Target, const std::string &Adapter,
@@ -80,6 +86,8 @@
   Share.Tokens_ -= Tokens;
   if (!Adapter.empty() && --Share.Adapters_[Adapter] <= 0)
     Share.Adapters_.erase(Adapter);
+  if (!Adapter.empty() && --OwnUses_[Adapter] <= 0)
+    OwnUses_.erase(Adapter);
   if (Share.Requests_ <= 0)
     Running_.erase(Found);
 }
@@ -89,6 +97,12 @@
   return Found == Running_.end() ? RunningShare() : Found->second;
 }
 
+int FleetState::usesOf(const std::string &Adapter) const {
+  auto Found = OwnUses_.find(Adapter);
+  int Own = Found == OwnUses_.end() ? 0 : Found->second;
+  return Own + Book_.othersUsing(Adapter);
+}
+
 void FleetState::noteCrash(const std::string &Digest, const std::string &Target,
                            std::int64_t Incarnation, TimePoint Now) {
   VmNews::Crash Seen{Digest, Target, Incarnation};
@@ -115,6 +129,7 @@
 
 VmNews FleetState::compose() {
   TimePoint Now = BootClock::now();
+  Book_.expire(Now);
   updateReach(Now);
   VmNews News;
   News.Vm_ = Self_;
@@ -124,6 +139,7 @@
   News.Leaving_ = Leaving_;
   News.Spent_ = Budget_.spent();
   News.Running_ = Running_;
+  News.PromptTokens_ = std::exchange(NewPrompts_, {});
   std::erase_if(RecentCrashes_, [&](const auto &Entry) {
     return Entry.first + NewsRepeatTime < Now;
   });
@@ -147,6 +163,8 @@
   if (!News || News->Vm_ == Self_ || !Book_.apply(*News, Now))
     return;
   Budget_.notePeer(News->Vm_, News->Incarnation_, News->Spent_, Now);
+  for (const auto &[Target, Tokens] : News->PromptTokens_)
+    Prefill_.note(Target, static_cast<double>(Tokens), Now);
   for (const VmNews::Crash &Seen : News->Crashes_)
     applyCrash(Seen, Now);
   for (const auto &[Target, Incarnation] : News->Leavers_)
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -8,6 +8,8 @@
 #include "Routing/CrashTracker.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/FleetBook.h"
+#include "Serving/PrefillBacklog.h"
+#include "Settings/EntrySettings.h"
 
 #include <map>
 #include <memory>
@@ -22,8 +24,8 @@
 public:
   static constexpr std::string_view Name = "fleet_state";
 
-  FleetState(std::string Self, std::string Incarnation,
-             const ServiceRegistry &Services);
+  FleetState(const EntrySettings &Settings, std::string Self,
+             std::string Incarnation, const ServiceRegistry &Services);
 
   std::string_view serviceName() const override { return Name; }
   Status start() override;
@@ -31,9 +33,10 @@
   FleetBook &book() { return Book_; }
   CustomerBudget &budget() { return Budget_; }
 
-  /// Notes that a request begins or ends at a target.
+  /// Notes that a request begins or ends at a target. `Tokens` are prompt and
+  /// expected output together.
   void noteBegin(const std::string &Target, const std::string &Adapter,
-                 std::int64_t Tokens);
+                 std::int64_t Tokens, std::int64_t PromptTokens);
   void noteEnd(const std::string &Target, const std::string &Adapter,
                std::int64_t Tokens);
 
@@ -43,6 +46,11 @@
     return Running_;
   }
 
+  /// The requests of all VMs that run with an adapter.
+  int usesOf(const std::string &Adapter) const;
+
+  const PrefillBacklog &prefill() const { return Prefill_; }
+
   /// Notes that a request was running when a target crashed, and tells the
   /// others.
   void noteCrash(const std::string &Digest, const std::string &Target,
@@ -78,6 +86,10 @@
   FleetBook Book_;
   CustomerBudget Budget_;
   CrashTracker Crashes_;
+  PrefillBacklog Prefill_;
+  /// Own running requests by adapter, and prompts sent since the last news.
+  std::map<std::string, int> OwnUses_;
+  std::map<std::string, std::int64_t> NewPrompts_;
   std::map<std::string, RunningShare> Running_;
   std::vector<std::pair<TimePoint, VmNews::Crash>> RecentCrashes_;
   /// Targets lately seen leaving, with their incarnation.
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -108,7 +108,7 @@
     LastReason_ = "adapter_not_loaded";
     co_return false;
   }
-  Shared_.Picker_->wantAdapter(Question, Chosen, Now);
+  Shared_.Picker_->wantAdapter(Question, Chosen.Target_, Now);
   Duration Wait = AdapterCheck;
   if (Chosen.Readiness_ == AdapterReadiness::Loading)
     Wait = std::clamp<Duration>(Chosen.ReadyIn_, std::chrono::milliseconds(2),
@@ -144,7 +144,9 @@
                                 Request_.Fields_.Shape_.OutputTokens_);
   LastTarget_ = Chosen.Target_;
   RunningAtPick_ = Chosen.Running_;
-  Shared_.Fleet_->noteBegin(Chosen.Target_, Adapter, Tokens);
+  Shared_.Fleet_->noteBegin(
+      Chosen.Target_, Adapter, Tokens,
+      static_cast<std::int64_t>(Request_.Fields_.Shape_.PromptTokens_));
   TryEnd End = co_await sendTo(Chosen);
   Shared_.Fleet_->noteEnd(Chosen.Target_, Adapter, Tokens);
   Connection_ = HttpConnection();
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -47,13 +47,14 @@
   Given.Id_ = Entry.Id_;
   Given.SameDataCentre_ = Entry.DataCentre_ == Settings_.DataCentre_;
   RunningShare Own = Fleet_->ownOn(Entry.Id_);
-  RunningShare Others = Fleet_->book().othersOn(Entry.Id_, Now);
+  RunningShare Others = Fleet_->book().othersOn(Entry.Id_);
   Given.Running_ = Own.Requests_ + Others.Requests_;
   Given.Tokens_ = static_cast<double>(Own.Tokens_ + Others.Tokens_);
   Given.Slots_ = std::max(1, Entry.Slots_);
   Given.FailureShare_ = Health_.failureShare(Entry.Id_, Now);
   Given.Lateness_ = Health_.lateness(Entry.Id_, Now);
   if (Engine) {
+    Given.Prefill_ = Fleet_->prefill().left(Entry.Id_, Now);
     Given.KvTokens_ = Engine->KvTokens_;
     Given.Places_ = Engine->MaxAdapters_;
     describeAdapter(Given, Question, Now);
@@ -142,6 +143,8 @@
   }
   if (Engine && !Question.Adapter_.empty())
     rankHomes(Candidates, Question.Adapter_);
+  if (Engine && !Question.Adapter_.empty())
+    addHomes(Question, Candidates, Now);
   std::size_t Best = cheapest(Candidates, Question.Shape_);
   if (Best == Candidates.size())
     return std::nullopt;
@@ -172,15 +175,23 @@
   return Chosen;
 }
 
-void TargetPicker::wantAdapter(const PickQuestion &Question, const Pick &Chosen,
-                               TimePoint Now) {
+void TargetPicker::addHomes(const PickQuestion &Question,
+                            const std::vector<DispatchCandidate> &Candidates,
+                            TimePoint Now) {
+  auto Missing = missingHome(Candidates, Fleet_->usesOf(Question.Adapter_));
+  if (Missing < Candidates.size())
+    wantAdapter(Question, Candidates[Missing].Id_, Now);
+}
+
+void TargetPicker::wantAdapter(const PickQuestion &Question,
+                               const std::string &Target, TimePoint Now) {
   if (NextPrune_ <= Now) {
     std::erase_if(Wants_, [&](const auto &Entry) {
       return Entry.second.FirstAt_ + WantMemory < Now;
     });
     NextPrune_ = Now + WantGuess;
   }
-  SentWant &Sent = Wants_[{Chosen.Target_, Question.Adapter_}];
+  SentWant &Sent = Wants_[{Target, Question.Adapter_}];
   if (Sent.LastAt_ + WantPeriod > Now)
     return;
   if (Sent.FirstAt_ == TimePoint{} || Sent.FirstAt_ + WantMemory < Now)
@@ -188,8 +199,8 @@
   Sent.LastAt_ = Now;
   const KnownVersion *Newest =
       Plans_->newestVersion(Question.Model_, Question.Adapter_);
-  Owners_->want(Chosen.Target_, Question.Adapter_,
-                Newest ? Newest->Version_ : 1, false);
+  Owners_->want(Target, Question.Adapter_, Newest ? Newest->Version_ : 1,
+                false);
 }
 
 void TargetPicker::noteMissing(const PickQuestion &Question,
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -56,7 +56,7 @@
   std::optional<Pick> pick(const PickQuestion &Question, TimePoint Now);
 
   /// Asks for the adapter at the picked target, unless it was just asked for.
-  void wantAdapter(const PickQuestion &Question, const Pick &Chosen,
+  void wantAdapter(const PickQuestion &Question, const std::string &Target,
                    TimePoint Now);
 
   /// A target refused the request's adapter.
@@ -76,6 +76,9 @@
   DispatchCandidate describe(const ListedTarget &Listed,
                              const PickQuestion &Question,
                              const EnginePlan *Engine, TimePoint Now);
+  void addHomes(const PickQuestion &Question,
+                const std::vector<DispatchCandidate> &Candidates,
+                TimePoint Now);
   void describeAdapter(DispatchCandidate &Given, const PickQuestion &Question,
                        TimePoint Now);
 
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -8,6 +8,13 @@
 /// of a batch's step.
 static constexpr double PerRunningMs = 2;
 
+/// The backlog of prompts delays the first byte and stalls what runs already.
+static constexpr double PrefillWeight = 1.5;
+
+/// Running requests for each home of an adapter: a fifth of a usual engine's
+/// load.
+static constexpr int UsesPerHome = 4;
+
 /// What each request beyond the slots adds, ms: the share of a mean run that a
 /// freed slot takes.
 static constexpr double PerWaitingMs = 80;
@@ -67,7 +74,8 @@
 }
 
 double dispatchCost(const DispatchCandidate &Given, const RequestShape &Shape) {
-  double Cost = PerRunningMs * Given.Running_;
+  double Cost = PerRunningMs * Given.Running_ +
+                PrefillWeight * toSeconds(Given.Prefill_) * 1000;
   if (Given.Running_ >= Given.Slots_)
     Cost += FullMs + PerWaitingMs * (Given.Running_ - Given.Slots_ + 1);
   if (hasNoMemory(Given, Shape))
@@ -99,6 +107,29 @@
   return Cost;
 }
 
+std::size_t missingHome(const std::vector<DispatchCandidate> &Candidates,
+                        int Uses) {
+  auto Homes = std::min<std::size_t>(
+      Candidates.size(), 1 + static_cast<std::size_t>(Uses / UsesPerHome));
+  std::size_t Have = 0;
+  std::size_t First = Candidates.size();
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    const DispatchCandidate &Given = Candidates[Index];
+    bool IsThere = Given.Readiness_ == AdapterReadiness::Resident ||
+                   Given.Readiness_ == AdapterReadiness::Loading;
+    if (IsThere)
+      ++Have;
+    bool MayLoad = Given.Readiness_ == AdapterReadiness::Absent &&
+                   Given.HasOwner_ && Given.InTransit_ < MostInTransit;
+    bool IsBetter = First == Candidates.size() ||
+                    Given.HomeRank_ < Candidates[First].HomeRank_;
+    if (MayLoad && IsBetter)
+      First = Index;
+  }
+  // A request without any home waits for its own load.
+  return Have > 0 && Have < Homes ? First : Candidates.size();
+}
+
 std::size_t cheapest(const std::vector<DispatchCandidate> &Candidates,
                      const RequestShape &Shape) {
   std::size_t Best = Candidates.size();
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -39,6 +39,8 @@
   int Running_ = 0;
   double Tokens_ = 0;
   int Slots_ = 1;
+  /// How long it still reads prompts that were sent to it.
+  Duration Prefill_{};
   double KvTokens_ = 0;
   AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
   /// How long until an adapter that is on its way is usable.
@@ -79,6 +81,12 @@
 std::size_t cheapest(const std::vector<DispatchCandidate> &Candidates,
                      const RequestShape &Shape);
 
+/// The index of the next home that a popular adapter should get, or the size of
+/// the list when it has enough: its homes follow the number of requests that
+/// run with it, so that no engine serves too many of them.
+std::size_t missingHome(const std::vector<DispatchCandidate> &Candidates,
+                        int Uses);
+
 /// Whether a target has no free place for a request.
 bool isFull(const DispatchCandidate &Given, const RequestShape &Shape);
 
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -18,8 +18,12 @@
   if (IsOld)
     return false;
   HeardVm &Heard = Vms_[News.Vm_];
+  if (Heard.Counted_)
+    addRunning(Heard.News_, -1);
   Heard.News_ = News;
   Heard.At_ = Now;
+  Heard.Counted_ = true;
+  addRunning(News, 1);
   for (const auto &[Engine, Told] : News.Holdings_)
     applyHoldings(Engine, Told, Now);
   return true;
@@ -74,31 +78,38 @@
         Belief.Warm_, {}, [](const auto &Entry) { return Entry.second; }));
 }
 
-RunningShare FleetBook::othersOn(const std::string &Target,
-                                 TimePoint Now) const {
-  RunningShare Sum;
-  for (const auto &[Vm, Heard] : Vms_) {
-    auto Share = Heard.News_.Running_.find(Target);
-    if (Heard.At_ + NewsTime < Now || Share == Heard.News_.Running_.end())
-      continue;
-    Sum.Requests_ += Share->second.Requests_;
-    Sum.Tokens_ += Share->second.Tokens_;
+void FleetBook::addRunning(const VmNews &News, int Sign) {
+  for (const auto &[Target, Share] : News.Running_) {
+    RunningShare &Sum = OnTarget_[Target];
+    Sum.Requests_ += Sign * Share.Requests_;
+    Sum.Tokens_ += Sign * Share.Tokens_;
+    if (Sum.Requests_ == 0)
+      OnTarget_.erase(Target);
+    for (const auto &[Adapter, Count] : Share.Adapters_) {
+      int &Total = WithAdapter_[Adapter];
+      Total += Sign * Count;
+      if (Total == 0)
+        WithAdapter_.erase(Adapter);
+    }
   }
-  return Sum;
 }
 
-int FleetBook::othersUsing(const std::string &Target,
-                           const std::string &Adapter, TimePoint Now) const {
-  int Sum = 0;
-  for (const auto &[Vm, Heard] : Vms_) {
-    auto Share = Heard.News_.Running_.find(Target);
-    if (Heard.At_ + NewsTime < Now || Share == Heard.News_.Running_.end())
-      continue;
-    auto Uses = Share->second.Adapters_.find(Adapter);
-    if (Uses != Share->second.Adapters_.end())
-      Sum += Uses->second;
-  }
-  return Sum;
+void FleetBook::expire(TimePoint Now) {
+  for (auto &[Vm, Heard] : Vms_)
+    if (Heard.Counted_ && Heard.At_ + NewsTime < Now) {
+      addRunning(Heard.News_, -1);
+      Heard.Counted_ = false;
+    }
+}
+
+RunningShare FleetBook::othersOn(const std::string &Target) const {
+  auto Found = OnTarget_.find(Target);
+  return Found == OnTarget_.end() ? RunningShare() : Found->second;
+}
+
+int FleetBook::othersUsing(const std::string &Adapter) const {
+  auto Found = WithAdapter_.find(Adapter);
+  return Found == WithAdapter_.end() ? 0 : Found->second;
 }
 
 const EngineBelief *FleetBook::engine(const std::string &Engine) const {
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -42,6 +42,8 @@
   bool Leaving_ = false;
   SpentTokens Spent_;
   std::map<std::string, RunningShare> Running_;
+  /// Prompt tokens sent to each target since the news before.
+  std::map<std::string, std::int64_t> PromptTokens_;
   std::map<std::string, EngineHoldings> Holdings_;
   /// Requests that were running on a target's incarnation when it crashed.
   struct Crash {
@@ -95,12 +97,14 @@
   /// Drops what is known of an engine, which has another incarnation now.
   void forget(const std::string &Engine) { Engines_.erase(Engine); }
 
-  /// What the other VMs run on a target.
-  RunningShare othersOn(const std::string &Target, TimePoint Now) const;
+  /// Drops the running requests of VMs that have fallen silent.
+  void expire(TimePoint Now);
 
-  /// Whether any other VM runs requests with that adapter on the target.
-  int othersUsing(const std::string &Target, const std::string &Adapter,
-                  TimePoint Now) const;
+  /// What the other VMs run on a target, without the adapters.
+  RunningShare othersOn(const std::string &Target) const;
+
+  /// The requests that the other VMs run with an adapter, on all targets.
+  int othersUsing(const std::string &Adapter) const;
 
   /// What an engine holds, or null when nothing is known.
   const EngineBelief *engine(const std::string &Engine) const;
@@ -122,13 +126,19 @@
 
 private:
   static void noteHeld(EngineBelief &Belief, TimePoint Now);
+  void addRunning(const VmNews &News, int Sign);
 
   struct HeardVm {
     VmNews News_;
     TimePoint At_{};
+    /// Whether its running requests are in the sums.
+    bool Counted_ = false;
   };
 
   std::map<std::string, HeardVm> Vms_;
+  /// Sums over the VMs that are heard, by target and by adapter.
+  std::map<std::string, RunningShare> OnTarget_;
+  std::map<std::string, int> WithAdapter_;
   std::map<std::string, EngineBelief> Engines_;
   /// Adapters that were not ready when expected, by engine and name.
   std::map<std::pair<std::string, std::string>, TimePoint> NotBefore_;
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -46,6 +46,8 @@
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
   Fields.field("log_level", Settings.LogLevel_);
   Fields.field("transit_limit", Settings.TransitLimit_, {1, 100000});
+  Fields.field("prefill_tokens_per_ms", Settings.PrefillTokensPerMs_,
+               {0.1, 100000});
   Fields.record("listen", Settings.Listen_, FieldNeed::Required);
   Fields.record("store", Settings.Store_, FieldNeed::Required);
   Fields.record("bounds", Settings.Bounds_);
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -62,6 +62,8 @@
   EntryBoundSettings Bounds_;
   /// Adapters in transit over all engines that don't slow each other down.
   std::int64_t TransitLimit_ = 16;
+  /// Prompt tokens that an engine reads in a millisecond.
+  double PrefillTokensPerMs_ = 33;
 };
 
 /// Reads settings. Each error gives the file, the field, what is wrong with it
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -1,4 +1,5 @@
 #include "Serving/DispatchCost.h"
+#include "Serving/PrefillBacklog.h"
 #include "Serving/TargetHealth.h"
 
 #include <catch2/catch.hpp>
@@ -74,6 +75,42 @@
   }
 }
 
+TEST_CASE("the homes of a popular adapter", "[dispatch][load]") {
+  std::vector<DispatchCandidate> Engines;
+  for (std::size_t Index = 0; Index < 4; ++Index) {
+    Engines.push_back(
+        engine("e" + std::to_string(Index), AdapterReadiness::Absent, 0));
+    Engines.back().HomeRank_ = 3 - Index;
+  }
+  SECTION("begin with the one that a request itself waits for") {
+    CHECK(missingHome(Engines, 20) == Engines.size());
+  }
+  Engines[3].Readiness_ = AdapterReadiness::Resident;
+  SECTION("grow in its stable order with the requests that run with it") {
+    CHECK(missingHome(Engines, 2) == Engines.size());
+    CHECK(missingHome(Engines, 5) == 2);
+    Engines[2].Readiness_ = AdapterReadiness::Loading;
+    CHECK(missingHome(Engines, 5) == Engines.size());
+    CHECK(missingHome(Engines, 9) == 1);
+  }
+}
+
+TEST_CASE("prompts that engines still read", "[dispatch][load]") {
+  PrefillBacklog Backlog(40);
+  CHECK(Backlog.left("e", Start) == 0ms);
+  Backlog.note("e", 4000, Start);
+  Backlog.note("e", 4000, Start);
+  CHECK(Backlog.left("e", Start) == 200ms);
+  CHECK(Backlog.left("e", Start + 150ms) == 50ms);
+  CHECK(Backlog.left("e", Start + 300ms) == 0ms);
+  SECTION("send the next request to another engine that holds its adapter") {
+    auto Reading = engine("reading", AdapterReadiness::Resident, 2);
+    Reading.Prefill_ = Backlog.left("e", Start);
+    auto Other = engine("other", AdapterReadiness::Resident, 20);
+    CHECK(cheapest({Reading, Other}, Usual) == 1);
+  }
+}
+
 TEST_CASE("how requests to a target go", "[dispatch]") {
   TargetHealth Health;
   SECTION("one failure doesn't condemn a target") {
--- a/Tests/Serving/FleetBookTest.cpp
+++ b/Tests/Serving/FleetBookTest.cpp
@@ -23,18 +23,20 @@
   REQUIRE(Book.apply(newsOf("b", 1, 2), Start));
   REQUIRE(Book.apply(newsOf("c", 1, 3), Start));
   SECTION("is added up by target") {
-    CHECK(Book.othersOn("e1", Start).Requests_ == 5);
-    CHECK(Book.othersOn("e1", Start).Tokens_ == 500);
-    CHECK(Book.othersUsing("e1", "a1", Start) == 5);
+    CHECK(Book.othersOn("e1").Requests_ == 5);
+    CHECK(Book.othersOn("e1").Tokens_ == 500);
+    CHECK(Book.othersUsing("a1") == 5);
     CHECK(Book.heardVms(Start) == 2);
   }
   SECTION("is not taken back by a datagram that was overtaken") {
     REQUIRE(Book.apply(newsOf("b", 3, 7), Start));
     CHECK_FALSE(Book.apply(newsOf("b", 2, 1), Start));
-    CHECK(Book.othersOn("e1", Start).Requests_ == 10);
+    CHECK(Book.othersOn("e1").Requests_ == 10);
   }
   SECTION("no longer counts once a VM is silent") {
-    CHECK(Book.othersOn("e1", Start + 2s).Requests_ == 0);
+    Book.expire(Start + 2s);
+    CHECK(Book.othersOn("e1").Requests_ == 0);
+    CHECK(Book.othersUsing("a1") == 0);
     CHECK(Book.heardVms(Start + 2s) == 0);
   }
 }
