Bound the log, failures first, and never wait for its reader

Lines go to standard output by a rate with a part kept for failures; a line that would block is dropped, and what was dropped is counted and said. Wants are served in the order of their coming even when repeated; before, a repeated want went to the back.

--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -80,9 +80,12 @@
     Held->second.LastUse_ = Now;
     return Held->second.ReadyAt_;
   }
-  Want &Wanted = Wants_[Adapter];
+  auto [Place, IsNew] = Wants_.try_emplace(Adapter);
+  Want &Wanted = Place->second;
   Wanted.Version_ = std::max(Wanted.Version_, Version);
-  Wanted.Since_ = Now;
+  if (IsNew)
+    Wanted.FirstAt_ = Now;
+  Wanted.LastAt_ = Now;
   return std::nullopt;
 }
 
@@ -166,12 +169,12 @@
     ++Place;
   }
   std::erase_if(Wants_, [&](const auto &Entry) {
-    return Entry.second.Since_ + Options_.WantTime_ < Now;
+    return Entry.second.LastAt_ + Options_.WantTime_ < Now;
   });
   if (Wants_.empty() || !MayLoad)
     return std::nullopt;
   auto First = std::ranges::min_element(
-      Wants_, {}, [](const auto &Entry) { return Entry.second.Since_; });
+      Wants_, {}, [](const auto &Entry) { return Entry.second.FirstAt_; });
   bool TakesNewPlace = !Places_.contains(First->first);
   if (TakesNewPlace &&
       Places_.size() >= static_cast<std::size_t>(Options_.MaxAdapters_)) {
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -142,7 +142,8 @@
 private:
   struct Want {
     std::uint64_t Version_ = 0;
-    TimePoint Since_{};
+    TimePoint FirstAt_{};
+    TimePoint LastAt_{};
   };
   struct Replacement {
     std::uint64_t Version_ = 0;
--- a/Source/Telemetry/Log.cpp
+++ b/Source/Telemetry/Log.cpp
@@ -1,9 +1,15 @@
 #include "Telemetry/Log.h"
 
+#include "Telemetry/LogBudget.h"
+
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
 #include <chrono>
 
@@ -36,29 +42,55 @@
   return Levels.front();
 }
 
+LogBudget &lineBudget() {
+  static LogBudget Budget{LogBudgetOptions()};
+  return Budget;
+}
+
+/// Writes lines without ever waiting for their reader. The program logs from
+/// one thread.
+class NonBlockingSink
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+public:
+  explicit NonBlockingSink(int Descriptor) : Descriptor_(Descriptor) {}
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override {
+    spdlog::memory_buf_t Line;
+    base_sink::formatter_->format(Message, Line);
+    // A pipe that is writable takes a line of this length whole.
+    constexpr std::size_t LongestLine = 4096;
+    pollfd Ready{Descriptor_, POLLOUT, 0};
+    bool MayWrite = Line.size() <= LongestLine && poll(&Ready, 1, 0) == 1 &&
+                    (Ready.revents & POLLOUT) != 0;
+    if (!MayWrite || write(Descriptor_, Line.data(), Line.size()) < 0)
+      lineBudget().noteLost();
+  }
+  void flush_() override {}
+
+private:
+  int Descriptor_;
+};
+
 } // namespace
 
-bool startLogging(std::string_view Vm, std::string_view Level) {
+bool startLogging(std::string_view Vm, std::string_view Level, int Descriptor) {
   for (const LevelRow &Row : Levels) {
     if (Row.Name_ != Level)
       continue;
     vmName() = Vm;
     auto Logger = std::make_shared<spdlog::logger>(
-        "anvil", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        "anvil", std::make_shared<NonBlockingSink>(Descriptor));
     Logger->set_pattern("%v");
     Logger->set_level(Row.Backend_);
-    Logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(Logger);
     return true;
   }
   return false;
 }
 
-void logEvent(LogLevel Level, std::string_view Event,
-              std::initializer_list<LogField> Fields) {
-  const LevelRow &Row = rowOf(Level);
-  if (!spdlog::should_log(Row.Backend_))
-    return;
+static void writeLine(const LevelRow &Row, std::string_view Event,
+                      std::initializer_list<LogField> Fields) {
   nlohmann::ordered_json Line;
   auto Now = std::chrono::system_clock::now().time_since_epoch();
   Line["time_ms"] =
@@ -75,4 +107,18 @@
   spdlog::log(Row.Backend_, "{}", Line.dump(-1, ' ', false, Replace));
 }
 
+void logEvent(LogLevel Level, std::string_view Event,
+              std::initializer_list<LogField> Fields) {
+  const LevelRow &Row = rowOf(Level);
+  if (!spdlog::should_log(Row.Backend_))
+    return;
+  TimePoint Now = BootClock::now();
+  bool IsFailure = Level == LogLevel::Warning || Level == LogLevel::Error;
+  if (std::uint64_t Dropped = lineBudget().takeDropped(Now))
+    writeLine(rowOf(LogLevel::Warning), "log_lines_dropped",
+              {{"lines", Dropped}});
+  if (lineBudget().take(IsFailure, Now))
+    writeLine(Row, Event, Fields);
+}
+
 } // namespace anvil
--- a/Source/Telemetry/Log.h
+++ b/Source/Telemetry/Log.h
@@ -31,9 +31,12 @@
       : Name_(Name), Value_(static_cast<std::int64_t>(Value)) {}
 };
 
-/// Sends log lines of `Level` and above to standard error as JSON lines, each
-/// with the name of the VM. Returns false when `Level` is no known name.
-bool startLogging(std::string_view Vm, std::string_view Level);
+/// Sends log lines of `Level` and above to standard output, or another file
+/// descriptor, as JSON lines, each with the name of the VM. Lines are bounded
+/// by a rate, failures first, and one that would block is dropped; what was
+/// dropped is counted and said. Returns false when `Level` is no known name.
+bool startLogging(std::string_view Vm, std::string_view Level,
+                  int Descriptor = 1);
 
 /// Writes one line: time, level, event name and fields.
 void logEvent(LogLevel Level, std::string_view Event,
--- a/Tests/Serving/EngineKeeperTest.cpp
+++ b/Tests/Serving/EngineKeeperTest.cpp
@@ -99,6 +99,13 @@
       CHECK_FALSE(Busy.nextOrder(1, Later));
     }
   }
+  SECTION("serves wants in the order of their coming, repeated or not") {
+    EngineKeeper Wide = keeperOf(20, {});
+    Wide.want("b1", 1, Start);
+    Wide.want("b2", 1, Start + 10ms);
+    Wide.want("b1", 1, Start + 20ms);
+    CHECK(Wide.nextOrder(1, Start + 30ms)->Adapter_ == "b1");
+  }
   SECTION("has no more in transit than the engine takes") {
     EngineKeeper Wide = keeperOf(20, {});
     for (int Index = 0; Index < 6; ++Index)
