Count a version found after a start as named long ago

A version that was not awaited now counts as required at once; one that was, from the last moment at which it was certainly not named. Several versions of one adapter are each judged from their own naming.

--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -26,10 +26,6 @@
 /// only this long after what made them doubtful.
 static constexpr Duration ReportLag = std::chrono::milliseconds(150);
 
-/// How long before an adapter version's bound running requests no longer hold
-/// back its replacement.
-static constexpr Duration ReplaceMargin = std::chrono::milliseconds(2000);
-
 /// How often rows are written and read until the first claims are settled.
 static constexpr Duration StartPeriod = std::chrono::milliseconds(500);
 
@@ -72,17 +68,15 @@
     updateEngines();
     checkEntries();
   });
-  Plans_->VersionNamed_.attach([this](const std::string &,
-                                      const std::string &Adapter,
-                                      const KnownVersion &Known) {
-    Duration Bound =
-        std::chrono::milliseconds(Settings_.Bounds_.AdapterVersionMs_);
-    for (const auto &[Engine, Owned] : Owned_) {
-      Owned->Keeper_.noteVersion(Adapter, Known.Version_,
-                                 Known.Since_ + Bound - ReplaceMargin);
-      Owned->Wake_.cancel();
-    }
-  });
+  Plans_->VersionNamed_.attach(
+      [this](const std::string &Model, const std::string &Adapter) {
+        for (const auto &[Engine, Owned] : Owned_) {
+          Owned->Keeper_.noteVersion(
+              Adapter, Plans_->versions().newest(Model, Adapter),
+              Plans_->versions().requiredFrom(Model, Adapter));
+          Owned->Wake_.cancel();
+        }
+      });
   spawn(Executor_, keepRows());
   return std::monostate{};
 }
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -13,6 +13,9 @@
 /// What is kept off the withdrawal bound for a request's own way to a target.
 static constexpr Duration WithdrawalMargin = std::chrono::milliseconds(600);
 
+/// How long before its bound a newer version is required of every request.
+static constexpr Duration VersionMargin = std::chrono::milliseconds(1800);
+
 /// The waits between tries while the store can't be read; short, since every
 /// bound runs meanwhile, and spread so that VMs don't come back together.
 static constexpr Duration LeastRetryWait = std::chrono::milliseconds(100);
@@ -22,7 +25,9 @@
                          const EntrySettings &Settings,
                          std::shared_ptr<platform::StoreClient> Store)
     : Executor_(std::move(Executor)), Settings_(Settings),
-      Store_(std::move(Store)) {}
+      Store_(std::move(Store)),
+      Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
+                VersionMargin) {}
 
 Status PlanService::start() {
   spawn(Executor_, follow());
@@ -35,22 +40,13 @@
   return Evidence_ && *Evidence_ + Bound - WithdrawalMargin > Now;
 }
 
-const KnownVersion *
-PlanService::newestVersion(const std::string &Model,
-                           const std::string &Adapter) const {
-  auto Held = Versions_.find(Model);
-  if (Held == Versions_.end())
-    return nullptr;
-  auto Found = Held->second.find(Adapter);
-  return Found == Held->second.end() ? nullptr : &Found->second;
-}
-
 asio::awaitable<void> PlanService::follow() {
   std::optional<std::uint64_t> Version;
   Backoff Waits(LeastRetryWait, MostRetryWait);
   while (true) {
     TimePoint AskedAt = BootClock::now();
     Result<platform::TablePage> Page = Error{};
+    bool WasAwaited = Version.has_value();
     if (Version)
       Page = co_await Store_->awaitChanges(
           platform::ForeignTable::Operator, *Version,
@@ -62,7 +58,8 @@
       Version = valueOf(Page).Version_;
       TimePoint Now = BootClock::now();
       apply(valueOf(Page).Rows_,
-            StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, Now));
+            StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, Now),
+            WasAwaited ? Evidence_ : std::nullopt);
       continue;
     }
     // The history is gone, so the whole table is read at once.
@@ -74,12 +71,13 @@
   }
 }
 
-void PlanService::apply(const std::vector<TableRow> &Rows, TimePoint GivenAt) {
+void PlanService::apply(const std::vector<TableRow> &Rows, TimePoint GivenAt,
+                        std::optional<TimePoint> NotBefore) {
   for (const TableRow &Row : Rows) {
     if (Row.Key_ == "config")
       applyPlan(Row);
     else if (Row.Key_.starts_with("version/"))
-      applyVersion(Row);
+      applyVersion(Row, NotBefore);
   }
   bool WasFresh = keysAreFresh(GivenAt);
   if (Plan_)
@@ -109,19 +107,20 @@
   Changed_.fire(*Plan_);
 }
 
-void PlanService::applyVersion(const TableRow &Row) {
+void PlanService::applyVersion(const TableRow &Row,
+                               std::optional<TimePoint> NotBefore) {
   auto Named = platform::decodeNamedVersion(Row.Value_);
   if (!Named)
     return;
-  KnownVersion &Known = Versions_[Named->Model_][Named->Adapter_];
-  if (Named->Version_ <= Known.Version_)
+  if (!Versions_.note(Named->Model_, Named->Adapter_, Named->Version_,
+                      NotBefore))
     return;
-  Known = {Named->Version_, BootClock::now()};
   logEvent(LogLevel::Info, "adapter_version_named",
            {{"model", Named->Model_},
             {"adapter", Named->Adapter_},
-            {"version", Named->Version_}});
-  VersionNamed_.fire(Named->Model_, Named->Adapter_, Known);
+            {"version", Named->Version_},
+            {"is_new", NotBefore.has_value()}});
+  VersionNamed_.fire(Named->Model_, Named->Adapter_);
 }
 
 } // namespace anvil
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -5,6 +5,7 @@
 #include "Kernel/ServiceRegistry.h"
 #include "Serving/RemoteClock.h"
 #include "Serving/ServingPlan.h"
+#include "Serving/VersionBook.h"
 #include "Settings/EntrySettings.h"
 #include "platform/StoreClient.h"
 
@@ -18,12 +19,6 @@
 
 namespace anvil {
 
-/// A version of an adapter and since when this VM knows it.
-struct KnownVersion {
-  std::uint64_t Version_ = 0;
-  TimePoint Since_{};
-};
-
 /// Follows the operator's configuration and the adapter versions it names, and
 /// keeps the evidence that they are current.
 class PlanService : public Service {
@@ -47,22 +42,21 @@
   /// Whether requests with a key may go on at `Now`.
   bool keysAreFresh(TimePoint Now) const;
 
-  /// The newest version of an adapter, if one was named.
-  const KnownVersion *newestVersion(const std::string &Model,
-                                    const std::string &Adapter) const;
+  /// The adapter versions that were named.
+  const VersionBook &versions() const { return Versions_; }
 
   /// Fired with each new plan.
   Hook<const ServingPlan &> Changed_;
 
   /// Fired when a version is named, with model and adapter.
-  Hook<const std::string &, const std::string &, const KnownVersion &>
-      VersionNamed_;
+  Hook<const std::string &, const std::string &> VersionNamed_;
 
 private:
   boost::asio::awaitable<void> follow();
-  void apply(const std::vector<TableRow> &Rows, TimePoint GivenAt);
+  void apply(const std::vector<TableRow> &Rows, TimePoint GivenAt,
+             std::optional<TimePoint> NotBefore);
   void applyPlan(const TableRow &Row);
-  void applyVersion(const TableRow &Row);
+  void applyVersion(const TableRow &Row, std::optional<TimePoint> NotBefore);
 
   boost::asio::any_io_executor Executor_;
   const EntrySettings &Settings_;
@@ -70,8 +64,7 @@
   ServingPlanPtr Plan_;
   std::optional<TimePoint> Evidence_;
   RemoteClock StoreClock_;
-  /// By model, then adapter.
-  std::map<std::string, std::map<std::string, KnownVersion>> Versions_;
+  VersionBook Versions_;
 };
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -22,10 +22,6 @@
 /// How often a want is sent again.
 static constexpr Duration WantPeriod = std::chrono::milliseconds(60);
 
-/// How long old versions may still be used after a newer one became known,
-/// before the platform's bound.
-static constexpr Duration VersionMargin = std::chrono::milliseconds(1800);
-
 /// The share of its most output tokens that a request takes on average in a
 /// target's memory over its run.
 static constexpr double MeanOutputPart = 0.5;
@@ -82,15 +78,11 @@
                         static_cast<double>(Settings_.TransitLimit_));
   // An owner that may not order, or isn't heard, leaves wants unanswered.
   Given.HasOwner_ = Belief->ToldAt_ + OwnerWordTime > Now;
-  const KnownVersion *Newest =
-      Plans_->newestVersion(Question.Model_, Question.Adapter_);
-  Duration Grace =
-      std::chrono::milliseconds(Settings_.Bounds_.AdapterVersionMs_) -
-      VersionMargin;
-  bool OldWillDo = !Newest || Newest->Since_ + Grace > Now;
+  std::uint64_t Required =
+      Plans_->versions().required(Question.Model_, Question.Adapter_, Now);
   auto Held = Belief->Adapters_.find(Question.Adapter_);
-  bool IsHeld = Held != Belief->Adapters_.end() &&
-                (OldWillDo || Held->second.Version_ >= Newest->Version_);
+  bool IsHeld =
+      Held != Belief->Adapters_.end() && Held->second.Version_ >= Required;
   if (IsHeld) {
     Given.ReadyIn_ =
         std::max<Duration>(Duration::zero(), Held->second.ReadyAt_ - Now);
@@ -164,13 +156,13 @@
               dispatchCost(Given, Question.Shape_),
               Candidates.size()};
   if (Engine && !Question.Adapter_.empty()) {
-    const KnownVersion *Newest =
-        Plans_->newestVersion(Question.Model_, Question.Adapter_);
+    std::uint64_t Newest =
+        Plans_->versions().newest(Question.Model_, Question.Adapter_);
     const EngineBelief *Belief = Fleet_->book().engine(Entry.Id_);
     auto Held = Belief->Adapters_.find(Question.Adapter_);
-    if (Newest)
-      Chosen.Version_ = Held == Belief->Adapters_.end() ? Newest->Version_
-                                                        : Held->second.Version_;
+    if (Newest > 0)
+      Chosen.Version_ =
+          Held == Belief->Adapters_.end() ? Newest : Held->second.Version_;
   }
   return Chosen;
 }
@@ -197,19 +189,20 @@
   if (Sent.FirstAt_ == TimePoint{} || Sent.FirstAt_ + WantMemory < Now)
     Sent.FirstAt_ = Now;
   Sent.LastAt_ = Now;
-  const KnownVersion *Newest =
-      Plans_->newestVersion(Question.Model_, Question.Adapter_);
-  Owners_->want(Target, Question.Adapter_, Newest ? Newest->Version_ : 1,
-                false);
+  Owners_->want(Target, Question.Adapter_, wantedVersion(Question), true);
+}
+
+std::uint64_t TargetPicker::wantedVersion(const PickQuestion &Question) const {
+  std::uint64_t Newest =
+      Plans_->versions().newest(Question.Model_, Question.Adapter_);
+  return std::max<std::uint64_t>(Newest, 1);
 }
 
 void TargetPicker::noteMissing(const PickQuestion &Question,
                                const std::string &Target) {
   if (!Fleet_->book().noteMissing(Target, Question.Adapter_, BootClock::now()))
     return;
-  const KnownVersion *Newest =
-      Plans_->newestVersion(Question.Model_, Question.Adapter_);
-  Owners_->want(Target, Question.Adapter_, Newest ? Newest->Version_ : 1, true);
+  Owners_->want(Target, Question.Adapter_, wantedVersion(Question), true);
 }
 
 bool TargetPicker::noteDown(const Pick &Chosen) {
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -83,6 +83,8 @@
                        TimePoint Now);
 
   /// A want that the owner has not answered yet.
+  std::uint64_t wantedVersion(const PickQuestion &Question) const;
+
   struct SentWant {
     TimePoint FirstAt_{};
     TimePoint LastAt_{};
--- /dev/null
+++ b/Source/Serving/VersionBook.h
@@ -0,0 +1,55 @@
+#ifndef ANVIL_SERVING_VERSIONBOOK_H
+#define ANVIL_SERVING_VERSIONBOOK_H
+
+#include "Kernel/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// The adapter versions that the operator has named, and from when older ones
+/// may no longer be used.
+class VersionBook {
+public:
+  /// `Grace` is how long after its naming a version need not be used yet.
+  explicit VersionBook(Duration Grace) : Grace_(Grace) {}
+
+  /// Notes a named version. `NotBefore` is a moment at which it was certainly
+  /// not named yet; without one it may have been named long ago, as after a
+  /// start. True when the version is news.
+  bool note(const std::string &Model, const std::string &Adapter,
+            std::uint64_t Version, std::optional<TimePoint> NotBefore);
+
+  /// The newest version; zero when none was named.
+  std::uint64_t newest(const std::string &Model,
+                       const std::string &Adapter) const;
+
+  /// The least version on which a request may begin; zero when any may.
+  std::uint64_t required(const std::string &Model, const std::string &Adapter,
+                         TimePoint Now) const;
+
+  /// When the newest version will be required.
+  TimePoint requiredFrom(const std::string &Model,
+                         const std::string &Adapter) const;
+
+private:
+  struct Named {
+    std::uint64_t Version_ = 0;
+    TimePoint RequiredFrom_{};
+  };
+
+  const std::vector<Named> *find(const std::string &Model,
+                                 const std::string &Adapter) const;
+
+  Duration Grace_;
+  /// Versions in order, by model and adapter.
+  std::map<std::string, std::map<std::string, std::vector<Named>>> Named_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_SERVING_VERSIONBOOK_H
