--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -392,9 +392,18 @@
 }
 
 void OwnerService::want(const std::string &Engine, const std::string &Adapter,
-                        std::uint64_t Version, bool WasMissing) {
-  AdapterWant Wanted{Self_, Engine, Adapter, Version, WasMissing};
-  std::string Owner = Ownership_.ownerOf(Engine);
+                        std::uint64_t Version) {
+  tellOwner({Self_, Engine, Adapter, Version, false});
+}
+
+void OwnerService::reportMissing(const std::string &Engine,
+                                 const std::string &Adapter,
+                                 std::uint64_t Version) {
+  tellOwner({Self_, Engine, Adapter, Version, true});
+}
+
+void OwnerService::tellOwner(AdapterWant Wanted) {
+  std::string Owner = Ownership_.ownerOf(Wanted.Engine_);
   if (Owner == Self_)
     receive(Wanted);
   else
--- a/Source/Entry/OwnerService.h
+++ b/Source/Entry/OwnerService.h
@@ -46,7 +46,12 @@
 
   /// Asks an engine's owner for an adapter, this VM or another.
   void want(const std::string &Engine, const std::string &Adapter,
-            std::uint64_t Version, bool WasMissing);
+            std::uint64_t Version);
+
+  /// Tells an engine's owner that the engine lacks an adapter which it was
+  /// believed to hold, so that the owner asks the engine.
+  void reportMissing(const std::string &Engine, const std::string &Adapter,
+                     std::uint64_t Version);
 
   /// What the engines hold that this VM owns.
   std::map<std::string, EngineHoldings> holdings() const;
@@ -84,6 +89,7 @@
   void updateEngines();
   void checkEntries();
   void announce(const std::string &Engine);
+  void tellOwner(AdapterWant Wanted);
   void receive(const FleetMessage &Message);
   /// The engines and their data centres.
   std::map<std::string, std::string> engines() const;
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -189,7 +189,7 @@
   if (Sent.FirstAt_ == TimePoint{} || Sent.FirstAt_ + WantMemory < Now)
     Sent.FirstAt_ = Now;
   Sent.LastAt_ = Now;
-  Owners_->want(Target, Question.Adapter_, wantedVersion(Question), true);
+  Owners_->want(Target, Question.Adapter_, wantedVersion(Question));
 }
 
 std::uint64_t TargetPicker::wantedVersion(const PickQuestion &Question) const {
@@ -202,7 +202,7 @@
                                const std::string &Target) {
   if (!Fleet_->book().noteMissing(Target, Question.Adapter_, BootClock::now()))
     return;
-  Owners_->want(Target, Question.Adapter_, wantedVersion(Question), true);
+  Owners_->reportMissing(Target, Question.Adapter_, wantedVersion(Question));
 }
 
 bool TargetPicker::noteDown(const Pick &Chosen) {
