Explain a request from logs; prove the entry mode by real processes

anvilctl explain ID [FILE...] puts a request's lines of several VMs in order and says in a sentence what happened.

--- a/Source/Commands/Command.cpp
+++ b/Source/Commands/Command.cpp
@@ -3,6 +3,7 @@
 #include "Commands/ApplyCommand.h"
 #include "Commands/DiffCommand.h"
 #include "Commands/DrainCommand.h"
+#include "Commands/ExplainCommand.h"
 #include "Commands/GetCommand.h"
 #include "Commands/HistoryCommand.h"
 #include "Commands/KeyCommand.h"
@@ -21,6 +22,7 @@
     Made.push_back(std::make_unique<ApplyCommand>());
     Made.push_back(std::make_unique<DiffCommand>());
     Made.push_back(std::make_unique<DrainCommand>());
+    Made.push_back(std::make_unique<ExplainCommand>());
     Made.push_back(std::make_unique<GetCommand>());
     Made.push_back(std::make_unique<HistoryCommand>());
     Made.push_back(std::make_unique<KeyCommand>());
--- /dev/null
+++ b/Source/Commands/RequestStory.cpp
@@ -0,0 +1,110 @@
+#include "Commands/RequestStory.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+using nlohmann::json;
+
+static constexpr std::pair<std::string_view, std::string_view> ReasonTexts[] = {
+    {"no_target", "no target could run it: none was listed, reachable and, for "
+                  "an adapter, held it or had an owner to load it"},
+    {"no_connection", "the target could not be connected to"},
+    {"adapter_missing", "the engine did not hold the adapter in the version"},
+    {"adapter_not_loaded", "no engine's owner answered the want for its "
+                           "adapter within the latency target"},
+    {"adapter_too_late", "its adapter would have been loaded too late"},
+    {"target_refused", "the target refused to run it, most likely since it "
+                       "was full"},
+    {"target_failed", "the target ran it and answered with a failure"},
+    {"connection_closed", "the target closed the connection without an answer"},
+    {"timeout", "the target gave no answer in time"},
+    {"protocol", "the target sent bytes that are no answer"},
+    {"answer_cut", "the target's answer broke off"},
+    {"stream_broken", "the target's stream broke off"},
+    {"not_sealed", "the answer did not come from the target itself"},
+    {"resume_failed", "the stream could not go on at another target"},
+};
+
+std::string_view explainReason(std::string_view Reason) {
+  for (const auto &[Known, Text] : ReasonTexts)
+    if (Known == Reason)
+      return Text;
+  return Reason;
+}
+
+void RequestStory::read(std::istream &Log) {
+  std::string Line;
+  while (std::getline(Log, Line)) {
+    auto Begin = Line.find('{');
+    if (Begin == std::string::npos || Line.find(Id_) == std::string::npos)
+      continue;
+    json Parsed = json::parse(Line.substr(Begin), nullptr, false);
+    if (Parsed.is_object() && Parsed.value("request", "") == Id_)
+      Lines_.push_back(std::move(Parsed));
+  }
+}
+
+std::vector<json> RequestStory::lines() const {
+  std::vector<json> Sorted = Lines_;
+  std::ranges::stable_sort(Sorted, {}, [](const json &Line) {
+    return Line.value("time_ms", std::int64_t{0});
+  });
+  return Sorted;
+}
+
+/// What its tries met before the end, most recent first.
+static std::string triesText(const std::vector<json> &Lines) {
+  std::string Text;
+  for (const json &Line : Lines)
+    if (Line.value("event", "") == "try_failed")
+      Text += "; at " + Line.value("target", "") + " " +
+              std::string(explainReason(Line.value("reason", "")));
+  return Text;
+}
+
+static std::string endText(const json &End) {
+  std::string Outcome = End.value("outcome", "");
+  std::string Text = Outcome;
+  int Status = End.value("status", 0);
+  if (Status > 0)
+    Text += " with status " + std::to_string(Status);
+  Text += " by " + End.value("vm", "a VM") + " after " +
+          std::to_string(End.value("took_ms", std::int64_t{0})) + " ms";
+  std::string Reason = End.value("reason", "");
+  if (!Reason.empty() && Outcome != "served")
+    Text += ", since " + std::string(explainReason(Reason));
+  auto Wait = End.value("adapter_wait_ms", std::int64_t{0});
+  if (Wait > 0)
+    Text += "; it waited " + std::to_string(Wait) + " ms for its adapter " +
+            End.value("adapter", "");
+  auto Gap = End.value("longest_gap_ms", std::int64_t{0});
+  if (Gap > 0)
+    Text +=
+        "; the longest pause of its stream was " + std::to_string(Gap) + " ms";
+  return Text;
+}
+
+std::string RequestStory::summary() const {
+  std::vector<json> Sorted = lines();
+  if (Sorted.empty())
+    return "request " + Id_ +
+           " is in none of the logs: it was served without trouble, or its "
+           "lines were dropped (see log_lines_dropped)";
+  std::string Text = "request " + Id_ + " was ";
+  const json &Last = Sorted.back();
+  if (Last.value("event", "") == "request_refused")
+    return Text + "refused with status " +
+           std::to_string(Last.value("status", 0)) + " by " +
+           Last.value("vm", "a VM") +
+           " at its admission: " + Last.value("reason", "") + " (revision " +
+           std::to_string(Last.value("revision", std::int64_t{0})) +
+           ", confirmed " +
+           std::to_string(Last.value("evidence_age_ms", std::int64_t{-1})) +
+           " ms before)";
+  if (Last.value("event", "") == "request_end")
+    return Text + endText(Last) + triesText(Sorted);
+  return Text + "still under way at its last line" + triesText(Sorted);
+}
+
+} // namespace anvil
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -66,6 +66,10 @@
   return Started;
 }
 
+std::map<std::string, std::uint16_t> EntryDaemon::ports() const {
+  return Services_.require<EntryGateway>(EntryGateway::Name)->ports();
+}
+
 void EntryDaemon::run() { Loop_.run(); }
 
 void EntryDaemon::waitForSignal() {
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -10,7 +10,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace anvil {
@@ -28,6 +30,9 @@
   /// Runs until the daemon has stopped.
   void run();
 
+  /// The ports in use, by the name of what listens there.
+  std::map<std::string, std::uint16_t> ports() const;
+
   /// Sets what reads the settings anew on SIGHUP.
   void onReload(std::function<void()> Hook) { Reload_ = std::move(Hook); }
 
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -101,6 +101,10 @@
   MetricsPage_.close();
 }
 
+std::map<std::string, std::uint16_t> EntryGateway::ports() const {
+  return {{"caller", Callers_.port()}, {"ready", Ready_.port()}};
+}
+
 void EntryGateway::beginDrain() {
   Draining_ = true;
   Callers_.beginDrain();
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -9,6 +9,8 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -33,6 +35,9 @@
   /// Takes no new connections and closes those without a request.
   void closeIdle();
 
+  /// The ports in use, by the name of what listens there.
+  std::map<std::string, std::uint16_t> ports() const;
+
   std::size_t runningRequests() const { return Callers_.runningRequests(); }
 
 private:
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -62,6 +62,11 @@
   Socket_->Udp_.close(Ignored);
 }
 
+std::uint16_t FleetLink::port() const {
+  error_code Ignored;
+  return Socket_->Udp_.local_endpoint(Ignored).port();
+}
+
 void FleetLink::setPeers(std::map<std::string, Endpoint> Peers) {
   Peers_ = std::move(Peers);
 }
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -32,6 +32,9 @@
   Status start() override;
   void stop() override;
 
+  /// The UDP port in use.
+  std::uint16_t port() const;
+
   /// Says where the other VMs are.
   void setPeers(std::map<std::string, Endpoint> Peers);
 
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -90,8 +90,7 @@
 }
 
 VmRow OwnerService::ownRow() const {
-  Endpoint Peer{Settings_.Listen_.Address_,
-                static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_)};
+  Endpoint Peer{Settings_.Listen_.Address_, Link_->port()};
   return {Self_,       Incarnation_, Settings_.DataCentre_,
           Peer.text(), Renewals_,    OwnRowVersion_};
 }
--- a/Source/Programs/anvild.cpp
+++ b/Source/Programs/anvild.cpp
@@ -62,12 +62,15 @@
   anvil::logEvent(anvil::LogLevel::Info, "reloaded", {{"file", Path}});
 }
 
-static int serveEntry(anvil::EntrySettings Settings, const std::string &Path) {
+static int serveEntry(anvil::EntrySettings Settings, const std::string &Path,
+                      const std::string &ReadyPath) {
   if (!openLog(Settings.Vm_, Settings.LogLevel_))
     return UsageStatus;
   anvil::EntryDaemon Server(std::move(Settings));
   Server.onReload([Path] { checkAgain(Path); });
   anvil::Status Started = Server.start();
+  if (anvil::isOk(Started) && !ReadyPath.empty())
+    Started = anvil::writeReadyFile(ReadyPath, Server.ports());
   if (!anvil::isOk(Started)) {
     printErrors({anvil::errorOf(Started)});
     return 1;
@@ -97,7 +100,7 @@
   if (anvil::asksForEntryMode(Path, anvil::valueOf(Text)))
     return Run(anvil::parseEntrySettings(Path, anvil::valueOf(Text)),
                [&](anvil::EntrySettings Settings) {
-                 return serveEntry(std::move(Settings), Path);
+                 return serveEntry(std::move(Settings), Path, ReadyPath);
                });
   return Run(anvil::parseDaemonSettings(Path, anvil::valueOf(Text)),
              [&](anvil::DaemonSettings Settings) {
--- /dev/null
+++ b/Tests/Integration/EntryFleet.cpp
@@ -0,0 +1,179 @@
+#include "Integration/EntryFleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace anvil {
+
+using nlohmann::json;
+
+/// How long a fleet may take until requests with adapters are served.
+static constexpr Millis SettleBound{20000};
+
+EntryFleet::EntryFleet() {
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "anvil-entry-XXXXXX").string();
+  if (!::mkdtemp(Template.data()))
+    throw std::runtime_error("no directory for the test");
+  Directory_ = Template;
+  start("store", {"--kind", "row-store"});
+  for (const std::string &Target : EntryTargets) {
+    start(Target, {"--kind", "registered-target", "--id", Target});
+    list(Target, "ready");
+  }
+  configure(1, {"good-key"});
+  startVm("vm-1");
+  startVm("vm-2");
+  bool Settled = eventually(
+      [&] {
+        return call("vm-1", "/stream/1", {{"X-Model", "base/warm"}}).Status_ ==
+                   200 &&
+               call("vm-2", "/safe/1").Status_ == 200;
+      },
+      SettleBound);
+  if (!Settled)
+    throw std::runtime_error("the entry fleet does not serve: " +
+                             at("vm-1").log());
+}
+
+EntryFleet::~EntryFleet() {
+  Processes_.clear();
+  std::error_code Ignored;
+  std::filesystem::remove_all(Directory_, Ignored);
+}
+
+void EntryFleet::start(const std::string &Name,
+                       std::vector<std::string> Arguments) {
+  Processes_[Name] = std::make_unique<Process>(
+      ANVIL_STANDIN, std::move(Arguments), Directory_, Name);
+}
+
+void EntryFleet::startVm(const std::string &Name) {
+  std::string Path = Directory_ + "/" + Name + ".json";
+  std::string Store = "127.0.0.1:" + std::to_string(at("store").port());
+  json Settings = {{"mode", "entry"},
+                   {"vm", Name},
+                   {"data_centre", "north"},
+                   {"listen",
+                    {{"callers", "127.0.0.1:0"},
+                     {"ready", "127.0.0.1:0"},
+                     {"address", "127.0.0.1"},
+                     {"peer_port", 0}}},
+                   {"store",
+                    {{"address", Store},
+                     {"timeout_ms", 300},
+                     {"watch_ms", 300},
+                     {"target_list_ms", 200},
+                     {"renew_ms", 400}}},
+                   {"bounds", {{"key_withdrawal_ms", 3000}}}};
+  std::ofstream(Path) << Settings.dump();
+  Processes_[Name] = std::make_unique<Process>(
+      ANVIL_DAEMON, std::vector<std::string>{"--settings", Path}, Directory_,
+      Name);
+}
+
+void EntryFleet::write(const std::string &Table, const std::string &Key,
+                       const json &Value) {
+  sendJson(at("store").port(), "PUT", "/row",
+           {{"Table", Table}, {"Key", Key}, {"Value", Value.dump()}});
+}
+
+void EntryFleet::list(const std::string &Target, const std::string &State) {
+  bool IsEngine = Target.starts_with("engine");
+  json Entry = {{"Service", IsEngine ? "engines" : "plain"},
+                {"Address", "127.0.0.1:" + std::to_string(at(Target).port())},
+                {"Zone", "north"},
+                {"Slots", 8},
+                {"State", State},
+                {"born", 1700000000000},
+                {"Seq", 0}};
+  if (IsEngine)
+    Entry["Models"] = json::array(
+        {{{"Name", "base"}, {"Version", 1}, {"Adapters", json::array()}}});
+  write("servers", Target, Entry);
+}
+
+void EntryFleet::configure(std::uint64_t Revision,
+                           const std::vector<std::string> &Keys) {
+  auto Route = [](const char *Prefix, const char *Kind, const char *Service,
+                  int Targets) {
+    return json{
+        {"Name", Prefix},    {"Host", "anvil"}, {"PathPrefix", Prefix},
+        {"RouteType", Kind}, {"TimeoutMs", 3000},   {"TargetLatencyMs", 800},
+        {"Priority", 1},     {"Service", Service},  {"MaxAttempts", Targets}};
+  };
+  json Stream = Route("/stream/resumable/", "streaming", "engines", 2);
+  Stream["Resumable"] = true;
+  json Engine = {{"Slots", 8},
+                 {"KvTokens", 100000},
+                 {"MaxAdapters", 3},
+                 {"LoadsPerS", 5},
+                 {"Models", json::array({{{"Name", "base"}}})}};
+  json Config = {
+      {"Version", Revision},
+      {"Routes",
+       {Route("/safe/", "safe", "plain", 2),
+        Route("/once/", "unsafe", "plain", 1),
+        Route("/stream/", "streaming", "engines", 1), Stream}},
+      {"Services",
+       {{{"Name", "engines"}, {"Engine", Engine}}, {{"Name", "plain"}}}},
+      {"Tenants", json::array({{{"Name", "serenas"}, {"ApiKeys", Keys}}})}};
+  write("op", "config", Config);
+}
+
+void EntryFleet::control(const std::string &Standin, const json &Change) {
+  sendJson(at(Standin).port(), "POST", "/control", Change);
+}
+
+Call EntryFleet::request(
+    const std::string &Path,
+    std::vector<std::pair<std::string, std::string>> Headers) const {
+  Call Given;
+  Given.Target_ = Path;
+  Given.Headers_ = std::move(Headers);
+  auto Default = [&](const char *Name, const char *Value) {
+    for (const auto &[Known, Text] : Given.Headers_)
+      if (Known == Name)
+        return;
+    Given.Headers_.emplace_back(Name, Value);
+  };
+  Default("X-Request-Id", "request-0");
+  Default("Authorization", "Token good-key");
+  Default("X-Request-Deadline", "3000");
+  return Given;
+}
+
+Answer
+EntryFleet::call(const std::string &Vm, const std::string &Path,
+                 std::vector<std::pair<std::string, std::string>> Headers) {
+  return callOnce(callerPort(Vm), request(Path, std::move(Headers)));
+}
+
+std::vector<json> EntryFleet::records(const std::string &Event) {
+  std::vector<json> Found;
+  for (const std::string &Target : EntryTargets) {
+    json All =
+        sendJson(at(Target).port(), "GET", "/records", json::object()).json();
+    for (json &Item : All)
+      if (Item["event"] == Event)
+        Found.push_back(std::move(Item));
+  }
+  return Found;
+}
+
+std::string EntryFleet::explain(const std::string &RequestId) {
+  std::string Command = std::string(ANVIL_CTL) + " explain " + RequestId + " " +
+                        Directory_ + "/vm-1.log " + Directory_ + "/vm-2.log";
+  std::string Text;
+  FILE *Pipe = ::popen(Command.c_str(), "r");
+  char Piece[4096];
+  while (std::size_t Read = std::fread(Piece, 1, sizeof(Piece), Pipe))
+    Text.append(Piece, Read);
+  ::pclose(Pipe);
+  return Text;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -0,0 +1,132 @@
+#include "Standins/RegisteredTargetStandin.h"
+
+#include "Entry/Pause.h"
+
+namespace anvil {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+/// The events of a stream.
+static constexpr int StreamEvents = 20;
+
+RegisteredTargetStandin::RegisteredTargetStandin(asio::any_io_executor Executor,
+                                                 std::string Id)
+    : Id_(std::move(Id)),
+      Server_(std::move(Executor), {},
+              [this](HttpExchange &Exchange) { return handle(Exchange); }) {}
+
+HttpReply RegisteredTargetStandin::sealed(int Status, const std::string &Body,
+                                          const HttpRequest &Request) const {
+  HttpReply Reply = jsonReply(Status, Body);
+  Reply.Headers_.add("X-Server-Seal", "seal-of-" + Id_);
+  if (auto RequestId = Request.Headers_.find("X-Request-Id"))
+    Reply.Headers_.add("X-Request-Id", *RequestId);
+  return Reply;
+}
+
+HttpReply RegisteredTargetStandin::control(const HttpRequest &Request) {
+  json Given = json::parse(Request.Body_, nullptr, false);
+  if (!Given.is_object())
+    return jsonReply(400, "{}");
+  Fail_ = Given.value("fail", Fail_);
+  Refuse_ = Given.value("refuse", Refuse_);
+  Drop_ = Given.value("drop", Drop_);
+  CutAfter_ = Given.value("cut_after", CutAfter_);
+  EventMs_ = Given.value("event_ms", EventMs_);
+  return jsonReply(200, "{}");
+}
+
+HttpReply RegisteredTargetStandin::report() const {
+  json Adapters = json::array();
+  for (const auto &[Name, Version] : Adapters_)
+    Adapters.push_back(Name + "@" + std::to_string(Version));
+  json Model = {{"Name", "base"}, {"Version", 1}, {"Adapters", Adapters}};
+  json Body = {{"Models", json::array({Model})},
+               {"Busy", false},
+               {"Seq", Orders_},
+               {"Pending", json::array()}};
+  return jsonReply(200, Body.dump());
+}
+
+HttpReply RegisteredTargetStandin::order(const HttpRequest &Request) {
+  json Given = json::parse(Request.Body_, nullptr, false);
+  Records_.add("order", {{"body", Given}});
+  if (!Given.is_object() || !Given.contains("Holder"))
+    return jsonReply(400, "{}");
+  if (Given.value("Precondition", Orders_) != Orders_)
+    return jsonReply(409, "{}");
+  ++Orders_;
+  std::string Adapter = Given.value("Adapter", "");
+  if (Given["Operation"] == "unload")
+    Adapters_.erase(Adapter);
+  else
+    Adapters_[Adapter] = Given.value("Version", std::uint64_t{1});
+  return jsonReply(202, "{}");
+}
+
+asio::awaitable<void> RegisteredTargetStandin::stream(HttpExchange &Exchange) {
+  HttpReply Head = sealed(200, "", Exchange.request());
+  HttpReplyHead Begun{200, Head.Headers_};
+  int From = 0;
+  if (auto Last = Exchange.request().Headers_.find("Last-Event-Id"))
+    From = std::stoi(std::string(*Last));
+  co_await Exchange.startStream(std::move(Begun));
+  for (int Event = From + 1; Event <= StreamEvents; ++Event) {
+    if (CutAfter_ >= 0 && Event > CutAfter_) {
+      CutAfter_ = -1;
+      Exchange.abort();
+      co_return;
+    }
+    std::string Number = std::to_string(Event);
+    std::string Text = "id: " + Number + "\ndata: word " + Number + "\n\n";
+    if (!co_await Exchange.write(Text))
+      co_return;
+    co_await pauseFor(std::chrono::milliseconds(EventMs_));
+  }
+  co_await Exchange.finishStream();
+}
+
+asio::awaitable<void> RegisteredTargetStandin::handle(HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  HttpReply Reply = jsonReply(404, "{}");
+  auto Expected = Request.Headers_.find("X-Expect-Instance");
+  std::string Model(Request.Headers_.find("X-Model").value_or(""));
+  auto Slash = Model.find('/');
+  bool LacksAdapter = Slash != std::string::npos &&
+                      !Adapters_.contains(Model.substr(Slash + 1));
+  if (Request.path() == "/control") {
+    Reply = control(Request);
+  } else if (Request.path() == "/records") {
+    Reply = jsonReply(200, Records_.text());
+  } else if (Expected && *Expected != Id_) {
+    Reply = jsonReply(421, "{}");
+  } else if (Request.path() == "/api/report") {
+    Reply = report();
+  } else if (Request.path() == "/api/order") {
+    Reply = order(Request);
+  } else if (LacksAdapter) {
+    Reply = jsonReply(421, "{}");
+  } else if (Refuse_ > 0) {
+    --Refuse_;
+    Reply = jsonReply(503, "{}");
+    Reply.Headers_.add("X-Not-Executed", "1");
+  } else {
+    Records_.add("run", {{"target", Request.Target_},
+                         {"body", Request.Body_},
+                         {"headers", headersToJson(Request)}});
+    if (Drop_ > 0) {
+      --Drop_;
+      Exchange.abort();
+      co_return;
+    }
+    if (Request.path().starts_with("/stream/"))
+      co_return co_await stream(Exchange);
+    bool Fails = Fail_ > 0;
+    Fail_ -= Fails ? 1 : 0;
+    Reply = sealed(Fails ? 500 : 200, json{{"by", Id_}}.dump(), Request);
+  }
+  co_await Exchange.respond(std::move(Reply));
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Tests/Standins/RowStoreStandin.cpp
@@ -0,0 +1,163 @@
+#include "Standins/RowStoreStandin.h"
+
+#include "Entry/Pause.h"
+
+#include <openssl/evp.h>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+static std::string base64(const std::string &Bytes) {
+  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Text.resize(static_cast<std::size_t>(Length));
+  return Text;
+}
+
+/// A value of a query without its percent signs.
+static std::string unescaped(std::string_view Text) {
+  std::string Plain;
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    if (Text[Index] == '%' && Index + 2 < Text.size()) {
+      Plain += static_cast<char>(
+          std::stoi(std::string(Text.substr(Index + 1, 2)), nullptr, 16));
+      Index += 2;
+    } else {
+      Plain += Text[Index];
+    }
+  }
+  return Plain;
+}
+
+RowStoreStandin::RowStoreStandin(asio::any_io_executor Executor)
+    : Server_(std::move(Executor), {},
+              [this](HttpExchange &Exchange) { return handle(Exchange); }) {}
+
+json RowStoreStandin::rowJson(const std::string &TableName,
+                              const std::string &Key, const Row &Given) const {
+  json Shown = {{"Table", TableName},
+                {"part", ""},
+                {"Key", Key},
+                {"RowVersion", Given.Version_}};
+  if (Given.Deleted_)
+    Shown["Deleted"] = true;
+  else
+    Shown["Value"] = Given.Value_;
+  return Shown;
+}
+
+HttpReply RowStoreStandin::answer(json Rows, bool HasMore) const {
+  json Body = {{"Rows", std::move(Rows)},
+               {"HasMore", HasMore},
+               {"RowVersion", Version_},
+               {"NowMs", toMillis(BootClock::now().time_since_epoch())}};
+  return jsonReply(200, Body.dump());
+}
+
+HttpReply RowStoreStandin::get(const HttpRequest &Request) const {
+  std::string Name = unescaped(Request.query("Table"));
+  std::string From = unescaped(Request.query("From"));
+  std::string To = unescaped(Request.query("To"));
+  json Rows = json::array();
+  auto Found = Tables_.find(Name);
+  if (Found != Tables_.end())
+    for (const auto &[Key, Given] : Found->second)
+      if (!Given.Deleted_ && Key >= From && (To.empty() || Key < To))
+        Rows.push_back(rowJson(Name, Key, Given));
+  return answer(std::move(Rows), false);
+}
+
+asio::awaitable<void> RowStoreStandin::feed(HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  std::string Name = unescaped(Request.query("Table"));
+  auto After = std::stoull(std::string(Request.query("after")));
+  TimePoint Until =
+      BootClock::now() + std::chrono::milliseconds(
+                             std::stoll(std::string(Request.query("WaitMs"))));
+  json Rows = json::array();
+  while (true) {
+    for (const auto &[Key, Given] : Tables_[Name])
+      if (Given.Version_ > After)
+        Rows.push_back(rowJson(Name, Key, Given));
+    if (!Rows.empty() || BootClock::now() >= Until || Exchange.callerGone())
+      break;
+    constexpr Duration LookPeriod = std::chrono::milliseconds(10);
+    co_await pauseFor(LookPeriod);
+  }
+  HttpReply Reply = answer(std::move(Rows), false);
+  co_await Exchange.respond(std::move(Reply));
+}
+
+HttpReply RowStoreStandin::transact(const HttpRequest &Request) {
+  json Body = json::parse(Request.Body_, nullptr, false);
+  if (!Body.is_object())
+    return jsonReply(400, "{}");
+  json Current = json::array();
+  bool Holds = true;
+  for (const json &Check : Body["Precondition"]) {
+    const Row &Given = Tables_[Check["Table"]][Check["Key"]];
+    std::uint64_t Version = Given.Deleted_ ? 0 : Given.Version_;
+    Holds = Holds && Version == Check["RowVersion"].get<std::uint64_t>();
+    if (Version > 0)
+      Current.push_back(rowJson(Check["Table"], Check["Key"], Given));
+  }
+  if (!Holds)
+    return jsonReply(412, json{{"Rows", Current}}.dump());
+  ++Version_;
+  for (const json &Put : Body["Put"])
+    Tables_[Put["Table"]][Put["Key"]] = {Put["Value"], Version_, false};
+  for (const json &Drop : Body["Drop"])
+    Tables_[Drop["Table"]][Drop["Key"]] = {"", Version_, true};
+  return answer(json::array(), false);
+}
+
+HttpReply RowStoreStandin::control(const HttpRequest &Request) {
+  json Given = json::parse(Request.Body_, nullptr, false);
+  if (!Given.is_object())
+    return jsonReply(400, "{}");
+  Down_ = Given.value("down", Down_);
+  LoseAnswers_ = Given.value("lose_answers", LoseAnswers_);
+  return jsonReply(200, "{}");
+}
+
+HttpReply RowStoreStandin::writeRow(const HttpRequest &Request) {
+  json Given = json::parse(Request.Body_, nullptr, false);
+  if (!Given.is_object())
+    return jsonReply(400, "{}");
+  ++Version_;
+  Tables_[Given["Table"]][Given["Key"]] = {
+      base64(Given.value("Value", "")), Version_, Request.Method_ == "DELETE"};
+  return jsonReply(200, "{}");
+}
+
+asio::awaitable<void> RowStoreStandin::handle(HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  HttpReply Reply = jsonReply(404, "{}");
+  if (Request.path() == "/control") {
+    Reply = control(Request);
+  } else if (Request.path() == "/row") {
+    Reply = writeRow(Request);
+  } else if (Down_) {
+    Exchange.abort();
+    co_return;
+  } else if (Request.path() == "/api/rows-feed") {
+    co_return co_await feed(Exchange);
+  } else if (Request.path() == "/api/rows-get") {
+    Reply = get(Request);
+  } else if (Request.path() == "/api/rows-tx") {
+    Reply = transact(Request);
+    if (LoseAnswers_ > 0) {
+      --LoseAnswers_;
+      Exchange.abort();
+      co_return;
+    }
+  }
+  co_await Exchange.respond(std::move(Reply));
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Tests/Standins/RowStoreStandin.h
@@ -0,0 +1,53 @@
+#ifndef ANVIL_TESTS_STANDINS_ROWSTORESTANDIN_H
+#define ANVIL_TESTS_STANDINS_ROWSTORESTANDIN_H
+
+#include "Http/HttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// The users' platform's store in memory: rows with one counter of versions, a
+/// feed of changes, transactions. `PUT /row` with `{"Table", "Key", "Value"}`
+/// writes a row as the operator or a target does, with its value as text;
+/// `DELETE /row` drops one. `POST /control` with `{"down", "lose_answers"}`
+/// makes it unreachable, or lose the answers of that many transactions.
+class RowStoreStandin {
+public:
+  explicit RowStoreStandin(boost::asio::any_io_executor Executor);
+
+  Status listen(const Endpoint &Address) { return Server_.listen(Address); }
+  std::uint16_t port() const { return Server_.port(); }
+
+private:
+  struct Row {
+    std::string Value_;
+    std::uint64_t Version_ = 0;
+    bool Deleted_ = false;
+  };
+  using Table = std::map<std::string, Row>;
+
+  boost::asio::awaitable<void> handle(HttpExchange &Exchange);
+  boost::asio::awaitable<void> feed(HttpExchange &Exchange);
+  HttpReply get(const HttpRequest &Request) const;
+  HttpReply transact(const HttpRequest &Request);
+  HttpReply control(const HttpRequest &Request);
+  HttpReply writeRow(const HttpRequest &Request);
+  nlohmann::json rowJson(const std::string &TableName, const std::string &Key,
+                         const Row &Given) const;
+  HttpReply answer(nlohmann::json Rows, bool HasMore) const;
+
+  std::map<std::string, Table> Tables_;
+  std::uint64_t Version_ = 0;
+  bool Down_ = false;
+  std::int64_t LoseAnswers_ = 0;
+  HttpServer Server_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_TESTS_STANDINS_ROWSTORESTANDIN_H
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -2,6 +2,8 @@
 #include "Standins/EngineStandin.h"
 #include "Standins/FaultProxy.h"
 #include "Standins/PlatformStandin.h"
+#include "Standins/RegisteredTargetStandin.h"
+#include "Standins/RowStoreStandin.h"
 #include "Standins/ServiceStandin.h"
 #include "Standins/WeightStoreStandin.h"
 
@@ -46,7 +48,10 @@
   auto Add = Known.add_options();
   Add("help", "show this text");
   Add("kind", options::value<std::string>()->required(),
-      "platform, engine, service, weight-store or proxy");
+      "platform, engine, service, weight-store, proxy, row-store or "
+      "registered-target");
+  Add("id", options::value<std::string>()->default_value("target-1"),
+      "the id of a registered target");
   Add("ready-file", options::value<std::string>()->required(),
       "write the port in use to this file");
   Add("adapter-slots", options::value(&Behaviour.AdapterSlots_),
@@ -102,6 +107,15 @@
     anvil::ServiceStandin Server(Loop.get_executor());
     return serve(Loop, Server, ReadyPath);
   }
+  if (Kind == "row-store") {
+    anvil::RowStoreStandin Server(Loop.get_executor());
+    return serve(Loop, Server, ReadyPath);
+  }
+  if (Kind == "registered-target") {
+    anvil::RegisteredTargetStandin Server(Loop.get_executor(),
+                                          Given["id"].as<std::string>());
+    return serve(Loop, Server, ReadyPath);
+  }
   if (Kind == "proxy") {
     anvil::FaultProxy Proxy(Loop.get_executor(), Links);
     anvil::Status Outcome = Proxy.listen();
