--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -90,6 +90,8 @@
     Live[Row.DataCentre_].push_back(Row.Vm_);
     AllLive.push_back(Row.Vm_);
   }
+  if (AllLive.empty())
+    return Wanted;
   std::map<std::string, std::size_t> Held;
   std::map<std::string, std::size_t> Near;
   for (const auto &[Target, DataCentre] : Targets) {
@@ -155,7 +157,7 @@
   std::vector<VmRow> Rows;
   for (const auto &[Name, Known] : Vms_) {
     bool IsOld = Name != Self_ && Known.Since_ + Options_.RowMemory_ <= Now;
-    if (IsOld && rendezvousOrder(Name, Live).front() == Self_)
+    if (IsOld && !Live.empty() && rendezvousOrder(Name, Live).front() == Self_)
       Rows.push_back(Known.Row_);
   }
   return Rows;
--- a/Tests/Serving/TargetOwnershipTest.cpp
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -51,6 +51,11 @@
           Own.claims({{"e1", "far"}, {"e2", "far"}}, Start + 2s).empty());
     }
   }
+  // Ended front-oviedo-1 on trouble-2 of serenas-norte by a division by zero.
+  SECTION("is not claimed while no VM's row is to be seen, not even its own") {
+    Own.applyVms({}, Start + 2s);
+    CHECK(Own.claims({{"e1", "z"}}, Start + 2s).empty());
+  }
   SECTION("stays with a VM that renews") {
     Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
     Own.applyVms({vmRow("a", 1), vmRow("b", 3)}, Start + 5s);
