Hold prompts back from engines that still read others; bound loads in transit

A request now waits up to 0.4 of its latency target while the engine has more than 200 ms of prompts unread; long prompts are told to the other VMs at once. The transit limit follows the number of engines, loads beyond 1.25 of it wait their turn, and loads that only spread adapters go last. Not measured after yet.

--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -7,7 +7,7 @@
 /// The release of the datagram format.
 static constexpr char FormatVersion = 1;
 
-enum class MessageTag : char { News = 1, Want = 2, Holdings = 3 };
+enum class MessageTag : char { News = 1, Want = 2, Holdings = 3, Prompt = 4 };
 
 namespace {
 
@@ -66,6 +66,12 @@
   MSGPACK_DEFINE(Engine_, Holdings_)
 };
 
+struct WirePrompt {
+  std::string Engine_;
+  std::int64_t Tokens_ = 0;
+  MSGPACK_DEFINE(Engine_, Tokens_)
+};
+
 } // namespace
 
 static WireHoldings toWire(const EngineHoldings &Given) {
@@ -136,6 +142,9 @@
     return packTagged(MessageTag::Want,
                       WireWant{Want->Vm_, Want->Engine_, Want->Adapter_,
                                Want->Version_, Want->WasMissing_});
+  if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
+    return packTagged(MessageTag::Prompt,
+                      WirePrompt{Prompt->Engine_, Prompt->Tokens_});
   const auto &Notice = std::get<HoldingsNotice>(Message);
   return packTagged(MessageTag::Holdings,
                     WireNotice{Notice.Engine_, toWire(Notice.Holdings_)});
@@ -155,6 +164,10 @@
       return FleetMessage(AdapterWant{Wire.Vm_, Wire.Engine_, Wire.Adapter_,
                                       Wire.Version_, Wire.WasMissing_});
     }
+    case MessageTag::Prompt: {
+      auto Wire = Handle.get().as<WirePrompt>();
+      return FleetMessage(PromptNotice{Wire.Engine_, Wire.Tokens_});
+    }
     case MessageTag::Holdings: {
       auto Wire = Handle.get().as<WireNotice>();
       return FleetMessage(
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -26,9 +26,16 @@
   EngineHoldings Holdings_;
 };
 
+/// A long prompt was sent to an engine; news of it would come too late.
+struct PromptNotice {
+  std::string Engine_;
+  std::int64_t Tokens_ = 0;
+};
+
 /// A datagram between VMs. Each says all that its reader needs, so that lost
 /// ones are made good by the next.
-using FleetMessage = std::variant<VmNews, AdapterWant, HoldingsNotice>;
+using FleetMessage =
+    std::variant<VmNews, AdapterWant, HoldingsNotice, PromptNotice>;
 
 /// The bytes of a message.
 std::string encodeFleetMessage(const FleetMessage &Message);
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -20,12 +20,21 @@
 /// started; the others may have spent the rest.
 static constexpr double StartShare = 0.5;
 
+/// Prompts of so many tokens are told at once; shorter ones come with the news.
+static constexpr std::int64_t LongPromptTokens = 1200;
+
+/// Adapters in transit for each engine that don't slow each other down, and
+/// their least number; the users' sheets give 0.67 to 0.89 for each engine.
+static constexpr double TransitPerEngine = 0.75;
+static constexpr double LeastTransitLimit = 4;
+
 /// How often unchanged holdings are told, in news.
 static constexpr std::uint64_t HoldingsEvery = 5;
 
 FleetState::FleetState(const EntrySettings &Settings, std::string Self,
                        std::string Incarnation, const ServiceRegistry &Services)
-    : Self_(std::move(Self)), Incarnation_(std::move(Incarnation)),
+    : Settings_(Settings), Self_(std::move(Self)),
+      Incarnation_(std::move(Incarnation)),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
@@ -66,7 +75,10 @@
                            const std::string &Adapter, std::int64_t Tokens,
                            std::int64_t PromptTokens) {
   Prefill_.note(Target, static_cast<double>(PromptTokens), BootClock::now());
-  NewPrompts_[Target] += PromptTokens;
+  if (PromptTokens >= LongPromptTokens)
+    Link_->sendToAll(PromptNotice{Target, PromptTokens});
+  else if (PromptTokens > 0)
+    NewPrompts_[Target] += PromptTokens;
   RunningShare &Share = Running_[Target];
   ++Share.Requests_;
   Share.Tokens_ += Tokens;
@@ -103,6 +115,17 @@
   return Own + Book_.othersUsing(Adapter);
 }
 
+double FleetState::transitLimit() const {
+  if (Settings_.TransitLimit_ > 0)
+    return static_cast<double>(Settings_.TransitLimit_);
+  return std::max(LeastTransitLimit,
+                  TransitPerEngine * static_cast<double>(Book_.engineCount()));
+}
+
+double FleetState::transitFactor(TimePoint Now) const {
+  return static_cast<double>(Book_.inTransit(Now) + 1) / transitLimit();
+}
+
 void FleetState::noteCrash(const std::string &Digest, const std::string &Target,
                            std::int64_t Incarnation, TimePoint Now) {
   VmNews::Crash Seen{Digest, Target, Incarnation};
@@ -159,6 +182,8 @@
   TimePoint Now = BootClock::now();
   if (const auto *Notice = std::get_if<HoldingsNotice>(&Message))
     Book_.applyHoldings(Notice->Engine_, Notice->Holdings_, Now);
+  if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
+    Prefill_.note(Prompt->Engine_, static_cast<double>(Prompt->Tokens_), Now);
   const auto *News = std::get_if<VmNews>(&Message);
   if (!News || News->Vm_ == Self_ || !Book_.apply(*News, Now))
     return;
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -51,6 +51,10 @@
 
   const PrefillBacklog &prefill() const { return Prefill_; }
 
+  /// By how much loads of adapters take longer than usual, since many are in
+  /// transit; below one while the fleet's limit is not reached.
+  double transitFactor(TimePoint Now) const;
+
   /// Notes that a request was running when a target crashed, and tells the
   /// others.
   void noteCrash(const std::string &Digest, const std::string &Target,
@@ -73,11 +77,13 @@
   void markLeaving() { Leaving_ = true; }
 
 private:
+  double transitLimit() const;
   VmNews compose();
   void receive(const FleetMessage &Message);
   void applyCrash(const VmNews::Crash &Seen, TimePoint Now);
   void updateReach(TimePoint Now);
 
+  const EntrySettings &Settings_;
   std::string Self_;
   std::string Incarnation_;
   std::shared_ptr<FleetLink> Link_;
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -230,11 +230,6 @@
   return IsEngine ? &*Service->Engine_ : nullptr;
 }
 
-double OwnerService::transitFactor() const {
-  return static_cast<double>(Fleet_->book().inTransit(BootClock::now()) + 1) /
-         static_cast<double>(Settings_.TransitLimit_);
-}
-
 void OwnerService::updateEngines() {
   std::set<std::string> Mine;
   for (const OwnerRow &Row : Ownership_.owned()) {
@@ -293,7 +288,8 @@
       }
       for (const auto &[Adapter, Count] : Fleet_->ownOn(Engine).Adapters_)
         Owned->Keeper_.noteUse(Adapter, Now);
-      if (auto Order = Owned->Keeper_.nextOrder(transitFactor(), Now)) {
+      if (auto Order =
+              Owned->Keeper_.nextOrder(Fleet_->transitFactor(Now), Now)) {
         co_await orderOnce(Engine, Owned, *Order, *Fence);
         continue;
       }
--- a/Source/Entry/OwnerService.h
+++ b/Source/Entry/OwnerService.h
@@ -94,7 +94,6 @@
   /// The engines and their data centres.
   std::map<std::string, std::string> engines() const;
   const EnginePlan *enginePlanOf(const std::string &Engine) const;
-  double transitFactor() const;
   VmRow ownRow() const;
 
   boost::asio::any_io_executor Executor_;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -85,6 +85,13 @@
         co_return co_await endLost();
       continue;
     }
+    Duration Pace = pacingWait(Chosen->Prefill_, Chosen->OwnPrefill_, Paced_,
+                               Request_.Route_->LatencyTarget_);
+    if (Pace > Duration::zero()) {
+      co_await pauseFor(Pace);
+      Paced_ += Pace;
+      continue;
+    }
     TryEnd End = co_await tryTarget(std::move(*Chosen));
     if (End == TryEnd::Done)
       co_return;
@@ -430,6 +437,7 @@
        {"sends", Sends_},
        {"runs", Runs_},
        {"adapter_wait_ms", toMillis(Waited_)},
+       {"paced_ms", toMillis(Paced_)},
        {"first_byte_ms", FirstByteAt_ == TimePoint{}
                              ? -1
                              : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -115,6 +115,8 @@
   std::string LastTarget_;
   std::string LastReason_;
   Duration Waited_{};
+  /// How long it was held back for the engine's streams.
+  Duration Paced_{};
   TimePoint FirstByteAt_{};
   TimePoint LastPartAt_{};
   Duration LongestGap_{};
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -73,9 +73,7 @@
       std::ranges::count_if(Belief->Adapters_, [&](const auto &Entry) {
         return Entry.second.ReadyAt_ > Now;
       }));
-  Given.LoadFactor_ =
-      std::max(1.0, static_cast<double>(Fleet_->book().inTransit(Now) + 1) /
-                        static_cast<double>(Settings_.TransitLimit_));
+  Given.LoadFactor_ = std::max(1.0, Fleet_->transitFactor(Now));
   // An owner that may not order, or isn't heard, leaves wants unanswered.
   Given.HasOwner_ = Belief->ToldAt_ + OwnerWordTime > Now;
   std::uint64_t Required =
@@ -145,16 +143,21 @@
   if (!isOk(Where))
     return std::nullopt;
   const DispatchCandidate &Given = Candidates[Best];
-  Pick Chosen{Entry.Id_,
-              Entry.Incarnation_,
-              valueOf(Where),
-              Given.Readiness_,
-              Given.ReadyIn_,
-              std::nullopt,
-              Given.Running_,
-              Given.Slots_,
-              dispatchCost(Given, Question.Shape_),
-              Candidates.size()};
+  Pick Chosen;
+  Chosen.Target_ = Entry.Id_;
+  Chosen.Incarnation_ = Entry.Incarnation_;
+  Chosen.Address_ = valueOf(Where);
+  Chosen.Readiness_ = Given.Readiness_;
+  Chosen.ReadyIn_ = Given.ReadyIn_;
+  Chosen.Running_ = Given.Running_;
+  Chosen.Slots_ = Given.Slots_;
+  Chosen.Cost_ = dispatchCost(Given, Question.Shape_);
+  Chosen.Candidates_ = Candidates.size();
+  if (Engine) {
+    Chosen.Prefill_ = Given.Prefill_;
+    Chosen.OwnPrefill_ =
+        Fleet_->prefill().readingTime(Question.Shape_.PromptTokens_);
+  }
   if (Engine && !Question.Adapter_.empty()) {
     std::uint64_t Newest =
         Plans_->versions().newest(Question.Model_, Question.Adapter_);
@@ -170,6 +173,10 @@
 void TargetPicker::addHomes(const PickQuestion &Question,
                             const std::vector<DispatchCandidate> &Candidates,
                             TimePoint Now) {
+  // Loads that requests wait for go before those that only spread them.
+  constexpr double SpareTransit = 0.6;
+  if (Fleet_->transitFactor(Now) > SpareTransit)
+    return;
   auto Missing = missingHome(Candidates, Fleet_->usesOf(Question.Adapter_));
   if (Missing < Candidates.size())
     wantAdapter(Question, Candidates[Missing].Id_, Now);
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -37,6 +37,9 @@
   Duration ReadyIn_{};
   /// The adapter version that the target is told to run, if one was named.
   std::optional<std::uint64_t> Version_;
+  /// How long it still reads prompts, and will read this one.
+  Duration Prefill_{};
+  Duration OwnPrefill_{};
   int Running_ = 0;
   int Slots_ = 0;
   double Cost_ = 0;
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -8,6 +8,10 @@
 /// report uses at a period of a few hundred milliseconds at most.
 static constexpr Duration UseTime = std::chrono::milliseconds(700);
 
+/// The load of the weight store's transit beyond which no further load starts;
+/// above one, so that it never idles for want of news from other VMs.
+static constexpr double MostTransitFactor = 1.25;
+
 /// By how much an expected end that proved too early is put off.
 static constexpr Duration LateLoadStep = std::chrono::milliseconds(60);
 
@@ -173,8 +177,14 @@
   });
   if (Wants_.empty() || !MayLoad)
     return std::nullopt;
-  auto First = std::ranges::min_element(
-      Wants_, {}, [](const auto &Entry) { return Entry.second.FirstAt_; });
+  bool StoreIsBusy = TransitFactor > MostTransitFactor;
+  auto Order = [&](const auto &Entry) {
+    bool MustWait = StoreIsBusy && !Warm_.contains(Entry.first);
+    return std::pair(MustWait, Entry.second.FirstAt_);
+  };
+  auto First = std::ranges::min_element(Wants_, {}, Order);
+  if (Order(*First).first)
+    return std::nullopt;
   bool TakesNewPlace = !Places_.contains(First->first);
   if (TakesNewPlace &&
       Places_.size() >= static_cast<std::size_t>(Options_.MaxAdapters_)) {
@@ -183,9 +193,9 @@
       return std::nullopt;
     return give({OrderKind::UnloadAdapter, "", *Oldest, 0, 0}, {}, Now);
   }
-  EngineOrder Order{OrderKind::LoadAdapter, "", First->first,
-                    First->second.Version_, 0};
-  return give(Order, LoadTime(First->first), Now);
+  EngineOrder Load{OrderKind::LoadAdapter, "", First->first,
+                   First->second.Version_, 0};
+  return give(Load, LoadTime(First->first), Now);
 }
 
 void EngineKeeper::noteAnswer(OrderAnswer Answer, TimePoint Now) {
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -122,7 +122,9 @@
                    TimePoint ReplaceBy);
 
   /// The next order, if there is one to give. No further one is given until
-  /// `noteAnswer`. `TransitFactor` lengthens the expected load time.
+  /// `noteAnswer`. `TransitFactor` lengthens the expected load time; beyond a
+  /// bound loads from the weight store wait their turn, since more at once only
+  /// end later.
   std::optional<EngineOrder> nextOrder(double TransitFactor, TimePoint Now);
 
   /// Notes the answer to the order given last.
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -115,6 +115,9 @@
   bool noteMissing(const std::string &Engine, const std::string &Adapter,
                    TimePoint Now);
 
+  /// The engines that are known.
+  std::size_t engineCount() const { return Engines_.size(); }
+
   /// Adapters in transit to all engines.
   int inTransit(TimePoint Now) const;
 
--- a/Source/Serving/PrefillBacklog.cpp
+++ b/Source/Serving/PrefillBacklog.cpp
@@ -4,12 +4,28 @@
 
 namespace anvil {
 
+/// The unread prompts that an engine may have at once. The users' sheets allow
+/// pauses of 300 ms, of which the tokens of an event take some 40.
+static constexpr Duration MostUnread = std::chrono::milliseconds(200);
+
+/// A backlog in which nothing is gained by waiting.
+static constexpr Duration SmallBacklog = std::chrono::milliseconds(15);
+
+/// The part of its latency target for which a request may be held back.
+static constexpr double MostPart = 0.4;
+
+/// How long one wait lasts at the most; other VMs' prompts are heard meanwhile.
+static constexpr Duration LongestWait = std::chrono::milliseconds(40);
+
 void PrefillBacklog::note(const std::string &Engine, double Tokens,
                           TimePoint Now) {
   TimePoint &DoneAt = DoneAt_[Engine];
-  std::chrono::duration<double, std::milli> Reading(Tokens / TokensPerMs_);
-  DoneAt =
-      std::max(DoneAt, Now) + std::chrono::duration_cast<Duration>(Reading);
+  DoneAt = std::max(DoneAt, Now) + readingTime(Tokens);
+}
+
+Duration PrefillBacklog::readingTime(double Tokens) const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Tokens / TokensPerMs_));
 }
 
 Duration PrefillBacklog::left(const std::string &Engine, TimePoint Now) const {
@@ -19,4 +35,16 @@
   return Found->second - Now;
 }
 
+Duration pacingWait(Duration Left, Duration Own, Duration Waited,
+                    Duration LatencyTarget) {
+  Duration Most =
+      std::chrono::duration_cast<Duration>(LatencyTarget * MostPart);
+  bool Fits = Left + Own <= MostUnread || Left <= SmallBacklog;
+  if (Fits || Waited >= Most)
+    return Duration::zero();
+  Duration Excess = std::min(Left, Left + Own - MostUnread);
+  return std::clamp<Duration>(std::min(Excess, Most - Waited),
+                              std::chrono::milliseconds(2), LongestWait);
+}
+
 } // namespace anvil
--- a/Source/Serving/PrefillBacklog.h
+++ b/Source/Serving/PrefillBacklog.h
@@ -20,6 +20,9 @@
   /// Notes a prompt that was sent.
   void note(const std::string &Engine, double Tokens, TimePoint Now);
 
+  /// How long an engine reads so many tokens.
+  Duration readingTime(double Tokens) const;
+
   /// The time until the engine has read what it was sent.
   Duration left(const std::string &Engine, TimePoint Now) const;
 
@@ -29,6 +32,13 @@
   std::map<std::string, TimePoint> DoneAt_;
 };
 
+/// How long to hold a request back before it is sent to an engine that still
+/// reads prompts for `Left` and will read this one for `Own`, so that the
+/// engine's streams don't pause for longer than their callers stand. `Waited`
+/// is how long it was held already. Zero sends it now.
+Duration pacingWait(Duration Left, Duration Own, Duration Waited,
+                    Duration LatencyTarget);
+
 } // namespace anvil
 
 #endif // ANVIL_SERVING_PREFILLBACKLOG_H
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -60,8 +60,9 @@
   EntryListenSettings Listen_;
   EntryStoreSettings Store_;
   EntryBoundSettings Bounds_;
-  /// Adapters in transit over all engines that don't slow each other down.
-  std::int64_t TransitLimit_ = 16;
+  /// Adapters in transit over all engines that don't slow each other down;
+  /// zero takes it from the number of engines.
+  std::int64_t TransitLimit_ = 0;
   /// Prompt tokens that an engine reads in a millisecond.
   double PrefillTokensPerMs_ = 33;
 };
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+#include <vector>
+
 using namespace anvil;
 using namespace std::chrono_literals;
 
@@ -111,6 +114,55 @@
   }
 }
 
+TEST_CASE("requests are held back from an engine that reads prompts",
+          "[dispatch][load]") {
+  SECTION("but not when nothing would be gained") {
+    CHECK(pacingWait(0ms, 400ms, 0ms, 800ms) == 0ms);
+    CHECK(pacingWait(100ms, 50ms, 0ms, 800ms) == 0ms);
+  }
+  SECTION("until what is unread fits") {
+    CHECK(pacingWait(180ms, 50ms, 0ms, 800ms) == 30ms);
+    CHECK(pacingWait(400ms, 50ms, 0ms, 800ms) == 40ms);
+  }
+  SECTION("for a part of their latency target at the most") {
+    CHECK(pacingWait(400ms, 50ms, 320ms, 800ms) == 0ms);
+  }
+  // Clumps of long prompts at one engine: what a running stream meets is the
+  // prompts that are unread when one more arrives.
+  SECTION("so that clumps of prompts no longer stall its streams") {
+    auto LongestUnread = [](bool Paced) {
+      PrefillBacklog Backlog(30);
+      std::mt19937 Random(7);
+      std::vector<std::pair<TimePoint, Duration>> Held;
+      Duration Longest{};
+      int NextClump = 0;
+      for (int Step = 0; Step < 4000; ++Step) {
+        TimePoint Now = Start + Step * 5ms;
+        // A clump every two seconds or so, at its own time each.
+        if (Step % 400 == 0)
+          NextClump = Step + static_cast<int>(Random() % 200);
+        if (Step == NextClump)
+          Held.insert(Held.end(), 5, {Now, Duration::zero()});
+        std::erase_if(Held, [&](const auto &Entry) {
+          Duration Left = Backlog.left("e", Now);
+          Duration Own = Backlog.readingTime(2400);
+          bool Waits =
+              Paced && pacingWait(Left, Own, Now - Entry.first, 800ms) > 0ms;
+          if (Waits)
+            return false;
+          Backlog.note("e", 2400, Now);
+          Longest = std::max(Longest, Backlog.left("e", Now));
+          return true;
+        });
+      }
+      return Longest;
+    };
+    CHECK(LongestUnread(false) > 350ms);
+    // 300 ms are allowed, less the tokens of an event.
+    CHECK(LongestUnread(true) < 260ms);
+  }
+}
+
 TEST_CASE("how requests to a target go", "[dispatch]") {
   TargetHealth Health;
   SECTION("one failure doesn't condemn a target") {
--- a/Tests/Serving/EngineKeeperTest.cpp
+++ b/Tests/Serving/EngineKeeperTest.cpp
@@ -106,6 +106,15 @@
     Wide.want("b1", 1, Start + 20ms);
     CHECK(Wide.nextOrder(1, Start + 30ms)->Adapter_ == "b1");
   }
+  SECTION("lets loads from the weight store wait while it is busy") {
+    EngineKeeper Wide = keeperOf(20, {{"b1", 1}});
+    // b1 was held lately, so that it comes back without the store.
+    Wide.adopt(reportOf(4, {}), Start);
+    Wide.want("b2", 1, Start);
+    CHECK_FALSE(Wide.nextOrder(2, Start));
+    Wide.want("b1", 1, Start + 1ms);
+    CHECK(Wide.nextOrder(2, Start + 1ms)->Adapter_ == "b1");
+  }
   SECTION("has no more in transit than the engine takes") {
     EngineKeeper Wide = keeperOf(20, {});
     for (int Index = 0; Index < 6; ++Index)
--- a/Tests/Serving/FleetBookTest.cpp
+++ b/Tests/Serving/FleetBookTest.cpp
@@ -102,6 +102,7 @@
       decodeFleetMessage("\x01\x01" + Bytes);
       decodeFleetMessage("\x01\x02" + Bytes);
       decodeFleetMessage("\x01\x03" + Bytes);
+      decodeFleetMessage("\x01\x04" + Bytes);
     });
   }
 }
