Call the store less in a large fleet; let owners repeat their word in time

Leases are renewed every 3 s for 8 s, rows are read at every third renewal and the list up to 1.7 times as rarely in fleets of more than 16 VMs. Holdings are told every 0.45 s or with each news. Not measured after yet.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -28,8 +28,8 @@
 static constexpr double TransitPerEngine = 0.75;
 static constexpr double LeastTransitLimit = 4;
 
-/// How often unchanged holdings are told, in news.
-static constexpr std::uint64_t HoldingsEvery = 5;
+/// How often unchanged holdings are told.
+static constexpr Duration HoldingsPeriod = std::chrono::milliseconds(450);
 
 FleetState::FleetState(const EntrySettings &Settings, std::string Self,
                        std::string Incarnation, const ServiceRegistry &Services)
@@ -173,8 +173,10 @@
   });
   for (const auto &[Target, Seen] : RecentLeavers_)
     News.Leavers_[Target] = Seen.second;
-  if (Holdings_ && Sequence_ % HoldingsEvery == 0)
+  if (Holdings_ && HoldingsToldAt_ + HoldingsPeriod <= Now) {
     News.Holdings_ = Holdings_();
+    HoldingsToldAt_ = Now;
+  }
   return News;
 }
 
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -73,6 +73,9 @@
     Holdings_ = std::move(Hook);
   }
 
+  /// How many VMs there are, silent ones included.
+  std::size_t vms() const { return Vms_; }
+
   /// Marks this VM as leaving in its news.
   void markLeaving() { Leaving_ = true; }
 
@@ -101,6 +104,7 @@
   /// Targets lately seen leaving, with their incarnation.
   std::map<std::string, std::pair<TimePoint, std::int64_t>> RecentLeavers_;
   std::function<std::map<std::string, EngineHoldings>()> Holdings_;
+  TimePoint HoldingsToldAt_{};
   std::uint64_t Sequence_ = 0;
   std::size_t Vms_ = 1;
   bool Leaving_ = false;
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -29,8 +29,11 @@
 /// How often rows are written and read until the first claims are settled.
 static constexpr Duration StartPeriod = std::chrono::milliseconds(500);
 
-/// The rows of all VMs are read at every so many renewals.
+/// The rows of all VMs are read at every so many renewals, in a small fleet and
+/// in one of more than `SmallFleet` VMs, which would read too much otherwise.
 static constexpr std::uint64_t ReadEvery = 2;
+static constexpr std::uint64_t ReadEveryLarge = 3;
+static constexpr std::size_t SmallFleet = 16;
 
 static std::string vmName(const EntrySettings &Settings) {
   // A machine that takes another's name is another holder.
@@ -98,7 +101,8 @@
 asio::awaitable<void> OwnerService::keepRows() {
   for (std::uint64_t Round = 0; !Stopping_; ++Round) {
     bool Settled = HasRead_ && Renewals_ > 4;
-    if (!Settled || Round % ReadEvery == 0)
+    bool IsLarge = Ownership_.knownVms() > SmallFleet;
+    if (!Settled || Round % (IsLarge ? ReadEveryLarge : ReadEvery) == 0)
       co_await readRows();
     bool Renewed = co_await renew();
     if (Renewed) {
@@ -132,6 +136,7 @@
     if (Row.Vm_ != Self_ && isOk(Where))
       Peers[Row.Vm_] = valueOf(Where);
   }
+  Targets_->setReaders(Peers.size() + 1);
   Link_->setPeers(std::move(Peers));
   Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
   Read_.fire();
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -5,6 +5,8 @@
 #include "Telemetry/Log.h"
 #include "platform/TargetCodec.h"
 
+#include <algorithm>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -12,6 +14,12 @@
 /// The part of the period by which readings are spread over the VMs.
 static constexpr double Spread = 0.2;
 
+/// The readers up to which each reads at the full pace, and by how much the
+/// period is stretched at the most; leavers must be seen within seconds also by
+/// a VM that hears no other.
+static constexpr double FullReaders = 16;
+static constexpr double MostStretch = 1.7;
+
 TargetListService::TargetListService(
     asio::any_io_executor Executor, const EntrySettings &Settings,
     std::shared_ptr<platform::StoreClient> Store)
@@ -30,7 +38,9 @@
       apply(valueOf(Page).Rows_);
     else
       Roster_.noteOutage();
-    double Part = 1 - Spread * randomPart();
+    double Part = (1 - Spread * randomPart()) *
+                  std::clamp(static_cast<double>(Readers_) / FullReaders, 1.0,
+                             MostStretch);
     Duration Period = std::chrono::milliseconds(Settings_.Store_.TargetListMs_);
     co_await pauseFor(std::chrono::duration_cast<Duration>(Period * Part));
   }
--- a/Source/Entry/TargetListService.h
+++ b/Source/Entry/TargetListService.h
@@ -28,6 +28,10 @@
 
   TargetRoster &roster() { return Roster_; }
 
+  /// Sets how many VMs read the list and hear each other of leavers. Many read
+  /// it less often each.
+  void setReaders(std::size_t Count) { Readers_ = Count; }
+
   /// Fired after each reading of the list.
   Hook<> Read_;
 
@@ -42,6 +46,7 @@
   const EntrySettings &Settings_;
   std::shared_ptr<platform::StoreClient> Store_;
   TargetRoster Roster_;
+  std::size_t Readers_ = 1;
 };
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -11,8 +11,8 @@
 static constexpr Duration WantGuess = std::chrono::milliseconds(320);
 
 /// For how long after its last word an owner is believed to be there; it
-/// repeats itself every half second.
-static constexpr Duration OwnerWordTime = std::chrono::milliseconds(1300);
+/// repeats itself every half second, or with each news of a large fleet.
+static constexpr Duration OwnerWordTime = std::chrono::milliseconds(1900);
 
 /// How long a want may go unanswered before the engine counts as stalled, and
 /// for how long it does.
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -37,7 +37,7 @@
 /// The times of ownership.
 struct TargetOwnershipOptions {
   /// How long a VM may give orders after it sent its last renewal.
-  Duration LeaseTerm_ = std::chrono::seconds(6);
+  Duration LeaseTerm_ = std::chrono::seconds(8);
   /// What clocks of two VMs may differ by over a term, and a call's way.
   Duration Margin_ = std::chrono::milliseconds(500);
   /// The pause between the last order of one owner and the first of the next;
@@ -45,7 +45,7 @@
   Duration HandoverPause_ = std::chrono::milliseconds(3300);
   /// How long a silent VM's row stays, so that it still counts as one that may
   /// come back.
-  Duration RowMemory_ = std::chrono::seconds(12);
+  Duration RowMemory_ = std::chrono::seconds(14);
   /// How long VMs wait for each other's rows before the first claims.
   Duration SettleTime_ = std::chrono::milliseconds(1500);
 };
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -31,7 +31,7 @@
   /// How often the list of targets is read.
   std::int64_t TargetListMs_ = 1300;
   /// How often a VM renews its row and reads those of the others.
-  std::int64_t RenewMs_ = 2200;
+  std::int64_t RenewMs_ = 3000;
 };
 
 /// The platform's promises and demands that the entry VM keeps to.
