--- a/Source/Commands/RequestStory.cpp
+++ b/Source/Commands/RequestStory.cpp
@@ -1,7 +1,5 @@
 #include "Commands/RequestStory.h"
 
-#include <algorithm>
-
 namespace anvil {
 
 using nlohmann::json;
@@ -40,16 +38,17 @@
     if (Begin == std::string::npos || Line.find(Id_) == std::string::npos)
       continue;
     json Parsed = json::parse(Line.substr(Begin), nullptr, false);
-    if (Parsed.is_object() && Parsed.value("request", "") == Id_)
-      Lines_.push_back(std::move(Parsed));
+    if (!Parsed.is_object() || Parsed.value("request", "") != Id_)
+      continue;
+    auto Time = Parsed.value("time_ms", std::int64_t{0});
+    Lines_.emplace(Time, std::move(Parsed));
   }
 }
 
 std::vector<json> RequestStory::lines() const {
-  std::vector<json> Sorted = Lines_;
-  std::ranges::stable_sort(Sorted, {}, [](const json &Line) {
-    return Line.value("time_ms", std::int64_t{0});
-  });
+  std::vector<json> Sorted;
+  for (const auto &[Time, Line] : Lines_)
+    Sorted.push_back(Line);
   return Sorted;
 }
 
--- a/Source/Commands/RequestStory.h
+++ b/Source/Commands/RequestStory.h
@@ -3,7 +3,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <istream>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +29,8 @@
 
 private:
   std::string Id_;
-  std::vector<nlohmann::json> Lines_;
+  /// By time, then in the order of their reading.
+  std::multimap<std::int64_t, nlohmann::json> Lines_;
 };
 
 /// What a reason of the log means, in plain words.
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -22,10 +22,6 @@
 /// How often a want is sent again.
 static constexpr Duration WantPeriod = std::chrono::milliseconds(60);
 
-/// The share of its most output tokens that a request takes on average in a
-/// target's memory over its run.
-static constexpr double MeanOutputPart = 0.5;
-
 TargetPicker::TargetPicker(const EntrySettings &Settings,
                            const ServiceRegistry &Services)
     : Settings_(Settings),
--- a/Source/Serving/ServingPlan.cpp
+++ b/Source/Serving/ServingPlan.cpp
@@ -37,10 +37,14 @@
   }
   for (std::size_t Index = 0; Index < Routes_.size(); ++Index)
     ByHost_[hostKey(Routes_[Index].Host_)].push_back(Index);
+  // Longest prefix first; of equal ones, the one that was given first.
+  auto Earlier = [&](std::size_t Left, std::size_t Right) {
+    std::size_t LeftSize = Routes_[Left].PathPrefix_.size();
+    std::size_t RightSize = Routes_[Right].PathPrefix_.size();
+    return LeftSize != RightSize ? LeftSize > RightSize : Left < Right;
+  };
   for (auto &[Host, Indexes] : ByHost_)
-    std::ranges::stable_sort(Indexes, std::greater<>(), [&](std::size_t Index) {
-      return Routes_[Index].PathPrefix_.size();
-    });
+    std::ranges::sort(Indexes, Earlier);
   for (std::size_t Index = 0; Index < Customers_.size(); ++Index)
     for (const std::string &Key : Customers_[Index].Keys_)
       ByKey_.emplace(Key, Index);
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -101,9 +101,9 @@
   auto Route = [](const char *Prefix, const char *Kind, const char *Service,
                   int Targets) {
     return json{
-        {"Name", Prefix},    {"Host", "anvil"}, {"PathPrefix", Prefix},
-        {"RouteType", Kind}, {"TimeoutMs", 3000},   {"TargetLatencyMs", 800},
-        {"Priority", 1},     {"Service", Service},  {"MaxAttempts", Targets}};
+        {"Name", Prefix},    {"Host", "anvil"},    {"PathPrefix", Prefix},
+        {"RouteType", Kind}, {"TimeoutMs", 3000},  {"TargetLatencyMs", 800},
+        {"Priority", 1},     {"Service", Service}, {"MaxAttempts", Targets}};
   };
   json Stream = Route("/stream/resumable/", "streaming", "engines", 2);
   Stream["Resumable"] = true;
