One base64, one lookup of enum names; measure requests, waits and orders

The metrics page has histograms of requests by route and customer, of waits for adapters and engines, and of lease renewals.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -44,9 +44,8 @@
   Services_.add(
       std::make_shared<TargetListService>(Executor, Settings_, Store));
   Services_.add(std::make_shared<FleetLink>(Executor, Settings_, Timers_));
-  std::string Self = Settings_.Vm_ + "@" + Settings_.Listen_.Address_;
-  Services_.add(
-      std::make_shared<FleetState>(Settings_, Self, Incarnation_, Services_));
+  Services_.add(std::make_shared<FleetState>(Settings_, Settings_.holderName(),
+                                             Incarnation_, Services_));
   Services_.add(std::make_shared<OwnerService>(Executor, Settings_,
                                                Incarnation_, Services_));
   Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -4,6 +4,7 @@
 #include "Entry/OwnerRows.h"
 #include "Entry/Pause.h"
 #include "Http/Spawn.h"
+#include "Kernel/EnumNames.h"
 #include "Membership/Rendezvous.h"
 #include "Telemetry/Log.h"
 
@@ -35,11 +36,6 @@
 static constexpr std::uint64_t ReadEveryLarge = 3;
 static constexpr std::size_t SmallFleet = 16;
 
-static std::string vmName(const EntrySettings &Settings) {
-  // A machine that takes another's name is another holder.
-  return Settings.Vm_ + "@" + Settings.Listen_.Address_;
-}
-
 static TargetOwnershipOptions ownershipOptions(const EntrySettings &Settings) {
   TargetOwnershipOptions Options;
   constexpr Duration OrderTravel = std::chrono::milliseconds(300);
@@ -54,12 +50,13 @@
                            std::string Incarnation,
                            const ServiceRegistry &Services)
     : Executor_(std::move(Executor)), Settings_(Settings),
-      Self_(vmName(Settings)), Incarnation_(std::move(Incarnation)),
+      Self_(Settings.holderName()), Incarnation_(std::move(Incarnation)),
       Store_(Services.require<platform::StoreClient>(PlatformService::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
       Control_(ControlTimeout),
       Ownership_(Self_, ownershipOptions(Settings), BootClock::now()) {}
 
@@ -151,6 +148,8 @@
   Change.Writes_.push_back({vmRowKey(Self_), encodeVmRow(ownRow())});
   TimePoint SentAt = BootClock::now();
   CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
+  Metrics_->observe("anvil_lease_renewal_seconds", {},
+                    BootClock::now() - SentAt);
   if (Outcome.Result_ == CommitResult::Committed) {
     OwnRowVersion_ = Outcome.Version_;
     Ownership_.noteRenewed(SentAt);
@@ -186,15 +185,11 @@
     TimePoint SentAt = BootClock::now();
     Ownership_.noteClaimSent(Claim.Row_.Target_, SentAt);
     CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
-    std::string Name(CommitResultNames[0].second);
-    for (const auto &[Known, Text] : CommitResultNames)
-      if (Known == Outcome.Result_)
-        Name = Text;
     logEvent(LogLevel::Info, "engine_claimed",
              {{"target", Claim.Row_.Target_},
               {"fence", Claim.Row_.Fence_},
               {"from", Claim.SilentVm_},
-              {"outcome", Name}});
+              {"outcome", enumName(Outcome.Result_, CommitResultNames)}});
     if (Outcome.Result_ != CommitResult::Committed)
       continue;
     OwnerRow Row = Claim.Row_;
@@ -327,6 +322,9 @@
   if (Where)
     Answer = co_await Control_.order(*Where, Order, Self_, Fence);
   Owned->Keeper_.noteAnswer(Answer, BootClock::now());
+  Metrics_->count("anvil_engine_orders_total",
+                  {{"order", std::string(orderKindName(Order.Kind_))},
+                   {"outcome", std::string(orderAnswerName(Answer))}});
   bool Took =
       Answer == OrderAnswer::Accepted || Answer == OrderAnswer::AlreadyHolds;
   logEvent(Took ? LogLevel::Debug : LogLevel::Warning, "engine_order",
--- a/Source/Entry/OwnerService.h
+++ b/Source/Entry/OwnerService.h
@@ -8,6 +8,7 @@
 #include "Serving/EngineKeeper.h"
 #include "Serving/TargetOwnership.h"
 #include "Settings/EntrySettings.h"
+#include "Telemetry/Metrics.h"
 #include "platform/EngineControl.h"
 #include "platform/StoreClient.h"
 
@@ -105,6 +106,7 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<FleetLink> Link_;
   std::shared_ptr<class FleetState> Fleet_;
+  std::shared_ptr<Metrics> Metrics_;
   platform::EngineControl Control_;
   TargetOwnership Ownership_;
   std::map<std::string, std::shared_ptr<OwnedEngine>> Owned_;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -414,12 +414,28 @@
   logEnd("refused", Status);
 }
 
-void RequestRun::logEnd(std::string_view Outcome, int Status) {
-  TimePoint Now = BootClock::now();
+void RequestRun::countEnd(std::string_view Outcome, int Status, TimePoint Now) {
   Shared_.Metrics_->count("anvil_requests_total",
                           {{"route", Request_.Route_->Name_},
                            {"outcome", std::string(Outcome)},
                            {"status", std::to_string(Status)}});
+  std::string Customer = Request_.Customer_ ? Request_.Customer_->Name_ : "";
+  MetricLabels Labels{{"route", Request_.Route_->Name_},
+                      {"customer", std::move(Customer)}};
+  Shared_.Metrics_->observe("anvil_request_seconds", Labels,
+                            Now - Request_.ArrivedAt_);
+  if (FirstByteAt_ != TimePoint{})
+    Shared_.Metrics_->observe("anvil_first_byte_seconds", Labels,
+                              FirstByteAt_ - Request_.ArrivedAt_);
+  if (Waited_ > Duration::zero())
+    Shared_.Metrics_->observe("anvil_adapter_wait_seconds", {}, Waited_);
+  if (Paced_ > Duration::zero())
+    Shared_.Metrics_->observe("anvil_paced_seconds", {}, Paced_);
+}
+
+void RequestRun::logEnd(std::string_view Outcome, int Status) {
+  TimePoint Now = BootClock::now();
+  countEnd(Outcome, Status, Now);
   bool IsLate =
       FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
       LongestGap_ > NotedGap;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -99,6 +99,7 @@
   void keepConnection(const Pick &Chosen, const platform::TargetAnswer &Answer);
   void noteLoss(const Pick &Chosen);
   void logEnd(std::string_view Outcome, int Status);
+  void countEnd(std::string_view Outcome, int Status, TimePoint Now);
   Duration timeLeft() const;
 
   RequestServices &Shared_;
--- a/Source/Ledger/ClaimCodec.cpp
+++ b/Source/Ledger/ClaimCodec.cpp
@@ -1,5 +1,7 @@
 #include "Ledger/ClaimCodec.h"
 
+#include "Kernel/EnumNames.h"
+
 #include "Objects/Digest.h"
 
 #include <nlohmann/json.hpp>
@@ -8,13 +10,6 @@
 
 using nlohmann::json;
 
-static std::string_view stateName(ClaimState State) {
-  for (const auto &[Known, Name] : ClaimStateNames)
-    if (Known == State)
-      return Name;
-  return "unknown";
-}
-
 static ClaimState parseState(std::string_view Text) {
   for (const auto &[Known, Name] : ClaimStateNames)
     if (Name == Text)
@@ -27,7 +22,7 @@
   json Headers = json::array();
   for (const HttpHeader &Header : Row.Answer_.Headers_)
     Headers.push_back({Header.Name_, Header.Value_});
-  json Whole{{"state", stateName(Row.State_)},
+  json Whole{{"state", enumName(Row.State_, ClaimStateNames)},
              {"digest", Row.Digest_},
              {"vm", Row.Vm_},
              {"incarnation", Row.Incarnation_},
--- a/Source/Ledger/LedgerWriter.cpp
+++ b/Source/Ledger/LedgerWriter.cpp
@@ -1,5 +1,7 @@
 #include "Ledger/LedgerWriter.h"
 
+#include "Kernel/EnumNames.h"
+
 #include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -53,10 +55,7 @@
                                          GroupCommitter::Batch Next) {
   double Rows = static_cast<double>(Next.Transaction_.Writes_.size());
   auto Outcome = co_await Self->Platform_->commit(std::move(Next.Transaction_));
-  std::string Result = "unknown";
-  for (const auto &[Known, Name] : CommitResultNames)
-    if (Known == Outcome.Result_)
-      Result = Name;
+  std::string Result(enumName(Outcome.Result_, CommitResultNames));
   Self->Metrics_->count("anvil_ledger_transactions_total",
                         {{"result", Result}});
   Self->Metrics_->count("anvil_ledger_rows_sent_total", {}, Rows);
--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -1,5 +1,7 @@
 #include "Membership/MemberTable.h"
 
+#include "Kernel/EnumNames.h"
+
 #include "Kernel/Invariant.h"
 
 #include <set>
@@ -7,10 +9,7 @@
 namespace anvil {
 
 std::string_view memberStateName(MemberState State) {
-  for (const auto &[Known, Name] : MemberStateNames)
-    if (Known == State)
-      return Name;
-  return "unknown";
+  return enumName(State, MemberStateNames);
 }
 
 MemberTable::MemberTable(std::string Self, std::string Incarnation,
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -1,5 +1,7 @@
 #include "Serving/DispatchCost.h"
 
+#include "Kernel/EnumNames.h"
+
 #include <algorithm>
 
 namespace anvil {
@@ -56,10 +58,7 @@
 static constexpr double EvictionMs = 20;
 
 std::string_view adapterReadinessName(AdapterReadiness Readiness) {
-  for (const auto &[Known, Name] : AdapterReadinessNames)
-    if (Known == Readiness)
-      return Name;
-  return "unknown";
+  return enumName(Readiness, AdapterReadinessNames);
 }
 
 static bool hasNoMemory(const DispatchCandidate &Given,
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -1,5 +1,7 @@
 #include "Serving/EngineKeeper.h"
 
+#include "Kernel/EnumNames.h"
+
 #include <algorithm>
 
 namespace anvil {
@@ -18,21 +20,12 @@
 /// What a model's load takes at the most before its state is read again.
 static constexpr Duration ModelLoadCheck = std::chrono::milliseconds(400);
 
-template <class Enum, std::size_t Size>
-static std::string_view
-nameOf(Enum Value, const std::pair<Enum, std::string_view> (&Table)[Size]) {
-  for (const auto &[Known, Name] : Table)
-    if (Known == Value)
-      return Name;
-  return "unknown";
-}
-
 std::string_view orderKindName(OrderKind Kind) {
-  return nameOf(Kind, OrderKindNames);
+  return enumName(Kind, OrderKindNames);
 }
 
 std::string_view orderAnswerName(OrderAnswer Answer) {
-  return nameOf(Answer, OrderAnswerNames);
+  return enumName(Answer, OrderAnswerNames);
 }
 
 void EngineKeeper::remember(const std::string &Adapter, TimePoint Now) {
--- a/Source/Serving/ServingPlan.cpp
+++ b/Source/Serving/ServingPlan.cpp
@@ -1,14 +1,13 @@
 #include "Serving/ServingPlan.h"
 
+#include "Kernel/EnumNames.h"
+
 #include <algorithm>
 
 namespace anvil {
 
 std::string_view requestKindName(RequestKind Kind) {
-  for (const auto &[Known, Name] : RequestKindNames)
-    if (Known == Kind)
-      return Name;
-  return "unknown";
+  return enumName(Kind, RequestKindNames);
 }
 
 const ModelPlan *EnginePlan::findModel(std::string_view Name) const {
--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -1,5 +1,7 @@
 #include "Serving/TargetRoster.h"
 
+#include "Kernel/EnumNames.h"
+
 #include <set>
 
 namespace anvil {
@@ -9,10 +11,7 @@
 static constexpr Duration GoneMemory = std::chrono::seconds(30);
 
 std::string_view targetStandingName(TargetStanding Standing) {
-  for (const auto &[Known, Name] : TargetStandingNames)
-    if (Known == Standing)
-      return Name;
-  return "unknown";
+  return enumName(Standing, TargetStandingNames);
 }
 
 std::vector<RosterChange>
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -66,6 +66,10 @@
   /// Prompt tokens that an engine is given for each millisecond. Well below
   /// what it can read, so that its streams go on meanwhile.
   double PrefillTokensPerMs_ = 20;
+
+  /// The name under which this VM holds leases and orders engines. A machine
+  /// that takes another's name is another holder.
+  std::string holderName() const { return Vm_ + "@" + Listen_.Address_; }
 };
 
 /// Reads settings. Each error gives the file, the field, what is wrong with it
--- a/Tests/Standins/RowStoreStandin.cpp
+++ b/Tests/Standins/RowStoreStandin.cpp
@@ -1,24 +1,13 @@
 #include "Standins/RowStoreStandin.h"
 
 #include "Entry/Pause.h"
-
-#include <openssl/evp.h>
+#include "Objects/Digest.h"
 
 namespace anvil {
 
 namespace asio = boost::asio;
 using nlohmann::json;
 
-static std::string base64(const std::string &Bytes) {
-  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
-  int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Text.resize(static_cast<std::size_t>(Length));
-  return Text;
-}
-
 /// A value of a query without its percent signs.
 static std::string unescaped(std::string_view Text) {
   std::string Plain;
@@ -131,7 +120,8 @@
     return jsonReply(400, "{}");
   ++Version_;
   Tables_[Given["Table"]][Given["Key"]] = {
-      base64(Given.value("Value", "")), Version_, Request.Method_ == "DELETE"};
+      base64Encode(Given.value("Value", "")), Version_,
+      Request.Method_ == "DELETE"};
   return jsonReply(200, "{}");
 }
 
