Pass on no answer that the target does not vouch for, failures included

Cause, found by reading: an unsealed 503 without the target's promise was passed on, which told the caller that a request had not run though it may have. The case in entry-mode fails before (503) and passes now (502). Waits get names.

--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -29,6 +29,7 @@
 
 /// How often rows are written and read until the first claims are settled.
 static constexpr Duration StartPeriod = std::chrono::milliseconds(500);
+static constexpr std::uint64_t StartRenewals = 4;
 
 /// The rows of all VMs are read at every so many renewals, in a small fleet and
 /// in one of more than `SmallFleet` VMs, which would read too much otherwise.
@@ -97,7 +98,7 @@
 
 asio::awaitable<void> OwnerService::keepRows() {
   for (std::uint64_t Round = 0; !Stopping_; ++Round) {
-    bool Settled = HasRead_ && Renewals_ > 4;
+    bool Settled = HasRead_ && Renewals_ > StartRenewals;
     bool IsLarge = Ownership_.knownVms() > SmallFleet;
     if (!Settled || Round % (IsLarge ? ReadEveryLarge : ReadEvery) == 0)
       co_await readRows();
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -14,8 +14,11 @@
 /// about a millisecond.
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 
-/// The longest wait for an adapter before the choice is made anew.
-static constexpr Duration AdapterCheck = std::chrono::milliseconds(40);
+/// How long to wait for an adapter before the choice is made anew: for one that
+/// is on its way at least and at most, and for a want without an answer yet.
+static constexpr Duration LeastAdapterWait = std::chrono::milliseconds(2);
+static constexpr Duration MostAdapterWait = std::chrono::milliseconds(40);
+static constexpr Duration WantAnswerWait = std::chrono::milliseconds(8);
 
 /// The pause after a target said that it can't run the request yet.
 static constexpr Duration RefusedPause = std::chrono::milliseconds(25);
@@ -36,7 +39,7 @@
 /// What is kept back of the time left for the answer's way.
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
 
-/// The most urgent and least urgent ranks that targets know.
+/// The rank of what is least urgent to targets; zero is the most urgent.
 static constexpr int LeastUrgentRank = 9;
 
 RetryBudget &RequestServices::retriesOf(const std::string &Service) {
@@ -90,7 +93,7 @@
     bool MustWait = Chosen->Readiness_ == AdapterReadiness::Absent ||
                     Chosen->Readiness_ == AdapterReadiness::Loading;
     if (MustWait) {
-      if (!co_await awaitAdapter(Question_, *Chosen))
+      if (!co_await awaitAdapter(*Chosen))
         co_return co_await endLost();
       continue;
     }
@@ -111,8 +114,7 @@
   }
 }
 
-asio::awaitable<bool> RequestRun::awaitAdapter(const PickQuestion &Question,
-                                               const Pick &Chosen) {
+asio::awaitable<bool> RequestRun::awaitAdapter(const Pick &Chosen) {
   TimePoint Now = BootClock::now();
   if (Chosen.ReadyIn_ >= timeLeft()) {
     LastReason_ = "adapter_too_late";
@@ -124,14 +126,11 @@
     LastReason_ = "adapter_not_loaded";
     co_return false;
   }
-  Shared_.Picker_->wantAdapter(Question, Chosen.Target_, Now);
-  Duration Wait = AdapterCheck;
-  if (Chosen.Readiness_ == AdapterReadiness::Loading)
-    Wait = std::clamp<Duration>(Chosen.ReadyIn_, std::chrono::milliseconds(2),
-                                AdapterCheck);
-  else
-    Wait = std::chrono::milliseconds(8);
-  co_await pauseFor(Wait);
+  Shared_.Picker_->wantAdapter(Question_, Chosen.Target_, Now);
+  bool IsOnItsWay = Chosen.Readiness_ == AdapterReadiness::Loading;
+  co_await pauseFor(IsOnItsWay ? std::clamp(Chosen.ReadyIn_, LeastAdapterWait,
+                                            MostAdapterWait)
+                               : WantAnswerWait);
   Waited_ += BootClock::now() - Now;
   co_return true;
 }
@@ -277,11 +276,12 @@
 asio::awaitable<RequestRun::TryEnd>
 RequestRun::passOn(const Pick &Chosen, HttpReplyHead Head,
                    const platform::TargetAnswer &Answer) {
-  bool IsSuccess = Answer.Status_ >= 200 && Answer.Status_ < 300;
-  if (IsSuccess && !Answer.Sealed_) {
+  // Such an answer is not the target's own, and its status promises nothing.
+  if (!Answer.Sealed_) {
     LastReason_ = "not_sealed";
     co_return TryEnd::Lost;
   }
+  bool IsSuccess = Answer.Status_ >= 200 && Answer.Status_ < 300;
   bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
   if (IsStream)
     co_return co_await passStream(Chosen, std::move(Head), Answer);
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -92,8 +92,9 @@
   boost::asio::awaitable<TryEnd>
   passStream(const Pick &Chosen, HttpReplyHead Head,
              const platform::TargetAnswer &Answer);
-  boost::asio::awaitable<bool> awaitAdapter(const PickQuestion &Question,
-                                            const Pick &Chosen);
+  /// Waits a little for the adapter at a target. False when it can't come in
+  /// time.
+  boost::asio::awaitable<bool> awaitAdapter(const Pick &Chosen);
   boost::asio::awaitable<void> refuse(int Status, std::string_view Reason,
                                       std::optional<Duration> RetryAfter);
   boost::asio::awaitable<void> endLost();
--- a/Tests/Integration/EntryTest.cpp
+++ b/Tests/Integration/EntryTest.cpp
@@ -98,6 +98,13 @@
     Answer Given = System.call("vm-1", "/once/x", {{"X-Request-Id", "o"}});
     CHECK(Given.Status_ == 502);
     CHECK(runsOf(System, "o") == 1);
+    SECTION("and is never called not run without the target's promise") {
+      for (const char *Target : {"plain-1", "plain-2"})
+        System.control(Target, {{"drop", 0}, {"unsealed", 1}});
+      Answer Next = System.call("vm-1", "/once/x", {{"X-Request-Id", "u"}});
+      CHECK(Next.Status_ == 502);
+      CHECK(runsOf(System, "u") == 1);
+    }
     SECTION("but goes elsewhere from a target that did not run it") {
       for (const char *Target : {"plain-1", "plain-2"})
         System.control(Target, {{"drop", 0}, {"refuse", 1}});
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -31,6 +31,7 @@
     return jsonReply(400, "{}");
   Fail_ = Given.value("fail", Fail_);
   Refuse_ = Given.value("refuse", Refuse_);
+  Unsealed_ = Given.value("unsealed", Unsealed_);
   Drop_ = Given.value("drop", Drop_);
   CutAfter_ = Given.value("cut_after", CutAfter_);
   EventMs_ = Given.value("event_ms", EventMs_);
@@ -122,6 +123,11 @@
     }
     if (Request.path().starts_with("/stream/"))
       co_return co_await stream(Exchange);
+    if (Unsealed_ > 0) {
+      --Unsealed_;
+      co_await Exchange.respond(jsonReply(503, "{}"));
+      co_return;
+    }
     bool Fails = Fail_ > 0;
     Fail_ -= Fails ? 1 : 0;
     Reply = sealed(Fails ? 500 : 200, json{{"by", Id_}}.dump(), Request);
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -13,7 +13,8 @@
 /// A target in the users' platform's dialect: an engine that takes orders, or a
 /// plain service. Paths below `/stream/` are answered with events. `POST
 /// /control` sets what happens to the next requests: `fail` (a failure of its
-/// own), `refuse` (not run), `drop` (run, no answer), `cut_after` (a stream
+/// own), `refuse` (not run), `unsealed` (run, status 503 that is
+/// not its own), `drop` (run, no answer), `cut_after` (a stream
 /// breaks off after so many events); `event_ms` is the pause between events.
 /// Runs are recorded with the headers that matter.
 class RegisteredTargetStandin {
@@ -38,6 +39,7 @@
   std::uint64_t Orders_ = 0;
   std::int64_t Fail_ = 0;
   std::int64_t Refuse_ = 0;
+  std::int64_t Unsealed_ = 0;
   std::int64_t Drop_ = 0;
   std::int64_t CutAfter_ = -1;
   std::int64_t EventMs_ = 5;
