--- a/Source/Programs/anvild.cpp
+++ b/Source/Programs/anvild.cpp
@@ -28,21 +28,27 @@
   return false;
 }
 
-static int serve(anvil::DaemonSettings Settings, const std::string &ReadyPath) {
-  if (!openLog(Settings.Vm_, Settings.LogLevel_))
-    return UsageStatus;
-  anvil::Daemon Server(std::move(Settings));
-  anvil::Status Started = Server.start();
+/// Starts a daemon, says which ports it uses, and runs it to its end.
+template <class Server>
+static int run(Server &Daemon, const std::string &ReadyPath) {
+  anvil::Status Started = Daemon.start();
   if (anvil::isOk(Started) && !ReadyPath.empty())
-    Started = anvil::writeReadyFile(ReadyPath, Server.ports());
+    Started = anvil::writeReadyFile(ReadyPath, Daemon.ports());
   if (!anvil::isOk(Started)) {
     printErrors({anvil::errorOf(Started)});
     return 1;
   }
-  Server.run();
+  Daemon.run();
   return 0;
 }
 
+static int serve(anvil::DaemonSettings Settings, const std::string &ReadyPath) {
+  if (!openLog(Settings.Vm_, Settings.LogLevel_))
+    return UsageStatus;
+  anvil::Daemon Server(std::move(Settings));
+  return run(Server, ReadyPath);
+}
+
 /// Notes on SIGHUP whether the settings would still be taken. Addresses and
 /// bounds hold until the next start.
 static void checkAgain(const std::string &Path) {
@@ -68,15 +74,7 @@
     return UsageStatus;
   anvil::EntryDaemon Server(std::move(Settings));
   Server.onReload([Path] { checkAgain(Path); });
-  anvil::Status Started = Server.start();
-  if (anvil::isOk(Started) && !ReadyPath.empty())
-    Started = anvil::writeReadyFile(ReadyPath, Server.ports());
-  if (!anvil::isOk(Started)) {
-    printErrors({anvil::errorOf(Started)});
-    return 1;
-  }
-  Server.run();
-  return 0;
+  return run(Server, ReadyPath);
 }
 
 /// Runs the mode that the settings ask for, or only checks them.
