Sum the transit once a pick, build one engine's holdings, drop dead code

Read over the whole change: each pick summed the adapters in transit over all engines once a candidate, and each answer to a want built the holdings of all owned engines to send one. Functions that nothing called are gone. Behaviour is meant to be the same.

--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -73,9 +73,6 @@
     Holdings_ = std::move(Hook);
   }
 
-  /// How many VMs there are, silent ones included.
-  std::size_t vms() const { return Vms_; }
-
   /// Marks this VM as leaving in its news.
   void markLeaving() { Leaving_ = true; }
 
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace anvil {
 
@@ -367,27 +368,34 @@
 std::map<std::string, EngineHoldings> OwnerService::holdings() const {
   std::map<std::string, EngineHoldings> All;
   TimePoint Now = BootClock::now();
-  for (const auto &[Engine, Owned] : Owned_) {
-    if (Owned->Keeper_.needsReport() || !Ownership_.mayOrder(Engine, Now))
-      continue;
-    EngineHoldings &Held = All[Engine];
-    Held.Incarnation_ = Owned->Incarnation_;
-    Held.HasModel_ = Owned->Keeper_.hasModel();
-    for (const auto &[Adapter, Place] : Owned->Keeper_.places())
-      Held.Adapters_[Adapter] = {
-          Place.Version_,
-          std::max<Duration>(Duration::zero(), Place.ReadyAt_ - Now)};
-  }
+  for (const auto &[Engine, Owned] : Owned_)
+    if (auto Held = holdingsOf(Engine, Now))
+      All.emplace(Engine, std::move(*Held));
   return All;
 }
 
+std::optional<EngineHoldings>
+OwnerService::holdingsOf(const std::string &Engine, TimePoint Now) const {
+  auto Found = Owned_.find(Engine);
+  if (Found == Owned_.end() || Found->second->Keeper_.needsReport() ||
+      !Ownership_.mayOrder(Engine, Now))
+    return std::nullopt;
+  const EngineKeeper &Keeper = Found->second->Keeper_;
+  EngineHoldings Held{Found->second->Incarnation_, Keeper.hasModel(), {}};
+  for (const auto &[Adapter, Place] : Keeper.places())
+    Held.Adapters_[Adapter] = {
+        Place.Version_,
+        std::max<Duration>(Duration::zero(), Place.ReadyAt_ - Now)};
+  return Held;
+}
+
 void OwnerService::announce(const std::string &Engine) {
-  auto All = holdings();
-  auto Found = All.find(Engine);
-  if (Found == All.end())
+  TimePoint Now = BootClock::now();
+  auto Held = holdingsOf(Engine, Now);
+  if (!Held)
     return;
-  Fleet_->book().applyHoldings(Engine, Found->second, BootClock::now());
-  Link_->sendToAll(HoldingsNotice{Engine, Found->second});
+  Fleet_->book().applyHoldings(Engine, *Held, Now);
+  Link_->sendToAll(HoldingsNotice{Engine, *Held});
 }
 
 void OwnerService::want(const std::string &Engine, const std::string &Adapter,
--- a/Source/Entry/OwnerService.h
+++ b/Source/Entry/OwnerService.h
@@ -18,7 +18,7 @@
 
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 
 namespace anvil {
@@ -42,9 +42,6 @@
   /// The name under which this VM holds leases and orders engines.
   const std::string &self() const { return Self_; }
 
-  /// Whether the rows of all VMs have been read once.
-  bool hasRead() const { return HasRead_; }
-
   /// Asks an engine's owner for an adapter, this VM or another.
   void want(const std::string &Engine, const std::string &Adapter,
             std::uint64_t Version);
@@ -89,6 +86,9 @@
                                        std::shared_ptr<OwnedEngine> Owned);
   void updateEngines();
   void checkEntries();
+  /// What an engine holds; nothing while this VM can't say so for sure.
+  std::optional<EngineHoldings> holdingsOf(const std::string &Engine,
+                                           TimePoint Now) const;
   void announce(const std::string &Engine);
   void tellOwner(AdapterWant Wanted);
   void receive(const FleetMessage &Message);
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -33,7 +33,7 @@
 DispatchCandidate TargetPicker::describe(const ListedTarget &Listed,
                                          const PickQuestion &Question,
                                          const EnginePlan *Engine,
-                                         TimePoint Now) {
+                                         double TransitFactor, TimePoint Now) {
   const RegisteredTarget &Entry = Listed.Entry_;
   DispatchCandidate Given;
   Given.Id_ = Entry.Id_;
@@ -49,6 +49,7 @@
     Given.Prefill_ = Fleet_->prefill().left(Entry.Id_, Now);
     Given.KvTokens_ = Engine->KvTokens_;
     Given.Places_ = Engine->MaxAdapters_;
+    Given.LoadFactor_ = std::max(1.0, TransitFactor);
     describeAdapter(Given, Question, Now);
   }
   return Given;
@@ -69,7 +70,6 @@
       std::ranges::count_if(Belief->Adapters_, [&](const auto &Entry) {
         return Entry.second.ReadyAt_ > Now;
       }));
-  Given.LoadFactor_ = std::max(1.0, Fleet_->transitFactor(Now));
   // An owner that may not order, or isn't heard, leaves wants unanswered.
   Given.HasOwner_ = Belief->ToldAt_ + OwnerWordTime > Now;
   std::uint64_t Required =
@@ -116,6 +116,9 @@
   if (!Service)
     return std::nullopt;
   const EnginePlan *Engine = Service->Engine_ ? &*Service->Engine_ : nullptr;
+  bool NeedsAdapter = Engine && !Question.Adapter_.empty();
+  // A sum over all engines, the same for every candidate.
+  double TransitFactor = NeedsAdapter ? Fleet_->transitFactor(Now) : 0;
   std::vector<const ListedTarget *> Listed;
   std::vector<DispatchCandidate> Candidates;
   for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
@@ -125,12 +128,13 @@
     if (IsDown || Question.Avoid_.contains(Target->Entry_.Id_))
       continue;
     Listed.push_back(Target);
-    Candidates.push_back(describe(*Target, Question, Engine, Now));
+    Candidates.push_back(
+        describe(*Target, Question, Engine, TransitFactor, Now));
   }
-  if (Engine && !Question.Adapter_.empty())
+  if (NeedsAdapter) {
     rankHomes(Candidates, Question.Adapter_);
-  if (Engine && !Question.Adapter_.empty())
-    addHomes(Question, Candidates, Now);
+    addHomes(Question, Candidates, TransitFactor, Now);
+  }
   std::size_t Best = cheapest(Candidates, Question.Shape_);
   if (Best == Candidates.size())
     return std::nullopt;
@@ -148,13 +152,12 @@
   Chosen.Running_ = Given.Running_;
   Chosen.Slots_ = Given.Slots_;
   Chosen.Cost_ = dispatchCost(Given, Question.Shape_);
-  Chosen.Candidates_ = Candidates.size();
   if (Engine) {
     Chosen.Prefill_ = Given.Prefill_;
     Chosen.OwnPrefill_ =
         Fleet_->prefill().readingTime(Question.Shape_.PromptTokens_);
   }
-  if (Engine && !Question.Adapter_.empty()) {
+  if (NeedsAdapter) {
     std::uint64_t Newest =
         Plans_->versions().newest(Question.Model_, Question.Adapter_);
     const EngineBelief *Belief = Fleet_->book().engine(Entry.Id_);
@@ -168,10 +171,10 @@
 
 void TargetPicker::addHomes(const PickQuestion &Question,
                             const std::vector<DispatchCandidate> &Candidates,
-                            TimePoint Now) {
+                            double TransitFactor, TimePoint Now) {
   // Loads that requests wait for go before those that only spread them.
   constexpr double SpareTransit = 0.6;
-  if (Fleet_->transitFactor(Now) > SpareTransit)
+  if (TransitFactor > SpareTransit)
     return;
   auto Missing = missingHome(Candidates, Fleet_->usesOf(Question.Adapter_));
   if (Missing < Candidates.size())
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -43,7 +43,6 @@
   int Running_ = 0;
   int Slots_ = 0;
   double Cost_ = 0;
-  std::size_t Candidates_ = 0;
 };
 
 /// Finds the target for a request from what this VM knows.
@@ -78,10 +77,11 @@
 private:
   DispatchCandidate describe(const ListedTarget &Listed,
                              const PickQuestion &Question,
-                             const EnginePlan *Engine, TimePoint Now);
+                             const EnginePlan *Engine, double TransitFactor,
+                             TimePoint Now);
   void addHomes(const PickQuestion &Question,
                 const std::vector<DispatchCandidate> &Candidates,
-                TimePoint Now);
+                double TransitFactor, TimePoint Now);
   void describeAdapter(DispatchCandidate &Given, const PickQuestion &Question,
                        TimePoint Now);
 
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -125,8 +125,8 @@
   return Oldest;
 }
 
-std::optional<EngineOrder> EngineKeeper::give(EngineOrder Order, Duration Load,
-                                              TimePoint) {
+std::optional<EngineOrder> EngineKeeper::give(EngineOrder Order,
+                                              Duration Load) {
   Order.Model_ = Model_;
   Order.ExpectedOrders_ = OrdersAccepted_;
   Pending_ = Order;
@@ -141,7 +141,7 @@
   if (!HasModel_) {
     if (ModelReadyAt_ > Now)
       return std::nullopt;
-    return give({OrderKind::LoadModel, "", "", 0, 0}, ModelLoadCheck, Now);
+    return give({OrderKind::LoadModel, "", "", 0, 0}, ModelLoadCheck);
   }
   auto LoadTime = [&](const std::string &Adapter) {
     Duration Base = Warm_.contains(Adapter) ? Options_.WarmAdapterLoad_
@@ -161,7 +161,7 @@
     if (MayLoad && (!isInUse(Held->second, Now) || Place->second.By_ <= Now)) {
       EngineOrder Order{OrderKind::LoadAdapter, "", Place->first,
                         Place->second.Version_, 0};
-      return give(Order, Options_.AdapterLoad_, Now);
+      return give(Order, Options_.AdapterLoad_);
     }
     ++Place;
   }
@@ -184,11 +184,11 @@
     auto Oldest = victim(Now);
     if (!Oldest)
       return std::nullopt;
-    return give({OrderKind::UnloadAdapter, "", *Oldest, 0, 0}, {}, Now);
+    return give({OrderKind::UnloadAdapter, "", *Oldest, 0, 0}, {});
   }
   EngineOrder Load{OrderKind::LoadAdapter, "", First->first,
                    First->second.Version_, 0};
-  return give(Load, LoadTime(First->first), Now);
+  return give(Load, LoadTime(First->first));
 }
 
 void EngineKeeper::noteAnswer(OrderAnswer Answer, TimePoint Now) {
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -134,8 +134,6 @@
   const std::map<std::string, AdapterPlace> &places() const { return Places_; }
 
   bool hasModel() const { return HasModel_; }
-  /// When the model should be usable.
-  TimePoint modelReadyAt() const { return ModelReadyAt_; }
   std::uint64_t ordersAccepted() const { return OrdersAccepted_; }
 
   /// Adapters that are in transit to the engine.
@@ -152,8 +150,7 @@
     TimePoint By_{};
   };
 
-  std::optional<EngineOrder> give(EngineOrder Order, Duration Load,
-                                  TimePoint Now);
+  std::optional<EngineOrder> give(EngineOrder Order, Duration Load);
   std::optional<std::string> victim(TimePoint Now) const;
   bool isInUse(const AdapterPlace &Place, TimePoint Now) const;
   void remember(const std::string &Adapter, TimePoint Now);
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -157,9 +157,4 @@
       }));
 }
 
-bool FleetBook::isHeard(const std::string &Vm, TimePoint Now) const {
-  auto Found = Vms_.find(Vm);
-  return Found != Vms_.end() && Found->second.At_ + NewsTime >= Now;
-}
-
 } // namespace anvil
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -94,9 +94,6 @@
   void applyEntry(const RegisteredTarget &Entry, const std::string &Model,
                   TimePoint Now);
 
-  /// Drops what is known of an engine, which has another incarnation now.
-  void forget(const std::string &Engine) { Engines_.erase(Engine); }
-
   /// Drops the running requests of VMs that have fallen silent.
   void expire(TimePoint Now);
 
@@ -124,9 +121,6 @@
   /// The other VMs that were heard within `NewsTime`.
   std::size_t heardVms(TimePoint Now) const;
 
-  /// Whether that VM was heard within `NewsTime`.
-  bool isHeard(const std::string &Vm, TimePoint Now) const;
-
 private:
   static void noteHeld(EngineBelief &Belief, TimePoint Now);
   void addRunning(const VmNews &News, int Sign);
--- a/Source/Serving/TargetHealth.h
+++ b/Source/Serving/TargetHealth.h
@@ -24,9 +24,6 @@
   /// By how much a target's first byte is later than the fleet's mean.
   Duration lateness(const std::string &Target, TimePoint Now) const;
 
-  /// Drops what is known of a target.
-  void forget(const std::string &Target) { Targets_.erase(Target); }
-
 private:
   struct Record {
     double Failures_ = 0;
