Let one VM of a group read the store's list and configuration for all

Change: VMs stand in line for each reading (ReadingTurn); the first reads and tells its group (ReadingRelay), the others read only once their knowledge gets older than their place allows. Evidence is dated through an exchange of clocks (RemoteClock), so a notice that lay about is as old as it is. The list is followed by changes and a digest (TargetListing).

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -5,6 +5,7 @@
 #include "Entry/FleetState.h"
 #include "Entry/OwnerService.h"
 #include "Entry/PlanService.h"
+#include "Entry/ReadingRelay.h"
 #include "Entry/TargetListService.h"
 #include "Entry/TargetPicker.h"
 #include "Objects/Digest.h"
@@ -48,6 +49,8 @@
                                              Incarnation_, Services_));
   Services_.add(std::make_shared<OwnerService>(Executor, Settings_,
                                                Incarnation_, Services_));
+  Services_.add(
+      std::make_shared<ReadingRelay>(Settings_, Incarnation_, Services_));
   Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
   Services_.add(std::make_shared<EntryGateway>(Executor, Settings_, Services_));
 }
--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -5,9 +5,7 @@
 namespace anvil {
 
 /// The release of the datagram format.
-static constexpr char FormatVersion = 1;
-
-enum class MessageTag : char { News = 1, Want = 2, Holdings = 3, Prompt = 4 };
+static constexpr char FormatVersion = 2;
 
 namespace {
 
@@ -66,6 +64,56 @@
   MSGPACK_DEFINE(Engine_, Holdings_)
 };
 
+struct WireTarget {
+  std::string Id_;
+  std::int64_t Incarnation_ = 0;
+  std::string Service_;
+  std::string Address_;
+  std::string DataCentre_;
+  int Slots_ = 0;
+  bool Draining_ = false;
+  /// Microseconds, or less than zero for none.
+  std::int64_t Remaining_ = -1;
+  std::uint64_t OrdersAccepted_ = 0;
+  std::map<std::string, std::pair<std::uint64_t, AdapterVersions>> Models_;
+  MSGPACK_DEFINE(Id_, Incarnation_, Service_, Address_, DataCentre_, Slots_,
+                 Draining_, Remaining_, OrdersAccepted_, Models_)
+};
+
+struct WirePlanReading {
+  std::string Vm_;
+  std::string Incarnation_;
+  std::int64_t At_ = 0;
+  std::uint64_t NewestRow_ = 0;
+  MSGPACK_DEFINE(Vm_, Incarnation_, At_, NewestRow_)
+};
+
+struct WireTargetsReading {
+  std::string Vm_;
+  std::string Incarnation_;
+  std::int64_t At_ = 0;
+  std::vector<WireTarget> Entries_;
+  std::vector<std::string> Removed_;
+  std::uint64_t Digest_ = 0;
+  std::int64_t LapseLeft_ = 0;
+  MSGPACK_DEFINE(Vm_, Incarnation_, At_, Entries_, Removed_, Digest_,
+                 LapseLeft_)
+};
+
+struct WireClockQuestion {
+  std::string Vm_;
+  std::int64_t AskedAt_ = 0;
+  MSGPACK_DEFINE(Vm_, AskedAt_)
+};
+
+struct WireClockAnswer {
+  std::string Vm_;
+  std::string Incarnation_;
+  std::int64_t AskedAt_ = 0;
+  std::int64_t Shown_ = 0;
+  MSGPACK_DEFINE(Vm_, Incarnation_, AskedAt_, Shown_)
+};
+
 struct WirePrompt {
   std::string Engine_;
   std::int64_t Tokens_ = 0;
@@ -126,28 +174,136 @@
   return Given;
 }
 
-template <class Wire>
-static std::string packTagged(MessageTag Tag, const Wire &Given) {
-  msgpack::sbuffer Buffer;
-  const char Head[] = {FormatVersion, static_cast<char>(Tag)};
-  Buffer.write(Head, sizeof(Head));
-  msgpack::pack(Buffer, Given);
-  return std::string(Buffer.data(), Buffer.size());
+static WireWant toWire(const AdapterWant &Given) {
+  return {Given.Vm_, Given.Engine_, Given.Adapter_, Given.Version_,
+          Given.WasMissing_};
+}
+
+static AdapterWant fromWire(const WireWant &Wire) {
+  return {Wire.Vm_, Wire.Engine_, Wire.Adapter_, Wire.Version_,
+          Wire.WasMissing_};
+}
+
+static WireNotice toWire(const HoldingsNotice &Given) {
+  return {Given.Engine_, toWire(Given.Holdings_)};
+}
+
+static HoldingsNotice fromWire(const WireNotice &Wire) {
+  return {Wire.Engine_, fromWire(Wire.Holdings_)};
+}
+
+static WirePrompt toWire(const PromptNotice &Given) {
+  return {Given.Engine_, Given.Tokens_};
+}
+
+static PromptNotice fromWire(const WirePrompt &Wire) {
+  return {Wire.Engine_, Wire.Tokens_};
+}
+
+static WirePlanReading toWire(const PlanReading &Given) {
+  return {Given.Clock_.Vm_, Given.Clock_.Incarnation_, Given.At_.count(),
+          Given.NewestRow_};
+}
+
+static PlanReading fromWire(const WirePlanReading &Wire) {
+  return {{Wire.Vm_, Wire.Incarnation_}, Duration(Wire.At_), Wire.NewestRow_};
+}
+
+static WireTarget toWire(const RegisteredTarget &Given) {
+  WireTarget Wire{Given.Id_,
+                  Given.Incarnation_,
+                  Given.Service_,
+                  Given.Address_,
+                  Given.DataCentre_,
+                  Given.Slots_,
+                  Given.State_ == TargetState::Draining,
+                  Given.Remaining_ ? Given.Remaining_->count() : -1,
+                  Given.OrdersAccepted_,
+                  {}};
+  for (const auto &[Model, Held] : Given.Models_)
+    Wire.Models_[Model] = {Held.Version_, Held.Adapters_};
+  return Wire;
+}
+
+static RegisteredTarget fromWire(const WireTarget &Wire) {
+  RegisteredTarget Given;
+  Given.Id_ = Wire.Id_;
+  Given.Incarnation_ = Wire.Incarnation_;
+  Given.Service_ = Wire.Service_;
+  Given.Address_ = Wire.Address_;
+  Given.DataCentre_ = Wire.DataCentre_;
+  Given.Slots_ = Wire.Slots_;
+  Given.State_ = Wire.Draining_ ? TargetState::Draining : TargetState::Ready;
+  if (Wire.Remaining_ >= 0)
+    Given.Remaining_ = Duration(Wire.Remaining_);
+  Given.OrdersAccepted_ = Wire.OrdersAccepted_;
+  for (const auto &[Model, Held] : Wire.Models_)
+    Given.Models_[Model] = {Held.first, Held.second};
+  return Given;
+}
+
+static WireTargetsReading toWire(const TargetsReading &Given) {
+  WireTargetsReading Wire{Given.Clock_.Vm_,        Given.Clock_.Incarnation_,
+                          Given.At_.count(),       {},
+                          Given.Changes_.Removed_, Given.Digest_,
+                          Given.LapseLeft_.count()};
+  for (const RegisteredTarget &Entry : Given.Changes_.Entries_)
+    Wire.Entries_.push_back(toWire(Entry));
+  return Wire;
+}
+
+static TargetsReading fromWire(const WireTargetsReading &Wire) {
+  TargetsReading Given{{Wire.Vm_, Wire.Incarnation_},
+                       Duration(Wire.At_),
+                       {{}, Wire.Removed_},
+                       Wire.Digest_,
+                       Duration(Wire.LapseLeft_)};
+  for (const WireTarget &Entry : Wire.Entries_)
+    Given.Changes_.Entries_.push_back(fromWire(Entry));
+  return Given;
+}
+
+static WireClockQuestion toWire(const ClockQuestion &Given) {
+  return {Given.Vm_, Given.AskedAt_.count()};
+}
+
+static ClockQuestion fromWire(const WireClockQuestion &Wire) {
+  return {Wire.Vm_, Duration(Wire.AskedAt_)};
+}
+
+static WireClockAnswer toWire(const ClockAnswer &Given) {
+  return {Given.Clock_.Vm_, Given.Clock_.Incarnation_, Given.AskedAt_.count(),
+          Given.Shown_.count()};
+}
+
+static ClockAnswer fromWire(const WireClockAnswer &Wire) {
+  return {{Wire.Vm_, Wire.Incarnation_},
+          Duration(Wire.AskedAt_),
+          Duration(Wire.Shown_)};
+}
+
+/// Messages in the order of `FleetMessage`, as their tags count from one.
+template <std::size_t Index = 0>
+static Result<FleetMessage> decodeTagged(std::size_t Tag,
+                                         const msgpack::object &Body) {
+  if constexpr (Index < std::variant_size_v<FleetMessage>) {
+    using Message = std::variant_alternative_t<Index, FleetMessage>;
+    using Wire = decltype(toWire(std::declval<Message>()));
+    if (Tag == Index + 1)
+      return FleetMessage(fromWire(Body.as<Wire>()));
+    return decodeTagged<Index + 1>(Tag, Body);
+  } else {
+    return Error{ErrorCode::Protocol, "datagram", "is of an unknown kind", ""};
+  }
 }
 
 std::string encodeFleetMessage(const FleetMessage &Message) {
-  if (const auto *News = std::get_if<VmNews>(&Message))
-    return packTagged(MessageTag::News, toWire(*News));
-  if (const auto *Want = std::get_if<AdapterWant>(&Message))
-    return packTagged(MessageTag::Want,
-                      WireWant{Want->Vm_, Want->Engine_, Want->Adapter_,
-                               Want->Version_, Want->WasMissing_});
-  if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
-    return packTagged(MessageTag::Prompt,
-                      WirePrompt{Prompt->Engine_, Prompt->Tokens_});
-  const auto &Notice = std::get<HoldingsNotice>(Message);
-  return packTagged(MessageTag::Holdings,
-                    WireNotice{Notice.Engine_, toWire(Notice.Holdings_)});
+  msgpack::sbuffer Buffer;
+  const char Head[] = {FormatVersion, static_cast<char>(Message.index() + 1)};
+  Buffer.write(Head, sizeof(Head));
+  std::visit([&](const auto &Given) { msgpack::pack(Buffer, toWire(Given)); },
+             Message);
+  return std::string(Buffer.data(), Buffer.size());
 }
 
 Result<FleetMessage> decodeFleetMessage(std::string_view Bytes) {
@@ -156,29 +312,11 @@
     return Problem;
   try {
     auto Handle = msgpack::unpack(Bytes.data() + 2, Bytes.size() - 2);
-    switch (static_cast<MessageTag>(Bytes[1])) {
-    case MessageTag::News:
-      return FleetMessage(fromWire(Handle.get().as<WireNews>()));
-    case MessageTag::Want: {
-      auto Wire = Handle.get().as<WireWant>();
-      return FleetMessage(AdapterWant{Wire.Vm_, Wire.Engine_, Wire.Adapter_,
-                                      Wire.Version_, Wire.WasMissing_});
-    }
-    case MessageTag::Prompt: {
-      auto Wire = Handle.get().as<WirePrompt>();
-      return FleetMessage(PromptNotice{Wire.Engine_, Wire.Tokens_});
-    }
-    case MessageTag::Holdings: {
-      auto Wire = Handle.get().as<WireNotice>();
-      return FleetMessage(
-          HoldingsNotice{Wire.Engine_, fromWire(Wire.Holdings_)});
-    }
-    }
+    return decodeTagged(static_cast<std::size_t>(Bytes[1]), Handle.get());
   } catch (const std::exception &) {
     // msgpack reports every fault of its input by throwing.
     return Problem;
   }
-  return Problem;
 }
 
 } // namespace anvil
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -3,6 +3,7 @@
 
 #include "Kernel/Error.h"
 #include "Serving/FleetBook.h"
+#include "Serving/TargetListing.h"
 
 #include <string>
 #include <string_view>
@@ -32,10 +33,51 @@
   std::int64_t Tokens_ = 0;
 };
 
+/// A VM's clock, to which the times in its notices refer.
+struct VmClock {
+  std::string Vm_;
+  std::string Incarnation_;
+
+  auto operator<=>(const VmClock &) const = default;
+};
+
+/// A VM read the operator's table: at `At_` of its clock or later, no row was
+/// newer than `NewestRow_`.
+struct PlanReading {
+  VmClock Clock_;
+  Duration At_{};
+  std::uint64_t NewestRow_ = 0;
+};
+
+/// A VM read the list of targets at `At_` of its clock or later: the list has
+/// this digest, and these are its latest changes.
+struct TargetsReading {
+  VmClock Clock_;
+  Duration At_{};
+  ListingChanges Changes_;
+  std::uint64_t Digest_ = 0;
+  Duration LapseLeft_{};
+};
+
+/// A VM asks another what its clock shows, to date that VM's notices.
+struct ClockQuestion {
+  std::string Vm_;
+  /// The asking VM's own time.
+  Duration AskedAt_{};
+};
+
+struct ClockAnswer {
+  VmClock Clock_;
+  /// From the question.
+  Duration AskedAt_{};
+  Duration Shown_{};
+};
+
 /// A datagram between VMs. Each says all that its reader needs, so that lost
 /// ones are made good by the next.
 using FleetMessage =
-    std::variant<VmNews, AdapterWant, HoldingsNotice, PromptNotice>;
+    std::variant<VmNews, AdapterWant, HoldingsNotice, PromptNotice, PlanReading,
+                 TargetsReading, ClockQuestion, ClockAnswer>;
 
 /// The bytes of a message.
 std::string encodeFleetMessage(const FleetMessage &Message);
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -91,29 +91,31 @@
       });
 }
 
-void FleetLink::send(const std::string &Vm, const FleetMessage &Message) {
-  auto Found = Peers_.find(Vm);
-  if (Found == Peers_.end())
-    return;
-  std::string Bytes = encodeFleetMessage(Message);
+void FleetLink::sendBytes(const Endpoint &To, const std::string &Bytes) {
   error_code Cause;
-  auto Address = asio::ip::make_address(Found->second.Address_, Cause);
+  auto Address = asio::ip::make_address(To.Address_, Cause);
   // A datagram that doesn't fit the socket's buffer counts as lost.
   if (!Cause)
-    Socket_->Udp_.send_to(asio::buffer(Bytes),
-                          udp::endpoint(Address, Found->second.Port_), 0,
-                          Cause);
+    Socket_->Udp_.send_to(asio::buffer(Bytes), udp::endpoint(Address, To.Port_),
+                          0, Cause);
+}
+
+void FleetLink::send(const std::string &Vm, const FleetMessage &Message) {
+  sendToGroup({Vm}, Message);
+}
+
+void FleetLink::sendToGroup(const std::vector<std::string> &Vms,
+                            const FleetMessage &Message) {
+  std::string Bytes = encodeFleetMessage(Message);
+  for (const std::string &Vm : Vms)
+    if (auto Found = Peers_.find(Vm); Found != Peers_.end())
+      sendBytes(Found->second, Bytes);
 }
 
 void FleetLink::sendToAll(const FleetMessage &Message) {
   std::string Bytes = encodeFleetMessage(Message);
-  for (const auto &[Vm, Where] : Peers_) {
-    error_code Cause;
-    auto Address = asio::ip::make_address(Where.Address_, Cause);
-    if (!Cause)
-      Socket_->Udp_.send_to(asio::buffer(Bytes),
-                            udp::endpoint(Address, Where.Port_), 0, Cause);
-  }
+  for (const auto &[Vm, Where] : Peers_)
+    sendBytes(Where, Bytes);
 }
 
 void FleetLink::sendNews() {
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace anvil {
 
@@ -41,6 +42,10 @@
   /// Sends to one VM; nothing when its address is not known.
   void send(const std::string &Vm, const FleetMessage &Message);
 
+  /// Sends to some VMs.
+  void sendToGroup(const std::vector<std::string> &Vms,
+                   const FleetMessage &Message);
+
   /// Sends to all other VMs.
   void sendToAll(const FleetMessage &Message);
 
@@ -53,6 +58,7 @@
 private:
   struct Socket;
   void receive();
+  void sendBytes(const Endpoint &To, const std::string &Bytes);
   void sendNews();
   void schedule();
 
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -56,21 +56,28 @@
       RecentLeavers_[Change.Id_] = {BootClock::now(),
                                     Listed->Entry_.Incarnation_};
   });
-  Targets_->Read_.attach([this] {
-    ServingPlanPtr Plan = Plans_->current();
-    if (!Plan)
-      return;
-    TimePoint Now = BootClock::now();
-    for (const auto &[Id, Listed] : Targets_->roster().all()) {
-      const ServicePlan *Service = Plan->findService(Listed.Entry_.Service_);
-      if (Service && Service->Engine_ && !Service->Engine_->Models_.empty())
-        Book_.applyEntry(Listed.Entry_, Service->Engine_->Models_.front().Name_,
-                         Now);
-    }
+  Targets_->Updated_.attach([this](const std::vector<RegisteredTarget> &Fresh) {
+    applyEntries(Fresh);
   });
   return std::monostate{};
 }
 
+void FleetState::applyEntries(const std::vector<RegisteredTarget> &Fresh) {
+  ServingPlanPtr Plan = Plans_->current();
+  if (!Plan)
+    return;
+  TimePoint Now = BootClock::now();
+  for (const RegisteredTarget &Entry : Fresh) {
+    const ListedTarget *Listed = Targets_->roster().find(Entry.Id_);
+    const ServicePlan *Service = Plan->findService(Entry.Service_);
+    bool IsEngine =
+        Service && Service->Engine_ && !Service->Engine_->Models_.empty();
+    // An entry from before a restart says nothing.
+    if (IsEngine && Listed && Listed->Entry_.Incarnation_ == Entry.Incarnation_)
+      Book_.applyEntry(Entry, Service->Engine_->Models_.front().Name_, Now);
+  }
+}
+
 void FleetState::noteBegin(const std::string &Target,
                            const std::string &Adapter, std::int64_t Tokens,
                            std::int64_t PromptTokens) {
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -80,6 +80,7 @@
   double transitLimit() const;
   VmNews compose();
   void receive(const FleetMessage &Message);
+  void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmNews::Crash &Seen, TimePoint Now);
   void updateReach(TimePoint Now);
 
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -66,7 +66,7 @@
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
   Fleet_->onHoldings([this] { return holdings(); });
-  Targets_->Read_.attach([this] {
+  Targets_->Updated_.attach([this](const std::vector<RegisteredTarget> &) {
     updateEngines();
     checkEntries();
   });
@@ -135,7 +135,6 @@
     if (Row.Vm_ != Self_ && isOk(Where))
       Peers[Row.Vm_] = valueOf(Where);
   }
-  Targets_->setReaders(Peers.size() + 1);
   Link_->setPeers(std::move(Peers));
   Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
   Read_.fire();
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -21,11 +21,27 @@
 static constexpr Duration LeastRetryWait = std::chrono::milliseconds(100);
 static constexpr Duration MostRetryWait = std::chrono::milliseconds(800);
 
+/// How often a VM that isn't first in line looks whether it has to read.
+static constexpr Duration TurnCheckPeriod = std::chrono::milliseconds(40);
+
+/// A wait for changes that is answered at once.
+static constexpr Duration NoWait = std::chrono::milliseconds(1);
+
+/// How often the first in line has told what it read, at the latest: after its
+/// wait at the store, and the way there and back.
+static ReadingTurnOptions turnOptions(const EntrySettings &Settings) {
+  constexpr Duration Travel = std::chrono::milliseconds(100);
+  ReadingTurnOptions Options;
+  Options.Period_ =
+      std::chrono::milliseconds(Settings.Store_.WatchMs_) + Travel;
+  return Options;
+}
+
 PlanService::PlanService(asio::any_io_executor Executor,
                          const EntrySettings &Settings,
                          std::shared_ptr<platform::StoreClient> Store)
     : Executor_(std::move(Executor)), Settings_(Settings),
-      Store_(std::move(Store)),
+      Store_(std::move(Store)), Turn_(turnOptions(Settings)),
       Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
                 VersionMargin) {}
 
@@ -41,50 +57,84 @@
 }
 
 asio::awaitable<void> PlanService::follow() {
-  std::optional<std::uint64_t> Version;
   Backoff Waits(LeastRetryWait, MostRetryWait);
   while (true) {
-    TimePoint AskedAt = BootClock::now();
-    Result<platform::TablePage> Page = Error{};
-    bool WasAwaited = Version.has_value();
-    if (Version)
-      Page = co_await Store_->awaitChanges(
-          platform::ForeignTable::Operator, *Version,
-          std::chrono::milliseconds(Settings_.Store_.WatchMs_));
-    else
-      Page = co_await Store_->list(platform::ForeignTable::Operator);
+    while (!isTurn(BootClock::now()))
+      co_await pauseFor(TurnCheckPeriod);
+    auto Page = co_await readOnce();
     if (isOk(Page)) {
       Waits.reset();
-      Version = valueOf(Page).Version_;
-      TimePoint Now = BootClock::now();
-      apply(valueOf(Page).Rows_,
-            StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, Now),
-            WasAwaited ? Evidence_ : std::nullopt);
       continue;
     }
     // The history is gone, so the whole table is read at once.
     if (errorOf(Page).Code_ == ErrorCode::NotFound) {
       logEvent(LogLevel::Info, "plan_history_gone");
-      Version.reset();
+      ReadVersion_.reset();
     }
     co_await pauseFor(Waits.next(randomPart()));
   }
 }
 
+bool PlanService::isTurn(TimePoint Now) const {
+  if (!ReadVersion_ || !Evidence_ || HeardRow_ > NewestRow_)
+    return true;
+  // The first in line always waits at the store for the next change.
+  std::size_t Place = PlaceInLine_();
+  return Place == 0 || *Evidence_ + Turn_.patience(Place) <= Now;
+}
+
+asio::awaitable<Result<platform::TablePage>> PlanService::readOnce() {
+  TimePoint AskedAt = BootClock::now();
+  std::uint64_t Heard = HeardRow_;
+  bool WasAwaited = ReadVersion_.has_value();
+  Result<platform::TablePage> Page = Error{};
+  if (WasAwaited) {
+    Duration Wait = StoreClock_.needsCall(AskedAt)
+                        ? NoWait
+                        : std::chrono::milliseconds(Settings_.Store_.WatchMs_);
+    Page = co_await Store_->awaitChanges(platform::ForeignTable::Operator,
+                                         *ReadVersion_, Wait);
+  } else {
+    Page = co_await Store_->list(platform::ForeignTable::Operator);
+  }
+  if (!isOk(Page))
+    co_return Page;
+  ReadVersion_ = valueOf(Page).Version_;
+  // A row that others have read and that isn't there now was dropped since.
+  NewestRow_ = std::max(NewestRow_, Heard);
+  TimePoint GivenAt =
+      StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, BootClock::now());
+  apply(valueOf(Page).Rows_, GivenAt, WasAwaited ? Evidence_ : std::nullopt);
+  if (Plan_)
+    Read_.fire(GivenAt, NewestRow_);
+  co_return Page;
+}
+
+void PlanService::noteReadElsewhere(TimePoint At, std::uint64_t NewestRow) {
+  HeardRow_ = std::max(HeardRow_, NewestRow);
+  if (NewestRow <= NewestRow_ && Plan_ && Evidence_ && At > *Evidence_)
+    confirm(At);
+}
+
+void PlanService::confirm(TimePoint At) {
+  bool WasFresh = keysAreFresh(At);
+  Evidence_ = At;
+  if (!WasFresh)
+    logEvent(LogLevel::Info, "plan_evidence_regained",
+             {{"revision", Plan_->revision()}});
+}
+
 void PlanService::apply(const std::vector<TableRow> &Rows, TimePoint GivenAt,
                         std::optional<TimePoint> NotBefore) {
   for (const TableRow &Row : Rows) {
+    NewestRow_ = std::max(NewestRow_, Row.Version_);
     if (Row.Key_ == "config")
       applyPlan(Row);
     else if (Row.Key_.starts_with("version/"))
       applyVersion(Row, NotBefore);
   }
-  bool WasFresh = keysAreFresh(GivenAt);
-  if (Plan_)
-    Evidence_ = GivenAt;
-  if (!WasFresh && Evidence_)
-    logEvent(LogLevel::Info, "plan_evidence_regained",
-             {{"revision", Plan_->revision()}});
+  if (Plan_ && (!Evidence_ || GivenAt > *Evidence_))
+    confirm(GivenAt);
 }
 
 void PlanService::applyPlan(const TableRow &Row) {
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -3,6 +3,7 @@
 
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Serving/ReadingTurn.h"
 #include "Serving/RemoteClock.h"
 #include "Serving/ServingPlan.h"
 #include "Serving/VersionBook.h"
@@ -12,6 +13,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,7 +22,8 @@
 namespace anvil {
 
 /// Follows the operator's configuration and the adapter versions it names, and
-/// keeps the evidence that they are current.
+/// keeps the evidence that they are current. Where another VM tells what it
+/// read, this one reads only what is new.
 class PlanService : public Service {
 public:
   static constexpr std::string_view Name = "plan";
@@ -45,6 +48,18 @@
   /// The adapter versions that were named.
   const VersionBook &versions() const { return Versions_; }
 
+  /// Sets what says this VM's place in line for reading; first by default.
+  void onPlaceInLine(std::function<std::size_t()> Hook) {
+    PlaceInLine_ = std::move(Hook);
+  }
+
+  /// Another VM read at `At` or later that `NewestRow` was the newest row.
+  void noteReadElsewhere(TimePoint At, std::uint64_t NewestRow);
+
+  /// Fired after each reading of this VM with a moment before it and the
+  /// newest row's version.
+  Hook<TimePoint, std::uint64_t> Read_;
+
   /// Fired with each new plan.
   Hook<const ServingPlan &> Changed_;
 
@@ -53,6 +68,9 @@
 
 private:
   boost::asio::awaitable<void> follow();
+  boost::asio::awaitable<Result<platform::TablePage>> readOnce();
+  bool isTurn(TimePoint Now) const;
+  void confirm(TimePoint At);
   void apply(const std::vector<TableRow> &Rows, TimePoint GivenAt,
              std::optional<TimePoint> NotBefore);
   void applyPlan(const TableRow &Row);
@@ -63,6 +81,13 @@
   std::shared_ptr<platform::StoreClient> Store_;
   ServingPlanPtr Plan_;
   std::optional<TimePoint> Evidence_;
+  ReadingTurn Turn_;
+  std::function<std::size_t()> PlaceInLine_ = [] { return std::size_t{0}; };
+  /// The store's version up to which its table was read.
+  std::optional<std::uint64_t> ReadVersion_;
+  /// The newest row that was read, and the newest that others have read.
+  std::uint64_t NewestRow_ = 0;
+  std::uint64_t HeardRow_ = 0;
   RemoteClock StoreClock_;
   VersionBook Versions_;
 };
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -5,62 +5,90 @@
 #include "Telemetry/Log.h"
 #include "platform/TargetCodec.h"
 
-#include <algorithm>
-
 namespace anvil {
 
 namespace asio = boost::asio;
 
-/// The part of the period by which readings are spread over the VMs.
-static constexpr double Spread = 0.2;
+/// How often a VM looks whether it has to read the list.
+static constexpr Duration TurnCheckPeriod = std::chrono::milliseconds(40);
 
-/// The readers up to which each reads at the full pace, and by how much the
-/// period is stretched at the most; leavers must be seen within seconds also by
-/// a VM that hears no other.
-static constexpr double FullReaders = 16;
-static constexpr double MostStretch = 1.7;
+static ReadingTurnOptions turnOptions(const EntrySettings &Settings) {
+  ReadingTurnOptions Options;
+  Options.Period_ = std::chrono::milliseconds(Settings.Store_.TargetListMs_);
+  return Options;
+}
 
 TargetListService::TargetListService(
     asio::any_io_executor Executor, const EntrySettings &Settings,
     std::shared_ptr<platform::StoreClient> Store)
     : Executor_(std::move(Executor)), Settings_(Settings),
-      Store_(std::move(Store)) {}
+      Store_(std::move(Store)), Turn_(turnOptions(Settings)) {}
 
 Status TargetListService::start() {
   spawn(Executor_, follow());
   return std::monostate{};
 }
 
+bool TargetListService::isTurn(TimePoint Now) const {
+  return !FreshAt_ || Differs_ ||
+         *FreshAt_ + Turn_.patience(PlaceInLine_()) <= Now;
+}
+
 asio::awaitable<void> TargetListService::follow() {
   while (true) {
+    while (!isTurn(BootClock::now()))
+      co_await pauseFor(TurnCheckPeriod);
+    TimePoint AskedAt = BootClock::now();
     auto Page = co_await Store_->list(platform::ForeignTable::Targets);
-    if (isOk(Page))
-      apply(valueOf(Page).Rows_);
-    else
+    if (!isOk(Page)) {
       Roster_.noteOutage();
-    double Part = (1 - Spread * randomPart()) *
-                  std::clamp(static_cast<double>(Readers_) / FullReaders, 1.0,
-                             MostStretch);
-    Duration Period = std::chrono::milliseconds(Settings_.Store_.TargetListMs_);
-    co_await pauseFor(std::chrono::duration_cast<Duration>(Period * Part));
+      co_await pauseFor(
+          std::chrono::milliseconds(Settings_.Store_.TargetListMs_));
+      continue;
+    }
+    std::vector<RegisteredTarget> Entries;
+    for (const TableRow &Row : valueOf(Page).Rows_)
+      if (auto Entry = platform::decodeRegisteredTarget(Row.Key_, Row.Value_))
+        Entries.push_back(std::move(*Entry));
+    TimePoint Now = BootClock::now();
+    FreshAt_ = Now;
+    Differs_ = false;
+    Listing_.replace(Entries, Now);
+    applyToRoster(Entries, Now);
+    Read_.fire(AskedAt);
   }
 }
 
-void TargetListService::apply(const std::vector<TableRow> &Rows) {
-  std::vector<RegisteredTarget> Entries;
-  for (const TableRow &Row : Rows)
-    if (auto Entry = platform::decodeRegisteredTarget(Row.Key_, Row.Value_))
-      Entries.push_back(std::move(*Entry));
-  TimePoint Now = BootClock::now();
+void TargetListService::applyToRoster(
+    const std::vector<RegisteredTarget> &Fresh, TimePoint Now) {
   for (const RosterChange &Change :
-       Roster_.applyList(std::move(Entries), Now)) {
+       Roster_.applyList(Listing_.entries(), Now)) {
     logEvent(LogLevel::Info, "target_standing",
              {{"target", Change.Id_},
               {"standing", targetStandingName(Change.Standing_)},
               {"new_incarnation", Change.NewIncarnation_}});
     Changed_.fire(Change);
   }
-  Read_.fire();
+  Updated_.fire(Fresh);
+}
+
+void TargetListService::noteReadElsewhere(TimePoint At,
+                                          const ListingNews &News) {
+  if (!FreshAt_ || At <= *FreshAt_)
+    return;
+  TimePoint Now = BootClock::now();
+  if (!Listing_.adopt(News.Changes_, News.Digest_, Now)) {
+    Differs_ = true;
+    return;
+  }
+  FreshAt_ = At;
+  Roster_.extendLapse(Now + News.LapseLeft_);
+  applyToRoster(News.Changes_.Entries_, Now);
+}
+
+ListingNews TargetListService::news(TimePoint Now) const {
+  return {Listing_.recentChanges(Now), Listing_.digest(),
+          Roster_.lapseLeft(Now)};
 }
 
 } // namespace anvil
--- a/Source/Entry/TargetListService.h
+++ b/Source/Entry/TargetListService.h
@@ -3,6 +3,8 @@
 
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Serving/ReadingTurn.h"
+#include "Serving/TargetListing.h"
 #include "Serving/TargetRoster.h"
 #include "Settings/EntrySettings.h"
 #include "platform/StoreClient.h"
@@ -10,11 +12,23 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace anvil {
 
-/// Follows the platform's list of targets.
+/// What another VM read of the list of targets.
+struct ListingNews {
+  ListingChanges Changes_;
+  std::uint64_t Digest_ = 0;
+  /// For how long missing entries may only have lapsed.
+  Duration LapseLeft_{};
+};
+
+/// Follows the platform's list of targets. Where another VM tells what it read,
+/// this one reads the list only if it can't follow.
 class TargetListService : public Service {
 public:
   static constexpr std::string_view Name = "target_list";
@@ -28,25 +42,43 @@
 
   TargetRoster &roster() { return Roster_; }
 
-  /// Sets how many VMs read the list and hear each other of leavers. Many read
-  /// it less often each.
-  void setReaders(std::size_t Count) { Readers_ = Count; }
+  /// Sets what says this VM's place in line for reading; first by default.
+  void onPlaceInLine(std::function<std::size_t()> Hook) {
+    PlaceInLine_ = std::move(Hook);
+  }
+
+  /// Another VM read the list at `At` or later.
+  void noteReadElsewhere(TimePoint At, const ListingNews &News);
+
+  /// What this VM would tell others of the list.
+  ListingNews news(TimePoint Now) const;
+
+  /// Fired after each reading of this VM, with the moment it asked.
+  Hook<TimePoint> Read_;
 
-  /// Fired after each reading of the list.
-  Hook<> Read_;
+  /// Fired when the list was read here or elsewhere, with the entries that are
+  /// as the targets wrote them last.
+  Hook<const std::vector<RegisteredTarget> &> Updated_;
 
   /// Fired when what is believed of a target changes.
   Hook<const RosterChange &> Changed_;
 
 private:
   boost::asio::awaitable<void> follow();
-  void apply(const std::vector<TableRow> &Rows);
+  bool isTurn(TimePoint Now) const;
+  void applyToRoster(const std::vector<RegisteredTarget> &Fresh, TimePoint Now);
 
   boost::asio::any_io_executor Executor_;
   const EntrySettings &Settings_;
   std::shared_ptr<platform::StoreClient> Store_;
+  ReadingTurn Turn_;
+  std::function<std::size_t()> PlaceInLine_ = [] { return std::size_t{0}; };
+  TargetListing Listing_;
   TargetRoster Roster_;
-  std::size_t Readers_ = 1;
+  /// A moment at which the list was as known here.
+  std::optional<TimePoint> FreshAt_;
+  /// Another VM's list differs in a way that its changes don't explain.
+  bool Differs_ = false;
 };
 
 } // namespace anvil
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -157,4 +157,10 @@
       }));
 }
 
+bool FleetBook::isServing(const std::string &Vm, TimePoint Now) const {
+  auto Found = Vms_.find(Vm);
+  return Found != Vms_.end() && Found->second.At_ + NewsTime >= Now &&
+         !Found->second.News_.Leaving_;
+}
+
 } // namespace anvil
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -121,6 +121,9 @@
   /// The other VMs that were heard within `NewsTime`.
   std::size_t heardVms(TimePoint Now) const;
 
+  /// Whether a VM was heard within `NewsTime` and isn't about to stop.
+  bool isServing(const std::string &Vm, TimePoint Now) const;
+
 private:
   static void noteHeld(EngineBelief &Belief, TimePoint Now);
   void addRunning(const VmNews &News, int Sign);
--- /dev/null
+++ b/Source/Serving/ReadingTurn.cpp
@@ -0,0 +1,27 @@
+#include "Serving/ReadingTurn.h"
+
+#include "Membership/Rendezvous.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+std::size_t ReadingTurn::placeInLine(std::string_view Topic,
+                                     const std::string &Self,
+                                     const std::vector<std::string> &Others) {
+  std::uint64_t Own = rendezvousScore(Topic, Self);
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Others, [&](const std::string &Other) {
+        std::uint64_t Score = rendezvousScore(Topic, Other);
+        return Score > Own || (Score == Own && Other < Self);
+      }));
+}
+
+Duration ReadingTurn::patience(std::size_t Place) const {
+  if (Place == 0)
+    return Options_.Period_;
+  auto Steps = static_cast<int>(std::min(Place - 1, Options_.MostSteps_));
+  return Options_.Period_ + Options_.Takeover_ + Options_.Step_ * Steps;
+}
+
+} // namespace anvil
--- a/Source/Serving/RemoteClock.cpp
+++ b/Source/Serving/RemoteClock.cpp
@@ -4,9 +4,15 @@
 
 namespace anvil {
 
-/// What the two clocks may drift apart over the time that one bound is kept.
+/// For how long a bound is kept, and what the two clocks may drift apart over
+/// that time: 200 parts in a million, twice what clocks of servers may do.
+static constexpr Duration BoundTime = std::chrono::seconds(100);
 static constexpr Duration DriftMargin = std::chrono::milliseconds(20);
 
+/// A call of at most this length gives a bound that is worth an older, tighter
+/// one, which drift makes worse.
+static constexpr Duration ShortCall = std::chrono::milliseconds(100);
+
 TimePoint RemoteClock::note(TimePoint AskedAt, std::optional<Duration> Remote,
                             TimePoint Now) {
   if (!Remote)
@@ -16,9 +22,24 @@
     Zero_.reset();
   LastRemote_ = *Remote;
   TimePoint Bound = AskedAt - *Remote;
-  Zero_ = Zero_ ? std::max(*Zero_, Bound) : Bound;
+  bool IsRenewal = needsCall(Now) && Now - AskedAt <= ShortCall;
+  if (IsRenewal || !Zero_ || Bound > *Zero_ || BoundAt_ + BoundTime < Now) {
+    Zero_ = Bound;
+    BoundAt_ = Now;
+  }
   TimePoint GivenAt = *Zero_ + *Remote - DriftMargin;
   return std::clamp(GivenAt, AskedAt, std::max(AskedAt, Now));
 }
 
+std::optional<TimePoint> RemoteClock::dateOf(Duration Remote,
+                                             TimePoint Now) const {
+  if (!Zero_ || BoundAt_ + BoundTime < Now)
+    return std::nullopt;
+  return std::min(Now, *Zero_ + Remote - DriftMargin);
+}
+
+bool RemoteClock::needsCall(TimePoint Now) const {
+  return !Zero_ || BoundAt_ + BoundTime / 2 < Now;
+}
+
 } // namespace anvil
--- a/Source/Serving/RemoteClock.h
+++ b/Source/Serving/RemoteClock.h
@@ -18,9 +18,18 @@
   TimePoint note(TimePoint AskedAt, std::optional<Duration> Remote,
                  TimePoint Now);
 
+  /// A moment that was certainly not after the one at which the remote clock
+  /// showed `Remote`; nothing while no recent call relates the clocks.
+  std::optional<TimePoint> dateOf(Duration Remote, TimePoint Now) const;
+
+  /// Whether a call should be made to go on relating the clocks.
+  bool needsCall(TimePoint Now) const;
+
 private:
   /// The least local time at which the remote clock can have shown zero.
   std::optional<TimePoint> Zero_;
+  /// When the call was made that gave it.
+  TimePoint BoundAt_{};
   Duration LastRemote_{};
 };
 
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -3,6 +3,7 @@
 
 #include "Serving/Target.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -62,6 +63,17 @@
   /// Notes that the list could not be read.
   void noteOutage() { Away_ = true; }
 
+  /// Missing entries may have lapsed until then, as another VM saw.
+  void extendLapse(TimePoint Until) {
+    LapseUntil_ = std::max(LapseUntil_, Until);
+  }
+
+  /// For how long missing entries may only have lapsed.
+  Duration lapseLeft(TimePoint Now) const {
+    return std::max(Duration::zero(),
+                    std::chrono::duration_cast<Duration>(LapseUntil_ - Now));
+  }
+
   /// Another VM saw that the target leaves. Returns whether that is news.
   bool noteLeaving(const std::string &Id, std::int64_t Incarnation);
 
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -27,9 +27,9 @@
   std::string Address_;
   std::int64_t TimeoutMs_ = 1000;
   /// How long one wait for changes of the configuration lasts.
-  std::int64_t WatchMs_ = 2000;
-  /// How often the list of targets is read.
-  std::int64_t TargetListMs_ = 1300;
+  std::int64_t WatchMs_ = 1000;
+  /// How often one VM of each group reads the list of targets.
+  std::int64_t TargetListMs_ = 1100;
   /// How often a VM renews its row and reads those of the others.
   std::int64_t RenewMs_ = 3000;
 };
--- a/Tests/Integration/Fleet.cpp
+++ b/Tests/Integration/Fleet.cpp
@@ -32,7 +32,7 @@
   for (auto &[Name, Running] : Processes_)
     if (Running->diedByItself()) {
       UNSCOPED_INFO(Running->log());
-      FAIL_CHECK(Name << " ended by itself");
+      FAIL_CHECK(Name << " ended by itself: " << Running->ending());
     }
   Processes_.clear();
   std::error_code Ignored;
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -101,6 +101,13 @@
 
 bool Process::diedByItself() { return !Told_ && poll(); }
 
+std::string Process::ending() {
+  if (!poll())
+    return "running";
+  return *Status_ < 0 ? "signal " + std::to_string(-*Status_)
+                      : "status " + std::to_string(*Status_);
+}
+
 std::string Process::log() const { return textOf(LogPath_); }
 
 } // namespace anvil
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -49,6 +49,9 @@
   /// Whether it has ended without being told to.
   bool diedByItself();
 
+  /// How it ended: `status N` or `signal N`; `running` before.
+  std::string ending();
+
   std::string log() const;
 
 private:
--- a/Tests/Serving/FleetBookTest.cpp
+++ b/Tests/Serving/FleetBookTest.cpp
@@ -1,8 +1,6 @@
 #include "Serving/FleetBook.h"
-#include "Entry/FleetCodec.h"
 
 #include <catch2/catch.hpp>
-#include <rapidcheck/catch.h>
 
 using namespace anvil;
 using namespace std::chrono_literals;
@@ -79,30 +77,3 @@
     CHECK_FALSE(Book.engine("e1")->Adapters_.contains("a1"));
   }
 }
-
-TEST_CASE("datagrams between VMs", "[fleet][codec]") {
-  SECTION("say the same after a round trip") {
-    VmNews News = newsOf("b", 9, 4);
-    News.Spent_ = {{"serenas", 123456789}};
-    News.Crashes_ = {{"digest", "e1", 77}};
-    News.Leavers_ = {{"e2", 5}};
-    News.Holdings_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
-    auto Read = decodeFleetMessage(encodeFleetMessage(News));
-    REQUIRE(isOk(Read));
-    const auto &Same = std::get<VmNews>(valueOf(Read));
-    CHECK(Same.Spent_ == News.Spent_);
-    CHECK(Same.Crashes_.front().Incarnation_ == 77);
-    CHECK(Same.Leavers_ == News.Leavers_);
-    CHECK(Same.Running_.at("e1").Adapters_.at("a1") == 4);
-    CHECK(Same.Holdings_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
-  }
-  SECTION("of any other bytes are refused") {
-    rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
-      decodeFleetMessage(Bytes);
-      decodeFleetMessage("\x01\x01" + Bytes);
-      decodeFleetMessage("\x01\x02" + Bytes);
-      decodeFleetMessage("\x01\x03" + Bytes);
-      decodeFleetMessage("\x01\x04" + Bytes);
-    });
-  }
-}
--- /dev/null
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -0,0 +1,69 @@
+#include "Entry/FleetCodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace anvil;
+using namespace std::chrono_literals;
+
+/// A message after its way over the network.
+template <class Message> static Message travelled(const Message &Given) {
+  auto Read = decodeFleetMessage(encodeFleetMessage(Given));
+  REQUIRE(isOk(Read));
+  return std::get<Message>(valueOf(Read));
+}
+
+TEST_CASE("datagrams between VMs", "[fleet][codec]") {
+  SECTION("say the same after a round trip") {
+    SECTION("as news") {
+      VmNews News;
+      News.Vm_ = "b";
+      News.Running_["e1"] = {4, 400, {{"a1", 4}}};
+      News.Spent_ = {{"serenas", 123456789}};
+      News.Crashes_ = {{"digest", "e1", 77}};
+      News.Leavers_ = {{"e2", 5}};
+      News.Holdings_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
+      VmNews Same = travelled(News);
+      CHECK(Same.Spent_ == News.Spent_);
+      CHECK(Same.Crashes_.front().Incarnation_ == 77);
+      CHECK(Same.Leavers_ == News.Leavers_);
+      CHECK(Same.Running_.at("e1").Adapters_.at("a1") == 4);
+      CHECK(Same.Holdings_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
+    }
+    SECTION("as what was read of the plan") {
+      PlanReading Same = travelled(PlanReading{{"vm-1", "life"}, 77s, 12});
+      CHECK(Same.Clock_ == VmClock{"vm-1", "life"});
+      CHECK(Same.At_ == 77s);
+      CHECK(Same.NewestRow_ == 12);
+    }
+    SECTION("as what was read of the targets") {
+      RegisteredTarget Target;
+      Target.Id_ = "e1";
+      Target.Incarnation_ = 5;
+      Target.State_ = TargetState::Draining;
+      Target.Remaining_ = 900ms;
+      Target.Models_["base"] = {3, {{"a1", 2}}};
+      TargetsReading Same = travelled(
+          TargetsReading{{"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s});
+      REQUIRE(Same.Changes_.Entries_.size() == 1);
+      const RegisteredTarget &Entry = Same.Changes_.Entries_.front();
+      CHECK(Entry.State_ == TargetState::Draining);
+      CHECK(Entry.Remaining_ == Target.Remaining_);
+      CHECK(Entry.Models_.at("base").Adapters_.at("a1") == 2);
+      CHECK(Same.Changes_.Removed_ == std::vector<std::string>{"e2"});
+      CHECK(Same.Digest_ == 99);
+      CHECK(Same.LapseLeft_ == 2s);
+    }
+    SECTION("as questions about clocks") {
+      CHECK(travelled(ClockQuestion{"vm-2", 3s}).AskedAt_ == 3s);
+      CHECK(travelled(ClockAnswer{{"vm-1", "life"}, 3s, 8s}).Shown_ == 8s);
+    }
+  }
+  SECTION("of any other bytes are refused") {
+    rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
+      decodeFleetMessage(Bytes);
+      for (char Tag = 0; Tag < 10; ++Tag)
+        decodeFleetMessage(std::string{'\x02', Tag} + Bytes);
+    });
+  }
+}
--- a/Tests/Serving/RemoteClockTest.cpp
+++ b/Tests/Serving/RemoteClockTest.cpp
@@ -26,4 +26,25 @@
     Clock.note(Start + 1s, 3000ms, Start + 3s);
     CHECK(Clock.note(Start + 4s, 10ms, Start + 5s) == Start + 4s);
   }
+  SECTION("can be asked for any time that it showed") {
+    auto Date = Clock.dateOf(3000ms, Start + 4s);
+    REQUIRE(Date);
+    CHECK(*Date <= Start + 3s);
+    CHECK(*Date > Start + 2900ms);
+    SECTION("but never lies in the future") {
+      CHECK(Clock.dateOf(9000ms, Start + 4s) == Start + 4s);
+    }
+    SECTION("and not for ever without another call, since clocks drift") {
+      CHECK(Clock.needsCall(Start + 60s));
+      CHECK_FALSE(Clock.dateOf(200s, Start + 200s));
+      Clock.note(Start + 200s, 200s, Start + 201s);
+      CHECK(Clock.dateOf(200s, Start + 201s));
+    }
+  }
+  SECTION("is renewed by short calls, not by long ones") {
+    Clock.note(Start + 60s, 61s, Start + 61s);
+    CHECK(Clock.needsCall(Start + 61s));
+    Clock.note(Start + 62s, 62s, Start + 62010ms);
+    CHECK_FALSE(Clock.needsCall(Start + 63s));
+  }
 }
--- /dev/null
+++ b/Tests/Serving/TargetListingTest.cpp
@@ -0,0 +1,73 @@
+#include "Serving/TargetListing.h"
+
+#include <catch2/catch.hpp>
+
+using namespace anvil;
+using namespace std::chrono_literals;
+
+static const TimePoint Start{1000s};
+
+static RegisteredTarget entry(const std::string &Id,
+                              TargetState State = TargetState::Ready) {
+  RegisteredTarget Given;
+  Given.Id_ = Id;
+  Given.Incarnation_ = 1;
+  Given.Service_ = "engines";
+  Given.Address_ = "10.0.0.1:80";
+  Given.State_ = State;
+  return Given;
+}
+
+TEST_CASE("a list of targets that one VM reads and others follow",
+          "[reading]") {
+  TargetListing Reader;
+  TargetListing Follower;
+  Reader.replace({entry("a"), entry("b")}, Start);
+  auto Follow = [&](TimePoint Now) {
+    return Follower.adopt(Reader.recentChanges(Now), Reader.digest(), Now);
+  };
+  SECTION("is read once by a VM that knows none") {
+    CHECK_FALSE(Follow(Start));
+  }
+  Follower.replace({entry("a"), entry("b")}, Start);
+  SECTION("needs no changes while it stays the same") {
+    Reader.replace({entry("a"), entry("b")}, Start + 1s);
+    CHECK(Reader.recentChanges(Start + 1s).size() == 0);
+    CHECK(Follow(Start + 1s));
+  }
+  SECTION("is the same whatever engines hold and have been ordered") {
+    RegisteredTarget Busy = entry("a");
+    Busy.OrdersAccepted_ = 9;
+    Busy.Models_["base"].Adapters_["x"] = 1;
+    Reader.replace({Busy, entry("b")}, Start + 1s);
+    CHECK(Reader.recentChanges(Start + 1s).size() == 0);
+    CHECK(Follow(Start + 1s));
+  }
+  SECTION("is followed when targets leave, come and go") {
+    Reader.replace({entry("a", TargetState::Draining), entry("c")}, Start + 1s);
+    CHECK(Reader.recentChanges(Start + 1s).size() == 3);
+    REQUIRE(Follow(Start + 1s));
+    auto Entries = Follower.entries();
+    REQUIRE(Entries.size() == 2);
+    CHECK(Entries[0].State_ == TargetState::Draining);
+    CHECK(Entries[1].Id_ == "c");
+    SECTION("and handed on by who followed") {
+      CHECK(Follower.recentChanges(Start + 2s).size() == 3);
+    }
+    SECTION("for a while") {
+      CHECK(Reader.recentChanges(Start + 10s).size() == 0);
+    }
+  }
+  SECTION("is followed though some notices were lost") {
+    Reader.replace({entry("a"), entry("b"), entry("c")}, Start + 1s);
+    Reader.replace({entry("a"), entry("c")}, Start + 2s);
+    CHECK(Follow(Start + 2s));
+  }
+  SECTION("is not followed over more than the changes explain") {
+    Reader.replace({entry("a")}, Start + 1s);
+    Reader.replace({entry("a"), entry("c")}, Start + 9s);
+    CHECK_FALSE(Follow(Start + 9s));
+    CHECK(Follower.entries().size() == 2);
+    CHECK(Follower.entries()[1].Id_ == "b");
+  }
+}
