--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -13,6 +13,9 @@
 /// How long a fleet may take until requests with adapters are served.
 static constexpr Millis SettleBound{20000};
 
+/// The proxy's name of a VM's link to the store.
+static std::string storeLinkOf(const std::string &Vm) { return Vm + ">store"; }
+
 EntryFleet::EntryFleet() {
   std::string Template =
       (std::filesystem::temp_directory_path() / "anvil-entry-XXXXXX").string();
@@ -25,6 +28,12 @@
     list(Target, "ready");
   }
   configure(1, {"good-key"});
+  start("proxy", {"--kind", "proxy", "--link", storeLinkOf("vm-1"), "--link",
+                  storeLinkOf("vm-2")});
+  for (const char *Vm : {"vm-1", "vm-2"})
+    control("proxy",
+            {{"link", storeLinkOf(Vm)},
+             {"target", "127.0.0.1:" + std::to_string(at("store").port())}});
   startVm("vm-1");
   startVm("vm-2");
   bool Settled = eventually(
@@ -53,7 +62,8 @@
 
 void EntryFleet::startVm(const std::string &Name) {
   std::string Path = Directory_ + "/" + Name + ".json";
-  std::string Store = "127.0.0.1:" + std::to_string(at("store").port());
+  std::string Store =
+      "127.0.0.1:" + std::to_string(at("proxy").port(storeLinkOf(Name)));
   json Settings = {{"mode", "entry"},
                    {"vm", Name},
                    {"data_centre", "north"},
@@ -124,8 +134,13 @@
   write("op", "config", Config);
 }
 
+void EntryFleet::storeLink(const std::string &Vm, const std::string &Mode) {
+  control("proxy", {{"link", storeLinkOf(Vm)}, {"mode", Mode}});
+}
+
 void EntryFleet::control(const std::string &Standin, const json &Change) {
-  sendJson(at(Standin).port(), "POST", "/control", Change);
+  std::string Port = Standin == "proxy" ? "admin" : "port";
+  sendJson(at(Standin).port(Port), "POST", "/control", Change);
 }
 
 Call EntryFleet::request(
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -37,6 +37,9 @@
   /// Changes how a stand-in behaves.
   void control(const std::string &Standin, const nlohmann::json &Change);
 
+  /// Cuts a VM from the store, or connects it again with `pass`.
+  void storeLink(const std::string &Vm, const std::string &Mode);
+
   /// Writes the configuration; keys are those of the one customer.
   void configure(std::uint64_t Revision, const std::vector<std::string> &Keys);
 
--- a/Tests/Integration/EntryTest.cpp
+++ b/Tests/Integration/EntryTest.cpp
@@ -221,3 +221,38 @@
     }
   }
 }
+
+TEST_CASE("an entry VM that is cut from the store", "[entry-cut]") {
+  EntryFleet System;
+  // Either may be the one that reads for both.
+  auto Cut = GENERATE(as<std::string>{}, "vm-1", "vm-2");
+  INFO(Cut);
+  auto StatusOf = [&] { return System.call(Cut, "/safe/x").Status_; };
+  System.storeLink(Cut, "cut");
+  // Longer than the bound on withdrawn keys.
+  eventually([] { return false; }, Millis(4000));
+
+  SECTION("goes on with what the other one reads") {
+    CHECK(StatusOf() == 200);
+    SECTION("and sees targets leave") {
+      System.list("plain-1", "draining");
+      CHECK(eventually(
+          [&] {
+            for (int Index = 0; Index < 6; ++Index)
+              if (System.call(Cut, "/safe/x").Headers_["x-server-seal"] !=
+                  "seal-of-plain-2")
+                return false;
+            return true;
+          },
+          Millis(5000)));
+    }
+  }
+  SECTION("refuses keys once the configuration has changed") {
+    System.configure(2, {"other-key"});
+    CHECK(eventually([&] { return StatusOf() == 503; }, Millis(5000)));
+    SECTION("until it reads the new one") {
+      System.storeLink(Cut, "pass");
+      CHECK(eventually([&] { return StatusOf() == 401; }, Millis(5000)));
+    }
+  }
+}
