Refuse lengths in messages that their bytes can't hold

Cause: the kernel's log showed ServingTests asking for 68 GB at once: five bytes of msgpack that claim 2^32 - 1 entries make the reader ask for room for all of them. On a VM with 160 MB any stray datagram could do so.

Change: unpackBounded passes msgpack limits taken from the bytes at hand; both message readers use it.

Measured: the new check fails without the limits (std::bad_alloc in the place of size_overflow, by the kernel's log) and passes with them; ServingTests 459 assertions passed.

--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -1,6 +1,6 @@
 #include "Entry/FleetCodec.h"
 
-#include <msgpack.hpp>
+#include "Peer/BoundedUnpack.h"
 
 namespace anvil {
 
@@ -311,7 +311,7 @@
   if (Bytes.size() < 3 || Bytes[0] != FormatVersion)
     return Problem;
   try {
-    auto Handle = msgpack::unpack(Bytes.data() + 2, Bytes.size() - 2);
+    auto Handle = unpackBounded(Bytes.substr(2));
     return decodeTagged(static_cast<std::size_t>(Bytes[1]), Handle.get());
   } catch (const std::exception &) {
     // msgpack reports every fault of its input by throwing.
--- a/Source/Peer/PeerMessage.h
+++ b/Source/Peer/PeerMessage.h
@@ -1,10 +1,9 @@
 #ifndef ANVIL_PEER_PEERMESSAGE_H
 #define ANVIL_PEER_PEERMESSAGE_H
 
+#include "Peer/BoundedUnpack.h"
 #include "Peer/PeerNetwork.h"
 
-#include <msgpack.hpp>
-
 #include <string>
 #include <string_view>
 
@@ -21,7 +20,7 @@
 template <class Message> Result<Message> unpackMessage(std::string_view Bytes) {
   Error Problem{ErrorCode::Protocol, "peer message", "can't be read", ""};
   try {
-    auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    auto Handle = unpackBounded(Bytes);
     return Handle.get().template as<Message>();
   } catch (const std::exception &) {
     // msgpack reports every fault of its input by throwing.
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -1,5 +1,7 @@
 #include "Entry/FleetCodec.h"
 
+#include "Peer/BoundedUnpack.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -59,6 +61,11 @@
       CHECK(travelled(ClockAnswer{{"vm-1", "life"}, 3s, 8s}).Shown_ == 8s);
     }
   }
+  SECTION("are refused before room is made for more than they hold") {
+    // A list and a map of 2^32 - 1 entries, in five bytes.
+    for (const char *Head : {"\xdd\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff"})
+      CHECK_THROWS_AS(unpackBounded(Head), msgpack::size_overflow);
+  }
   SECTION("of any other bytes are refused") {
     rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
       decodeFleetMessage(Bytes);
