Call a VM silent only by rows that were just read

Beside that each start wrote and read its rows five times in 2 s.

Change: claims and removals need rows read within a second; when a VM looks silent by older rows they are read first (one call). Four rounds at a start in the place of five.

--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -28,9 +28,10 @@
 /// only this long after what made them doubtful.
 static constexpr Duration ReportLag = std::chrono::milliseconds(150);
 
-/// How often rows are written and read until the first claims are settled.
-static constexpr Duration StartPeriod = std::chrono::milliseconds(500);
-static constexpr std::uint64_t StartRenewals = 4;
+/// How often rows are written and read until the first claims are settled: all
+/// VMs started together have written theirs by the second time.
+static constexpr Duration StartPeriod = std::chrono::milliseconds(800);
+static constexpr std::uint64_t StartRenewals = 3;
 
 /// The rows of all VMs are read at every so many renewals, in a small fleet and
 /// in one of more than `SmallFleet` VMs, which would read too much otherwise.
@@ -105,6 +106,8 @@
       co_await readRows();
     bool Renewed = co_await renew();
     if (Renewed) {
+      if (Ownership_.needsRead(BootClock::now()))
+        co_await readRows();
       co_await claimTargets();
       co_await purgeSilent();
     }
--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -6,12 +6,29 @@
 
 namespace anvil {
 
-bool TargetOwnership::isSilent(const SeenVm &Known, TimePoint Now) const {
+bool TargetOwnership::looksSilent(const SeenVm &Known, TimePoint Now) const {
   return Known.Since_ + Options_.LeaseTerm_ + Options_.Margin_ <= Now;
 }
 
+bool TargetOwnership::isSilent(const SeenVm &Known, TimePoint Now) const {
+  return areRowsFresh(Now) && looksSilent(Known, Now);
+}
+
+bool TargetOwnership::areRowsFresh(TimePoint Now) const {
+  return RowsReadAt_ && *RowsReadAt_ + Options_.RowsTime_ > Now;
+}
+
+bool TargetOwnership::needsRead(TimePoint Now) const {
+  if (areRowsFresh(Now))
+    return false;
+  return std::ranges::any_of(Vms_, [&](const auto &Entry) {
+    return Entry.first != Self_ && looksSilent(Entry.second, Now);
+  });
+}
+
 void TargetOwnership::applyVms(const std::vector<VmRow> &Rows,
                                TimePoint ReadAt) {
+  RowsReadAt_ = ReadAt;
   std::map<std::string, SeenVm> Seen;
   for (const VmRow &Row : Rows) {
     auto Found = Vms_.find(Row.Vm_);
@@ -156,7 +173,8 @@
     Live.push_back(Row.Vm_);
   std::vector<VmRow> Rows;
   for (const auto &[Name, Known] : Vms_) {
-    bool IsOld = Name != Self_ && Known.Since_ + Options_.RowMemory_ <= Now;
+    bool IsOld = Name != Self_ && areRowsFresh(Now) &&
+                 Known.Since_ + Options_.RowMemory_ <= Now;
     if (IsOld && !Live.empty() && rendezvousOrder(Name, Live).front() == Self_)
       Rows.push_back(Known.Row_);
   }
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -46,6 +46,9 @@
   /// How long a silent VM's row stays, so that it still counts as one that may
   /// come back.
   Duration RowMemory_ = std::chrono::seconds(14);
+  /// How old the rows may be for calling a VM silent by them: a VM that could
+  /// not read for a while would take all others for silent.
+  Duration RowsTime_ = std::chrono::milliseconds(1000);
   /// How long VMs wait for each other's rows before the first claims.
   Duration SettleTime_ = std::chrono::milliseconds(1500);
 };
@@ -95,6 +98,10 @@
   claims(const std::map<std::string, std::string> &Targets,
          TimePoint Now) const;
 
+  /// Whether a VM looks silent by rows that are too old to say so; they should
+  /// be read again then.
+  bool needsRead(TimePoint Now) const;
+
   /// The fence under which this VM may give a target orders now.
   std::optional<std::uint64_t> mayOrder(const std::string &Target,
                                         TimePoint Now) const;
@@ -127,7 +134,9 @@
     TimePoint OrdersFrom_{};
   };
 
+  bool looksSilent(const SeenVm &Known, TimePoint Now) const;
   bool isSilent(const SeenVm &Known, TimePoint Now) const;
+  bool areRowsFresh(TimePoint Now) const;
   std::optional<OwnerClaim> claimOf(const std::string &Target,
                                     TimePoint Now) const;
 
@@ -135,6 +144,7 @@
   TargetOwnershipOptions Options_;
   TimePoint StartedAt_;
   std::optional<TimePoint> RenewedAt_;
+  std::optional<TimePoint> RowsReadAt_;
   std::map<std::string, SeenVm> Vms_;
   std::map<std::string, SeenOwner> Owners_;
   std::map<std::string, TimePoint> ClaimSentAt_;
--- a/Tests/Serving/TargetOwnershipTest.cpp
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -67,6 +67,11 @@
     Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
     TimePoint Later = Start + Options.LeaseTerm_ + Options.Margin_;
     Own.noteRenewed(Later);
+    // Rows as old as its own silence say nothing of the other VM.
+    CHECK(Own.needsRead(Later));
+    CHECK(Own.claims({{"e1", "z"}}, Later).empty());
+    Own.applyVms({vmRow("a", 1), vmRow("b", 2)}, Later);
+    CHECK_FALSE(Own.needsRead(Later));
     auto Claims = Own.claims({{"e1", "z"}}, Later);
     REQUIRE(Claims.size() == 1);
     CHECK(Claims[0].SilentVm_ == "b");
@@ -86,6 +91,17 @@
       CHECK(Own.mayOrder("e1", Later + Options.HandoverPause_));
     }
   }
+  SECTION("stays where it was when this VM could not read for long") {
+    Own.applyOwners({ownerRow("e1", "b", 1, 5)}, Start);
+    TimePoint Later = Start + Options.RowMemory_ + 6s;
+    Own.noteRenewed(Later);
+    CHECK(Own.claims({{"e1", "z"}}, Later).empty());
+    CHECK(Own.rowsToPurge(Later).empty());
+    CHECK(Own.liveVms(Later).size() == 2);
+    Own.applyVms({vmRow("a", 1), vmRow("b", 8)}, Later);
+    CHECK(Own.claims({{"e1", "z"}}, Later).empty());
+    CHECK(Own.rowsToPurge(Later).empty());
+  }
   SECTION("goes on at once in a new process of the same VM") {
     TargetOwnership Again("a", Options, Start + 20s);
     Again.applyVms({vmRow("a", 1)}, Start + 20s);
@@ -104,6 +120,7 @@
   SECTION("leaves the row of a silent VM for a while, then removes it") {
     Own.applyVms({vmRow("a", 9), vmRow("b", 2)}, Start + 11s);
     CHECK(Own.rowsToPurge(Start + 11s).empty());
+    Own.applyVms({vmRow("a", 9), vmRow("b", 2)}, Start + Options.RowMemory_);
     auto Rows = Own.rowsToPurge(Start + Options.RowMemory_);
     REQUIRE(Rows.size() == 1);
     CHECK(Rows[0].Vm_ == "b");
