--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -28,7 +28,7 @@
 
 /// The part of a target's keep-alive time for which a connection is used
 /// again, so that the target doesn't close it while a request is on its way.
-static constexpr double KeepAlivePart = 0.6;
+static constexpr double KeepAlivePart = 0.8;
 
 /// What callers are told to wait where no target is free.
 static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(500);
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -23,7 +23,7 @@
             Duration Keep = MostIdleTime);
 
   /// How long a connection is kept without a request at the most.
-  static constexpr Duration MostIdleTime = std::chrono::seconds(5);
+  static constexpr Duration MostIdleTime = std::chrono::seconds(10);
 
   std::size_t size() const { return Size_; }
 
