Take over balances at a start, or grant a start to all customers

A VM that starts gave each customer 5% of its burst.

Change: VMs tell for how long their budgets have seen what is spent. One that starts takes over the balances of one that has seen the last window; where all have just started, each customer gets half of what the bounds allow beyond its rate (settings quota_window_s, quota_overage, quota_slack).

--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -5,7 +5,7 @@
 namespace anvil {
 
 /// The release of the datagram format.
-static constexpr char FormatVersion = 2;
+static constexpr char FormatVersion = 3;
 
 namespace {
 
@@ -40,13 +40,16 @@
   std::uint64_t Revision_ = 0;
   bool Leaving_ = false;
   SpentTokens Spent_;
+  std::int64_t BudgetSeen_ = 0;
+  TokenBalances Balances_;
   std::map<std::string, WireRunning> Running_;
   std::map<std::string, std::int64_t> PromptTokens_;
   std::map<std::string, WireHoldings> Holdings_;
   std::vector<WireCrash> Crashes_;
   std::map<std::string, std::int64_t> Leavers_;
   MSGPACK_DEFINE(Vm_, Incarnation_, Sequence_, Revision_, Leaving_, Spent_,
-                 Running_, PromptTokens_, Holdings_, Crashes_, Leavers_)
+                 BudgetSeen_, Balances_, Running_, PromptTokens_, Holdings_,
+                 Crashes_, Leavers_)
 };
 
 struct WireWant {
@@ -144,6 +147,8 @@
   Wire.Revision_ = Given.Revision_;
   Wire.Leaving_ = Given.Leaving_;
   Wire.Spent_ = Given.Spent_;
+  Wire.BudgetSeen_ = Given.BudgetSeen_.count();
+  Wire.Balances_ = Given.Balances_;
   Wire.PromptTokens_ = Given.PromptTokens_;
   Wire.Leavers_ = Given.Leavers_;
   for (const auto &[Target, Share] : Given.Running_)
@@ -163,6 +168,8 @@
   Given.Revision_ = Wire.Revision_;
   Given.Leaving_ = Wire.Leaving_;
   Given.Spent_ = Wire.Spent_;
+  Given.BudgetSeen_ = Duration(Wire.BudgetSeen_);
+  Given.Balances_ = Wire.Balances_;
   Given.PromptTokens_ = Wire.PromptTokens_;
   Given.Leavers_ = Wire.Leavers_;
   for (const auto &[Target, Share] : Wire.Running_)
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -20,6 +20,10 @@
 /// started; the others may have spent the rest.
 static constexpr double StartShare = 0.05;
 
+/// For how long after the last news of a VM that has just started balances are
+/// told, and a part of that VM's way to hear them.
+static constexpr Duration YoungTime = std::chrono::milliseconds(1500);
+
 /// Prompts of so many tokens are told at once; shorter ones come with the news.
 static constexpr std::int64_t LongPromptTokens = 600;
 
@@ -38,6 +42,7 @@
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      BudgetStart_(std::chrono::seconds(Settings.Bounds_.QuotaWindowS_)),
       Crashes_({SuspectTime, QuarantineTime, MostDigests}),
       Prefill_(Settings.PrefillTokensPerMs_) {}
 
@@ -148,6 +153,7 @@
 }
 
 void FleetState::setVms(std::size_t Count, TimePoint Now) {
+  KnownVms_ = Count;
   Vms_ = std::max<std::size_t>(1, Count);
   updateReach(Now);
 }
@@ -155,6 +161,30 @@
 void FleetState::updateReach(TimePoint Now) {
   std::size_t Heard = std::min(Vms_, Book_.heardVms(Now) + 1);
   Budget_.setReach(static_cast<double>(Heard) / static_cast<double>(Vms_), Now);
+  if (!Plans_->current() || !BudgetStart_.mayGrant(KnownVms_))
+    return;
+  const EntryBoundSettings &Bounds = Settings_.Bounds_;
+  Budget_.grantStart({std::chrono::seconds(Bounds.QuotaWindowS_),
+                      Bounds.QuotaOverage_, Bounds.QuotaSlack_},
+                     Now);
+  BudgetStart_.end(false);
+  logEvent(LogLevel::Info, "budgets_started",
+           {{"from", "grant"}, {"vms", KnownVms_}});
+}
+
+void FleetState::noteBudgetOf(const VmNews &News, TimePoint Now) {
+  BudgetStart_.noteNews(News.Vm_, News.BudgetSeen_);
+  if (BudgetStart_.isYoung(News.BudgetSeen_))
+    YoungHeardAt_ = Now;
+  bool MayTakeOver = !BudgetStart_.isOver() && !News.Balances_.empty() &&
+                     !BudgetStart_.isYoung(News.BudgetSeen_) &&
+                     Plans_->current();
+  if (!MayTakeOver)
+    return;
+  Budget_.takeOver(News.Balances_, Now);
+  BudgetStart_.end(true);
+  logEvent(LogLevel::Info, "budgets_started",
+           {{"from", News.Vm_}, {"seen_ms", toMillis(News.BudgetSeen_)}});
 }
 
 VmNews FleetState::compose() {
@@ -168,6 +198,9 @@
   News.Revision_ = Plans_->current() ? Plans_->current()->revision() : 0;
   News.Leaving_ = Leaving_;
   News.Spent_ = Budget_.spent();
+  News.BudgetSeen_ = BudgetStart_.seen(Now - StartedAt_);
+  if (YoungHeardAt_ + YoungTime > Now)
+    News.Balances_ = Budget_.balances(Now);
   News.Running_ = Running_;
   News.PromptTokens_ = std::exchange(NewPrompts_, {});
   std::erase_if(RecentCrashes_, [&](const auto &Entry) {
@@ -197,6 +230,7 @@
   if (!News || News->Vm_ == Self_ || !Book_.apply(*News, Now))
     return;
   Budget_.notePeer(News->Vm_, News->Incarnation_, News->Spent_, Now);
+  noteBudgetOf(*News, Now);
   for (const auto &[Target, Tokens] : News->PromptTokens_)
     Prefill_.note(Target, static_cast<double>(Tokens), Now);
   for (const VmNews::Crash &Seen : News->Crashes_)
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -6,6 +6,7 @@
 #include "Entry/TargetListService.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Routing/CrashTracker.h"
+#include "Serving/BudgetStart.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/FleetBook.h"
 #include "Serving/PrefillBacklog.h"
@@ -83,6 +84,7 @@
   void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmNews::Crash &Seen, TimePoint Now);
   void updateReach(TimePoint Now);
+  void noteBudgetOf(const VmNews &News, TimePoint Now);
 
   const EntrySettings &Settings_;
   std::string Self_;
@@ -92,6 +94,10 @@
   std::shared_ptr<TargetListService> Targets_;
   FleetBook Book_;
   CustomerBudget Budget_;
+  BudgetStart BudgetStart_;
+  TimePoint StartedAt_ = BootClock::now();
+  /// When a VM was last heard whose budget has just started.
+  TimePoint YoungHeardAt_{};
   CrashTracker Crashes_;
   PrefillBacklog Prefill_;
   /// Own running requests by adapter, and prompts sent since the last news.
@@ -105,6 +111,8 @@
   TimePoint HoldingsToldAt_{};
   std::uint64_t Sequence_ = 0;
   std::size_t Vms_ = 1;
+  /// As above, but zero before the first rows were read.
+  std::size_t KnownVms_ = 0;
   bool Leaving_ = false;
 };
 
--- /dev/null
+++ b/Source/Serving/BudgetStart.cpp
@@ -0,0 +1,30 @@
+#include "Serving/BudgetStart.h"
+
+namespace anvil {
+
+/// The part of the known VMs that must be heard before it counts as sure that
+/// none of them has gone on.
+static constexpr double HeardPart = 0.75;
+
+void BudgetStart::noteNews(const std::string &Vm, Duration Seen) {
+  if (IsOver_)
+    return;
+  if (isYoung(Seen))
+    Young_.insert(Vm);
+  else
+    HeardOld_ = true;
+}
+
+void BudgetStart::end(bool WasTakenOver) {
+  IsOver_ = true;
+  TookOver_ = WasTakenOver;
+  Young_.clear();
+}
+
+bool BudgetStart::mayGrant(std::size_t KnownVms) const {
+  auto Heard = static_cast<double>(Young_.size() + 1);
+  return !IsOver_ && !HeardOld_ && KnownVms > 0 &&
+         Heard >= HeardPart * static_cast<double>(KnownVms);
+}
+
+} // namespace anvil
--- a/Source/Serving/CustomerBudget.cpp
+++ b/Source/Serving/CustomerBudget.cpp
@@ -90,4 +90,34 @@
   Mark.Spent_ = Spent;
 }
 
+TokenBalances CustomerBudget::balances(TimePoint Now) {
+  TokenBalances All;
+  for (auto &[Customer, Held] : Accounts_)
+    All[Customer] = static_cast<std::int64_t>(Held.Bucket_.balance(Now));
+  return All;
+}
+
+void CustomerBudget::takeOver(const TokenBalances &Balances, TimePoint Now) {
+  for (const auto &[Customer, Balance] : Balances) {
+    auto Found = Accounts_.find(Customer);
+    if (Found == Accounts_.end())
+      continue;
+    TokenBucket &Bucket = Found->second.Bucket_;
+    Bucket.charge(Bucket.balance(Now) - static_cast<double>(Balance), Now);
+  }
+}
+
+void CustomerBudget::grantStart(const BudgetAllowance &Allowance,
+                                TimePoint Now) {
+  // The other half is for what VMs spend before they hear of each other.
+  constexpr double GrantedPart = 0.5;
+  for (auto &[Customer, Held] : Accounts_) {
+    double InWindow =
+        Held.RatePerSecond_ * toSeconds(Allowance.Window_) + Held.Burst_;
+    Held.Bucket_.putBack(
+        GrantedPart * (Allowance.Overage_ * InWindow + Allowance.SlackTokens_),
+        Now);
+  }
+}
+
 } // namespace anvil
--- a/Source/Serving/CustomerBudget.h
+++ b/Source/Serving/CustomerBudget.h
@@ -14,6 +14,17 @@
 /// What each VM tells the others it has spent, by customer, since it started.
 using SpentTokens = std::map<std::string, std::uint64_t>;
 
+/// What customers may spend at once; negative after too much was spent.
+using TokenBalances = std::map<std::string, std::int64_t>;
+
+/// What the rules allow customers beyond rate and burst, in any window.
+struct BudgetAllowance {
+  Duration Window_{};
+  /// A part of what rate and burst give in the window.
+  double Overage_ = 0;
+  double SlackTokens_ = 0;
+};
+
 /// Whether a request fits its customer's rate.
 struct BudgetVerdict {
   bool Allowed_ = true;
@@ -48,6 +59,16 @@
   void notePeer(const std::string &Vm, const std::string &Incarnation,
                 const SpentTokens &Spent, TimePoint Now);
 
+  /// What the customers have left.
+  TokenBalances balances(TimePoint Now);
+
+  /// Takes over the balances that another VM has worked out.
+  void takeOver(const TokenBalances &Balances, TimePoint Now);
+
+  /// Gives every customer half of what is allowed beyond its rate, for a fleet
+  /// that started all together and knows nothing of what was spent.
+  void grantStart(const BudgetAllowance &Allowance, TimePoint Now);
+
   /// What this VM has spent since it started.
   const SpentTokens &spent() const { return Spent_; }
 
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -41,6 +41,10 @@
   std::uint64_t Revision_ = 0;
   bool Leaving_ = false;
   SpentTokens Spent_;
+  /// For how long this VM's budget has seen what is spent, and the balances,
+  /// which are told only while a VM that has just started is heard.
+  Duration BudgetSeen_{};
+  TokenBalances Balances_;
   std::map<std::string, RunningShare> Running_;
   /// Prompt tokens sent to each target since the news before.
   std::map<std::string, std::int64_t> PromptTokens_;
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -38,6 +38,9 @@
   Fields.field("retry_ratio", Bounds.RetryRatio_, {0, 10});
   Fields.field("retry_extra", Bounds.RetryExtra_, {0, 1000000});
   Fields.field("retry_window_s", Bounds.RetryWindowS_, {1, 3600});
+  Fields.field("quota_window_s", Bounds.QuotaWindowS_, {1, 3600});
+  Fields.field("quota_overage", Bounds.QuotaOverage_, {0, 10});
+  Fields.field("quota_slack", Bounds.QuotaSlack_, {0, 1e9});
 }
 
 static void visitFields(FieldReader &Fields, EntrySettings &Settings) {
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -49,6 +49,11 @@
   /// Second tries beyond the ratio, in `RetryWindowS_`, over all VMs.
   double RetryExtra_ = 50;
   std::int64_t RetryWindowS_ = 10;
+  /// What customers may get beyond rate and burst in a window, over all VMs: a
+  /// part of what these give, and so many tokens.
+  std::int64_t QuotaWindowS_ = 8;
+  double QuotaOverage_ = 0;
+  double QuotaSlack_ = 0;
 };
 
 /// What one entry VM needs to serve routes on registered targets.
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -22,11 +22,15 @@
       News.Vm_ = "b";
       News.Running_["e1"] = {4, 400, {{"a1", 4}}};
       News.Spent_ = {{"serenas", 123456789}};
+      News.BudgetSeen_ = 4s;
+      News.Balances_ = {{"serenas", -50}};
       News.Crashes_ = {{"digest", "e1", 77}};
       News.Leavers_ = {{"e2", 5}};
       News.Holdings_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
       VmNews Same = travelled(News);
       CHECK(Same.Spent_ == News.Spent_);
+      CHECK(Same.BudgetSeen_ == 4s);
+      CHECK(Same.Balances_ == News.Balances_);
       CHECK(Same.Crashes_.front().Incarnation_ == 77);
       CHECK(Same.Leavers_ == News.Leavers_);
       CHECK(Same.Running_.at("e1").Adapters_.at("a1") == 4);
@@ -70,7 +74,7 @@
     rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
       decodeFleetMessage(Bytes);
       for (char Tag = 0; Tag < 10; ++Tag)
-        decodeFleetMessage(std::string{'\x02', Tag} + Bytes);
+        decodeFleetMessage(std::string{'\x03', Tag} + Bytes);
     });
   }
 }
