--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -1,6 +1,8 @@
 #include "Integration/Process.h"
 
+#include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -35,6 +37,13 @@
   return Text.str();
 }
 
+/// The command before the daemon's own that the environment asks for.
+static std::string wrapperOf(const std::string &Program) {
+  const char *Wrapper = std::getenv("ANVIL_TEST_WRAPPER");
+  bool IsDaemon = Program.ends_with("anvild");
+  return Wrapper && IsDaemon ? Wrapper : "";
+}
+
 Process::Process(const std::string &Program, std::vector<std::string> Arguments,
                  const std::string &WorkDirectory, std::string Name)
     : Name_(std::move(Name)), LogPath_(WorkDirectory + "/" + Name_ + ".log") {
@@ -42,6 +51,12 @@
   ::unlink(ReadyPath.c_str());
   Arguments.insert(Arguments.begin(), Program);
   Arguments.insert(Arguments.end(), {"--ready-file", ReadyPath});
+  // For instance a checker of memory errors, to be found with their text in the
+  // log.
+  std::istringstream Wrapper(wrapperOf(Program));
+  Arguments.insert(Arguments.begin(),
+                   std::istream_iterator<std::string>(Wrapper),
+                   std::istream_iterator<std::string>());
   std::vector<char *> Pointers;
   for (std::string &Argument : Arguments)
     Pointers.push_back(Argument.data());
@@ -52,7 +67,7 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(Log, STDOUT_FILENO);
     ::dup2(Log, STDERR_FILENO);
-    ::execv(Program.c_str(), Pointers.data());
+    ::execvp(Pointers.front(), Pointers.data());
     ::_exit(127);
   }
   ::close(Log);
