Hand the operator's rows to a VM that the store turns away

Change: a VM that hears of newer rows and doesn't reach the store takes them from the VM that told (PlanExchange, a page on the TCP port beside the datagrams); evidence still comes only with a dated reading.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Entry/FleetLink.h"
 #include "Entry/FleetState.h"
 #include "Entry/OwnerService.h"
+#include "Entry/PlanExchange.h"
 #include "Entry/PlanService.h"
 #include "Entry/ReadingRelay.h"
 #include "Entry/TargetListService.h"
@@ -49,6 +50,7 @@
                                              Incarnation_, Services_));
   Services_.add(std::make_shared<OwnerService>(Executor, Settings_,
                                                Incarnation_, Services_));
+  Services_.add(std::make_shared<PlanExchange>(Executor, Settings_, Services_));
   Services_.add(
       std::make_shared<ReadingRelay>(Settings_, Incarnation_, Services_));
   Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -5,7 +5,7 @@
 namespace anvil {
 
 /// The release of the datagram format.
-static constexpr char FormatVersion = 3;
+static constexpr char FormatVersion = 4;
 
 namespace {
 
@@ -88,7 +88,8 @@
   std::string Incarnation_;
   std::int64_t At_ = 0;
   std::uint64_t NewestRow_ = 0;
-  MSGPACK_DEFINE(Vm_, Incarnation_, At_, NewestRow_)
+  std::uint16_t PagesPort_ = 0;
+  MSGPACK_DEFINE(Vm_, Incarnation_, At_, NewestRow_, PagesPort_)
 };
 
 struct WireTargetsReading {
@@ -209,11 +210,14 @@
 
 static WirePlanReading toWire(const PlanReading &Given) {
   return {Given.Clock_.Vm_, Given.Clock_.Incarnation_, Given.At_.count(),
-          Given.NewestRow_};
+          Given.NewestRow_, Given.PagesPort_};
 }
 
 static PlanReading fromWire(const WirePlanReading &Wire) {
-  return {{Wire.Vm_, Wire.Incarnation_}, Duration(Wire.At_), Wire.NewestRow_};
+  return {{Wire.Vm_, Wire.Incarnation_},
+          Duration(Wire.At_),
+          Wire.NewestRow_,
+          Wire.PagesPort_};
 }
 
 static WireTarget toWire(const RegisteredTarget &Given) {
@@ -289,6 +293,9 @@
           Duration(Wire.Shown_)};
 }
 
+/// A row's key, value and version.
+using WireRow = std::tuple<std::string, std::string, std::uint64_t>;
+
 /// Messages in the order of `FleetMessage`, as their tags count from one.
 template <std::size_t Index = 0>
 static Result<FleetMessage> decodeTagged(std::size_t Tag,
@@ -313,6 +320,28 @@
   return std::string(Buffer.data(), Buffer.size());
 }
 
+std::string encodeTableRows(const std::vector<TableRow> &Rows) {
+  std::vector<WireRow> Wire;
+  for (const TableRow &Row : Rows)
+    Wire.emplace_back(Row.Key_, Row.Value_, Row.Version_);
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Wire);
+  return std::string(Buffer.data(), Buffer.size());
+}
+
+Result<std::vector<TableRow>> decodeTableRows(std::string_view Bytes) {
+  std::vector<TableRow> Rows;
+  try {
+    for (auto &[Key, Value, Version] :
+         unpackBounded(Bytes).get().as<std::vector<WireRow>>())
+      Rows.push_back({std::move(Key), std::move(Value), Version});
+  } catch (const std::exception &) {
+    // msgpack reports every fault of its input by throwing.
+    return Error{ErrorCode::Protocol, "rows", "can't be read", ""};
+  }
+  return Rows;
+}
+
 Result<FleetMessage> decodeFleetMessage(std::string_view Bytes) {
   Error Problem{ErrorCode::Protocol, "datagram", "can't be read", ""};
   if (Bytes.size() < 3 || Bytes[0] != FormatVersion)
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -4,6 +4,7 @@
 #include "Kernel/Error.h"
 #include "Serving/FleetBook.h"
 #include "Serving/TargetListing.h"
+#include "TableService/TableTypes.h"
 
 #include <string>
 #include <string_view>
@@ -47,6 +48,8 @@
   VmClock Clock_;
   Duration At_{};
   std::uint64_t NewestRow_ = 0;
+  /// The TCP port on which this VM hands over the rows.
+  std::uint16_t PagesPort_ = 0;
 };
 
 /// A VM read the list of targets at `At_` of its clock or later: the list has
@@ -82,6 +85,11 @@
 /// The bytes of a message.
 std::string encodeFleetMessage(const FleetMessage &Message);
 
+/// Rows of a table for another VM. Reading them reports a protocol error for
+/// bytes of another shape.
+std::string encodeTableRows(const std::vector<TableRow> &Rows);
+Result<std::vector<TableRow>> decodeTableRows(std::string_view Bytes);
+
 /// Reads a message. Bytes of another shape or release are a protocol error.
 Result<FleetMessage> decodeFleetMessage(std::string_view Bytes);
 
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -71,6 +71,13 @@
   Peers_ = std::move(Peers);
 }
 
+std::optional<Endpoint> FleetLink::addressOf(const std::string &Vm) const {
+  auto Found = Peers_.find(Vm);
+  if (Found == Peers_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 void FleetLink::receive() {
   Socket_->Udp_.async_receive_from(
       asio::buffer(Socket_->Buffer_), Socket_->From_,
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
   /// Says where the other VMs are.
   void setPeers(std::map<std::string, Endpoint> Peers);
 
+  /// Where a VM takes datagrams; nothing when it is not known.
+  std::optional<Endpoint> addressOf(const std::string &Vm) const;
+
   /// Sends to one VM; nothing when its address is not known.
   void send(const std::string &Vm, const FleetMessage &Message);
 
--- /dev/null
+++ b/Source/Entry/PlanExchange.cpp
@@ -0,0 +1,76 @@
+#include "Entry/PlanExchange.h"
+
+#include "Entry/Pause.h"
+#include "Http/HttpConnection.h"
+#include "Http/Spawn.h"
+#include "Telemetry/Log.h"
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// The page with the rows.
+static constexpr std::string_view RowsPage = "/plan-rows";
+
+/// How long a VM may take to hand over its rows; they are some 100 KB.
+static constexpr Duration TakeTimeout = std::chrono::milliseconds(1000);
+
+/// The pause after rows were asked for, taken or not.
+static constexpr Duration TakePause = std::chrono::milliseconds(300);
+
+PlanExchange::PlanExchange(asio::any_io_executor Executor,
+                           const EntrySettings &Settings,
+                           const ServiceRegistry &Services)
+    : Executor_(std::move(Executor)), Settings_(Settings),
+      Link_(Services.require<FleetLink>(FleetLink::Name)),
+      Plans_(Services.require<PlanService>(PlanService::Name)),
+      Store_(Services.require<platform::StoreClient>(PlatformService::Name)),
+      Pages_(Executor_, {},
+             [this](HttpExchange &Exchange) { return answer(Exchange); }) {}
+
+Status PlanExchange::start() {
+  return Pages_.listen(
+      {Settings_.Listen_.Address_,
+       static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_)});
+}
+
+asio::awaitable<void> PlanExchange::answer(HttpExchange &Exchange) {
+  bool IsKnown = Exchange.request().path() == RowsPage;
+  HttpReply Reply{IsKnown ? 200 : 404,
+                  {{"Content-Type", "application/msgpack"}},
+                  IsKnown ? encodeTableRows(Plans_->rows()) : ""};
+  co_await Exchange.respond(std::move(Reply));
+}
+
+void PlanExchange::noteReading(const PlanReading &Reading) {
+  // A VM that reaches the store reads there, in a few milliseconds.
+  bool IsNeeded =
+      Reading.NewestRow_ > Plans_->newestRow() && !Store_->reachable();
+  auto Where = Link_->addressOf(Reading.Clock_.Vm_);
+  if (!IsNeeded || Taking_ || !Where)
+    return;
+  Where->Port_ = Reading.PagesPort_;
+  Taking_ = true;
+  spawn(Executor_, takeRows(Reading.Clock_.Vm_, *Where));
+}
+
+asio::awaitable<void> PlanExchange::takeRows(std::string Vm, Endpoint From) {
+  HttpRequest Request{"GET", std::string(RowsPage), {}, {}};
+  auto Reply = co_await fetch(From, std::move(Request), TakeTimeout);
+  Result<std::vector<TableRow>> Rows =
+      Error{ErrorCode::Protocol, Vm, "has no page of rows", ""};
+  if (!isOk(Reply))
+    Rows = errorOf(Reply);
+  else if (valueOf(Reply).Status_ == 200)
+    Rows = decodeTableRows(valueOf(Reply).Body_);
+  logEvent(isOk(Rows) ? LogLevel::Info : LogLevel::Warning, "plan_rows_taken",
+           {{"from", Vm},
+            {"rows", isOk(Rows) ? valueOf(Rows).size() : 0},
+            {"reason", isOk(Rows) ? "" : errorOf(Rows).describe()}});
+  if (isOk(Rows))
+    Plans_->takeRows(valueOf(Rows));
+  co_await pauseFor(TakePause);
+  Taking_ = false;
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/PlanExchange.h
@@ -0,0 +1,54 @@
+#ifndef ANVIL_ENTRY_PLANEXCHANGE_H
+#define ANVIL_ENTRY_PLANEXCHANGE_H
+
+#include "Entry/FleetLink.h"
+#include "Entry/PlanService.h"
+#include "Http/HttpServer.h"
+#include "Kernel/ServiceRegistry.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace anvil {
+
+/// Hands the operator's rows from one VM to another, for a VM that hears of
+/// newer ones and can't read them from the store itself. Other VMs reach it on
+/// the TCP port of the same number as the port of their datagrams.
+class PlanExchange : public Service {
+public:
+  static constexpr std::string_view Name = "plan_exchange";
+
+  PlanExchange(boost::asio::any_io_executor Executor,
+               const EntrySettings &Settings, const ServiceRegistry &Services);
+
+  std::string_view serviceName() const override { return Name; }
+  Status start() override;
+  void stop() override { Pages_.close(); }
+
+  /// The port of the pages.
+  std::uint16_t port() const { return Pages_.port(); }
+
+  /// A VM told what it has read; takes its rows if they are news and the store
+  /// doesn't give them.
+  void noteReading(const PlanReading &Reading);
+
+private:
+  boost::asio::awaitable<void> answer(HttpExchange &Exchange);
+  boost::asio::awaitable<void> takeRows(std::string Vm, Endpoint From);
+
+  boost::asio::any_io_executor Executor_;
+  const EntrySettings &Settings_;
+  std::shared_ptr<FleetLink> Link_;
+  std::shared_ptr<PlanService> Plans_;
+  std::shared_ptr<platform::StoreClient> Store_;
+  HttpServer Pages_;
+  bool Taking_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_PLANEXCHANGE_H
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -104,9 +104,12 @@
   NewestRow_ = std::max(NewestRow_, Heard);
   TimePoint GivenAt =
       StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, BootClock::now());
-  apply(valueOf(Page).Rows_, GivenAt, WasAwaited ? Evidence_ : std::nullopt);
-  if (Plan_)
+  apply(valueOf(Page).Rows_, WasAwaited ? Evidence_ : std::nullopt);
+  if (Plan_) {
+    if (!Evidence_ || GivenAt > *Evidence_)
+      confirm(GivenAt);
     Read_.fire(GivenAt, NewestRow_);
+  }
   co_return Page;
 }
 
@@ -124,17 +127,29 @@
              {{"revision", Plan_->revision()}});
 }
 
-void PlanService::apply(const std::vector<TableRow> &Rows, TimePoint GivenAt,
+std::vector<TableRow> PlanService::rows() const {
+  std::vector<TableRow> All;
+  for (const auto &[Key, Row] : Rows_)
+    All.push_back(Row);
+  return All;
+}
+
+void PlanService::takeRows(const std::vector<TableRow> &Rows) {
+  apply(Rows, Evidence_);
+}
+
+void PlanService::apply(const std::vector<TableRow> &Rows,
                         std::optional<TimePoint> NotBefore) {
   for (const TableRow &Row : Rows) {
     NewestRow_ = std::max(NewestRow_, Row.Version_);
+    TableRow &Known = Rows_[Row.Key_];
+    if (Row.Version_ >= Known.Version_)
+      Known = Row;
     if (Row.Key_ == "config")
       applyPlan(Row);
     else if (Row.Key_.starts_with("version/"))
       applyVersion(Row, NotBefore);
   }
-  if (Plan_ && (!Evidence_ || GivenAt > *Evidence_))
-    confirm(GivenAt);
 }
 
 void PlanService::applyPlan(const TableRow &Row) {
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace anvil {
 
@@ -56,6 +57,15 @@
   /// Another VM read at `At` or later that `NewestRow` was the newest row.
   void noteReadElsewhere(TimePoint At, std::uint64_t NewestRow);
 
+  /// The newest row that this VM knows.
+  std::uint64_t newestRow() const { return NewestRow_; }
+
+  /// All rows that this VM knows, for another VM.
+  std::vector<TableRow> rows() const;
+
+  /// Takes over rows that another VM has read. They are no evidence.
+  void takeRows(const std::vector<TableRow> &Rows);
+
   /// Fired after each reading of this VM with a moment before it and the
   /// newest row's version.
   Hook<TimePoint, std::uint64_t> Read_;
@@ -71,7 +81,7 @@
   boost::asio::awaitable<Result<platform::TablePage>> readOnce();
   bool isTurn(TimePoint Now) const;
   void confirm(TimePoint At);
-  void apply(const std::vector<TableRow> &Rows, TimePoint GivenAt,
+  void apply(const std::vector<TableRow> &Rows,
              std::optional<TimePoint> NotBefore);
   void applyPlan(const TableRow &Row);
   void applyVersion(const TableRow &Row, std::optional<TimePoint> NotBefore);
@@ -88,6 +98,7 @@
   /// The newest row that was read, and the newest that others have read.
   std::uint64_t NewestRow_ = 0;
   std::uint64_t HeardRow_ = 0;
+  std::map<std::string, TableRow> Rows_;
   RemoteClock StoreClock_;
   VersionBook Versions_;
 };
--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -20,7 +20,8 @@
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
-      Owners_(Services.require<OwnerService>(OwnerService::Name)) {}
+      Owners_(Services.require<OwnerService>(OwnerService::Name)),
+      Exchange_(Services.require<PlanExchange>(PlanExchange::Name)) {}
 
 Status ReadingRelay::start() {
   Owners_->Read_.attach([this] { updateGroup(); });
@@ -28,8 +29,8 @@
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->onPlaceInLine([this] { return placeInLine("plan"); });
   Plans_->Read_.attach([this](TimePoint At, std::uint64_t NewestRow) {
-    Link_->sendToGroup(
-        Group_, PlanReading{ownClock(), At.time_since_epoch(), NewestRow});
+    Link_->sendToGroup(Group_, PlanReading{ownClock(), At.time_since_epoch(),
+                                           NewestRow, Exchange_->port()});
   });
   Targets_->onPlaceInLine([this] { return placeInLine("targets"); });
   Targets_->Read_.attach([this](TimePoint At) {
@@ -81,6 +82,7 @@
   if (const auto *Plan = std::get_if<PlanReading>(&Message)) {
     if (auto At = dateOf(Plan->Clock_, Plan->At_, Now))
       Plans_->noteReadElsewhere(*At, Plan->NewestRow_);
+    Exchange_->noteReading(*Plan);
   } else if (const auto *Targets = std::get_if<TargetsReading>(&Message)) {
     if (auto At = dateOf(Targets->Clock_, Targets->At_, Now))
       Targets_->noteReadElsewhere(
--- a/Source/Entry/ReadingRelay.h
+++ b/Source/Entry/ReadingRelay.h
@@ -4,6 +4,7 @@
 #include "Entry/FleetLink.h"
 #include "Entry/FleetState.h"
 #include "Entry/OwnerService.h"
+#include "Entry/PlanExchange.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
 #include "Kernel/ServiceRegistry.h"
@@ -48,6 +49,7 @@
   std::shared_ptr<PlanService> Plans_;
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<OwnerService> Owners_;
+  std::shared_ptr<PlanExchange> Exchange_;
   /// The other VMs of this VM's group.
   std::vector<std::string> Group_;
   std::map<VmClock, RemoteClock> Clocks_;
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -37,10 +37,12 @@
       CHECK(Same.Holdings_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
     }
     SECTION("as what was read of the plan") {
-      PlanReading Same = travelled(PlanReading{{"vm-1", "life"}, 77s, 12});
+      PlanReading Same =
+          travelled(PlanReading{{"vm-1", "life"}, 77s, 12, 7600});
       CHECK(Same.Clock_ == VmClock{"vm-1", "life"});
       CHECK(Same.At_ == 77s);
       CHECK(Same.NewestRow_ == 12);
+      CHECK(Same.PagesPort_ == 7600);
     }
     SECTION("as what was read of the targets") {
       RegisteredTarget Target;
@@ -65,6 +67,14 @@
       CHECK(travelled(ClockAnswer{{"vm-1", "life"}, 3s, 8s}).Shown_ == 8s);
     }
   }
+  SECTION("and pages of rows say the same as well") {
+    auto Rows = decodeTableRows(encodeTableRows({{"config", "{}", 7}}));
+    REQUIRE(isOk(Rows));
+    REQUIRE(valueOf(Rows).size() == 1);
+    CHECK(valueOf(Rows)[0].Key_ == "config");
+    CHECK(valueOf(Rows)[0].Version_ == 7);
+    CHECK_FALSE(isOk(decodeTableRows("no rows")));
+  }
   SECTION("are refused before room is made for more than they hold") {
     // A list and a map of 2^32 - 1 entries, in five bytes.
     for (const char *Head : {"\xdd\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff"})
@@ -74,7 +84,7 @@
     rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
       decodeFleetMessage(Bytes);
       for (char Tag = 0; Tag < 10; ++Tag)
-        decodeFleetMessage(std::string{'\x03', Tag} + Bytes);
+        decodeFleetMessage(std::string{'\x04', Tag} + Bytes);
     });
   }
 }
