Spread the times at which refused callers come back

Cause: every refusal without a place named 0.5 s, so callers refused together returned together. Change: retryHint spreads them over 0.6 of the wait, never sooner than expected.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/Pause.h"
 #include "Membership/Rendezvous.h"
+#include "Serving/RetryHint.h"
 #include "Telemetry/Log.h"
 
 #include <cstdio>
@@ -221,9 +222,12 @@
     Shared_.Metrics_->count("anvil_refusals_total",
                             {{"status", std::to_string(Refused->Status_)},
                              {"reason", std::string(Refused->Reason_)}});
+    std::optional<Duration> RetryAfter = Refused->RetryAfter_;
+    if (RetryAfter)
+      RetryAfter = retryHint(*RetryAfter, randomPart());
     HttpReply Reply =
         platform::ownAnswer(Refused->Status_, Admitted.Fields_.RequestId_,
-                            Refused->Reason_, Refused->RetryAfter_);
+                            Refused->Reason_, RetryAfter);
     co_await Exchange.respond(std::move(Reply));
     co_return;
   }
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/CrashProbe.h"
 #include "Entry/Pause.h"
+#include "Serving/RetryHint.h"
 #include "Telemetry/Log.h"
 
 #include <algorithm>
@@ -419,7 +420,7 @@
                               std::nullopt);
   }
   co_return co_await refuse(503, "no target could take the request",
-                            BusyRetryAfter);
+                            retryHint(BusyRetryAfter, randomPart()));
 }
 
 asio::awaitable<void> RequestRun::refuse(int Status, std::string_view Reason,
