--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -12,7 +12,7 @@
 namespace asio = boost::asio;
 
 /// What callers are told to wait while this VM lacks what it needs.
-static constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(500);
+static constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(400);
 
 /// The longest wait that is named to a caller over its rate.
 static constexpr Duration MostRateRetryAfter = std::chrono::seconds(2);
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -32,7 +32,7 @@
 static constexpr double KeepAlivePart = 0.8;
 
 /// What callers are told to wait where no target is free.
-static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(500);
+static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(400);
 
 /// Streams with a longer pause between events are logged.
 static constexpr Duration NotedGap = std::chrono::milliseconds(250);
--- a/Source/Serving/RetryHint.cpp
+++ b/Source/Serving/RetryHint.cpp
@@ -3,7 +3,7 @@
 namespace anvil {
 
 /// The part of the expected wait over which returns are spread.
-static constexpr double SpreadPart = 0.6;
+static constexpr double SpreadPart = 0.5;
 
 Duration retryHint(Duration Expected, double Random) {
   return Expected +
