--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -1,6 +1,8 @@
 #include "Entry/TargetPicker.h"
 
+#include "Entry/Pause.h"
 #include "Membership/Rendezvous.h"
+#include "Serving/DispatchBaseline.h"
 
 #include <algorithm>
 
@@ -131,11 +133,14 @@
     Candidates.push_back(
         describe(*Target, Question, Engine, TransitFactor, Now));
   }
-  if (NeedsAdapter) {
+  if (NeedsAdapter)
     rankHomes(Candidates, Question.Adapter_);
+  bool IsBaseline = Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost;
+  if (NeedsAdapter && !IsBaseline)
     addHomes(Question, Candidates, TransitFactor, Now);
-  }
-  std::size_t Best = cheapest(Candidates, Question.Shape_);
+  std::size_t Best =
+      IsBaseline ? baseline(Candidates, Settings_.DispatchPolicy_, randomPart())
+                 : cheapest(Candidates, Question.Shape_);
   if (Best == Candidates.size())
     return std::nullopt;
   const RegisteredTarget &Entry = Listed[Best]->Entry_;
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -77,6 +77,12 @@
   return Given.Running_ >= Given.Slots_ || hasNoMemory(Given, Shape);
 }
 
+bool canRun(const DispatchCandidate &Given) {
+  bool NobodyLoads =
+      Given.Readiness_ == AdapterReadiness::Absent && !Given.HasOwner_;
+  return Given.Readiness_ != AdapterReadiness::Impossible && !NobodyLoads;
+}
+
 double dispatchCost(const DispatchCandidate &Given, const RequestShape &Shape) {
   double Cost = PerRunningMs * Given.Running_ +
                 PrefillWeight * toSeconds(Given.Prefill_) * 1000;
@@ -142,10 +148,7 @@
   double BestCost = 0;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const DispatchCandidate &Given = Candidates[Index];
-    bool CantRun =
-        Given.Readiness_ == AdapterReadiness::Impossible ||
-        (Given.Readiness_ == AdapterReadiness::Absent && !Given.HasOwner_);
-    if (CantRun)
+    if (!canRun(Given))
       continue;
     double Cost = dispatchCost(Given, Shape);
     if (Best == Candidates.size() || Cost < BestCost) {
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -91,6 +91,9 @@
 std::size_t missingHome(const std::vector<DispatchCandidate> &Candidates,
                         int Uses);
 
+/// Whether a target can run the request at all, if need be after a load.
+bool canRun(const DispatchCandidate &Given);
+
 /// Whether a target has no free place for a request.
 bool isFull(const DispatchCandidate &Given, const RequestShape &Shape);
 
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -48,6 +48,8 @@
   Fields.field("vm", Settings.Vm_, FieldNeed::Required);
   Fields.field("data_centre", Settings.DataCentre_, FieldNeed::Required);
   Fields.field("log_level", Settings.LogLevel_);
+  Fields.choice("dispatch_policy", Settings.DispatchPolicy_,
+                DispatchPolicyNames);
   Fields.field("transit_limit", Settings.TransitLimit_, {0, 100000});
   Fields.field("prefill_tokens_per_ms", Settings.PrefillTokensPerMs_,
                {0.1, 100000});
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -2,6 +2,7 @@
 #define ANVIL_SETTINGS_ENTRYSETTINGS_H
 
 #include "Kernel/Error.h"
+#include "Serving/DispatchPolicy.h"
 
 #include <cstdint>
 #include <string>
@@ -65,6 +66,7 @@
   EntryListenSettings Listen_;
   EntryStoreSettings Store_;
   EntryBoundSettings Bounds_;
+  DispatchPolicy DispatchPolicy_ = DispatchPolicy::LeastCost;
   /// Adapters in transit over all engines that don't slow each other down;
   /// zero takes it from the number of engines.
   std::int64_t TransitLimit_ = 0;
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -1,5 +1,6 @@
 #include "Serving/DispatchCost.h"
 #include "Routing/RetryBudget.h"
+#include "Serving/DispatchBaseline.h"
 #include "Serving/PrefillBacklog.h"
 #include "Serving/TargetHealth.h"
 
@@ -79,6 +80,28 @@
   }
 }
 
+TEST_CASE("the policies that the choice is measured against", "[dispatch]") {
+  auto Home = engine("home", AdapterReadiness::Absent, 9);
+  auto Calm = engine("calm", AdapterReadiness::Resident, 2);
+  Calm.HomeRank_ = 1;
+  auto Empty = engine("empty", AdapterReadiness::Impossible, 0);
+  Empty.HomeRank_ = 2;
+  std::vector<DispatchCandidate> Engines{Empty, Home, Calm};
+  SECTION("take the home whatever its load") {
+    CHECK(baseline(Engines, DispatchPolicy::Home, 0) == 1);
+  }
+  SECTION("take the one with the fewest requests that can run it") {
+    CHECK(baseline(Engines, DispatchPolicy::LeastRequests, 0) == 2);
+  }
+  SECTION("take any of these at random") {
+    CHECK(baseline(Engines, DispatchPolicy::Random, 0.2) == 1);
+    CHECK(baseline(Engines, DispatchPolicy::Random, 0.9) == 2);
+  }
+  SECTION("take none where none can run it") {
+    CHECK(baseline({Empty}, DispatchPolicy::Random, 0.9) == 1);
+  }
+}
+
 /// Streams that were stalled by the largest prompts. Adapters of two engines
 /// get four times the requests of the others, and one request in a hundred has
 /// such a prompt.
