--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -84,7 +84,7 @@
     rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
       decodeFleetMessage(Bytes);
       for (char Tag = 0; Tag < 10; ++Tag)
-        decodeFleetMessage(std::string{'\x04', Tag} + Bytes);
+        decodeFleetMessage(std::string{'\x05', Tag} + Bytes);
     });
   }
 }
