Take a reading as far as it reaches; heed notices that can't be dated yet

Found on reading: a VM took the newest row that others had read as read after any answer of its own, though an answer may reach less far; and a notice before the first exchange of clocks didn't say what to read.

--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -100,8 +100,10 @@
   if (!isOk(Page))
     co_return Page;
   ReadVersion_ = valueOf(Page).Version_;
-  // A row that others have read and that isn't there now was dropped since.
-  NewestRow_ = std::max(NewestRow_, Heard);
+  // A row that others have read and that isn't there now was dropped since,
+  // unless the answer doesn't reach as far.
+  if (*ReadVersion_ >= Heard)
+    NewestRow_ = std::max(NewestRow_, Heard);
   TimePoint GivenAt =
       StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, BootClock::now());
   apply(valueOf(Page).Rows_, WasAwaited ? Evidence_ : std::nullopt);
@@ -113,10 +115,12 @@
   co_return Page;
 }
 
-void PlanService::noteReadElsewhere(TimePoint At, std::uint64_t NewestRow) {
+void PlanService::noteReadElsewhere(std::optional<TimePoint> At,
+                                    std::uint64_t NewestRow) {
   HeardRow_ = std::max(HeardRow_, NewestRow);
-  if (NewestRow <= NewestRow_ && Plan_ && Evidence_ && At > *Evidence_)
-    confirm(At);
+  bool IsNewer = At && Evidence_ && *At > *Evidence_;
+  if (NewestRow <= NewestRow_ && Plan_ && IsNewer)
+    confirm(*At);
 }
 
 void PlanService::confirm(TimePoint At) {
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -54,8 +54,9 @@
     PlaceInLine_ = std::move(Hook);
   }
 
-  /// Another VM read at `At` or later that `NewestRow` was the newest row.
-  void noteReadElsewhere(TimePoint At, std::uint64_t NewestRow);
+  /// Another VM read at `At` or later that `NewestRow` was the newest row. One
+  /// whose time can't be dated is no evidence, but says what to read.
+  void noteReadElsewhere(std::optional<TimePoint> At, std::uint64_t NewestRow);
 
   /// The newest row that this VM knows.
   std::uint64_t newestRow() const { return NewestRow_; }
--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -80,8 +80,8 @@
 void ReadingRelay::receive(const FleetMessage &Message) {
   TimePoint Now = BootClock::now();
   if (const auto *Plan = std::get_if<PlanReading>(&Message)) {
-    if (auto At = dateOf(Plan->Clock_, Plan->At_, Now))
-      Plans_->noteReadElsewhere(*At, Plan->NewestRow_);
+    Plans_->noteReadElsewhere(dateOf(Plan->Clock_, Plan->At_, Now),
+                              Plan->NewestRow_);
     Exchange_->noteReading(*Plan);
   } else if (const auto *Targets = std::get_if<TargetsReading>(&Message)) {
     if (auto At = dateOf(Targets->Clock_, Targets->At_, Now))
