--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -9,6 +9,7 @@
 #include "Entry/ReadingRelay.h"
 #include "Entry/TargetListService.h"
 #include "Entry/TargetPicker.h"
+#include "Http/WhenIdle.h"
 #include "Objects/Digest.h"
 #include "Telemetry/Log.h"
 #include "Telemetry/Metrics.h"
@@ -25,9 +26,6 @@
 /// What is kept back of the time to stop, before the process is killed.
 static constexpr Duration StopMargin = std::chrono::milliseconds(400);
 
-/// How often a stopping daemon looks whether its requests have ended.
-static constexpr Duration StopCheckPeriod = std::chrono::milliseconds(50);
-
 EntryDaemon::EntryDaemon(EntrySettings Settings)
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
       Pump_(Loop_.get_executor(), Timers_, [] { return BootClock::now(); }),
@@ -110,17 +108,17 @@
 }
 
 void EntryDaemon::waitForRequests() {
-  auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
-  bool IsDone = Gateway->runningRequests() == 0;
-  if (IsDone || BootClock::now() >= StopDeadline_) {
-    logEvent(LogLevel::Info, "stopped",
-             {{"requests_cut", Gateway->runningRequests()}});
-    Services_.stopAll();
-    Loop_.stop();
-    return;
-  }
-  StopTimer_.expires_after(StopCheckPeriod);
-  StopTimer_.async_wait([this](auto) { waitForRequests(); });
+  auto Running = [this] {
+    return Services_.require<EntryGateway>(EntryGateway::Name)
+        ->runningRequests();
+  };
+  whenIdle(
+      StopTimer_, StopDeadline_, [Running] { return Running() == 0; },
+      [this, Running] {
+        logEvent(LogLevel::Info, "stopped", {{"requests_cut", Running()}});
+        Services_.stopAll();
+        Loop_.stop();
+      });
 }
 
 } // namespace anvil
--- /dev/null
+++ b/Source/Http/WhenIdle.cpp
@@ -0,0 +1,21 @@
+#include "Http/WhenIdle.h"
+
+namespace anvil {
+
+/// How often a waiting server looks whether its requests have ended.
+static constexpr Duration CheckPeriod = std::chrono::milliseconds(50);
+
+void whenIdle(boost::asio::steady_timer &Timer, TimePoint Deadline,
+              std::function<bool()> IsIdle, std::function<void()> Then) {
+  if (IsIdle() || BootClock::now() >= Deadline) {
+    Then();
+    return;
+  }
+  Timer.expires_after(CheckPeriod);
+  Timer.async_wait([&Timer, Deadline, IsIdle = std::move(IsIdle),
+                    Then = std::move(Then)](auto) mutable {
+    whenIdle(Timer, Deadline, std::move(IsIdle), std::move(Then));
+  });
+}
+
+} // namespace anvil
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -11,6 +11,7 @@
 #include "Gateway/KeyGuard.h"
 #include "Gateway/RequestPipeline.h"
 #include "Http/Spawn.h"
+#include "Http/WhenIdle.h"
 #include "Ledger/TableLedger.h"
 #include "Membership/MembershipService.h"
 #include "Membership/Rendezvous.h"
@@ -35,9 +36,6 @@
 
 using nlohmann::json;
 
-/// How often a stopping daemon looks whether its requests have ended.
-static constexpr Duration StopCheckPeriod = std::chrono::milliseconds(50);
-
 Daemon::Daemon(DaemonSettings Settings)
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)),
       Pump_(Loop_.get_executor(), Timers_, [] { return BootClock::now(); }),
@@ -319,17 +317,17 @@
 }
 
 void Daemon::waitForRequests() {
-  auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
-  bool Done = Callers->runningRequests() == 0;
-  if (Done || BootClock::now() >= StopDeadline_) {
-    logEvent(LogLevel::Info, "stopped",
-             {{"requests_cut", Callers->runningRequests()}});
-    Services_.stopAll();
-    Loop_.stop();
-    return;
-  }
-  StopTimer_.expires_after(StopCheckPeriod);
-  StopTimer_.async_wait([this](auto) { waitForRequests(); });
+  auto Running = [this] {
+    return Services_.require<RequestPipeline>(RequestPipeline::Name)
+        ->runningRequests();
+  };
+  whenIdle(
+      StopTimer_, StopDeadline_, [Running] { return Running() == 0; },
+      [this, Running] {
+        logEvent(LogLevel::Info, "stopped", {{"requests_cut", Running()}});
+        Services_.stopAll();
+        Loop_.stop();
+      });
 }
 
 } // namespace anvil
