Drop fields and names that nothing reads

Fields of the plan and of engines' reports that were decoded and used nowhere and asserted by no test, a table of names without a caller, a factor of one, unused includes; a comment on the connection pool that was true of one mode only. Behaviour is as before.

--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -9,9 +9,9 @@
 
 namespace anvil {
 
-/// Idle connections to targets, for requests that may be repeated. Others take
-/// a connection of their own: when a kept one breaks it can't be known whether
-/// the request ran.
+/// Idle connections to targets and other servers. Callers decide which requests
+/// use one: when a kept connection breaks it can't be known whether the request
+/// ran.
 class ConnectionPool {
 public:
   /// A connection to that server, or one that is not open yet.
--- a/Source/Serving/CustomerBudget.cpp
+++ b/Source/Serving/CustomerBudget.cpp
@@ -4,13 +4,8 @@
 
 namespace anvil {
 
-/// The part of the rate that is handed out; the rest covers what VMs spend
-/// before they hear of each other.
-static constexpr double UsedRate = 1.0;
-
 void CustomerBudget::reshape(Account &Held, TimePoint Now) const {
-  Held.Bucket_.reshape(Held.RatePerSecond_ * Reach_ * UsedRate,
-                       Held.Burst_ * Reach_, Now);
+  Held.Bucket_.reshape(Held.RatePerSecond_ * Reach_, Held.Burst_ * Reach_, Now);
 }
 
 void CustomerBudget::setPlan(const ServingPlan &Plan, double StartShare,
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -1,7 +1,5 @@
 #include "Serving/DispatchCost.h"
 
-#include "Kernel/EnumNames.h"
-
 #include <algorithm>
 
 namespace anvil {
@@ -62,10 +60,6 @@
 /// Loading on an engine whose places are all taken drops another adapter, ms.
 static constexpr double EvictionMs = 20;
 
-std::string_view adapterReadinessName(AdapterReadiness Readiness) {
-  return enumName(Readiness, AdapterReadinessNames);
-}
-
 static bool hasNoMemory(const DispatchCandidate &Given,
                         const RequestShape &Shape) {
   return Given.KvTokens_ > 0 &&
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace anvil {
@@ -19,18 +18,6 @@
   Impossible
 };
 
-inline constexpr std::pair<AdapterReadiness, std::string_view>
-    AdapterReadinessNames[] = {
-        {AdapterReadiness::NotNeeded, "not_needed"},
-        {AdapterReadiness::Resident, "resident"},
-        {AdapterReadiness::Loading, "loading"},
-        {AdapterReadiness::Absent, "absent"},
-        {AdapterReadiness::Impossible, "impossible"},
-};
-
-/// The stable name of a readiness, as logs show it.
-std::string_view adapterReadinessName(AdapterReadiness Readiness);
-
 /// A target that a request may go to, as far as this VM knows.
 struct DispatchCandidate {
   std::string Id_;
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -61,26 +61,20 @@
 /// A base model and what its adapters take.
 struct ModelPlan {
   std::string Name_;
-  double WeightsMb_ = 0;
-  double AdapterMb_ = 0;
   /// Loading the weights from the weight store.
   Duration StoreLoad_{};
-  /// Loading the weights from the target's own disk and memory.
+  /// Loading the weights from the target's own disk.
   Duration DiskLoad_{};
-  Duration MemoryLoad_{};
 };
 
 /// What all engines of a service have in common.
 struct EnginePlan {
   int Slots_ = 1;
   double KvTokens_ = 0;
-  double WeightsMb_ = 0;
   /// The most adapters that an engine holds, those being loaded included.
   int MaxAdapters_ = 0;
   /// What the weight store allows over all engines.
   double LoadsPerSecond_ = 0;
-  /// The tokens of one event of a stream.
-  int TokensPerEvent_ = 1;
   std::vector<ModelPlan> Models_;
 
   const ModelPlan *findModel(std::string_view Name) const;
@@ -89,8 +83,6 @@
 /// A set of targets that routes refer to by name.
 struct ServicePlan {
   std::string Name_;
-  std::string HealthPath_;
-  int MaxConnections_ = 0;
   /// Set for services of model engines.
   std::optional<EnginePlan> Engine_;
 };
--- a/Source/Serving/Target.h
+++ b/Source/Serving/Target.h
@@ -50,10 +50,7 @@
 struct EngineReport {
   bool Busy_ = false;
   std::uint64_t OrdersAccepted_ = 0;
-  int Queued_ = 0;
   int Running_ = 0;
-  double KvUsed_ = 0;
-  double KvTotal_ = 0;
   std::map<std::string, HeldModel> Models_;
   /// Adapters that are being loaded, by model.
   std::map<std::string, AdapterVersions> Loading_;
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -4,7 +4,6 @@
 #include "Serving/Target.h"
 
 #include <algorithm>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
