Parse peers' addresses once; skip the work on an unchanged list

Each datagram parsed its receiver's address again; it is parsed when the peers are set. A notice without changes copied and compared the whole list of targets to keep it; only the digest is compared now. Both readers share the period at which they look for their turn, and the number of VMs is kept once.

--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -2,8 +2,6 @@
 
 #include "Telemetry/Log.h"
 
-#include <boost/asio/ip/udp.hpp>
-
 #include <algorithm>
 #include <array>
 
@@ -67,15 +65,21 @@
   return Socket_->Udp_.local_endpoint(Ignored).port();
 }
 
-void FleetLink::setPeers(std::map<std::string, Endpoint> Peers) {
-  Peers_ = std::move(Peers);
+void FleetLink::setPeers(const std::map<std::string, Endpoint> &Peers) {
+  Peers_.clear();
+  for (const auto &[Vm, Where] : Peers) {
+    error_code Cause;
+    auto Address = asio::ip::make_address(Where.Address_, Cause);
+    if (!Cause)
+      Peers_.emplace(Vm, Peer{Where, udp::endpoint(Address, Where.Port_)});
+  }
 }
 
 std::optional<Endpoint> FleetLink::addressOf(const std::string &Vm) const {
   auto Found = Peers_.find(Vm);
   if (Found == Peers_.end())
     return std::nullopt;
-  return Found->second;
+  return Found->second.Where_;
 }
 
 void FleetLink::receive() {
@@ -98,13 +102,10 @@
       });
 }
 
-void FleetLink::sendBytes(const Endpoint &To, const std::string &Bytes) {
-  error_code Cause;
-  auto Address = asio::ip::make_address(To.Address_, Cause);
+void FleetLink::sendBytes(const Peer &To, const std::string &Bytes) {
   // A datagram that doesn't fit the socket's buffer counts as lost.
-  if (!Cause)
-    Socket_->Udp_.send_to(asio::buffer(Bytes), udp::endpoint(Address, To.Port_),
-                          0, Cause);
+  error_code Ignored;
+  Socket_->Udp_.send_to(asio::buffer(Bytes), To.Socket_, 0, Ignored);
 }
 
 void FleetLink::send(const std::string &Vm, const FleetMessage &Message) {
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -9,6 +9,7 @@
 #include "Settings/EntrySettings.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/udp.hpp>
 
 #include <functional>
 #include <map>
@@ -38,7 +39,7 @@
   std::uint16_t port() const;
 
   /// Says where the other VMs are.
-  void setPeers(std::map<std::string, Endpoint> Peers);
+  void setPeers(const std::map<std::string, Endpoint> &Peers);
 
   /// Where a VM takes datagrams; nothing when it is not known.
   std::optional<Endpoint> addressOf(const std::string &Vm) const;
@@ -62,14 +63,19 @@
 private:
   struct Socket;
   void receive();
-  void sendBytes(const Endpoint &To, const std::string &Bytes);
+  /// Where a VM is, and the same as the socket takes it.
+  struct Peer {
+    Endpoint Where_;
+    boost::asio::ip::udp::endpoint Socket_;
+  };
+  void sendBytes(const Peer &To, const std::string &Bytes);
   void sendNews();
   void schedule();
 
   const EntrySettings &Settings_;
   TimerService &Timers_;
   std::unique_ptr<Socket> Socket_;
-  std::map<std::string, Endpoint> Peers_;
+  std::map<std::string, Peer> Peers_;
   std::function<VmNews()> Compose_;
   TimerService::Subscription News_;
 };
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -154,13 +154,13 @@
 
 void FleetState::setVms(std::size_t Count, TimePoint Now) {
   KnownVms_ = Count;
-  Vms_ = std::max<std::size_t>(1, Count);
   updateReach(Now);
 }
 
 void FleetState::updateReach(TimePoint Now) {
-  std::size_t Heard = std::min(Vms_, Book_.heardVms(Now) + 1);
-  Budget_.setReach(static_cast<double>(Heard) / static_cast<double>(Vms_), Now);
+  std::size_t Vms = std::max<std::size_t>(1, KnownVms_);
+  std::size_t Heard = std::min(Vms, Book_.heardVms(Now) + 1);
+  Budget_.setReach(static_cast<double>(Heard) / static_cast<double>(Vms), Now);
   if (!Plans_->current() || !BudgetStart_.mayGrant(KnownVms_))
     return;
   const EntryBoundSettings &Bounds = Settings_.Bounds_;
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -43,9 +43,6 @@
 
   /// What this VM runs on a target.
   RunningShare ownOn(const std::string &Target) const;
-  const std::map<std::string, RunningShare> &running() const {
-    return Running_;
-  }
 
   /// The requests of all VMs that run with an adapter.
   int usesOf(const std::string &Adapter) const;
@@ -110,8 +107,7 @@
   std::function<std::map<std::string, EngineHoldings>()> Holdings_;
   TimePoint HoldingsToldAt_{};
   std::uint64_t Sequence_ = 0;
-  std::size_t Vms_ = 1;
-  /// As above, but zero before the first rows were read.
+  /// Zero before the first rows were read.
   std::size_t KnownVms_ = 0;
   bool Leaving_ = false;
 };
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -138,7 +138,7 @@
     if (Row.Vm_ != Self_ && isOk(Where))
       Peers[Row.Vm_] = valueOf(Where);
   }
-  Link_->setPeers(std::move(Peers));
+  Link_->setPeers(Peers);
   Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
   Read_.fire();
 }
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -21,9 +21,6 @@
 static constexpr Duration LeastRetryWait = std::chrono::milliseconds(100);
 static constexpr Duration MostRetryWait = std::chrono::milliseconds(800);
 
-/// How often a VM that isn't first in line looks whether it has to read.
-static constexpr Duration TurnCheckPeriod = std::chrono::milliseconds(40);
-
 /// A wait for changes that is answered at once.
 static constexpr Duration NoWait = std::chrono::milliseconds(1);
 
@@ -60,7 +57,7 @@
   Backoff Waits(LeastRetryWait, MostRetryWait);
   while (true) {
     while (!isTurn(BootClock::now()))
-      co_await pauseFor(TurnCheckPeriod);
+      co_await pauseFor(ReadingTurn::CheckPeriod);
     auto Page = co_await readOnce();
     if (isOk(Page)) {
       Waits.reset();
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -9,9 +9,6 @@
 
 namespace asio = boost::asio;
 
-/// How often a VM looks whether it has to read the list.
-static constexpr Duration TurnCheckPeriod = std::chrono::milliseconds(40);
-
 static ReadingTurnOptions turnOptions(const EntrySettings &Settings) {
   ReadingTurnOptions Options;
   Options.Period_ = std::chrono::milliseconds(Settings.Store_.TargetListMs_);
@@ -37,7 +34,7 @@
 asio::awaitable<void> TargetListService::follow() {
   while (true) {
     while (!isTurn(BootClock::now()))
-      co_await pauseFor(TurnCheckPeriod);
+      co_await pauseFor(ReadingTurn::CheckPeriod);
     TimePoint AskedAt = BootClock::now();
     auto Page = co_await Store_->list(platform::ForeignTable::Targets);
     if (!isOk(Page)) {
--- a/Source/Serving/ReadingTurn.h
+++ b/Source/Serving/ReadingTurn.h
@@ -28,6 +28,9 @@
 /// is stood in for, and a VM that hears nobody reads for itself.
 class ReadingTurn {
 public:
+  /// How often a VM looks whether it has to read.
+  static constexpr Duration CheckPeriod = std::chrono::milliseconds(40);
+
   explicit ReadingTurn(ReadingTurnOptions Options) : Options_(Options) {}
 
   /// The place of a VM in line for a topic among the others that are heard;
--- a/Source/Serving/TargetListing.cpp
+++ b/Source/Serving/TargetListing.cpp
@@ -43,6 +43,8 @@
                           TimePoint Now) {
   if (!HasRead_)
     return false;
+  if (Changes.size() == 0)
+    return digest() == Digest;
   TargetListing Next = *this;
   for (const RegisteredTarget &Entry : Changes.Entries_)
     Next.Entries_.insert_or_assign(Entry.Id_, Entry);
