--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -113,7 +113,11 @@
   Callers_.beginDrain();
 }
 
-void EntryGateway::closeIdle() { Callers_.close(); }
+void EntryGateway::closeIdle() {
+  ClosedConnections Counts = Callers_.close();
+  logEvent(LogLevel::Info, "idle_connections_closed",
+           {{"closed", Counts.Closed_}, {"kept", Counts.Kept_}});
+}
 
 std::string EntryGateway::whyNotReady() const {
   if (Draining_)
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -81,7 +81,7 @@
   Exchange_.onCallerGone([this] { Connection_.close(); });
   while (true) {
     if (Exchange_.callerGone()) {
-      logEnd("caller_gone", 0);
+      logGone(0);
       co_return;
     }
     TimePoint Now = BootClock::now();
@@ -341,7 +341,7 @@
     int Status = Head.Status_;
     HttpReplyHead Kept = platform::encodeCallerHead(Head);
     if (!co_await Exchange_.startStream(std::move(Kept))) {
-      logEnd("caller_gone", Status);
+      logGone(Status);
       co_return TryEnd::Done;
     }
   }
@@ -350,7 +350,7 @@
         std::max<Duration>(timeLeft(), AnswerMargin));
     if (!isOk(Part)) {
       if (Exchange_.callerGone()) {
-        logEnd("caller_gone", Answer.Status_);
+        logGone(Answer.Status_);
         co_return TryEnd::Done;
       }
       LastReason_ = "stream_broken";
@@ -369,7 +369,7 @@
     std::string Passed =
         IsResumable ? Events_.feed(valueOf(Part)) : std::move(valueOf(Part));
     if (!co_await Exchange_.write(Passed)) {
-      logEnd("caller_gone", Answer.Status_);
+      logGone(Answer.Status_);
       co_return TryEnd::Done;
     }
   }
@@ -399,7 +399,7 @@
 
 asio::awaitable<void> RequestRun::endLost() {
   if (Exchange_.callerGone()) {
-    logEnd("caller_gone", 0);
+    logGone(0);
     co_return;
   }
   if (HeadSent_) {
@@ -449,6 +449,11 @@
     Shared_.Metrics_->observe("anvil_paced_seconds", {}, Paced_);
 }
 
+void RequestRun::logGone(int Status) {
+  logEnd(Exchange_.closedByServer() ? "connection_closed" : "caller_gone",
+         Status);
+}
+
 void RequestRun::logEnd(std::string_view Outcome, int Status) {
   TimePoint Now = BootClock::now();
   countEnd(Outcome, Status, Now);
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -24,6 +24,7 @@
   explicit State(tcp::socket Socket) : Stream_(std::move(Socket)) {}
 
   void close() {
+    IsClosed_ = true;
     error_code Ignored;
     Stream_.socket().close(Ignored);
   }
@@ -33,6 +34,7 @@
   bool KeepAlive_ = true;
   bool Handling_ = false;
   bool CallerGone_ = false;
+  bool IsClosed_ = false;
   std::string Tag_;
   std::function<void()> GoneCall_;
 };
@@ -126,6 +128,8 @@
 
 bool HttpExchange::callerGone() const { return Owner_.CallerGone_; }
 
+bool HttpExchange::closedByServer() const { return Owner_.IsClosed_; }
+
 void HttpExchange::onCallerGone(std::function<void()> Call) {
   Owner_.GoneCall_ = std::move(Call);
 }
@@ -307,13 +311,20 @@
   }
 }
 
-void HttpServer::close() {
+ClosedConnections HttpServer::close() {
   Core_->Closed_ = true;
   error_code Ignored;
   Core_->Acceptor_.close(Ignored);
-  for (const auto &Peer : Core_->Connections_)
-    if (!Peer->Handling_)
+  ClosedConnections Counts;
+  for (const auto &Peer : Core_->Connections_) {
+    if (Peer->Handling_) {
+      ++Counts.Kept_;
+    } else {
       Peer->close();
+      ++Counts.Closed_;
+    }
+  }
+  return Counts;
 }
 
 std::size_t HttpServer::runningRequests() const { return Core_->Running_; }
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -42,6 +42,9 @@
   /// Whether the caller closed its connection.
   bool callerGone() const;
 
+  /// Whether this server closed the connection before the answer's end.
+  bool closedByServer() const;
+
   /// Sets the function called once if the caller goes away before the end.
   void onCallerGone(std::function<void()> Call);
 
@@ -76,6 +79,13 @@
 using MalformedHook =
     std::function<HttpReply(int Status, std::string_view Reason)>;
 
+/// What `HttpServer::close` did, in connections.
+struct ClosedConnections {
+  std::size_t Closed_ = 0;
+  /// Those that stay until their request is answered.
+  std::size_t Kept_ = 0;
+};
+
 /// Accepts HTTP/1.1 connections and passes each request to a handler.
 class HttpServer {
 public:
@@ -106,7 +116,7 @@
   void closeTagged(const std::function<bool(const std::string &)> &IsEnded);
 
   /// Stops accepting and closes the connections without a running request.
-  void close();
+  ClosedConnections close();
 
   /// The number of requests being handled.
   std::size_t runningRequests() const;
