Let only the coroutine that serves a connection close it

Cause: close() and closeTagged() took a connection for idle unless Handling_ was set. That happens only when the request has been parsed, a few turns of the loop after its bytes were taken from the socket. The socket was closed under the coroutine, which parsed the bytes it had and handed the request on. A request whose first part had come, or that came together with the one before it, was dropped too, and a stop didn't count it as running.

Ruled out: the idle limit (times; and Beast turns such a read into an error), the process's end (it lived on for 4.6 s), callers that left.

Now others only ask for the end of a connection: an idle one stops waiting, and the outcome of its read decides whether there is a request. One that has begun to arrive is answered, and the answer announces the close unless another request is already here. The idle limit works the same way. A stop waits for all connections to end instead of the requests that it has noticed. Answers to requests that were read before a drain began announce the close as well, as beginDrain says.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -108,14 +108,13 @@
 }
 
 void EntryDaemon::waitForRequests() {
-  auto Running = [this] {
-    return Services_.require<EntryGateway>(EntryGateway::Name)
-        ->runningRequests();
-  };
+  auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
   whenIdle(
-      StopTimer_, StopDeadline_, [Running] { return Running() == 0; },
-      [this, Running] {
-        logEvent(LogLevel::Info, "stopped", {{"requests_cut", Running()}});
+      StopTimer_, StopDeadline_,
+      [Gateway] { return Gateway->openConnections() == 0; },
+      [this, Gateway] {
+        logEvent(LogLevel::Info, "stopped",
+                 {{"requests_cut", Gateway->runningRequests()}});
         Services_.stopAll();
         Loop_.stop();
       });
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -40,6 +40,10 @@
 
   std::size_t runningRequests() const { return Callers_.runningRequests(); }
 
+  /// Callers' connections that have not ended. None has a request to come once
+  /// this is zero after `closeIdle`.
+  std::size_t openConnections() const { return Callers_.openConnections(); }
+
 private:
   /// Why a request is not admitted.
   struct Refusal {
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -104,6 +104,10 @@
   return Server_.runningRequests();
 }
 
+std::size_t RequestPipeline::openConnections() const {
+  return Server_.openConnections();
+}
+
 asio::awaitable<void> RequestPipeline::refuse(HttpExchange &Exchange,
                                               const Refusal &Given,
                                               const std::string &RequestId,
--- a/Source/Gateway/RequestPipeline.h
+++ b/Source/Gateway/RequestPipeline.h
@@ -45,6 +45,10 @@
   /// The number of requests being served.
   std::size_t runningRequests() const;
 
+  /// Callers' connections that have not ended. None has a request to come once
+  /// this is zero after `stop`.
+  std::size_t openConnections() const;
+
   /// Ends the running repeatable requests whose key `IsBelieved` denies and
   /// logs how many there were as the event `Why`.
   void endRequests(std::string_view Why,
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -3,11 +3,13 @@
 #include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -19,9 +21,21 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/// The connection that an exchange belongs to.
+/// The bytes that are asked for at the start of a request.
+static constexpr std::size_t FirstReadBytes = 4096;
+
+/// How far a connection is with a request.
+enum class Phase { Idle, Reading, Handling };
+
+/// When a connection ends that its caller would keep; later values go further.
+enum class Ending { None, AfterAnswer, WhenIdle };
+
+/// The connection that an exchange belongs to. Only the coroutine that serves
+/// it closes it, or the handler in it: a connection that another party closed
+/// could hold a request that was taken from the socket before.
 struct HttpExchange::State {
-  explicit State(tcp::socket Socket) : Stream_(std::move(Socket)) {}
+  explicit State(tcp::socket Socket)
+      : Stream_(std::move(Socket)), IdleTimer_(Stream_.get_executor()) {}
 
   void close() {
     IsClosed_ = true;
@@ -29,10 +43,32 @@
     Stream_.socket().close(Ignored);
   }
 
+  /// Asks for the end; an idle connection stops waiting for a request.
+  void end(Ending When) {
+    Ending_ = std::max(Ending_, When);
+    if (Ending_ == Ending::WhenIdle && Phase_ == Phase::Idle)
+      Stream_.cancel();
+  }
+
+  /// Whether bytes of a next request are here.
+  bool hasInput() {
+    error_code Cause;
+    return Buffer_.size() > 0 || Stream_.socket().available(Cause) > 0;
+  }
+
+  /// Settles with an answer's head whether another request may follow it.
+  bool settleKeepAlive() {
+    if (Ending_ != Ending::None && !hasInput())
+      KeepAlive_ = false;
+    return KeepAlive_;
+  }
+
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
+  asio::steady_timer IdleTimer_;
+  Phase Phase_ = Phase::Idle;
+  Ending Ending_ = Ending::None;
   bool KeepAlive_ = true;
-  bool Handling_ = false;
   bool CallerGone_ = false;
   bool IsClosed_ = false;
   std::string Tag_;
@@ -48,8 +84,11 @@
 
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<Connection> Peer);
+  /// Waits for the first bytes of a request. False when there will be none.
+  asio::awaitable<bool> awaitRequest(std::shared_ptr<Connection> Peer);
   asio::awaitable<std::optional<HttpRequest>> read(Connection &Peer);
   asio::awaitable<void> rejectMalformed(Connection &Peer, error_code Cause);
+  void endAll(Ending When);
 
   asio::any_io_executor Executor_;
   tcp::acceptor Acceptor_;
@@ -58,10 +97,18 @@
   MalformedHook Malformed_;
   std::set<std::shared_ptr<Connection>> Connections_;
   std::size_t Running_ = 0;
-  bool Draining_ = false;
-  bool Closed_ = false;
+  /// What new connections begin with.
+  Ending Ending_ = Ending::None;
+  /// Whether the server is gone, and its handler's owner with it.
+  bool Abandoned_ = false;
 };
 
+void HttpServer::Core::endAll(Ending When) {
+  Ending_ = std::max(Ending_, When);
+  for (const auto &Peer : Connections_)
+    Peer->end(When);
+}
+
 HttpExchange::HttpExchange(State &Owner, HttpRequest Request)
     : Owner_(Owner), Request_(std::move(Request)) {}
 
@@ -77,7 +124,7 @@
   Message.result(static_cast<unsigned>(Reply.Status_));
   copyHeaders(Reply.Headers_, Message);
   Message.body() = std::move(Reply.Body_);
-  Message.keep_alive(Owner_.KeepAlive_);
+  Message.keep_alive(Owner_.settleKeepAlive());
   Message.prepare_payload();
   error_code Cause;
   if (Request_.Method_ == "HEAD") {
@@ -99,7 +146,7 @@
   Message.version(11);
   Message.result(static_cast<unsigned>(Head.Status_));
   copyHeaders(Head.Headers_, Message);
-  Message.keep_alive(Owner_.KeepAlive_);
+  Message.keep_alive(Owner_.settleKeepAlive());
   Message.chunked(true);
   http::response_serializer<http::empty_body> Serializer(Message);
   error_code Cause;
@@ -149,7 +196,7 @@
 static void watchCaller(std::shared_ptr<HttpExchange::State> Peer) {
   auto &Socket = Peer->Stream_.socket();
   Socket.async_wait(tcp::socket::wait_read, [Peer](error_code Cause) {
-    if (Cause || !Peer->Handling_)
+    if (Cause || Peer->Phase_ != Phase::Handling)
       return;
     char Byte = 0;
     error_code Problem;
@@ -165,7 +212,7 @@
 
 asio::awaitable<void> HttpServer::Core::accept() {
   auto Self = shared_from_this();
-  while (!Closed_) {
+  while (Ending_ != Ending::WhenIdle) {
     error_code Cause;
     tcp::socket Socket = co_await Acceptor_.async_accept(
         asio::redirect_error(asio::use_awaitable, Cause));
@@ -176,24 +223,35 @@
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
     auto Peer = std::make_shared<Connection>(std::move(Socket));
+    Peer->end(Ending_);
     Connections_.insert(Peer);
     spawn(Executor_, serve(std::move(Peer)));
   }
 }
 
+asio::awaitable<bool>
+HttpServer::Core::awaitRequest(std::shared_ptr<Connection> Peer) {
+  if (Peer->Ending_ == Ending::WhenIdle || Peer->Buffer_.size() > 0)
+    co_return Peer->hasInput();
+  Peer->IdleTimer_.expires_after(Limits_.IdleTime_);
+  Peer->IdleTimer_.async_wait([Peer](error_code Cause) {
+    if (!Cause && Peer->Phase_ == Phase::Idle)
+      Peer->end(Ending::WhenIdle);
+  });
+  error_code Cause;
+  std::size_t Read = co_await Peer->Stream_.async_read_some(
+      Peer->Buffer_.prepare(FirstReadBytes),
+      asio::redirect_error(asio::use_awaitable, Cause));
+  Peer->IdleTimer_.cancel();
+  Peer->Buffer_.commit(Read);
+  // A request may have come just as the wait was ended.
+  co_return !Cause ||
+      (Cause == asio::error::operation_aborted && Peer->hasInput());
+}
+
 asio::awaitable<std::optional<HttpRequest>>
 HttpServer::Core::read(Connection &Peer) {
   error_code Cause;
-  if (Peer.Buffer_.size() == 0) {
-    // Between requests only the idle limit counts.
-    Peer.Stream_.expires_after(Limits_.IdleTime_);
-    std::size_t Read = co_await Peer.Stream_.async_read_some(
-        Peer.Buffer_.prepare(4096),
-        asio::redirect_error(asio::use_awaitable, Cause));
-    if (Cause)
-      co_return std::nullopt;
-    Peer.Buffer_.commit(Read);
-  }
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits_.HeadBytes_);
   Parser.body_limit(Limits_.BodyBytes_);
@@ -206,7 +264,7 @@
     co_return std::nullopt;
   }
   auto Message = Parser.release();
-  Peer.KeepAlive_ = Message.keep_alive() && !Draining_;
+  Peer.KeepAlive_ = Message.keep_alive();
   HttpRequest Request;
   Request.Method_ = std::string(Message.method_string());
   Request.Target_ = std::string(Message.target());
@@ -236,19 +294,21 @@
 asio::awaitable<void>
 HttpServer::Core::serve(std::shared_ptr<Connection> Peer) {
   auto Self = shared_from_this();
-  while (true) {
-    auto Request = co_await read(*Peer);
-    if (!Request)
-      break;
-    HttpExchange Exchange(*Peer, std::move(*Request));
-    Peer->Handling_ = true;
+  while (co_await awaitRequest(Peer)) {
+    Peer->Phase_ = Phase::Reading;
     ++Running_;
-    watchCaller(Peer);
-    co_await Handle_(Exchange);
+    auto Request = co_await read(*Peer);
+    bool IsHandled = Request && !Abandoned_;
+    if (IsHandled) {
+      HttpExchange Exchange(*Peer, std::move(*Request));
+      Peer->Phase_ = Phase::Handling;
+      watchCaller(Peer);
+      co_await Handle_(Exchange);
+      Peer->GoneCall_ = {};
+    }
     --Running_;
-    Peer->Handling_ = false;
-    Peer->GoneCall_ = {};
-    if (!Peer->KeepAlive_ || !Peer->Stream_.socket().is_open() || Closed_)
+    Peer->Phase_ = Phase::Idle;
+    if (!IsHandled || !Peer->KeepAlive_ || !Peer->Stream_.socket().is_open())
       break;
     // Only the watch for the caller's leaving is still pending here.
     error_code Ignored;
@@ -265,7 +325,10 @@
     : Core_(std::make_shared<Core>(std::move(Executor), Limits,
                                    std::move(Handle))) {}
 
-HttpServer::~HttpServer() { close(); }
+HttpServer::~HttpServer() {
+  close();
+  Core_->Abandoned_ = true;
+}
 
 void HttpServer::onMalformed(MalformedHook Hook) {
   Core_->Malformed_ = std::move(Hook);
@@ -298,35 +361,30 @@
   return Core_->Acceptor_.local_endpoint(Ignored).port();
 }
 
-void HttpServer::beginDrain() { Core_->Draining_ = true; }
+void HttpServer::beginDrain() { Core_->endAll(Ending::AfterAnswer); }
 
 void HttpServer::closeTagged(
     const std::function<bool(const std::string &)> &IsEnded) {
   for (const auto &Peer : Core_->Connections_) {
-    if (Peer->Tag_.empty() || !IsEnded(Peer->Tag_))
-      continue;
-    Peer->KeepAlive_ = false;
-    if (!Peer->Handling_)
-      Peer->close();
+    if (!Peer->Tag_.empty() && IsEnded(Peer->Tag_))
+      Peer->end(Ending::WhenIdle);
   }
 }
 
 ClosedConnections HttpServer::close() {
-  Core_->Closed_ = true;
   error_code Ignored;
   Core_->Acceptor_.close(Ignored);
+  Core_->endAll(Ending::WhenIdle);
   ClosedConnections Counts;
-  for (const auto &Peer : Core_->Connections_) {
-    if (Peer->Handling_) {
-      ++Counts.Kept_;
-    } else {
-      Peer->close();
-      ++Counts.Closed_;
-    }
-  }
+  Counts.Kept_ = Core_->Running_;
+  Counts.Closed_ = Core_->Connections_.size() - Core_->Running_;
   return Counts;
 }
 
 std::size_t HttpServer::runningRequests() const { return Core_->Running_; }
 
+std::size_t HttpServer::openConnections() const {
+  return Core_->Connections_.size();
+}
+
 } // namespace anvil
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -79,8 +79,9 @@
 using MalformedHook =
     std::function<HttpReply(int Status, std::string_view Reason)>;
 
-/// What `HttpServer::close` did, in connections.
+/// The connections that `HttpServer::close` found.
 struct ClosedConnections {
+  /// Those that were idle. One is still answered if its request has arrived.
   std::size_t Closed_ = 0;
   /// Those that stay until their request is answered.
   std::size_t Kept_ = 0;
@@ -111,16 +112,21 @@
   /// their next request or `close`.
   void beginDrain();
 
-  /// Closes the connections whose mark `IsEnded` names; those with a running
-  /// request close after its answer. Connections without a mark stay.
+  /// Ends the connections whose mark `IsEnded` names: idle ones at once, those
+  /// with a request after its answer. Connections without a mark stay.
   void closeTagged(const std::function<bool(const std::string &)> &IsEnded);
 
-  /// Stops accepting and closes the connections without a running request.
+  /// Stops accepting and ends the connections: idle ones at once, those with a
+  /// request after its answer. A request that has begun to arrive is answered.
   ClosedConnections close();
 
-  /// The number of requests being handled.
+  /// The number of requests being read or handled.
   std::size_t runningRequests() const;
 
+  /// The number of connections that have not ended. After `close` there are no
+  /// further requests once it is zero.
+  std::size_t openConnections() const;
+
 private:
   struct Core;
   std::shared_ptr<Core> Core_;
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -317,14 +317,13 @@
 }
 
 void Daemon::waitForRequests() {
-  auto Running = [this] {
-    return Services_.require<RequestPipeline>(RequestPipeline::Name)
-        ->runningRequests();
-  };
+  auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   whenIdle(
-      StopTimer_, StopDeadline_, [Running] { return Running() == 0; },
-      [this, Running] {
-        logEvent(LogLevel::Info, "stopped", {{"requests_cut", Running()}});
+      StopTimer_, StopDeadline_,
+      [Callers] { return Callers->openConnections() == 0; },
+      [this, Callers] {
+        logEvent(LogLevel::Info, "stopped",
+                 {{"requests_cut", Callers->runningRequests()}});
         Services_.stopAll();
         Loop_.stop();
       });
--- a/Tests/Unit/ClosingServerTest.cpp
+++ b/Tests/Unit/ClosingServerTest.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <thread>
+
 using namespace anvil;
 namespace asio = boost::asio;
 
@@ -58,8 +61,10 @@
     for (int Turn = 0; Turn < Turns; ++Turn)
       Loop.poll_one();
     closeIdle(Server, Way);
-    CHECK(countAnswers(Caller.readToEnd()) == 1);
+    while (Server.openConnections() > 0)
+      Loop.run_one();
     CHECK(Handled == 2);
+    CHECK(countAnswers(Caller.readToEnd()) == 1);
   }
 
   SECTION("when only a part of it has come") {
@@ -86,3 +91,23 @@
     CHECK(Handled == 1);
   }
 }
+
+TEST_CASE("a request that crosses the idle limit is answered", "[LOST]") {
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  HttpServerLimits Limits;
+  Limits.IdleTime_ = std::chrono::milliseconds(20);
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      HttpReply Reply;
+                      Reply.Status_ = 204;
+                      co_await Exchange.respond(std::move(Reply));
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  KeptCaller Caller(Loop, Server.port());
+  CHECK(countAnswers(Caller.ask("/first")) == 1);
+  // The loop finds the request and the end of the limit at the same time.
+  std::this_thread::sleep_for(2 * Limits.IdleTime_);
+  Caller.send("/second");
+  CHECK(countAnswers(Caller.readToEnd()) == 1);
+}
