Answer 408 to a request that arrives too slowly

Callers that sent a part of a request and then nothing got a closed connection after the limit; the 408 that rejectMalformed writes never left. Found while looking for other parties that close a caller's connection.

Reads of the server are now stopped by a timer of the connection that only cancels them, for the idle limit as well. HttpServerTest, "a request that arrives too slowly", found no 408 before; UnitTests and ClosingServerTests pass.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -24,6 +24,9 @@
 /// The bytes that are asked for at the start of a request.
 static constexpr std::size_t FirstReadBytes = 4096;
 
+/// How often reads are cancelled that have gone on beyond their limit.
+static constexpr Duration CancelPeriod = std::chrono::milliseconds(50);
+
 /// How far a connection is with a request.
 enum class Phase { Idle, Reading, Handling };
 
@@ -33,9 +36,9 @@
 /// The connection that an exchange belongs to. Only the coroutine that serves
 /// it closes it, or the handler in it: a connection that another party closed
 /// could hold a request that was taken from the socket before.
-struct HttpExchange::State {
+struct HttpExchange::State : std::enable_shared_from_this<HttpExchange::State> {
   explicit State(tcp::socket Socket)
-      : Stream_(std::move(Socket)), IdleTimer_(Stream_.get_executor()) {}
+      : Stream_(std::move(Socket)), ReadTimer_(Stream_.get_executor()) {}
 
   void close() {
     IsClosed_ = true;
@@ -43,6 +46,32 @@
     Stream_.socket().close(Ignored);
   }
 
+  /// Stops the reads that follow once `Time` is over, until `clearReadLimit`.
+  /// The limits of Beast's streams would close the socket.
+  void limitRead(Duration Time) {
+    ++ReadLimit_;
+    cancelReadsAfter(Time);
+  }
+
+  void cancelReadsAfter(Duration Time) {
+    ReadTimer_.expires_after(Time);
+    ReadTimer_.async_wait(
+        [Self = shared_from_this(), Limit = ReadLimit_](error_code Cause) {
+          if (Cause || Limit != Self->ReadLimit_)
+            return;
+          Self->ReadTimedOut_ = true;
+          Self->Stream_.cancel();
+          // A read between two of its steps isn't reached by a cancel.
+          Self->cancelReadsAfter(CancelPeriod);
+        });
+  }
+
+  void clearReadLimit() {
+    ++ReadLimit_;
+    ReadTimedOut_ = false;
+    ReadTimer_.cancel();
+  }
+
   /// Asks for the end; an idle connection stops waiting for a request.
   void end(Ending When) {
     Ending_ = std::max(Ending_, When);
@@ -65,7 +94,10 @@
 
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
-  asio::steady_timer IdleTimer_;
+  asio::steady_timer ReadTimer_;
+  /// The number of the latest limit, as an earlier one may still call.
+  std::uint64_t ReadLimit_ = 0;
+  bool ReadTimedOut_ = false;
   Phase Phase_ = Phase::Idle;
   Ending Ending_ = Ending::None;
   bool KeepAlive_ = true;
@@ -85,7 +117,7 @@
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<Connection> Peer);
   /// Waits for the first bytes of a request. False when there will be none.
-  asio::awaitable<bool> awaitRequest(std::shared_ptr<Connection> Peer);
+  asio::awaitable<bool> awaitRequest(Connection &Peer);
   asio::awaitable<std::optional<HttpRequest>> read(Connection &Peer);
   asio::awaitable<void> rejectMalformed(Connection &Peer, error_code Cause);
   void endAll(Ending When);
@@ -229,24 +261,19 @@
   }
 }
 
-asio::awaitable<bool>
-HttpServer::Core::awaitRequest(std::shared_ptr<Connection> Peer) {
-  if (Peer->Ending_ == Ending::WhenIdle || Peer->Buffer_.size() > 0)
-    co_return Peer->hasInput();
-  Peer->IdleTimer_.expires_after(Limits_.IdleTime_);
-  Peer->IdleTimer_.async_wait([Peer](error_code Cause) {
-    if (!Cause && Peer->Phase_ == Phase::Idle)
-      Peer->end(Ending::WhenIdle);
-  });
+asio::awaitable<bool> HttpServer::Core::awaitRequest(Connection &Peer) {
+  if (Peer.Ending_ == Ending::WhenIdle || Peer.Buffer_.size() > 0)
+    co_return Peer.hasInput();
+  Peer.limitRead(Limits_.IdleTime_);
   error_code Cause;
-  std::size_t Read = co_await Peer->Stream_.async_read_some(
-      Peer->Buffer_.prepare(FirstReadBytes),
+  std::size_t Read = co_await Peer.Stream_.async_read_some(
+      Peer.Buffer_.prepare(FirstReadBytes),
       asio::redirect_error(asio::use_awaitable, Cause));
-  Peer->IdleTimer_.cancel();
-  Peer->Buffer_.commit(Read);
+  Peer.clearReadLimit();
+  Peer.Buffer_.commit(Read);
   // A request may have come just as the wait was ended.
   co_return !Cause ||
-      (Cause == asio::error::operation_aborted && Peer->hasInput());
+      (Cause == asio::error::operation_aborted && Peer.hasInput());
 }
 
 asio::awaitable<std::optional<HttpRequest>>
@@ -255,10 +282,12 @@
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits_.HeadBytes_);
   Parser.body_limit(Limits_.BodyBytes_);
-  Peer.Stream_.expires_after(Limits_.RequestTime_);
+  Peer.limitRead(Limits_.RequestTime_);
   co_await http::async_read(Peer.Stream_, Peer.Buffer_, Parser,
                             asio::redirect_error(asio::use_awaitable, Cause));
-  Peer.Stream_.expires_never();
+  if (Cause && Peer.ReadTimedOut_)
+    Cause = beast::error::timeout;
+  Peer.clearReadLimit();
   if (Cause) {
     co_await rejectMalformed(Peer, Cause);
     co_return std::nullopt;
@@ -294,7 +323,7 @@
 asio::awaitable<void>
 HttpServer::Core::serve(std::shared_ptr<Connection> Peer) {
   auto Self = shared_from_this();
-  while (co_await awaitRequest(Peer)) {
+  while (co_await awaitRequest(*Peer)) {
     Peer->Phase_ = Phase::Reading;
     ++Running_;
     auto Request = co_await read(*Peer);
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+
 #include <string>
 
 using namespace anvil;
@@ -40,3 +42,18 @@
     CHECK(Gold.readToEnd().empty());
   }
 }
+
+TEST_CASE("a request that arrives too slowly is refused with 408") {
+  asio::io_context Loop(1);
+  HttpServerLimits Limits;
+  Limits.RequestTime_ = std::chrono::milliseconds(20);
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [](HttpExchange &) -> asio::awaitable<void> { co_return; });
+  Server.onMalformed([](int Status, std::string_view Reason) {
+    return HttpReply{Status, {}, std::string(Reason)};
+  });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  KeptCaller Caller(Loop, Server.port());
+  asio::write(Caller.Socket_, asio::buffer(std::string("GET /slow HTT")));
+  CHECK(Caller.readToEnd().find(" 408 ") != std::string::npos);
+}
