--- a/Tests/Unit/ClosingServerTest.cpp
+++ b/Tests/Unit/ClosingServerTest.cpp
@@ -3,9 +3,13 @@
 #include "Unit/KeptCaller.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <functional>
+#include <memory>
 #include <thread>
 
 using namespace anvil;
@@ -111,3 +115,170 @@
   Caller.send("/second");
   CHECK(countAnswers(Caller.readToEnd()) == 1);
 }
+
+static bool announcesClose(const std::string &Text) {
+  return Text.find("Connection: close") != std::string::npos;
+}
+
+TEST_CASE("a closing server answers what has come and then ends", "[LOST]") {
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  std::size_t Handled = 0;
+  std::function<void()> InHandler = [] {};
+  auto Server = std::make_unique<HttpServer>(
+      Loop.get_executor(), HttpServerLimits{},
+      [&](HttpExchange &Exchange) -> asio::awaitable<void> {
+        ++Handled;
+        std::exchange(InHandler, [] {})();
+        if (Exchange.request().path() == "/stream") {
+          HttpReplyHead Head;
+          Head.Status_ = 204;
+          co_await Exchange.startStream(std::move(Head));
+          for (int Piece = 0; Piece < 64; ++Piece)
+            co_await Exchange.write(std::string(100'000, 'x'));
+          co_await Exchange.finishStream();
+          co_return;
+        }
+        HttpReply Reply;
+        Reply.Status_ = 204;
+        co_await Exchange.respond(std::move(Reply));
+      });
+  REQUIRE(isOk(Server->listen({"127.0.0.1", 0})));
+
+  SECTION("a request that came while the one before it was handled") {
+    KeptCaller Caller(Loop, Server->port());
+    InHandler = [&] {
+      Caller.send("/second");
+      closeIdle(*Server, Closing::Stop);
+    };
+    Caller.send("/first");
+    CHECK(countAnswers(Caller.readToEnd()) == 2);
+    CHECK(Handled == 2);
+  }
+
+  SECTION("a request on a new connection, or not even reads it") {
+    int Turns = GENERATE(range(0, 12));
+    INFO("closed " << Turns << " turns of the loop after it was sent");
+    Loop.poll();
+    KeptCaller Caller(Loop, Server->port());
+    Caller.send("/first");
+    for (int Turn = 0; Turn < Turns; ++Turn)
+      Loop.poll_one();
+    closeIdle(*Server, Closing::Stop);
+    Loop.poll();
+    CHECK(Server->openConnections() == 0);
+    CHECK(countAnswers(Caller.readToEnd()) == Handled);
+  }
+
+  SECTION("and doesn't wait on a new connection without a request") {
+    int Turns = GENERATE(range(0, 6));
+    INFO("closed " << Turns << " turns of the loop after it was opened");
+    Loop.poll();
+    KeptCaller Caller(Loop, Server->port());
+    for (int Turn = 0; Turn < Turns; ++Turn)
+      Loop.poll_one();
+    closeIdle(*Server, Closing::Stop);
+    Server->beginDrain();
+    Loop.poll();
+    CHECK(Server->openConnections() == 0);
+  }
+
+  SECTION("a long answer whose caller reads late") {
+    KeptCaller Caller(Loop, Server->port());
+    Caller.send("/stream");
+    // The server writes until nothing more fits.
+    while (Handled == 0)
+      Loop.run_one();
+    Loop.poll();
+    closeIdle(*Server, Closing::Stop);
+    Loop.poll();
+    CHECK(Server->openConnections() == 1);
+    CHECK(Caller.readToEnd().ends_with("\r\n0\r\n\r\n"));
+  }
+
+  SECTION("and counts what it waits for") {
+    KeptCaller Idle(Loop, Server->port());
+    KeptCaller Partial(Loop, Server->port());
+    CHECK(countAnswers(Idle.ask("/first")) == 1);
+    asio::write(Partial.Socket_, asio::buffer(std::string("GET /sec")));
+    Loop.poll();
+    CHECK(Server->runningRequests() == 1);
+    Server->beginDrain();
+    auto Counts = Server->close();
+    CHECK(Counts.Kept_ == 1);
+    CHECK(Counts.Closed_ == 1);
+    CHECK(Server->openConnections() == 2);
+    CHECK(Idle.readToEnd().empty());
+    CHECK(Server->openConnections() == 1);
+    asio::write(Partial.Socket_,
+                asio::buffer(std::string("ond HTTP/1.1\r\nHost: x\r\n\r\n")));
+    CHECK(countAnswers(Partial.readToEnd()) == 1);
+    CHECK(Server->openConnections() == 0);
+    CHECK(Server->runningRequests() == 0);
+  }
+
+  SECTION("after a drain in which answers announce the close") {
+    KeptCaller Early(Loop, Server->port());
+    KeptCaller Streaming(Loop, Server->port());
+    CHECK_FALSE(announcesClose(Early.ask("/first")));
+    Server->beginDrain();
+    Loop.poll();
+    REQUIRE(announcesClose(Early.ask("/second")));
+    CHECK(Early.readToEnd().empty());
+    KeptCaller Late(Loop, Server->port());
+    REQUIRE(announcesClose(Late.ask("/first")));
+    CHECK(Late.readToEnd().empty());
+    CHECK(announcesClose(Streaming.ask("/stream")));
+  }
+
+  SECTION("but handles nothing once it is gone") {
+    KeptCaller Caller(Loop, Server->port());
+    asio::write(Caller.Socket_, asio::buffer(std::string("GET /fir")));
+    Loop.poll();
+    REQUIRE(Server->openConnections() == 1);
+    Server.reset();
+    asio::write(Caller.Socket_,
+                asio::buffer(std::string("st HTTP/1.1\r\nHost: x\r\n\r\n")));
+    CHECK(Caller.readToEnd().empty());
+    CHECK(Handled == 0);
+  }
+}
+
+TEST_CASE("limits end a connection that waits and no other", "[LOST]") {
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  HttpServerLimits Limits;
+  Limits.IdleTime_ = std::chrono::milliseconds(20);
+  Limits.RequestTime_ = std::chrono::milliseconds(20);
+  asio::steady_timer Pause(Loop);
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [&](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      Pause.expires_after(
+                          3 * std::max(Limits.IdleTime_, Limits.RequestTime_));
+                      co_await Pause.async_wait(asio::use_awaitable);
+                      HttpReply Reply;
+                      Reply.Status_ = 204;
+                      co_await Exchange.respond(std::move(Reply));
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  KeptCaller Caller(Loop, Server.port());
+
+  SECTION("one without a request") { CHECK(Caller.readToEnd().empty()); }
+
+  SECTION("one whose request stays a part, in a stop as well") {
+    bool Stops = GENERATE(false, true);
+    asio::write(Caller.Socket_, asio::buffer(std::string("G")));
+    Loop.poll();
+    if (Stops)
+      closeIdle(Server, Closing::Stop);
+    Caller.readToEnd();
+    Loop.poll();
+    CHECK(Server.openConnections() == 0);
+  }
+
+  SECTION("not one whose request takes longer") {
+    std::string Answer = Caller.ask("/first");
+    CHECK(countAnswers(Answer) == 1);
+    CHECK_FALSE(announcesClose(Answer));
+  }
+}
--- /dev/null
+++ b/Tests/Unit/CutAnswerTest.cpp
@@ -0,0 +1,57 @@
+#include "Http/HttpServer.h"
+
+#include "Unit/KeptCaller.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <memory>
+
+using namespace anvil;
+namespace asio = boost::asio;
+
+TEST_CASE("a request that doesn't arrive in time is answered") {
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  HttpServerLimits Limits;
+  Limits.RequestTime_ = std::chrono::milliseconds(20);
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [](HttpExchange &) -> asio::awaitable<void> { co_return; });
+  Server.onMalformed([](int Status, std::string_view) {
+    HttpReply Reply;
+    Reply.Status_ = Status;
+    return Reply;
+  });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  KeptCaller Caller(Loop, Server.port());
+  asio::write(Caller.Socket_, asio::buffer(std::string("GET /fir")));
+  CHECK(Caller.readToEnd().find(" 408 ") != std::string::npos);
+}
+
+TEST_CASE("an answer that announces the close arrives whole though its caller "
+          "sends more meanwhile") {
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  std::unique_ptr<KeptCaller> Caller;
+  HttpServer Server(Loop.get_executor(), {},
+                    [&](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      HttpReplyHead Head;
+                      Head.Status_ = 200;
+                      co_await Exchange.startStream(std::move(Head));
+                      Caller->send("/second");
+                      for (int Piece = 0; Piece < 64; ++Piece)
+                        co_await Exchange.write(std::string(1000, 'x'));
+                      co_await Exchange.finishStream();
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  Server.beginDrain();
+  Caller = std::make_unique<KeptCaller>(Loop, Server.port());
+  Caller->Socket_.set_option(asio::socket_base::receive_buffer_size(4096));
+  Caller->send("/first");
+  // The caller reads only once the server has written all and closed.
+  while (Server.openConnections() == 0)
+    Loop.run_one();
+  Loop.poll();
+  CHECK(Caller->readToEnd().ends_with("\r\n0\r\n\r\n"));
+}
--- /dev/null
+++ b/Tests/Unit/EndlessCallerTest.cpp
@@ -0,0 +1,39 @@
+#include "Http/HttpServer.h"
+
+#include "Unit/KeptCaller.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace anvil;
+namespace asio = boost::asio;
+
+TEST_CASE("a caller that sends on without end can't keep a stopping server "
+          "open") {
+  constexpr std::size_t ManyRequests = 200;
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  std::size_t Handled = 0;
+  HttpServer *Own = nullptr;
+  std::unique_ptr<KeptCaller> Caller;
+  HttpServer Server(Loop.get_executor(), {},
+                    [&](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      ++Handled;
+                      Own->close();
+                      if (Handled < ManyRequests)
+                        Caller->send("/next");
+                      HttpReply Reply;
+                      Reply.Status_ = 204;
+                      co_await Exchange.respond(std::move(Reply));
+                    });
+  Own = &Server;
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  Server.beginDrain();
+  Caller = std::make_unique<KeptCaller>(Loop, Server.port());
+  Caller->send("/first");
+  while (Handled == 0 || Server.openConnections() > 0)
+    Loop.run_one();
+  CHECK(Handled < ManyRequests);
+}
