Test that ending a connection spares a pending answer and a crossing request

Passed before: cancelling a connection's pending write on a stop, and closing the socket when the idle limit runs out.

--- a/Tests/Unit/ClosingServerTest.cpp
+++ b/Tests/Unit/ClosingServerTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -193,7 +194,9 @@
     closeIdle(*Server, Closing::Stop);
     Loop.poll();
     CHECK(Server->openConnections() == 1);
-    CHECK(Caller.readToEnd().ends_with("\r\n0\r\n\r\n"));
+    std::string Answer = Caller.readToEnd();
+    CHECK(std::count(Answer.begin(), Answer.end(), 'x') == 64 * 100'000);
+    CHECK(Answer.ends_with("\r\n0\r\n\r\n"));
   }
 
   SECTION("and counts what it waits for") {
@@ -282,3 +285,28 @@
     CHECK_FALSE(announcesClose(Answer));
   }
 }
+
+TEST_CASE("a request that comes as the idle limit has run out is answered",
+          "[LOST]") {
+  asio::io_context Loop(1);
+  auto Work = asio::make_work_guard(Loop);
+  HttpServerLimits Limits;
+  Limits.IdleTime_ = std::chrono::milliseconds(20);
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      HttpReply Reply;
+                      Reply.Status_ = 204;
+                      co_await Exchange.respond(std::move(Reply));
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  std::unique_ptr<KeptCaller> Caller;
+  while (Server.openConnections() == 0) {
+    Caller = std::make_unique<KeptCaller>(Loop, Server.port());
+    Loop.poll();
+  }
+  // Both timers are due in one turn, the one that sends before the limit's.
+  asio::steady_timer Before(Loop, asio::steady_timer::time_point::min());
+  Before.async_wait([&](auto) { Caller->send("/first"); });
+  std::this_thread::sleep_for(2 * Limits.IdleTime_);
+  CHECK(countAnswers(Caller->readToEnd()) == 1);
+}
