Bound the answers of a connection whose end has been asked for

A caller that always had its next request at a stopping server kept being served, so that the stop lasted to its deadline and cut what ran then. Cause: since an answer announces the close only if no further request is here. A connection gives 32 such answers at the most.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -24,6 +24,9 @@
 /// The bytes that are asked for at the start of a request.
 static constexpr std::size_t FirstReadBytes = 4096;
 
+/// The answers that a connection gives at the most once its end is asked for.
+static constexpr std::size_t MostAnswersSinceEnd = 32;
+
 /// How often reads are cancelled that have gone on beyond their limit.
 static constexpr Duration CancelPeriod = std::chrono::milliseconds(50);
 
@@ -87,7 +90,9 @@
 
   /// Settles with an answer's head whether another request may follow it.
   bool settleKeepAlive() {
-    if (Ending_ != Ending::None && !hasInput())
+    if (Ending_ == Ending::None)
+      return KeepAlive_;
+    if (!hasInput() || ++AnswersSinceEnd_ >= MostAnswersSinceEnd)
       KeepAlive_ = false;
     return KeepAlive_;
   }
@@ -100,6 +105,7 @@
   bool ReadTimedOut_ = false;
   Phase Phase_ = Phase::Idle;
   Ending Ending_ = Ending::None;
+  std::size_t AnswersSinceEnd_ = 0;
   bool KeepAlive_ = true;
   bool CallerGone_ = false;
   bool IsClosed_ = false;
