Test that a target's death isn't taken for the caller's leaving

A request that may not be repeated runs on though its caller has left. If the target dies under it then, the pipeline takes the loss for its own doing, since the caller is gone, and records an answer that nobody gave. A resend with the same Idempotency-Key would get it: status 200 without a body.

--- /dev/null
+++ b/Tests/Unit/PipelineStage.h
@@ -0,0 +1,165 @@
+#ifndef ANVIL_TESTS_UNIT_PIPELINESTAGE_H
+#define ANVIL_TESTS_UNIT_PIPELINESTAGE_H
+
+#include "Gateway/RequestPipeline.h"
+#include "Objects/Digest.h"
+#include "Unit/KeptCaller.h"
+#include "Unit/LoneTarget.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// Lets every charge pass.
+class OpenQuota : public QuotaGate {
+public:
+  boost::asio::awaitable<Outcome<QuotaCharge>>
+  charge(const RequestContext &Request) override {
+    QuotaCharge Charge{Request.Customer_, Request.UpperBoundTokens_};
+    co_return Charge;
+  }
+  void settle(const QuotaCharge &, double) override {}
+};
+
+/// Gives the permits of one target, at once or when told to.
+class OneTargetPermits : public PermitBroker {
+public:
+  OneTargetPermits(boost::asio::io_context &Loop, Endpoint Address)
+      : Address_(std::move(Address)),
+        Given_(Loop, boost::asio::steady_timer::time_point::max()) {}
+
+  boost::asio::awaitable<Outcome<Permit>> acquire(const RequestContext &,
+                                                  std::string Target) override {
+    ++Asked_;
+    boost::system::error_code Ignored;
+    if (MustWait_)
+      co_await Given_.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
+    Permit Made;
+    Made.Target_ = std::move(Target);
+    Made.Address_ = Address_;
+    co_return Made;
+  }
+  void release(const Permit &, PermitEnd) override { ++Released_; }
+
+  Endpoint Address_;
+  boost::asio::steady_timer Given_;
+  bool MustWait_ = false;
+  int Asked_ = 0;
+  int Released_ = 0;
+};
+
+/// Knows one target and notes how tries on it ended.
+class OneTargetSelector : public TargetSelector {
+public:
+  std::vector<std::string> rank(const RequestContext &,
+                                const std::set<std::string> &Excluded,
+                                TimePoint) override {
+    if (Excluded.empty())
+      return {"desk-1"};
+    return {};
+  }
+  void noteTry(const RequestContext &, const Permit &, TryResult Result,
+               Duration, TimePoint) override {
+    Result_ = Result;
+  }
+  bool allowRetry(const RequestContext &, TimePoint) override { return false; }
+
+  std::optional<TryResult> Result_;
+};
+
+/// Wins every claim and notes what is recorded.
+class NotingLedger : public RequestLedger {
+public:
+  boost::asio::awaitable<Outcome<ClaimDecision>>
+  claim(const RequestContext &) override {
+    co_return ClaimDecision(ClaimToken{"claim/row", 1});
+  }
+  boost::asio::awaitable<void> record(ClaimToken Claim, ClaimEnd End) override {
+    if (!Claim.Row_.empty())
+      Recorded_ = std::move(End);
+    co_return;
+  }
+
+  std::optional<ClaimEnd> Recorded_;
+};
+
+/// A request pipeline before one target. `/bookings` may not be repeated,
+/// `/searches` may; `/orders` needs the key "gold", and may not be repeated.
+struct PipelineStage {
+  PipelineStage()
+      : Target_(Loop_), State_(std::make_shared<ConfigState>()),
+        Permits_(std::make_shared<OneTargetPermits>(Loop_, Target_.address())),
+        Selector_(std::make_shared<OneTargetSelector>()),
+        Ledger_(std::make_shared<NotingLedger>()) {
+    Settings_.Listen_.Address_ = "127.0.0.1";
+    Settings_.Listen_.CallerPort_ = 0;
+    Services_.add(State_);
+    Services_.add(std::make_shared<Metrics>());
+    Services_.add(std::make_shared<OpenQuota>());
+    Services_.add(Permits_);
+    Services_.add(Selector_);
+    Services_.add(Ledger_);
+    Pipeline_ = std::make_unique<RequestPipeline>(Loop_.get_executor(),
+                                                  Settings_, Services_);
+    State_->accept(objects());
+    State_->markCurrent();
+    IsListening_ = isOk(Pipeline_->start());
+  }
+
+  static Route routeOf(const std::string &Name, bool Open, bool Repeatable) {
+    Route Made;
+    Made.Name_ = Name;
+    Made.PathPrefix_ = "/" + Name;
+    Made.RouteKind_ = RouteKind::Service;
+    Made.Service_ = "desk";
+    Made.Open_ = Open;
+    Made.Repeatable_ = Repeatable;
+    return Made;
+  }
+
+  static SnapshotPtr objects() {
+    auto Made = std::make_shared<ConfigSnapshot>();
+    Made->Revision_ = 1;
+    Made->Objects_.put(routeOf("bookings", true, false));
+    Made->Objects_.put(routeOf("searches", true, true));
+    Made->Objects_.put(routeOf("orders", false, false));
+    Customer Owner;
+    Owner.Name_ = "acme";
+    Made->Objects_.put(Owner);
+    Key Known;
+    Known.Name_ = "acme-1";
+    Known.Customer_ = "acme";
+    Known.Sha256_ = sha256Hex("gold");
+    Made->Objects_.put(Known);
+    return Made;
+  }
+
+  /// Runs the loop until a condition holds.
+  template <class Condition> void runUntil(Condition IsMet) {
+    while (!IsMet())
+      Loop_.run_one();
+  }
+
+  boost::asio::io_context Loop_{1};
+  LoneTarget Target_;
+  DaemonSettings Settings_;
+  ServiceRegistry Services_;
+  std::shared_ptr<ConfigState> State_;
+  std::shared_ptr<OneTargetPermits> Permits_;
+  std::shared_ptr<OneTargetSelector> Selector_;
+  std::shared_ptr<NotingLedger> Ledger_;
+  std::unique_ptr<RequestPipeline> Pipeline_;
+  bool IsListening_ = false;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_TESTS_UNIT_PIPELINESTAGE_H
