Record no answer when a target dies after the caller has left

Callers see: a resend of a request that may not be repeated, after its caller had left and its target had died, gets an empty 200 that nobody gave.

Cause: after a try the pipeline takes a lost target for its own closing whenever the caller is gone. That holds for requests that may be repeated alone: for the others nothing is closed when the caller leaves, so the loss is the target's.

Evidence: GoneCallerTests fails before (recorded as run and answered; routing hears of an answered try) and passes now, 3 runs of 3.

Ruled out: a withdrawn key, which ends repeatable requests only; a caller that stays, whose case passed before.

--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -267,7 +267,8 @@
   Exchange.onCallerGone({});
   if (Try.Resumes_ > 0)
     Metrics_->count("anvil_streams_resumed_total", {}, Try.Resumes_);
-  if (Exchange.callerGone() && Try.Result_ == TryResult::Crashed) {
+  if (Request.Repeatable_ && Exchange.callerGone() &&
+      Try.Result_ == TryResult::Crashed) {
     // This VM closed the connection itself; the target is not at fault.
     Try.Result_ = TryResult::Answered;
     Try.End_ = PermitEnd::Finished;
