Look at a key's evidence again before its request is sent on

Callers see: with a VM cut off, a request whose key is no longer believed runs, if it was admitted before the evidence ran out and waited for its permit since. One that may not be repeated runs to its end; another is ended within half a second.

Cause: the evidence was checked at admission alone. Before a dispatch only withdrawals that this VM knows of were looked at.

Ruled out: open routes, which need no key and are left as they were; the entry mode, whose bound runs from a request's sending, which lies before the check.

--- a/Source/Gateway/RequestAdmission.cpp
+++ b/Source/Gateway/RequestAdmission.cpp
@@ -85,6 +85,22 @@
   return std::nullopt;
 }
 
+std::optional<Refusal>
+RequestAdmission::checkKeyAgain(const RequestContext &Request,
+                                TimePoint Now) const {
+  if (Request.KeyName_.empty())
+    return std::nullopt;
+  if (!Keys_.isValid(Request.KeyName_))
+    return refuse(RefusalCode::InvalidKey,
+                  "the key was withdrawn while the request waited");
+  const Customer *Owner =
+      State_->current()->Objects_.find<Customer>(Request.Customer_);
+  const Route *Path = Request.Snapshot_->Objects_.find<Route>(Request.Route_);
+  if (KeyFreshness_ && Owner && !Path->Open_)
+    return KeyFreshness_(*Owner, Now);
+  return std::nullopt;
+}
+
 std::optional<Refusal>
 RequestAdmission::resolveAdapter(std::string AdapterName,
                                  std::string VersionName,
--- a/Source/Gateway/RequestAdmission.h
+++ b/Source/Gateway/RequestAdmission.h
@@ -43,6 +43,11 @@
   Outcome<AdmittedRequest> admit(const HttpRequest &Given,
                                  std::string RequestId, TimePoint Now) const;
 
+  /// Why the key of a request that was admitted, and may have waited since, is
+  /// no longer good; nothing when it is.
+  std::optional<Refusal> checkKeyAgain(const RequestContext &Request,
+                                       TimePoint Now) const;
+
   /// The keys of the revision in force.
   const KeyCheck &keys() const { return Keys_; }
 
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -233,12 +233,8 @@
 std::optional<Refusal>
 RequestPipeline::stopBeforeDispatch(const HttpExchange &Exchange,
                                     const RequestContext &Request) {
-  bool IsWithdrawn =
-      !Request.KeyName_.empty() && !Admission_.keys().isValid(Request.KeyName_);
-  if (IsWithdrawn)
-    return Refusal{RefusalCode::InvalidKey,
-                   "the key was withdrawn while the request waited",
-                   Execution::No, std::nullopt};
+  if (auto Refused = Admission_.checkKeyAgain(Request, BootClock::now()))
+    return Refused;
   if (Request.Repeatable_ && Exchange.callerGone())
     return Refusal{RefusalCode::CallerGone, "the caller went away",
                    Execution::No, std::nullopt};
