Test that a late list of targets doesn't take back a newer one

A VM that reads the list of targets goes on following what others read. When the store's answer comes late, it is applied as if it were of the moment at which it came.

--- /dev/null
+++ b/Tests/Serving/OvertakenListTest.cpp
@@ -0,0 +1,149 @@
+#include "Entry/TargetListService.h"
+#include "Http/HttpServer.h"
+#include "Objects/Digest.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace anvil;
+namespace asio = boost::asio;
+using nlohmann::json;
+
+static RegisteredTarget targetOf(const std::string &Id) {
+  RegisteredTarget Made;
+  Made.Id_ = Id;
+  Made.Incarnation_ = 7;
+  Made.Service_ = "desk";
+  Made.Address_ = "127.0.0.1:9";
+  Made.DataCentre_ = "north";
+  Made.Slots_ = 4;
+  return Made;
+}
+
+static json rowOf(const RegisteredTarget &Entry) {
+  json Value = {{"Service", Entry.Service_}, {"Address", Entry.Address_},
+                {"Zone", Entry.DataCentre_}, {"Slots", Entry.Slots_},
+                {"State", "ready"},          {"born", Entry.Incarnation_}};
+  return {{"Key", Entry.Id_},
+          {"RowVersion", 1},
+          {"Value", base64Encode(Value.dump())}};
+}
+
+/// What a VM tells that has read a list with only some of the targets.
+static ListingNews newsOf(const std::vector<RegisteredTarget> &Before,
+                          const std::vector<RegisteredTarget> &Read) {
+  TimePoint Now = BootClock::now();
+  TargetListing Listing;
+  Listing.replace(Before, Now);
+  Listing.replace(Read, Now);
+  return {Listing.recentChanges(Now), Listing.digest(), {}};
+}
+
+/// A list service before a store whose second answer comes late, with what was
+/// stored as it was asked. Both targets are listed at first.
+struct LateStore {
+  explicit LateStore(Duration Period)
+      : Server_(Loop_.get_executor(), {},
+                [this](HttpExchange &Exchange) { return answer(Exchange); }) {
+    IsListening_ = isOk(Server_.listen({"127.0.0.1", 0}));
+    Settings_.Store_.TargetListMs_ = toMillis(Period);
+    auto Client = std::make_shared<platform::StoreClient>(
+        Endpoint{"127.0.0.1", Server_.port()}, std::chrono::seconds(60),
+        std::make_shared<Metrics>());
+    List_ = std::make_unique<TargetListService>(Loop_.get_executor(), Settings_,
+                                                Client);
+    List_->Read_.attach([this](TimePoint) { ++Read_; });
+    IsListening_ &= isOk(List_->start());
+  }
+
+  asio::awaitable<void> answer(HttpExchange &Exchange) {
+    json Rows = json::array();
+    for (const RegisteredTarget &Entry : Stored_)
+      Rows.push_back(rowOf(Entry));
+    json Body = {{"Rows", Rows}, {"RowVersion", 1}, {"HasMore", false}};
+    boost::system::error_code Ignored;
+    if (++Asked_ == 2)
+      co_await Late_.async_wait(
+          asio::redirect_error(asio::use_awaitable, Ignored));
+    HttpReply Reply = jsonReply(200, Body.dump());
+    co_await Exchange.respond(std::move(Reply));
+  }
+
+  template <class Condition> void runUntil(Condition IsMet) {
+    while (!IsMet())
+      Loop_.run_one();
+  }
+
+  TargetStanding standingOf(const std::string &Id) const {
+    return List_->roster().find(Id)->Standing_;
+  }
+
+  asio::io_context Loop_{1};
+  asio::steady_timer Late_{Loop_, asio::steady_timer::time_point::max()};
+  std::vector<RegisteredTarget> Stored_{targetOf("a"), targetOf("b")};
+  int Asked_ = 0;
+  int Read_ = 0;
+  HttpServer Server_;
+  EntrySettings Settings_;
+  std::unique_ptr<TargetListService> List_;
+  bool IsListening_ = false;
+};
+
+TEST_CASE("a list that was read elsewhere while the store's answer was late",
+          "[DRAIN]") {
+  std::vector<RegisteredTarget> Both{targetOf("a"), targetOf("b")};
+  std::vector<RegisteredTarget> OnlyA{targetOf("a")};
+  ListingNews Gone = newsOf(Both, OnlyA);
+  // These changes don't lead to the digest.
+  ListingNews Unclear = Gone;
+  Unclear.Changes_ = {};
+
+  SECTION("isn't taken back by that answer") {
+    LateStore Store(std::chrono::milliseconds(50));
+    REQUIRE(Store.IsListening_);
+    Store.runUntil([&] { return Store.Asked_ == 2; });
+    Store.Stored_ = OnlyA;
+    Store.List_->noteReadElsewhere(BootClock::now(), Gone);
+    REQUIRE(Store.standingOf("b") == TargetStanding::Gone);
+    bool WasBack = false;
+    Store.List_->Changed_.attach([&](const RosterChange &Change) {
+      WasBack |= Change.Standing_ == TargetStanding::Usable;
+    });
+    Store.Late_.cancel();
+    Store.runUntil([&] { return Store.Asked_ == 3; });
+    CHECK_FALSE(WasBack);
+  }
+
+  SECTION("is newer than that answer, though told after it came") {
+    LateStore Store(std::chrono::milliseconds(50));
+    REQUIRE(Store.IsListening_);
+    Store.runUntil([&] { return Store.Asked_ == 2; });
+    TimePoint ReadAt = BootClock::now();
+    Store.Late_.cancel();
+    Store.runUntil([&] { return Store.Read_ == 2; });
+    REQUIRE(Store.standingOf("b") == TargetStanding::Usable);
+    Store.List_->noteReadElsewhere(ReadAt, Gone);
+    CHECK(Store.standingOf("b") == TargetStanding::Gone);
+  }
+
+  SECTION("and can't be followed makes for another reading") {
+    LateStore Store(std::chrono::hours(1));
+    REQUIRE(Store.IsListening_);
+    Store.runUntil([&] { return Store.Read_ == 1; });
+    // Only a doubt makes it read before the hour is over.
+    Store.List_->noteReadElsewhere(BootClock::now(), Unclear);
+    Store.runUntil([&] { return Store.Asked_ == 2; });
+    Store.Stored_ = OnlyA;
+    Store.List_->noteReadElsewhere(BootClock::now(), Unclear);
+    Store.Late_.cancel();
+    Store.runUntil([&] { return Store.Read_ == 2; });
+    constexpr int TurnsEnough = 300;
+    for (int Turn = 0; Turn < TurnsEnough && Store.Read_ < 3; ++Turn)
+      Store.Loop_.run_one();
+    CHECK(Store.standingOf("b") == TargetStanding::Gone);
+  }
+}
