Date a list of targets by when it was asked for

Callers see: requests to a target that has gone, for a while after another VM has told so, where the store's answer to this VM comes late.

Cause: an answer counted as of the moment at which it came, though it shows what the store had as it was asked or soon after. It was applied over what another VM had read and told meanwhile, made news of that time look old, and cleared a doubt that had come up since.

The period to the next reading now runs from the asking, as it does for the VMs that follow.

Ruled out: the plan, whose rows and revisions never go back; the rows of VMs and owners, whose claims the store checks against the row versions.

--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -5,6 +5,8 @@
 #include "Telemetry/Log.h"
 #include "platform/TargetCodec.h"
 
+#include <utility>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -36,20 +38,25 @@
     while (!isTurn(BootClock::now()))
       co_await pauseFor(ReadingTurn::CheckPeriod);
     TimePoint AskedAt = BootClock::now();
+    // A doubt that comes up from here on is not cleared by this answer.
+    bool Differed = std::exchange(Differs_, false);
     auto Page = co_await Store_->list(platform::ForeignTable::Targets);
     if (!isOk(Page)) {
+      Differs_ |= Differed;
       Roster_.noteOutage();
       co_await pauseFor(
           std::chrono::milliseconds(Settings_.Store_.TargetListMs_));
       continue;
     }
+    // Another VM asked later and told what it read before this answer came.
+    if (FreshAt_ && *FreshAt_ > AskedAt)
+      continue;
     std::vector<RegisteredTarget> Entries;
     for (const TableRow &Row : valueOf(Page).Rows_)
       if (auto Entry = platform::decodeRegisteredTarget(Row.Key_, Row.Value_))
         Entries.push_back(std::move(*Entry));
     TimePoint Now = BootClock::now();
-    FreshAt_ = Now;
-    Differs_ = false;
+    FreshAt_ = AskedAt;
     Listing_.replace(Entries, Now);
     applyToRoster(Entries, Now);
     Read_.fire(AskedAt);
