--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -237,12 +237,8 @@
 std::optional<Refusal>
 RequestPipeline::stopBeforeDispatch(const HttpExchange &Exchange,
                                     const RequestContext &Request) {
-  bool IsWithdrawn =
-      !Request.KeyName_.empty() && !Admission_.keys().isValid(Request.KeyName_);
-  if (IsWithdrawn)
-    return Refusal{RefusalCode::InvalidKey,
-                   "the key was withdrawn while the request waited",
-                   Execution::No, std::nullopt};
+  if (auto Refused = Admission_.checkKeyAgain(Request, BootClock::now()))
+    return Refused;
   if (Request.Repeatable_ && Exchange.callerGone())
     return Refusal{RefusalCode::CallerGone, "the caller went away",
                    Execution::No, std::nullopt};
@@ -271,7 +267,8 @@
   Exchange.onCallerGone({});
   if (Try.Resumes_ > 0)
     Metrics_->count("anvil_streams_resumed_total", {}, Try.Resumes_);
-  if (Exchange.callerGone() && Try.Result_ == TryResult::Crashed) {
+  if (Request.Repeatable_ && Exchange.callerGone() &&
+      Try.Result_ == TryResult::Crashed) {
     // This VM closed the connection itself; the target is not at fault.
     Try.Result_ = TryResult::Answered;
     Try.End_ = PermitEnd::Finished;
