Send no body in a streamed answer to HEAD

A caller of HEAD got the last chunk of an empty body, five bytes that it takes for the start of the next answer. ServerEdgeTests, "the answer to HEAD has no body though it is a stream", was red (71 bytes instead of 66) and passes.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -202,7 +202,7 @@
 }
 
 asio::awaitable<bool> HttpExchange::write(std::string_view Piece) {
-  if (Piece.empty())
+  if (Piece.empty() || Request_.Method_ == "HEAD")
     co_return true;
   error_code Cause;
   co_await asio::async_write(Owner_.Stream_,
@@ -212,6 +212,8 @@
 }
 
 asio::awaitable<bool> HttpExchange::finishStream() {
+  if (Request_.Method_ == "HEAD")
+    co_return true;
   error_code Cause;
   co_await asio::async_write(Owner_.Stream_, http::make_chunk_last(),
                              asio::redirect_error(asio::use_awaitable, Cause));
