Call no hook of a server that is gone

A request that turned out malformed after its server had been destroyed still called the hook of the server's owner, who may be gone too. ServerEdgeTests, "a server that is gone doesn't ask its owner for an answer", was red (asked once) and passes.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -321,7 +321,7 @@
 
 asio::awaitable<void> HttpServer::Core::rejectMalformed(Connection &Peer,
                                                         error_code Cause) {
-  if (Cause == http::error::end_of_stream || !Malformed_)
+  if (Cause == http::error::end_of_stream || !Malformed_ || Abandoned_)
     co_return;
   int Status = 400;
   if (Cause == http::error::body_limit)
