Skip empty lines before a request

A caller that ends its request with an empty line more than it needs got a 400 in the place of its next answer, as servers are asked to skip such lines; a server that is closing took the line for a request to come. ServerEdgeTests, "an empty line after a request is not taken for the next one", was red and passes.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -276,19 +276,35 @@
   }
 }
 
+/// Takes empty lines away, which may stand before a request.
+static void dropEmptyLines(beast::flat_buffer &Buffer) {
+  auto Text = [&] {
+    return std::string_view(static_cast<const char *>(Buffer.data().data()),
+                            Buffer.size());
+  };
+  while (Text().starts_with("\r\n"))
+    Buffer.consume(2);
+}
+
 asio::awaitable<bool> HttpServer::Core::awaitRequest(Connection &Peer) {
-  if (Peer.Ending_ == Ending::WhenIdle || Peer.Buffer_.size() > 0)
-    co_return Peer.hasInput();
   Peer.limitRead(Limits_.IdleTime_);
   error_code Cause;
-  std::size_t Read = co_await Peer.Stream_.async_read_some(
-      Peer.Buffer_.prepare(FirstReadBytes),
-      asio::redirect_error(asio::use_awaitable, Cause));
+  dropEmptyLines(Peer.Buffer_);
+  while (!Cause && Peer.Buffer_.size() == 0) {
+    // A request may have come just as the wait was ended.
+    bool IsEnded = Peer.Ending_ == Ending::WhenIdle || Peer.ReadTimedOut_;
+    if (IsEnded && !Peer.hasInput())
+      break;
+    std::size_t Read = co_await Peer.Stream_.async_read_some(
+        Peer.Buffer_.prepare(FirstReadBytes),
+        asio::redirect_error(asio::use_awaitable, Cause));
+    Peer.Buffer_.commit(Read);
+    dropEmptyLines(Peer.Buffer_);
+    if (Cause == asio::error::operation_aborted)
+      Cause = {};
+  }
   Peer.clearReadLimit();
-  Peer.Buffer_.commit(Read);
-  // A request may have come just as the wait was ended.
-  co_return !Cause ||
-      (Cause == asio::error::operation_aborted && Peer.hasInput());
+  co_return Peer.Buffer_.size() > 0;
 }
 
 asio::awaitable<std::optional<HttpRequest>>
