--- a/Tests/Unit/ClosingServerTest.cpp
+++ b/Tests/Unit/ClosingServerTest.cpp
@@ -171,11 +171,12 @@
     CHECK(countAnswers(Caller.readToEnd()) == Handled);
   }
 
-  SECTION("and doesn't wait on a new connection without a request") {
+  SECTION("and doesn't wait on new connections without a request") {
     int Turns = GENERATE(range(0, 6));
     INFO("closed " << Turns << " turns of the loop after it was opened");
     Loop.poll();
     KeptCaller Caller(Loop, Server->port());
+    KeptCaller Other(Loop, Server->port());
     for (int Turn = 0; Turn < Turns; ++Turn)
       Loop.poll_one();
     closeIdle(*Server, Closing::Stop);
