--- /dev/null
+++ b/Tests/Integration/EntryStopTest.cpp
@@ -0,0 +1,92 @@
+#include "Integration/EntryFleet.h"
+#include "Integration/KeptCallers.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace anvil;
+using nlohmann::json;
+
+/// When a stopping VM closes its idle connections, after SIGTERM.
+static constexpr Millis IdleClose{3000};
+
+/// For how long before and after that moment requests are sent: so many that
+/// the VM has read some of them and has not begun to serve them.
+static constexpr Millis Before{30};
+static constexpr Millis After{10};
+static constexpr std::size_t CrossingCallers = 600;
+
+static KeptCallers callersOf(EntryFleet &System, const std::string &Vm,
+                             const std::string &Name, std::size_t Count) {
+  return {System.callerPort(Vm), Name + "-" + Vm, Count,
+          [&System](std::size_t Caller, std::string Id) {
+            bool IsStream = Caller % 2 == 1;
+            std::vector<std::pair<std::string, std::string>> Headers{
+                {"X-Request-Id", std::move(Id)}};
+            if (IsStream)
+              Headers.emplace_back("X-Model", "base");
+            return System.request(IsStream ? "/stream/x" : "/safe/x",
+                                  std::move(Headers));
+          }};
+}
+
+static std::set<std::string> idsThatRan(EntryFleet &System) {
+  std::set<std::string> Ids;
+  for (const json &Run : System.records("run"))
+    Ids.insert(Run["headers"].value("x-request-id", ""));
+  return Ids;
+}
+
+/// Has one request of each caller answered, so that its connection is kept.
+static void settle(KeptCallers &Callers) {
+  Callers.send();
+  std::size_t Count = Callers.finish().size();
+  REQUIRE(Callers.answered() == Count);
+}
+
+TEST_CASE("a request that crosses the idle close of a stopping entry VM is "
+          "answered or runs nowhere",
+          "[entry-stop]") {
+  EntryFleet System;
+  for (const std::string Vm : {"vm-1", "vm-2"}) {
+    INFO(Vm);
+    auto Logged = [&](const std::string &Event) {
+      return System.at(Vm).log().find('"' + Event + '"') != std::string::npos;
+    };
+    KeptCallers Early = callersOf(System, Vm, "early", 20);
+    KeptCallers Crossing = callersOf(System, Vm, "crossing", CrossingCallers);
+    settle(Early);
+    settle(Crossing);
+    System.at(Vm).signal(SIGTERM);
+    auto CloseAt = std::chrono::steady_clock::now() + IdleClose;
+    REQUIRE(eventually([&] { return Logged("stopping"); }, Millis(10000)));
+
+    std::this_thread::sleep_until(CloseAt - Millis(2000));
+    Early.send();
+    bool WasLate = Logged("idle_connections_closed");
+    if (WasLate)
+      WARN("sent too late to be judged");
+    for (Answer Given : Early.finish()) {
+      CHECK((WasLate || Given.Status_ == 200));
+      CHECK((WasLate || Given.Whole_));
+      CHECK((WasLate || Given.Headers_["connection"] == "close"));
+    }
+
+    Crossing.send(CloseAt - Before, CloseAt + After);
+    Crossing.finish();
+    CHECK(System.at(Vm).exitStatus(Millis(20000)) == 0);
+    std::size_t Answered = Crossing.answered();
+    if (Answered == 0 || Answered == CrossingCallers)
+      WARN(Vm << " answered " << Answered
+              << "; none may have crossed the close");
+    auto Ran = idsThatRan(System);
+    CHECK(Early.lost(Ran) == std::vector<std::string>{});
+    auto Lost = Crossing.lost(Ran);
+    INFO("answered " << Answered << " of " << CrossingCallers << ", ran "
+                     << Lost.size() << " without an answer");
+    INFO((Lost.empty() ? "" : System.explain(Lost.front())));
+    CHECK(Lost == std::vector<std::string>{});
+    CHECK(Crossing.cut() == std::vector<std::string>{});
+  }
+}
