Test by real processes that a stopping VM of standalone mode loses no request

The same as promise-entry-stop for the standalone daemon, which closes its idle connections after shutdown.balancer_notice_ms.

--- a/Tests/Integration/EntryStopTest.cpp
+++ b/Tests/Integration/EntryStopTest.cpp
@@ -11,10 +11,7 @@
 /// When a stopping VM closes its idle connections, after SIGTERM.
 static constexpr Millis IdleClose{3000};
 
-/// For how long before and after that moment requests are sent: so many that
-/// the VM has read some of them and has not begun to serve them.
-static constexpr Millis Before{30};
-static constexpr Millis After{10};
+/// Callers whose requests cross that moment.
 static constexpr std::size_t CrossingCallers = 600;
 
 static KeptCallers callersOf(EntryFleet &System, const std::string &Vm,
@@ -38,13 +35,6 @@
   return Ids;
 }
 
-/// Has one request of each caller answered, so that its connection is kept.
-static void settle(KeptCallers &Callers) {
-  Callers.send();
-  std::size_t Count = Callers.finish().size();
-  REQUIRE(Callers.answered() == Count);
-}
-
 TEST_CASE("a request that crosses the idle close of a stopping entry VM is "
           "answered or runs nowhere",
           "[entry-stop]") {
@@ -56,8 +46,8 @@
     };
     KeptCallers Early = callersOf(System, Vm, "early", 20);
     KeptCallers Crossing = callersOf(System, Vm, "crossing", CrossingCallers);
-    settle(Early);
-    settle(Crossing);
+    REQUIRE(Early.settle());
+    REQUIRE(Crossing.settle());
     System.at(Vm).signal(SIGTERM);
     auto CloseAt = std::chrono::steady_clock::now() + IdleClose;
     REQUIRE(eventually([&] { return Logged("stopping"); }, Millis(10000)));
@@ -73,7 +63,7 @@
       CHECK((WasLate || Given.Headers_["connection"] == "close"));
     }
 
-    Crossing.send(CloseAt - Before, CloseAt + After);
+    Crossing.sendAround(CloseAt);
     Crossing.finish();
     CHECK(System.at(Vm).exitStatus(Millis(20000)) == 0);
     std::size_t Answered = Crossing.answered();
--- a/Tests/Integration/KeptCallers.cpp
+++ b/Tests/Integration/KeptCallers.cpp
@@ -8,6 +8,10 @@
 /// How long answers may take; only what hangs meets it.
 static constexpr Millis AnswerBound{20000};
 
+/// For how long before and after a moment requests are sent around it.
+static constexpr Millis Before{30};
+static constexpr Millis After{10};
+
 KeptCallers::KeptCallers(std::uint16_t Port, std::string Name,
                          std::size_t Count, MakeCall Make)
     : Name_(std::move(Name)), Make_(std::move(Make)) {
@@ -15,6 +19,16 @@
     Connections_.push_back(std::make_unique<CallerConnection>(Port));
 }
 
+bool KeptCallers::settle() {
+  send();
+  finish();
+  return answered() == Connections_.size();
+}
+
+void KeptCallers::sendAround(Moment Middle) {
+  send(Middle - Before, Middle + After);
+}
+
 void KeptCallers::send(Moment From, Moment To) {
   ++Requests_;
   Ids_.clear();
--- a/Tests/Integration/KeptCallers.h
+++ b/Tests/Integration/KeptCallers.h
@@ -25,12 +25,18 @@
   KeptCallers(std::uint16_t Port, std::string Name, std::size_t Count,
               MakeCall Make);
 
-  /// Sends a request of each caller, spread evenly from one moment to another.
-  void send(Moment From, Moment To);
+  /// Has one request of each answered, so that the connections are kept; says
+  /// whether all were.
+  bool settle();
 
-  /// Sends them at once.
+  /// Sends a request of each at once.
   void send() { send({}, {}); }
 
+  /// Sends a request of each, spread over some time before and after a moment:
+  /// with some hundred callers so many that a VM has read some of them then and
+  /// has not begun to serve them.
+  void sendAround(Moment Middle);
+
   /// Reads the answers of all, each to its end or the connection's.
   const std::vector<Answer> &finish();
 
@@ -45,6 +51,8 @@
   std::size_t answered() const;
 
 private:
+  void send(Moment From, Moment To);
+
   std::string Name_;
   MakeCall Make_;
   std::vector<std::unique_ptr<CallerConnection>> Connections_;
--- a/Tests/Integration/StoppingTest.cpp
+++ b/Tests/Integration/StoppingTest.cpp
@@ -1,4 +1,5 @@
 #include "Integration/Fleet.h"
+#include "Integration/KeptCallers.h"
 
 #include <catch2/catch.hpp>
 
@@ -119,3 +120,39 @@
     StopAndCheck();
   }
 }
+
+TEST_CASE("a request that crosses the idle close of a stopping VM is answered "
+          "or runs nowhere",
+          "[idle-close]") {
+  constexpr Millis Notice{1500};
+  constexpr std::size_t Count = 600;
+  FleetPlan Plan;
+  Plan.EngineOptions_ = {"--token-ms", "1"};
+  Plan.Settings_ = {{"shutdown", {{"balancer_notice_ms", Notice.count()}}}};
+  Fleet System(Plan);
+  warmUp(System);
+  for (const std::string Vm : {"vm-1", "vm-2"}) {
+    KeptCallers Callers(System.at(Vm).port("caller"), "crossing-" + Vm, Count,
+                        [](std::size_t Caller, const std::string &Id) {
+                          bool IsStream = Caller % 2 == 1;
+                          return completion("a@1", Id, 2, IsStream);
+                        });
+    REQUIRE(Callers.settle());
+    System.at(Vm).signal(SIGTERM);
+    Callers.sendAround(std::chrono::steady_clock::now() + Notice);
+    Callers.finish();
+    CHECK(System.at(Vm).exitStatus(SettleBound) == 0);
+    std::size_t Answered = Callers.answered();
+    if (Answered == 0 || Answered == Count)
+      WARN(Vm << " answered " << Answered
+              << "; none may have crossed the close");
+    std::set<std::string> Ran;
+    for (const json &Run : System.engineRecords("run"))
+      Ran.insert(Run["prompt"]);
+    auto Lost = Callers.lost(Ran);
+    INFO(Vm << " answered " << Answered << " of " << Count << ", ran "
+            << Lost.size() << " without an answer");
+    CHECK(Lost == std::vector<std::string>{});
+    CHECK(Callers.cut() == std::vector<std::string>{});
+  }
+}
