Apply HeaderTimeoutMs: 408 to a head that takes longer

The limit is decoded now and runs from the first byte of the head; the body has 15 s of its own.

PlatformCodecTest reads the field; HttpServerTest: "the limit for a request's head doesn't hold for its body"; the 408 has its case since.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -77,6 +77,7 @@
     HttpServerLimits Limits;
     Limits.HeadBytes_ = Plan.limits().HeadBytes_;
     Limits.BodyBytes_ = Plan.limits().BodyBytes_;
+    Limits.HeadTime_ = Plan.limits().HeadTime_;
     Limits.IdleTime_ = Plan.limits().IdleTime_;
     Callers_.setLimits(Limits);
   });
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -21,7 +21,8 @@
   HttpServerLimits Limits;
   Limits.HeadBytes_ = static_cast<std::uint32_t>(Given.HeadBytes_);
   Limits.BodyBytes_ = static_cast<std::uint64_t>(Given.BodyBytes_);
-  Limits.RequestTime_ = std::chrono::milliseconds(Given.RequestMs_);
+  Limits.HeadTime_ = std::chrono::milliseconds(Given.RequestMs_);
+  Limits.BodyTime_ = Limits.HeadTime_;
   Limits.IdleTime_ = std::chrono::milliseconds(Given.IdleMs_);
   return Limits;
 }
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -76,9 +76,16 @@
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits_.HeadBytes_);
   Parser.body_limit(Limits_.BodyBytes_);
-  Peer.limitRead(Limits_.RequestTime_);
-  co_await http::async_read(Peer.Stream_, Peer.Buffer_, Parser,
-                            asio::redirect_error(asio::use_awaitable, Cause));
+  Peer.limitRead(Limits_.HeadTime_);
+  co_await http::async_read_header(
+      Peer.Stream_, Peer.Buffer_, Parser,
+      asio::redirect_error(asio::use_awaitable, Cause));
+  if (!Cause && !Parser.is_done()) {
+    Peer.clearReadLimit();
+    Peer.limitRead(Limits_.BodyTime_);
+    co_await http::async_read(Peer.Stream_, Peer.Buffer_, Parser,
+                              asio::redirect_error(asio::use_awaitable, Cause));
+  }
   if (Cause && Peer.readTimedOut())
     Cause = beast::error::timeout;
   Peer.clearReadLimit();
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -18,8 +18,10 @@
 struct HttpServerLimits {
   std::uint32_t HeadBytes_ = 16 * 1024;
   std::uint64_t BodyBytes_ = 8 * 1024 * 1024;
-  /// The time for a whole request to arrive once it has begun.
-  Duration RequestTime_ = std::chrono::seconds(15);
+  /// The time for the head of a request to arrive once it has begun.
+  Duration HeadTime_ = std::chrono::seconds(15);
+  /// The time for the body to arrive after it.
+  Duration BodyTime_ = std::chrono::seconds(15);
   /// How long a connection may stay open between requests.
   Duration IdleTime_ = std::chrono::seconds(75);
 };
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -104,6 +104,7 @@
 struct CallerLimits {
   std::uint32_t HeadBytes_ = 16 * 1024;
   std::uint64_t BodyBytes_ = 4 * 1024 * 1024;
+  Duration HeadTime_ = std::chrono::seconds(15);
   Duration IdleTime_ = std::chrono::seconds(15);
 };
 
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -22,7 +22,7 @@
     "Services":[{"Name":"s","HealthPath":"/health","MaxConnections":240,
       "Engine":{"Slots":32,"KvTokens":117260,"MaxAdapters":21,"LoadsPerS":5.5,
         "Models":[{"Name":"m","LoadTimeS":2.5,"WarmS":0.38,"DiskLoadS":1.0}]}}],
-    "Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000},
+    "Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000,"HeaderTimeoutMs":5000},
     "Tenants":[{"Name":"c","ApiKeys":["k1"],"Priority":1,"Unit":"tokens",
       "PlainTokens":200,"RatePerS":1000,"Burst":2000}]})");
   REQUIRE(isOk(Decoded));
@@ -43,6 +43,7 @@
   CHECK(Service->Engine_->findModel("m")->DiskLoad_ == Duration(1s));
   CHECK(Plan.findCustomerOfKey("k1")->BurstTokens_ == 2000);
   CHECK(Plan.limits().IdleTime_ == Duration(15s));
+  CHECK(Plan.limits().HeadTime_ == Duration(5s));
   SECTION("is refused without a revision") {
     CHECK_FALSE(isOk(decodePlan("{}")));
     CHECK_FALSE(isOk(decodePlan("nonsense")));
--- a/Tests/Unit/ClosingServerTest.cpp
+++ b/Tests/Unit/ClosingServerTest.cpp
@@ -256,12 +256,12 @@
   auto Work = asio::make_work_guard(Loop);
   HttpServerLimits Limits;
   Limits.IdleTime_ = std::chrono::milliseconds(20);
-  Limits.RequestTime_ = std::chrono::milliseconds(20);
+  Limits.HeadTime_ = std::chrono::milliseconds(20);
   asio::steady_timer Pause(Loop);
   HttpServer Server(Loop.get_executor(), Limits,
                     [&](HttpExchange &Exchange) -> asio::awaitable<void> {
                       Pause.expires_after(
-                          3 * std::max(Limits.IdleTime_, Limits.RequestTime_));
+                          3 * std::max(Limits.IdleTime_, Limits.HeadTime_));
                       co_await Pause.async_wait(asio::use_awaitable);
                       HttpReply Reply;
                       Reply.Status_ = 204;
--- a/Tests/Unit/CutAnswerTest.cpp
+++ b/Tests/Unit/CutAnswerTest.cpp
@@ -15,7 +15,7 @@
   asio::io_context Loop(1);
   auto Work = asio::make_work_guard(Loop);
   HttpServerLimits Limits;
-  Limits.RequestTime_ = std::chrono::milliseconds(20);
+  Limits.HeadTime_ = std::chrono::milliseconds(20);
   HttpServer Server(Loop.get_executor(), Limits,
                     [](HttpExchange &) -> asio::awaitable<void> { co_return; });
   Server.onMalformed([](int Status, std::string_view) {
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -46,7 +46,7 @@
 TEST_CASE("a request that arrives too slowly is refused with 408") {
   asio::io_context Loop(1);
   HttpServerLimits Limits;
-  Limits.RequestTime_ = std::chrono::milliseconds(20);
+  Limits.HeadTime_ = std::chrono::milliseconds(20);
   HttpServer Server(Loop.get_executor(), Limits,
                     [](HttpExchange &) -> asio::awaitable<void> { co_return; });
   Server.onMalformed([](int Status, std::string_view Reason) {
@@ -57,3 +57,25 @@
   asio::write(Caller.Socket_, asio::buffer(std::string("GET /slow HTT")));
   CHECK(Caller.readToEnd().find(" 408 ") != std::string::npos);
 }
+
+TEST_CASE("the limit for a request's head doesn't hold for its body") {
+  asio::io_context Loop(1);
+  HttpServerLimits Limits;
+  Limits.HeadTime_ = std::chrono::milliseconds(20);
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      HttpReply Reply;
+                      Reply.Status_ = 200;
+                      Reply.Body_ = Exchange.request().Body_;
+                      co_await Exchange.respond(std::move(Reply));
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  KeptCaller Caller(Loop, Server.port());
+  asio::write(Caller.Socket_,
+              asio::buffer(std::string("POST / HTTP/1.1\r\nHost: x\r\n"
+                                       "Connection: close\r\n"
+                                       "Content-Length: 8\r\n\r\nfour")));
+  Loop.run_for(3 * std::chrono::milliseconds(20));
+  asio::write(Caller.Socket_, asio::buffer(std::string("more")));
+  CHECK(Caller.readToEnd().ends_with("fourmore"));
+}
