Pause accepting when there are no descriptors for a connection

A VM at its limit of descriptors spent its whole processor share on failing accepts, in the place of the requests that would free some: each failure was followed by the next at once. Connections wait in the backlog.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
@@ -19,12 +20,15 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// How long no connection is accepted after one couldn't be.
+static constexpr Duration AcceptPause = std::chrono::milliseconds(10);
+
 struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
   using Connection = ServerConnection;
 
   Core(asio::any_io_executor Executor, HttpServerLimits Limits, Handler Handle)
-      : Executor_(std::move(Executor)), Acceptor_(Executor_), Limits_(Limits),
-        Handle_(std::move(Handle)) {}
+      : Executor_(std::move(Executor)), Acceptor_(Executor_),
+        AcceptTimer_(Executor_), Limits_(Limits), Handle_(std::move(Handle)) {}
 
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<Connection> Peer);
@@ -34,6 +38,7 @@
 
   asio::any_io_executor Executor_;
   tcp::acceptor Acceptor_;
+  asio::steady_timer AcceptTimer_;
   HttpServerLimits Limits_;
   Handler Handle_;
   MalformedHook Malformed_;
@@ -59,8 +64,12 @@
         asio::redirect_error(asio::use_awaitable, Cause));
     if (Cause == asio::error::operation_aborted)
       co_return;
-    if (Cause)
+    if (Cause) {
+      AcceptTimer_.expires_after(AcceptPause);
+      co_await AcceptTimer_.async_wait(
+          asio::redirect_error(asio::use_awaitable, Cause));
       continue;
+    }
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
     auto Peer = std::make_shared<Connection>(std::move(Socket));
@@ -205,6 +214,7 @@
 ClosedConnections HttpServer::close() {
   error_code Ignored;
   Core_->Acceptor_.close(Ignored);
+  Core_->AcceptTimer_.cancel();
   Core_->endAll(ConnectionEnding::WhenIdle);
   ClosedConnections Counts;
   Counts.Kept_ = Core_->Running_;
--- /dev/null
+++ b/Tests/Unit/AcceptFailureTest.cpp
@@ -0,0 +1,56 @@
+#include "Http/HttpServer.h"
+
+#include "Unit/KeptCaller.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+using namespace anvil;
+namespace asio = boost::asio;
+
+/// Lets this process open no further descriptors while it lives.
+class NoMoreDescriptors {
+public:
+  NoMoreDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &Before_);
+    int Next = ::dup(STDIN_FILENO);
+    ::close(Next);
+    rlimit Lowered = Before_;
+    Lowered.rlim_cur = static_cast<rlim_t>(Next);
+    ::setrlimit(RLIMIT_NOFILE, &Lowered);
+  }
+  ~NoMoreDescriptors() { ::setrlimit(RLIMIT_NOFILE, &Before_); }
+  NoMoreDescriptors(const NoMoreDescriptors &) = delete;
+  NoMoreDescriptors &operator=(const NoMoreDescriptors &) = delete;
+
+private:
+  rlimit Before_{};
+};
+
+TEST_CASE("a server without descriptors for connections doesn't spin") {
+  asio::io_context Loop(1);
+  HttpServer Server(Loop.get_executor(), {},
+                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      HttpReply Reply;
+                      Reply.Status_ = 204;
+                      co_await Exchange.respond(std::move(Reply));
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  Loop.poll();
+  KeptCaller Caller(Loop, Server.port());
+  {
+    NoMoreDescriptors Limit;
+    constexpr std::size_t ManyHandlers = 1000;
+    CHECK(Loop.run_for(std::chrono::milliseconds(100)) < ManyHandlers);
+    CHECK(Server.openConnections() == 0);
+  }
+  SECTION("and accepts them once there are some") {
+    CHECK(Caller.ask("/").find(" 204 ") != std::string::npos);
+  }
+  SECTION("and can be closed meanwhile") {
+    Server.close();
+    CHECK(Caller.readToEnd().empty());
+  }
+}
