Let a request that a stop cuts outlive the list it is noted in

Operators saw a VM in standalone mode end by SIGABRT, not with status 0, when the time to stop ran out with requests running.

Cause: Daemon destroys its services before its event loop. The frames of cut requests are destroyed with the loop, and each took itself out of ActiveRequests, whose map was freed by then. Entries now hold a weak reference to the map, so that one which outlives the list does nothing.

Ruled out: destroying the loop before the services (their sockets and timers need it), and other frames of the same class: no other destructor that a coroutine frame runs reaches into a service (timer subscriptions are members of services only, and the timers end after these).

--- a/Source/Gateway/ActiveRequests.h
+++ b/Source/Gateway/ActiveRequests.h
@@ -4,23 +4,36 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace anvil {
 
 /// The requests that are being served, so that they can be ended from outside.
 class ActiveRequests {
+  struct Request {
+    std::string KeyName_;
+    std::function<void()> Cancel_;
+  };
+  using RequestMap = std::map<std::uint64_t, Request>;
+
 public:
-  /// Takes a request out when it is destroyed.
+  /// Takes a request out when it is destroyed. It may outlive its owner, since
+  /// a request that a stop cuts is destroyed with the event loop.
   class Entry {
   public:
-    Entry(ActiveRequests &Owner, std::uint64_t Id) : Owner_(Owner), Id_(Id) {}
+    Entry(std::weak_ptr<RequestMap> Requests, std::uint64_t Id)
+        : Requests_(std::move(Requests)), Id_(Id) {}
     Entry(const Entry &) = delete;
     Entry &operator=(const Entry &) = delete;
-    ~Entry() { Owner_.Requests_.erase(Id_); }
+    ~Entry() {
+      if (auto Requests = Requests_.lock())
+        Requests->erase(Id_);
+    }
 
   private:
-    ActiveRequests &Owner_;
+    std::weak_ptr<RequestMap> Requests_;
     std::uint64_t Id_;
   };
 
@@ -31,15 +44,10 @@
   std::size_t
   cancelInvalid(const std::function<bool(const std::string &)> &IsValid);
 
-  std::size_t size() const { return Requests_.size(); }
+  std::size_t size() const { return Requests_->size(); }
 
 private:
-  struct Request {
-    std::string KeyName_;
-    std::function<void()> Cancel_;
-  };
-
-  std::map<std::uint64_t, Request> Requests_;
+  std::shared_ptr<RequestMap> Requests_ = std::make_shared<RequestMap>();
   std::uint64_t NextId_ = 1;
 };
 
--- a/Tests/Integration/StoppingTest.cpp
+++ b/Tests/Integration/StoppingTest.cpp
@@ -119,3 +119,26 @@
     StopAndCheck();
   }
 }
+
+TEST_CASE("a shutdown that cuts requests ends in good order",
+          "[graceful-shutdown]") {
+  FleetPlan Plan;
+  Plan.Vms_ = {{"vm-1", "north"}, {"vm-2", "north"}};
+  Plan.EngineOptions_ = {"--token-ms", "10"};
+  Plan.Settings_ = {
+      {"shutdown", {{"balancer_notice_ms", 200}, {"drain_ms", 500}}}};
+  Fleet System(Plan);
+  System.control("service", {{"delay_ms", 20000}});
+  std::vector<std::unique_ptr<CallerConnection>> Cut;
+  for (int Number = 0; Number < 3; ++Number)
+    Cut.push_back(beginStream(System, "vm-1", "a@1", 1500));
+  CallerConnection Booked(System.at("vm-1").port("caller"));
+  Booked.send(booking("van", "{}"));
+  CHECK(
+      eventually([&] { return System.records("service", "call").size() == 1; },
+                 SettleBound));
+  System.at("vm-1").signal(SIGTERM);
+  CHECK(System.at("vm-1").exitStatus(SettleBound) == 0);
+  for (const auto &Stream : Cut)
+    CHECK_FALSE(Stream->finish(SettleBound).isWholeStream());
+}
--- /dev/null
+++ b/Tests/Unit/ExitTest.cpp
@@ -0,0 +1,40 @@
+#include "Unit/PipelineStage.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace anvil;
+
+TEST_CASE("a request that a stop cut ends after the pipeline it ran in",
+          "[graceful-shutdown]") {
+  SECTION("when the program ends while the target works on it") {
+    std::string Path = GENERATE("/searches", "/bookings");
+    INFO("path " << Path);
+    PipelineStage Stage;
+    REQUIRE(Stage.IsListening_);
+    KeptCaller Caller(Stage.Loop_, Stage.Pipeline_->port());
+    Caller.send(Path);
+    Stage.runUntil([&] { return Stage.Target_.HasRequest_; });
+    Stage.Pipeline_->stop();
+    REQUIRE(Stage.Pipeline_->runningRequests() == 1);
+    // The loop still holds the request and drops it as the stage ends.
+    Stage.Pipeline_.reset();
+  }
+
+  SECTION("when others were noted beside it") {
+    auto Active = std::make_unique<ActiveRequests>();
+    int Cancelled = 0;
+    auto Cancel = [&] { ++Cancelled; };
+    auto Cut = Active->add("acme-1", Cancel);
+    auto CutToo = Active->add("acme-2", Cancel);
+    {
+      auto Ended = Active->add("acme-1", Cancel);
+      CHECK(Active->size() == 3);
+    }
+    CHECK(Active->size() == 2);
+    Active.reset();
+    CHECK(Cancelled == 0);
+  }
+}
