Give the admitted request of the entry mode a name of its own

Two structs were named anvil::AdmittedRequest, one in Entry/RequestRun.h, one in Gateway/RequestAdmission.h, and anvild links both. The program then has one destructor for two layouts: built without optimization, requests of standalone mode would be destroyed by the one of the entry mode or the other way round. The struct of the entry mode is now EntryRequest.

What was looked at besides: a link of anvild with -O0 -flto -Wodr named the same struct; its 9 calls of the destructor went to one function. It also named the static coroutines `pause` of QuotaServiceRows.cpp and TableLedger.cpp, which have local symbols, so that each file calls its own; they stay. No type is defined in two files of Source/, platform/ and Tests/ otherwise, nor any function with external linkage in two object files of a program.

Not the cause of the red test promise-at-most-once: with -O1 and -O2 the objects of Gateway neither hold nor call that destructor (nm, objdump), it is inlined.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -153,7 +153,7 @@
 }
 
 std::optional<EntryGateway::Refusal>
-EntryGateway::admitKey(AdmittedRequest &Admitted) {
+EntryGateway::admitKey(EntryRequest &Admitted) {
   const ServingPlan &Plan = *Admitted.Plan_;
   Admitted.Customer_ = Plan.findCustomerOfKey(Admitted.Fields_.Key_);
   bool NeedsKey = Plan.hasCustomers() && !Admitted.Route_->Open_;
@@ -168,14 +168,14 @@
   return std::nullopt;
 }
 
-double EntryGateway::chargeOf(const AdmittedRequest &Admitted) const {
+double EntryGateway::chargeOf(const EntryRequest &Admitted) const {
   return Admitted.Fields_.HasTokenCounts_
              ? Admitted.Fields_.ChargeTokens_
              : Admitted.Customer_->PlainRequestTokens_;
 }
 
 std::optional<EntryGateway::Refusal>
-EntryGateway::admitCharge(AdmittedRequest &Admitted) {
+EntryGateway::admitCharge(EntryRequest &Admitted) {
   if (!Admitted.Customer_)
     return std::nullopt;
   BudgetVerdict Verdict = Shared_.Fleet_->budget().charge(
@@ -187,7 +187,7 @@
 }
 
 std::optional<EntryGateway::Refusal>
-EntryGateway::admit(const HttpRequest &Request, AdmittedRequest &Admitted) {
+EntryGateway::admit(const HttpRequest &Request, EntryRequest &Admitted) {
   Admitted.Plan_ = Plans_->current();
   if (!Admitted.Plan_)
     return Refusal{503, "no configuration yet", NotReadyRetryAfter};
@@ -209,7 +209,7 @@
 }
 
 asio::awaitable<void> EntryGateway::handle(HttpExchange &Exchange) {
-  AdmittedRequest Admitted;
+  EntryRequest Admitted;
   Admitted.ArrivedAt_ = BootClock::now();
   Admitted.Fields_ = platform::decodeCallerFields(Exchange.request());
   if (auto Refused = admit(Exchange.request(), Admitted)) {
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -55,10 +55,10 @@
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> answerReady(HttpExchange &Exchange);
   std::optional<Refusal> admit(const HttpRequest &Request,
-                               AdmittedRequest &Admitted);
-  std::optional<Refusal> admitKey(AdmittedRequest &Admitted);
-  std::optional<Refusal> admitCharge(AdmittedRequest &Admitted);
-  double chargeOf(const AdmittedRequest &Admitted) const;
+                               EntryRequest &Admitted);
+  std::optional<Refusal> admitKey(EntryRequest &Admitted);
+  std::optional<Refusal> admitCharge(EntryRequest &Admitted);
+  double chargeOf(const EntryRequest &Admitted) const;
   std::string whyNotReady() const;
 
   boost::asio::any_io_executor Executor_;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -59,7 +59,7 @@
 }
 
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
-                       AdmittedRequest Request)
+                       EntryRequest Request)
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)) {
   Question_ = {Request_.Service_,
                Request_.Fields_.Model_,
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -38,7 +38,7 @@
 };
 
 /// An admitted request and what was settled at its admission.
-struct AdmittedRequest {
+struct EntryRequest {
   ServingPlanPtr Plan_;
   const RoutePlan *Route_ = nullptr;
   const CustomerPlan *Customer_ = nullptr;
@@ -55,7 +55,7 @@
 class RequestRun {
 public:
   RequestRun(RequestServices &Shared, HttpExchange &Exchange,
-             AdmittedRequest Request);
+             EntryRequest Request);
 
   /// Serves the request to its end. The caller gets one final answer, or a
   /// closed connection where an answer had begun and can't go on.
@@ -110,7 +110,7 @@
 
   RequestServices &Shared_;
   HttpExchange &Exchange_;
-  AdmittedRequest Request_;
+  EntryRequest Request_;
   PickQuestion Question_;
   HttpConnection Connection_;
   EventSplitter Events_;
