Keep tokens charged that a leaving caller may have used

Callers in standalone mode that left while a target worked on their request got their whole charge back, so that a customer could pass its rate by hanging up early. A whole answer without a figure of its use was free as well.

Cause: a try that ends because its caller left counts as answered, with 0 as the tokens used, and that was settled. A try now says what was used only if a whole answer told it; else the upper bound stays charged, as it does when a target fails and as the entry mode does. All is given back if no target had the request.

Weighed: to charge the prompt and the events streamed so far only. That is the least that was used; an engine may run on after the close.

--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -198,7 +198,8 @@
   }
   TryOutcome &Try = std::get<TryOutcome>(Ran);
   Ended.Status_ = Try.Answer_.Status_;
-  Ended.UsedTokens_ = Try.UsedTokens_;
+  // What may have been used stays charged.
+  Ended.UsedTokens_ = Try.UsedTokens_.value_or(Request.UpperBoundTokens_);
   Ended.FirstByte_ = Try.FirstByte_;
   if (Request.Repeatable_ && Exchange.callerGone())
     Ended.Refusal_ = refusalTraits(RefusalCode::CallerGone).Name_;
@@ -305,7 +306,6 @@
     bool WasSuspect = Poison_ && Poison_->isSuspect(Request, BootClock::now());
     TryOutcome Run = co_await runOnce(Exchange, Admitted, Held);
     Ended.FirstByte_ = Run.FirstByte_;
-    Ended.UsedTokens_ = std::max(Ended.UsedTokens_, Run.UsedTokens_);
     if (Run.Result_ == TryResult::Answered)
       co_return Run;
     logEvent(LogLevel::Warning, "try_failed",
--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -128,10 +128,12 @@
                            "streamed the events of another request", ""};
         co_return RelayEnd::Unusable;
       }
-      if (Event.find("\"usage\"") == std::string::npos)
-        continue;
-      if (auto Usage = decodeUsage(Event); Usage && Usage->TotalTokens_ > 0)
-        Try.UsedTokens_ = static_cast<double>(Usage->TotalTokens_);
+      if (Event.find("\"usage\"") != std::string::npos)
+        if (auto Usage = decodeUsage(Event); Usage && Usage->TotalTokens_ > 0)
+          Stream.UsedTokens_ = static_cast<double>(Usage->TotalTokens_);
+      // Until the end the engine may use more than it has told.
+      if (Stream.Complete_)
+        Try.UsedTokens_ = Stream.UsedTokens_;
     }
     // Only whole events go on, since only those can be checked.
     Unsent += Piece;
@@ -236,9 +238,8 @@
     if (!IsOwn)
       co_return fail(Try, {ErrorCode::Protocol, "target",
                            "the answer is that of another request", ""});
-    Try.UsedTokens_ = static_cast<double>(Usage->TotalTokens_);
-  } else {
-    Try.UsedTokens_ = Request.UpperBoundTokens_;
+    if (Usage->TotalTokens_ > 0)
+      Try.UsedTokens_ = static_cast<double>(Usage->TotalTokens_);
   }
   if (Try.Answer_.Status_ >= 500) {
     Try.Problem_ = "answered status " + std::to_string(Try.Answer_.Status_);
--- a/Source/Gateway/TargetDispatcher.h
+++ b/Source/Gateway/TargetDispatcher.h
@@ -7,6 +7,7 @@
 #include "Requests/PermitBroker.h"
 #include "Requests/TargetSelector.h"
 
+#include <optional>
 #include <string>
 
 namespace anvil {
@@ -19,7 +20,8 @@
   /// Whether a part of the answer went to the caller, so that no other target
   /// can answer any more.
   bool CallerSawBytes_ = false;
-  double UsedTokens_ = 0;
+  /// What a whole answer says that it used; absent when that isn't known.
+  std::optional<double> UsedTokens_;
   Duration FirstByte_{0};
   /// Times that the stream broke and was taken up again.
   int Resumes_ = 0;
@@ -62,6 +64,8 @@
   struct Relay {
     std::size_t Events_ = 0;
     bool Complete_ = false;
+    /// What the engine has told of its use so far.
+    std::optional<double> UsedTokens_;
     Error Problem_;
   };
 
--- a/Source/Requests/QuotaGate.h
+++ b/Source/Requests/QuotaGate.h
@@ -27,7 +27,8 @@
   virtual boost::asio::awaitable<Outcome<QuotaCharge>>
   charge(const RequestContext &Request) = 0;
 
-  /// Gives back what the request did not use.
+  /// Gives back what the request certainly did not use. `UsedTokens` counts
+  /// what may have been used.
   virtual void settle(const QuotaCharge &Charge, double UsedTokens) = 0;
 };
 
--- a/Tests/Integration/RateTest.cpp
+++ b/Tests/Integration/RateTest.cpp
@@ -16,9 +16,13 @@
 static constexpr int OutputTokens = 18;
 static constexpr double RequestTokens = 20;
 
-/// The most tokens above rate and burst that a customer's runs used in any
-/// interval; zero or less is within them.
-static double worstExcess(Fleet &System, const std::string &Customer) {
+/// The least that a stream used of which a caller has read two tokens.
+static constexpr double LeftStreamTokens = 4;
+
+/// The most tokens above rate and burst that a customer's runs, of `RunTokens`
+/// each, used in any interval; zero or less is within them.
+static double worstExcess(Fleet &System, const std::string &Customer,
+                          double RunTokens = RequestTokens) {
   json Runs = json::array();
   for (const json &Run : System.engineRecords("run"))
     if (Run["customer"] == Customer)
@@ -30,7 +34,7 @@
   double Worst = -BurstTokens;
   for (std::size_t First = 0; First < Seconds.size(); ++First)
     for (std::size_t Last = First; Last < Seconds.size(); ++Last) {
-      double Used = static_cast<double>(Last - First + 1) * RequestTokens;
+      double Used = static_cast<double>(Last - First + 1) * RunTokens;
       double Length = Seconds[Last] - Seconds[First] + RecordLagSeconds;
       Worst = std::max(Worst, Used - RateTokens * Length - BurstTokens);
     }
@@ -106,6 +110,25 @@
     CHECK(Small.refused() * 20 <= Small.served());
   }
 
+  SECTION("when callers leave their streams early") {
+    std::vector<std::unique_ptr<Background>> Callers;
+    std::atomic<int> Left = 0;
+    for (const std::string &Vm : System.vmNames())
+      for (int Number = 0; Number < 3; ++Number)
+        Callers.push_back(std::make_unique<Background>([&, Vm] {
+          CallerConnection Leaving(System.at(Vm).port("caller"));
+          Leaving.send(
+              completion("a@1", "load", OutputTokens, true, "secret-large"));
+          Left += Leaving.readUntil("a@1#1 ", Millis(500));
+          std::this_thread::sleep_for(Millis(10));
+        }));
+    Pass(6000);
+    Callers.clear();
+    WARN("large: " << Left << " streams left");
+    CHECK(Left > 0);
+    CHECK(worstExcess(System, "large", LeftStreamTokens) <= 0);
+  }
+
   SECTION("when VMs are killed and start anew under load") {
     {
       CustomerLoad Large(System, {"vm-1", "vm-3"}, "large", 5 * RateTokens);
--- a/Tests/Unit/PipelineStage.h
+++ b/Tests/Unit/PipelineStage.h
@@ -17,15 +17,21 @@
 
 namespace anvil {
 
-/// Lets every charge pass.
+/// Lets every charge pass and notes what came of the last one.
 class OpenQuota : public QuotaGate {
 public:
   boost::asio::awaitable<Outcome<QuotaCharge>>
   charge(const RequestContext &Request) override {
     QuotaCharge Charge{Request.Customer_, Request.UpperBoundTokens_};
+    Charged_ = Charge.Tokens_;
     co_return Charge;
   }
-  void settle(const QuotaCharge &, double) override {}
+  void settle(const QuotaCharge &, double UsedTokens) override {
+    Used_ = UsedTokens;
+  }
+
+  double Charged_ = 0;
+  std::optional<double> Used_;
 };
 
 /// Gives the permits of one target, at once or when told to.
@@ -93,9 +99,11 @@
 
 /// A request pipeline before one target. `/bookings` may not be repeated,
 /// `/searches` may; `/orders` needs the key "gold", and may not be repeated.
+/// `/completions` goes to the adapter `a@1`.
 struct PipelineStage {
   PipelineStage()
       : Target_(Loop_), State_(std::make_shared<ConfigState>()),
+        Quota_(std::make_shared<OpenQuota>()),
         Permits_(std::make_shared<OneTargetPermits>(Loop_, Target_.address())),
         Selector_(std::make_shared<OneTargetSelector>()),
         Ledger_(std::make_shared<NotingLedger>()) {
@@ -103,7 +111,7 @@
     Settings_.Listen_.CallerPort_ = 0;
     Services_.add(State_);
     Services_.add(std::make_shared<Metrics>());
-    Services_.add(std::make_shared<OpenQuota>());
+    Services_.add(Quota_);
     Services_.add(Permits_);
     Services_.add(Selector_);
     Services_.add(Ledger_);
@@ -122,6 +130,7 @@
     Made.Service_ = "desk";
     Made.Open_ = Open;
     Made.Repeatable_ = Repeatable;
+    Made.CostTokens_ = 40;
     return Made;
   }
 
@@ -131,6 +140,19 @@
     Made->Objects_.put(routeOf("bookings", true, false));
     Made->Objects_.put(routeOf("searches", true, true));
     Made->Objects_.put(routeOf("orders", false, false));
+    Route Completions = routeOf("completions", true, true);
+    Completions.RouteKind_ = RouteKind::Adapter;
+    Completions.Service_.clear();
+    Made->Objects_.put(Completions);
+    BaseModel Base;
+    Base.Name_ = "base";
+    Made->Objects_.put(Base);
+    Adapter Tuned;
+    Tuned.Name_ = "a";
+    Tuned.BaseModel_ = "base";
+    Tuned.Versions_ = {{"1", "weights"}};
+    Tuned.CurrentVersion_ = "1";
+    Made->Objects_.put(Tuned);
     Customer Owner;
     Owner.Name_ = "acme";
     Made->Objects_.put(Owner);
@@ -153,6 +175,7 @@
   DaemonSettings Settings_;
   ServiceRegistry Services_;
   std::shared_ptr<ConfigState> State_;
+  std::shared_ptr<OpenQuota> Quota_;
   std::shared_ptr<OneTargetPermits> Permits_;
   std::shared_ptr<OneTargetSelector> Selector_;
   std::shared_ptr<NotingLedger> Ledger_;
