--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -16,7 +16,7 @@
 /// The proxy's name of a VM's link to the store.
 static std::string storeLinkOf(const std::string &Vm) { return Vm + ">store"; }
 
-EntryFleet::EntryFleet() {
+EntryFleet::EntryFleet(EntryFleetPlan Plan) : Plan_(Plan) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "anvil-entry-XXXXXX").string();
   if (!::mkdtemp(Template.data()))
@@ -79,6 +79,8 @@
                      {"target_list_ms", 200},
                      {"renew_ms", 400}}},
                    {"bounds", {{"key_withdrawal_ms", 3000}}}};
+  if (Plan_.StopS_)
+    Settings["bounds"]["stop_s"] = *Plan_.StopS_;
   std::ofstream(Path) << Settings.dump();
   Processes_[Name] = std::make_unique<Process>(
       ANVIL_DAEMON, std::vector<std::string>{"--settings", Path}, Directory_,
@@ -108,12 +110,17 @@
 
 void EntryFleet::configure(std::uint64_t Revision,
                            const std::vector<std::string> &Keys) {
-  auto Route = [](const char *Prefix, const char *Kind, const char *Service,
-                  int Targets) {
-    return json{
-        {"Name", Prefix},    {"Host", "anvil"},    {"PathPrefix", Prefix},
-        {"RouteType", Kind}, {"TimeoutMs", 3000},  {"TargetLatencyMs", 800},
-        {"Priority", 1},     {"Service", Service}, {"MaxAttempts", Targets}};
+  auto Route = [this](const char *Prefix, const char *Kind, const char *Service,
+                      int Targets) {
+    return json{{"Name", Prefix},
+                {"Host", "anvil"},
+                {"PathPrefix", Prefix},
+                {"RouteType", Kind},
+                {"TimeoutMs", Plan_.Timeout_.count()},
+                {"TargetLatencyMs", Plan_.LatencyTarget_.count()},
+                {"Priority", 1},
+                {"Service", Service},
+                {"MaxAttempts", Targets}};
   };
   json Stream = Route("/stream/resumable/", "streaming", "engines", 2);
   Stream["Resumable"] = true;
@@ -157,7 +164,7 @@
   };
   Default("X-Request-Id", "request-0");
   Default("Authorization", "Token good-key");
-  Default("X-Request-Deadline", "3000");
+  Default("X-Request-Deadline", std::to_string(Plan_.Timeout_.count()).c_str());
   return Given;
 }
 
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -5,17 +5,27 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace anvil {
 
+/// What a test may set of an entry fleet.
+struct EntryFleetPlan {
+  /// The VMs' bound for a stop in seconds; their default when absent.
+  std::optional<double> StopS_;
+  /// How long routes let a request last, and the latency that they aim at.
+  Millis Timeout_{3000};
+  Millis LatencyTarget_{800};
+};
+
 /// Two entry VMs before two engines and two plain targets, all real processes,
 /// with a stand-in for the users' platform's store. Targets are written into
 /// the store's list as they would write themselves.
 class EntryFleet {
 public:
-  EntryFleet();
+  explicit EntryFleet(EntryFleetPlan Plan = {});
   ~EntryFleet();
   EntryFleet(const EntryFleet &) = delete;
   EntryFleet &operator=(const EntryFleet &) = delete;
@@ -58,6 +68,7 @@
   void write(const std::string &Table, const std::string &Key,
              const nlohmann::json &Value);
 
+  EntryFleetPlan Plan_;
   std::string Directory_;
   std::map<std::string, std::unique_ptr<Process>> Processes_;
 };
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -35,6 +35,9 @@
   Drop_ = Given.value("drop", Drop_);
   CutAfter_ = Given.value("cut_after", CutAfter_);
   EventMs_ = Given.value("event_ms", EventMs_);
+  HoldMs_ = Given.value("hold_ms", HoldMs_);
+  HoldBody_ = Given.value("hold_body", HoldBody_);
+  Busy_ = Given.value("busy", Busy_);
   return jsonReply(200, "{}");
 }
 
@@ -55,7 +58,7 @@
   Records_.add("order", {{"body", Given}});
   if (!Given.is_object() || !Given.contains("Holder"))
     return jsonReply(400, "{}");
-  if (Given.value("Precondition", Orders_) != Orders_)
+  if (Busy_ || Given.value("Precondition", Orders_) != Orders_)
     return jsonReply(409, "{}");
   ++Orders_;
   std::string Adapter = Given.value("Adapter", "");
@@ -88,6 +91,17 @@
   co_await Exchange.finishStream();
 }
 
+asio::awaitable<void>
+RegisteredTargetStandin::answerInParts(HttpExchange &Exchange) {
+  HttpReply Head = sealed(200, "", Exchange.request());
+  HttpReplyHead Begun{200, Head.Headers_};
+  co_await Exchange.startStream(std::move(Begun));
+  co_await Exchange.write("{");
+  co_await pauseFor(std::chrono::milliseconds(HoldMs_));
+  co_await Exchange.write("}");
+  co_await Exchange.finishStream();
+}
+
 asio::awaitable<void> RegisteredTargetStandin::handle(HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   HttpReply Reply = jsonReply(404, "{}");
@@ -121,6 +135,10 @@
       Exchange.abort();
       co_return;
     }
+    if (HoldBody_)
+      co_return co_await answerInParts(Exchange);
+    if (HoldMs_ > 0)
+      co_await pauseFor(std::chrono::milliseconds(HoldMs_));
     if (Request.path().starts_with("/stream/"))
       co_return co_await stream(Exchange);
     if (Unsealed_ > 0) {
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -15,8 +15,10 @@
 /// /control` sets what happens to the next requests: `fail` (a failure of its
 /// own), `refuse` (not run), `unsealed` (run, status 503 that is
 /// not its own), `drop` (run, no answer), `cut_after` (a stream
-/// breaks off after so many events); `event_ms` is the pause between events.
-/// Runs are recorded with the headers that matter.
+/// breaks off after so many events); `event_ms` is the pause between events,
+/// `hold_ms` the one before an answer, with `hold_body` in its middle; with
+/// `busy` orders are turned away as beside another one. Runs are recorded with
+/// the headers that matter.
 class RegisteredTargetStandin {
 public:
   RegisteredTargetStandin(boost::asio::any_io_executor Executor,
@@ -28,6 +30,7 @@
 private:
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> stream(HttpExchange &Exchange);
+  boost::asio::awaitable<void> answerInParts(HttpExchange &Exchange);
   HttpReply order(const HttpRequest &Request);
   HttpReply report() const;
   HttpReply control(const HttpRequest &Request);
@@ -43,6 +46,9 @@
   std::int64_t Drop_ = 0;
   std::int64_t CutAfter_ = -1;
   std::int64_t EventMs_ = 5;
+  std::int64_t HoldMs_ = 0;
+  bool HoldBody_ = false;
+  bool Busy_ = false;
   RequestRecords Records_;
   HttpServer Server_;
 };
