Answer what is under way before a stopping VM's time runs out

200 ms before the process would end, each request gets its final answer: 503 with Retry-After if no target can have run it, 502 if one may have and no head was sent; a stream that has begun is cut. Nothing is sent to a target from then on; a request that comes to be read later gets 503 too. Such ends are logged with the reason vm_stopping and aren't held against the target.

RequestServices lists the runs under way in an intrusive list, since frames that a stopped loop leaves behind outlive the gateway. The process then ends as soon as the answers are out, 200 ms later at the latest.

--- a/Source/Commands/RequestStory.cpp
+++ b/Source/Commands/RequestStory.cpp
@@ -21,6 +21,7 @@
     {"answer_cut", "the target's answer broke off"},
     {"stream_broken", "the target's stream broke off"},
     {"not_sealed", "the answer did not come from the target itself"},
+    {"vm_stopping", "the VM's time to stop ran out"},
     {"resume_failed", "the stream could not go on at another target"},
 };
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -26,6 +26,10 @@
 /// What is kept back of the time to stop, before the process is killed.
 static constexpr Duration StopMargin = std::chrono::milliseconds(400);
 
+/// How long the last answers may take, to requests that are still under way
+/// then.
+static constexpr Duration LastAnswersTime = std::chrono::milliseconds(200);
+
 EntryDaemon::EntryDaemon(EntrySettings Settings)
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
       Pump_(Loop_.get_executor(), Timers_, [] { return BootClock::now(); }),
@@ -110,7 +114,19 @@
 void EntryDaemon::waitForRequests() {
   auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
   whenIdle(
-      StopTimer_, StopDeadline_,
+      StopTimer_, StopDeadline_ - LastAnswersTime,
+      [Gateway] { return Gateway->openConnections() == 0; },
+      [this, Gateway] {
+        Gateway->endRequests();
+        waitForAnswers();
+      });
+}
+
+void EntryDaemon::waitForAnswers() {
+  auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
+  // From now, since a busy VM may be here late.
+  whenIdle(
+      StopTimer_, BootClock::now() + LastAnswersTime,
       [Gateway] { return Gateway->openConnections() == 0; },
       [this, Gateway] {
         logEvent(LogLevel::Info, "stopped",
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -40,6 +40,7 @@
   void waitForSignal();
   void beginStop();
   void waitForRequests();
+  void waitForAnswers();
 
   EntrySettings Settings_;
   std::string Incarnation_;
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -35,6 +35,10 @@
   /// Takes no new connections and closes those without a request.
   void closeIdle();
 
+  /// Gives each request its final answer at once, and those that come to be
+  /// read later; cuts streams that have begun.
+  void endRequests() { Shared_.endRequests(); }
+
   /// The ports in use, by the name of what listens there.
   std::map<std::string, std::uint16_t> ports() const;
 
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -40,6 +40,9 @@
 /// What is kept back of the time left for the answer's way.
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
 
+/// The reason for the end of requests as the VM stops.
+static constexpr std::string_view VmStopping = "vm_stopping";
+
 /// The rank of what is least urgent to targets; zero is the most urgent.
 static constexpr int LeastUrgentRank = 9;
 
@@ -58,9 +61,17 @@
     Budget.setVms(Count);
 }
 
+void RequestServices::endRequests() {
+  TimeIsUp_ = true;
+  for (RequestRun &Run : Running_)
+    Run.interrupt();
+}
+
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
                        AdmittedRequest Request)
-    : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)) {
+    : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
+      Pause_(Shared.Executor_) {
+  Shared_.Running_.push_back(*this);
   Question_ = {Request_.Service_,
                Request_.Fields_.Model_,
                Request_.Fields_.Adapter_,
@@ -76,6 +87,15 @@
   return Request_.Deadline_ - BootClock::now();
 }
 
+bool RequestRun::mustEnd() const {
+  return Shared_.TimeIsUp_ || Exchange_.callerGone();
+}
+
+void RequestRun::interrupt() {
+  Pause_.cancel();
+  Connection_.close();
+}
+
 asio::awaitable<void> RequestRun::serve() {
   Shared_.retriesOf(Request_.Service_).noteRequest();
   Exchange_.onCallerGone([this] { Connection_.close(); });
@@ -85,7 +105,9 @@
       co_return;
     }
     TimePoint Now = BootClock::now();
-    if (timeLeft() <= AnswerMargin)
+    if (Shared_.TimeIsUp_)
+      LastReason_ = VmStopping;
+    if (Shared_.TimeIsUp_ || timeLeft() <= AnswerMargin)
       co_return co_await endLost();
     auto Chosen = Shared_.Picker_->pick(Question_, Now);
     if (!Chosen && !Question_.Avoid_.empty()) {
@@ -107,7 +129,7 @@
     Duration Pace = pacingWait(Chosen->Prefill_, Chosen->OwnPrefill_, Paced_,
                                Request_.Route_->LatencyTarget_);
     if (Pace > Duration::zero()) {
-      co_await pauseFor(Pace);
+      co_await pauseFor(Pause_, Pace);
       Paced_ += Pace;
       continue;
     }
@@ -117,7 +139,7 @@
     if (!mayTryAgain(End, BootClock::now()))
       co_return co_await endLost();
     if (End == TryEnd::NotRun)
-      co_await pauseFor(RefusedPause);
+      co_await pauseFor(Pause_, RefusedPause);
   }
 }
 
@@ -135,9 +157,10 @@
   }
   Shared_.Picker_->wantAdapter(Question_, Chosen.Target_, Now);
   bool IsOnItsWay = Chosen.Readiness_ == AdapterReadiness::Loading;
-  co_await pauseFor(IsOnItsWay ? std::clamp(Chosen.ReadyIn_, LeastAdapterWait,
-                                            MostAdapterWait)
-                               : WantAnswerWait);
+  co_await pauseFor(Pause_, IsOnItsWay
+                                ? std::clamp(Chosen.ReadyIn_, LeastAdapterWait,
+                                             MostAdapterWait)
+                                : WantAnswerWait);
   Waited_ += BootClock::now() - Now;
   co_return true;
 }
@@ -151,7 +174,7 @@
   // A caller that got part of a stream can only be served by its rest.
   if (End != TryEnd::NotRun && (!MayRunAgain || Runs_ >= Given.MaxTargets_))
     return false;
-  if (timeLeft() <= AnswerMargin)
+  if (Shared_.TimeIsUp_ || timeLeft() <= AnswerMargin)
     return false;
   // A target that could not be connected to got nothing.
   if (LastReason_ == "no_connection")
@@ -172,6 +195,8 @@
   TryEnd End = co_await sendTo(Chosen);
   Shared_.Fleet_->noteEnd(Chosen.Target_, Adapter, Tokens);
   Connection_ = HttpConnection();
+  if (End != TryEnd::Done && Shared_.TimeIsUp_)
+    LastReason_ = VmStopping;
   if (End != TryEnd::Done)
     logEvent(LogLevel::Info, "try_failed",
              {{"request", Request_.Fields_.RequestId_},
@@ -241,13 +266,13 @@
 asio::awaitable<RequestRun::TryEnd> RequestRun::sendTo(const Pick &Chosen) {
   TimePoint SentAt = BootClock::now();
   if (!co_await connect(Chosen)) {
-    if (Exchange_.callerGone())
+    if (mustEnd())
       co_return TryEnd::NotRun;
     LastReason_ = "no_connection";
     keepOff(Shared_, Chosen);
     co_return TryEnd::NotRun;
   }
-  if (Exchange_.callerGone())
+  if (mustEnd())
     co_return TryEnd::NotRun;
   HttpRequest Outgoing = targetRequest(Chosen, BootClock::now());
   ++Sends_;
@@ -258,7 +283,7 @@
   TimePoint Now = BootClock::now();
   if (!isOk(Head)) {
     LastReason_ = errorCodeName(errorOf(Head).Code_);
-    if (!Exchange_.callerGone()) {
+    if (!mustEnd()) {
       Shared_.Picker_->health().note(Chosen.Target_, true, Now - SentAt, Now);
       noteLoss(Chosen);
     }
@@ -290,6 +315,9 @@
   }
   bool IsSuccess = Answer.Status_ >= 200 && Answer.Status_ < 300;
   bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
+  // Its connection is closed by now, so only the head could be passed on.
+  if (IsStream && !HeadSent_ && Shared_.TimeIsUp_)
+    co_return TryEnd::Lost;
   if (IsStream)
     co_return co_await passStream(Chosen, std::move(Head), Answer);
   co_return co_await passWhole(Chosen, std::move(Head), Answer);
@@ -305,7 +333,7 @@
         std::max<Duration>(timeLeft(), AnswerMargin));
     if (!isOk(Part)) {
       LastReason_ = "answer_cut";
-      if (!Exchange_.callerGone())
+      if (!mustEnd())
         Shared_.Picker_->health().note(Chosen.Target_, true, {},
                                        BootClock::now());
       co_return TryEnd::Lost;
@@ -354,6 +382,8 @@
         co_return TryEnd::Done;
       }
       LastReason_ = "stream_broken";
+      if (Shared_.TimeIsUp_)
+        co_return TryEnd::Broken;
       Shared_.Picker_->health().note(Chosen.Target_, true, {},
                                      BootClock::now());
       noteLoss(Chosen);
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -13,6 +13,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include <map>
 #include <memory>
@@ -20,6 +22,13 @@
 
 namespace anvil {
 
+/// Keeps a run in the list of those under way until either of them is gone; the
+/// runs that a stopped loop leaves behind outlive the list.
+using RunHook = boost::intrusive::list_base_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+class RequestRun;
+
 /// What all requests of this VM share.
 struct RequestServices {
   boost::asio::any_io_executor Executor_;
@@ -32,9 +41,18 @@
   /// How many VMs share the extra second tries.
   double Vms_ = 1;
   ConnectionPool Pool_;
+  boost::intrusive::list<RequestRun, boost::intrusive::base_hook<RunHook>,
+                         boost::intrusive::constant_time_size<false>>
+      Running_;
+  /// Whether the time to serve requests has run out.
+  bool TimeIsUp_ = false;
 
   RetryBudget &retriesOf(const std::string &Service);
   void setVms(double Count);
+
+  /// Gives each request its final answer, those to come too: nothing is sent to
+  /// a target any more. A stream that has begun is cut.
+  void endRequests();
 };
 
 /// An admitted request and what was settled at its admission.
@@ -52,7 +70,7 @@
 
 /// Serves one admitted request: finds targets, sends it, and passes the answer
 /// on as it comes.
-class RequestRun {
+class RequestRun : public RunHook {
 public:
   RequestRun(RequestServices &Shared, HttpExchange &Exchange,
              AdmittedRequest Request);
@@ -64,6 +82,9 @@
   /// Whether no target can have run the request.
   bool neverRan() const { return Runs_ == 0; }
 
+  /// Ends a pause and what is under way at a target.
+  void interrupt();
+
 private:
   /// How one try at a target went.
   enum class TryEnd {
@@ -107,12 +128,15 @@
   void logGone(int Status);
   void countEnd(std::string_view Outcome, int Status, TimePoint Now);
   Duration timeLeft() const;
+  /// Whether it is of no use to go on at a target.
+  bool mustEnd() const;
 
   RequestServices &Shared_;
   HttpExchange &Exchange_;
   AdmittedRequest Request_;
   PickQuestion Question_;
   HttpConnection Connection_;
+  boost::asio::steady_timer Pause_;
   EventSplitter Events_;
   /// Targets on which it has run, or may have.
   int Runs_ = 0;
