Refuse late requests that a stopping VM can't finish

They get 503 with Retry-After now, before anything is charged or sent; those that end in time are served.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -106,7 +106,8 @@
   // The balancer goes on sending connections until it has asked again.
   StopTimer_.expires_after(std::min(BalancerNotice, Grace / 2));
   StopTimer_.async_wait([this](auto) {
-    Services_.require<EntryGateway>(EntryGateway::Name)->closeIdle();
+    Services_.require<EntryGateway>(EntryGateway::Name)
+        ->closeIdle(StopDeadline_ - LastAnswersTime);
     waitForRequests();
   });
 }
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -115,7 +115,8 @@
   Callers_.beginDrain();
 }
 
-void EntryGateway::closeIdle() {
+void EntryGateway::closeIdle(TimePoint StopAt) {
+  StopAt_ = StopAt;
   ClosedConnections Counts = Callers_.close();
   logEvent(LogLevel::Info, "idle_connections_closed",
            {{"closed", Counts.Closed_}, {"kept", Counts.Kept_}});
@@ -207,6 +208,8 @@
       std::min(Admitted.Fields_.Patience_.value_or(DefaultPatience),
                Admitted.Route_->Timeout_);
   Admitted.Deadline_ = Admitted.ArrivedAt_ + Patience;
+  if (StopAt_ && Admitted.Deadline_ > *StopAt_)
+    return Refusal{503, "the VM stops before the deadline", NotReadyRetryAfter};
   return admitCharge(Admitted);
 }
 
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -32,8 +32,9 @@
   /// Reports not ready from now on; answers close their connections.
   void beginDrain();
 
-  /// Takes no new connections and closes those without a request.
-  void closeIdle();
+  /// Takes no new connections and closes those without a request. Requests that
+  /// come whole later are served only if they end before `StopAt`.
+  void closeIdle(TimePoint StopAt);
 
   /// Gives each request its final answer at once, and those that come to be
   /// read later; cuts streams that have begun.
@@ -75,6 +76,8 @@
   HttpServer Ready_;
   HttpServer MetricsPage_;
   bool Draining_ = false;
+  /// When the time to serve requests runs out, once the idle were closed.
+  std::optional<TimePoint> StopAt_;
 };
 
 } // namespace anvil
--- a/Tests/Integration/EntryStopTest.cpp
+++ b/Tests/Integration/EntryStopTest.cpp
@@ -80,3 +80,42 @@
     CHECK(Crossing.cut() == std::vector<std::string>{});
   }
 }
+
+TEST_CASE("a request that comes whole only after the idle close",
+          "[entry-stop]") {
+  EntryFleetPlan Plan;
+  Plan.Timeout_ = Millis(20000);
+  EntryFleet System(Plan);
+  auto HeadOf = [](const std::string &Id, const std::string &TimeLeft) {
+    return "GET /safe/x HTTP/1.1\r\nHost: anvil\r\nX-Request-Id: " + Id +
+           "\r\nAuthorization: Token good-key\r\nX-Request-Deadline: " +
+           TimeLeft + "\r\n\r\n";
+  };
+  std::string LongHead = HeadOf("long", "20000");
+  std::string ShortHead = HeadOf("short", "1500");
+  CallerConnection Long(System.callerPort("vm-1"));
+  CallerConnection Short(System.callerPort("vm-1"));
+  Long.sendText(LongHead.substr(0, 10));
+  Short.sendText(ShortHead.substr(0, 10));
+  System.at("vm-1").signal(SIGTERM);
+  REQUIRE(eventually(
+      [&] {
+        return System.at("vm-1").log().find("idle_connections_closed") !=
+               std::string::npos;
+      },
+      Millis(20000)));
+  Long.sendText(LongHead.substr(10));
+  Short.sendText(ShortHead.substr(10));
+
+  Answer Refused = Long.finish(Millis(10000));
+  CHECK(Refused.Status_ == 503);
+  CHECK(Refused.Headers_["connection"] == "close");
+  CHECK(Refused.Headers_.contains("retry-after"));
+  Answer Served = Short.finish(Millis(10000));
+  CHECK(Served.Status_ == 200);
+  CHECK(Served.Headers_["connection"] == "close");
+  CHECK(System.at("vm-1").exitStatus(Millis(20000)) == 0);
+  auto Ran = idsThatRan(System);
+  CHECK_FALSE(Ran.contains("long"));
+  CHECK(Ran.contains("short"));
+}
