Say in the rate test what each answer that isn't 200 was

The test counted refusals, failed calls and time-outs alike and printed a number. It now prints VM, time, duration, status, code, message and request id of each; the checks are the same.

--- a/Tests/Integration/RateTest.cpp
+++ b/Tests/Integration/RateTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <mutex>
+
 using namespace anvil;
 using nlohmann::json;
 
@@ -37,6 +39,20 @@
   return Worst;
 }
 
+/// An answer that isn't 200, in one line: which VM gave it, when after the
+/// load's begin it was asked for and after how long it came.
+static std::string refusalText(const std::string &Vm, const Answer &Given,
+                               Millis AskedAt, Millis Took) {
+  std::string Text = Vm + " at " + std::to_string(AskedAt.count()) +
+                     " ms, after " + std::to_string(Took.count()) + " ms: ";
+  if (Given.Status_ == 0)
+    return Text + "no answer";
+  Text += std::to_string(Given.Status_);
+  for (const char *Field : {"code", "message", "ran", "request_id"})
+    Text += " " + Given.problem(Field);
+  return Text + (Given.Whole_ ? "" : ", not whole");
+}
+
 /// Sends from a customer through some VMs at a rate of tokens.
 class CustomerLoad {
 public:
@@ -49,12 +65,15 @@
         completion("a@1", "load", OutputTokens, false, "secret-" + Customer);
     for (const std::string &Vm : Vms) {
       std::uint16_t Port = System.at(Vm).port("caller");
-      auto Next = std::make_shared<std::chrono::steady_clock::time_point>(
-          std::chrono::steady_clock::now());
+      auto Next = std::make_shared<Clock::time_point>(Clock::now());
       Senders_.push_back(std::make_unique<Background>([=, this] {
         std::this_thread::sleep_until(*Next);
         *Next += Pause;
+        auto Asked = Clock::now();
         Answer Given = callOnce(Port, Request, Millis(2000));
+        if (Given.Status_ != 200)
+          note(refusalText(Vm, Given, millisUntil(Begun_, Asked),
+                           millisUntil(Asked, Clock::now())));
         ++(Given.Status_ == 200 ? Served_ : Refused_);
       }));
     }
@@ -63,7 +82,27 @@
   int served() const { return Served_; }
   int refused() const { return Refused_; }
 
+  /// What each answer that isn't 200 said, a line each.
+  std::string refusals() {
+    std::scoped_lock Guard(Mutex_);
+    return Refusals_;
+  }
+
 private:
+  using Clock = std::chrono::steady_clock;
+
+  static Millis millisUntil(Clock::time_point From, Clock::time_point To) {
+    return std::chrono::duration_cast<Millis>(To - From);
+  }
+
+  void note(const std::string &Refusal) {
+    std::scoped_lock Guard(Mutex_);
+    Refusals_ += "\n  " + Refusal;
+  }
+
+  Clock::time_point Begun_ = Clock::now();
+  std::mutex Mutex_;
+  std::string Refusals_;
   std::atomic<int> Served_ = 0;
   std::atomic<int> Refused_ = 0;
   std::vector<std::unique_ptr<Background>> Senders_;
@@ -91,7 +130,8 @@
     CustomerLoad Small(System, System.vmNames(), "small", 0.5 * RateTokens);
     Pass(6000);
     WARN("small: " << Small.served() << " served, " << Small.refused()
-                   << " refused; large: " << Large.served() << " served");
+                   << " refused; large: " << Large.served() << " served"
+                   << Small.refusals());
     CHECK(Small.refused() == 0);
     CHECK(worstExcess(System, "large") <= 0);
     CHECK(Large.served() * RequestTokens > 3 * RateTokens);
@@ -101,7 +141,8 @@
     CustomerLoad Small(System, {"vm-3"}, "small", 0.9 * RateTokens);
     Pass(8000);
     WARN("small through one VM: " << Small.served() << " served, "
-                                  << Small.refused() << " refused");
+                                  << Small.refused() << " refused"
+                                  << Small.refusals());
     CHECK(worstExcess(System, "small") <= 0);
     CHECK(Small.refused() * 20 <= Small.served());
   }
