Ask the next VM for tokens when one stays silent

A request short of tokens asked one VM after the other, and the first one could use up the whole borrow_wait_ms. While one VM was silent, the others refused customers within their rate although a third VM, known to have hundreds of tokens, was never asked. A VM that is silent for a third of the wait no longer holds up the next one; what it answers later still counts. The decision is a class without I/O, QuotaRound.

The unit test of the silent VM fails when each VM gets the whole wait.

--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -24,9 +24,6 @@
 /// Requests of one customer that may ask other VMs at a time.
 static constexpr int AskingLimit = 8;
 
-/// VMs without tokens after which a request stops asking.
-static constexpr int EmptyGivers = 3;
-
 /// The balance, in seconds of demand, below which tokens are fetched ahead.
 static constexpr double FetchBelowSeconds = 0.25;
 
@@ -251,19 +248,21 @@
   if (Known.Asking_ >= AskingLimit || Now < Known.DryUntil_)
     co_return false;
   ++Known.Asking_;
-  TimePoint Deadline = Now + millis(Settings_.Quota_.BorrowWaitMs_);
   double Ahead = demandOf(Known, Now) * FetchSeconds;
-  bool IsTaken = false;
-  int Empty = 0;
-  for (const std::string &Vm : givers(Known, Now)) {
-    Now = BootClock::now();
-    if (IsTaken || Now >= Deadline || Empty == EmptyGivers)
-      break;
-    double Needed = Tokens - shareOf(Given, Now).balance(Now);
-    double Got =
-        co_await askPeer(Given, Vm, Needed, Needed + Ahead, Deadline - Now);
-    if (Got <= 0)
-      ++Empty;
+  auto Around = std::make_shared<Collecting>(
+      Executor_, QuotaRound(givers(Known, Now),
+                            millis(Settings_.Quota_.BorrowWaitMs_), Now));
+  bool IsTaken = shareOf(Given, Now).spend(Tokens, Now);
+  while (!IsTaken && !Around->Round_.isOver(Now)) {
+    if (auto Vm = Around->Round_.next(Now)) {
+      double Needed = Tokens - shareOf(Given, Now).balance(Now);
+      spawn(Executor_, askInRound(Around, Given, *Vm, Needed, Needed + Ahead));
+    } else {
+      boost::system::error_code Ignored;
+      Around->Changed_.expires_after(Around->Round_.wakeAt() - Now);
+      co_await Around->Changed_.async_wait(
+          asio::redirect_error(asio::use_awaitable, Ignored));
+    }
     Now = BootClock::now();
     IsTaken = shareOf(Given, Now).spend(Tokens, Now);
   }
@@ -273,6 +272,16 @@
   co_return IsTaken;
 }
 
+asio::awaitable<void>
+QuotaService::askInRound(std::shared_ptr<Collecting> Around, Limits Given,
+                         std::string Vm, double Needed, double Wanted) {
+  Duration Left = Around->Round_.deadline() - BootClock::now();
+  double Got = co_await askPeer(std::move(Given), std::move(Vm), Needed, Wanted,
+                                std::max(Left, Duration::zero()));
+  Around->Round_.answered(Got > 0);
+  Around->Changed_.cancel();
+}
+
 asio::awaitable<void> QuotaService::prefetch(Limits Given) {
   Tracked &Known = Tracked_[Given.Name_];
   TimePoint Now = BootClock::now();
--- a/Source/Admission/QuotaService.h
+++ b/Source/Admission/QuotaService.h
@@ -3,10 +3,12 @@
 
 #include "Admission/QuotaHolder.h"
 #include "Admission/QuotaKeeper.h"
+#include "Admission/QuotaRound.h"
 #include "Config/ConfigState.h"
 #include "Requests/HandOver.h"
 #include "Requests/QuotaGate.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
 #include <map>
@@ -76,6 +78,14 @@
     std::map<std::string, OtherHolder> Holders_;
   };
 
+  /// A round of asking and what wakes the request that waits for it.
+  struct Collecting {
+    Collecting(boost::asio::any_io_executor Executor, QuotaRound Round)
+        : Round_(std::move(Round)), Changed_(std::move(Executor)) {}
+    QuotaRound Round_;
+    boost::asio::steady_timer Changed_;
+  };
+
   QuotaShare &shareOf(const Limits &Given, TimePoint Now);
   Tracked &track(const Limits &Given, double Tokens, TimePoint Now);
   static double demandOf(const Tracked &Known, TimePoint Now);
@@ -85,6 +95,9 @@
   boost::asio::awaitable<Outcome<QuotaCharge>> take(Limits Given,
                                                     double Tokens);
   boost::asio::awaitable<bool> collect(Limits Given, double Tokens);
+  boost::asio::awaitable<void> askInRound(std::shared_ptr<Collecting> Around,
+                                          Limits Given, std::string Vm,
+                                          double Needed, double Wanted);
   boost::asio::awaitable<double> askPeer(Limits Given, std::string Vm,
                                          double Needed, double Wanted,
                                          Duration Timeout);
--- a/Tests/Integration/RateTest.cpp
+++ b/Tests/Integration/RateTest.cpp
@@ -189,6 +189,48 @@
   }
 }
 
+/// The tokens that a VM says it has for a customer; zero if it says nothing.
+static double balanceOf(Fleet &System, const std::string &Vm,
+                        const std::string &Customer) {
+  Call Page{"GET", "/admin/status", {}, ""};
+  json Whole = callOnce(System.at(Vm).port("admin"), Page).json();
+  if (!Whole.is_object() || !Whole.contains("quotas"))
+    return 0;
+  for (const json &Entry : Whole["quotas"]["customers"])
+    if (Entry["customer"] == Customer)
+      return Entry["balance_tokens"];
+  return 0;
+}
+
+TEST_CASE("a customer within its rate is served with a third VM's tokens",
+          "[rate-limit]") {
+  FleetPlan Plan;
+  Plan.Vms_ = {{"vm-1", "north"}, {"vm-2", "north"}, {"vm-3", "south"}};
+  Plan.Objects_ = {object(
+      "customer", "small",
+      {{"rate_tokens_per_second", RateTokens}, {"burst_tokens", BurstTokens}})};
+  Plan.Settings_["quota"] = {{"borrow_wait_ms", 1000}};
+  Fleet System(Plan);
+  warmUp(System);
+  // More than one VM has once each has its third, and less than two have.
+  Call Request = completion("a@1", "load", 300, false, "secret-small");
+  REQUIRE(eventually(
+      [&] {
+        return std::ranges::all_of(System.vmNames(), [&](auto &Vm) {
+          double Balance = balanceOf(System, Vm, "small");
+          return Balance > 200 && Balance < 300;
+        });
+      },
+      SettleBound));
+
+  SECTION("when the VM that is asked first stays silent") {
+    System.link("vm-2>vm-1", "freeze");
+    Answer Given = System.call("vm-2", Request);
+    INFO(Given.Body_);
+    CHECK(Given.Status_ == 200);
+  }
+}
+
 TEST_CASE("a customer whom no VM has seen is served while the platform is away",
           "[unseen-customer]") {
   FleetPlan Plan;
--- a/Tests/Unit/QuotaTest.cpp
+++ b/Tests/Unit/QuotaTest.cpp
@@ -1,5 +1,6 @@
 #include "Admission/QuotaHolder.h"
 #include "Admission/QuotaLeaseWatch.h"
+#include "Admission/QuotaRound.h"
 #include "Admission/TokenBucket.h"
 
 #include <catch2/catch.hpp>
@@ -315,3 +316,43 @@
   CHECK(Fleet.RefusedByFixed_ > Fleet.Requests_ / 4);
   CHECK(Fleet.RefusedByShares_ <= Fleet.Requests_ / 50);
 }
+
+TEST_CASE("a round that asks other VMs for tokens", "[rate-limit]") {
+  QuotaRound Round({"vm-1", "vm-2", "vm-3", "vm-4"}, 90ms, Start);
+  REQUIRE(Round.next(Start) == "vm-1");
+  CHECK_FALSE(Round.next(Start + 1ms));
+  CHECK_FALSE(Round.isOver(Start + 1ms));
+
+  SECTION("asks the next when one gave too little") {
+    Round.answered(true);
+    CHECK(Round.next(Start + 1ms) == "vm-2");
+  }
+  SECTION("asks another in time although the first stays silent") {
+    REQUIRE(Round.wakeAt() < Round.deadline());
+    REQUIRE(Round.next(Round.wakeAt()) == "vm-2");
+    CHECK_FALSE(Round.next(Start + 31ms));
+    SECTION("and a third when the second has nothing") {
+      Round.answered(false);
+      CHECK(Round.next(Start + 31ms) == "vm-3");
+    }
+    SECTION("or when that is silent too, and no more then") {
+      REQUIRE(Round.next(Round.wakeAt()) == "vm-3");
+      CHECK(Round.wakeAt() == Round.deadline());
+      CHECK_FALSE(Round.next(Start + 89ms));
+      CHECK_FALSE(Round.isOver(Start + 89ms));
+    }
+  }
+  SECTION("is over when three had nothing") {
+    Round.answered(false);
+    for (const char *Vm : {"vm-2", "vm-3"}) {
+      REQUIRE(Round.next(Start + 1ms) == Vm);
+      Round.answered(false);
+    }
+    CHECK(Round.isOver(Start + 1ms));
+    CHECK_FALSE(Round.next(Start + 1ms));
+  }
+  SECTION("is over at the end of the wait") {
+    CHECK_FALSE(Round.next(Round.deadline()));
+    CHECK(Round.isOver(Round.deadline()));
+  }
+}
