Don't let the stop test hang on engines that change hands

A request is refused while no VM may order its engine; the test sends it again until it waits. One request waits, as of two at one engine only the first is ordered. The fleet's settling asks with 3 s whatever the plan says.

--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -38,8 +38,9 @@
   startVm("vm-2");
   bool Settled = eventually(
       [&] {
-        return call("vm-1", "/stream/1", {{"X-Model", "base/warm"}}).Status_ ==
-                   200 &&
+        return call("vm-1", "/stream/1",
+                    {{"X-Model", "base/warm"}, {"X-Request-Deadline", "3000"}})
+                       .Status_ == 200 &&
                call("vm-2", "/safe/1").Status_ == 200;
       },
       SettleBound);
