--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -354,8 +354,8 @@
     co_return TryEnd::Failed;
   }
   int Status = Reply.Status_;
-  co_await Exchange_.respond(std::move(Reply));
-  logEnd("served", Status);
+  bool IsSent = co_await Exchange_.respond(std::move(Reply));
+  logAnswer(IsSent, "served", Status);
   co_return TryEnd::Done;
 }
 
@@ -406,8 +406,8 @@
   keepConnection(Chosen, Answer);
   if (IsResumable && !Events_.rest().empty())
     co_await Exchange_.write(std::string(Events_.rest()));
-  co_await Exchange_.finishStream();
-  logEnd("served", Answer.Status_);
+  bool IsSent = co_await Exchange_.finishStream();
+  logAnswer(IsSent, "served", Answer.Status_);
   co_return TryEnd::Done;
 }
 
@@ -440,8 +440,8 @@
   }
   if (Failure_) {
     int Status = Failure_->Status_;
-    co_await Exchange_.respond(std::move(*Failure_));
-    logEnd("target_failed", Status);
+    bool IsSent = co_await Exchange_.respond(std::move(*Failure_));
+    logAnswer(IsSent, "target_failed", Status);
     co_return;
   }
   if (Runs_ > 0) {
@@ -455,9 +455,9 @@
 
 asio::awaitable<void> RequestRun::refuse(int Status, std::string_view Reason,
                                          std::optional<Duration> RetryAfter) {
-  co_await Exchange_.respond(platform::ownAnswer(
+  bool IsSent = co_await Exchange_.respond(platform::ownAnswer(
       Status, Request_.Fields_.RequestId_, Reason, RetryAfter));
-  logEnd("refused", Status);
+  logAnswer(IsSent, "refused", Status);
 }
 
 void RequestRun::countEnd(std::string_view Outcome, int Status, TimePoint Now) {
@@ -479,6 +479,13 @@
     Shared_.Metrics_->observe("anvil_paced_seconds", {}, Paced_);
 }
 
+void RequestRun::logAnswer(bool IsSent, std::string_view Outcome, int Status) {
+  if (IsSent)
+    logEnd(Outcome, Status);
+  else
+    logGone(Status);
+}
+
 void RequestRun::logGone(int Status) {
   logEnd(Exchange_.closedByServer() ? "connection_closed" : "caller_gone",
          Status);
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -124,6 +124,8 @@
   void keepConnection(const Pick &Chosen, const platform::TargetAnswer &Answer);
   void noteLoss(const Pick &Chosen);
   void logEnd(std::string_view Outcome, int Status);
+  /// Logs the end of a request that was answered, if the answer could be sent.
+  void logAnswer(bool IsSent, std::string_view Outcome, int Status);
   /// Logs the end of a request whose answer has nowhere to go.
   void logGone(int Status);
   void countEnd(std::string_view Outcome, int Status, TimePoint Now);
