--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -21,7 +21,8 @@
   HttpServerLimits Limits;
   Limits.HeadBytes_ = static_cast<std::uint32_t>(Given.HeadBytes_);
   Limits.BodyBytes_ = static_cast<std::uint64_t>(Given.BodyBytes_);
-  Limits.RequestTime_ = std::chrono::milliseconds(Given.RequestMs_);
+  Limits.HeadTime_ = std::chrono::milliseconds(Given.RequestMs_);
+  Limits.BodyTime_ = Limits.HeadTime_;
   Limits.IdleTime_ = std::chrono::milliseconds(Given.IdleMs_);
   return Limits;
 }
@@ -237,12 +238,8 @@
 std::optional<Refusal>
 RequestPipeline::stopBeforeDispatch(const HttpExchange &Exchange,
                                     const RequestContext &Request) {
-  bool IsWithdrawn =
-      !Request.KeyName_.empty() && !Admission_.keys().isValid(Request.KeyName_);
-  if (IsWithdrawn)
-    return Refusal{RefusalCode::InvalidKey,
-                   "the key was withdrawn while the request waited",
-                   Execution::No, std::nullopt};
+  if (auto Refused = Admission_.checkKeyAgain(Request, BootClock::now()))
+    return Refused;
   if (Request.Repeatable_ && Exchange.callerGone())
     return Refusal{RefusalCode::CallerGone, "the caller went away",
                    Execution::No, std::nullopt};
@@ -271,7 +268,8 @@
   Exchange.onCallerGone({});
   if (Try.Resumes_ > 0)
     Metrics_->count("anvil_streams_resumed_total", {}, Try.Resumes_);
-  if (Exchange.callerGone() && Try.Result_ == TryResult::Crashed) {
+  if (Request.Repeatable_ && Exchange.callerGone() &&
+      Try.Result_ == TryResult::Crashed) {
     // This VM closed the connection itself; the target is not at fault.
     Try.Result_ = TryResult::Answered;
     Try.End_ = PermitEnd::Finished;
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,12 +1,10 @@
 #include "Http/HttpServer.h"
 
+#include "Http/ServerConnection.h"
 #include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -21,62 +19,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/// The bytes that are asked for at the start of a request.
-static constexpr std::size_t FirstReadBytes = 4096;
-
-/// How far a connection is with a request.
-enum class Phase { Idle, Reading, Handling };
-
-/// When a connection ends that its caller would keep; later values go further.
-enum class Ending { None, AfterAnswer, WhenIdle };
-
-/// The connection that an exchange belongs to. Only the coroutine that serves
-/// it closes it, or the handler in it: a connection that another party closed
-/// could hold a request that was taken from the socket before.
-struct HttpExchange::State {
-  explicit State(tcp::socket Socket)
-      : Stream_(std::move(Socket)), IdleTimer_(Stream_.get_executor()) {}
-
-  void close() {
-    IsClosed_ = true;
-    error_code Ignored;
-    Stream_.socket().close(Ignored);
-  }
-
-  /// Asks for the end; an idle connection stops waiting for a request.
-  void end(Ending When) {
-    Ending_ = std::max(Ending_, When);
-    if (Ending_ == Ending::WhenIdle && Phase_ == Phase::Idle)
-      Stream_.cancel();
-  }
-
-  /// Whether bytes of a next request are here.
-  bool hasInput() {
-    error_code Cause;
-    return Buffer_.size() > 0 || Stream_.socket().available(Cause) > 0;
-  }
-
-  /// Settles with an answer's head whether another request may follow it.
-  bool settleKeepAlive() {
-    if (Ending_ != Ending::None && !hasInput())
-      KeepAlive_ = false;
-    return KeepAlive_;
-  }
-
-  beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_;
-  asio::steady_timer IdleTimer_;
-  Phase Phase_ = Phase::Idle;
-  Ending Ending_ = Ending::None;
-  bool KeepAlive_ = true;
-  bool CallerGone_ = false;
-  bool IsClosed_ = false;
-  std::string Tag_;
-  std::function<void()> GoneCall_;
-};
-
 struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
-  using Connection = HttpExchange::State;
+  using Connection = ServerConnection;
 
   Core(asio::any_io_executor Executor, HttpServerLimits Limits, Handler Handle)
       : Executor_(std::move(Executor)), Acceptor_(Executor_), Limits_(Limits),
@@ -84,11 +28,9 @@
 
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<Connection> Peer);
-  /// Waits for the first bytes of a request. False when there will be none.
-  asio::awaitable<bool> awaitRequest(std::shared_ptr<Connection> Peer);
   asio::awaitable<std::optional<HttpRequest>> read(Connection &Peer);
   asio::awaitable<void> rejectMalformed(Connection &Peer, error_code Cause);
-  void endAll(Ending When);
+  void endAll(ConnectionEnding When);
 
   asio::any_io_executor Executor_;
   tcp::acceptor Acceptor_;
@@ -98,121 +40,20 @@
   std::set<std::shared_ptr<Connection>> Connections_;
   std::size_t Running_ = 0;
   /// What new connections begin with.
-  Ending Ending_ = Ending::None;
+  ConnectionEnding Ending_ = ConnectionEnding::None;
   /// Whether the server is gone, and its handler's owner with it.
   bool Abandoned_ = false;
 };
 
-void HttpServer::Core::endAll(Ending When) {
+void HttpServer::Core::endAll(ConnectionEnding When) {
   Ending_ = std::max(Ending_, When);
   for (const auto &Peer : Connections_)
     Peer->end(When);
 }
 
-HttpExchange::HttpExchange(State &Owner, HttpRequest Request)
-    : Owner_(Owner), Request_(std::move(Request)) {}
-
-static void copyHeaders(const HttpHeaders &From, http::fields &To) {
-  for (const HttpHeader &Header : From)
-    To.insert(Header.Name_, Header.Value_);
-}
-
-asio::awaitable<bool> HttpExchange::respond(HttpReply Reply) {
-  Answered_ = true;
-  http::response<http::string_body> Message;
-  Message.version(11);
-  Message.result(static_cast<unsigned>(Reply.Status_));
-  copyHeaders(Reply.Headers_, Message);
-  Message.body() = std::move(Reply.Body_);
-  Message.keep_alive(Owner_.settleKeepAlive());
-  Message.prepare_payload();
-  error_code Cause;
-  if (Request_.Method_ == "HEAD") {
-    http::response_serializer<http::string_body> Serializer(Message);
-    co_await http::async_write_header(
-        Owner_.Stream_, Serializer,
-        asio::redirect_error(asio::use_awaitable, Cause));
-  } else {
-    co_await http::async_write(
-        Owner_.Stream_, Message,
-        asio::redirect_error(asio::use_awaitable, Cause));
-  }
-  co_return !Cause;
-}
-
-asio::awaitable<bool> HttpExchange::startStream(HttpReplyHead Head) {
-  Answered_ = true;
-  http::response<http::empty_body> Message;
-  Message.version(11);
-  Message.result(static_cast<unsigned>(Head.Status_));
-  copyHeaders(Head.Headers_, Message);
-  Message.keep_alive(Owner_.settleKeepAlive());
-  Message.chunked(true);
-  http::response_serializer<http::empty_body> Serializer(Message);
-  error_code Cause;
-  co_await http::async_write_header(
-      Owner_.Stream_, Serializer,
-      asio::redirect_error(asio::use_awaitable, Cause));
-  co_return !Cause;
-}
-
-asio::awaitable<bool> HttpExchange::write(std::string_view Piece) {
-  if (Piece.empty())
-    co_return true;
-  error_code Cause;
-  co_await asio::async_write(Owner_.Stream_,
-                             http::make_chunk(asio::buffer(Piece)),
-                             asio::redirect_error(asio::use_awaitable, Cause));
-  co_return !Cause;
-}
-
-asio::awaitable<bool> HttpExchange::finishStream() {
-  error_code Cause;
-  co_await asio::async_write(Owner_.Stream_, http::make_chunk_last(),
-                             asio::redirect_error(asio::use_awaitable, Cause));
-  co_return !Cause;
-}
-
-bool HttpExchange::callerGone() const { return Owner_.CallerGone_; }
-
-bool HttpExchange::closedByServer() const { return Owner_.IsClosed_; }
-
-void HttpExchange::onCallerGone(std::function<void()> Call) {
-  Owner_.GoneCall_ = std::move(Call);
-}
-
-void HttpExchange::abort() {
-  Owner_.KeepAlive_ = false;
-  Owner_.CallerGone_ = true;
-  Owner_.close();
-}
-
-void HttpExchange::tag(std::string Mark) { Owner_.Tag_ = std::move(Mark); }
-
-void HttpExchange::closeAfterwards() { Owner_.KeepAlive_ = false; }
-
-/// Notices that a caller closes its connection while its request runs. More
-/// input is a pipelined request, which waits in the socket for its turn.
-static void watchCaller(std::shared_ptr<HttpExchange::State> Peer) {
-  auto &Socket = Peer->Stream_.socket();
-  Socket.async_wait(tcp::socket::wait_read, [Peer](error_code Cause) {
-    if (Cause || Peer->Phase_ != Phase::Handling)
-      return;
-    char Byte = 0;
-    error_code Problem;
-    Peer->Stream_.socket().receive(asio::buffer(&Byte, 1),
-                                   tcp::socket::message_peek, Problem);
-    if (!Problem)
-      return;
-    Peer->CallerGone_ = true;
-    if (auto Call = std::exchange(Peer->GoneCall_, {}))
-      Call();
-  });
-}
-
 asio::awaitable<void> HttpServer::Core::accept() {
   auto Self = shared_from_this();
-  while (Ending_ != Ending::WhenIdle) {
+  while (Ending_ != ConnectionEnding::WhenIdle) {
     error_code Cause;
     tcp::socket Socket = co_await Acceptor_.async_accept(
         asio::redirect_error(asio::use_awaitable, Cause));
@@ -229,36 +70,25 @@
   }
 }
 
-asio::awaitable<bool>
-HttpServer::Core::awaitRequest(std::shared_ptr<Connection> Peer) {
-  if (Peer->Ending_ == Ending::WhenIdle || Peer->Buffer_.size() > 0)
-    co_return Peer->hasInput();
-  Peer->IdleTimer_.expires_after(Limits_.IdleTime_);
-  Peer->IdleTimer_.async_wait([Peer](error_code Cause) {
-    if (!Cause && Peer->Phase_ == Phase::Idle)
-      Peer->end(Ending::WhenIdle);
-  });
-  error_code Cause;
-  std::size_t Read = co_await Peer->Stream_.async_read_some(
-      Peer->Buffer_.prepare(FirstReadBytes),
-      asio::redirect_error(asio::use_awaitable, Cause));
-  Peer->IdleTimer_.cancel();
-  Peer->Buffer_.commit(Read);
-  // A request may have come just as the wait was ended.
-  co_return !Cause ||
-      (Cause == asio::error::operation_aborted && Peer->hasInput());
-}
-
 asio::awaitable<std::optional<HttpRequest>>
 HttpServer::Core::read(Connection &Peer) {
   error_code Cause;
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits_.HeadBytes_);
   Parser.body_limit(Limits_.BodyBytes_);
-  Peer.Stream_.expires_after(Limits_.RequestTime_);
-  co_await http::async_read(Peer.Stream_, Peer.Buffer_, Parser,
-                            asio::redirect_error(asio::use_awaitable, Cause));
-  Peer.Stream_.expires_never();
+  Peer.limitRead(Limits_.HeadTime_);
+  co_await http::async_read_header(
+      Peer.Stream_, Peer.Buffer_, Parser,
+      asio::redirect_error(asio::use_awaitable, Cause));
+  if (!Cause && !Parser.is_done()) {
+    Peer.clearReadLimit();
+    Peer.limitRead(Limits_.BodyTime_);
+    co_await http::async_read(Peer.Stream_, Peer.Buffer_, Parser,
+                              asio::redirect_error(asio::use_awaitable, Cause));
+  }
+  if (Cause && Peer.readTimedOut())
+    Cause = beast::error::timeout;
+  Peer.clearReadLimit();
   if (Cause) {
     co_await rejectMalformed(Peer, Cause);
     co_return std::nullopt;
@@ -277,7 +107,7 @@
 
 asio::awaitable<void> HttpServer::Core::rejectMalformed(Connection &Peer,
                                                         error_code Cause) {
-  if (Cause == http::error::end_of_stream || !Malformed_)
+  if (Cause == http::error::end_of_stream || !Malformed_ || Abandoned_)
     co_return;
   int Status = 400;
   if (Cause == http::error::body_limit)
@@ -294,28 +124,29 @@
 asio::awaitable<void>
 HttpServer::Core::serve(std::shared_ptr<Connection> Peer) {
   auto Self = shared_from_this();
-  while (co_await awaitRequest(Peer)) {
-    Peer->Phase_ = Phase::Reading;
+  while (co_await Peer->awaitRequest(Limits_.IdleTime_)) {
+    Peer->Phase_ = ConnectionPhase::Reading;
     ++Running_;
     auto Request = co_await read(*Peer);
     bool IsHandled = Request && !Abandoned_;
     if (IsHandled) {
       HttpExchange Exchange(*Peer, std::move(*Request));
-      Peer->Phase_ = Phase::Handling;
-      watchCaller(Peer);
+      Peer->Phase_ = ConnectionPhase::Handling;
+      Peer->watchCaller();
       co_await Handle_(Exchange);
       Peer->GoneCall_ = {};
     }
     --Running_;
-    Peer->Phase_ = Phase::Idle;
+    Peer->Phase_ = ConnectionPhase::Idle;
     if (!IsHandled || !Peer->KeepAlive_ || !Peer->Stream_.socket().is_open())
       break;
     // Only the watch for the caller's leaving is still pending here.
     error_code Ignored;
     Peer->Stream_.socket().cancel(Ignored);
   }
-  error_code Ignored;
-  Peer->Stream_.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+  bool AnnouncedClose = !Peer->KeepAlive_ && Peer->Stream_.socket().is_open();
+  if (AnnouncedClose)
+    co_await Peer->linger();
   Peer->close();
   Connections_.erase(Peer);
 }
@@ -361,20 +192,20 @@
   return Core_->Acceptor_.local_endpoint(Ignored).port();
 }
 
-void HttpServer::beginDrain() { Core_->endAll(Ending::AfterAnswer); }
+void HttpServer::beginDrain() { Core_->endAll(ConnectionEnding::AfterAnswer); }
 
 void HttpServer::closeTagged(
     const std::function<bool(const std::string &)> &IsEnded) {
   for (const auto &Peer : Core_->Connections_) {
     if (!Peer->Tag_.empty() && IsEnded(Peer->Tag_))
-      Peer->end(Ending::WhenIdle);
+      Peer->end(ConnectionEnding::WhenIdle);
   }
 }
 
 ClosedConnections HttpServer::close() {
   error_code Ignored;
   Core_->Acceptor_.close(Ignored);
-  Core_->endAll(Ending::WhenIdle);
+  Core_->endAll(ConnectionEnding::WhenIdle);
   ClosedConnections Counts;
   Counts.Kept_ = Core_->Running_;
   Counts.Closed_ = Core_->Connections_.size() - Core_->Running_;
