--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -56,6 +56,7 @@
               {},
               retryOptions(Settings),
               AssumedVms,
+              {},
               {}},
       Callers_(Executor_, {},
                [this](HttpExchange &Exchange) { return handle(Exchange); }),
@@ -114,7 +115,8 @@
   Callers_.beginDrain();
 }
 
-void EntryGateway::closeIdle() {
+void EntryGateway::closeIdle(TimePoint StopAt) {
+  StopAt_ = StopAt;
   ClosedConnections Counts = Callers_.close();
   logEvent(LogLevel::Info, "idle_connections_closed",
            {{"closed", Counts.Closed_}, {"kept", Counts.Kept_}});
@@ -154,7 +156,7 @@
 }
 
 std::optional<EntryGateway::Refusal>
-EntryGateway::admitKey(AdmittedRequest &Admitted) {
+EntryGateway::admitKey(EntryRequest &Admitted) {
   const ServingPlan &Plan = *Admitted.Plan_;
   Admitted.Customer_ = Plan.findCustomerOfKey(Admitted.Fields_.Key_);
   bool NeedsKey = Plan.hasCustomers() && !Admitted.Route_->Open_;
@@ -169,14 +171,14 @@
   return std::nullopt;
 }
 
-double EntryGateway::chargeOf(const AdmittedRequest &Admitted) const {
+double EntryGateway::chargeOf(const EntryRequest &Admitted) const {
   return Admitted.Fields_.HasTokenCounts_
              ? Admitted.Fields_.ChargeTokens_
              : Admitted.Customer_->PlainRequestTokens_;
 }
 
 std::optional<EntryGateway::Refusal>
-EntryGateway::admitCharge(AdmittedRequest &Admitted) {
+EntryGateway::admitCharge(EntryRequest &Admitted) {
   if (!Admitted.Customer_)
     return std::nullopt;
   BudgetVerdict Verdict = Shared_.Fleet_->budget().charge(
@@ -188,7 +190,7 @@
 }
 
 std::optional<EntryGateway::Refusal>
-EntryGateway::admit(const HttpRequest &Request, AdmittedRequest &Admitted) {
+EntryGateway::admit(const HttpRequest &Request, EntryRequest &Admitted) {
   Admitted.Plan_ = Plans_->current();
   if (!Admitted.Plan_)
     return Refusal{503, "no configuration yet", NotReadyRetryAfter};
@@ -206,11 +208,13 @@
       std::min(Admitted.Fields_.Patience_.value_or(DefaultPatience),
                Admitted.Route_->Timeout_);
   Admitted.Deadline_ = Admitted.ArrivedAt_ + Patience;
+  if (StopAt_ && Admitted.Deadline_ > *StopAt_)
+    return Refusal{503, "the VM stops before the deadline", NotReadyRetryAfter};
   return admitCharge(Admitted);
 }
 
 asio::awaitable<void> EntryGateway::handle(HttpExchange &Exchange) {
-  AdmittedRequest Admitted;
+  EntryRequest Admitted;
   Admitted.ArrivedAt_ = BootClock::now();
   Admitted.Fields_ = platform::decodeCallerFields(Exchange.request());
   if (auto Refused = admit(Exchange.request(), Admitted)) {
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -32,8 +32,13 @@
   /// Reports not ready from now on; answers close their connections.
   void beginDrain();
 
-  /// Takes no new connections and closes those without a request.
-  void closeIdle();
+  /// Takes no new connections and closes those without a request. Requests that
+  /// come whole later are served only if they end before `StopAt`.
+  void closeIdle(TimePoint StopAt);
+
+  /// Gives each request its final answer at once, and those that come to be
+  /// read later; cuts streams that have begun.
+  void endRequests() { Shared_.endRequests(); }
 
   /// The ports in use, by the name of what listens there.
   std::map<std::string, std::uint16_t> ports() const;
@@ -55,10 +60,10 @@
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> answerReady(HttpExchange &Exchange);
   std::optional<Refusal> admit(const HttpRequest &Request,
-                               AdmittedRequest &Admitted);
-  std::optional<Refusal> admitKey(AdmittedRequest &Admitted);
-  std::optional<Refusal> admitCharge(AdmittedRequest &Admitted);
-  double chargeOf(const AdmittedRequest &Admitted) const;
+                               EntryRequest &Admitted);
+  std::optional<Refusal> admitKey(EntryRequest &Admitted);
+  std::optional<Refusal> admitCharge(EntryRequest &Admitted);
+  double chargeOf(const EntryRequest &Admitted) const;
   std::string whyNotReady() const;
 
   boost::asio::any_io_executor Executor_;
@@ -71,6 +76,8 @@
   HttpServer Ready_;
   HttpServer MetricsPage_;
   bool Draining_ = false;
+  /// When the time to serve requests runs out, once the idle were closed.
+  std::optional<TimePoint> StopAt_;
 };
 
 } // namespace anvil
--- a/Tests/Integration/RateTest.cpp
+++ b/Tests/Integration/RateTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <mutex>
+
 using namespace anvil;
 using nlohmann::json;
 
@@ -16,9 +18,13 @@
 static constexpr int OutputTokens = 18;
 static constexpr double RequestTokens = 20;
 
-/// The most tokens above rate and burst that a customer's runs used in any
-/// interval; zero or less is within them.
-static double worstExcess(Fleet &System, const std::string &Customer) {
+/// The least that a stream used of which a caller has read two tokens.
+static constexpr double LeftStreamTokens = 4;
+
+/// The most tokens above rate and burst that a customer's runs, of `RunTokens`
+/// each, used in any interval; zero or less is within them.
+static double worstExcess(Fleet &System, const std::string &Customer,
+                          double RunTokens = RequestTokens) {
   json Runs = json::array();
   for (const json &Run : System.engineRecords("run"))
     if (Run["customer"] == Customer)
@@ -30,13 +36,27 @@
   double Worst = -BurstTokens;
   for (std::size_t First = 0; First < Seconds.size(); ++First)
     for (std::size_t Last = First; Last < Seconds.size(); ++Last) {
-      double Used = static_cast<double>(Last - First + 1) * RequestTokens;
+      double Used = static_cast<double>(Last - First + 1) * RunTokens;
       double Length = Seconds[Last] - Seconds[First] + RecordLagSeconds;
       Worst = std::max(Worst, Used - RateTokens * Length - BurstTokens);
     }
   return Worst;
 }
 
+/// An answer that isn't 200, in one line: which VM gave it, when after the
+/// load's begin it was asked for and after how long it came.
+static std::string refusalText(const std::string &Vm, const Answer &Given,
+                               Millis AskedAt, Millis Took) {
+  std::string Text = Vm + " at " + std::to_string(AskedAt.count()) +
+                     " ms, after " + std::to_string(Took.count()) + " ms: ";
+  if (Given.Status_ == 0)
+    return Text + "no answer";
+  Text += std::to_string(Given.Status_);
+  for (const char *Field : {"code", "message", "ran", "request_id"})
+    Text += " " + Given.problem(Field);
+  return Text + (Given.Whole_ ? "" : ", not whole");
+}
+
 /// Sends from a customer through some VMs at a rate of tokens.
 class CustomerLoad {
 public:
@@ -49,12 +69,15 @@
         completion("a@1", "load", OutputTokens, false, "secret-" + Customer);
     for (const std::string &Vm : Vms) {
       std::uint16_t Port = System.at(Vm).port("caller");
-      auto Next = std::make_shared<std::chrono::steady_clock::time_point>(
-          std::chrono::steady_clock::now());
+      auto Next = std::make_shared<Clock::time_point>(Clock::now());
       Senders_.push_back(std::make_unique<Background>([=, this] {
         std::this_thread::sleep_until(*Next);
         *Next += Pause;
+        auto Asked = Clock::now();
         Answer Given = callOnce(Port, Request, Millis(2000));
+        if (Given.Status_ != 200)
+          note(refusalText(Vm, Given, millisUntil(Begun_, Asked),
+                           millisUntil(Asked, Clock::now())));
         ++(Given.Status_ == 200 ? Served_ : Refused_);
       }));
     }
@@ -63,7 +86,27 @@
   int served() const { return Served_; }
   int refused() const { return Refused_; }
 
+  /// What each answer that isn't 200 said, a line each.
+  std::string refusals() {
+    std::scoped_lock Guard(Mutex_);
+    return Refusals_;
+  }
+
 private:
+  using Clock = std::chrono::steady_clock;
+
+  static Millis millisUntil(Clock::time_point From, Clock::time_point To) {
+    return std::chrono::duration_cast<Millis>(To - From);
+  }
+
+  void note(const std::string &Refusal) {
+    std::scoped_lock Guard(Mutex_);
+    Refusals_ += "\n  " + Refusal;
+  }
+
+  Clock::time_point Begun_ = Clock::now();
+  std::mutex Mutex_;
+  std::string Refusals_;
   std::atomic<int> Served_ = 0;
   std::atomic<int> Refused_ = 0;
   std::vector<std::unique_ptr<Background>> Senders_;
@@ -91,7 +134,8 @@
     CustomerLoad Small(System, System.vmNames(), "small", 0.5 * RateTokens);
     Pass(6000);
     WARN("small: " << Small.served() << " served, " << Small.refused()
-                   << " refused; large: " << Large.served() << " served");
+                   << " refused; large: " << Large.served() << " served"
+                   << Small.refusals());
     CHECK(Small.refused() == 0);
     CHECK(worstExcess(System, "large") <= 0);
     CHECK(Large.served() * RequestTokens > 3 * RateTokens);
@@ -101,11 +145,31 @@
     CustomerLoad Small(System, {"vm-3"}, "small", 0.9 * RateTokens);
     Pass(8000);
     WARN("small through one VM: " << Small.served() << " served, "
-                                  << Small.refused() << " refused");
+                                  << Small.refused() << " refused"
+                                  << Small.refusals());
     CHECK(worstExcess(System, "small") <= 0);
     CHECK(Small.refused() * 20 <= Small.served());
   }
 
+  SECTION("when callers leave their streams early") {
+    std::vector<std::unique_ptr<Background>> Callers;
+    std::atomic<int> Left = 0;
+    for (const std::string &Vm : System.vmNames())
+      for (int Number = 0; Number < 3; ++Number)
+        Callers.push_back(std::make_unique<Background>([&, Vm] {
+          CallerConnection Leaving(System.at(Vm).port("caller"));
+          Leaving.send(
+              completion("a@1", "load", OutputTokens, true, "secret-large"));
+          Left += Leaving.readUntil("a@1#1 ", Millis(500));
+          std::this_thread::sleep_for(Millis(10));
+        }));
+    Pass(6000);
+    Callers.clear();
+    WARN("large: " << Left << " streams left");
+    CHECK(Left > 0);
+    CHECK(worstExcess(System, "large", LeftStreamTokens) <= 0);
+  }
+
   SECTION("when VMs are killed and start anew under load") {
     {
       CustomerLoad Large(System, {"vm-1", "vm-3"}, "large", 5 * RateTokens);
@@ -148,6 +212,48 @@
   }
 }
 
+/// The tokens that a VM says it has for a customer; zero if it says nothing.
+static double balanceOf(Fleet &System, const std::string &Vm,
+                        const std::string &Customer) {
+  Call Page{"GET", "/admin/status", {}, ""};
+  json Whole = callOnce(System.at(Vm).port("admin"), Page).json();
+  if (!Whole.is_object() || !Whole.contains("quotas"))
+    return 0;
+  for (const json &Entry : Whole["quotas"]["customers"])
+    if (Entry["customer"] == Customer)
+      return Entry["balance_tokens"];
+  return 0;
+}
+
+TEST_CASE("a customer within its rate is served with a third VM's tokens",
+          "[rate-limit]") {
+  FleetPlan Plan;
+  Plan.Vms_ = {{"vm-1", "north"}, {"vm-2", "north"}, {"vm-3", "south"}};
+  Plan.Objects_ = {object(
+      "customer", "small",
+      {{"rate_tokens_per_second", RateTokens}, {"burst_tokens", BurstTokens}})};
+  Plan.Settings_["quota"] = {{"borrow_wait_ms", 1000}};
+  Fleet System(Plan);
+  warmUp(System);
+  // More than one VM has once each has its third, and less than two have.
+  Call Request = completion("a@1", "load", 300, false, "secret-small");
+  REQUIRE(eventually(
+      [&] {
+        return std::ranges::all_of(System.vmNames(), [&](auto &Vm) {
+          double Balance = balanceOf(System, Vm, "small");
+          return Balance > 200 && Balance < 300;
+        });
+      },
+      SettleBound));
+
+  SECTION("when the VM that is asked first stays silent") {
+    System.link("vm-2>vm-1", "freeze");
+    Answer Given = System.call("vm-2", Request);
+    INFO(Given.Body_);
+    CHECK(Given.Status_ == 200);
+  }
+}
+
 TEST_CASE("a customer whom no VM has seen is served while the platform is away",
           "[unseen-customer]") {
   FleetPlan Plan;
