--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -24,16 +24,15 @@
 static constexpr Duration AcceptPause = std::chrono::milliseconds(10);
 
 struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
-  using Connection = ServerConnection;
-
   Core(asio::any_io_executor Executor, HttpServerLimits Limits, Handler Handle)
       : Executor_(std::move(Executor)), Acceptor_(Executor_),
         AcceptTimer_(Executor_), Limits_(Limits), Handle_(std::move(Handle)) {}
 
   asio::awaitable<void> accept();
-  asio::awaitable<void> serve(std::shared_ptr<Connection> Peer);
-  asio::awaitable<std::optional<HttpRequest>> read(Connection &Peer);
-  asio::awaitable<void> rejectMalformed(Connection &Peer, error_code Cause);
+  asio::awaitable<void> serve(std::shared_ptr<ServerConnection> Peer);
+  asio::awaitable<std::optional<HttpRequest>> read(ServerConnection &Peer);
+  asio::awaitable<void> rejectMalformed(ServerConnection &Peer,
+                                        error_code Cause);
   void endAll(ConnectionEnding When);
 
   asio::any_io_executor Executor_;
@@ -42,7 +41,7 @@
   HttpServerLimits Limits_;
   Handler Handle_;
   MalformedHook Malformed_;
-  std::set<std::shared_ptr<Connection>> Connections_;
+  std::set<std::shared_ptr<ServerConnection>> Connections_;
   std::size_t Running_ = 0;
   /// What new connections begin with.
   ConnectionEnding Ending_ = ConnectionEnding::None;
@@ -72,7 +71,7 @@
     }
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
-    auto Peer = std::make_shared<Connection>(std::move(Socket));
+    auto Peer = std::make_shared<ServerConnection>(std::move(Socket));
     Peer->end(Ending_);
     Connections_.insert(Peer);
     spawn(Executor_, serve(std::move(Peer)));
@@ -80,7 +79,7 @@
 }
 
 asio::awaitable<std::optional<HttpRequest>>
-HttpServer::Core::read(Connection &Peer) {
+HttpServer::Core::read(ServerConnection &Peer) {
   error_code Cause;
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits_.HeadBytes_);
@@ -114,7 +113,7 @@
   co_return Request;
 }
 
-asio::awaitable<void> HttpServer::Core::rejectMalformed(Connection &Peer,
+asio::awaitable<void> HttpServer::Core::rejectMalformed(ServerConnection &Peer,
                                                         error_code Cause) {
   if (Cause == http::error::end_of_stream || !Malformed_ || Abandoned_)
     co_return;
@@ -131,7 +130,7 @@
 }
 
 asio::awaitable<void>
-HttpServer::Core::serve(std::shared_ptr<Connection> Peer) {
+HttpServer::Core::serve(std::shared_ptr<ServerConnection> Peer) {
   auto Self = shared_from_this();
   while (co_await Peer->awaitRequest(Limits_.IdleTime_)) {
     Peer->Phase_ = ConnectionPhase::Reading;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -32,7 +32,7 @@
 
 /// The connections that `HttpServer::close` found.
 struct ClosedConnections {
-  /// Those that were idle. One is still answered if its request has arrived.
+  /// Those without a request. One is still answered if its request has arrived.
   std::size_t Closed_ = 0;
   /// Those that stay until their request is answered.
   std::size_t Kept_ = 0;
--- a/Source/Http/WhenIdle.h
+++ b/Source/Http/WhenIdle.h
@@ -10,8 +10,8 @@
 namespace anvil {
 
 /// Calls `Then` once `IsIdle` holds or the deadline has passed, at once if that
-/// is now. A stopping server waits for its requests so. The timer is this
-/// wait's alone until then.
+/// is now. A stopping server waits so for its connections to end. The timer is
+/// this wait's alone until then.
 void whenIdle(boost::asio::steady_timer &Timer, TimePoint Deadline,
               std::function<bool()> IsIdle, std::function<void()> Then);
 
