--- a/Source/Admission/QuotaKeeper.cpp
+++ b/Source/Admission/QuotaKeeper.cpp
@@ -1,5 +1,6 @@
 #include "Admission/QuotaKeeper.h"
 
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Membership/Rendezvous.h"
 #include "Peer/PeerMessage.h"
@@ -129,15 +130,10 @@
 
 asio::awaitable<void> QuotaKeeper::flush(std::string DataCentre) {
   Batch &Row = Batches_[DataCentre];
-  asio::steady_timer Pause(Executor_);
   while (!Row.Waiting_.empty()) {
     Duration Since = BootClock::now() - Row.Written_;
-    if (Since < WritePeriod) {
-      boost::system::error_code Ignored;
-      Pause.expires_after(WritePeriod - Since);
-      co_await Pause.async_wait(
-          asio::redirect_error(asio::use_awaitable, Ignored));
-    }
+    if (Since < WritePeriod)
+      co_await pauseFor(WritePeriod - Since);
     Row.Written_ = BootClock::now();
     std::vector<WaitingPtr> Group = std::move(Row.Waiting_);
     Row.Waiting_.clear();
--- a/Source/Admission/QuotaService.cpp
+++ b/Source/Admission/QuotaService.cpp
@@ -1,13 +1,10 @@
 #include "Admission/QuotaService.h"
 
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Peer/PeerMessage.h"
 #include "Telemetry/Log.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <cmath>
 
@@ -258,10 +255,7 @@
       double Needed = Tokens - shareOf(Given, Now).balance(Now);
       spawn(Executor_, askInRound(Around, Given, *Vm, Needed, Needed + Ahead));
     } else {
-      boost::system::error_code Ignored;
-      Around->Changed_.expires_after(Around->Round_.wakeAt() - Now);
-      co_await Around->Changed_.async_wait(
-          asio::redirect_error(asio::use_awaitable, Ignored));
+      co_await pauseFor(Around->Changed_, Around->Round_.wakeAt() - Now);
     }
     Now = BootClock::now();
     IsTaken = shareOf(Given, Now).spend(Tokens, Now);
--- a/Source/Admission/QuotaServiceRows.cpp
+++ b/Source/Admission/QuotaServiceRows.cpp
@@ -1,12 +1,10 @@
 #include "Admission/QuotaService.h"
 
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Peer/PeerMessage.h"
 #include "Telemetry/Log.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -48,14 +46,6 @@
 
 static const std::string FloorsRow = "quota-floors";
 
-/// Waits for a time, or until the timer's executor stops.
-static asio::awaitable<void> pause(asio::any_io_executor Executor,
-                                   Duration Span) {
-  asio::steady_timer Timer(std::move(Executor), Span);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 void QuotaService::trackUnseen(TimePoint Now) {
   const auto &Customers = State_->current()->Objects_.all<Customer>();
   if (std::ssize(Customers) > Settings_.Quota_.EagerCustomers_)
@@ -141,7 +131,7 @@
   if (AreGiven)
     Holder_.promised(Lease, Asked, BootClock::now());
   else
-    co_await pause(Executor_, RenewalRetry);
+    co_await pauseFor(RenewalRetry);
   Promising_ = false;
 }
 
@@ -192,7 +182,7 @@
     else if (!Platform_->reachable())
       co_return;
     if (!Tracked_[Given.Name_].Known_)
-      co_await pause(Executor_, FirstReadLook);
+      co_await pauseFor(FirstReadLook);
   }
 }
 
@@ -315,9 +305,8 @@
   }
   // Nothing is lent from here on; the parts are free once all loans have ended.
   Stopped_ = true;
-  co_await pause(Executor_,
-                 std::chrono::milliseconds(Settings_.Quota_.LoanMs_ +
-                                           Settings_.Quota_.LoanMarginMs_));
+  co_await pauseFor(std::chrono::milliseconds(Settings_.Quota_.LoanMs_ +
+                                              Settings_.Quota_.LoanMarginMs_));
   TimePoint Now = BootClock::now();
   if (!Holder_.leased(Now))
     co_return;
--- a/Source/Entry/CrashProbe.cpp
+++ b/Source/Entry/CrashProbe.cpp
@@ -1,7 +1,8 @@
 #include "Entry/CrashProbe.h"
 
-#include "Entry/Pause.h"
+#include "Entry/RandomPart.h"
 #include "Entry/RequestRun.h"
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "TableService/Backoff.h"
 #include "Telemetry/Log.h"
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -1,6 +1,6 @@
 #include "Entry/EntryGateway.h"
 
-#include "Entry/Pause.h"
+#include "Entry/RandomPart.h"
 #include "Membership/Rendezvous.h"
 #include "Serving/RetryHint.h"
 #include "Telemetry/Log.h"
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -1,7 +1,7 @@
 #include "Entry/PlanExchange.h"
 
-#include "Entry/Pause.h"
 #include "Http/HttpConnection.h"
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Telemetry/Log.h"
 
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -1,6 +1,7 @@
 #include "Entry/PlanService.h"
 
-#include "Entry/Pause.h"
+#include "Entry/RandomPart.h"
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "TableService/Backoff.h"
 #include "Telemetry/Log.h"
--- /dev/null
+++ b/Source/Entry/RandomPart.cpp
@@ -0,0 +1,12 @@
+#include "Entry/RandomPart.h"
+
+#include <random>
+
+namespace anvil {
+
+double randomPart() {
+  static std::mt19937_64 Source{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(Source);
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/RandomPart.h
@@ -0,0 +1,11 @@
+#ifndef ANVIL_ENTRY_RANDOMPART_H
+#define ANVIL_ENTRY_RANDOMPART_H
+
+namespace anvil {
+
+/// A random number in [0, 1).
+double randomPart();
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_RANDOMPART_H
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -1,7 +1,8 @@
 #include "Entry/RequestRun.h"
 
 #include "Entry/CrashProbe.h"
-#include "Entry/Pause.h"
+#include "Entry/RandomPart.h"
+#include "Http/Pause.h"
 #include "Serving/RetryHint.h"
 #include "Telemetry/Log.h"
 
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -1,6 +1,6 @@
 #include "Entry/TargetListService.h"
 
-#include "Entry/Pause.h"
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Telemetry/Log.h"
 #include "platform/TargetCodec.h"
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpServer.h"
 
+#include "Http/Pause.h"
 #include "Http/ServerConnection.h"
 #include "Http/Spawn.h"
 
@@ -64,9 +65,7 @@
     if (Cause == asio::error::operation_aborted)
       co_return;
     if (Cause) {
-      AcceptTimer_.expires_after(AcceptPause);
-      co_await AcceptTimer_.async_wait(
-          asio::redirect_error(asio::use_awaitable, Cause));
+      co_await pauseFor(AcceptTimer_, AcceptPause);
       continue;
     }
     error_code Ignored;
--- a/Source/Entry/Pause.cpp
+++ b/Source/Http/Pause.cpp
@@ -1,11 +1,9 @@
-#include "Entry/Pause.h"
+#include "Http/Pause.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <random>
-
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -21,9 +19,4 @@
   co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
-double randomPart() {
-  static std::mt19937_64 Source{std::random_device{}()};
-  return std::uniform_real_distribution<double>(0, 1)(Source);
-}
-
 } // namespace anvil
--- a/Source/Entry/Pause.h
+++ b/Source/Http/Pause.h
@@ -1,5 +1,5 @@
-#ifndef ANVIL_ENTRY_PAUSE_H
-#define ANVIL_ENTRY_PAUSE_H
+#ifndef ANVIL_HTTP_PAUSE_H
+#define ANVIL_HTTP_PAUSE_H
 
 #include "Kernel/Clock.h"
 
@@ -15,9 +15,6 @@
 boost::asio::awaitable<void> pauseFor(boost::asio::steady_timer &Timer,
                                       Duration Time);
 
-/// A random number in [0, 1).
-double randomPart();
-
 } // namespace anvil
 
-#endif // ANVIL_ENTRY_PAUSE_H
+#endif // ANVIL_HTTP_PAUSE_H
--- a/Source/Ledger/TableLedger.cpp
+++ b/Source/Ledger/TableLedger.cpp
@@ -1,5 +1,6 @@
 #include "Ledger/TableLedger.h"
 
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Ledger/ClaimMessages.h"
 #include "Membership/Rendezvous.h"
@@ -7,10 +8,6 @@
 #include "TableService/Backoff.h"
 #include "Telemetry/Log.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -46,13 +43,6 @@
   return std::chrono::duration_cast<std::chrono::seconds>(Now).count();
 }
 
-static asio::awaitable<void> pause(asio::any_io_executor Executor,
-                                   Duration Span) {
-  asio::steady_timer Timer(Executor, Span);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
 TableLedger::TableLedger(asio::any_io_executor Executor,
                          const DaemonSettings &Settings, TimerService &Timers,
                          const ServiceRegistry &Services,
@@ -228,7 +218,7 @@
   double Random =
       static_cast<double>(stableHash(Row) % 1000) / 1000; // spreads the rows
   do
-    co_await pause(Executor_, Waits.next(Random));
+    co_await pauseFor(Waits.next(Random));
   while (!co_await tryToSettle(Row));
 }
 
@@ -300,7 +290,7 @@
 asio::awaitable<void> TableLedger::handOver() {
   TimePoint GiveUp = BootClock::now() + HandOverTime;
   while (!Book_.unrecorded().empty() && BootClock::now() < GiveUp)
-    co_await pause(Executor_, HandOverCheckPeriod);
+    co_await pauseFor(HandOverCheckPeriod);
 }
 
 } // namespace anvil
--- a/Source/Membership/MembershipService.cpp
+++ b/Source/Membership/MembershipService.cpp
@@ -1,15 +1,12 @@
 #include "Membership/MembershipService.h"
 
+#include "Http/Pause.h"
 #include "Http/Spawn.h"
 
 #include "Membership/Rendezvous.h"
 #include "Peer/PeerMessage.h"
 #include "Telemetry/Log.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 #include <set>
 
@@ -269,9 +266,7 @@
     if (Known.DataCentre_ == Settings_.DataCentre_)
       notifyPeer(*Network_, VmName, Last);
   // The frames leave before the process does.
-  asio::steady_timer Timer(Executor_, GoodbyeTime);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  co_await pauseFor(GoodbyeTime);
 }
 
 std::vector<std::string> MembershipService::otherDataCentres() const {
--- a/Source/Placement/OwnerPermitBroker.cpp
+++ b/Source/Placement/OwnerPermitBroker.cpp
@@ -1,12 +1,9 @@
 #include "Placement/OwnerPermitBroker.h"
 
+#include "Http/Pause.h"
 #include "Membership/Rendezvous.h"
 #include "Placement/PlacementLookup.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -250,9 +247,7 @@
                 Now + OwnerWaitStep >= Request.Deadline_;
   if (IsOver || isResident(Request, Where))
     co_return false;
-  asio::steady_timer Timer(Executor_, OwnerWaitStep);
-  boost::system::error_code Ignored;
-  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  co_await pauseFor(OwnerWaitStep);
   co_return true;
 }
 
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -1,6 +1,6 @@
 #include "Standins/RegisteredTargetStandin.h"
 
-#include "Entry/Pause.h"
+#include "Http/Pause.h"
 
 namespace anvil {
 
--- a/Tests/Standins/RowStoreStandin.cpp
+++ b/Tests/Standins/RowStoreStandin.cpp
@@ -1,6 +1,6 @@
 #include "Standins/RowStoreStandin.h"
 
-#include "Entry/Pause.h"
+#include "Http/Pause.h"
 #include "Objects/Digest.h"
 
 namespace anvil {
