Check the freshness of a key's evidence in one place

The check before a dispatch, added with WaitingKeyTests, wrote out the condition of the one at admission again. Both call checkFreshness now; no behaviour changes. WaitingKeyTests, GoneCallerTests and key-withdrawal pass.

--- a/Source/Gateway/RequestAdmission.cpp
+++ b/Source/Gateway/RequestAdmission.cpp
@@ -77,9 +77,8 @@
     return refuse(RefusalCode::InvalidKey, "the key is unknown or withdrawn");
   const Customer *Owner =
       Request.Snapshot_->Objects_.find<Customer>(Known->Customer_);
-  if (KeyFreshness_ && Owner && !Path.Open_)
-    if (auto Stale = KeyFreshness_(*Owner, Now))
-      return Stale;
+  if (auto Stale = checkFreshness(Owner, Path, Now))
+    return Stale;
   Request.Customer_ = Known->Customer_;
   Request.KeyName_ = Known->Name_;
   return std::nullopt;
@@ -96,9 +95,15 @@
   const Customer *Owner =
       State_->current()->Objects_.find<Customer>(Request.Customer_);
   const Route *Path = Request.Snapshot_->Objects_.find<Route>(Request.Route_);
-  if (KeyFreshness_ && Owner && !Path->Open_)
-    return KeyFreshness_(*Owner, Now);
-  return std::nullopt;
+  return checkFreshness(Owner, *Path, Now);
+}
+
+std::optional<Refusal> RequestAdmission::checkFreshness(const Customer *Owner,
+                                                        const Route &Path,
+                                                        TimePoint Now) const {
+  if (!KeyFreshness_ || !Owner || Path.Open_)
+    return std::nullopt;
+  return KeyFreshness_(*Owner, Now);
 }
 
 std::optional<Refusal>
--- a/Source/Gateway/RequestAdmission.h
+++ b/Source/Gateway/RequestAdmission.h
@@ -57,6 +57,9 @@
                                       const Route &Path,
                                       RequestContext &Request,
                                       TimePoint Now) const;
+  /// Why the evidence doesn't do for the keys of `Owner` on this route.
+  std::optional<Refusal> checkFreshness(const Customer *Owner,
+                                        const Route &Path, TimePoint Now) const;
   std::optional<Refusal> admitAdapter(const HttpRequest &Given,
                                       AdmittedRequest &Admitted) const;
   std::optional<Refusal> resolveAdapter(std::string AdapterName,
