--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -81,7 +81,7 @@
 
 bool HttpExchange::callerGone() const { return Owner_.CallerGone_; }
 
-bool HttpExchange::closedByServer() const { return Owner_.IsClosed_; }
+bool HttpExchange::closedByServer() const { return !Owner_.isOpen(); }
 
 void HttpExchange::onCallerGone(std::function<void()> Call) {
   Owner_.GoneCall_ = std::move(Call);
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -145,13 +145,13 @@
     }
     --Running_;
     Peer->Phase_ = ConnectionPhase::Idle;
-    if (!IsHandled || !Peer->KeepAlive_ || !Peer->Stream_.socket().is_open())
+    if (!IsHandled || !Peer->KeepAlive_ || !Peer->isOpen())
       break;
     // Only the watch for the caller's leaving is still pending here.
     error_code Ignored;
     Peer->Stream_.socket().cancel(Ignored);
   }
-  bool AnnouncedClose = !Peer->KeepAlive_ && Peer->Stream_.socket().is_open();
+  bool AnnouncedClose = !Peer->KeepAlive_ && Peer->isOpen();
   if (AnnouncedClose)
     co_await Peer->linger();
   Peer->close();
--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -30,7 +30,6 @@
     : Stream_(std::move(Socket)), ReadTimer_(Stream_.get_executor()) {}
 
 void ServerConnection::close() {
-  IsClosed_ = true;
   error_code Ignored;
   Stream_.socket().close(Ignored);
 }
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -30,6 +30,7 @@
   explicit ServerConnection(boost::asio::ip::tcp::socket Socket);
 
   void close();
+  bool isOpen() const { return Stream_.socket().is_open(); }
 
   /// Asks for the end; an idle connection stops waiting for a request.
   void end(ConnectionEnding When);
@@ -60,7 +61,6 @@
   ConnectionPhase Phase_ = ConnectionPhase::Idle;
   bool KeepAlive_ = true;
   bool CallerGone_ = false;
-  bool IsClosed_ = false;
   std::string Tag_;
   std::function<void()> GoneCall_;
 
