Split what requests share from a request's run; one time and one note for its end

RequestServices has a file pair of its own. The two checks of the time left are isOutOfTime; the loss of a target is noted in one place for answers and streams; a stop stores when the last answers are due, the only time that is used.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -102,12 +102,12 @@
   Services_.require<FleetState>(FleetState::Name)->markLeaving();
   auto Grace = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Settings_.Bounds_.StopS_));
-  StopDeadline_ = BootClock::now() + Grace - StopMargin;
+  LastAnswersAt_ = BootClock::now() + Grace - StopMargin - LastAnswersTime;
   // The balancer goes on sending connections until it has asked again.
   StopTimer_.expires_after(std::min(BalancerNotice, Grace / 2));
   StopTimer_.async_wait([this](auto) {
     Services_.require<EntryGateway>(EntryGateway::Name)
-        ->closeIdle(StopDeadline_ - LastAnswersTime);
+        ->closeIdle(LastAnswersAt_);
     waitForRequests();
   });
 }
@@ -115,7 +115,7 @@
 void EntryDaemon::waitForRequests() {
   auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
   whenIdle(
-      StopTimer_, StopDeadline_ - LastAnswersTime,
+      StopTimer_, LastAnswersAt_,
       [Gateway] { return Gateway->openConnections() == 0; },
       [this, Gateway] {
         Gateway->endRequests();
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -50,7 +50,8 @@
   ServiceRegistry Services_;
   boost::asio::signal_set Signals_;
   boost::asio::steady_timer StopTimer_;
-  TimePoint StopDeadline_{};
+  /// When a stopping VM gives what is still under way its last answers.
+  TimePoint LastAnswersAt_{};
   std::function<void()> Reload_;
   bool Stopping_ = false;
 };
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -47,27 +47,6 @@
 /// The rank of what is least urgent to targets; zero is the most urgent.
 static constexpr int LeastUrgentRank = 9;
 
-RetryBudget &RequestServices::retriesOf(const std::string &Service) {
-  auto [Place, IsNew] = Retries_.try_emplace(Service, RetryOptions_);
-  if (IsNew) {
-    Place->second.setVms(Vms_);
-    Place->second.begin(BootClock::now());
-  }
-  return Place->second;
-}
-
-void RequestServices::setVms(double Count) {
-  Vms_ = Count;
-  for (auto &[Service, Budget] : Retries_)
-    Budget.setVms(Count);
-}
-
-void RequestServices::endRequests() {
-  TimeIsUp_ = true;
-  for (RequestRun &Run : Running_)
-    Run.interrupt();
-}
-
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
                        EntryRequest Request)
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
@@ -88,6 +67,10 @@
   return Request_.Deadline_ - BootClock::now();
 }
 
+bool RequestRun::isOutOfTime() const {
+  return Shared_.TimeIsUp_ || timeLeft() <= AnswerMargin;
+}
+
 bool RequestRun::mustEnd() const {
   return Shared_.TimeIsUp_ || Exchange_.callerGone();
 }
@@ -108,7 +91,7 @@
     TimePoint Now = BootClock::now();
     if (Shared_.TimeIsUp_)
       LastReason_ = VmStopping;
-    if (Shared_.TimeIsUp_ || timeLeft() <= AnswerMargin)
+    if (isOutOfTime())
       co_return co_await endLost();
     auto Chosen = Shared_.Picker_->pick(Question_, Now);
     if (!Chosen && !Question_.Avoid_.empty()) {
@@ -175,7 +158,7 @@
   // A caller that got part of a stream can only be served by its rest.
   if (End != TryEnd::NotRun && (!MayRunAgain || Runs_ >= Given.MaxTargets_))
     return false;
-  if (Shared_.TimeIsUp_ || timeLeft() <= AnswerMargin)
+  if (isOutOfTime())
     return false;
   // A target that could not be connected to got nothing.
   if (LastReason_ == "no_connection")
@@ -284,10 +267,7 @@
   TimePoint Now = BootClock::now();
   if (!isOk(Head)) {
     LastReason_ = errorCodeName(errorOf(Head).Code_);
-    if (!mustEnd()) {
-      Shared_.Picker_->health().note(Chosen.Target_, true, Now - SentAt, Now);
-      noteLoss(Chosen);
-    }
+    noteLoss(Chosen, Now - SentAt, Now);
     co_return TryEnd::Lost;
   }
   auto Answer = platform::decodeTargetAnswer(valueOf(Head));
@@ -383,11 +363,7 @@
         co_return TryEnd::Done;
       }
       LastReason_ = "stream_broken";
-      if (Shared_.TimeIsUp_)
-        co_return TryEnd::Broken;
-      Shared_.Picker_->health().note(Chosen.Target_, true, {},
-                                     BootClock::now());
-      noteLoss(Chosen);
+      noteLoss(Chosen, {}, BootClock::now());
       co_return TryEnd::Broken;
     }
     if (valueOf(Part).empty())
@@ -422,7 +398,10 @@
                      Keep);
 }
 
-void RequestRun::noteLoss(const Pick &Chosen) {
+void RequestRun::noteLoss(const Pick &Chosen, Duration Took, TimePoint Now) {
+  if (mustEnd())
+    return;
+  Shared_.Picker_->health().note(Chosen.Target_, true, Took, Now);
   if (LastReason_ == errorCodeName(ErrorCode::Timeout))
     return;
   probeAfterLoss(Shared_, Chosen, Request_.Digest_);
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -1,60 +1,19 @@
 #ifndef ANVIL_ENTRY_REQUESTRUN_H
 #define ANVIL_ENTRY_REQUESTRUN_H
 
-#include "Entry/FleetState.h"
-#include "Entry/TargetPicker.h"
-#include "Http/ConnectionPool.h"
-#include "Http/HttpServer.h"
-#include "Routing/RetryBudget.h"
+#include "Entry/RequestServices.h"
+#include "Http/HttpExchange.h"
 #include "Serving/EventSplitter.h"
 #include "Serving/ServingPlan.h"
-#include "Telemetry/Metrics.h"
 #include "platform/RequestCodec.h"
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/intrusive/list.hpp>
 
-#include <map>
-#include <memory>
 #include <string>
 
 namespace anvil {
 
-/// Keeps a run in the list of those under way until either of them is gone; the
-/// runs that a stopped loop leaves behind outlive the list.
-using RunHook = boost::intrusive::list_base_hook<
-    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
-
-class RequestRun;
-
-/// What all requests of this VM share.
-struct RequestServices {
-  boost::asio::any_io_executor Executor_;
-  std::shared_ptr<TargetPicker> Picker_;
-  std::shared_ptr<FleetState> Fleet_;
-  std::shared_ptr<Metrics> Metrics_;
-  /// Second tries, by service.
-  std::map<std::string, RetryBudget> Retries_;
-  RetryBudgetOptions RetryOptions_;
-  /// How many VMs share the extra second tries.
-  double Vms_ = 1;
-  ConnectionPool Pool_;
-  boost::intrusive::list<RequestRun, boost::intrusive::base_hook<RunHook>,
-                         boost::intrusive::constant_time_size<false>>
-      Running_;
-  /// Whether the time to serve requests has run out.
-  bool TimeIsUp_ = false;
-
-  RetryBudget &retriesOf(const std::string &Service);
-  void setVms(double Count);
-
-  /// Gives each request its final answer, those to come too: nothing is sent to
-  /// a target any more. A stream that has begun is cut.
-  void endRequests();
-};
-
 /// An admitted request and what was settled at its admission.
 struct EntryRequest {
   ServingPlanPtr Plan_;
@@ -122,7 +81,8 @@
   bool mayTryAgain(TryEnd End, TimePoint Now);
   HttpRequest targetRequest(const Pick &Chosen, TimePoint Now) const;
   void keepConnection(const Pick &Chosen, const platform::TargetAnswer &Answer);
-  void noteLoss(const Pick &Chosen);
+  /// Notes that a target broke off, unless this VM or the caller ended it.
+  void noteLoss(const Pick &Chosen, Duration Took, TimePoint Now);
   void logEnd(std::string_view Outcome, int Status);
   /// Logs the end of a request that was answered, if the answer could be sent.
   void logAnswer(bool IsSent, std::string_view Outcome, int Status);
@@ -130,6 +90,8 @@
   void logGone(int Status);
   void countEnd(std::string_view Outcome, int Status, TimePoint Now);
   Duration timeLeft() const;
+  /// Whether the caller's time or this VM's has run out.
+  bool isOutOfTime() const;
   /// Whether it is of no use to go on at a target.
   bool mustEnd() const;
 
