--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -1,5 +1,6 @@
 #include "Integration/EntryFleet.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -187,6 +188,13 @@
   return Found;
 }
 
+int EntryFleet::runsOf(const std::string &RequestId) {
+  auto Runs = records("run");
+  return static_cast<int>(std::ranges::count_if(Runs, [&](const json &Run) {
+    return Run["headers"]["x-request-id"] == RequestId;
+  }));
+}
+
 std::string EntryFleet::explain(const std::string &RequestId) {
   std::string Command = std::string(ANVIL_CTL) + " explain " + RequestId + " " +
                         Directory_ + "/vm-1.log " + Directory_ + "/vm-2.log";
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -59,6 +59,9 @@
   /// What targets saw, all together.
   std::vector<nlohmann::json> records(const std::string &Event);
 
+  /// How many runs targets saw of a request.
+  int runsOf(const std::string &RequestId);
+
   /// What `anvilctl explain` says of a request, from the logs of all VMs.
   std::string explain(const std::string &RequestId);
 
--- a/Tests/Integration/EntryStopEndTest.cpp
+++ b/Tests/Integration/EntryStopEndTest.cpp
@@ -13,14 +13,6 @@
 /// Longer than a VM lives that is told to stop.
 static constexpr Millis HoldTime{60000};
 
-/// Requests that ran under an id.
-static int runsOf(EntryFleet &System, const std::string &Id) {
-  auto Runs = System.records("run");
-  return static_cast<int>(std::ranges::count_if(Runs, [&](const json &Run) {
-    return Run["headers"]["x-request-id"] == Id;
-  }));
-}
-
 TEST_CASE("an entry VM whose time to stop runs out answers what is under way",
           "[entry-stop-end]") {
   EntryFleetPlan Plan;
@@ -41,7 +33,7 @@
                        const std::string &Id) {
     Begin(Caller, Path, Id);
     INFO(Id);
-    REQUIRE(eventually([&] { return runsOf(System, Id) == 1; }, StepBound));
+    REQUIRE(eventually([&] { return System.runsOf(Id) == 1; }, StepBound));
   };
   auto CheckEnd = [&] {
     CHECK(System.at("vm-1").exitStatus(StepBound) == 0);
@@ -77,7 +69,7 @@
     CheckEnd();
     // None was sent to another target.
     for (const char *Id : {"once", "safe", "stream"})
-      CHECK(runsOf(System, Id) == 1);
+      CHECK(System.runsOf(Id) == 1);
   }
 
   SECTION("with 502 where a part of a whole answer has come") {
@@ -88,8 +80,8 @@
     CheckAnswer(First, "once", 502);
     CheckAnswer(Second, "safe", 502);
     CheckEnd();
-    CHECK(runsOf(System, "once") == 1);
-    CHECK(runsOf(System, "safe") == 1);
+    CHECK(System.runsOf("once") == 1);
+    CHECK(System.runsOf("safe") == 1);
   }
 
   SECTION("with 503 where it still waits for its adapter") {
@@ -110,7 +102,7 @@
     CheckAnswer(First, "waits", 503);
     CheckEnd();
     CHECK(System.explain("waits").find("time to stop") != std::string::npos);
-    CHECK(runsOf(System, "waits") == 0);
+    CHECK(System.runsOf("waits") == 0);
   }
 
   SECTION("with 503 where it comes to be read only then") {
@@ -125,7 +117,7 @@
     // It never reached a target and was answered.
     CHECK(System.explain("behind").find("with status 503") !=
           std::string::npos);
-    CHECK(runsOf(System, "behind") == 0);
+    CHECK(System.runsOf("behind") == 0);
   }
 
   SECTION("but a stream that has begun is cut and doesn't look complete") {
@@ -141,7 +133,7 @@
       CHECK_FALSE(Caller->sofar().Whole_);
     }
     CheckEnd();
-    CHECK(runsOf(System, "cut") == 1);
-    CHECK(runsOf(System, "cut-too") == 1);
+    CHECK(System.runsOf("cut") == 1);
+    CHECK(System.runsOf("cut-too") == 1);
   }
 }
--- a/Tests/Integration/EntryTest.cpp
+++ b/Tests/Integration/EntryTest.cpp
@@ -8,14 +8,6 @@
 using namespace anvil;
 using nlohmann::json;
 
-/// Requests that ran under an id.
-static int runsOf(EntryFleet &System, const std::string &Id) {
-  auto Runs = System.records("run");
-  return static_cast<int>(std::ranges::count_if(Runs, [&](const json &Run) {
-    return Run["headers"]["x-request-id"] == Id;
-  }));
-}
-
 static std::string wholeStream() {
   std::string Text;
   for (int Event = 1; Event <= 20; ++Event) {
@@ -50,7 +42,7 @@
               .call("vm-1", "/safe/x",
                     {{"Authorization", "Token bad"}, {"X-Request-Id", "k"}})
               .Status_ == 401);
-    CHECK(runsOf(System, "k") == 0);
+    CHECK(System.runsOf("k") == 0);
   }
 
   SECTION("an adapter is loaded when a request first names it") {
@@ -89,7 +81,7 @@
     for (const char *Target : {"plain-1", "plain-2"})
       System.control(Target, {{"fail", 1}});
     Answer Given = System.call("vm-1", "/safe/x", {{"X-Request-Id", "r"}});
-    CHECK(runsOf(System, "r") == 2);
+    CHECK(System.runsOf("r") == 2);
     // Both failed once; the second failure is the answer.
     CHECK(Given.Status_ == 500);
     CHECK(Given.Headers_.contains("x-server-seal"));
@@ -100,19 +92,19 @@
       System.control(Target, {{"drop", 1}});
     Answer Given = System.call("vm-1", "/once/x", {{"X-Request-Id", "o"}});
     CHECK(Given.Status_ == 502);
-    CHECK(runsOf(System, "o") == 1);
+    CHECK(System.runsOf("o") == 1);
     SECTION("and is never called not run without the target's promise") {
       for (const char *Target : {"plain-1", "plain-2"})
         System.control(Target, {{"drop", 0}, {"unsealed", 1}});
       Answer Next = System.call("vm-1", "/once/x", {{"X-Request-Id", "u"}});
       CHECK(Next.Status_ == 502);
-      CHECK(runsOf(System, "u") == 1);
+      CHECK(System.runsOf("u") == 1);
     }
     SECTION("but goes elsewhere from a target that did not run it") {
       for (const char *Target : {"plain-1", "plain-2"})
         System.control(Target, {{"drop", 0}, {"refuse", 1}});
       Answer Next = System.call("vm-1", "/once/x", {{"X-Request-Id", "p"}});
-      CHECK(runsOf(System, "p") == (Next.Status_ == 200 ? 1 : 0));
+      CHECK(System.runsOf("p") == (Next.Status_ == 200 ? 1 : 0));
       CHECK((Next.Status_ == 200 || Next.Status_ == 503));
     }
   }
@@ -128,7 +120,7 @@
                                  {{"X-Model", "base"}, {"X-Request-Id", "s"}});
       CHECK(Given.Status_ == 200);
       // The second target has passed its own cut already.
-      CHECK(runsOf(System, "s") == 2);
+      CHECK(System.runsOf("s") == 2);
     }
     SECTION("never looks complete where it may not") {
       for (const char *Target : {"engine-1", "engine-2"})
@@ -136,7 +128,7 @@
       Answer Given = System.call("vm-1", "/stream/x",
                                  {{"X-Model", "base"}, {"X-Request-Id", "s"}});
       CHECK_FALSE(Given.Whole_);
-      CHECK(runsOf(System, "s") == 1);
+      CHECK(System.runsOf("s") == 1);
     }
   }
 
--- a/Tests/Unit/AcceptFailureTest.cpp
+++ b/Tests/Unit/AcceptFailureTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Unit/KeptCaller.h"
+#include "Unit/PlainAnswers.h"
 
 #include <catch2/catch.hpp>
 
@@ -31,12 +32,7 @@
 
 TEST_CASE("a server without descriptors for connections doesn't spin") {
   asio::io_context Loop(1);
-  HttpServer Server(Loop.get_executor(), {},
-                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
-                    });
+  HttpServer Server(Loop.get_executor(), {}, answerNoContent);
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   Loop.poll();
   KeptCaller Caller(Loop, Server.port());
--- a/Tests/Unit/ClosingServerTest.cpp
+++ b/Tests/Unit/ClosingServerTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Unit/KeptCaller.h"
+#include "Unit/PlainAnswers.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -49,9 +50,7 @@
                       Exchange.tag("mark");
                       if (Exchange.request().path() == "/closes")
                         closeIdle(*Own, Way);
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
+                      co_await answerNoContent(Exchange);
                     });
   Own = &Server;
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
@@ -102,12 +101,7 @@
   auto Work = asio::make_work_guard(Loop);
   HttpServerLimits Limits;
   Limits.IdleTime_ = std::chrono::milliseconds(20);
-  HttpServer Server(Loop.get_executor(), Limits,
-                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
-                    });
+  HttpServer Server(Loop.get_executor(), Limits, answerNoContent);
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   KeptCaller Caller(Loop, Server.port());
   CHECK(countAnswers(Caller.ask("/first")) == 1);
@@ -140,9 +134,7 @@
           co_await Exchange.finishStream();
           co_return;
         }
-        HttpReply Reply;
-        Reply.Status_ = 204;
-        co_await Exchange.respond(std::move(Reply));
+        co_await answerNoContent(Exchange);
       });
   REQUIRE(isOk(Server->listen({"127.0.0.1", 0})));
 
@@ -263,9 +255,7 @@
                       Pause.expires_after(
                           3 * std::max(Limits.IdleTime_, Limits.HeadTime_));
                       co_await Pause.async_wait(asio::use_awaitable);
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
+                      co_await answerNoContent(Exchange);
                     });
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   KeptCaller Caller(Loop, Server.port());
@@ -296,12 +286,7 @@
   auto Work = asio::make_work_guard(Loop);
   HttpServerLimits Limits;
   Limits.IdleTime_ = std::chrono::milliseconds(20);
-  HttpServer Server(Loop.get_executor(), Limits,
-                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
-                    });
+  HttpServer Server(Loop.get_executor(), Limits, answerNoContent);
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   std::unique_ptr<KeptCaller> Caller;
   while (Server.openConnections() == 0) {
--- a/Tests/Unit/CutAnswerTest.cpp
+++ b/Tests/Unit/CutAnswerTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Unit/KeptCaller.h"
+#include "Unit/PlainAnswers.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
@@ -18,11 +19,7 @@
   Limits.HeadTime_ = std::chrono::milliseconds(20);
   HttpServer Server(Loop.get_executor(), Limits,
                     [](HttpExchange &) -> asio::awaitable<void> { co_return; });
-  Server.onMalformed([](int Status, std::string_view) {
-    HttpReply Reply;
-    Reply.Status_ = Status;
-    return Reply;
-  });
+  Server.onMalformed(statusAlone);
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   KeptCaller Caller(Loop, Server.port());
   asio::write(Caller.Socket_, asio::buffer(std::string("GET /fir")));
--- a/Tests/Unit/EndlessCallerTest.cpp
+++ b/Tests/Unit/EndlessCallerTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Unit/KeptCaller.h"
+#include "Unit/PlainAnswers.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
@@ -24,9 +25,7 @@
                       Own->close();
                       if (Handled < ManyRequests)
                         Caller->send("/next");
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
+                      co_await answerNoContent(Exchange);
                     });
   Own = &Server;
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Unit/KeptCaller.h"
+#include "Unit/PlainAnswers.h"
 
 #include <catch2/catch.hpp>
 
@@ -20,9 +21,7 @@
                       Exchange.tag(std::string(Exchange.request().path()));
                       if (Exchange.request().query("end") == "1")
                         Own->closeTagged(IsGold);
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
+                      co_await answerNoContent(Exchange);
                     });
   Own = &Server;
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
--- /dev/null
+++ b/Tests/Unit/PlainAnswers.h
@@ -0,0 +1,27 @@
+#ifndef ANVIL_TESTS_UNIT_PLAINANSWERS_H
+#define ANVIL_TESTS_UNIT_PLAINANSWERS_H
+
+#include "Http/HttpExchange.h"
+
+#include <string_view>
+#include <utility>
+
+namespace anvil {
+
+/// Answers a request with 204.
+inline boost::asio::awaitable<void> answerNoContent(HttpExchange &Exchange) {
+  HttpReply Reply;
+  Reply.Status_ = 204;
+  co_await Exchange.respond(std::move(Reply));
+}
+
+/// The answer to malformed requests: the status and no body.
+inline HttpReply statusAlone(int Status, std::string_view) {
+  HttpReply Reply;
+  Reply.Status_ = Status;
+  return Reply;
+}
+
+} // namespace anvil
+
+#endif // ANVIL_TESTS_UNIT_PLAINANSWERS_H
--- a/Tests/Unit/ServerEdgeTest.cpp
+++ b/Tests/Unit/ServerEdgeTest.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Unit/KeptCaller.h"
+#include "Unit/PlainAnswers.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
@@ -38,9 +39,7 @@
       [](HttpExchange &) -> asio::awaitable<void> { co_return; });
   Server->onMalformed([&Asked](int Status, std::string_view) {
     ++Asked;
-    HttpReply Reply;
-    Reply.Status_ = Status;
-    return Reply;
+    return statusAlone(Status, {});
   });
   REQUIRE(isOk(Server->listen({"127.0.0.1", 0})));
   KeptCaller Caller(Loop, Server->port());
@@ -56,17 +55,8 @@
 TEST_CASE("an empty line after a request is not taken for the next one") {
   asio::io_context Loop(1);
   auto Work = asio::make_work_guard(Loop);
-  HttpServer Server(Loop.get_executor(), {},
-                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
-                      HttpReply Reply;
-                      Reply.Status_ = 204;
-                      co_await Exchange.respond(std::move(Reply));
-                    });
-  Server.onMalformed([](int Status, std::string_view) {
-    HttpReply Reply;
-    Reply.Status_ = Status;
-    return Reply;
-  });
+  HttpServer Server(Loop.get_executor(), {}, answerNoContent);
+  Server.onMalformed(statusAlone);
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   KeptCaller Caller(Loop, Server.port());
   asio::write(Caller.Socket_, asio::buffer(std::string("GET / HTTP/1.1\r\n"
