--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -6,7 +6,12 @@
 namespace anvil {
 
 /// The release of the datagram format.
-static constexpr char FormatVersion = 5;
+static constexpr char FormatVersion = 6;
+
+/// A datagram begins with the release, the message's tag and to how many VMs it
+/// is to be passed on.
+static constexpr std::size_t OnwardAt = 2;
+static constexpr std::size_t HeadBytes = 3;
 
 /// Messages in the order of `FleetMessage`, as their tags count from one.
 template <std::size_t Index = 0>
@@ -22,14 +27,24 @@
   }
 }
 
-std::string encodeFleetMessage(const FleetMessage &Message) {
+std::string encodeFleetMessage(const FleetMessage &Message,
+                               std::size_t Onward) {
   msgpack::sbuffer Buffer;
-  const char Head[] = {FormatVersion, static_cast<char>(Message.index() + 1)};
+  const char Head[HeadBytes] = {FormatVersion,
+                                static_cast<char>(Message.index() + 1),
+                                static_cast<char>(Onward)};
   Buffer.write(Head, sizeof(Head));
   std::visit([&](const auto &Given) { msgpack::pack(Buffer, Given); }, Message);
   return std::string(Buffer.data(), Buffer.size());
 }
 
+std::size_t onwardOf(std::string_view Bytes) {
+  bool HasHead = Bytes.size() >= HeadBytes && Bytes[0] == FormatVersion;
+  return HasHead ? static_cast<unsigned char>(Bytes[OnwardAt]) : 0;
+}
+
+void clearOnward(std::string &Bytes) { Bytes[OnwardAt] = 0; }
+
 std::string encodeTableRows(const std::vector<TableRow> &Rows) {
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer, Rows);
@@ -47,10 +62,10 @@
 
 Result<FleetMessage> decodeFleetMessage(std::string_view Bytes) {
   Error Problem{ErrorCode::Protocol, "datagram", "can't be read", ""};
-  if (Bytes.size() < 3 || Bytes[0] != FormatVersion)
+  if (Bytes.size() <= HeadBytes || Bytes[0] != FormatVersion)
     return Problem;
   try {
-    auto Handle = unpackBounded(Bytes.substr(2));
+    auto Handle = unpackBounded(Bytes.substr(HeadBytes));
     return decodeTagged(static_cast<std::size_t>(Bytes[1]), Handle.get());
   } catch (const std::exception &) {
     // msgpack reports every fault of its input by throwing.
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -50,6 +50,10 @@
   std::uint64_t NewestRow_ = 0;
   /// The TCP port on which this VM hands over the rows.
   std::uint16_t PagesPort_ = 0;
+  /// The newest row before this reading, and the rows that came with it; none
+  /// where they are too large for a datagram.
+  std::uint64_t NewestBefore_ = 0;
+  std::vector<TableRow> Rows_{};
 };
 
 /// A VM read the list of targets at `At_` of its clock or later: the list has
@@ -80,10 +84,16 @@
 /// ones are made good by the next.
 using FleetMessage =
     std::variant<VmNews, AdapterWant, HoldingsNotice, PromptNotice, PlanReading,
-                 TargetsReading, ClockQuestion, ClockAnswer>;
+                 TargetsReading, ClockQuestion, ClockAnswer, DataCentreNews>;
 
-/// The bytes of a message.
-std::string encodeFleetMessage(const FleetMessage &Message);
+/// The bytes of a message, which the VM that gets them passes on to so many
+/// others of its data centre.
+std::string encodeFleetMessage(const FleetMessage &Message,
+                               std::size_t Onward = 0);
+
+/// To how many VMs a datagram is to be passed on, and its bytes for these.
+std::size_t onwardOf(std::string_view Bytes);
+void clearOnward(std::string &Bytes);
 
 /// Rows of a table for another VM. Reading them reports a protocol error for
 /// bytes of another shape.
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -25,16 +25,22 @@
   return std::tie(Of.Version_, Of.ReadyIn_);
 }
 auto fieldsOf(Holds<EngineHoldings> auto &Of) {
-  return std::tie(Of.Incarnation_, Of.HasModel_, Of.Adapters_);
+  return std::tie(Of.Incarnation_, Of.HasModel_, Of.Adapters_, Of.Repeat_,
+                  Of.Owner_);
 }
 auto fieldsOf(Holds<VmNews::Crash> auto &Of) {
   return std::tie(Of.Digest_, Of.Target_, Of.Incarnation_);
 }
 auto fieldsOf(Holds<VmNews> auto &Of) {
-  return std::tie(Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.Revision_,
-                  Of.Leaving_, Of.Spent_, Of.BudgetSeen_, Of.Balances_,
-                  Of.Running_, Of.PromptTokens_, Of.Holdings_, Of.Crashes_,
-                  Of.Leavers_);
+  return std::tie(Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_,
+                  Of.PeerAddress_, Of.Period_, Of.Revision_, Of.Leaving_,
+                  Of.Spent_, Of.BudgetSeen_, Of.Balances_, Of.Running_,
+                  Of.PromptTokens_, Of.Holdings_, Of.Crashes_, Of.Leavers_);
+}
+auto fieldsOf(Holds<DataCentreNews> auto &Of) {
+  return std::tie(Of.DataCentre_, Of.Teller_, Of.Incarnation_, Of.Sequence_,
+                  Of.Period_, Of.Vms_, Of.BudgetSeen_, Of.Balances_, Of.Spent_,
+                  Of.Running_, Of.Crashes_, Of.Leavers_);
 }
 auto fieldsOf(Holds<AdapterWant> auto &Of) {
   return std::tie(Of.Vm_, Of.Engine_, Of.Adapter_, Of.Version_, Of.WasMissing_);
@@ -49,7 +55,8 @@
   return std::tie(Of.Vm_, Of.Incarnation_);
 }
 auto fieldsOf(Holds<PlanReading> auto &Of) {
-  return std::tie(Of.Clock_, Of.At_, Of.NewestRow_, Of.PagesPort_);
+  return std::tie(Of.Clock_, Of.At_, Of.NewestRow_, Of.PagesPort_,
+                  Of.NewestBefore_, Of.Rows_);
 }
 auto fieldsOf(Holds<HeldModel> auto &Of) {
   return std::tie(Of.Version_, Of.Adapters_);
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -1,5 +1,7 @@
 #include "Entry/FleetLink.h"
 
+#include "Entry/RandomPart.h"
+#include "Serving/NewsSchedule.h"
 #include "Telemetry/Log.h"
 
 #include <algorithm>
@@ -11,12 +13,8 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-/// How often news go out in a small fleet.
-static constexpr Duration LeastPeriod = std::chrono::milliseconds(100);
-
-/// What each other VM adds to the period, so that a VM's cost of control stays
-/// the same in a larger fleet.
-static constexpr Duration PeriodPerPeer = std::chrono::milliseconds(12);
+/// The least period at which a VM tells of its data centre.
+static constexpr Duration LeastAbroadPeriod = std::chrono::milliseconds(400);
 
 /// The longest datagram of IPv4, in bytes.
 static constexpr std::size_t DatagramBytes = 65507;
@@ -32,7 +30,8 @@
 FleetLink::FleetLink(asio::any_io_executor Executor,
                      const EntrySettings &Settings, TimerService &Timers)
     : Settings_(Settings), Timers_(Timers),
-      Socket_(std::make_unique<Socket>(Executor)) {}
+      Socket_(std::make_unique<Socket>(Executor)),
+      Layout_(Settings.holderName(), Settings.DataCentre_) {}
 
 FleetLink::~FleetLink() = default;
 
@@ -50,12 +49,14 @@
                  "can't be bound: " + Cause.message(), "choose a free port"};
   Socket_->Udp_.non_blocking(true, Cause);
   receive();
-  schedule();
+  scheduleNews();
+  scheduleAbroad();
   return std::monostate{};
 }
 
 void FleetLink::stop() {
   News_.cancel();
+  Abroad_.cancel();
   error_code Ignored;
   Socket_->Udp_.close(Ignored);
 }
@@ -65,21 +66,38 @@
   return Socket_->Udp_.local_endpoint(Ignored).port();
 }
 
-void FleetLink::setPeers(const std::map<std::string, Endpoint> &Peers) {
+void FleetLink::setPeers(const std::map<std::string, PeerPlace> &Peers) {
   Peers_.clear();
-  for (const auto &[Vm, Where] : Peers) {
-    error_code Cause;
-    auto Address = asio::ip::make_address(Where.Address_, Cause);
-    if (!Cause)
-      Peers_.emplace(Vm, Peer{Where, udp::endpoint(Address, Where.Port_)});
-  }
+  for (const auto &[Vm, Place] : Peers)
+    note(Vm, Place);
+  updateLayout();
+}
+
+void FleetLink::addPeer(const std::string &Vm, const PeerPlace &Place) {
+  note(Vm, Place);
+  updateLayout();
+}
+
+void FleetLink::note(const std::string &Vm, const PeerPlace &Place) {
+  error_code Cause;
+  auto Address = asio::ip::make_address(Place.Where_.Address_, Cause);
+  if (!Cause)
+    Peers_.insert_or_assign(
+        Vm, Peer{Place, udp::endpoint(Address, Place.Where_.Port_)});
+}
+
+void FleetLink::updateLayout() {
+  std::map<std::string, std::string> DataCentres;
+  for (const auto &[Vm, Known] : Peers_)
+    DataCentres.emplace(Vm, Known.Place_.DataCentre_);
+  Layout_.setVms(DataCentres);
 }
 
 std::optional<Endpoint> FleetLink::addressOf(const std::string &Vm) const {
   auto Found = Peers_.find(Vm);
   if (Found == Peers_.end())
     return std::nullopt;
-  return Found->second.Where_;
+  return Found->second.Place_.Where_;
 }
 
 void FleetLink::receive() {
@@ -88,24 +106,35 @@
       [this](error_code Cause, std::size_t Size) {
         if (Cause == asio::error::operation_aborted)
           return;
-        if (!Cause) {
-          auto Message = decodeFleetMessage(
-              std::string_view(Socket_->Buffer_.data(), Size));
-          if (isOk(Message))
-            Received_.fire(valueOf(Message));
-          else
-            logEvent(LogLevel::Warning, "datagram_unreadable",
-                     {{"from", Socket_->From_.address().to_string()},
-                      {"bytes", Size}});
-        }
+        if (!Cause)
+          take(std::string_view(Socket_->Buffer_.data(), Size));
         receive();
       });
 }
 
-void FleetLink::sendBytes(const Peer &To, const std::string &Bytes) {
+void FleetLink::take(std::string_view Bytes) {
+  if (std::size_t Onward = onwardOf(Bytes); Onward > 0) {
+    std::string Passed(Bytes);
+    clearOnward(Passed);
+    for (const std::string &Vm : Layout_.onward(Onward))
+      sendBytes(Vm, Passed);
+  }
+  auto Message = decodeFleetMessage(Bytes);
+  if (isOk(Message))
+    Received_.fire(valueOf(Message));
+  else
+    logEvent(LogLevel::Warning, "datagram_unreadable",
+             {{"from", Socket_->From_.address().to_string()},
+              {"bytes", Bytes.size()}});
+}
+
+void FleetLink::sendBytes(const std::string &Vm, const std::string &Bytes) {
+  auto Found = Peers_.find(Vm);
+  if (Found == Peers_.end())
+    return;
   // A datagram that doesn't fit the socket's buffer counts as lost.
   error_code Ignored;
-  Socket_->Udp_.send_to(asio::buffer(Bytes), To.Socket_, 0, Ignored);
+  Socket_->Udp_.send_to(asio::buffer(Bytes), Found->second.Socket_, 0, Ignored);
 }
 
 void FleetLink::send(const std::string &Vm, const FleetMessage &Message) {
@@ -116,27 +145,48 @@
                             const FleetMessage &Message) {
   std::string Bytes = encodeFleetMessage(Message);
   for (const std::string &Vm : Vms)
-    if (auto Found = Peers_.find(Vm); Found != Peers_.end())
-      sendBytes(Found->second, Bytes);
+    sendBytes(Vm, Bytes);
 }
 
-void FleetLink::sendToAll(const FleetMessage &Message) {
+void FleetLink::sendNear(const FleetMessage &Message) {
+  sendToGroup(Layout_.neighbours(), Message);
+}
+
+void FleetLink::sendAbroad(const FleetMessage &Message) {
+  if (!Layout_.isSplit())
+    return;
   std::string Bytes = encodeFleetMessage(Message);
-  for (const auto &[Vm, Where] : Peers_)
-    sendBytes(Where, Bytes);
+  for (const SpreadHop &Hop : Layout_.abroad(Bytes.size(), randomPart()))
+    sendBytes(Hop.Vm_, encodeFleetMessage(Message, Hop.Onward_));
 }
 
-void FleetLink::sendNews() {
-  if (Compose_ && !Peers_.empty())
-    sendToAll(Compose_());
+void FleetLink::sendToAll(const FleetMessage &Message) {
+  sendNear(Message);
+  sendAbroad(Message);
+}
+
+Duration FleetLink::newsPeriod() const {
+  return anvil::newsPeriod(Layout_.neighbours().size());
+}
+
+Duration FleetLink::abroadPeriod() const {
+  return std::max(LeastAbroadPeriod, newsPeriod());
+}
+
+void FleetLink::scheduleNews() {
+  News_ = Timers_.once(BootClock::now() + newsPeriod(), [this](TimePoint) {
+    if (Compose_ && !Layout_.neighbours().empty())
+      sendNear(Compose_(newsPeriod()));
+    scheduleNews();
+  });
 }
 
-void FleetLink::schedule() {
-  Duration Period = std::max<Duration>(
-      LeastPeriod, PeriodPerPeer * static_cast<int>(Peers_.size()));
-  News_ = Timers_.once(BootClock::now() + Period, [this](TimePoint) {
-    sendNews();
-    schedule();
+void FleetLink::scheduleAbroad() {
+  Abroad_ = Timers_.once(BootClock::now() + abroadPeriod(), [this](TimePoint) {
+    if (ComposeAbroad_ && Layout_.isSplit())
+      if (auto News = ComposeAbroad_(abroadPeriod()))
+        sendAbroad(*News);
+    scheduleAbroad();
   });
 }
 
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -6,6 +6,7 @@
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Kernel/TimerService.h"
+#include "Serving/FleetLayout.h"
 #include "Settings/EntrySettings.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -16,13 +17,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace anvil {
 
 /// Datagrams between the VMs: news at a steady period, and wants and notices
 /// at once. News are small and whole, so that lost ones don't matter; no
-/// connection can fall silent.
+/// connection can fall silent. Passes on what VMs of other data centres send
+/// for this one.
 class FleetLink : public Service {
 public:
   static constexpr std::string_view Name = "fleet_link";
@@ -38,8 +41,17 @@
   /// The UDP port in use.
   std::uint16_t port() const;
 
-  /// Says where the other VMs are.
-  void setPeers(const std::map<std::string, Endpoint> &Peers);
+  /// Another VM's place.
+  struct PeerPlace {
+    Endpoint Where_;
+    std::string DataCentre_;
+  };
+
+  /// Says where the other VMs are, or one more of them.
+  void setPeers(const std::map<std::string, PeerPlace> &Peers);
+  void addPeer(const std::string &Vm, const PeerPlace &Place);
+
+  const FleetLayout &layout() const { return Layout_; }
 
   /// Where a VM takes datagrams; nothing when it is not known.
   std::optional<Endpoint> addressOf(const std::string &Vm) const;
@@ -51,33 +63,58 @@
   void sendToGroup(const std::vector<std::string> &Vms,
                    const FleetMessage &Message);
 
+  /// Sends to the VMs that hear this one directly.
+  void sendNear(const FleetMessage &Message);
+
+  /// Sends to the VMs of other data centres, in a fleet in which these don't
+  /// hear this one directly.
+  void sendAbroad(const FleetMessage &Message);
+
   /// Sends to all other VMs.
   void sendToAll(const FleetMessage &Message);
 
-  /// Sets what composes this VM's news.
-  void onCompose(std::function<VmNews()> Hook) { Compose_ = std::move(Hook); }
+  /// Sets what composes this VM's news, which are due again after the period
+  /// given.
+  void onCompose(std::function<VmNews(Duration Period)> Hook) {
+    Compose_ = std::move(Hook);
+  }
+
+  /// Sets what composes the news of this VM's data centre; nothing while other
+  /// VMs tell them.
+  void onComposeAbroad(
+      std::function<std::optional<DataCentreNews>(Duration Period)> Hook) {
+    ComposeAbroad_ = std::move(Hook);
+  }
 
   /// Fired with each message that came.
   Hook<const FleetMessage &> Received_;
 
 private:
   struct Socket;
-  void receive();
-  /// Where a VM is, and the same as the socket takes it.
+  /// A VM's place, and its address as the socket takes it.
   struct Peer {
-    Endpoint Where_;
+    PeerPlace Place_;
     boost::asio::ip::udp::endpoint Socket_;
   };
-  void sendBytes(const Peer &To, const std::string &Bytes);
-  void sendNews();
-  void schedule();
+  void note(const std::string &Vm, const PeerPlace &Place);
+  void updateLayout();
+  void receive();
+  void take(std::string_view Bytes);
+  void sendBytes(const std::string &Vm, const std::string &Bytes);
+  Duration newsPeriod() const;
+  Duration abroadPeriod() const;
+  void scheduleNews();
+  void scheduleAbroad();
 
   const EntrySettings &Settings_;
   TimerService &Timers_;
   std::unique_ptr<Socket> Socket_;
   std::map<std::string, Peer> Peers_;
-  std::function<VmNews()> Compose_;
+  FleetLayout Layout_;
+  std::function<VmNews(Duration)> Compose_;
+  std::function<std::optional<DataCentreNews>(Duration)> ComposeAbroad_;
   TimerService::Subscription News_;
+  TimerService::Subscription Abroad_;
 };
 
 } // namespace anvil
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -1,5 +1,7 @@
 #include "Entry/FleetState.h"
 
+#include "Serving/NewsSchedule.h"
+#include "Serving/ReadingTurn.h"
 #include "Telemetry/Log.h"
 
 #include <algorithm>
@@ -32,8 +34,15 @@
 static constexpr double TransitPerEngine = 0.75;
 static constexpr double LeastTransitLimit = 4;
 
-/// How often unchanged holdings are told.
+/// How often unchanged holdings are told, and to other data centres of a large
+/// fleet.
 static constexpr Duration HoldingsPeriod = std::chrono::milliseconds(450);
+static constexpr Duration HoldingsAbroadPeriod =
+    std::chrono::milliseconds(1500);
+
+/// So many VMs tell other data centres of their own; the next in line takes the
+/// place of one that falls silent.
+static constexpr std::size_t DataCentreTellers = 2;
 
 FleetState::FleetState(const EntrySettings &Settings, std::string Self,
                        std::string Incarnation, const ServiceRegistry &Services)
@@ -47,7 +56,9 @@
       Prefill_(Settings.PrefillTokensPerMs_) {}
 
 Status FleetState::start() {
-  Link_->onCompose([this] { return compose(); });
+  Link_->onCompose([this](Duration Period) { return compose(Period); });
+  Link_->onComposeAbroad(
+      [this](Duration Period) { return composeAbroad(Period); });
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->Changed_.attach([this](const ServingPlan &Plan) {
@@ -172,22 +183,65 @@
            {{"from", "grant"}, {"vms", KnownVms_}});
 }
 
-void FleetState::noteBudgetOf(const VmNews &News, TimePoint Now) {
-  BudgetStart_.noteNews(News.Vm_, News.BudgetSeen_);
-  if (BudgetStart_.isYoung(News.BudgetSeen_))
+void FleetState::noteBudgetOf(const std::string &Vm, Duration Seen,
+                              const TokenBalances &Balances, TimePoint Now) {
+  if (BudgetStart_.isYoung(Seen))
     YoungHeardAt_ = Now;
-  bool MayTakeOver = !BudgetStart_.isOver() && !News.Balances_.empty() &&
-                     !BudgetStart_.isYoung(News.BudgetSeen_) &&
-                     Plans_->current();
+  bool MayTakeOver = !BudgetStart_.isOver() && !Balances.empty() &&
+                     !BudgetStart_.isYoung(Seen) && Plans_->current();
   if (!MayTakeOver)
     return;
-  Budget_.takeOver(News.Balances_, Now);
+  Budget_.takeOver(Balances, Now);
   BudgetStart_.end(true);
   logEvent(LogLevel::Info, "budgets_started",
-           {{"from", News.Vm_}, {"seen_ms", toMillis(News.BudgetSeen_)}});
+           {{"from", Vm}, {"seen_ms", toMillis(Seen)}});
 }
 
-VmNews FleetState::compose() {
+std::vector<VmNews::Crash> FleetState::recentCrashes(TimePoint Now) {
+  std::erase_if(RecentCrashes_, [&](const auto &Entry) {
+    return Entry.first + NewsRepeatTime < Now;
+  });
+  std::vector<VmNews::Crash> Recent;
+  for (const auto &[At, Seen] : RecentCrashes_)
+    Recent.push_back(Seen);
+  return Recent;
+}
+
+std::map<std::string, std::int64_t> FleetState::recentLeavers(TimePoint Now) {
+  std::erase_if(RecentLeavers_, [&](const auto &Entry) {
+    return Entry.second.first + NewsRepeatTime < Now;
+  });
+  std::map<std::string, std::int64_t> Recent;
+  for (const auto &[Target, Seen] : RecentLeavers_)
+    Recent[Target] = Seen.second;
+  return Recent;
+}
+
+TokenBalances FleetState::balancesForYoung(TimePoint Now) {
+  if (YoungHeardAt_ + YoungTime <= Now)
+    return {};
+  return Budget_.balances(Now);
+}
+
+Duration FleetState::holdingsRepeat() const {
+  // Both go with the news, whose period is shorter.
+  return Link_->layout().isSplit() ? HoldingsAbroadPeriod + HoldingsPeriod
+                                   : HoldingsPeriod;
+}
+
+void FleetState::tellHoldings(VmNews &News, TimePoint Now) {
+  if (!Holdings_ || HoldingsToldAt_ + HoldingsPeriod > Now)
+    return;
+  News.Holdings_ = Holdings_();
+  HoldingsToldAt_ = Now;
+  if (HoldingsToldAbroadAt_ + HoldingsAbroadPeriod > Now)
+    return;
+  for (const auto &[Engine, Held] : News.Holdings_)
+    Link_->sendAbroad(HoldingsNotice{Engine, Held});
+  HoldingsToldAbroadAt_ = Now;
+}
+
+VmNews FleetState::compose(Duration Period) {
   TimePoint Now = BootClock::now();
   Book_.expire(Now);
   updateReach(Now);
@@ -195,28 +249,47 @@
   News.Vm_ = Self_;
   News.Incarnation_ = Incarnation_;
   News.Sequence_ = ++Sequence_;
+  News.DataCentre_ = Settings_.DataCentre_;
+  News.PeerAddress_ =
+      Endpoint{Settings_.Listen_.Address_, Link_->port()}.text();
+  News.Period_ = Period;
   News.Revision_ = Plans_->current() ? Plans_->current()->revision() : 0;
   News.Leaving_ = Leaving_;
   News.Spent_ = Budget_.spent();
   News.BudgetSeen_ = BudgetStart_.seen(Now - StartedAt_);
-  if (YoungHeardAt_ + YoungTime > Now)
-    News.Balances_ = Budget_.balances(Now);
+  News.Balances_ = balancesForYoung(Now);
   News.Running_ = Running_;
   News.PromptTokens_ = std::exchange(NewPrompts_, {});
-  std::erase_if(RecentCrashes_, [&](const auto &Entry) {
-    return Entry.first + NewsRepeatTime < Now;
-  });
-  for (const auto &[At, Seen] : RecentCrashes_)
-    News.Crashes_.push_back(Seen);
-  std::erase_if(RecentLeavers_, [&](const auto &Entry) {
-    return Entry.second.first + NewsRepeatTime < Now;
-  });
-  for (const auto &[Target, Seen] : RecentLeavers_)
-    News.Leavers_[Target] = Seen.second;
-  if (Holdings_ && HoldingsToldAt_ + HoldingsPeriod <= Now) {
-    News.Holdings_ = Holdings_();
-    HoldingsToldAt_ = Now;
-  }
+  News.Crashes_ = recentCrashes(Now);
+  News.Leavers_ = recentLeavers(Now);
+  tellHoldings(News, Now);
+  return News;
+}
+
+std::optional<DataCentreNews> FleetState::composeAbroad(Duration Period) {
+  TimePoint Now = BootClock::now();
+  std::vector<std::string> Serving;
+  for (const std::string &Vm : Link_->layout().neighbours())
+    if (Book_.isServing(Vm, Now))
+      Serving.push_back(Vm);
+  if (Leaving_ || ReadingTurn::placeInLine("data_centre_news", Self_,
+                                           Serving) >= DataCentreTellers)
+    return std::nullopt;
+  Book_.expire(Now);
+  DataCentreNews News;
+  News.DataCentre_ = Settings_.DataCentre_;
+  News.Teller_ = Self_;
+  News.Incarnation_ = Incarnation_;
+  News.Sequence_ = ++AbroadSequence_;
+  News.Period_ = Period;
+  News.Vms_ = 1;
+  News.BudgetSeen_ = BudgetStart_.seen(Now - StartedAt_);
+  News.Balances_ = balancesForYoung(Now);
+  News.Spent_ = Budget_.groupSpent();
+  News.Running_ = Running_;
+  News.Crashes_ = recentCrashes(Now);
+  News.Leavers_ = recentLeavers(Now);
+  Book_.addNear(News, Now);
   return News;
 }
 
@@ -224,23 +297,59 @@
   TimePoint Now = BootClock::now();
   if (const auto *Notice = std::get_if<HoldingsNotice>(&Message))
     Book_.applyHoldings(Notice->Engine_, Notice->Holdings_, Now);
-  if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
+  else if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
     Prefill_.note(Prompt->Engine_, static_cast<double>(Prompt->Tokens_), Now);
-  const auto *News = std::get_if<VmNews>(&Message);
-  if (!News || News->Vm_ == Self_ || !Book_.apply(*News, Now))
+  else if (const auto *News = std::get_if<VmNews>(&Message))
+    receiveNews(*News, Now);
+  else if (const auto *Abroad = std::get_if<DataCentreNews>(&Message))
+    receiveAbroad(*Abroad, Now);
+}
+
+void FleetState::receiveNews(const VmNews &News, TimePoint Now) {
+  // A VM that knows few others yet tells all of them; those of other data
+  // centres hear of it from its own.
+  bool IsFar =
+      Link_->layout().isSplit() && News.DataCentre_ != Settings_.DataCentre_;
+  if (IsFar || News.Vm_ == Self_ || !Book_.apply(News, Now))
     return;
-  Budget_.notePeer(News->Vm_, News->Incarnation_, News->Spent_, Now);
-  noteBudgetOf(*News, Now);
-  for (const auto &[Target, Tokens] : News->PromptTokens_)
+  // A VM that started after the rows were read.
+  if (auto Where = parseEndpoint(News.PeerAddress_);
+      isOk(Where) && !Link_->addressOf(News.Vm_))
+    Link_->addPeer(News.Vm_, {valueOf(Where), News.DataCentre_});
+  Budget_.notePeer(News.Vm_, News.Incarnation_, News.Spent_, Now);
+  // As soon as others fall silent, not only with this VM's own news.
+  updateReach(Now);
+  BudgetStart_.noteNews(News.Vm_, News.BudgetSeen_);
+  noteBudgetOf(News.Vm_, News.BudgetSeen_, News.Balances_, Now);
+  for (const auto &[Target, Tokens] : News.PromptTokens_)
     Prefill_.note(Target, static_cast<double>(Tokens), Now);
-  for (const VmNews::Crash &Seen : News->Crashes_)
+  for (const VmNews::Crash &Seen : News.Crashes_)
     applyCrash(Seen, Now);
-  for (const auto &[Target, Incarnation] : News->Leavers_)
+  noteLeavers(News.Leavers_, News.Vm_);
+}
+
+void FleetState::receiveAbroad(const DataCentreNews &News, TimePoint Now) {
+  bool IsMeant =
+      Link_->layout().isSplit() && News.DataCentre_ != Settings_.DataCentre_;
+  if (!IsMeant || !Book_.apply(News, Now))
+    return;
+  Budget_.noteDataCentre(News.DataCentre_, News.Teller_, News.Incarnation_,
+                         News.Spent_, newsTime(News.Period_), Now);
+  BudgetStart_.noteDataCentre(News.DataCentre_, News.BudgetSeen_, News.Vms_);
+  noteBudgetOf(News.Teller_, News.BudgetSeen_, News.Balances_, Now);
+  for (const VmNews::Crash &Seen : News.Crashes_)
+    applyCrash(Seen, Now);
+  noteLeavers(News.Leavers_, News.Teller_);
+}
+
+void FleetState::noteLeavers(const std::map<std::string, std::int64_t> &Leavers,
+                             const std::string &ToldBy) {
+  for (const auto &[Target, Incarnation] : Leavers)
     if (Targets_->roster().noteLeaving(Target, Incarnation))
       logEvent(LogLevel::Info, "target_standing",
                {{"target", Target},
                 {"standing", targetStandingName(TargetStanding::Draining)},
-                {"told_by", News->Vm_}});
+                {"told_by", ToldBy}});
 }
 
 } // namespace anvil
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,17 +72,30 @@
     Holdings_ = std::move(Hook);
   }
 
+  /// Within which the holdings of an engine are told again to every VM.
+  Duration holdingsRepeat() const;
+
   /// Marks this VM as leaving in its news.
   void markLeaving() { Leaving_ = true; }
 
 private:
   double transitLimit() const;
-  VmNews compose();
+  VmNews compose(Duration Period);
+  std::optional<DataCentreNews> composeAbroad(Duration Period);
+  void tellHoldings(VmNews &News, TimePoint Now);
+  std::vector<VmNews::Crash> recentCrashes(TimePoint Now);
+  std::map<std::string, std::int64_t> recentLeavers(TimePoint Now);
+  TokenBalances balancesForYoung(TimePoint Now);
   void receive(const FleetMessage &Message);
+  void receiveNews(const VmNews &News, TimePoint Now);
+  void receiveAbroad(const DataCentreNews &News, TimePoint Now);
+  void noteLeavers(const std::map<std::string, std::int64_t> &Leavers,
+                   const std::string &ToldBy);
   void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmNews::Crash &Seen, TimePoint Now);
   void updateReach(TimePoint Now);
-  void noteBudgetOf(const VmNews &News, TimePoint Now);
+  void noteBudgetOf(const std::string &Vm, Duration Seen,
+                    const TokenBalances &Balances, TimePoint Now);
 
   const EntrySettings &Settings_;
   std::string Self_;
@@ -100,13 +114,15 @@
   /// Own running requests by adapter, and prompts sent since the last news.
   std::map<std::string, int> OwnUses_;
   std::map<std::string, std::int64_t> NewPrompts_;
-  std::map<std::string, RunningShare> Running_;
+  RunningShares Running_;
   std::vector<std::pair<TimePoint, VmNews::Crash>> RecentCrashes_;
   /// Targets lately seen leaving, with their incarnation.
   std::map<std::string, std::pair<TimePoint, std::int64_t>> RecentLeavers_;
   std::function<std::map<std::string, EngineHoldings>()> Holdings_;
   TimePoint HoldingsToldAt_{};
+  TimePoint HoldingsToldAbroadAt_{};
   std::uint64_t Sequence_ = 0;
+  std::uint64_t AbroadSequence_ = 0;
   /// Zero before the first rows were read.
   std::size_t KnownVms_ = 0;
   bool Leaving_ = false;
--- a/Source/Entry/OwnerRows.cpp
+++ b/Source/Entry/OwnerRows.cpp
@@ -21,7 +21,8 @@
   return json{{"incarnation", Row.Incarnation_},
               {"data_centre", Row.DataCentre_},
               {"peer_address", Row.PeerAddress_},
-              {"renewals", Row.Renewals_}}
+              {"renewals", Row.Renewals_},
+              {"standby", Row.Standby_}}
       .dump();
 }
 
@@ -29,6 +30,11 @@
   return json{{"vm", Row.Vm_}, {"fence", Row.Fence_}}.dump();
 }
 
+static bool flagOf(const json &Source, const char *Name) {
+  auto Found = Source.find(Name);
+  return Found != Source.end() && Found->is_boolean() && Found->get<bool>();
+}
+
 /// A count of a row's value.
 static std::uint64_t countOf(const json &Source, const char *Name) {
   auto Found = Source.find(Name);
@@ -52,7 +58,7 @@
       Sorted.Vms_.push_back(
           {Row.Key_.substr(VmPrefix.size()), textOf(Value, "incarnation"),
            textOf(Value, "data_centre"), textOf(Value, "peer_address"),
-           countOf(Value, "renewals"), Row.Version_});
+           countOf(Value, "renewals"), Row.Version_, flagOf(Value, "standby")});
     else if (Row.Key_.starts_with(OwnerPrefix))
       Sorted.Owners_.push_back({Row.Key_.substr(OwnerPrefix.size()),
                                 textOf(Value, "vm"), countOf(Value, "fence"),
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/FleetState.h"
 #include "Entry/OwnerRows.h"
+#include "Entry/RandomPart.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Kernel/EnumNames.h"
@@ -31,13 +32,18 @@
 /// How often rows are written and read until the first claims are settled: all
 /// VMs started together have written theirs by the second time.
 static constexpr Duration StartPeriod = std::chrono::milliseconds(800);
-static constexpr std::uint64_t StartRenewals = 3;
+static constexpr std::uint64_t StartRounds = 4;
 
-/// The rows of all VMs are read at every so many renewals, in a small fleet and
-/// in one of more than `SmallFleet` VMs, which would read too much otherwise.
+/// At every so many renewals the rows of all VMs are read: in a small fleet, by
+/// the VMs of a large one that own targets, and by those on standby, which
+/// write their own as seldom.
 static constexpr std::uint64_t ReadEvery = 2;
 static constexpr std::uint64_t ReadEveryLarge = 3;
-static constexpr std::size_t SmallFleet = 16;
+static constexpr std::uint64_t StandbyEvery = 7;
+
+/// The part of a period by which rounds are spread, so that VMs that started or
+/// got the store back together don't call it together.
+static constexpr double RoundSpread = 0.1;
 
 static TargetOwnershipOptions ownershipOptions(const EntrySettings &Settings) {
   TargetOwnershipOptions Options;
@@ -95,25 +101,69 @@
 VmRow OwnerService::ownRow() const {
   Endpoint Peer{Settings_.Listen_.Address_, Link_->port()};
   return {Self_,       Incarnation_, Settings_.DataCentre_,
-          Peer.text(), Renewals_,    OwnRowVersion_};
+          Peer.text(), Renewals_,    OwnRowVersion_,
+          Standby_};
+}
+
+bool OwnerService::isClaimant(TimePoint Now) const {
+  if (!Link_->layout().isSplit() || !Ownership_.owned().empty())
+    return true;
+  std::vector<std::string> Serving{Self_};
+  for (const std::string &Vm : Link_->layout().neighbours())
+    if (Fleet_->book().isServing(Vm, Now))
+      Serving.push_back(Vm);
+  auto Near = std::ranges::count_if(engines(), [&](const auto &Entry) {
+    return Entry.second == Settings_.DataCentre_;
+  });
+  auto First = TargetOwnership::claimants(std::move(Serving),
+                                          static_cast<std::size_t>(Near));
+  return std::ranges::find(First, Self_) != First.end();
+}
+
+std::uint64_t OwnerService::readEvery() const {
+  if (Standby_)
+    return StandbyEvery;
+  return Link_->layout().isSplit() ? ReadEveryLarge : ReadEvery;
+}
+
+asio::awaitable<bool> OwnerService::updateRows(std::uint64_t Round) {
+  bool IsDue = ++RoundsSinceRead_ >= readEvery();
+  bool IsStarting = Round == 1 || (Round < StartRounds && !Standby_);
+  bool IsUnsure = Round > 0 && !IsRowWritten_;
+  bool MustRead = IsDue || IsStarting || IsUnsure;
+  if (MustRead)
+    co_await readRows();
+  bool WasStandby = Standby_;
+  // Nobody is heard before the rows of the others are known. What this VM owns
+  // is known for sure only by rows that were just read.
+  if (Round == 0)
+    Standby_ = Ownership_.owned().empty();
+  else if (Standby_ || MustRead)
+    Standby_ = !isClaimant(BootClock::now());
+  bool IsSilent = IsRowWritten_ && Standby_ && WasStandby && !IsDue;
+  if (IsSilent)
+    co_return false;
+  co_return co_await renew() && !Standby_;
 }
 
 asio::awaitable<void> OwnerService::keepRows() {
-  for (std::uint64_t Round = 0; !Stopping_; ++Round) {
-    bool Settled = HasRead_ && Renewals_ > StartRenewals;
-    bool IsLarge = Ownership_.knownVms() > SmallFleet;
-    if (!Settled || Round % (IsLarge ? ReadEveryLarge : ReadEvery) == 0)
+  for (std::uint64_t Round = 0; !Stopping_;) {
+    if (!HasRead_)
       co_await readRows();
-    bool Renewed = co_await renew();
-    if (Renewed) {
+    if (HasRead_ && co_await updateRows(Round)) {
       if (Ownership_.needsRead(BootClock::now()))
         co_await readRows();
       co_await claimTargets();
       co_await purgeSilent();
     }
     updateEngines();
-    Duration Period = std::chrono::milliseconds(Settings_.Store_.RenewMs_);
-    co_await pauseFor(Settled ? Period : StartPeriod);
+    Duration Period =
+        Round < StartRounds
+            ? StartPeriod
+            : std::chrono::milliseconds(Settings_.Store_.RenewMs_);
+    Round += HasRead_ ? 1 : 0;
+    co_await pauseFor(std::chrono::duration_cast<Duration>(
+        Period * (1 - RoundSpread * randomPart())));
   }
 }
 
@@ -125,6 +175,7 @@
   ControlRows Sorted = decodeControlRows(valueOf(Rows));
   Ownership_.applyVms(Sorted.Vms_, Now);
   Ownership_.applyOwners(Sorted.Owners_, Now);
+  RoundsSinceRead_ = 0;
   if (!HasRead_) {
     // The row of an earlier life of this VM is taken over.
     for (const VmRow &Row : Sorted.Vms_)
@@ -132,11 +183,11 @@
         OwnRowVersion_ = Row.RowVersion_;
     HasRead_ = true;
   }
-  std::map<std::string, Endpoint> Peers;
+  std::map<std::string, FleetLink::PeerPlace> Peers;
   for (const VmRow &Row : Sorted.Vms_) {
     auto Where = parseEndpoint(Row.PeerAddress_);
     if (Row.Vm_ != Self_ && isOk(Where))
-      Peers[Row.Vm_] = valueOf(Where);
+      Peers[Row.Vm_] = {valueOf(Where), Row.DataCentre_};
   }
   Link_->setPeers(Peers);
   Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
@@ -154,9 +205,13 @@
   CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
   Metrics_->observe("anvil_lease_renewal_seconds", {},
                     BootClock::now() - SentAt);
-  if (Outcome.Result_ == CommitResult::Committed) {
+  IsRowWritten_ = Outcome.Result_ == CommitResult::Committed;
+  if (IsRowWritten_) {
     OwnRowVersion_ = Outcome.Version_;
-    Ownership_.noteRenewed(SentAt);
+    if (Standby_)
+      Ownership_.noteStandby();
+    else
+      Ownership_.noteRenewed(SentAt);
     co_return true;
   }
   logEvent(LogLevel::Warning, "lease_not_renewed",
@@ -383,7 +438,11 @@
       !Ownership_.mayOrder(Engine, Now))
     return std::nullopt;
   const EngineKeeper &Keeper = Found->second->Keeper_;
-  EngineHoldings Held{Found->second->Incarnation_, Keeper.hasModel(), {}};
+  EngineHoldings Held{Found->second->Incarnation_,
+                      Keeper.hasModel(),
+                      {},
+                      Fleet_->holdingsRepeat(),
+                      Self_};
   for (const auto &[Adapter, Place] : Keeper.places())
     Held.Adapters_[Adapter] = {
         Place.Version_,
@@ -411,26 +470,37 @@
   tellOwner({Self_, Engine, Adapter, Version, true});
 }
 
+std::string OwnerService::ownerOf(const std::string &Engine) const {
+  // An owner's own word is newer than the rows.
+  const EngineBelief *Belief = Fleet_->book().engine(Engine);
+  bool IsHeard = Belief && Belief->OwnedUntil_ > BootClock::now();
+  return IsHeard ? Belief->Owner_ : Ownership_.ownerOf(Engine);
+}
+
 void OwnerService::tellOwner(AdapterWant Wanted) {
-  std::string Owner = Ownership_.ownerOf(Wanted.Engine_);
+  std::string Owner = ownerOf(Wanted.Engine_);
   if (Owner == Self_)
     receive(Wanted);
   else
     Link_->send(Owner, Wanted);
 }
 
-void OwnerService::receive(const FleetMessage &Message) {
-  if (const auto *News = std::get_if<VmNews>(&Message)) {
-    TimePoint Now = BootClock::now();
-    for (const auto &[Engine, Owned] : Owned_) {
-      auto Share = News->Running_.find(Engine);
-      if (Share == News->Running_.end())
-        continue;
-      for (const auto &[Adapter, Count] : Share->second.Adapters_)
-        Owned->Keeper_.noteUse(Adapter, Now);
-    }
-    return;
+void OwnerService::noteUses(const RunningShares &Running) {
+  TimePoint Now = BootClock::now();
+  for (const auto &[Engine, Owned] : Owned_) {
+    auto Share = Running.find(Engine);
+    if (Share == Running.end())
+      continue;
+    for (const auto &[Adapter, Count] : Share->second.Adapters_)
+      Owned->Keeper_.noteUse(Adapter, Now);
   }
+}
+
+void OwnerService::receive(const FleetMessage &Message) {
+  if (const auto *News = std::get_if<VmNews>(&Message))
+    noteUses(News->Running_);
+  else if (const auto *Abroad = std::get_if<DataCentreNews>(&Message))
+    noteUses(Abroad->Running_);
   const auto *Wanted = std::get_if<AdapterWant>(&Message);
   if (!Wanted)
     return;
--- a/Source/Entry/OwnerService.h
+++ b/Source/Entry/OwnerService.h
@@ -71,6 +71,11 @@
   };
 
   boost::asio::awaitable<void> keepRows();
+  /// Reads and writes rows as far as this round of `keepRows` needs it. Whether
+  /// this VM holds a lease that was just renewed.
+  boost::asio::awaitable<bool> updateRows(std::uint64_t Round);
+  /// At every so many rounds the rows of all VMs are read.
+  std::uint64_t readEvery() const;
   boost::asio::awaitable<bool> renew();
   boost::asio::awaitable<void> resolveRenewal();
   boost::asio::awaitable<void> readRows();
@@ -90,12 +95,16 @@
   std::optional<EngineHoldings> holdingsOf(const std::string &Engine,
                                            TimePoint Now) const;
   void announce(const std::string &Engine);
+  std::string ownerOf(const std::string &Engine) const;
   void tellOwner(AdapterWant Wanted);
+  void noteUses(const RunningShares &Running);
   void receive(const FleetMessage &Message);
   /// The engines and their data centres.
   std::map<std::string, std::string> engines() const;
   const EnginePlan *enginePlanOf(const std::string &Engine) const;
   VmRow ownRow() const;
+  /// Whether this VM should own targets or stand ready to.
+  bool isClaimant(TimePoint Now) const;
 
   boost::asio::any_io_executor Executor_;
   const EntrySettings &Settings_;
@@ -113,6 +122,11 @@
   std::uint64_t Renewals_ = 0;
   std::uint64_t OwnRowVersion_ = 0;
   bool HasRead_ = false;
+  /// Whether this VM owns no targets and only shows that it lives.
+  bool Standby_ = true;
+  /// Whether the row in the store is as it was written last.
+  bool IsRowWritten_ = false;
+  std::uint64_t RoundsSinceRead_ = 0;
   bool Stopping_ = false;
 };
 
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -104,11 +104,12 @@
     NewestRow_ = std::max(NewestRow_, Heard);
   TimePoint GivenAt =
       StoreClock_.note(AskedAt, valueOf(Page).StoreTime_, BootClock::now());
+  std::uint64_t NewestBefore = NewestRow_;
   apply(valueOf(Page).Rows_, WasAwaited ? Evidence_ : std::nullopt);
   if (Plan_) {
     if (!Evidence_ || GivenAt > *Evidence_)
       confirm(GivenAt);
-    Read_.fire(GivenAt, NewestRow_);
+    Read_.fire({GivenAt, NewestRow_, NewestBefore, valueOf(Page).Rows_});
   }
   co_return Page;
 }
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -22,6 +22,16 @@
 
 namespace anvil {
 
+/// A reading of the operator's table.
+struct PlanRead {
+  /// A moment before it.
+  TimePoint At_{};
+  std::uint64_t NewestRow_ = 0;
+  /// The newest row that was known before, and the rows that came since.
+  std::uint64_t NewestBefore_ = 0;
+  std::vector<TableRow> Rows_;
+};
+
 /// Follows the operator's configuration and the adapter versions it names, and
 /// keeps the evidence that they are current. Where another VM tells what it
 /// read, this one reads only what is new.
@@ -67,9 +77,8 @@
   /// Takes over rows that another VM has read. They are no evidence.
   void takeRows(const std::vector<TableRow> &Rows);
 
-  /// Fired after each reading of this VM with a moment before it and the
-  /// newest row's version.
-  Hook<TimePoint, std::uint64_t> Read_;
+  /// Fired after each reading of this VM.
+  Hook<const PlanRead &> Read_;
 
   /// Fired with each new plan.
   Hook<const ServingPlan &> Changed_;
--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -4,13 +4,22 @@
 
 namespace anvil {
 
-/// Up to so many VMs form one group whatever their data centres.
-static constexpr std::size_t SmallFleet = 16;
+/// Changed rows of so many bytes go with the notice; the others read larger
+/// ones themselves.
+static constexpr std::size_t MostRowBytes = 1200;
 
 /// So many changed entries still go into one datagram; after more, the others
 /// read the list themselves.
 static constexpr std::size_t MostChanges = 24;
 
+/// The rows, if they are small enough for a datagram.
+static std::vector<TableRow> smallRows(const std::vector<TableRow> &Rows) {
+  std::size_t Bytes = 0;
+  for (const TableRow &Row : Rows)
+    Bytes += Row.Key_.size() + Row.Value_.size();
+  return Bytes <= MostRowBytes ? Rows : std::vector<TableRow>();
+}
+
 ReadingRelay::ReadingRelay(const EntrySettings &Settings,
                            std::string Incarnation,
                            const ServiceRegistry &Services)
@@ -24,46 +33,45 @@
       Exchange_(Services.require<PlanExchange>(PlanExchange::Name)) {}
 
 Status ReadingRelay::start() {
-  Owners_->Read_.attach([this] { updateGroup(); });
+  Owners_->Read_.attach([this] { forgetClocks(); });
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->onPlaceInLine([this] { return placeInLine("plan"); });
-  Plans_->Read_.attach([this](TimePoint At, std::uint64_t NewestRow) {
-    Link_->sendToGroup(Group_, PlanReading{ownClock(), At.time_since_epoch(),
-                                           NewestRow, Exchange_->port()});
+  Plans_->Read_.attach([this](const PlanRead &Read) {
+    Link_->sendToGroup(group(),
+                       PlanReading{ownClock(), Read.At_.time_since_epoch(),
+                                   Read.NewestRow_, Exchange_->port(),
+                                   Read.NewestBefore_, smallRows(Read.Rows_)});
   });
   Targets_->onPlaceInLine([this] { return placeInLine("targets"); });
   Targets_->Read_.attach([this](TimePoint At) {
     ListingNews News = Targets_->news(BootClock::now());
     if (News.Changes_.size() > MostChanges)
       News.Changes_ = {};
-    Link_->sendToGroup(Group_, TargetsReading{ownClock(), At.time_since_epoch(),
-                                              std::move(News.Changes_),
-                                              News.Digest_, News.LapseLeft_});
+    Link_->sendToGroup(group(),
+                       TargetsReading{ownClock(), At.time_since_epoch(),
+                                      std::move(News.Changes_), News.Digest_,
+                                      News.LapseLeft_});
   });
   return std::monostate{};
 }
 
 VmClock ReadingRelay::ownClock() const { return {Self_, Incarnation_}; }
 
-void ReadingRelay::updateGroup() {
-  const TargetOwnership &Ownership = Owners_->ownership();
-  bool IsSmall = Ownership.knownVms() <= SmallFleet;
-  Group_.clear();
-  for (const VmRow &Row : Ownership.liveVms(BootClock::now()))
-    if (Row.Vm_ != Self_ &&
-        (IsSmall || Row.DataCentre_ == Settings_.DataCentre_))
-      Group_.push_back(Row.Vm_);
-  // Clocks of VMs and incarnations that have gone.
+const std::vector<std::string> &ReadingRelay::group() const {
+  return Link_->layout().neighbours();
+}
+
+void ReadingRelay::forgetClocks() {
   std::erase_if(Clocks_, [&](const auto &Entry) {
-    return std::ranges::find(Group_, Entry.first.Vm_) == Group_.end();
+    return !std::ranges::binary_search(group(), Entry.first.Vm_);
   });
 }
 
 std::size_t ReadingRelay::placeInLine(std::string_view Topic) const {
   TimePoint Now = BootClock::now();
   std::vector<std::string> Heard;
-  for (const std::string &Vm : Group_)
+  for (const std::string &Vm : group())
     if (Fleet_->book().isServing(Vm, Now))
       Heard.push_back(Vm);
   return ReadingTurn::placeInLine(Topic, Self_, Heard);
@@ -80,6 +88,8 @@
 void ReadingRelay::receive(const FleetMessage &Message) {
   TimePoint Now = BootClock::now();
   if (const auto *Plan = std::get_if<PlanReading>(&Message)) {
+    if (!Plan->Rows_.empty() && Plans_->newestRow() >= Plan->NewestBefore_)
+      Plans_->takeRows(Plan->Rows_);
     Plans_->noteReadElsewhere(dateOf(Plan->Clock_, Plan->At_, Now),
                               Plan->NewestRow_);
     Exchange_->noteReading(*Plan);
--- a/Source/Entry/ReadingRelay.h
+++ b/Source/Entry/ReadingRelay.h
@@ -32,7 +32,10 @@
   Status start() override;
 
 private:
-  void updateGroup();
+  /// The VMs that share readings with this one.
+  const std::vector<std::string> &group() const;
+  /// Drops the clocks of VMs that have gone.
+  void forgetClocks();
   std::size_t placeInLine(std::string_view Topic) const;
   void receive(const FleetMessage &Message);
   /// The local moment of a time of another VM's clock; nothing before that VM
@@ -50,8 +53,6 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<OwnerService> Owners_;
   std::shared_ptr<PlanExchange> Exchange_;
-  /// The other VMs of this VM's group.
-  std::vector<std::string> Group_;
   std::map<VmClock, RemoteClock> Clocks_;
 };
 
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -12,10 +12,6 @@
 /// of the owner replaces this guess.
 static constexpr Duration WantGuess = std::chrono::milliseconds(320);
 
-/// For how long after its last word an owner is believed to be there; it
-/// repeats itself every half second, or with each news of a large fleet.
-static constexpr Duration OwnerWordTime = std::chrono::milliseconds(1900);
-
 /// How long a want may go unanswered before the engine counts as stalled, and
 /// for how long it does.
 static constexpr Duration WantPatience = std::chrono::milliseconds(180);
@@ -73,7 +69,7 @@
         return Entry.second.ReadyAt_ > Now;
       }));
   // An owner that may not order, or isn't heard, leaves wants unanswered.
-  Given.HasOwner_ = Belief->ToldAt_ + OwnerWordTime > Now;
+  Given.HasOwner_ = Belief->OwnedUntil_ > Now;
   std::uint64_t Required =
       Plans_->versions().required(Question.Model_, Question.Adapter_, Now);
   auto Held = Belief->Adapters_.find(Question.Adapter_);
--- a/Source/Serving/BudgetStart.cpp
+++ b/Source/Serving/BudgetStart.cpp
@@ -15,14 +15,27 @@
     HeardOld_ = true;
 }
 
+void BudgetStart::noteDataCentre(const std::string &DataCentre, Duration Seen,
+                                 std::uint64_t Vms) {
+  if (IsOver_)
+    return;
+  if (isYoung(Seen))
+    YoungAbroad_[DataCentre] = Vms;
+  else
+    HeardOld_ = true;
+}
+
 void BudgetStart::end(bool WasTakenOver) {
   IsOver_ = true;
   TookOver_ = WasTakenOver;
   Young_.clear();
+  YoungAbroad_.clear();
 }
 
 bool BudgetStart::mayGrant(std::size_t KnownVms) const {
   auto Heard = static_cast<double>(Young_.size() + 1);
+  for (const auto &[DataCentre, Vms] : YoungAbroad_)
+    Heard += static_cast<double>(Vms);
   return !IsOver_ && !HeardOld_ && KnownVms > 0 &&
          Heard >= HeardPart * static_cast<double>(KnownVms);
 }
--- a/Source/Serving/BudgetStart.h
+++ b/Source/Serving/BudgetStart.h
@@ -4,6 +4,8 @@
 #include "Kernel/Clock.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 
@@ -23,6 +25,11 @@
   /// Notes news of a VM whose budget has seen the last `Seen`.
   void noteNews(const std::string &Vm, Duration Seen);
 
+  /// Notes news of another data centre in which so many VMs are heard, told by
+  /// a VM whose budget has seen the last `Seen`.
+  void noteDataCentre(const std::string &DataCentre, Duration Seen,
+                      std::uint64_t Vms);
+
   /// Balances of a VM that knows more were taken over, or the grant was made.
   void end(bool WasTakenOver);
 
@@ -41,6 +48,8 @@
 private:
   Duration Memory_;
   std::set<std::string> Young_;
+  /// The VMs of data centres whose tellers have just started.
+  std::map<std::string, std::uint64_t> YoungAbroad_;
   bool HeardOld_ = false;
   bool IsOver_ = false;
   bool TookOver_ = false;
--- a/Source/Serving/CustomerBudget.cpp
+++ b/Source/Serving/CustomerBudget.cpp
@@ -45,10 +45,12 @@
   BudgetVerdict Verdict;
   Verdict.Allowed_ = Bucket.take(Tokens, Now);
   Verdict.Balance_ = Bucket.balance(Now);
-  if (Verdict.Allowed_)
-    Spent_[Customer] += static_cast<std::uint64_t>(Tokens);
-  else
+  if (!Verdict.Allowed_) {
     Verdict.RetryAfter_ = Bucket.waitFor(Tokens, Now);
+    return Verdict;
+  }
+  Spent_[Customer] += static_cast<std::uint64_t>(Tokens);
+  GroupSpent_[Customer] += static_cast<std::int64_t>(Tokens);
   return Verdict;
 }
 
@@ -59,7 +61,22 @@
     return;
   Found->second.Bucket_.putBack(Tokens, Now);
   auto &Spent = Spent_[Customer];
-  Spent -= std::min(Spent, static_cast<std::uint64_t>(Tokens));
+  auto Back = std::min(Spent, static_cast<std::uint64_t>(Tokens));
+  Spent -= Back;
+  GroupSpent_[Customer] -= static_cast<std::int64_t>(Back);
+}
+
+void CustomerBudget::chargeSpent(const std::string &Customer,
+                                 std::int64_t Tokens, TimePoint Now) {
+  auto Account = Accounts_.find(Customer);
+  if (Account == Accounts_.end() || Tokens == 0)
+    return;
+  TokenBucket &Bucket = Account->second.Bucket_;
+  if (Tokens > 0)
+    Bucket.charge(static_cast<double>(Tokens), Now);
+  else
+    // A refund at a peer.
+    Bucket.putBack(static_cast<double>(-Tokens), Now);
 }
 
 void CustomerBudget::notePeer(const std::string &Vm,
@@ -71,20 +88,27 @@
   if (Mark.Incarnation_ != Incarnation)
     Mark.Spent_.clear();
   for (const auto &[Customer, Total] : Spent) {
-    auto Account = Accounts_.find(Customer);
-    if (IsFirstNews || Account == Accounts_.end())
+    if (IsFirstNews)
       continue;
-    std::uint64_t Before = Mark.Spent_[Customer];
-    if (Total > Before)
-      Account->second.Bucket_.charge(static_cast<double>(Total - Before), Now);
-    else
-      // A refund at the peer.
-      Account->second.Bucket_.putBack(static_cast<double>(Before - Total), Now);
+    auto New = static_cast<std::int64_t>(Total - Mark.Spent_[Customer]);
+    chargeSpent(Customer, New, Now);
+    GroupSpent_[Customer] += New;
   }
   Mark.Incarnation_ = Incarnation;
   Mark.Spent_ = Spent;
 }
 
+void CustomerBudget::noteDataCentre(const std::string &DataCentre,
+                                    const std::string &Teller,
+                                    const std::string &Incarnation,
+                                    const TokenTotals &Totals, Duration Time,
+                                    TimePoint Now) {
+  TokenTotals New =
+      DataCentres_[DataCentre].note(Teller, Incarnation, Totals, Time, Now);
+  for (const auto &[Customer, Tokens] : New)
+    chargeSpent(Customer, Tokens, Now);
+}
+
 TokenBalances CustomerBudget::balances(TimePoint Now) {
   TokenBalances All;
   for (auto &[Customer, Held] : Accounts_)
--- a/Source/Serving/CustomerBudget.h
+++ b/Source/Serving/CustomerBudget.h
@@ -2,6 +2,7 @@
 #define ANVIL_SERVING_CUSTOMERBUDGET_H
 
 #include "Admission/TokenBucket.h"
+#include "Serving/RelayedSpending.h"
 #include "Serving/ServingPlan.h"
 
 #include <cstdint>
@@ -59,6 +60,16 @@
   void notePeer(const std::string &Vm, const std::string &Incarnation,
                 const SpentTokens &Spent, TimePoint Now);
 
+  /// Takes over what a VM of another data centre tells of the spending there,
+  /// good for `Time`.
+  void noteDataCentre(const std::string &DataCentre, const std::string &Teller,
+                      const std::string &Incarnation, const TokenTotals &Totals,
+                      Duration Time, TimePoint Now);
+
+  /// What this VM and its peers have spent since this VM started, for VMs of
+  /// other data centres.
+  const TokenTotals &groupSpent() const { return GroupSpent_; }
+
   /// What the customers have left.
   TokenBalances balances(TimePoint Now);
 
@@ -84,10 +95,14 @@
   };
 
   void reshape(Account &Held, TimePoint Now) const;
+  void chargeSpent(const std::string &Customer, std::int64_t Tokens,
+                   TimePoint Now);
 
   std::map<std::string, Account> Accounts_;
   std::map<std::string, PeerMark> Peers_;
   SpentTokens Spent_;
+  TokenTotals GroupSpent_;
+  std::map<std::string, RelayedSpending> DataCentres_;
   double Reach_ = 1;
 };
 
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -1,15 +1,41 @@
 #include "Serving/FleetBook.h"
 
+#include "Serving/NewsSchedule.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace anvil {
 
+/// For how long at the least the owner's word goes before the engine's own
+/// entry, which is written at a period of about a second, and the owner is
+/// believed to be there.
+static constexpr Duration LeastOwnerWord = std::chrono::milliseconds(3000);
+static constexpr Duration LeastOwnerStay = std::chrono::milliseconds(1900);
+
+/// For how many of its repetitions an owner's word counts.
+static constexpr double OwnerWordRepeats = 2.5;
+
+/// For how long a VM that told of its data centre is remembered, so that what
+/// it told before stays old.
+static constexpr Duration TellerMemory = std::chrono::seconds(30);
+
 /// For how long after its expected end a load may still be under way.
 static constexpr Duration YoungTime = std::chrono::milliseconds(1500);
 
 /// By how much the expected end is put off then.
 static constexpr Duration LateStep = std::chrono::milliseconds(60);
 
+void addShares(RunningShares &Sums, const RunningShares &Running) {
+  for (const auto &[Target, Share] : Running) {
+    RunningShare &Sum = Sums[Target];
+    Sum.Requests_ += Share.Requests_;
+    Sum.Tokens_ += Share.Tokens_;
+    for (const auto &[Adapter, Count] : Share.Adapters_)
+      Sum.Adapters_[Adapter] += Count;
+  }
+}
+
 bool FleetBook::apply(const VmNews &News, TimePoint Now) {
   auto Found = Vms_.find(News.Vm_);
   bool IsOld = Found != Vms_.end() &&
@@ -19,16 +45,34 @@
     return false;
   HeardVm &Heard = Vms_[News.Vm_];
   if (Heard.Counted_)
-    addRunning(Heard.News_, -1);
+    addRunning(Heard.News_.Running_, -1);
   Heard.News_ = News;
-  Heard.At_ = Now;
+  Heard.Until_ = Now + newsTime(News.Period_);
   Heard.Counted_ = true;
-  addRunning(News, 1);
+  addRunning(News.Running_, 1);
   for (const auto &[Engine, Told] : News.Holdings_)
     applyHoldings(Engine, Told, Now);
   return true;
 }
 
+bool FleetBook::apply(const DataCentreNews &News, TimePoint Now) {
+  HeardDataCentre &Heard = DataCentres_[News.DataCentre_];
+  auto [Place, IsNew] = Heard.Tellers_.try_emplace(News.Teller_);
+  HeardDataCentre::Teller &Known = Place->second;
+  bool IsOld = !IsNew && Known.Incarnation_ == News.Incarnation_ &&
+               Known.Sequence_ >= News.Sequence_;
+  if (IsOld)
+    return false;
+  TimePoint Until = Now + newsTime(News.Period_);
+  Known = {News.Incarnation_, News.Sequence_, News.Vms_, Until,
+           Now + reachTime(News.Period_)};
+  addRunning(Heard.Running_, -1);
+  Heard.Running_ = News.Running_;
+  Heard.Until_ = Until;
+  addRunning(Heard.Running_, 1);
+  return true;
+}
+
 void FleetBook::applyHoldings(const std::string &Engine,
                               const EngineHoldings &Told, TimePoint Now) {
   EngineBelief &Belief = Engines_[Engine];
@@ -47,14 +91,18 @@
       Held->second.ReadyAt_ = std::max(Held->second.ReadyAt_, When);
   }
   noteHeld(Belief, Now);
-  Belief.ToldAt_ = Now;
+  auto Word =
+      std::chrono::duration_cast<Duration>(Told.Repeat_ * OwnerWordRepeats);
+  Belief.ToldUntil_ = Now + std::max(LeastOwnerWord, Word);
+  Belief.Owner_ = Told.Owner_;
+  Belief.OwnedUntil_ = Now + std::max(LeastOwnerStay, Word);
 }
 
 void FleetBook::applyEntry(const RegisteredTarget &Entry,
                            const std::string &Model, TimePoint Now) {
   EngineBelief &Belief = Engines_[Entry.Id_];
   bool IsSameLife = Belief.Incarnation_ == Entry.Incarnation_;
-  if (IsSameLife && Belief.ToldAt_ + OwnerWordTime > Now)
+  if (IsSameLife && Belief.ToldUntil_ > Now)
     return;
   auto Warm =
       IsSameLife ? std::move(Belief.Warm_) : std::map<std::string, TimePoint>();
@@ -78,8 +126,8 @@
         Belief.Warm_, {}, [](const auto &Entry) { return Entry.second; }));
 }
 
-void FleetBook::addRunning(const VmNews &News, int Sign) {
-  for (const auto &[Target, Share] : News.Running_) {
+void FleetBook::addRunning(const RunningShares &Running, int Sign) {
+  for (const auto &[Target, Share] : Running) {
     RunningShare &Sum = OnTarget_[Target];
     Sum.Requests_ += Sign * Share.Requests_;
     Sum.Tokens_ += Sign * Share.Tokens_;
@@ -96,10 +144,30 @@
 
 void FleetBook::expire(TimePoint Now) {
   for (auto &[Vm, Heard] : Vms_)
-    if (Heard.Counted_ && Heard.At_ + NewsTime < Now) {
-      addRunning(Heard.News_, -1);
+    if (Heard.Counted_ && Heard.Until_ < Now) {
+      addRunning(Heard.News_.Running_, -1);
       Heard.Counted_ = false;
     }
+  for (auto &[Name, Heard] : DataCentres_) {
+    if (Heard.Until_ < Now)
+      addRunning(std::exchange(Heard.Running_, {}), -1);
+    std::erase_if(Heard.Tellers_, [&](const auto &Entry) {
+      return Entry.second.Until_ + TellerMemory < Now;
+    });
+  }
+}
+
+void FleetBook::addNear(DataCentreNews &Sums, TimePoint Now) const {
+  for (const auto &[Vm, Heard] : Vms_) {
+    if (Heard.Until_ < Now)
+      continue;
+    ++Sums.Vms_;
+    addShares(Sums.Running_, Heard.News_.Running_);
+    Sums.Crashes_.insert(Sums.Crashes_.end(), Heard.News_.Crashes_.begin(),
+                         Heard.News_.Crashes_.end());
+    Sums.Leavers_.insert(Heard.News_.Leavers_.begin(),
+                         Heard.News_.Leavers_.end());
+  }
 }
 
 RunningShare FleetBook::othersOn(const std::string &Target) const {
@@ -150,16 +218,27 @@
   return Sum;
 }
 
+std::size_t FleetBook::heardNear(TimePoint Now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Vms_, [&](const auto &Entry) { return Entry.second.Until_ >= Now; }));
+}
+
 std::size_t FleetBook::heardVms(TimePoint Now) const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Vms_, [&](const auto &Entry) {
-        return Entry.second.At_ + NewsTime >= Now;
-      }));
+  std::size_t Sum = heardNear(Now);
+  for (const auto &[Name, Heard] : DataCentres_) {
+    // A VM that tells while it hears few of the others doesn't hide them.
+    std::uint64_t Most = 0;
+    for (const auto &[Vm, Known] : Heard.Tellers_)
+      if (Known.InReachUntil_ >= Now)
+        Most = std::max(Most, Known.Vms_);
+    Sum += Most;
+  }
+  return Sum;
 }
 
 bool FleetBook::isServing(const std::string &Vm, TimePoint Now) const {
   auto Found = Vms_.find(Vm);
-  return Found != Vms_.end() && Found->second.At_ + NewsTime >= Now &&
+  return Found != Vms_.end() && Found->second.Until_ >= Now &&
          !Found->second.News_.Leaving_;
 }
 
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -21,6 +21,12 @@
   std::map<std::string, int> Adapters_;
 };
 
+/// What runs, by target.
+using RunningShares = std::map<std::string, RunningShare>;
+
+/// Adds what runs to sums.
+void addShares(RunningShares &Sums, const RunningShares &Running);
+
 /// What an engine's owner says it holds.
 struct EngineHoldings {
   std::int64_t Incarnation_ = 0;
@@ -31,6 +37,10 @@
     Duration ReadyIn_{};
   };
   std::map<std::string, Item> Adapters_;
+  /// Within which the owner says so again.
+  Duration Repeat_{};
+  /// The VM that says so.
+  std::string Owner_{};
 };
 
 /// One VM's news for the others.
@@ -38,6 +48,11 @@
   std::string Vm_;
   std::string Incarnation_;
   std::uint64_t Sequence_ = 0;
+  std::string DataCentre_;
+  /// `address:port` for messages to this VM.
+  std::string PeerAddress_;
+  /// After which the next news are told.
+  Duration Period_{};
   std::uint64_t Revision_ = 0;
   bool Leaving_ = false;
   SpentTokens Spent_;
@@ -45,7 +60,7 @@
   /// which are told only while a VM that has just started is heard.
   Duration BudgetSeen_{};
   TokenBalances Balances_;
-  std::map<std::string, RunningShare> Running_;
+  RunningShares Running_;
   /// Prompt tokens sent to each target since the news before.
   std::map<std::string, std::int64_t> PromptTokens_;
   std::map<std::string, EngineHoldings> Holdings_;
@@ -60,6 +75,25 @@
   std::map<std::string, std::int64_t> Leavers_;
 };
 
+/// What one VM tells other data centres of its own: sums over the VMs there
+/// that it hears, itself included.
+struct DataCentreNews {
+  std::string DataCentre_;
+  std::string Teller_;
+  std::string Incarnation_;
+  std::uint64_t Sequence_ = 0;
+  /// After which this VM tells again.
+  Duration Period_{};
+  std::uint64_t Vms_ = 0;
+  /// As in a VM's news, of the VM that tells.
+  Duration BudgetSeen_{};
+  TokenBalances Balances_;
+  TokenTotals Spent_;
+  RunningShares Running_;
+  std::vector<VmNews::Crash> Crashes_;
+  std::map<std::string, std::int64_t> Leavers_;
+};
+
 /// An adapter on an engine as this VM believes it.
 struct AdapterBelief {
   std::uint64_t Version_ = 0;
@@ -73,23 +107,23 @@
   std::map<std::string, AdapterBelief> Adapters_;
   /// Adapters that it held lately, which load fast, and when it last did.
   std::map<std::string, TimePoint> Warm_;
-  /// When the owner said so; the default when only the engine's own entry did.
-  TimePoint ToldAt_{};
+  /// Until when the owner's word goes before the engine's own entry.
+  TimePoint ToldUntil_{};
+  /// The VM that said so, and until when it is believed to be there.
+  std::string Owner_;
+  TimePoint OwnedUntil_{};
 };
 
 /// Joins what the other VMs tell: what runs where, and what engines hold.
 class FleetBook {
 public:
-  /// For how long a VM's news count without new ones.
-  static constexpr Duration NewsTime = std::chrono::milliseconds(1500);
-
-  /// For how long the owner's word goes before the engine's own entry, which
-  /// is written at a period of about a second.
-  static constexpr Duration OwnerWordTime = std::chrono::milliseconds(3000);
-
   /// Takes in a VM's news. False when they are older than known ones.
   bool apply(const VmNews &News, TimePoint Now);
 
+  /// Takes in the news of another data centre, which replace those that any VM
+  /// there told before. False when they are older than known ones.
+  bool apply(const DataCentreNews &News, TimePoint Now);
+
   /// Takes in what an engine's owner says that it holds.
   void applyHoldings(const std::string &Engine, const EngineHoldings &Told,
                      TimePoint Now);
@@ -98,12 +132,17 @@
   void applyEntry(const RegisteredTarget &Entry, const std::string &Model,
                   TimePoint Now);
 
-  /// Drops the running requests of VMs that have fallen silent.
+  /// Drops the running requests of VMs and data centres that have fallen
+  /// silent.
   void expire(TimePoint Now);
 
   /// What the other VMs run on a target, without the adapters.
   RunningShare othersOn(const std::string &Target) const;
 
+  /// Adds what the VMs tell whose own news count: their number, what runs
+  /// there, crashes and leaving targets.
+  void addNear(DataCentreNews &Sums, TimePoint Now) const;
+
   /// The requests that the other VMs run with an adapter, on all targets.
   int othersUsing(const std::string &Adapter) const;
 
@@ -122,26 +161,41 @@
   /// Adapters in transit to all engines.
   int inTransit(TimePoint Now) const;
 
-  /// The other VMs that were heard within `NewsTime`.
+  /// The other VMs whose own news count, and all of whom news count.
+  std::size_t heardNear(TimePoint Now) const;
   std::size_t heardVms(TimePoint Now) const;
 
-  /// Whether a VM was heard within `NewsTime` and isn't about to stop.
+  /// Whether a VM's own news count and it isn't about to stop.
   bool isServing(const std::string &Vm, TimePoint Now) const;
 
 private:
   static void noteHeld(EngineBelief &Belief, TimePoint Now);
-  void addRunning(const VmNews &News, int Sign);
+  void addRunning(const RunningShares &Running, int Sign);
 
   struct HeardVm {
     VmNews News_;
-    TimePoint At_{};
+    TimePoint Until_{};
     /// Whether its running requests are in the sums.
     bool Counted_ = false;
   };
+  struct HeardDataCentre {
+    struct Teller {
+      std::string Incarnation_;
+      std::uint64_t Sequence_ = 0;
+      std::uint64_t Vms_ = 0;
+      TimePoint Until_{};
+      TimePoint InReachUntil_{};
+    };
+    std::map<std::string, Teller> Tellers_;
+    /// What the latest of them told.
+    RunningShares Running_;
+    TimePoint Until_{};
+  };
 
   std::map<std::string, HeardVm> Vms_;
-  /// Sums over the VMs that are heard, by target and by adapter.
-  std::map<std::string, RunningShare> OnTarget_;
+  std::map<std::string, HeardDataCentre> DataCentres_;
+  /// Sums over all that is heard, by target and by adapter.
+  RunningShares OnTarget_;
   std::map<std::string, int> WithAdapter_;
   std::map<std::string, EngineBelief> Engines_;
   /// Adapters that were not ready when expected, by engine and name.
--- /dev/null
+++ b/Source/Serving/FleetLayout.cpp
@@ -0,0 +1,53 @@
+#include "Serving/FleetLayout.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+/// Up to so many VMs hear each other whatever their data centres.
+static constexpr std::size_t SmallFleet = 16;
+
+/// What one VM passes on of one message at the most, in bytes: some 25 ms of a
+/// link of 20 Mbit/s, in which callers' answers wait.
+static constexpr std::size_t MostOnwardBytes = 64 * 1024;
+
+void FleetLayout::setVms(const std::map<std::string, std::string> &Others) {
+  IsSplit_ = Others.size() + 1 > SmallFleet;
+  Neighbours_.clear();
+  Abroad_.clear();
+  for (const auto &[Vm, DataCentre] : Others)
+    if (!IsSplit_ || DataCentre == DataCentre_)
+      Neighbours_.push_back(Vm);
+    else
+      Abroad_[DataCentre].push_back(Vm);
+}
+
+std::vector<SpreadHop> FleetLayout::abroad(std::size_t Bytes,
+                                           double Random) const {
+  std::vector<SpreadHop> Hops;
+  std::size_t Reach =
+      1 + std::clamp<std::size_t>(
+              MostOnwardBytes / std::max<std::size_t>(1, Bytes), 1, 100);
+  for (const auto &[DataCentre, Vms] : Abroad_) {
+    auto First =
+        static_cast<std::size_t>(Random * static_cast<double>(Vms.size()));
+    for (std::size_t Done = 0; Done < Vms.size(); Done += Reach)
+      Hops.push_back({Vms[(First + Done) % Vms.size()],
+                      std::min(Reach, Vms.size() - Done) - 1});
+  }
+  return Hops;
+}
+
+std::vector<std::string> FleetLayout::onward(std::size_t Onward) const {
+  std::vector<std::string> Next;
+  if (!IsSplit_)
+    return Next;
+  auto First = std::ranges::upper_bound(Neighbours_, Self_);
+  auto Start = static_cast<std::size_t>(First - Neighbours_.begin());
+  for (std::size_t Step = 0; Step < std::min(Onward, Neighbours_.size());
+       ++Step)
+    Next.push_back(Neighbours_[(Start + Step) % Neighbours_.size()]);
+  return Next;
+}
+
+} // namespace anvil
--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -3,11 +3,38 @@
 #include "Membership/Rendezvous.h"
 
 #include <algorithm>
+#include <set>
 
 namespace anvil {
 
+/// The targets that one VM gives orders to in a large data centre, and the VMs
+/// there that stand ready beside the owners.
+static constexpr std::size_t TargetsPerVm = 4;
+static constexpr std::size_t SpareVms = 1;
+static constexpr std::size_t LeastVms = 2;
+
+Duration TargetOwnership::termOf(const VmRow &Row) const {
+  return Row.Standby_ ? Options_.StandbyTerm_ : Options_.LeaseTerm_;
+}
+
 bool TargetOwnership::looksSilent(const SeenVm &Known, TimePoint Now) const {
-  return Known.Since_ + Options_.LeaseTerm_ + Options_.Margin_ <= Now;
+  return Known.Since_ + termOf(Known.Row_) + Options_.Margin_ <= Now;
+}
+
+std::vector<std::string>
+TargetOwnership::claimants(std::vector<std::string> Vms, std::size_t Targets) {
+  std::size_t Wanted = std::max(
+      LeastVms, (Targets + TargetsPerVm - 1) / TargetsPerVm + SpareVms);
+  std::vector<std::string> First = rendezvousOrder("claimant", std::move(Vms));
+  First.resize(std::min(First.size(), Wanted));
+  return First;
+}
+
+bool TargetOwnership::mayCross(const OwnerClaim &Claim, TimePoint Now) const {
+  Duration Wait = Options_.LeaseTerm_ + Options_.NeighbourTime_;
+  auto Holder = Vms_.find(Claim.SilentVm_);
+  TimePoint Since = Holder == Vms_.end() ? StartedAt_ : Holder->second.Since_;
+  return Since + Wait <= Now;
 }
 
 bool TargetOwnership::isSilent(const SeenVm &Known, TimePoint Now) const {
@@ -103,7 +130,11 @@
     return Wanted;
   std::map<std::string, std::vector<std::string>> Live;
   std::vector<std::string> AllLive;
+  std::set<std::string> WithVms;
   for (const VmRow &Row : liveVms(Now)) {
+    WithVms.insert(Row.DataCentre_);
+    if (Row.Standby_)
+      continue;
     Live[Row.DataCentre_].push_back(Row.Vm_);
     AllLive.push_back(Row.Vm_);
   }
@@ -120,6 +151,10 @@
     if (!Claim)
       continue;
     const auto &Neighbours = Live[DataCentre];
+    bool MustWait = Neighbours.empty() && WithVms.contains(DataCentre) &&
+                    !mayCross(*Claim, Now);
+    if (MustWait)
+      continue;
     const auto &Able = Neighbours.empty() ? AllLive : Neighbours;
     std::size_t Shared = Neighbours.empty() ? Targets.size() : Near[DataCentre];
     std::size_t Fair = (Shared + Able.size() - 1) / Able.size();
@@ -170,11 +205,14 @@
 std::vector<VmRow> TargetOwnership::rowsToPurge(TimePoint Now) const {
   std::vector<std::string> Live;
   for (const VmRow &Row : liveVms(Now))
-    Live.push_back(Row.Vm_);
+    if (!Row.Standby_)
+      Live.push_back(Row.Vm_);
   std::vector<VmRow> Rows;
   for (const auto &[Name, Known] : Vms_) {
-    bool IsOld = Name != Self_ && areRowsFresh(Now) &&
-                 Known.Since_ + Options_.RowMemory_ <= Now;
+    Duration Memory =
+        Options_.RowMemory_ + termOf(Known.Row_) - Options_.LeaseTerm_;
+    bool IsOld =
+        Name != Self_ && areRowsFresh(Now) && Known.Since_ + Memory <= Now;
     if (IsOld && !Live.empty() && rendezvousOrder(Name, Live).front() == Self_)
       Rows.push_back(Known.Row_);
   }
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -22,6 +22,9 @@
   std::uint64_t Renewals_ = 0;
   /// The row's version in the store.
   std::uint64_t RowVersion_ = 0;
+  /// Whether the VM owns no targets and claims none until its row says
+  /// otherwise. Such a row is renewed seldom.
+  bool Standby_ = false;
 };
 
 /// The row that says which VM gives a target its orders.
@@ -38,14 +41,19 @@
 struct TargetOwnershipOptions {
   /// How long a VM may give orders after it sent its last renewal.
   Duration LeaseTerm_ = std::chrono::seconds(8);
+  /// For how long a row on standby counts.
+  Duration StandbyTerm_ = std::chrono::seconds(30);
   /// What clocks of two VMs may differ by over a term, and a call's way.
   Duration Margin_ = std::chrono::milliseconds(500);
   /// The pause between the last order of one owner and the first of the next;
   /// from the platform's bounds.
   Duration HandoverPause_ = std::chrono::milliseconds(3300);
   /// How long a silent VM's row stays, so that it still counts as one that may
-  /// come back.
+  /// come back; one on standby as much longer as its term is.
   Duration RowMemory_ = std::chrono::seconds(14);
+  /// How much longer targets without an owner wait for a VM of their own data
+  /// centre that claims targets, if VMs live there.
+  Duration NeighbourTime_ = std::chrono::seconds(5);
   /// How old the rows may be for calling a VM silent by them: a VM that could
   /// not read for a while would take all others for silent.
   Duration RowsTime_ = std::chrono::milliseconds(1000);
@@ -80,6 +88,9 @@
   /// A renewal sent at `SentAt` was confirmed; the lease runs from then.
   void noteRenewed(TimePoint SentAt) { RenewedAt_ = SentAt; }
 
+  /// A row on standby was confirmed, which is no lease.
+  void noteStandby() { RenewedAt_.reset(); }
+
   /// The row of this VM was taken away: it owns nothing until it reads anew.
   void noteRenewalRefused();
 
@@ -122,6 +133,11 @@
   /// The VMs with a row, silent ones included.
   std::size_t knownVms() const { return Vms_.size(); }
 
+  /// The VMs of one data centre that should claim its so many targets, and
+  /// stand ready to take over: the first in a stable order of those given.
+  static std::vector<std::string> claimants(std::vector<std::string> Vms,
+                                            std::size_t Targets);
+
 private:
   struct SeenVm {
     VmRow Row_;
@@ -134,7 +150,9 @@
     TimePoint OrdersFrom_{};
   };
 
+  Duration termOf(const VmRow &Row) const;
   bool looksSilent(const SeenVm &Known, TimePoint Now) const;
+  bool mayCross(const OwnerClaim &Claim, TimePoint Now) const;
   bool isSilent(const SeenVm &Known, TimePoint Now) const;
   bool areRowsFresh(TimePoint Now) const;
   std::optional<OwnerClaim> claimOf(const std::string &Target,
--- a/Tests/Serving/FleetBookTest.cpp
+++ b/Tests/Serving/FleetBookTest.cpp
@@ -39,6 +39,62 @@
   }
 }
 
+static DataCentreNews abroadNews(std::string Teller, std::uint64_t Sequence,
+                                 std::uint64_t Vms, int Requests) {
+  DataCentreNews News;
+  News.DataCentre_ = "north";
+  News.Teller_ = std::move(Teller);
+  News.Incarnation_ = "life";
+  News.Sequence_ = Sequence;
+  News.Period_ = 600ms;
+  News.Vms_ = Vms;
+  News.Running_["e1"] = {Requests, Requests * 100, {{"a1", Requests}}};
+  return News;
+}
+
+TEST_CASE("what another data centre tells of its VMs", "[fleet]") {
+  FleetBook Book;
+  REQUIRE(Book.apply(newsOf("b", 1, 2), Start));
+  REQUIRE(Book.apply(abroadNews("n1", 5, 30, 40), Start));
+  SECTION("is added to what the own neighbours tell") {
+    CHECK(Book.othersOn("e1").Requests_ == 42);
+    CHECK(Book.othersUsing("a1") == 42);
+    CHECK(Book.heardVms(Start) == 31);
+    CHECK(Book.heardNear(Start) == 1);
+  }
+  SECTION("is replaced by what a second VM tells of the same") {
+    REQUIRE(Book.apply(abroadNews("n2", 1, 30, 38), Start + 300ms));
+    CHECK(Book.othersOn("e1").Requests_ == 40);
+    CHECK(Book.heardVms(Start + 300ms) == 31);
+    SECTION("and a datagram that was overtaken changes nothing") {
+      CHECK_FALSE(Book.apply(abroadNews("n1", 4, 30, 7), Start + 400ms));
+      CHECK(Book.othersOn("e1").Requests_ == 40);
+    }
+  }
+  SECTION("counts the VMs that the better informed of two hears") {
+    REQUIRE(Book.apply(abroadNews("n2", 1, 1, 0), Start + 300ms));
+    CHECK(Book.heardVms(Start + 300ms) == 31);
+  }
+  SECTION("no longer counts once nobody tells it") {
+    Book.expire(Start + 3s);
+    CHECK(Book.othersOn("e1").Requests_ == 0);
+    CHECK(Book.heardVms(Start + 3s) == 0);
+  }
+  SECTION("is summed up from what its VMs tell") {
+    VmNews News = newsOf("c", 1, 3);
+    News.Crashes_ = {{"digest", "e1", 7}};
+    News.Leavers_ = {{"e2", 5}};
+    REQUIRE(Book.apply(News, Start));
+    DataCentreNews Sums;
+    Book.addNear(Sums, Start);
+    CHECK(Sums.Vms_ == 2);
+    CHECK(Sums.Running_.at("e1").Requests_ == 5);
+    CHECK(Sums.Running_.at("e1").Adapters_.at("a1") == 5);
+    CHECK(Sums.Crashes_.size() == 1);
+    CHECK(Sums.Leavers_.at("e2") == 5);
+  }
+}
+
 TEST_CASE("what an engine holds", "[fleet]") {
   FleetBook Book;
   EngineHoldings Told{1, true, {{"a1", {1, 0ms}}, {"a2", {1, 250ms}}}};
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -36,9 +36,27 @@
       CHECK(Same.Running_.at("e1").Adapters_.at("a1") == 4);
       CHECK(Same.Holdings_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
     }
+    SECTION("as news of a data centre") {
+      DataCentreNews News;
+      News.DataCentre_ = "north";
+      News.Teller_ = "vm-1";
+      News.Vms_ = 39;
+      News.Period_ = 600ms;
+      News.Spent_ = {{"serenas", -5}};
+      News.Running_["e1"] = {4, 400, {{"a1", 4}}};
+      DataCentreNews Same = travelled(News);
+      CHECK(Same.Teller_ == "vm-1");
+      CHECK(Same.Vms_ == 39);
+      CHECK(Same.Period_ == 600ms);
+      CHECK(Same.Spent_ == News.Spent_);
+      CHECK(Same.Running_.at("e1").Adapters_.at("a1") == 4);
+    }
     SECTION("as what was read of the plan") {
-      PlanReading Same =
-          travelled(PlanReading{{"vm-1", "life"}, 77s, 12, 7600});
+      PlanReading Same = travelled(PlanReading{
+          {"vm-1", "life"}, 77s, 12, 7600, 11, {{"version/a1", "2", 12}}});
+      CHECK(Same.NewestBefore_ == 11);
+      REQUIRE(Same.Rows_.size() == 1);
+      CHECK(Same.Rows_.front().Key_ == "version/a1");
       CHECK(Same.Clock_ == VmClock{"vm-1", "life"});
       CHECK(Same.At_ == 77s);
       CHECK(Same.NewestRow_ == 12);
@@ -84,7 +102,16 @@
     rc::prop("no bytes crash the reader", [](const std::string &Bytes) {
       decodeFleetMessage(Bytes);
       for (char Tag = 0; Tag < 10; ++Tag)
-        decodeFleetMessage(std::string{'\x05', Tag} + Bytes);
+        decodeFleetMessage(std::string{'\x06', Tag, '\0'} + Bytes);
     });
   }
+  SECTION("say to how many others they are to be passed on") {
+    std::string Bytes = encodeFleetMessage(ClockQuestion{"vm-1", 5s}, 38);
+    CHECK(onwardOf(Bytes) == 38);
+    clearOnward(Bytes);
+    CHECK(onwardOf(Bytes) == 0);
+    CHECK(Bytes == encodeFleetMessage(ClockQuestion{"vm-1", 5s}));
+    CHECK(onwardOf("") == 0);
+    CHECK(onwardOf(std::string(3, '\x7f')) == 0);
+  }
 }
--- /dev/null
+++ b/Tests/Serving/FleetLayoutTest.cpp
@@ -0,0 +1,78 @@
+#include "Serving/FleetLayout.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <set>
+
+using namespace anvil;
+
+/// The VMs of a fleet with their data centres, all but one.
+static std::map<std::string, std::string>
+othersThan(const std::string &Self, std::size_t DataCentres,
+           std::size_t VmsPerDataCentre) {
+  std::map<std::string, std::string> Others;
+  for (std::size_t Dc = 0; Dc < DataCentres; ++Dc)
+    for (std::size_t Vm = 0; Vm < VmsPerDataCentre; ++Vm) {
+      std::string Name = "vm-" + std::to_string(Dc) + "-" + std::to_string(Vm);
+      if (Name != Self)
+        Others[Name] = "dc-" + std::to_string(Dc);
+    }
+  return Others;
+}
+
+static FleetLayout layoutOf(const std::string &Vm,
+                            const std::string &DataCentre,
+                            std::size_t DataCentres,
+                            std::size_t VmsPerDataCentre) {
+  FleetLayout Layout(Vm, DataCentre);
+  Layout.setVms(othersThan(Vm, DataCentres, VmsPerDataCentre));
+  return Layout;
+}
+
+TEST_CASE("who tells whom", "[fleet][layout]") {
+  SECTION("in a small fleet everybody tells everybody") {
+    FleetLayout Layout = layoutOf("vm-0-0", "dc-0", 4, 2);
+    CHECK_FALSE(Layout.isSplit());
+    CHECK(Layout.neighbours().size() == 7);
+    CHECK(Layout.abroad(400, 0.5).empty());
+    CHECK(Layout.onward(20).empty());
+  }
+  SECTION("in a large fleet") {
+    FleetLayout Layout = layoutOf("vm-0-0", "dc-0", 5, 39);
+    REQUIRE(Layout.isSplit());
+    SECTION("news go to the VMs of the data centre") {
+      CHECK(Layout.neighbours().size() == 38);
+    }
+    SECTION("a small message takes one datagram for each other data centre") {
+      CHECK(Layout.abroad(400, 0.3).size() == 4);
+    }
+    SECTION("a large one is passed on by several VMs, some 64 KB by each") {
+      for (const SpreadHop &Hop : Layout.abroad(8000, 0.3))
+        CHECK(Hop.Onward_ <= 8);
+      CHECK(Layout.abroad(8000, 0.3).size() == 4 * 5);
+    }
+  }
+  SECTION("a message abroad reaches each VM there exactly once, whoever passes "
+          "it on") {
+    rc::prop("for any size of fleet, message and choice", [] {
+      auto DataCentres = *rc::gen::inRange<std::size_t>(2, 7);
+      auto Vms = *rc::gen::inRange<std::size_t>(9, 70);
+      auto Bytes = *rc::gen::inRange<std::size_t>(0, 60000);
+      double Random = *rc::gen::inRange(0, 1000) / 1000.0;
+      FleetLayout Sender = layoutOf("vm-0-0", "dc-0", DataCentres, Vms);
+      std::multiset<std::string> Reached;
+      for (const SpreadHop &Hop : Sender.abroad(Bytes, Random)) {
+        std::string DataCentre = "dc-" + Hop.Vm_.substr(3, 1);
+        Reached.insert(Hop.Vm_);
+        for (const std::string &Vm :
+             layoutOf(Hop.Vm_, DataCentre, DataCentres, Vms)
+                 .onward(Hop.Onward_))
+          Reached.insert(Vm);
+      }
+      RC_ASSERT(Reached.size() == (DataCentres - 1) * Vms);
+      RC_ASSERT(std::set<std::string>(Reached.begin(), Reached.end()).size() ==
+                Reached.size());
+    });
+  }
+}
--- a/Tests/Serving/TargetOwnershipTest.cpp
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace anvil;
 using namespace std::chrono_literals;
 
@@ -126,3 +128,65 @@
     CHECK(Rows[0].Vm_ == "b");
   }
 }
+
+static VmRow rowIn(std::string Vm, std::uint64_t Version,
+                   std::string DataCentre, bool Standby) {
+  VmRow Row = vmRow(std::move(Vm), Version);
+  Row.DataCentre_ = std::move(DataCentre);
+  Row.Standby_ = Standby;
+  return Row;
+}
+
+TEST_CASE("the ownership of targets where most VMs are on standby",
+          "[ownership]") {
+  TargetOwnershipOptions Options;
+  TargetOwnership Own("a", Options, Start);
+  std::vector<VmRow> Rows{rowIn("a", 1, "north", false),
+                          rowIn("b", 2, "north", true),
+                          rowIn("c", 3, "south", true)};
+  Own.applyVms(Rows, Start + 2s);
+  Own.applyOwners({}, Start + 2s);
+  Own.noteRenewed(Start + 2s);
+  SECTION("goes to the VMs that claim") {
+    CHECK(Own.claims({{"e1", "north"}, {"e2", "north"}}, Start + 2s).size() ==
+          2);
+  }
+  SECTION("waits for a VM of the target's data centre to claim it") {
+    CHECK(Own.claims({{"e1", "south"}}, Start + 2s).empty());
+    SECTION("but not for long") {
+      Rows[0].RowVersion_ = 9;
+      Own.applyVms(Rows, Start + 14s);
+      Own.noteRenewed(Start + 14s);
+      CHECK(Own.claims({{"e1", "south"}}, Start + 14s).size() == 1);
+    }
+  }
+  SECTION("is no affair of this VM while its own row is on standby") {
+    Own.noteStandby();
+    CHECK(Own.claims({{"e1", "north"}}, Start + 2s).empty());
+    Own.applyOwners({ownerRow("e1", "a", 1, 5)}, Start + 2s);
+    CHECK_FALSE(Own.mayOrder("e1", Start + 2s));
+  }
+  SECTION("rows on standby count for longer than leases") {
+    CHECK(Own.liveVms(Start + 11s).size() == 3);
+    Rows[0].RowVersion_ = 9;
+    Own.applyVms(Rows, Start + 33s);
+    CHECK(Own.liveVms(Start + 33s).size() == 1);
+    CHECK(Own.rowsToPurge(Start + 33s).empty());
+    Own.applyVms(Rows, Start + 39s);
+    CHECK(Own.rowsToPurge(Start + 39s).size() == 2);
+  }
+  SECTION("the VMs that claim are few, and nearly the same when one goes") {
+    std::vector<std::string> Vms;
+    for (int Vm = 0; Vm < 39; ++Vm)
+      Vms.push_back("vm-" + std::to_string(Vm));
+    auto First = TargetOwnership::claimants(Vms, 16);
+    REQUIRE(First.size() == 5);
+    std::erase(Vms, First[2]);
+    auto Next = TargetOwnership::claimants(Vms, 16);
+    CHECK(std::ranges::count_if(Next, [&](const std::string &Vm) {
+            return std::ranges::find(First, Vm) != First.end();
+          }) == 4);
+    CHECK(TargetOwnership::claimants({"only"}, 16).size() == 1);
+    CHECK(TargetOwnership::claimants(Vms, 0).size() == 2);
+  }
+}
