Tell a list's changes up to 32 KB instead of 24 entries

Cause: engines of a large fleet register within seconds of each other.

Test first: TargetListingTest follows 90 engines that register at once.

--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -8,10 +8,6 @@
 /// ones themselves.
 static constexpr std::size_t MostRowBytes = 1200;
 
-/// So many changed entries still go into one datagram; after more, the others
-/// read the list themselves.
-static constexpr std::size_t MostChanges = 24;
-
 /// The rows, if they are small enough for a datagram.
 static std::vector<TableRow> smallRows(const std::vector<TableRow> &Rows) {
   std::size_t Bytes = 0;
@@ -46,7 +42,8 @@
   Targets_->onPlaceInLine([this] { return placeInLine("targets"); });
   Targets_->Read_.attach([this](TimePoint At) {
     ListingNews News = Targets_->news(BootClock::now());
-    if (News.Changes_.size() > MostChanges)
+    // After more, the others read the list themselves.
+    if (!News.Changes_.fitsNotice())
       News.Changes_ = {};
     Link_->sendToGroup(group(),
                        TargetsReading{ownClock(), At.time_since_epoch(),
--- a/Source/Serving/TargetListing.cpp
+++ b/Source/Serving/TargetListing.cpp
@@ -4,6 +4,25 @@
 
 namespace anvil {
 
+/// What the changes of one datagram may take, in bytes; engines may register
+/// all at once.
+static constexpr std::size_t MostNoticeBytes = 32 * 1024;
+
+/// What an entry takes beside its texts, and an adapter or a removed name.
+static constexpr std::size_t EntryBytes = 40;
+static constexpr std::size_t NameBytes = 16;
+
+bool ListingChanges::fitsNotice() const {
+  std::size_t Bytes = NameBytes * Removed_.size();
+  for (const RegisteredTarget &Entry : Entries_) {
+    Bytes += EntryBytes + Entry.Id_.size() + Entry.Service_.size() +
+             Entry.Address_.size() + Entry.DataCentre_.size();
+    for (const auto &[Model, Held] : Entry.Models_)
+      Bytes += NameBytes * (1 + Held.Adapters_.size());
+  }
+  return Bytes <= MostNoticeBytes;
+}
+
 /// What routing depends on, as text.
 static std::string identityOf(const RegisteredTarget &Entry) {
   std::string Text = Entry.Id_;
--- a/Source/Serving/TargetListing.h
+++ b/Source/Serving/TargetListing.h
@@ -16,6 +16,9 @@
   std::vector<std::string> Removed_;
 
   std::size_t size() const { return Entries_.size() + Removed_.size(); }
+
+  /// Whether the changes are few enough to be handed on in one datagram.
+  bool fitsNotice() const;
 };
 
 /// The platform's list of targets as this VM last knew it, read by itself or
--- a/Tests/Serving/TargetListingTest.cpp
+++ b/Tests/Serving/TargetListingTest.cpp
@@ -71,3 +71,31 @@
     CHECK(Follower.entries()[1].Id_ == "b");
   }
 }
+
+TEST_CASE("targets that all register at once", "[reading]") {
+  auto ListOf = [](int Targets, int Adapters) {
+    std::vector<RegisteredTarget> List;
+    for (int Target = 0; Target < Targets; ++Target) {
+      RegisteredTarget Engine = entry("i-" + std::to_string(1000000 + Target));
+      for (int Adapter = 0; Adapter < Adapters; ++Adapter)
+        Engine.Models_["base"].Adapters_["a" + std::to_string(Adapter)] = 1;
+      List.push_back(Engine);
+    }
+    return List;
+  };
+  TargetListing Reader;
+  TargetListing Follower;
+  Reader.replace({}, Start);
+  Follower.replace({}, Start);
+  SECTION("are followed without being read again, 90 with 13 adapters each") {
+    Reader.replace(ListOf(90, 13), Start + 1s);
+    ListingChanges Changes = Reader.recentChanges(Start + 1s);
+    CHECK(Changes.fitsNotice());
+    CHECK(Follower.adopt(Changes, Reader.digest(), Start + 1s));
+    CHECK(Follower.entries().size() == 90);
+  }
+  SECTION("are more than a datagram takes where there are thousands") {
+    Reader.replace(ListOf(7100, 13), Start + 1s);
+    CHECK_FALSE(Reader.recentChanges(Start + 1s).fitsNotice());
+  }
+}
