Believe six warm adapters for each place of an engine

Cause: 120 adapters were believed to load fast on every engine, as on the first sites. The users' site files keep six for each place, so an engine with six places has 36, and loads from the weight store were taken for fast ones.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -44,6 +44,15 @@
 /// place of one that falls silent.
 static constexpr std::size_t DataCentreTellers = 2;
 
+/// How many adapters load fast on an engine since it held them lately.
+static std::size_t warmAdaptersOf(const ServingPlan &Plan) {
+  std::size_t Most = 1;
+  for (const auto &[Name, Service] : Plan.services())
+    if (Service.Engine_)
+      Most = std::max(Most, Service.Engine_->warmAdapters());
+  return Most;
+}
+
 FleetState::FleetState(const EntrySettings &Settings, std::string Self,
                        std::string Incarnation, const ServiceRegistry &Services)
     : Settings_(Settings), Self_(std::move(Self)),
@@ -63,6 +72,7 @@
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->Changed_.attach([this](const ServingPlan &Plan) {
     Budget_.setPlan(Plan, StartShare, BootClock::now());
+    Book_.setWarmAdapters(warmAdaptersOf(Plan));
   });
   Targets_->Changed_.attach([this](const RosterChange &Change) {
     const ListedTarget *Listed = Targets_->roster().find(Change.Id_);
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -309,6 +309,7 @@
     }
     EngineKeeperOptions Options;
     Options.MaxAdapters_ = Plan->MaxAdapters_;
+    Options.WarmAdapters_ = Plan->warmAdapters();
     auto Owned = std::make_shared<OwnedEngine>(
         Executor_, EngineKeeper(Plan->Models_.front().Name_, Options));
     Owned->Incarnation_ = Listed->Entry_.Incarnation_;
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -30,7 +30,7 @@
 
 void EngineKeeper::remember(const std::string &Adapter, TimePoint Now) {
   Warm_[Adapter] = Now;
-  if (Warm_.size() <= WarmMemory)
+  if (Warm_.size() <= Options_.WarmAdapters_)
     return;
   Warm_.erase(std::ranges::min_element(
       Warm_, {}, [](const auto &Entry) { return Entry.second; }));
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -79,6 +79,9 @@
   Duration AdapterLoad_ = std::chrono::milliseconds(250);
   /// An adapter that the engine held recently loads ten times as fast.
   Duration WarmAdapterLoad_ = std::chrono::milliseconds(25);
+  /// So many adapters that the engine held lately load fast, those that it
+  /// holds among them.
+  std::size_t WarmAdapters_ = 1;
   /// How long an adapter stays before it may be dropped, against thrashing.
   Duration MinResidence_ = std::chrono::milliseconds(1500);
   /// How long a want is kept that isn't repeated.
@@ -91,9 +94,6 @@
 /// Answers the load of many rare adapters on few places.
 class EngineKeeper {
 public:
-  /// The adapters that were held lately are believed to load fast.
-  static constexpr std::size_t WarmMemory = 120;
-
   EngineKeeper(std::string Model, EngineKeeperOptions Options)
       : Model_(std::move(Model)), Options_(Options) {}
 
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -118,10 +118,10 @@
   noteHeld(Belief, Now);
 }
 
-void FleetBook::noteHeld(EngineBelief &Belief, TimePoint Now) {
+void FleetBook::noteHeld(EngineBelief &Belief, TimePoint Now) const {
   for (const auto &[Adapter, Held] : Belief.Adapters_)
     Belief.Warm_[Adapter] = Now;
-  while (Belief.Warm_.size() > EngineKeeper::WarmMemory)
+  while (Belief.Warm_.size() > WarmAdapters_)
     Belief.Warm_.erase(std::ranges::min_element(
         Belief.Warm_, {}, [](const auto &Entry) { return Entry.second; }));
 }
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -117,6 +117,9 @@
 /// Joins what the other VMs tell: what runs where, and what engines hold.
 class FleetBook {
 public:
+  /// Sets how many adapters that an engine held lately load fast there.
+  void setWarmAdapters(std::size_t Count) { WarmAdapters_ = Count; }
+
   /// Takes in a VM's news. False when they are older than known ones.
   bool apply(const VmNews &News, TimePoint Now);
 
@@ -169,7 +172,7 @@
   bool isServing(const std::string &Vm, TimePoint Now) const;
 
 private:
-  static void noteHeld(EngineBelief &Belief, TimePoint Now);
+  void noteHeld(EngineBelief &Belief, TimePoint Now) const;
   void addRunning(const RunningShares &Running, int Sign);
 
   struct HeardVm {
@@ -198,6 +201,7 @@
   RunningShares OnTarget_;
   std::map<std::string, int> WithAdapter_;
   std::map<std::string, EngineBelief> Engines_;
+  std::size_t WarmAdapters_ = 1;
   /// Adapters that were not ready when expected, by engine and name.
   std::map<std::pair<std::string, std::string>, TimePoint> NotBefore_;
 };
--- a/Source/Serving/ServingPlan.cpp
+++ b/Source/Serving/ServingPlan.cpp
@@ -10,6 +10,11 @@
   return enumName(Kind, RequestKindNames);
 }
 
+std::size_t EnginePlan::warmAdapters() const {
+  constexpr std::size_t WarmPerPlace = 6;
+  return WarmPerPlace * static_cast<std::size_t>(std::max(1, MaxAdapters_));
+}
+
 const ModelPlan *EnginePlan::findModel(std::string_view Name) const {
   auto Found = std::ranges::find(Models_, Name, &ModelPlan::Name_);
   return Found == Models_.end() ? nullptr : &*Found;
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -78,6 +78,10 @@
   std::vector<ModelPlan> Models_;
 
   const ModelPlan *findModel(std::string_view Name) const;
+
+  /// How many adapters that an engine held lately load fast there, those that
+  /// it holds among them; the configuration doesn't say.
+  std::size_t warmAdapters() const;
 };
 
 /// A set of targets that routes refer to by name.
