Share what retries may be saved up among all VMs

Cause: each VM saved up its part of the extra retries as if there were 8 VMs. 195 VMs could spend 4,193 saved-up retries at once, where the rule allows 430 beside a part of the requests.

Test first: "second tries that a large fleet has saved up" plays 195 VMs.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -36,9 +36,8 @@
   Options.Ratio_ = Bounds.RetryRatio_ * RatioPart;
   Options.FloorPerSecond_ = Bounds.RetryExtra_ * ExtraPart /
                             static_cast<double>(Bounds.RetryWindowS_);
-  // What may be saved up is this VM's part of the extra retries.
   Options.StartPart_ = 0;
-  Options.Burst_ = std::max(1.0, Bounds.RetryExtra_ * ExtraPart / AssumedVms);
+  Options.FleetBurst_ = Bounds.RetryExtra_ * ExtraPart;
   return Options;
 }
 
--- a/Source/Routing/RetryBudget.cpp
+++ b/Source/Routing/RetryBudget.cpp
@@ -6,6 +6,14 @@
 
 namespace anvil {
 
+void RetryBudget::setVms(double Count) {
+  Vms_ = Count;
+  if (Options_.FleetBurst_ <= 0)
+    return;
+  Options_.Burst_ = std::max(1.0, Options_.FleetBurst_ / Count);
+  Tokens_ = std::min(Tokens_, Options_.Burst_);
+}
+
 void RetryBudget::noteRequest() {
   Tokens_ = std::min(Options_.Burst_, Tokens_ + Options_.Ratio_);
 }
--- a/Source/Routing/RetryBudget.h
+++ b/Source/Routing/RetryBudget.h
@@ -13,6 +13,9 @@
   double FloorPerSecond_ = 10;
   /// Retries that may be saved up.
   double Burst_ = 10;
+  /// What all VMs together may save up, in the place of `Burst_`, of which each
+  /// has its part but at least one; zero leaves `Burst_`.
+  double FleetBurst_ = 0;
   /// The part of them that a new process has. Where processes restart often,
   /// none, or each restart would add its part to the fleet's.
   double StartPart_ = 1;
@@ -26,8 +29,8 @@
   explicit RetryBudget(RetryBudgetOptions Options)
       : Options_(Options), Tokens_(Options.Burst_ * Options.StartPart_) {}
 
-  /// Sets how many VMs share the floor.
-  void setVms(double Count) { Vms_ = Count; }
+  /// Sets how many VMs share the floor and what may be saved up.
+  void setVms(double Count);
 
   /// Starts earning; without it the first `take` does.
   void begin(TimePoint Now) { Updated_ = Now; }
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -236,8 +236,31 @@
   }
 }
 
+TEST_CASE("second tries that a large fleet has saved up", "[retry][load]") {
+  // The rule allows a part of the requests and 430 more in ten seconds.
+  constexpr int Vms = 195;
+  constexpr double Extra = 430;
+  RetryBudgetOptions Options;
+  Options.Ratio_ = 0.16;
+  Options.FloorPerSecond_ = 0.4 * Extra / 10;
+  Options.FleetBurst_ = 0.4 * Extra;
+  Options.StartPart_ = 0;
+  int Taken = 0;
+  for (int Vm = 0; Vm < Vms; ++Vm) {
+    RetryBudget Budget(Options);
+    Budget.setVms(Vms);
+    Budget.begin(Start);
+    for (int Request = 0; Request < 500; ++Request)
+      Budget.noteRequest();
+    while (Budget.take(Start + 60s))
+      ++Taken;
+  }
+  CHECK(Taken <= Extra);
+  CHECK(Taken >= Vms);
+}
+
 TEST_CASE("second tries of a VM that has just started", "[retry]") {
-  RetryBudgetOptions Options{0.2, 8, 4, 0};
+  RetryBudgetOptions Options{0.2, 8, 4, 0, 0};
   RetryBudget Budget(Options);
   Budget.setVms(8);
   SECTION("are none, so that restarts add none to the fleet's") {
