Keep a place free on an engine that started again

Orders were left unanswered until 7.9 s, to be carried out up to 12 s later, and a quarter of the engines crashed at 6.4 s and came back under their names. Their counts of orders start anew, so an order of the earlier life, which names a count, is accepted once the new life has come that far, also with all places taken. Not traced: accepted orders are not logged at this level.

Change: for 15 s after such a restart was seen the keeper leaves one place free. A VM that has itself started since does not know of the restart.

Test first: "an engine that started again" gave the load before.

--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -22,6 +22,9 @@
 /// How long an order or a report may take; answers come within milliseconds.
 static constexpr Duration ControlTimeout = std::chrono::milliseconds(100);
 
+/// How long after it was given an unanswered order may still be carried out.
+static constexpr Duration LateOrderTime = std::chrono::seconds(15);
+
 /// How often an engine's keeper looks for something to do unasked.
 static constexpr Duration KeeperPeriod = std::chrono::milliseconds(250);
 
@@ -310,6 +313,8 @@
     EngineKeeperOptions Options;
     Options.MaxAdapters_ = Plan->MaxAdapters_;
     Options.WarmAdapters_ = Plan->warmAdapters();
+    if (Listed->RebornAt_)
+      Options.SpareUntil_ = *Listed->RebornAt_ + LateOrderTime;
     auto Owned = std::make_shared<OwnedEngine>(
         Executor_, EngineKeeper(Plan->Models_.front().Name_, Options));
     Owned->Incarnation_ = Listed->Entry_.Incarnation_;
--- a/Source/Serving/EngineKeeper.cpp
+++ b/Source/Serving/EngineKeeper.cpp
@@ -111,6 +111,11 @@
       Places_, [&](const auto &Entry) { return Entry.second.ReadyAt_ > Now; }));
 }
 
+std::size_t EngineKeeper::mostPlaces(TimePoint Now) const {
+  int Spare = Now < Options_.SpareUntil_ && Options_.MaxAdapters_ > 1 ? 1 : 0;
+  return static_cast<std::size_t>(Options_.MaxAdapters_ - Spare);
+}
+
 std::optional<std::string> EngineKeeper::victim(TimePoint Now) const {
   std::optional<std::string> Oldest;
   TimePoint OldestUse{};
@@ -179,8 +184,7 @@
   if (Order(*First).first)
     return std::nullopt;
   bool TakesNewPlace = !Places_.contains(First->first);
-  if (TakesNewPlace &&
-      Places_.size() >= static_cast<std::size_t>(Options_.MaxAdapters_)) {
+  if (TakesNewPlace && Places_.size() >= mostPlaces(Now)) {
     auto Oldest = victim(Now);
     if (!Oldest)
       return std::nullopt;
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -79,6 +79,10 @@
   Duration AdapterLoad_ = std::chrono::milliseconds(250);
   /// An adapter that the engine held recently loads ten times as fast.
   Duration WarmAdapterLoad_ = std::chrono::milliseconds(25);
+  /// Until then one place stays free: an order that was left unanswered in the
+  /// engine's earlier life may still be carried out, once the engine has
+  /// accepted as many orders again.
+  TimePoint SpareUntil_{};
   /// So many adapters that the engine held lately load fast, those that it
   /// holds among them.
   std::size_t WarmAdapters_ = 1;
@@ -150,6 +154,8 @@
   };
 
   std::optional<EngineOrder> give(EngineOrder Order, Duration Load);
+  /// The adapters that the engine may be made to hold.
+  std::size_t mostPlaces(TimePoint Now) const;
   std::optional<std::string> victim(TimePoint Now) const;
   bool isInUse(const AdapterPlace &Place, TimePoint Now) const;
   void remember(const std::string &Adapter, TimePoint Now);
--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -38,7 +38,8 @@
       Standing = TargetStanding::Draining;
     if (IsNew || IsReborn || Known.Standing_ != Standing)
       Changes.push_back({Entry.Id_, Standing, IsNew || IsReborn});
-    Known = {std::move(Entry), Standing, Now};
+    auto RebornAt = IsReborn ? std::optional(Now) : Known.RebornAt_;
+    Known = {std::move(Entry), Standing, Now, RebornAt};
   }
   for (auto Place = Targets_.begin(); Place != Targets_.end();) {
     ListedTarget &Known = Place->second;
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -38,6 +38,8 @@
   TargetStanding Standing_ = TargetStanding::Usable;
   /// When the target was last seen in the list.
   TimePoint SeenAt_{};
+  /// When it was first seen in its present life, if an earlier one is known.
+  std::optional<TimePoint> RebornAt_;
 };
 
 /// One change of what this VM believes of a target.
--- a/Tests/Serving/EngineKeeperTest.cpp
+++ b/Tests/Serving/EngineKeeperTest.cpp
@@ -22,6 +22,29 @@
   return Keeper;
 }
 
+TEST_CASE("an engine that started again", "[placement]") {
+  EngineKeeperOptions Options;
+  Options.MaxAdapters_ = 2;
+  Options.SpareUntil_ = Start + 15s;
+  EngineKeeper Keeper("base", Options);
+  Keeper.adopt(reportOf(3, {{"a1", 1}}), Start);
+  SECTION("keeps a place for an order that its earlier life left unanswered") {
+    // Such an order names the same count, so the engine would accept it now.
+    Keeper.want("a2", 1, Start);
+    CHECK_FALSE(Keeper.nextOrder(1, Start));
+    Keeper.want("a2", 1, Start + 2s);
+    auto Order = Keeper.nextOrder(1, Start + 2s);
+    REQUIRE(Order);
+    CHECK(Order->Kind_ == OrderKind::UnloadAdapter);
+  }
+  SECTION("uses it once no such order can come") {
+    Keeper.want("a2", 1, Start + 15s);
+    auto Order = Keeper.nextOrder(1, Start + 15s);
+    REQUIRE(Order);
+    CHECK(Order->Kind_ == OrderKind::LoadAdapter);
+  }
+}
+
 TEST_CASE("an engine's keeper", "[placement]") {
   SECTION("gives no order before it knows what the engine holds") {
     EngineKeeper Keeper("base", {});
