Place adapters by the places that are in use; wait for late loads

Change: 0.44 adapters in transit an engine, at least 8, the least that the sheets give; a late load is tried again after a part of the time it has taken; a request that no target has run waits for the retry budget, for a quarter of its time at most; an engine whose places are all in use is dear; one home for as many requests as an engine has slots for each place; adapters stay 1 s at the least. In a large fleet only prompts of 1,200 tokens or more are told at once.

Ruled out: a busy weight store (factor 0.5 to 0.9 while wants waited).

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -26,13 +26,15 @@
 /// told, and a part of that VM's way to hear them.
 static constexpr Duration YoungTime = std::chrono::milliseconds(1500);
 
-/// Prompts of so many tokens are told at once; shorter ones come with the news.
+/// Prompts of so many tokens are told at once, in a fleet in which each VM
+/// would hear too many the larger ones only; shorter ones come with the news.
 static constexpr std::int64_t LongPromptTokens = 600;
+static constexpr std::int64_t LongPromptTokensLarge = 1200;
 
 /// Adapters in transit for each engine that don't slow each other down, and
-/// their least number; the users' sheets give 0.67 to 0.89 for each engine.
-static constexpr double TransitPerEngine = 0.75;
-static constexpr double LeastTransitLimit = 4;
+/// their least number; the least that the users' sheets give.
+static constexpr double TransitPerEngine = 0.44;
+static constexpr double LeastTransitLimit = 8;
 
 /// How often unchanged holdings are told, and to other data centres of a large
 /// fleet.
@@ -108,7 +110,10 @@
                            const std::string &Adapter, std::int64_t Tokens,
                            std::int64_t PromptTokens) {
   Prefill_.note(Target, static_cast<double>(PromptTokens), BootClock::now());
-  if (PromptTokens >= LongPromptTokens)
+  bool IsLong =
+      PromptTokens >=
+      (Link_->layout().isSplit() ? LongPromptTokensLarge : LongPromptTokens);
+  if (IsLong)
     Link_->sendToAll(PromptNotice{Target, PromptTokens});
   else if (PromptTokens > 0)
     NewPrompts_[Target] += PromptTokens;
@@ -137,9 +142,10 @@
     Running_.erase(Found);
 }
 
-RunningShare FleetState::ownOn(const std::string &Target) const {
+const RunningShare &FleetState::ownOn(const std::string &Target) const {
+  static const RunningShare Nothing;
   auto Found = Running_.find(Target);
-  return Found == Running_.end() ? RunningShare() : Found->second;
+  return Found == Running_.end() ? Nothing : Found->second;
 }
 
 int FleetState::usesOf(const std::string &Adapter) const {
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -43,7 +43,7 @@
                std::int64_t Tokens);
 
   /// What this VM runs on a target.
-  RunningShare ownOn(const std::string &Target) const;
+  const RunningShare &ownOn(const std::string &Target) const;
 
   /// The requests of all VMs that run with an adapter.
   int usesOf(const std::string &Adapter) const;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -28,6 +28,9 @@
 /// The most sends of one request that targets refuse to run.
 static constexpr int MostRefusedSends = 4;
 
+/// How often a request that waits for the retry budget looks at it.
+static constexpr Duration RetryCheckPeriod = std::chrono::milliseconds(50);
+
 /// The part of a target's keep-alive time for which a connection is used
 /// again, so that the target doesn't close it while a request is on its way.
 static constexpr double KeepAlivePart = 0.8;
@@ -120,7 +123,7 @@
     TryEnd End = co_await tryTarget(std::move(*Chosen));
     if (End == TryEnd::Done)
       co_return;
-    if (!mayTryAgain(End, BootClock::now()))
+    if (!mayTryAgain(End) || !co_await awaitRetry(End))
       co_return co_await endLost();
     if (End == TryEnd::NotRun)
       co_await pauseFor(Pause_, RefusedPause);
@@ -149,7 +152,7 @@
   co_return true;
 }
 
-bool RequestRun::mayTryAgain(TryEnd End, TimePoint Now) {
+bool RequestRun::mayTryAgain(TryEnd End) const {
   const RoutePlan &Given = *Request_.Route_;
   bool MayRunAgain = Given.Kind_ == RequestKind::Repeatable ||
                      (Given.Kind_ == RequestKind::Stream && Given.Resumable_);
@@ -158,12 +161,23 @@
   // A caller that got part of a stream can only be served by its rest.
   if (End != TryEnd::NotRun && (!MayRunAgain || Runs_ >= Given.MaxTargets_))
     return false;
-  if (isOutOfTime())
-    return false;
+  return !isOutOfTime();
+}
+
+asio::awaitable<bool> RequestRun::awaitRetry(TryEnd End) {
   // A target that could not be connected to got nothing.
   if (LastReason_ == "no_connection")
-    return true;
-  return Shared_.retriesOf(Request_.Service_).take(Now);
+    co_return true;
+  TimePoint Until = BootClock::now() +
+                    retryPatience(timeLeft(), Request_.Route_->LatencyTarget_);
+  while (!Shared_.retriesOf(Request_.Service_).take(BootClock::now())) {
+    bool Waits = End == TryEnd::NotRun && !mustEnd() &&
+                 BootClock::now() + RetryCheckPeriod < Until;
+    if (!Waits)
+      co_return false;
+    co_await pauseFor(Pause_, RetryCheckPeriod);
+  }
+  co_return true;
 }
 
 asio::awaitable<RequestRun::TryEnd> RequestRun::tryTarget(Pick Chosen) {
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -78,7 +78,11 @@
   boost::asio::awaitable<void> refuse(int Status, std::string_view Reason,
                                       std::optional<Duration> RetryAfter);
   boost::asio::awaitable<void> endLost();
-  bool mayTryAgain(TryEnd End, TimePoint Now);
+  /// Whether another try makes sense, as far as the retry budget allows it.
+  bool mayTryAgain(TryEnd End) const;
+  /// Waits until the retry budget allows one more try. False where the request
+  /// should not wait for it.
+  boost::asio::awaitable<bool> awaitRetry(TryEnd End);
   HttpRequest targetRequest(const Pick &Chosen, TimePoint Now) const;
   void keepConnection(const Pick &Chosen, const platform::TargetAnswer &Answer);
   /// Notes that a target broke off, unless this VM or the caller ended it.
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -36,8 +36,8 @@
   DispatchCandidate Given;
   Given.Id_ = Entry.Id_;
   Given.SameDataCentre_ = Entry.DataCentre_ == Settings_.DataCentre_;
-  RunningShare Own = Fleet_->ownOn(Entry.Id_);
-  RunningShare Others = Fleet_->book().othersOn(Entry.Id_);
+  const RunningShare &Own = Fleet_->ownOn(Entry.Id_);
+  const RunningShare &Others = Fleet_->book().othersOn(Entry.Id_);
   Given.Running_ = Own.Requests_ + Others.Requests_;
   Given.Tokens_ = static_cast<double>(Own.Tokens_ + Others.Tokens_);
   Given.Slots_ = std::max(1, Entry.Slots_);
@@ -63,11 +63,6 @@
   }
   if (Question.Adapter_.empty())
     return;
-  Given.PlacesTaken_ = static_cast<int>(Belief->Adapters_.size());
-  Given.InTransit_ = static_cast<int>(
-      std::ranges::count_if(Belief->Adapters_, [&](const auto &Entry) {
-        return Entry.second.ReadyAt_ > Now;
-      }));
   // An owner that may not order, or isn't heard, leaves wants unanswered.
   Given.HasOwner_ = Belief->OwnedUntil_ > Now;
   std::uint64_t Required =
@@ -89,12 +84,28 @@
     Given.ReadyIn_ = Sent->second.FirstAt_ + WantGuess - Now;
     return;
   }
+  describePlaces(Given, *Belief, Now);
   Given.Readiness_ = AdapterReadiness::Absent;
   Given.Stalled_ =
       Sent != Wants_.end() && Sent->second.FirstAt_ + WantMemory > Now;
   Given.Warm_ = Belief->Warm_.contains(Question.Adapter_);
 }
 
+void TargetPicker::describePlaces(DispatchCandidate &Given,
+                                  const EngineBelief &Belief,
+                                  TimePoint Now) const {
+  const auto &UsedHere = Fleet_->ownOn(Given.Id_).Adapters_;
+  const auto &UsedElsewhere = Fleet_->book().othersOn(Given.Id_).Adapters_;
+  Given.PlacesTaken_ = static_cast<int>(Belief.Adapters_.size());
+  for (const auto &[Adapter, Held] : Belief.Adapters_) {
+    bool IsOnItsWay = Held.ReadyAt_ > Now;
+    Given.InTransit_ += IsOnItsWay ? 1 : 0;
+    bool IsBusy = IsOnItsWay || UsedHere.contains(Adapter) ||
+                  UsedElsewhere.contains(Adapter);
+    Given.PlacesBusy_ += IsBusy ? 1 : 0;
+  }
+}
+
 /// Ranks candidates by the adapter's stable order over engines.
 static void rankHomes(std::vector<DispatchCandidate> &Candidates,
                       const std::string &Adapter) {
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -84,6 +84,9 @@
                 double TransitFactor, TimePoint Now);
   void describeAdapter(DispatchCandidate &Given, const PickQuestion &Question,
                        TimePoint Now);
+  /// Adds how far a load would find a place at an engine.
+  void describePlaces(DispatchCandidate &Given, const EngineBelief &Belief,
+                      TimePoint Now) const;
 
   /// A want that the owner has not answered yet.
   std::uint64_t wantedVersion(const PickQuestion &Question) const;
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -16,9 +16,9 @@
 /// still on time.
 static constexpr double StalledStreamMs = 150;
 
-/// Running requests for each home of an adapter: a fifth of a usual engine's
-/// load.
-static constexpr int UsesPerHome = 4;
+/// Running requests for each home of an adapter at the least: a fifth of a
+/// usual engine's load.
+static constexpr int LeastUsesPerHome = 4;
 
 /// What each request beyond the slots adds, ms: the share of a mean run that a
 /// freed slot takes.
@@ -60,6 +60,10 @@
 /// Loading on an engine whose places are all taken drops another adapter, ms.
 static constexpr double EvictionMs = 20;
 
+/// Where none of the adapters can be dropped, a load waits until one falls out
+/// of use, ms: about a mean run.
+static constexpr double NoPlaceMs = 900;
+
 static bool hasNoMemory(const DispatchCandidate &Given,
                         const RequestShape &Shape) {
   return Given.KvTokens_ > 0 &&
@@ -100,7 +104,9 @@
       Cost += LoadMs;
     if (Given.Stalled_)
       Cost += StalledMs;
-    if (Given.PlacesTaken_ >= Given.Places_)
+    if (Given.PlacesBusy_ >= Given.Places_)
+      Cost += NoPlaceMs;
+    else if (Given.PlacesTaken_ >= Given.Places_)
       Cost += EvictionMs;
     break;
   case AdapterReadiness::Impossible:
@@ -113,10 +119,21 @@
   return Cost;
 }
 
+/// The running requests for which an adapter gets one more home. Where an
+/// engine has few places for its slots, homes of popular adapters would take
+/// the places of all others.
+static int usesPerHome(const std::vector<DispatchCandidate> &Candidates) {
+  int Least = LeastUsesPerHome;
+  for (const DispatchCandidate &Given : Candidates)
+    Least = std::max(Least, Given.Slots_ / std::max(1, Given.Places_));
+  return Least;
+}
+
 std::size_t missingHome(const std::vector<DispatchCandidate> &Candidates,
                         int Uses) {
   auto Homes = std::min<std::size_t>(
-      Candidates.size(), 1 + static_cast<std::size_t>(Uses / UsesPerHome));
+      Candidates.size(),
+      1 + static_cast<std::size_t>(Uses / usesPerHome(Candidates)));
   std::size_t Have = 0;
   std::size_t First = Candidates.size();
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
@@ -126,7 +143,8 @@
     if (IsThere)
       ++Have;
     bool MayLoad = Given.Readiness_ == AdapterReadiness::Absent &&
-                   Given.HasOwner_ && Given.InTransit_ < MostInTransit;
+                   Given.HasOwner_ && Given.InTransit_ < MostInTransit &&
+                   Given.PlacesBusy_ < Given.Places_;
     bool IsBetter = First == Candidates.size() ||
                     Given.HomeRank_ < Candidates[First].HomeRank_;
     if (MayLoad && IsBetter)
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -41,6 +41,8 @@
   /// Places that are taken, of all.
   int PlacesTaken_ = 0;
   int Places_ = 0;
+  /// Those of them whose adapter is on its way or has running requests.
+  int PlacesBusy_ = 0;
   /// Whether its owner has left a want for the adapter unanswered.
   bool Stalled_ = false;
   /// Adapters on their way to the target, and by how much loads take longer
--- a/Source/Serving/EngineKeeper.h
+++ b/Source/Serving/EngineKeeper.h
@@ -87,7 +87,7 @@
   /// holds among them.
   std::size_t WarmAdapters_ = 1;
   /// How long an adapter stays before it may be dropped, against thrashing.
-  Duration MinResidence_ = std::chrono::milliseconds(1500);
+  Duration MinResidence_ = std::chrono::milliseconds(1000);
   /// How long a want is kept that isn't repeated.
   Duration WantTime_ = std::chrono::milliseconds(400);
 };
--- a/Source/Serving/FleetBook.cpp
+++ b/Source/Serving/FleetBook.cpp
@@ -23,8 +23,11 @@
 /// For how long after its expected end a load may still be under way.
 static constexpr Duration YoungTime = std::chrono::milliseconds(1500);
 
-/// By how much the expected end is put off then.
-static constexpr Duration LateStep = std::chrono::milliseconds(60);
+/// By how much the expected end is put off then: by so much at the least, and
+/// by a part of the time that the load has taken, since a store that is slow
+/// for one load mostly goes on so.
+static constexpr Duration LeastLateStep = std::chrono::milliseconds(60);
+static constexpr double LateStepPart = 0.4;
 
 void addShares(RunningShares &Sums, const RunningShares &Running) {
   for (const auto &[Target, Share] : Running) {
@@ -82,9 +85,14 @@
     Belief.Warm_.clear();
   Belief.Incarnation_ = Told.Incarnation_;
   Belief.HasModel_ = Told.HasModel_;
-  Belief.Adapters_.clear();
-  for (const auto &[Adapter, Item] : Told.Adapters_)
-    Belief.Adapters_[Adapter] = {Item.Version_, Now + Item.ReadyIn_};
+  auto Before = std::exchange(Belief.Adapters_, {});
+  for (const auto &[Adapter, Item] : Told.Adapters_) {
+    auto Known = Before.find(Adapter);
+    bool IsKnown =
+        Known != Before.end() && Known->second.Version_ == Item.Version_;
+    Belief.Adapters_[Adapter] = {Item.Version_, Now + Item.ReadyIn_,
+                                 IsKnown ? Known->second.Since_ : Now};
+  }
   for (const auto &[Place, When] : NotBefore_) {
     auto Held = Belief.Adapters_.find(Place.second);
     if (Place.first == Engine && Held != Belief.Adapters_.end())
@@ -114,7 +122,7 @@
     return;
   Belief.HasModel_ = true;
   for (const auto &[Adapter, Version] : Held->second.Adapters_)
-    Belief.Adapters_[Adapter] = {Version, Now};
+    Belief.Adapters_[Adapter] = {Version, Now, Now};
   noteHeld(Belief, Now);
 }
 
@@ -131,14 +139,18 @@
     RunningShare &Sum = OnTarget_[Target];
     Sum.Requests_ += Sign * Share.Requests_;
     Sum.Tokens_ += Sign * Share.Tokens_;
-    if (Sum.Requests_ == 0)
-      OnTarget_.erase(Target);
     for (const auto &[Adapter, Count] : Share.Adapters_) {
+      int &Here = Sum.Adapters_[Adapter];
+      Here += Sign * Count;
+      if (Here == 0)
+        Sum.Adapters_.erase(Adapter);
       int &Total = WithAdapter_[Adapter];
       Total += Sign * Count;
       if (Total == 0)
         WithAdapter_.erase(Adapter);
     }
+    if (Sum.Requests_ == 0)
+      OnTarget_.erase(Target);
   }
 }
 
@@ -170,9 +182,10 @@
   }
 }
 
-RunningShare FleetBook::othersOn(const std::string &Target) const {
+const RunningShare &FleetBook::othersOn(const std::string &Target) const {
+  static const RunningShare Nothing;
   auto Found = OnTarget_.find(Target);
-  return Found == OnTarget_.end() ? RunningShare() : Found->second;
+  return Found == OnTarget_.end() ? Nothing : Found->second;
 }
 
 int FleetBook::othersUsing(const std::string &Adapter) const {
@@ -203,8 +216,11 @@
     Found->second.Adapters_.erase(Adapter);
     return true;
   }
-  Held->second.ReadyAt_ = Now + LateStep;
-  NotBefore_[{Engine, Adapter}] = Now + LateStep;
+  auto Step =
+      std::max(LeastLateStep, std::chrono::duration_cast<Duration>(
+                                  (Now - Held->second.Since_) * LateStepPart));
+  Held->second.ReadyAt_ = Now + Step;
+  NotBefore_[{Engine, Adapter}] = Now + Step;
   return false;
 }
 
--- a/Source/Serving/FleetBook.h
+++ b/Source/Serving/FleetBook.h
@@ -98,6 +98,8 @@
 struct AdapterBelief {
   std::uint64_t Version_ = 0;
   TimePoint ReadyAt_{};
+  /// When it was first said to be there or on its way.
+  TimePoint Since_{};
 };
 
 /// What an engine holds as this VM believes it.
@@ -139,8 +141,8 @@
   /// silent.
   void expire(TimePoint Now);
 
-  /// What the other VMs run on a target, without the adapters.
-  RunningShare othersOn(const std::string &Target) const;
+  /// What the other VMs run on a target.
+  const RunningShare &othersOn(const std::string &Target) const;
 
   /// Adds what the VMs tell whose own news count: their number, what runs
   /// there, crashes and leaving targets.
