Tell rows of the operator's table up to 24 KB, passed on within a data centre

A large message goes to few neighbours that pass it on, each some 64 KB at most, so that no VM's link is busy for long. FleetLayoutTest: each neighbour is reached once, whatever the size.

--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -27,12 +27,10 @@
   }
 }
 
-std::string encodeFleetMessage(const FleetMessage &Message,
-                               std::size_t Onward) {
+std::string encodeFleetMessage(const FleetMessage &Message) {
   msgpack::sbuffer Buffer;
   const char Head[HeadBytes] = {FormatVersion,
-                                static_cast<char>(Message.index() + 1),
-                                static_cast<char>(Onward)};
+                                static_cast<char>(Message.index() + 1), 0};
   Buffer.write(Head, sizeof(Head));
   std::visit([&](const auto &Given) { msgpack::pack(Buffer, Given); }, Message);
   return std::string(Buffer.data(), Buffer.size());
@@ -43,7 +41,9 @@
   return HasHead ? static_cast<unsigned char>(Bytes[OnwardAt]) : 0;
 }
 
-void clearOnward(std::string &Bytes) { Bytes[OnwardAt] = 0; }
+void setOnward(std::string &Bytes, std::size_t Onward) {
+  Bytes[OnwardAt] = static_cast<char>(Onward);
+}
 
 std::string encodeTableRows(const std::vector<TableRow> &Rows) {
   msgpack::sbuffer Buffer;
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -86,14 +86,13 @@
     std::variant<VmNews, AdapterWant, HoldingsNotice, PromptNotice, PlanReading,
                  TargetsReading, ClockQuestion, ClockAnswer, DataCentreNews>;
 
-/// The bytes of a message, which the VM that gets them passes on to so many
-/// others of its data centre.
-std::string encodeFleetMessage(const FleetMessage &Message,
-                               std::size_t Onward = 0);
+/// The bytes of a message.
+std::string encodeFleetMessage(const FleetMessage &Message);
 
-/// To how many VMs a datagram is to be passed on, and its bytes for these.
+/// To how many VMs of its data centre the VM that gets these bytes passes them
+/// on; none in a message just encoded.
 std::size_t onwardOf(std::string_view Bytes);
-void clearOnward(std::string &Bytes);
+void setOnward(std::string &Bytes, std::size_t Onward);
 
 /// Rows of a table for another VM. Reading them reports a protocol error for
 /// bytes of another shape.
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -115,7 +115,7 @@
 void FleetLink::take(std::string_view Bytes) {
   if (std::size_t Onward = onwardOf(Bytes); Onward > 0) {
     std::string Passed(Bytes);
-    clearOnward(Passed);
+    setOnward(Passed, 0);
     for (const std::string &Vm : Layout_.onward(Onward))
       sendBytes(Vm, Passed);
   }
@@ -148,8 +148,15 @@
     sendBytes(Vm, Bytes);
 }
 
+void FleetLink::sendHop(const SpreadHop &Hop, std::string &Bytes) {
+  setOnward(Bytes, Hop.Onward_);
+  sendBytes(Hop.Vm_, Bytes);
+}
+
 void FleetLink::sendNear(const FleetMessage &Message) {
-  sendToGroup(Layout_.neighbours(), Message);
+  std::string Bytes = encodeFleetMessage(Message);
+  for (const SpreadHop &Hop : Layout_.near(Bytes.size()))
+    sendHop(Hop, Bytes);
 }
 
 void FleetLink::sendAbroad(const FleetMessage &Message) {
@@ -157,7 +164,7 @@
     return;
   std::string Bytes = encodeFleetMessage(Message);
   for (const SpreadHop &Hop : Layout_.abroad(Bytes.size(), randomPart()))
-    sendBytes(Hop.Vm_, encodeFleetMessage(Message, Hop.Onward_));
+    sendHop(Hop, Bytes);
 }
 
 void FleetLink::sendToAll(const FleetMessage &Message) {
--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -6,7 +6,7 @@
 
 /// Changed rows of so many bytes go with the notice; the others read larger
 /// ones themselves.
-static constexpr std::size_t MostRowBytes = 1200;
+static constexpr std::size_t MostRowBytes = 24 * 1024;
 
 /// The rows, if they are small enough for a datagram.
 static std::vector<TableRow> smallRows(const std::vector<TableRow> &Rows) {
@@ -34,10 +34,9 @@
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->onPlaceInLine([this] { return placeInLine("plan"); });
   Plans_->Read_.attach([this](const PlanRead &Read) {
-    Link_->sendToGroup(group(),
-                       PlanReading{ownClock(), Read.At_.time_since_epoch(),
-                                   Read.NewestRow_, Exchange_->port(),
-                                   Read.NewestBefore_, smallRows(Read.Rows_)});
+    Link_->sendNear(PlanReading{ownClock(), Read.At_.time_since_epoch(),
+                                Read.NewestRow_, Exchange_->port(),
+                                Read.NewestBefore_, smallRows(Read.Rows_)});
   });
   Targets_->onPlaceInLine([this] { return placeInLine("targets"); });
   Targets_->Read_.attach([this](TimePoint At) {
@@ -45,10 +44,9 @@
     // After more, the others read the list themselves.
     if (!News.Changes_.fitsNotice())
       News.Changes_ = {};
-    Link_->sendToGroup(group(),
-                       TargetsReading{ownClock(), At.time_since_epoch(),
-                                      std::move(News.Changes_), News.Digest_,
-                                      News.LapseLeft_});
+    Link_->sendNear(TargetsReading{ownClock(), At.time_since_epoch(),
+                                   std::move(News.Changes_), News.Digest_,
+                                   News.LapseLeft_});
   });
   return std::monostate{};
 }
--- a/Source/Serving/FleetLayout.cpp
+++ b/Source/Serving/FleetLayout.cpp
@@ -22,12 +22,28 @@
       Abroad_[DataCentre].push_back(Vm);
 }
 
+/// How many VMs one datagram reaches, with those to whom it is passed on.
+static std::size_t reachOf(std::size_t Bytes) {
+  return 1 + std::clamp<std::size_t>(
+                 MostOnwardBytes / std::max<std::size_t>(1, Bytes), 1, 100);
+}
+
+std::vector<SpreadHop> FleetLayout::near(std::size_t Bytes) const {
+  std::vector<SpreadHop> Hops;
+  bool IsPassedOn = IsSplit_ && Bytes * Neighbours_.size() > MostOnwardBytes;
+  std::size_t Reach = IsPassedOn ? reachOf(Bytes) : 1;
+  // In the ring from this VM on, so that nobody passes it back to this one.
+  std::vector<std::string> Ring = onward(Neighbours_.size());
+  const auto &Vms = IsPassedOn ? Ring : Neighbours_;
+  for (std::size_t Done = 0; Done < Vms.size(); Done += Reach)
+    Hops.push_back({Vms[Done], std::min(Reach, Vms.size() - Done) - 1});
+  return Hops;
+}
+
 std::vector<SpreadHop> FleetLayout::abroad(std::size_t Bytes,
                                            double Random) const {
   std::vector<SpreadHop> Hops;
-  std::size_t Reach =
-      1 + std::clamp<std::size_t>(
-              MostOnwardBytes / std::max<std::size_t>(1, Bytes), 1, 100);
+  std::size_t Reach = reachOf(Bytes);
   for (const auto &[DataCentre, Vms] : Abroad_) {
     auto First =
         static_cast<std::size_t>(Random * static_cast<double>(Vms.size()));
--- a/Source/Serving/FleetLayout.h
+++ b/Source/Serving/FleetLayout.h
@@ -33,6 +33,11 @@
   /// The VMs that this VM tells its news, in the order of their names.
   const std::vector<std::string> &neighbours() const { return Neighbours_; }
 
+  /// The datagrams that bring a message of `Bytes` to the neighbours: one to
+  /// each, or in a large fleet, where the message is large, to few that pass it
+  /// on.
+  std::vector<SpreadHop> near(std::size_t Bytes) const;
+
   /// The datagrams that bring a message of `Bytes` to the VMs of all other data
   /// centres; none in a small fleet. `Random` in [0, 1) chooses the VMs that
   /// pass it on.
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -106,11 +106,11 @@
     });
   }
   SECTION("say to how many others they are to be passed on") {
-    std::string Bytes = encodeFleetMessage(ClockQuestion{"vm-1", 5s}, 38);
-    CHECK(onwardOf(Bytes) == 38);
-    clearOnward(Bytes);
+    std::string Bytes = encodeFleetMessage(ClockQuestion{"vm-1", 5s});
     CHECK(onwardOf(Bytes) == 0);
-    CHECK(Bytes == encodeFleetMessage(ClockQuestion{"vm-1", 5s}));
+    setOnward(Bytes, 38);
+    CHECK(onwardOf(Bytes) == 38);
+    CHECK(isOk(decodeFleetMessage(Bytes)));
     CHECK(onwardOf("") == 0);
     CHECK(onwardOf(std::string(3, '\x7f')) == 0);
   }
--- a/Tests/Serving/FleetLayoutTest.cpp
+++ b/Tests/Serving/FleetLayoutTest.cpp
@@ -53,6 +53,26 @@
       CHECK(Layout.abroad(8000, 0.3).size() == 4 * 5);
     }
   }
+  SECTION("a large message to the neighbours reaches each of them once") {
+    rc::prop("for any size of fleet and message", [] {
+      auto Vms = *rc::gen::inRange<std::size_t>(1, 70);
+      auto Bytes = *rc::gen::inRange<std::size_t>(0, 60000);
+      std::string Self =
+          "vm-0-" + std::to_string(*rc::gen::inRange<std::size_t>(0, Vms));
+      std::multiset<std::string> Reached;
+      for (const SpreadHop &Hop : layoutOf(Self, "dc-0", 2, Vms).near(Bytes)) {
+        Reached.insert(Hop.Vm_);
+        for (const std::string &Vm :
+             layoutOf(Hop.Vm_, "dc-0", 2, Vms).onward(Hop.Onward_))
+          Reached.insert(Vm);
+      }
+      std::size_t All = 2 * Vms <= 16 ? 2 * Vms - 1 : Vms - 1;
+      RC_ASSERT(Reached.size() == All);
+      RC_ASSERT(!Reached.contains(Self));
+      RC_ASSERT(std::set<std::string>(Reached.begin(), Reached.end()).size() ==
+                All);
+    });
+  }
   SECTION("a message abroad reaches each VM there exactly once, whoever passes "
           "it on") {
     rc::prop("for any size of fleet, message and choice", [] {
