--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -113,19 +113,20 @@
 }
 
 void FleetLink::take(std::string_view Bytes) {
+  auto Message = decodeFleetMessage(Bytes);
+  if (!isOk(Message)) {
+    logEvent(LogLevel::Warning, "datagram_unreadable",
+             {{"from", Socket_->From_.address().to_string()},
+              {"bytes", Bytes.size()}});
+    return;
+  }
   if (std::size_t Onward = onwardOf(Bytes); Onward > 0) {
     std::string Passed(Bytes);
     setOnward(Passed, 0);
     for (const std::string &Vm : Layout_.onward(Onward))
       sendBytes(Vm, Passed);
   }
-  auto Message = decodeFleetMessage(Bytes);
-  if (isOk(Message))
-    Received_.fire(valueOf(Message));
-  else
-    logEvent(LogLevel::Warning, "datagram_unreadable",
-             {{"from", Socket_->From_.address().to_string()},
-              {"bytes", Bytes.size()}});
+  Received_.fire(valueOf(Message));
 }
 
 void FleetLink::sendBytes(const std::string &Vm, const std::string &Bytes) {
