Read the owners anew after a missing row was written again

A VM whose row another one has removed reads all rows and then writes its own again. Between the two, while its row is missing, others may claim what it owns; it went on with what it had read for up to 6 s.

Test first: TargetOwnershipTest, "is read anew once the VM's missing row was written again".

--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -210,7 +210,11 @@
                     BootClock::now() - SentAt);
   IsRowWritten_ = Outcome.Result_ == CommitResult::Committed;
   if (IsRowWritten_) {
-    OwnRowVersion_ = Outcome.Version_;
+    bool WasMissing = std::exchange(OwnRowVersion_, Outcome.Version_) == 0;
+    if (WasMissing && !Ownership_.owned().empty()) {
+      Ownership_.noteRowCreated();
+      co_await readRows();
+    }
     if (Standby_)
       Ownership_.noteStandby();
     else
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -88,6 +88,11 @@
   /// A renewal sent at `SentAt` was confirmed; the lease runs from then.
   void noteRenewed(TimePoint SentAt) { RenewedAt_ = SentAt; }
 
+  /// The row of this VM was not there and was written anew. Until then others
+  /// may have claimed what it owned by the rows it had read, so that these no
+  /// longer say what it owns.
+  void noteRowCreated() { Owners_.clear(); }
+
   /// A row on standby was confirmed, which is no lease.
   void noteStandby() { RenewedAt_.reset(); }
 
--- a/Tests/Serving/TargetOwnershipTest.cpp
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -112,6 +112,23 @@
     Again.noteRenewed(Start + 20s);
     CHECK(Again.mayOrder("e1", Start + 20s) == 4);
   }
+  SECTION("is read anew once the VM's missing row was written again") {
+    // Between the reading and the writing another VM could claim the target,
+    // since the owner had no row.
+    Own.applyOwners({ownerRow("e1", "a", 1, 5)}, Start + 2s);
+    Own.noteRenewed(Start + 3s);
+    Own.noteRowCreated();
+    CHECK_FALSE(Own.mayOrder("e1", Start + 3s));
+    CHECK(Own.owned().empty());
+    SECTION("and goes on if nobody did") {
+      Own.applyOwners({ownerRow("e1", "a", 1, 5)}, Start + 4s);
+      CHECK(Own.mayOrder("e1", Start + 4s) == 1);
+    }
+    SECTION("and is over if another VM did") {
+      Own.applyOwners({ownerRow("e1", "b", 2, 9)}, Start + 4s);
+      CHECK_FALSE(Own.mayOrder("e1", Start + 4s));
+    }
+  }
   SECTION("ends when the VM's own row was taken away") {
     Own.applyOwners({ownerRow("e1", "a", 1, 5)}, Start + 2s);
     REQUIRE(Own.mayOrder("e1", Start + 3s));
