--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -19,8 +19,7 @@
 ReadingRelay::ReadingRelay(const EntrySettings &Settings,
                            std::string Incarnation,
                            const ServiceRegistry &Services)
-    : Settings_(Settings), Self_(Settings.holderName()),
-      Incarnation_(std::move(Incarnation)),
+    : Self_(Settings.holderName()), Incarnation_(std::move(Incarnation)),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
--- a/Source/Entry/ReadingRelay.h
+++ b/Source/Entry/ReadingRelay.h
@@ -44,7 +44,6 @@
                                   TimePoint Now);
   VmClock ownClock() const;
 
-  const EntrySettings &Settings_;
   std::string Self_;
   std::string Incarnation_;
   std::shared_ptr<FleetLink> Link_;
