Read-through: one loop for serving neighbours, one note of young VMs, less work a datagram

No change of behaviour. - FleetState::servingNeighbours in the place of the same loop in ReadingRelay, OwnerService and FleetState. - BudgetStart kept VMs and data centres in two sets with two methods; a source of news with its number of VMs is enough. - FleetLayout::near copied the ring of neighbours for each datagram, also where nothing is passed on; sendToAll encoded its message twice; each news parsed an address that is mostly known. - SpreadHop also serves the own data centre; its comment said otherwise.

--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -149,28 +149,30 @@
     sendBytes(Vm, Bytes);
 }
 
-void FleetLink::sendHop(const SpreadHop &Hop, std::string &Bytes) {
-  setOnward(Bytes, Hop.Onward_);
-  sendBytes(Hop.Vm_, Bytes);
+void FleetLink::sendHops(const std::vector<SpreadHop> &Hops,
+                         std::string &Bytes) {
+  for (const SpreadHop &Hop : Hops) {
+    setOnward(Bytes, Hop.Onward_);
+    sendBytes(Hop.Vm_, Bytes);
+  }
 }
 
 void FleetLink::sendNear(const FleetMessage &Message) {
   std::string Bytes = encodeFleetMessage(Message);
-  for (const SpreadHop &Hop : Layout_.near(Bytes.size()))
-    sendHop(Hop, Bytes);
+  sendHops(Layout_.near(Bytes.size()), Bytes);
 }
 
 void FleetLink::sendAbroad(const FleetMessage &Message) {
   if (!Layout_.isSplit())
     return;
   std::string Bytes = encodeFleetMessage(Message);
-  for (const SpreadHop &Hop : Layout_.abroad(Bytes.size(), randomPart()))
-    sendHop(Hop, Bytes);
+  sendHops(Layout_.abroad(Bytes.size(), randomPart()), Bytes);
 }
 
 void FleetLink::sendToAll(const FleetMessage &Message) {
-  sendNear(Message);
-  sendAbroad(Message);
+  std::string Bytes = encodeFleetMessage(Message);
+  sendHops(Layout_.near(Bytes.size()), Bytes);
+  sendHops(Layout_.abroad(Bytes.size(), randomPart()), Bytes);
 }
 
 Duration FleetLink::newsPeriod() const {
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -101,7 +101,7 @@
   void receive();
   void take(std::string_view Bytes);
   void sendBytes(const std::string &Vm, const std::string &Bytes);
-  void sendHop(const SpreadHop &Hop, std::string &Bytes);
+  void sendHops(const std::vector<SpreadHop> &Hops, std::string &Bytes);
   Duration newsPeriod() const;
   Duration abroadPeriod() const;
   void scheduleNews();
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -239,6 +239,14 @@
   return Budget_.balances(Now);
 }
 
+std::vector<std::string> FleetState::servingNeighbours(TimePoint Now) const {
+  std::vector<std::string> Serving;
+  for (const std::string &Vm : Link_->layout().neighbours())
+    if (Book_.isServing(Vm, Now))
+      Serving.push_back(Vm);
+  return Serving;
+}
+
 Duration FleetState::holdingsRepeat() const {
   // Both go with the news, whose period is shorter.
   return Link_->layout().isSplit() ? HoldingsAbroadPeriod + HoldingsPeriod
@@ -284,12 +292,9 @@
 
 std::optional<DataCentreNews> FleetState::composeAbroad(Duration Period) {
   TimePoint Now = BootClock::now();
-  std::vector<std::string> Serving;
-  for (const std::string &Vm : Link_->layout().neighbours())
-    if (Book_.isServing(Vm, Now))
-      Serving.push_back(Vm);
-  if (Leaving_ || ReadingTurn::placeInLine("data_centre_news", Self_,
-                                           Serving) >= DataCentreTellers)
+  if (Leaving_ ||
+      ReadingTurn::placeInLine("data_centre_news", Self_,
+                               servingNeighbours(Now)) >= DataCentreTellers)
     return std::nullopt;
   Book_.expire(Now);
   DataCentreNews News;
@@ -328,10 +333,12 @@
       Link_->layout().isSplit() && News.DataCentre_ != Settings_.DataCentre_;
   if (IsFar || News.Vm_ == Self_ || !Book_.apply(News, Now))
     return;
-  // A VM that started after the rows were read.
-  if (auto Where = parseEndpoint(News.PeerAddress_);
-      isOk(Where) && !Link_->addressOf(News.Vm_))
-    Link_->addPeer(News.Vm_, {valueOf(Where), News.DataCentre_});
+  if (!Link_->addressOf(News.Vm_)) {
+    // A VM that started after the rows were read.
+    auto Where = parseEndpoint(News.PeerAddress_);
+    if (isOk(Where))
+      Link_->addPeer(News.Vm_, {valueOf(Where), News.DataCentre_});
+  }
   Budget_.notePeer(News.Vm_, News.Incarnation_, News.Spent_, Now);
   // As soon as others fall silent, not only with this VM's own news.
   updateReach(Now);
@@ -351,7 +358,7 @@
     return;
   Budget_.noteDataCentre(News.DataCentre_, News.Teller_, News.Incarnation_,
                          News.Spent_, newsTime(News.Period_), Now);
-  BudgetStart_.noteDataCentre(News.DataCentre_, News.BudgetSeen_, News.Vms_);
+  BudgetStart_.noteNews(News.DataCentre_, News.BudgetSeen_, News.Vms_);
   noteBudgetOf(News.Teller_, News.BudgetSeen_, News.Balances_, Now);
   for (const VmNews::Crash &Seen : News.Crashes_)
     applyCrash(Seen, Now);
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -72,6 +72,9 @@
     Holdings_ = std::move(Hook);
   }
 
+  /// The VMs that this VM hears directly and that aren't about to stop.
+  std::vector<std::string> servingNeighbours(TimePoint Now) const;
+
   /// Within which the holdings of an engine are told again to every VM.
   Duration holdingsRepeat() const;
 
--- a/Source/Entry/OwnerService.cpp
+++ b/Source/Entry/OwnerService.cpp
@@ -111,10 +111,8 @@
 bool OwnerService::isClaimant(TimePoint Now) const {
   if (!Link_->layout().isSplit() || !Ownership_.owned().empty())
     return true;
-  std::vector<std::string> Serving{Self_};
-  for (const std::string &Vm : Link_->layout().neighbours())
-    if (Fleet_->book().isServing(Vm, Now))
-      Serving.push_back(Vm);
+  std::vector<std::string> Serving = Fleet_->servingNeighbours(Now);
+  Serving.push_back(Self_);
   auto Near = std::ranges::count_if(engines(), [&](const auto &Entry) {
     return Entry.second == Settings_.DataCentre_;
   });
--- a/Source/Entry/ReadingRelay.cpp
+++ b/Source/Entry/ReadingRelay.cpp
@@ -52,23 +52,16 @@
 
 VmClock ReadingRelay::ownClock() const { return {Self_, Incarnation_}; }
 
-const std::vector<std::string> &ReadingRelay::group() const {
-  return Link_->layout().neighbours();
-}
-
 void ReadingRelay::forgetClocks() {
+  const auto &Neighbours = Link_->layout().neighbours();
   std::erase_if(Clocks_, [&](const auto &Entry) {
-    return !std::ranges::binary_search(group(), Entry.first.Vm_);
+    return !std::ranges::binary_search(Neighbours, Entry.first.Vm_);
   });
 }
 
 std::size_t ReadingRelay::placeInLine(std::string_view Topic) const {
-  TimePoint Now = BootClock::now();
-  std::vector<std::string> Heard;
-  for (const std::string &Vm : group())
-    if (Fleet_->book().isServing(Vm, Now))
-      Heard.push_back(Vm);
-  return ReadingTurn::placeInLine(Topic, Self_, Heard);
+  return ReadingTurn::placeInLine(Topic, Self_,
+                                  Fleet_->servingNeighbours(BootClock::now()));
 }
 
 std::optional<TimePoint> ReadingRelay::dateOf(const VmClock &Clock, Duration At,
--- a/Source/Entry/ReadingRelay.h
+++ b/Source/Entry/ReadingRelay.h
@@ -32,8 +32,6 @@
   Status start() override;
 
 private:
-  /// The VMs that share readings with this one.
-  const std::vector<std::string> &group() const;
   /// Drops the clocks of VMs that have gone.
   void forgetClocks();
   std::size_t placeInLine(std::string_view Topic) const;
--- a/Source/Serving/BudgetStart.cpp
+++ b/Source/Serving/BudgetStart.cpp
@@ -6,21 +6,12 @@
 /// none of them has gone on.
 static constexpr double HeardPart = 0.75;
 
-void BudgetStart::noteNews(const std::string &Vm, Duration Seen) {
+void BudgetStart::noteNews(const std::string &Source, Duration Seen,
+                           std::uint64_t Vms) {
   if (IsOver_)
     return;
   if (isYoung(Seen))
-    Young_.insert(Vm);
-  else
-    HeardOld_ = true;
-}
-
-void BudgetStart::noteDataCentre(const std::string &DataCentre, Duration Seen,
-                                 std::uint64_t Vms) {
-  if (IsOver_)
-    return;
-  if (isYoung(Seen))
-    YoungAbroad_[DataCentre] = Vms;
+    Young_[Source] = Vms;
   else
     HeardOld_ = true;
 }
@@ -29,12 +20,11 @@
   IsOver_ = true;
   TookOver_ = WasTakenOver;
   Young_.clear();
-  YoungAbroad_.clear();
 }
 
 bool BudgetStart::mayGrant(std::size_t KnownVms) const {
-  auto Heard = static_cast<double>(Young_.size() + 1);
-  for (const auto &[DataCentre, Vms] : YoungAbroad_)
+  double Heard = 1;
+  for (const auto &[Source, Vms] : Young_)
     Heard += static_cast<double>(Vms);
   return !IsOver_ && !HeardOld_ && KnownVms > 0 &&
          Heard >= HeardPart * static_cast<double>(KnownVms);
--- a/Source/Serving/BudgetStart.h
+++ b/Source/Serving/BudgetStart.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 
 namespace anvil {
@@ -22,13 +21,10 @@
   /// window in which rates are judged.
   explicit BudgetStart(Duration Memory) : Memory_(Memory) {}
 
-  /// Notes news of a VM whose budget has seen the last `Seen`.
-  void noteNews(const std::string &Vm, Duration Seen);
-
-  /// Notes news of another data centre in which so many VMs are heard, told by
-  /// a VM whose budget has seen the last `Seen`.
-  void noteDataCentre(const std::string &DataCentre, Duration Seen,
-                      std::uint64_t Vms);
+  /// Notes news of a VM, or of another data centre with so many VMs, whose
+  /// teller's budget has seen the last `Seen`.
+  void noteNews(const std::string &Source, Duration Seen,
+                std::uint64_t Vms = 1);
 
   /// Balances of a VM that knows more were taken over, or the grant was made.
   void end(bool WasTakenOver);
@@ -47,9 +43,8 @@
 
 private:
   Duration Memory_;
-  std::set<std::string> Young_;
-  /// The VMs of data centres whose tellers have just started.
-  std::map<std::string, std::uint64_t> YoungAbroad_;
+  /// How many VMs have just started, by whose news tell of them.
+  std::map<std::string, std::uint64_t> Young_;
   bool HeardOld_ = false;
   bool IsOver_ = false;
   bool TookOver_ = false;
--- a/Source/Serving/FleetLayout.cpp
+++ b/Source/Serving/FleetLayout.cpp
@@ -31,12 +31,16 @@
 std::vector<SpreadHop> FleetLayout::near(std::size_t Bytes) const {
   std::vector<SpreadHop> Hops;
   bool IsPassedOn = IsSplit_ && Bytes * Neighbours_.size() > MostOnwardBytes;
-  std::size_t Reach = IsPassedOn ? reachOf(Bytes) : 1;
+  if (!IsPassedOn) {
+    for (const std::string &Vm : Neighbours_)
+      Hops.push_back({Vm, 0});
+    return Hops;
+  }
+  std::size_t Reach = reachOf(Bytes);
   // In the ring from this VM on, so that nobody passes it back to this one.
   std::vector<std::string> Ring = onward(Neighbours_.size());
-  const auto &Vms = IsPassedOn ? Ring : Neighbours_;
-  for (std::size_t Done = 0; Done < Vms.size(); Done += Reach)
-    Hops.push_back({Vms[Done], std::min(Reach, Vms.size() - Done) - 1});
+  for (std::size_t Done = 0; Done < Ring.size(); Done += Reach)
+    Hops.push_back({Ring[Done], std::min(Reach, Ring.size() - Done) - 1});
   return Hops;
 }
 
--- a/Source/Serving/FleetLayout.h
+++ b/Source/Serving/FleetLayout.h
@@ -8,8 +8,8 @@
 
 namespace anvil {
 
-/// One datagram to a VM of another data centre, which passes it on to the
-/// `Onward_` VMs that follow it there.
+/// One datagram to a VM, which passes it on to the `Onward_` VMs that follow it
+/// in its data centre.
 struct SpreadHop {
   std::string Vm_;
   std::size_t Onward_ = 0;
