Spread short requests over targets whose reported load is out of date

Cause: between two state updates a large fleet sends more short requests than a target has slots.

Change: StaleLoadDetector tells from this VM's rate, the number of VMs and the period of updates whether loads are out of date; SpareCapacityChoice then draws a target in proportion to its free slots. Only for targets that aren't engines; small fleets choose as before.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -339,6 +339,10 @@
   return static_cast<double>(Reachable) / static_cast<double>(KnownVms_);
 }
 
+Duration FleetState::peerUpdatePeriod() const {
+  return updatePeriod(Link_->topology().directPeers().size());
+}
+
 Duration FleetState::inventoryPeriod() const {
   // Both are sent with the state updates, whose period is shorter.
   return Link_->topology().isSplit() ? RemoteInventoryPeriod + InventoryPeriod
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -14,6 +14,7 @@
 #include "Serving/StoreLoadLimit.h"
 #include "Settings/EntrySettings.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -101,6 +102,12 @@
   /// directly, itself included; zero before the number of VMs is known.
   double reachableShare(TimePoint Now) const;
 
+  /// The number of VMs, unresponsive ones included; at least one.
+  std::size_t knownVms() const { return std::max<std::size_t>(1, KnownVms_); }
+
+  /// The interval at which the VMs of this data centre send state updates.
+  Duration peerUpdatePeriod() const;
+
   /// The time within which the inventory of an engine is sent again to every
   /// VM.
   Duration inventoryPeriod() const;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -96,6 +96,7 @@
 
 asio::awaitable<void> RequestRun::serve() {
   Shared_.retryBudgetOf(Request_.Service_).recordRequest();
+  Shared_.Picker_->recordRequest(Request_.Service_, Request_.ArrivedAt_);
   Exchange_.setDisconnectHandler([this] { Connection_.close(); });
   while (true) {
     if (Exchange_.callerDisconnected()) {
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -1,5 +1,6 @@
 #include "Entry/TargetPicker.h"
 
+#include "Balancing/SpareCapacityChoice.h"
 #include "Entry/RandomFraction.h"
 #include "Membership/Rendezvous.h"
 #include "Serving/DispatchBaseline.h"
@@ -127,6 +128,24 @@
     Candidates[Scores[Rank].second].HomeRank_ = Rank;
 }
 
+std::size_t
+TargetPicker::select(const TargetQuery &Query, const ServicePlan &Service,
+                     const std::vector<DispatchCandidate> &Candidates,
+                     TimePoint Now) const {
+  if (Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost)
+    return selectByPolicy(Candidates, Settings_.DispatchPolicy_,
+                          randomFraction());
+  // Requests to engines last for several reports of load.
+  bool IsSpread =
+      !Service.Engine_ && !Candidates.empty() &&
+      StaleLoads_.isStale(Service.Name_,
+                          {Fleet_->knownVms(), Fleet_->peerUpdatePeriod()},
+                          Candidates.front().Slots_, Now);
+  return IsSpread
+             ? selectBySpareCapacity(Candidates, Query.Shape_, randomFraction())
+             : selectCheapest(Candidates, Query.Shape_);
+}
+
 std::optional<TargetChoice> TargetPicker::pick(const TargetQuery &Query,
                                                TimePoint Now) {
   ServingPlanPtr Plan = Plans_->current();
@@ -157,10 +176,7 @@
   bool IsBaseline = Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost;
   if (NeedsAdapter && !IsBaseline)
     spreadAdapter(Query, Candidates, TransitFactor, Now);
-  std::size_t Best = IsBaseline
-                         ? selectByPolicy(Candidates, Settings_.DispatchPolicy_,
-                                          randomFraction())
-                         : selectCheapest(Candidates, Query.Shape_);
+  std::size_t Best = select(Query, *Service, Candidates, Now);
   if (Best == Candidates.size())
     return std::nullopt;
   const RegisteredTarget &Entry = Listed[Best]->Entry_;
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_TARGETPICKER_H
 #define ANVIL_ENTRY_TARGETPICKER_H
 
+#include "Balancing/StaleLoadDetector.h"
 #include "Entry/EngineOwnershipService.h"
 #include "Entry/FleetState.h"
 #include "Entry/PlanService.h"
@@ -59,8 +60,14 @@
 
   std::string_view serviceName() const override { return Name; }
 
+  /// Records the arrival of a request for a service.
+  void recordRequest(const std::string &Service, TimePoint Now) {
+    StaleLoads_.recordRequest(Service, Now);
+  }
+
   /// The target with the lowest cost (or by the configured baseline policy);
-  /// nothing if no target can run the request.
+  /// nothing if no target can run the request. Short requests of a large fleet
+  /// are spread at random over targets with free slots.
   std::optional<TargetChoice> pick(const TargetQuery &Query, TimePoint Now);
 
   /// Time until the first suspended target is available again; nothing if none
@@ -100,6 +107,12 @@
   void describeAdapterSlots(DispatchCandidate &Candidate,
                             const EngineView &View, TimePoint Now) const;
 
+  /// The index of the chosen candidate, or the size of the list when none can
+  /// run the request.
+  std::size_t select(const TargetQuery &Query, const ServicePlan &Service,
+                     const std::vector<DispatchCandidate> &Candidates,
+                     TimePoint Now) const;
+
   std::uint64_t requestedVersion(const TargetQuery &Query) const;
 
   /// An adapter request that the owner has not replied to yet.
@@ -115,6 +128,7 @@
   std::shared_ptr<EngineOwnershipService> Owners_;
   std::shared_ptr<TargetPermits> Permits_;
   TargetHealth Health_;
+  StaleLoadDetector StaleLoads_;
   /// The unreachable incarnations, by target.
   std::map<std::string, std::int64_t> Unreachable_;
   /// Adapter requests sent recently, by engine and adapter.
