--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -582,6 +582,7 @@
        {"outcome", Outcome},
        {"status", Status},
        {"route", Request_.Route_->Name_},
+       {"customer", Request_.Customer_ ? Request_.Customer_->Name_ : ""},
        {"kind", requestKindName(Request_.Route_->Kind_)},
        {"adapter", Request_.Fields_.Adapter_},
        {"target", LastTarget_},
