--- a/Tests/Bench/TargetPickerBench.cpp
+++ b/Tests/Bench/TargetPickerBench.cpp
@@ -33,8 +33,8 @@
         std::make_shared<TargetListService>(Executor, Settings_, Store);
     Services_.add(Targets);
     Services_.add(std::make_shared<FleetLink>(Executor, Settings_, Timers_));
-    auto Fleet = std::make_shared<FleetState>(
-        Settings_, Settings_.holderName(), "1", Services_);
+    auto Fleet = std::make_shared<FleetState>(Settings_, Settings_.holderName(),
+                                              "1", Services_);
     Services_.add(Fleet);
     Services_.add(std::make_shared<EngineOwnershipService>(Executor, Settings_,
                                                            "1", Services_));
@@ -82,9 +82,9 @@
             {1, {}};
       Fleet.view().applyInventory(Entry.Id_, Inventory, Now);
       for (int Request = 0; Request < 4; ++Request)
-        Fleet.recordStart(
-            Entry.Id_, "a" + std::to_string(Index * AdapterSlots + Request),
-            900, 600);
+        Fleet.recordStart(Entry.Id_,
+                          "a" + std::to_string(Index * AdapterSlots + Request),
+                          900, 600);
       Listed.push_back(std::move(Entry));
     }
     Targets.roster().applyList(std::move(Listed), Now);
@@ -111,5 +111,8 @@
   for (auto Step : State)
     benchmark::DoNotOptimize(Fixture.picker().pick(Query, BootClock::now()));
 }
-BENCHMARK(pickTarget)->Args({18, 1})->Args({18, 0})->Args({145, 1})->Args(
-    {145, 0});
+BENCHMARK(pickTarget)
+    ->Args({18, 1})
+    ->Args({18, 0})
+    ->Args({145, 1})
+    ->Args({145, 0});
