Evacuated data centres: follow the operator's request, leave their targets out

Cause: the operator asks for a data centre's targets to get nothing more and takes that back by removing a row. PlanService forgot removals: a removed row became version 0, a whole read didn't show which rows had vanished, and rows of an older version could replace newer ones.

EvacuationRegister says which data centres are evacuated. TargetPicker leaves their targets out, a request that has waited for a permit or a connection looks again, and owners send their engines nothing.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -91,6 +91,9 @@
           Owned->Wake_.cancel();
         }
       });
+  Plans_->EvacuationChanged_.attach(
+      [this](const std::string &, bool) { showEvacuations(); });
+  showEvacuations();
   spawn(Executor_, maintainRows());
   return std::monostate{};
 }
@@ -336,6 +339,21 @@
   });
 }
 
+bool EngineOwnershipService::isEvacuated(const std::string &Engine) const {
+  const ListedTarget *Listed = Targets_->roster().find(Engine);
+  return Listed &&
+         Plans_->evacuations().isEvacuated(Listed->Entry_.DataCentre_);
+}
+
+void EngineOwnershipService::showEvacuations() {
+  Metrics_->gauge(
+      "anvil_evacuated_data_centres", {},
+      static_cast<double>(Plans_->evacuations().evacuated().size()));
+  // Engines of a data centre that is taken back may have work waiting.
+  for (const auto &[Engine, Owned] : Owned_)
+    Owned->Wake_.cancel();
+}
+
 void EngineOwnershipService::checkOrderCounts() {
   for (const auto &[Engine, Owned] : Owned_) {
     const ListedTarget *Listed = Targets_->roster().find(Engine);
@@ -353,7 +371,7 @@
   while (!Owned->Ended_) {
     TimePoint Now = BootClock::now();
     auto Fence = Ownership_.orderingFence(Engine, Now);
-    if (Fence) {
+    if (Fence && !isEvacuated(Engine)) {
       if (Owned->Controller_.needsReport()) {
         co_await fetchReport(Engine, Owned);
         continue;
@@ -526,6 +544,9 @@
   EngineController &Controller = Found->second->Controller_;
   if (Request->WasMissing_)
     Controller.requireReport();
+  // The adapter may no longer be wanted once the data centre is taken back.
+  if (isEvacuated(Request->Engine_))
+    return;
   auto ReadyAt = Controller.requestAdapter(Request->Adapter_, Request->Version_,
                                            BootClock::now());
   if (ReadyAt && !Request->WasMissing_) {
--- a/Source/Entry/EngineOwnershipService.h
+++ b/Source/Entry/EngineOwnershipService.h
@@ -92,6 +92,10 @@
   boost::asio::awaitable<void> fetchReport(const std::string &Engine,
                                            std::shared_ptr<OwnedEngine> Owned);
   void updateEngines();
+  /// Whether an engine gets no orders and no reports from it are fetched, since
+  /// its data centre is evacuated. Its ownership is kept.
+  bool isEvacuated(const std::string &Engine) const;
+  void showEvacuations();
   void checkOrderCounts();
   /// The inventory of an engine; nothing while it is uncertain or this VM may
   /// not send orders to the engine.
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -106,7 +106,7 @@
   return std::tie(Of.Serial_, Of.Decision_);
 }
 auto fieldsOf(MaybeConst<TableRow> auto &Of) {
-  return std::tie(Of.Key_, Of.Value_, Of.Version_);
+  return std::tie(Of.Key_, Of.Value_, Of.Version_, Of.Deleted_);
 }
 
 template <class Type>
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -69,7 +69,7 @@
             {"rows", isOk(Rows) ? valueOf(Rows).size() : 0},
             {"reason", isOk(Rows) ? "" : errorOf(Rows).describe()}});
   if (isOk(Rows))
-    Plans_->applyPeerRows(valueOf(Rows));
+    Plans_->applyPeerRows(valueOf(Rows), {RowSource::PeerPage, std::nullopt});
   co_await pauseFor(FetchPause);
   IsFetching_ = false;
 }
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -3,10 +3,14 @@
 #include "Entry/RandomFraction.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
+#include "Kernel/EnumNames.h"
 #include "TableService/Backoff.h"
 #include "Telemetry/Log.h"
 #include "platform/PlanCodec.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -58,8 +62,11 @@
 asio::awaitable<void> PlanService::follow() {
   Backoff RetryWaits(MinRetryWait, MaxRetryWait);
   while (true) {
-    while (!isReadDue(BootClock::now()))
+    endKeptEvacuations();
+    while (!isReadDue(BootClock::now())) {
       co_await pauseFor(ReadRotation::CheckPeriod);
+      endKeptEvacuations();
+    }
     auto Page = co_await readOnce();
     if (isOk(Page)) {
       RetryWaits.reset();
@@ -107,11 +114,21 @@
   TimePoint ReadAt = StoreClock_.recordCall(
       RequestedAt, valueOf(Page).StoreTime_, BootClock::now());
   std::uint64_t NewestBefore = NewestRow_;
-  apply(valueOf(Page).Rows_, WasAwaited ? ConfirmedAt_ : std::nullopt);
+  std::vector<TableRow> Returned = valueOf(Page).Rows_;
+  std::vector<TableRow> Newer = WasAwaited
+                                    ? Rows_.applyChanges(Returned)
+                                    : Rows_.applyWhole(Returned, *ReadVersion_);
+  // A whole read returns no removed rows, so the other VMs are told of those
+  // that it lacks.
+  if (!WasAwaited)
+    std::ranges::copy_if(Newer, std::back_inserter(Returned),
+                         &TableRow::Deleted_);
+  apply(Newer, WasAwaited ? ConfirmedAt_ : std::nullopt,
+        {RowSource::OwnRead, ReadAt});
   if (Plan_) {
     if (!ConfirmedAt_ || ReadAt > *ConfirmedAt_)
       confirm(ReadAt);
-    TableRead_.fire({ReadAt, NewestRow_, NewestBefore, valueOf(Page).Rows_});
+    TableRead_.fire({ReadAt, NewestRow_, NewestBefore, std::move(Returned)});
   }
   co_return Page;
 }
@@ -132,24 +149,22 @@
              {{"revision", Plan_->revision()}});
 }
 
-std::vector<TableRow> PlanService::knownRows() const {
-  std::vector<TableRow> All;
-  for (const auto &[Key, Row] : Rows_)
-    All.push_back(Row);
-  return All;
-}
-
-void PlanService::applyPeerRows(const std::vector<TableRow> &Rows) {
-  apply(Rows, ConfirmedAt_);
+void PlanService::applyPeerRows(const std::vector<TableRow> &Rows,
+                                const RowEvidence &Evidence) {
+  apply(Rows_.applyChanges(Rows), ConfirmedAt_, Evidence);
 }
 
-void PlanService::apply(const std::vector<TableRow> &Rows,
-                        std::optional<TimePoint> NotBefore) {
-  for (const TableRow &Row : Rows) {
-    NewestRow_ = std::max(NewestRow_, Row.Version_);
-    TableRow &Known = Rows_[Row.Key_];
-    if (Row.Version_ >= Known.Version_)
-      Known = Row;
+void PlanService::apply(const std::vector<TableRow> &Newer,
+                        std::optional<TimePoint> NotBefore,
+                        const RowEvidence &Evidence) {
+  NewestRow_ = std::max(NewestRow_, Rows_.newest());
+  // Before the first plan, which lets requests in.
+  for (const TableRow &Row : Newer)
+    if (auto DataCentre = platform::evacuatedDataCentre(Row.Key_))
+      applyEvacuation(*DataCentre, !Row.Deleted_, Evidence);
+  for (const TableRow &Row : Newer) {
+    if (Row.Deleted_)
+      continue;
     if (Row.Key_ == "config")
       applyPlan(Row);
     else if (Row.Key_.starts_with("version/"))
@@ -157,6 +172,42 @@
   }
 }
 
+void PlanService::applyEvacuation(const std::string &DataCentre,
+                                  bool IsRequested,
+                                  const RowEvidence &Evidence) {
+  TimePoint Now = BootClock::now();
+  auto Since = Evacuations_.evacuatedSince(DataCentre);
+  bool IsChange = Evacuations_.set(DataCentre, IsRequested, Now);
+  bool IsEvacuated = Evacuations_.isEvacuated(DataCentre);
+  std::string_view State = IsEvacuated ? "begins" : "ends";
+  if (!IsChange && IsEvacuated)
+    State = IsRequested ? "repeated" : "kept";
+  else if (!IsChange)
+    return;
+  logEvent(
+      LogLevel::Info, "evacuation",
+      {{"data_centre", DataCentre},
+       {"state", State},
+       {"source", enumName(Evidence.Source_, RowSourceNames)},
+       {"evidence_age_ms", Evidence.At_ ? toMillis(Now - *Evidence.At_) : -1},
+       {"lasted_ms", Since ? toMillis(Now - *Since) : 0}});
+  if (IsChange)
+    EvacuationChanged_.fire(DataCentre, IsEvacuated);
+}
+
+void PlanService::endKeptEvacuations() {
+  TimePoint Now = BootClock::now();
+  for (const std::string &DataCentre : Evacuations_.endKept(Now)) {
+    logEvent(LogLevel::Info, "evacuation",
+             {{"data_centre", DataCentre},
+              {"state", "ends"},
+              {"source", "kept"},
+              {"evidence_age_ms",
+               ConfirmedAt_ ? toMillis(Now - *ConfirmedAt_) : -1}});
+    EvacuationChanged_.fire(DataCentre, false);
+  }
+}
+
 void PlanService::applyPlan(const TableRow &Row) {
   auto Decoded = platform::decodePlan(Row.Value_);
   if (!isOk(Decoded)) {
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_PLANSERVICE_H
 #define ANVIL_ENTRY_PLANSERVICE_H
 
+#include "Evacuation/EvacuationRegister.h"
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Serving/ReadRotation.h"
@@ -8,13 +9,13 @@
 #include "Serving/ServingPlan.h"
 #include "Serving/VersionRequirements.h"
 #include "Settings/EntrySettings.h"
+#include "TableService/TableCopy.h"
 #include "platform/StoreClient.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,8 +33,25 @@
   std::vector<TableRow> Rows_;
 };
 
-/// Follows the operator's configuration and the adapter versions it names, and
-/// tracks when they were last confirmed to be current. If another VM reports
+/// How this VM got rows of the operator's table.
+enum class RowSource { OwnRead, PeerNotice, PeerPage };
+
+inline constexpr std::pair<RowSource, std::string_view> RowSourceNames[] = {
+    {RowSource::OwnRead, "own_read"},
+    {RowSource::PeerNotice, "peer_notice"},
+    {RowSource::PeerPage, "peer_page"},
+};
+
+/// The origin of rows, with a time before which they were not read; no time if
+/// it is unknown.
+struct RowEvidence {
+  RowSource Source_ = RowSource::OwnRead;
+  std::optional<TimePoint> At_;
+};
+
+/// Follows the operator's configuration, the adapter versions it names and the
+/// data centres it evacuates, and tracks when they were last confirmed to be
+/// current. If another VM reports
 /// what it read, this VM reads the store only for newer rows.
 class PlanService : public Service {
 public:
@@ -59,6 +77,14 @@
   /// The adapter versions that the operator named.
   const VersionRequirements &versions() const { return Versions_; }
 
+  /// The data centres that the operator has evacuated.
+  const EvacuationRegister &evacuations() const { return Evacuations_; }
+
+  /// Keeps the evacuations whose request is removed before `Until` until then.
+  void keepEvacuationsUntil(TimePoint Until) {
+    Evacuations_.keepMissingUntil(Until);
+  }
+
   /// Sets the function that returns this VM's rank in the read rotation; rank
   /// 0 by default.
   void onReadRank(std::function<std::size_t()> Hook) {
@@ -73,12 +99,14 @@
   /// The newest row that this VM knows.
   std::uint64_t newestRow() const { return NewestRow_; }
 
-  /// All rows that this VM knows, for copying to another VM.
-  std::vector<TableRow> knownRows() const;
+  /// All rows that this VM knows, removed ones included, for copying to another
+  /// VM.
+  std::vector<TableRow> knownRows() const { return Rows_.rows(); }
 
   /// Applies rows that another VM has read. They don't confirm that the plan
   /// is current.
-  void applyPeerRows(const std::vector<TableRow> &Rows);
+  void applyPeerRows(const std::vector<TableRow> &Rows,
+                     const RowEvidence &Evidence);
 
   /// Fired after each read by this VM.
   Hook<const PlanReadResult &> TableRead_;
@@ -89,15 +117,24 @@
   /// Fired when a version is named, with model and adapter.
   Hook<const std::string &, const std::string &> VersionNamed_;
 
+  /// Fired when a data centre's evacuation begins or ends, with the data centre
+  /// and whether it is evacuated now.
+  Hook<const std::string &, bool> EvacuationChanged_;
+
 private:
   boost::asio::awaitable<void> follow();
   boost::asio::awaitable<Result<platform::TablePage>> readOnce();
   bool isReadDue(TimePoint Now) const;
   void confirm(TimePoint At);
-  void apply(const std::vector<TableRow> &Rows,
-             std::optional<TimePoint> NotBefore);
+  /// Applies rows that were not known before.
+  void apply(const std::vector<TableRow> &Newer,
+             std::optional<TimePoint> NotBefore, const RowEvidence &Evidence);
   void applyPlan(const TableRow &Row);
   void applyVersion(const TableRow &Row, std::optional<TimePoint> NotBefore);
+  void applyEvacuation(const std::string &DataCentre, bool IsRequested,
+                       const RowEvidence &Evidence);
+  /// Ends the evacuations that were kept only for a while.
+  void endKeptEvacuations();
 
   boost::asio::any_io_executor Executor_;
   const EntrySettings &Settings_;
@@ -112,9 +149,10 @@
   /// read.
   std::uint64_t NewestRow_ = 0;
   std::uint64_t PeerNewestRow_ = 0;
-  std::map<std::string, TableRow> Rows_;
+  TableCopy Rows_;
   RemoteClock StoreClock_;
   VersionRequirements Versions_;
+  EvacuationRegister Evacuations_;
 };
 
 } // namespace anvil
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -43,6 +43,10 @@
 /// The retry hint for callers if no target is available.
 static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(400);
 
+/// The retry hint for callers while all targets are in evacuated data centres,
+/// which takes the operator seconds at least.
+static constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
+
 /// Streams with a longer gap between chunks are logged at info level.
 static constexpr Duration LoggedGap = std::chrono::milliseconds(250);
 
@@ -54,6 +58,10 @@
 /// without a limit.
 static constexpr std::size_t MaxReplyBytes = 4 * 1024 * 1024;
 
+/// The reason logged for requests that no target outside evacuated data
+/// centres can take.
+static constexpr std::string_view Evacuated = "evacuated";
+
 /// The reason logged for requests that end because the VM stops.
 static constexpr std::string_view VmStopping = "vm_stopping";
 
@@ -117,6 +125,12 @@
     if (!Chosen) {
       CallerRetryAfter_ = Shared_.Picker_->untilResumed(Query_, Now);
       LastReason_ = CallerRetryAfter_ ? "targets_closed" : "no_target";
+      if (!CallerRetryAfter_ && Shared_.Picker_->hasEvacuatedTargets(Query_)) {
+        LastReason_ = Evacuated;
+        CallerRetryAfter_ = EvacuatedRetryAfter;
+        Shared_.Metrics_->count("anvil_evacuated_refusals_total",
+                                {{"service", Query_.Service_}});
+      }
       co_return co_await finishUnserved();
     }
     bool MustWait = Chosen->Readiness_ == AdapterReadiness::Absent ||
@@ -137,7 +151,8 @@
     bool MaySend =
         !Chosen->Limited_ || co_await Shared_.Permits_->acquire(
                                  Chosen->Target_, Chosen->Incarnation_, Pause_);
-    if (!MaySend)
+    // An evacuation may have begun while the permit was awaited.
+    if (!MaySend || Shared_.Picker_->isEvacuated(*Chosen))
       continue;
     SendOutcome End = co_await tryTarget(std::move(*Chosen));
     if (End == SendOutcome::Done)
@@ -189,7 +204,7 @@
 
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
   // A target that could not be connected to has received nothing.
-  if (LastReason_ == "no_connection")
+  if (LastReason_ == "no_connection" || LastReason_ == Evacuated)
     co_return true;
   TimePoint Until = BootClock::now() +
                     maxRetryWait(timeLeft(), Request_.Route_->LatencyTarget_);
@@ -300,6 +315,10 @@
   }
   if (isCancelled())
     co_return SendOutcome::NotRun;
+  if (Shared_.Picker_->isEvacuated(Chosen)) {
+    LastReason_ = Evacuated;
+    co_return SendOutcome::NotRun;
+  }
   bool IsLimited = Shared_.Fleet_->limits()
                        .rateOf(Chosen.Target_, Chosen.Incarnation_)
                        .has_value();
@@ -525,7 +544,8 @@
                               std::nullopt);
   }
   co_return co_await refuse(
-      503, "no target could take the request",
+      503,
+      LastReason_ == Evacuated ? Evacuated : "no target could take the request",
       retryAfter(CallerRetryAfter_.value_or(BusyRetryAfter), randomFraction()));
 }
 
--- a/Source/Entry/StoreReadRelay.cpp
+++ b/Source/Entry/StoreReadRelay.cpp
@@ -76,10 +76,10 @@
 void StoreReadRelay::receive(const FleetMessage &Message) {
   TimePoint Now = BootClock::now();
   if (const auto *Plan = std::get_if<PlanReadNotice>(&Message)) {
+    auto ReadAt = localTimeOf(Plan->Clock_, Plan->At_, Now);
     if (!Plan->Rows_.empty() && Plans_->newestRow() >= Plan->NewestBefore_)
-      Plans_->applyPeerRows(Plan->Rows_);
-    Plans_->applyPeerRead(localTimeOf(Plan->Clock_, Plan->At_, Now),
-                          Plan->NewestRow_);
+      Plans_->applyPeerRows(Plan->Rows_, {RowSource::PeerNotice, ReadAt});
+    Plans_->applyPeerRead(ReadAt, Plan->NewestRow_);
     Exchange_->applyReadNotice(*Plan);
   } else if (const auto *Targets = std::get_if<TargetsReadNotice>(&Message)) {
     if (auto At = localTimeOf(Targets->Clock_, Targets->At_, Now))
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -127,6 +127,23 @@
     Candidates[Scores[Rank].second].HomeRank_ = Rank;
 }
 
+std::vector<const ListedTarget *>
+TargetPicker::eligibleTargets(const std::string &Service) const {
+  auto Targets = Targets_->roster().usable(Service);
+  std::erase_if(Targets, [&](const ListedTarget *Target) {
+    return Plans_->evacuations().isEvacuated(Target->Entry_.DataCentre_);
+  });
+  return Targets;
+}
+
+bool TargetPicker::hasEvacuatedTargets(const TargetQuery &Query) const {
+  return std::ranges::any_of(Targets_->roster().usable(Query.Service_),
+                             [&](const ListedTarget *Target) {
+                               return Plans_->evacuations().isEvacuated(
+                                   Target->Entry_.DataCentre_);
+                             });
+}
+
 std::optional<TargetChoice> TargetPicker::pick(const TargetQuery &Query,
                                                TimePoint Now) {
   ServingPlanPtr Plan = Plans_->current();
@@ -140,7 +157,7 @@
   double TransitFactor = NeedsAdapter ? Fleet_->transitFactor(Now) : 0;
   std::vector<const ListedTarget *> Listed;
   std::vector<DispatchCandidate> Candidates;
-  for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
+  for (const ListedTarget *Target : eligibleTargets(Service->Name_)) {
     auto Down = Unreachable_.find(Target->Entry_.Id_);
     bool IsDown = Down != Unreachable_.end() &&
                   Down->second == Target->Entry_.Incarnation_;
@@ -172,6 +189,7 @@
   Chosen.Target_ = Entry.Id_;
   Chosen.Incarnation_ = Entry.Incarnation_;
   Chosen.Address_ = valueOf(Where);
+  Chosen.DataCentre_ = Entry.DataCentre_;
   Chosen.Readiness_ = Candidate.Readiness_;
   Chosen.ReadyIn_ = Candidate.ReadyIn_;
   Chosen.Running_ = Candidate.Running_;
@@ -198,7 +216,7 @@
 std::optional<Duration> TargetPicker::untilResumed(const TargetQuery &Query,
                                                    TimePoint Now) const {
   std::optional<Duration> Shortest;
-  for (const ListedTarget *Target : Targets_->roster().usable(Query.Service_)) {
+  for (const ListedTarget *Target : eligibleTargets(Query.Service_)) {
     Duration Remaining = Permits_->suspendedFor(
         Target->Entry_.Id_, Target->Entry_.Incarnation_, Now);
     if (Remaining > Duration::zero())
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -33,6 +33,7 @@
   std::string Target_;
   std::int64_t Incarnation_ = 0;
   Endpoint Address_;
+  std::string DataCentre_;
   AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
   /// Time until the adapter is usable.
   Duration ReadyIn_{};
@@ -63,6 +64,14 @@
   /// nothing if no target can run the request.
   std::optional<TargetChoice> pick(const TargetQuery &Query, TimePoint Now);
 
+  /// Whether the operator has evacuated the chosen target's data centre since.
+  bool isEvacuated(const TargetChoice &Chosen) const {
+    return Plans_->evacuations().isEvacuated(Chosen.DataCentre_);
+  }
+
+  /// Whether usable targets of the service are in evacuated data centres.
+  bool hasEvacuatedTargets(const TargetQuery &Query) const;
+
   /// Time until the first suspended target is available again; nothing if none
   /// is suspended.
   std::optional<Duration> untilResumed(const TargetQuery &Query,
@@ -87,6 +96,9 @@
   TargetHealth &health() { return Health_; }
 
 private:
+  /// The usable targets of a service outside evacuated data centres.
+  std::vector<const ListedTarget *>
+  eligibleTargets(const std::string &Service) const;
   DispatchCandidate describe(const ListedTarget &Listed,
                              const TargetQuery &Query, const EnginePlan *Engine,
                              double TransitFactor, TimePoint Now);
--- a/Source/TableService/TableTypes.h
+++ b/Source/TableService/TableTypes.h
@@ -15,6 +15,8 @@
   std::string Key_;
   std::string Value_;
   std::uint64_t Version_ = 0;
+  /// Whether the row was removed, at `Version_`; only in lists of changes.
+  bool Deleted_ = false;
 };
 
 /// The version that a row must have for a transaction to commit.
