Decide which engines are cold, and issue their permits one by one

Cause: a cold engine may get only ColdPerS x 1.5 + 5 requests in one second, summed over all VMs; the plan, entries and responses now say when, but nothing read them. Permits for a target that takes no burst don't accumulate, and are issued by a VM only if it reaches a twentieth of all VMs: each issuer may add one request to the sum.

--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -78,7 +78,7 @@
 auto fieldsOf(MaybeConst<RegisteredTarget> auto &Of) {
   return std::tie(Of.Id_, Of.Incarnation_, Of.Service_, Of.Address_,
                   Of.DataCentre_, Of.Slots_, Of.State_, Of.Remaining_,
-                  Of.OrdersAccepted_, Of.Models_);
+                  Of.ColdRemaining_, Of.OrdersAccepted_, Of.Models_);
 }
 auto fieldsOf(MaybeConst<ListingChanges> auto &Of) {
   return std::tie(Of.Entries_, Of.Removed_);
@@ -94,7 +94,8 @@
   return std::tie(Of.Clock_, Of.RequestedAt_, Of.ClockTime_);
 }
 auto fieldsOf(MaybeConst<PermitQuery> auto &Of) {
-  return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_);
+  return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_,
+                  Of.AllowsBurst_);
 }
 auto fieldsOf(MaybeConst<PermitDecision> auto &Of) {
   return std::tie(Of.Granted_, Of.RetryIn_);
--- a/Source/Routing/PermitIssuer.cpp
+++ b/Source/Routing/PermitIssuer.cpp
@@ -12,6 +12,11 @@
 /// How long the bucket of a target is kept after the last request for it.
 static constexpr Duration BucketRetention = std::chrono::seconds(60);
 
+/// The share of all VMs below which no permits are issued for a target that
+/// takes no burst. Each issuer may add one request to the sum, so there must be
+/// few; a VM that reaches hardly any other one is not one of them.
+static constexpr double MinShareWithoutBurst = 0.05;
+
 /// Requests per second above which a limit is equivalent to none.
 static constexpr double MaxRate = 1e6;
 
@@ -22,7 +27,11 @@
                      ? std::clamp(Query.RatePerSecond_, ProbeRate, MaxRate)
                      : ProbeRate;
   double Rate = Limit * std::clamp(Share, 0.0, 1.0);
-  double Capacity = 1 + std::min(1.0, Share) + Rate * BurstSeconds;
+  bool IsTooSmall = !Query.AllowsBurst_ && Share < MinShareWithoutBurst;
+  if (IsTooSmall)
+    return {false, MaxWait};
+  double Capacity =
+      Query.AllowsBurst_ ? 1 + std::min(1.0, Share) + Rate * BurstSeconds : 1;
   auto [Position, IsNew] = Buckets_.try_emplace(
       Query.Target_, TargetBucket{Query.Incarnation_,
                                   TokenBucket(Rate, Capacity, 0, Now), Now});
--- a/Source/Routing/PermitIssuer.h
+++ b/Source/Routing/PermitIssuer.h
@@ -18,6 +18,10 @@
   std::int64_t Incarnation_ = 0;
   /// The target's limit in requests per second.
   double RatePerSecond_ = 0;
+  /// Whether permits may accumulate while there are no requests. They may not
+  /// for a target that is harmed by a burst, since several VMs may issue
+  /// permits for it, each for its share of the limit.
+  bool AllowsBurst_ = true;
 };
 
 /// Whether one request may be sent now.
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -86,11 +86,20 @@
   std::size_t warmAdapters() const;
 };
 
+/// How long targets of a service are cold after a start, and the requests per
+/// second that a cold one takes from all VMs together.
+struct ColdStartPlan {
+  Duration Time_{};
+  double RequestsPerSecond_ = 0;
+};
+
 /// A set of targets that routes refer to by name.
 struct ServicePlan {
   std::string Name_;
   /// Set for services of model engines.
   std::optional<EnginePlan> Engine_;
+  /// Set for services whose targets are cold after a start.
+  std::optional<ColdStartPlan> ColdStart_;
 };
 
 /// A customer with its keys and its token rate over all VMs.
--- a/Source/Serving/Target.h
+++ b/Source/Serving/Target.h
@@ -40,11 +40,19 @@
   TargetState State_ = TargetState::Ready;
   /// The time until it terminates, if it is shutting down.
   std::optional<Duration> Remaining_;
+  /// How much longer it is cold after its start, as it stated at its last
+  /// write; zero if it stated that it is warm.
+  std::optional<Duration> ColdRemaining_;
   /// The number of orders that it had accepted.
   std::uint64_t OrdersAccepted_ = 0;
   std::map<std::string, HeldModel> Models_;
 };
 
+/// Whether the target's entry states that it is cold.
+inline bool isCold(const RegisteredTarget &Entry) {
+  return Entry.ColdRemaining_.value_or(Duration::zero()) > Duration::zero();
+}
+
 /// An engine's reply to a state query. It may be some hundred milliseconds old.
 struct EngineReport {
   bool Busy_ = false;
--- a/Source/Serving/TargetListing.cpp
+++ b/Source/Serving/TargetListing.cpp
@@ -30,7 +30,8 @@
   for (const std::string &Part :
        {std::to_string(Entry.Incarnation_), Entry.Service_, Entry.Address_,
         Entry.DataCentre_, std::to_string(Entry.Slots_),
-        std::to_string(static_cast<int>(Entry.State_))})
+        std::to_string(static_cast<int>(Entry.State_)),
+        std::to_string(isCold(Entry))})
     Text += '\n' + Part;
   return Text;
 }
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -89,6 +89,7 @@
       Target.Incarnation_ = 5;
       Target.State_ = TargetState::Draining;
       Target.Remaining_ = 900ms;
+      Target.ColdRemaining_ = 4s;
       Target.Models_["base"] = {3, {{"a1", 2}}};
       TargetsReadNotice Decoded = roundTrip(
           TargetsReadNotice{{"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s});
@@ -96,6 +97,7 @@
       const RegisteredTarget &Entry = Decoded.Changes_.Entries_.front();
       CHECK(Entry.State_ == TargetState::Draining);
       CHECK(Entry.Remaining_ == Target.Remaining_);
+      CHECK(Entry.ColdRemaining_ == Target.ColdRemaining_);
       CHECK(Entry.Models_.at("base").Adapters_.at("a1") == 2);
       CHECK(Decoded.Changes_.Removed_ == std::vector<std::string>{"e2"});
       CHECK(Decoded.Digest_ == 99);
@@ -103,12 +105,13 @@
     }
     SECTION("of permit requests and replies") {
       TargetPermitRequest Request =
-          roundTrip(TargetPermitRequest{"vm-1", 77, {"e1", 5, 1.8}});
+          roundTrip(TargetPermitRequest{"vm-1", 77, {"e1", 5, 1.8, false}});
       CHECK(Request.Vm_ == "vm-1");
       CHECK(Request.Serial_ == 77);
       CHECK(Request.Request_.Target_ == "e1");
       CHECK(Request.Request_.Incarnation_ == 5);
       CHECK(Request.Request_.RatePerSecond_ == 1.8);
+      CHECK_FALSE(Request.Request_.AllowsBurst_);
       TargetPermitReply Given =
           roundTrip(TargetPermitReply{77, {false, 300ms}});
       CHECK(Given.Serial_ == 77);
--- a/Tests/Serving/PermitIssuerTest.cpp
+++ b/Tests/Serving/PermitIssuerTest.cpp
@@ -33,6 +33,18 @@
       CHECK_FALSE(Issuer.decide(Query, 1, Start - 5s).Granted_);
     }
   }
+  SECTION("come one by one if the target takes no burst") {
+    Query.AllowsBurst_ = false;
+    Query.RatePerSecond_ = 50;
+    Issuer.decide(Query, 1, Start);
+    CHECK(Issuer.decide(Query, 1, Start + 10s).Granted_);
+    CHECK_FALSE(Issuer.decide(Query, 1, Start + 10s + 19ms).Granted_);
+    CHECK(Issuer.decide(Query, 1, Start + 10s + 20ms).Granted_);
+    SECTION("and not from a VM that reaches hardly any other one") {
+      CHECK_FALSE(Issuer.decide(Query, 1.0 / 62, Start + 11s).Granted_);
+      CHECK(Issuer.decide(Query, 1.0 / 5, Start + 11s).Granted_);
+    }
+  }
   SECTION("are fewer while other VMs are unreachable") {
     Issuer.decide(Query, 0.125, Start);
     CHECK_FALSE(Issuer.decide(Query, 0.125, Start + 3900ms).Granted_);
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -20,6 +20,7 @@
        "TrafficSplit":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}]},
       {"Name":"broken","Host":"f.example"}],
     "Services":[{"Name":"s","HealthPath":"/health","MaxConnections":240,
+      "ColdStartS":7.5,"ColdPerS":13,
       "Engine":{"Slots":32,"KvTokens":117260,"MaxAdapters":21,"LoadsPerS":5.5,
         "Models":[{"Name":"m","LoadTimeS":2.5,"WarmS":0.38,"DiskLoadS":1.0}]}}],
     "Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000,"HeaderTimeoutMs":5000},
@@ -41,9 +42,24 @@
   REQUIRE(Service->Engine_);
   CHECK(Service->Engine_->MaxAdapters_ == 21);
   CHECK(Service->Engine_->findModel("m")->DiskLoadTime_ == Duration(1s));
+  REQUIRE(Service->ColdStart_);
+  CHECK(Service->ColdStart_->Time_ == Duration(7500ms));
+  CHECK(Service->ColdStart_->RequestsPerSecond_ == 13);
   CHECK(Plan.findCustomerOfKey("k1")->BurstTokens_ == 2000);
   CHECK(Plan.limits().IdleTime_ == Duration(15s));
   CHECK(Plan.limits().HeadTime_ == Duration(5s));
+  SECTION("without cold starts where a service names none or zero") {
+    for (const char *Words :
+         {"", R"(,"ColdStartS":8)", R"(,"ColdStartS":0,"ColdPerS":13)",
+          R"(,"ColdStartS":8,"ColdPerS":0)", R"(,"ColdStartS":8,"ColdPerS":-1)",
+          R"(,"ColdStartS":"8","ColdPerS":13)"}) {
+      INFO(Words);
+      auto Other = decodePlan(R"({"Version":8,"Services":[{"Name":"s")" +
+                              std::string(Words) + "}]}");
+      REQUIRE(isOk(Other));
+      CHECK_FALSE(valueOf(Other)->findService("s")->ColdStart_);
+    }
+  }
   SECTION("is refused without a revision") {
     CHECK_FALSE(isOk(decodePlan("{}")));
     CHECK_FALSE(isOk(decodePlan("nonsense")));
@@ -59,6 +75,20 @@
   CHECK(Entry->Incarnation_ == 1700000000123);
   CHECK(Entry->OrdersAccepted_ == 4);
   CHECK(Entry->Models_.at("m").Adapters_.at("a3") == 2);
+  CHECK_FALSE(Entry->ColdRemaining_);
+  SECTION("with the time for which it is still cold") {
+    auto Cold = [](const std::string &Value) {
+      return decodeRegisteredTarget("i",
+                                    R"({"Service":"s","Address":"a","Slots":1,)"
+                                    R"("State":"ready","ColdRemainingMs":)" +
+                                        Value + "}")
+          ->ColdRemaining_;
+    };
+    CHECK(Cold("2500") == Duration(2500ms));
+    CHECK(Cold("0") == Duration(0ms));
+    CHECK(Cold("-7") == Duration(0ms));
+    CHECK_FALSE(Cold("\"soon\""));
+  }
   SECTION("and skipped if it is malformed") {
     CHECK_FALSE(decodeRegisteredTarget("i", "\xff\x00"));
     CHECK_FALSE(decodeRegisteredTarget("i", "[]"));
--- a/Tests/Serving/RequestCodecTest.cpp
+++ b/Tests/Serving/RequestCodecTest.cpp
@@ -157,6 +157,17 @@
       }
     }
   }
+  SECTION("with the time for which the target is still cold") {
+    auto Decode = [](const char *Value) {
+      return decodeTargetResponse({200, {{"X-Cold-Remaining", Value}}})
+          .ColdRemaining_;
+    };
+    CHECK(Decode("2500") == Duration(2500ms));
+    CHECK(Decode("0") == Duration(0ms));
+    CHECK_FALSE(Decode("-1"));
+    CHECK_FALSE(Decode("soon"));
+    CHECK_FALSE(decodeTargetResponse({200, {}}).ColdRemaining_);
+  }
   SECTION("which leaves open whether the request ran, without the header") {
     CHECK_FALSE(decodeTargetResponse({503, {}}).NotExecuted_);
     CHECK(decodeTargetResponse({421, {}}).NotExecuted_);
--- a/Tests/Serving/TargetListingTest.cpp
+++ b/Tests/Serving/TargetListingTest.cpp
@@ -44,6 +44,22 @@
     CHECK(Reader.recentChanges(Start + 1s).size() == 0);
     CHECK(TryFollow(Start + 1s));
   }
+  SECTION("is followed when targets turn cold and warm") {
+    RegisteredTarget Cold = entry("a");
+    Cold.ColdRemaining_ = 5s;
+    Reader.replace({Cold, entry("b")}, Start + 1s);
+    CHECK(Reader.recentChanges(Start + 1s).size() == 1);
+    REQUIRE(TryFollow(Start + 1s));
+    SECTION("but not while the time left runs") {
+      Cold.ColdRemaining_ = 2s;
+      Reader.replace({Cold, entry("b")}, Start + 5s);
+      CHECK(Reader.recentChanges(Start + 5s).size() == 0);
+      CHECK(TryFollow(Start + 5s));
+      Cold.ColdRemaining_ = 0s;
+      Reader.replace({Cold, entry("b")}, Start + 7s);
+      CHECK(Reader.recentChanges(Start + 7s).size() == 1);
+    }
+  }
   SECTION("is followed when targets are added, removed or draining") {
     Reader.replace({entry("a", TargetState::Draining), entry("c")}, Start + 1s);
     CHECK(Reader.recentChanges(Start + 1s).size() == 3);
