Send to a cold engine only with a permit

Cause: the decisions on cold engines were wired to nothing. TargetPermits uses one rate, the lower of a named limit and the cold rate. A cold target costs PermitMs in the choice, but fills with adapters as a warm one does. An entry whose cold time grew is passed on to other VMs although it was cold before. The hook for the end of an evacuation, recordDataCentreReturned, is not attached yet.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EntryDaemon.h"
 
+#include "Entry/ColdTargets.h"
 #include "Entry/EngineOwnershipService.h"
 #include "Entry/EntryGateway.h"
 #include "Entry/FleetLink.h"
@@ -58,6 +59,7 @@
   Services_.add(std::make_shared<PlanExchange>(Executor, Settings_, Services_));
   Services_.add(
       std::make_shared<StoreReadRelay>(Settings_, Incarnation_, Services_));
+  Services_.add(std::make_shared<ColdTargets>(Services_));
   Services_.add(std::make_shared<TargetPermits>(Settings_, Services_));
   Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
   Services_.add(std::make_shared<EntryGateway>(Executor, Settings_, Services_));
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -215,6 +215,7 @@
   if (Crashes_.addCrash(Observed.Digest_, CrashedTarget, Now))
     logEvent(LogLevel::Warning, "request_quarantined",
              {{"digest", Observed.Digest_}, {"target", Observed.Target_}});
+  TargetCrashed_.fire(Observed.Target_, Observed.Incarnation_);
 }
 
 static void logLimit(const std::string &Target, std::int64_t Incarnation,
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -4,6 +4,7 @@
 #include "Entry/FleetLink.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
+#include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Routing/CrashTracker.h"
 #include "Routing/TargetLimits.h"
@@ -109,6 +110,10 @@
   void markStopping() { Stopping_ = true; }
   bool isStopping() const { return Stopping_; }
 
+  /// Fired when this or another VM saw a target's incarnation crash, also for
+  /// repeated reports.
+  Hook<const std::string &, std::int64_t> TargetCrashed_;
+
 private:
   double transitLimit() const;
   void applyPeerLoads(const VmStateUpdate &Update, TimePoint Now);
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -134,9 +134,9 @@
       PacingWait_ += PacingDelay;
       continue;
     }
-    bool MaySend =
-        !Chosen->Limited_ || co_await Shared_.Permits_->acquire(
-                                 Chosen->Target_, Chosen->Incarnation_, Pause_);
+    bool MaySend = !Chosen->NeedsPermit_ ||
+                   co_await Shared_.Permits_->acquire(
+                       Chosen->Target_, Chosen->Incarnation_, Pause_);
     if (!MaySend)
       continue;
     SendOutcome End = co_await tryTarget(std::move(*Chosen));
@@ -306,6 +306,8 @@
   if (IsLimited)
     Shared_.Metrics_->count("anvil_limited_sends_total",
                             {{"target", Chosen.Target_}});
+  Shared_.ColdTargets_->countSend(Chosen.Target_, Chosen.Incarnation_,
+                                  BootClock::now());
   HttpRequest Outgoing = targetRequest(Chosen, BootClock::now());
   ++Sends_;
   ++Runs_;
@@ -356,6 +358,9 @@
   if (Response.BackOff_)
     Shared_.Permits_->backOff(Chosen.Target_, Chosen.Incarnation_,
                               *Response.BackOff_, Now);
+  if (Response.ColdRemaining_)
+    Shared_.ColdTargets_->recordResponse(Chosen.Target_, Chosen.Incarnation_,
+                                         *Response.ColdRemaining_, SentAt, Now);
   // A refusal may carry fewer headers than the target's own replies.
   bool StatesLimit =
       Response.RateLimit_ || (Response.Sealed_ && !Response.NotExecuted_);
--- a/Source/Entry/RequestServices.h
+++ b/Source/Entry/RequestServices.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_REQUESTSERVICES_H
 #define ANVIL_ENTRY_REQUESTSERVICES_H
 
+#include "Entry/ColdTargets.h"
 #include "Entry/FleetState.h"
 #include "Entry/TargetPermits.h"
 #include "Entry/TargetPicker.h"
@@ -31,6 +32,7 @@
   std::shared_ptr<TargetPicker> Picker_;
   std::shared_ptr<TargetPermits> Permits_;
   std::shared_ptr<FleetState> Fleet_;
+  std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<Metrics> Metrics_;
   /// Retry budgets, by service.
   std::map<std::string, RetryBudget> RetryBudgets_;
--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -35,6 +35,7 @@
     : Self_(Settings.holderName()),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
+      ColdTargets_(Services.require<ColdTargets>(ColdTargets::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       LastSerial_(static_cast<std::uint64_t>(randomFraction() * SerialRange)) {}
 
@@ -44,9 +45,17 @@
   return std::monostate{};
 }
 
+std::optional<PermitQuery> TargetPermits::queryFor(const std::string &Target,
+                                                   std::int64_t Incarnation,
+                                                   TimePoint Now) const {
+  return permitQuery(Target, Incarnation,
+                     Fleet_->limits().rateOf(Target, Incarnation),
+                     ColdTargets_->rateOf(Target, Incarnation, Now));
+}
+
 bool TargetPermits::needsPermit(const std::string &Target,
-                                std::int64_t Incarnation) const {
-  return Fleet_->limits().rateOf(Target, Incarnation).has_value();
+                                std::int64_t Incarnation, TimePoint Now) const {
+  return queryFor(Target, Incarnation, Now).has_value();
 }
 
 Duration TargetPermits::suspendedFor(const std::string &Target,
@@ -56,7 +65,7 @@
   if (Found == Suspensions_.end() || Found->second.Incarnation_ != Incarnation)
     return Duration::zero();
   TimePoint Until = Found->second.BackOffUntil_;
-  if (needsPermit(Target, Incarnation))
+  if (needsPermit(Target, Incarnation, Now))
     Until = std::max(Until, Found->second.NoPermitUntil_);
   return std::max<Duration>(Duration::zero(), Until - Now);
 }
@@ -84,12 +93,12 @@
   return rendezvousOrder(Target, std::move(Serving)).front();
 }
 
-PermitDecision TargetPermits::decide(PermitQuery Request, TimePoint Now) {
-  // The requesting VM may not know of a lower limit yet.
-  if (auto Known =
-          Fleet_->limits().rateOf(Request.Target_, Request.Incarnation_))
-    Request.RatePerSecond_ = std::min(Request.RatePerSecond_, *Known);
-  return PermitIssuer_.decide(Request, Fleet_->reachableShare(Now), Now);
+PermitDecision TargetPermits::decide(const PermitQuery &Request,
+                                     TimePoint Now) {
+  // The requesting VM may not know of a lower limit or a cold start yet.
+  PermitQuery Query = stricterQuery(
+      Request, queryFor(Request.Target_, Request.Incarnation_, Now));
+  return PermitIssuer_.decide(Query, Fleet_->reachableShare(Now), Now);
 }
 
 asio::awaitable<std::optional<PermitDecision>>
@@ -109,10 +118,11 @@
                                              std::int64_t Incarnation,
                                              asio::steady_timer &Pause) {
   TimePoint RequestedAt = BootClock::now();
-  auto Rate = Fleet_->limits().rateOf(Target, Incarnation);
-  if (!Rate)
+  std::optional<PermitQuery> Needed =
+      queryFor(Target, Incarnation, RequestedAt);
+  if (!Needed)
     co_return true;
-  PermitQuery Request{Target, Incarnation, *Rate};
+  const PermitQuery &Request = *Needed;
   std::string Manager = managerOf(Target, RequestedAt);
   std::optional<PermitDecision> Decision;
   if (Manager == Self_)
@@ -141,7 +151,8 @@
   logEvent(LogLevel::Debug, "target_permit",
            {{"target", Target},
             {"incarnation", Incarnation},
-            {"rate_per_s", *Rate},
+            {"rate_per_s", Request.RatePerSecond_},
+            {"cold", !Request.AllowsBurst_},
             {"keeper", Manager},
             {"outcome", Outcome},
             {"next_in_ms", toMillis(NextIn)},
--- a/Source/Entry/TargetPermits.h
+++ b/Source/Entry/TargetPermits.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_TARGETPERMITS_H
 #define ANVIL_ENTRY_TARGETPERMITS_H
 
+#include "Entry/ColdTargets.h"
 #include "Entry/FleetState.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Routing/PermitIssuer.h"
@@ -19,8 +20,9 @@
 
 /// Tracks targets that are suspended for a while, because they requested a
 /// back-off or no permit is available, and enforces the rate limits that
-/// targets state. For a limited target each request needs a permit, which is
-/// valid for one request and a short time. One VM hands out the permits for a
+/// targets state and the rates that cold targets take. For a target with either
+/// each request needs a permit, which is valid for one request and a short
+/// time. One VM hands out the permits for a
 /// target to all VMs that exchange state updates directly; a VM that receives
 /// from no other VM hands out its own permits from its share of the limit.
 class TargetPermits : public Service {
@@ -33,7 +35,8 @@
   Status start() override;
 
   /// Whether requests to the target need a permit.
-  bool needsPermit(const std::string &Target, std::int64_t Incarnation) const;
+  bool needsPermit(const std::string &Target, std::int64_t Incarnation,
+                   TimePoint Now) const;
 
   /// Suspends a target that asked this VM to send nothing for `Time`.
   void backOff(const std::string &Target, std::int64_t Incarnation,
@@ -65,11 +68,15 @@
     TimePoint BackOffUntil_{};
   };
 
+  /// The query for a permit; nothing if the target needs none.
+  std::optional<PermitQuery> queryFor(const std::string &Target,
+                                      std::int64_t Incarnation,
+                                      TimePoint Now) const;
   Suspension &suspensionOf(const std::string &Target, std::int64_t Incarnation,
                            TimePoint Now);
   void receive(const FleetMessage &Message);
   std::string managerOf(const std::string &Target, TimePoint Now) const;
-  PermitDecision decide(PermitQuery Request, TimePoint Now);
+  PermitDecision decide(const PermitQuery &Request, TimePoint Now);
   boost::asio::awaitable<std::optional<PermitDecision>>
   requestPermit(const std::string &Manager, const PermitQuery &Request,
                 boost::asio::steady_timer &Pause);
@@ -77,6 +84,7 @@
   std::string Self_;
   std::shared_ptr<FleetLink> Link_;
   std::shared_ptr<FleetState> Fleet_;
+  std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<Metrics> Metrics_;
   PermitIssuer PermitIssuer_;
   std::map<std::uint64_t, std::shared_ptr<Pending>> Pending_;
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -30,6 +30,7 @@
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Owners_(Services.require<EngineOwnershipService>(
           EngineOwnershipService::Name)),
+      ColdTargets_(Services.require<ColdTargets>(ColdTargets::Name)),
       Permits_(Services.require<TargetPermits>(TargetPermits::Name)) {}
 
 DispatchCandidate TargetPicker::describe(const ListedTarget &Listed,
@@ -45,7 +46,10 @@
   Candidate.Running_ = Own.Requests_ + Others.Requests_;
   Candidate.Tokens_ = static_cast<double>(Own.Tokens_ + Others.Tokens_);
   Candidate.Slots_ = std::max(1, Entry.Slots_);
-  Candidate.Limited_ = Permits_->needsPermit(Entry.Id_, Entry.Incarnation_);
+  Candidate.Limited_ =
+      Fleet_->limits().rateOf(Entry.Id_, Entry.Incarnation_).has_value();
+  Candidate.Cold_ =
+      ColdTargets_->rateOf(Entry.Id_, Entry.Incarnation_, Now).has_value();
   Candidate.LimitIsStale_ = Fleet_->limits().isStale(Entry.Id_, Now);
   Candidate.FailureShare_ = Health_.failureShare(Entry.Id_, Now);
   Candidate.ExcessLatency_ = Health_.excessLatency(Entry.Id_, Now);
@@ -177,7 +181,7 @@
   Chosen.Running_ = Candidate.Running_;
   Chosen.Slots_ = Candidate.Slots_;
   Chosen.Cost_ = dispatchCost(Candidate, Query.Shape_);
-  Chosen.Limited_ = Candidate.Limited_;
+  Chosen.NeedsPermit_ = Candidate.Limited_ || Candidate.Cold_;
   if (Engine) {
     Chosen.Prefill_ = Candidate.Prefill_;
     Chosen.OwnPrefill_ =
@@ -270,8 +274,10 @@
 
 void TargetPicker::markReachable(const TargetChoice &Chosen) {
   auto Found = Unreachable_.find(Chosen.Target_);
-  if (Found != Unreachable_.end() && Found->second == Chosen.Incarnation_)
-    Unreachable_.erase(Found);
+  if (Found == Unreachable_.end() || Found->second != Chosen.Incarnation_)
+    return;
+  Unreachable_.erase(Found);
+  ColdTargets_->recordReachable(Chosen.Target_, Chosen.Incarnation_);
 }
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_TARGETPICKER_H
 #define ANVIL_ENTRY_TARGETPICKER_H
 
+#include "Entry/ColdTargets.h"
 #include "Entry/EngineOwnershipService.h"
 #include "Entry/FleetState.h"
 #include "Entry/PlanService.h"
@@ -39,7 +40,7 @@
   /// The adapter version that the target is required to run, if one was named.
   std::optional<std::uint64_t> Version_;
   /// Whether a request to it needs a permit.
-  bool Limited_ = false;
+  bool NeedsPermit_ = false;
   /// The remaining prefill time of earlier prompts at the target, and the
   /// expected prefill time of this prompt.
   Duration Prefill_{};
@@ -113,6 +114,7 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<FleetState> Fleet_;
   std::shared_ptr<EngineOwnershipService> Owners_;
+  std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<TargetPermits> Permits_;
   TargetHealth Health_;
   /// The unreachable incarnations, by target.
--- a/Source/Routing/PermitIssuer.cpp
+++ b/Source/Routing/PermitIssuer.cpp
@@ -20,6 +20,25 @@
 /// Requests per second above which a limit is equivalent to none.
 static constexpr double MaxRate = 1e6;
 
+std::optional<PermitQuery> permitQuery(const std::string &Target,
+                                       std::int64_t Incarnation,
+                                       std::optional<double> Limit,
+                                       std::optional<double> ColdRate) {
+  if (!Limit && !ColdRate)
+    return std::nullopt;
+  double Rate = std::min(Limit.value_or(MaxRate), ColdRate.value_or(MaxRate));
+  return PermitQuery{Target, Incarnation, Rate, !ColdRate};
+}
+
+PermitQuery stricterQuery(PermitQuery Query,
+                          const std::optional<PermitQuery> &Known) {
+  if (!Known)
+    return Query;
+  Query.RatePerSecond_ = std::min(Query.RatePerSecond_, Known->RatePerSecond_);
+  Query.AllowsBurst_ = Query.AllowsBurst_ && Known->AllowsBurst_;
+  return Query;
+}
+
 PermitDecision PermitIssuer::decide(const PermitQuery &Query, double Share,
                                     TimePoint Now) {
   prune(Now);
--- a/Source/Routing/PermitIssuer.h
+++ b/Source/Routing/PermitIssuer.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace anvil {
@@ -24,6 +25,18 @@
   bool AllowsBurst_ = true;
 };
 
+/// The query for a target that states `Limit` or takes `ColdRate` while it is
+/// cold, both in requests per second of all VMs; the lower one counts. Nothing
+/// if the target has neither, so that it needs no permits.
+std::optional<PermitQuery> permitQuery(const std::string &Target,
+                                       std::int64_t Incarnation,
+                                       std::optional<double> Limit,
+                                       std::optional<double> ColdRate);
+
+/// The stricter of a query and of what the issuer knows of the target itself.
+PermitQuery stricterQuery(PermitQuery Query,
+                          const std::optional<PermitQuery> &Known);
+
 /// Whether one request may be sent now.
 struct PermitDecision {
   bool Granted_ = false;
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -135,7 +135,7 @@
   }
   // Only responses to requests show that a limit was withdrawn, so a stale
   // limit has no penalty.
-  if (Candidate.Limited_ && !Candidate.LimitIsStale_)
+  if ((Candidate.Limited_ && !Candidate.LimitIsStale_) || Candidate.Cold_)
     Cost += PermitMs;
   if (!Candidate.SameDataCentre_)
     Cost += RemoteDataCentreMs;
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -53,6 +53,10 @@
   /// a permit, and whether no recent response has confirmed that limit.
   bool Limited_ = false;
   bool LimitIsStale_ = false;
+  /// Whether the target is cold and therefore takes requests only with a
+  /// permit. Unlike a limit, this doesn't keep adapters away: the target takes
+  /// its share of requests as soon as it is warm.
+  bool Cold_ = false;
   double FailureShare_ = 0;
   Duration ExcessLatency_{};
 };
--- a/Source/Serving/TargetListing.cpp
+++ b/Source/Serving/TargetListing.cpp
@@ -36,6 +36,13 @@
   return Text;
 }
 
+/// Whether an entry states a longer cold time than before: the target is cold
+/// again. The time is no part of the identity, since it changes all the time.
+static bool isColdAgain(const RegisteredTarget &Before,
+                        const RegisteredTarget &After) {
+  return isCold(After) && After.ColdRemaining_ > Before.ColdRemaining_;
+}
+
 void TargetListing::replace(const std::vector<RegisteredTarget> &Entries,
                             TimePoint Now) {
   std::map<std::string, RegisteredTarget> New;
@@ -46,7 +53,8 @@
     for (const auto &[Id, Entry] : New) {
       auto Known = Entries_.find(Id);
       if (Known == Entries_.end() ||
-          identityOf(Known->second) != identityOf(Entry))
+          identityOf(Known->second) != identityOf(Entry) ||
+          isColdAgain(Known->second, Entry))
         ChangedAt_[Id] = Now;
     }
     for (const auto &[Id, Entry] : Entries_)
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -309,6 +309,31 @@
   }
 }
 
+TEST_CASE("a cold target", "[dispatch][cold]") {
+  std::vector<DispatchCandidate> Candidates(2);
+  for (DispatchCandidate &Candidate : Candidates) {
+    Candidate.Slots_ = 8;
+    Candidate.SameDataCentre_ = true;
+  }
+  Candidates[0].Cold_ = true;
+  SECTION("is left to requests that no other target serves as soon") {
+    CHECK(selectCheapest(Candidates, {}) == 1);
+    Candidates[1].FailureShare_ = 1;
+    CHECK(selectCheapest(Candidates, {}) == 0);
+  }
+  SECTION("fills with adapters as a warm one does") {
+    for (DispatchCandidate &Candidate : Candidates) {
+      Candidate.Readiness_ = AdapterReadiness::Absent;
+      Candidate.HasOwner_ = true;
+      Candidate.AdapterCapacity_ = 3;
+    }
+    Candidates[1].HomeRank_ = 5;
+    CHECK(selectCheapest(Candidates, {}) == 0);
+    Candidates.emplace_back().Readiness_ = AdapterReadiness::Resident;
+    CHECK(nextHomeToLoad(Candidates, 1000) == 0);
+  }
+}
+
 TEST_CASE("a target with a limit", "[dispatch][limits]") {
   std::vector<DispatchCandidate> Candidates(2);
   for (DispatchCandidate &Candidate : Candidates) {
--- a/Tests/Serving/PermitIssuerTest.cpp
+++ b/Tests/Serving/PermitIssuerTest.cpp
@@ -11,6 +11,29 @@
 
 static constexpr TimePoint Start{1000s};
 
+TEST_CASE("a target with a limit, a cold start or both has one rate",
+          "[limits][cold]") {
+  CHECK_FALSE(permitQuery("t", 7, std::nullopt, std::nullopt));
+  auto Limited = permitQuery("t", 7, 20, std::nullopt);
+  REQUIRE(Limited);
+  CHECK(Limited->RatePerSecond_ == 20);
+  CHECK(Limited->AllowsBurst_);
+  auto Cold = permitQuery("t", 7, std::nullopt, 13);
+  REQUIRE(Cold);
+  CHECK(Cold->RatePerSecond_ == 13);
+  CHECK_FALSE(Cold->AllowsBurst_);
+  CHECK(permitQuery("t", 7, 20, 13)->RatePerSecond_ == 13);
+  CHECK(permitQuery("t", 7, 2, 13)->RatePerSecond_ == 2);
+  CHECK_FALSE(permitQuery("t", 7, 2, 13)->AllowsBurst_);
+  SECTION("of which the issuer uses the lower one that either VM knows") {
+    CHECK(stricterQuery(*Limited, Cold).RatePerSecond_ == 13);
+    CHECK_FALSE(stricterQuery(*Limited, Cold).AllowsBurst_);
+    CHECK(stricterQuery(*Cold, Limited).RatePerSecond_ == 13);
+    CHECK_FALSE(stricterQuery(*Cold, Limited).AllowsBurst_);
+    CHECK(stricterQuery(*Cold, std::nullopt).RatePerSecond_ == 13);
+  }
+}
+
 TEST_CASE("permits for a target with a rate limit", "[limits]") {
   PermitIssuer Issuer;
   PermitQuery Query{"t", 7, 2};
--- a/Tests/Serving/TargetListingTest.cpp
+++ b/Tests/Serving/TargetListingTest.cpp
@@ -55,6 +55,13 @@
       Reader.replace({Cold, entry("b")}, Start + 5s);
       CHECK(Reader.recentChanges(Start + 5s).size() == 0);
       CHECK(TryFollow(Start + 5s));
+      SECTION("unless it is longer than before") {
+        Cold.ColdRemaining_ = 7s;
+        Reader.replace({Cold, entry("b")}, Start + 6s);
+        CHECK(Reader.recentChanges(Start + 6s).size() == 1);
+        REQUIRE(TryFollow(Start + 6s));
+        CHECK(Follower.entries()[0].ColdRemaining_ == Duration(7s));
+      }
       Cold.ColdRemaining_ = 0s;
       Reader.replace({Cold, entry("b")}, Start + 7s);
       CHECK(Reader.recentChanges(Start + 7s).size() == 1);
