Bound the permits of all issuers for a cold engine; load test

Cause: each issuer may have permits saved up, and the rule for cold engines counts single seconds. Change: the permits that all issuers may have saved up are what the rule leaves beside the rate and permits 0.2 s old; a VM that reaches too few others issues none. After a start or an interruption an issuer grants none for cold targets until the others have had its report.

--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -95,7 +95,7 @@
 }
 auto fieldsOf(MaybeConst<PermitQuery> auto &Of) {
   return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_,
-                  Of.AllowsBurst_);
+                  Of.IsCold_);
 }
 auto fieldsOf(MaybeConst<PermitDecision> auto &Of) {
   return std::tie(Of.Granted_, Of.RetryIn_);
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -190,6 +190,7 @@
       Timers_.once(BootClock::now() + updatePeriod(), [this](TimePoint) {
         if (ComposeUpdate_ && !Topology_.directPeers().empty())
           sendToPeers(ComposeUpdate_(updatePeriod()));
+        UpdateDue_.fire(updatePeriod());
         scheduleUpdate();
       });
 }
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -89,6 +89,10 @@
   /// Fired with each received message.
   Hook<const FleetMessage &> Received_;
 
+  /// Fired every update period, with its length, also while there is no other
+  /// VM to send updates to.
+  Hook<Duration> UpdateDue_;
+
 private:
   struct Socket;
   /// A VM's location, and its address in the form that the socket uses.
--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -3,6 +3,7 @@
 #include "Entry/RandomFraction.h"
 #include "Http/Pause.h"
 #include "Membership/Rendezvous.h"
+#include "Serving/UpdateSchedule.h"
 #include "Telemetry/Log.h"
 
 #include <algorithm>
@@ -42,6 +43,10 @@
 Status TargetPermits::start() {
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
+  PermitIssuer_.recordActivity(updatePeriod(0), BootClock::now());
+  Link_->UpdateDue_.attach([this](Duration Period) {
+    PermitIssuer_.recordActivity(Period, BootClock::now());
+  });
   return std::monostate{};
 }
 
@@ -152,7 +157,7 @@
            {{"target", Target},
             {"incarnation", Incarnation},
             {"rate_per_s", Request.RatePerSecond_},
-            {"cold", !Request.AllowsBurst_},
+            {"cold", Request.IsCold_},
             {"keeper", Manager},
             {"outcome", Outcome},
             {"next_in_ms", toMillis(NextIn)},
--- a/Source/Routing/PermitIssuer.cpp
+++ b/Source/Routing/PermitIssuer.cpp
@@ -12,14 +12,30 @@
 /// How long the bucket of a target is kept after the last request for it.
 static constexpr Duration BucketRetention = std::chrono::seconds(60);
 
-/// The share of all VMs below which no permits are issued for a target that
-/// takes no burst. Each issuer may add one request to the sum, so there must be
-/// few; a VM that reaches hardly any other one is not one of them.
-static constexpr double MinShareWithoutBurst = 0.05;
+/// The users' rule for cold targets: the requests of one second may be this
+/// many times the rate, and this many more.
+static constexpr double RuleFactor = 1.5;
+static constexpr double RuleSlack = 5;
+
+/// The age in seconds that a permit may reach before its request is sent.
+static constexpr double PermitAgeSeconds = 0.2;
+
+/// The interruption after which other VMs may have replaced this one as issuer:
+/// less than the time for which its reports are valid.
+static constexpr Duration MinInterruption = std::chrono::seconds(1);
+
+/// Added to the period of reports: the time until the others have received one.
+static constexpr Duration ReportMargin = std::chrono::milliseconds(100);
 
 /// Requests per second above which a limit is equivalent to none.
 static constexpr double MaxRate = 1e6;
 
+/// The permits for a cold target that all issuers together may have saved up:
+/// what the rule leaves beside those of one second and of the permits' age.
+static double coldBurst(double Limit) {
+  return RuleSlack + (RuleFactor - 1 - PermitAgeSeconds) * Limit;
+}
+
 std::optional<PermitQuery> permitQuery(const std::string &Target,
                                        std::int64_t Incarnation,
                                        std::optional<double> Limit,
@@ -27,7 +43,7 @@
   if (!Limit && !ColdRate)
     return std::nullopt;
   double Rate = std::min(Limit.value_or(MaxRate), ColdRate.value_or(MaxRate));
-  return PermitQuery{Target, Incarnation, Rate, !ColdRate};
+  return PermitQuery{Target, Incarnation, Rate, ColdRate.has_value()};
 }
 
 PermitQuery stricterQuery(PermitQuery Query,
@@ -35,22 +51,37 @@
   if (!Known)
     return Query;
   Query.RatePerSecond_ = std::min(Query.RatePerSecond_, Known->RatePerSecond_);
-  Query.AllowsBurst_ = Query.AllowsBurst_ && Known->AllowsBurst_;
+  Query.IsCold_ = Query.IsCold_ || Known->IsCold_;
   return Query;
 }
 
+void PermitIssuer::recordActivity(Duration Period, TimePoint Now) {
+  bool WasAway =
+      !ActiveAt_ || Now - *ActiveAt_ > std::max(MinInterruption, Period * 2);
+  // A VM that has just started learns of most others at once.
+  bool IsNewToOthers = Period >= ActivityPeriod_ * 2;
+  if (WasAway || IsNewToOthers)
+    ColdHeldUntil_ = Now + Period + ReportMargin;
+  ActiveAt_ = Now;
+  ActivityPeriod_ = Period;
+}
+
 PermitDecision PermitIssuer::decide(const PermitQuery &Query, double Share,
                                     TimePoint Now) {
   prune(Now);
+  // After an interruption a query may come before the next report.
+  if (ActiveAt_ && Now - *ActiveAt_ > MinInterruption)
+    recordActivity(ActivityPeriod_, Now);
   double Limit = std::isfinite(Query.RatePerSecond_)
                      ? std::clamp(Query.RatePerSecond_, ProbeRate, MaxRate)
                      : ProbeRate;
   double Rate = Limit * std::clamp(Share, 0.0, 1.0);
-  bool IsTooSmall = !Query.AllowsBurst_ && Share < MinShareWithoutBurst;
-  if (IsTooSmall)
+  double Capacity = 1 + std::min(1.0, Share) + Rate * BurstSeconds;
+  if (Query.IsCold_)
+    Capacity = std::min(Capacity, Share * coldBurst(Limit));
+  // So many VMs may issue that each can't have one permit.
+  if (Capacity < 1)
     return {false, MaxWait};
-  double Capacity =
-      Query.AllowsBurst_ ? 1 + std::min(1.0, Share) + Rate * BurstSeconds : 1;
   auto [Position, IsNew] = Buckets_.try_emplace(
       Query.Target_, TargetBucket{Query.Incarnation_,
                                   TokenBucket(Rate, Capacity, 0, Now), Now});
@@ -61,6 +92,8 @@
     Known = {Query.Incarnation_, TokenBucket(Rate, Capacity, 0, Now), Now};
   Known.LastRequestAt_ = Now;
   Known.Bucket_.updateLimits(Rate, Capacity, Now);
+  if (Query.IsCold_ && Now < ColdHeldUntil_)
+    return {false, std::min<Duration>(MaxWait, ColdHeldUntil_ - Now)};
   if (Known.Bucket_.take(1, Now))
     return {true, {}};
   return {false, std::min(MaxWait, Known.Bucket_.waitFor(1, Now))};
--- a/Source/Routing/PermitIssuer.h
+++ b/Source/Routing/PermitIssuer.h
@@ -19,10 +19,9 @@
   std::int64_t Incarnation_ = 0;
   /// The target's limit in requests per second.
   double RatePerSecond_ = 0;
-  /// Whether permits may accumulate while there are no requests. They may not
-  /// for a target that is harmed by a burst, since several VMs may issue
-  /// permits for it, each for its share of the limit.
-  bool AllowsBurst_ = true;
+  /// Whether the target is cold, so that the requests of each second are
+  /// bounded and not those of several seconds.
+  bool IsCold_ = false;
 };
 
 /// The query for a target that states `Limit` or takes `ColdRate` while it is
@@ -55,6 +54,12 @@
   /// unreachable VMs.
   PermitDecision decide(const PermitQuery &Query, double Share, TimePoint Now);
 
+  /// Records that this VM runs; called every `Period`, in which it also tells
+  /// the other VMs that it does. After a start or an interruption, they may
+  /// still ask another issuer, so that this one issues no permits for cold
+  /// targets until all have heard of it again.
+  void recordActivity(Duration Period, TimePoint Now);
+
   /// The number of targets with a bucket.
   std::size_t size() const { return Buckets_.size(); }
 
@@ -77,6 +82,11 @@
 
   std::map<std::string, TargetBucket> Buckets_;
   TimePoint NextPrune_{};
+  /// When this VM was last known to run; not set before the first time.
+  std::optional<TimePoint> ActiveAt_;
+  Duration ActivityPeriod_{};
+  /// Until when no permits are issued for cold targets.
+  TimePoint ColdHeldUntil_{};
 };
 
 } // namespace anvil
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -105,13 +105,13 @@
     }
     SECTION("of permit requests and replies") {
       TargetPermitRequest Request =
-          roundTrip(TargetPermitRequest{"vm-1", 77, {"e1", 5, 1.8, false}});
+          roundTrip(TargetPermitRequest{"vm-1", 77, {"e1", 5, 1.8, true}});
       CHECK(Request.Vm_ == "vm-1");
       CHECK(Request.Serial_ == 77);
       CHECK(Request.Request_.Target_ == "e1");
       CHECK(Request.Request_.Incarnation_ == 5);
       CHECK(Request.Request_.RatePerSecond_ == 1.8);
-      CHECK_FALSE(Request.Request_.AllowsBurst_);
+      CHECK(Request.Request_.IsCold_);
       TargetPermitReply Given =
           roundTrip(TargetPermitReply{77, {false, 300ms}});
       CHECK(Given.Serial_ == 77);
--- a/Tests/Serving/LimitLoad.cpp
+++ b/Tests/Serving/LimitLoad.cpp
@@ -20,6 +20,9 @@
 static constexpr Duration MinSuspension = 20ms;
 static constexpr Duration SuspensionUnanswered = 100ms;
 
+/// How often VMs report that they run, at most.
+static constexpr Duration ActivityPeriod = 100ms;
+
 /// How long an unresponsive VM is still considered serving.
 static constexpr Duration UpdateValidity = 1500ms;
 
@@ -36,11 +39,14 @@
         SuspendedUntil_(Plan.Vms_), Ideal_(Plan.RatePerSecond_, 2, 0, Start) {
     double Share = Plan.RatePerSecond_ / static_cast<double>(Plan.Vms_);
     Split_.assign(Plan.Vms_, TokenBucket(Share, 1, 0, Start));
+    for (std::size_t Vm = 0; Vm < Plan.Vms_; ++Vm)
+      NewsAge_.push_back(upTo(Plan.MaxNewsAge_));
   }
 
   LimitLoadOutcome run() {
     for (Duration At{}; At < Plan_.Length_; At += 1ms)
       step(At);
+    std::ranges::sort(Outcome_.Arrivals_);
     return std::move(Outcome_);
   }
 
@@ -52,9 +58,24 @@
     double ReachableShare_ = 0;
   };
 
+  Duration upTo(Duration Max) {
+    if (Max == Duration::zero())
+      return Max;
+    return Duration(
+        std::uniform_int_distribution<Duration::rep>(0, Max.count())(Random_));
+  }
+
+  bool isFrozen(std::size_t Vm, Duration At) const {
+    return Vm >= Plan_.Vms_ - Plan_.Vms_ / 3 && isWithin(Plan_.Frozen_, At);
+  }
+
   void step(Duration At) {
-    if (At == Plan_.IssuerDown_.second && At > Duration::zero())
+    bool LosesState = At == Plan_.IssuerDown_.second && At > Duration::zero() &&
+                      !Plan_.IssuerFrozen_;
+    if (LosesState)
       Issuers_[issuerOf(0, Duration::zero())] = PermitIssuer();
+    if (At.count() % ActivityPeriod.count() == 0)
+      recordActivity(At);
     while (!Requests_.empty() && Requests_.front().ArrivesAt_ <= At) {
       reply(Requests_.front(), At);
       Requests_.pop_front();
@@ -63,13 +84,33 @@
     if (isWithin(Plan_.Burst_, At))
       Demand *= Plan_.BurstFactor_;
     int Arriving = std::poisson_distribution<int>(Demand)(Random_);
-    for (int Index = 0; Index < Arriving; ++Index)
-      request(std::uniform_int_distribution<std::size_t>(0, Plan_.Vms_ -
-                                                                1)(Random_),
-              At);
+    if (At == Plan_.Frozen_.second)
+      for (std::size_t Vm : std::exchange(Held_, {}))
+        request(Vm, At);
+    for (int Index = 0; Index < Arriving; ++Index) {
+      std::size_t Vm = std::uniform_int_distribution<std::size_t>(
+          0, Plan_.Vms_ - 1)(Random_);
+      if (isFrozen(Vm, At))
+        Held_.push_back(Vm);
+      else
+        request(Vm, At);
+    }
+  }
+
+  void recordActivity(Duration At) {
+    for (std::size_t Vm = 0; Vm < Plan_.Vms_; ++Vm) {
+      bool IsDown = Vm == 0 && isWithin(Plan_.IssuerDown_, At);
+      if (!IsDown && !isFrozen(Vm, At))
+        Issuers_[Vm].recordActivity(
+            std::max<Duration>(Plan_.MaxNewsAge_, ActivityPeriod), Start + At);
+    }
   }
 
   std::size_t groupOf(std::size_t Vm, Duration At) const {
+    bool IsAlone =
+        Vm >= Plan_.Vms_ - Plan_.Isolated_ && isWithin(Plan_.Isolation_, At);
+    if (IsAlone)
+      return Plan_.DataCentres_ + Vm;
     if (isWithin(Plan_.Partition_, At))
       return Vm < Plan_.Vms_ / 3 ? 0 : 1;
     return Vm * Plan_.DataCentres_ / Plan_.Vms_;
@@ -83,9 +124,9 @@
       --First;
     bool IsKnownDown =
         First == 0 && isWithin({Plan_.IssuerDown_.first + UpdateValidity,
-                                Plan_.IssuerDown_.second},
+                                Plan_.IssuerDown_.second + NewsAge_[Vm]},
                                At);
-    return IsKnownDown ? 1 : First;
+    return IsKnownDown && groupOf(1, At) == groupOf(Vm, At) ? 1 : First;
   }
 
   double reachableShare(std::size_t Vm, Duration At) const {
@@ -115,11 +156,12 @@
       SuspendedUntil_[Request.Vm_] = At + SuspensionUnanswered;
       return;
     }
-    PermitDecision Decision =
-        Issuers_[Request.Issuer_].decide({"target", 1, Plan_.RatePerSecond_},
-                                         Request.ReachableShare_, Start + At);
+    PermitDecision Decision = Issuers_[Request.Issuer_].decide(
+        {"target", 1, Plan_.RatePerSecond_, Plan_.Cold_},
+        Request.ReachableShare_, Start + At);
     if (Decision.Granted_)
-      Outcome_.Arrivals_.push_back(At + 2 * Latency);
+      Outcome_.Arrivals_.push_back(At + 2 * Latency +
+                                   upTo(Plan_.MaxPermitAge_));
     else
       SuspendedUntil_[Request.Vm_] =
           At + std::max(MinSuspension, Decision.RetryIn_) + Latency;
@@ -129,6 +171,10 @@
   std::mt19937 Random_;
   std::vector<PermitIssuer> Issuers_;
   std::vector<Duration> SuspendedUntil_;
+  /// By VM, how late it learns that the issuer responds again.
+  std::vector<Duration> NewsAge_;
+  /// The VMs of requests that arrived while they were frozen.
+  std::vector<std::size_t> Held_;
   std::vector<TokenBucket> Split_;
   TokenBucket Ideal_;
   std::deque<PermitRequest> Requests_;
--- a/Tests/Serving/PermitIssuerTest.cpp
+++ b/Tests/Serving/PermitIssuerTest.cpp
@@ -17,19 +17,19 @@
   auto Limited = permitQuery("t", 7, 20, std::nullopt);
   REQUIRE(Limited);
   CHECK(Limited->RatePerSecond_ == 20);
-  CHECK(Limited->AllowsBurst_);
+  CHECK_FALSE(Limited->IsCold_);
   auto Cold = permitQuery("t", 7, std::nullopt, 13);
   REQUIRE(Cold);
   CHECK(Cold->RatePerSecond_ == 13);
-  CHECK_FALSE(Cold->AllowsBurst_);
+  CHECK(Cold->IsCold_);
   CHECK(permitQuery("t", 7, 20, 13)->RatePerSecond_ == 13);
   CHECK(permitQuery("t", 7, 2, 13)->RatePerSecond_ == 2);
-  CHECK_FALSE(permitQuery("t", 7, 2, 13)->AllowsBurst_);
+  CHECK(permitQuery("t", 7, 2, 13)->IsCold_);
   SECTION("of which the issuer uses the lower one that either VM knows") {
     CHECK(stricterQuery(*Limited, Cold).RatePerSecond_ == 13);
-    CHECK_FALSE(stricterQuery(*Limited, Cold).AllowsBurst_);
+    CHECK(stricterQuery(*Limited, Cold).IsCold_);
     CHECK(stricterQuery(*Cold, Limited).RatePerSecond_ == 13);
-    CHECK_FALSE(stricterQuery(*Cold, Limited).AllowsBurst_);
+    CHECK(stricterQuery(*Cold, Limited).IsCold_);
     CHECK(stricterQuery(*Cold, std::nullopt).RatePerSecond_ == 13);
   }
 }
@@ -56,16 +56,49 @@
       CHECK_FALSE(Issuer.decide(Query, 1, Start - 5s).Granted_);
     }
   }
-  SECTION("come one by one if the target takes no burst") {
-    Query.AllowsBurst_ = false;
-    Query.RatePerSecond_ = 50;
-    Issuer.decide(Query, 1, Start);
-    CHECK(Issuer.decide(Query, 1, Start + 10s).Granted_);
-    CHECK_FALSE(Issuer.decide(Query, 1, Start + 10s + 19ms).Granted_);
-    CHECK(Issuer.decide(Query, 1, Start + 10s + 20ms).Granted_);
-    SECTION("and not from a VM that reaches hardly any other one") {
-      CHECK_FALSE(Issuer.decide(Query, 1.0 / 62, Start + 11s).Granted_);
-      CHECK(Issuer.decide(Query, 1.0 / 5, Start + 11s).Granted_);
+  SECTION("for a cold target are not granted by a VM that was frozen") {
+    Query.IsCold_ = true;
+    for (Duration After{}; After <= 10s; After += 100ms)
+      Issuer.recordActivity(100ms, Start + After);
+    Issuer.decide(Query, 1, Start + 10s);
+    CHECK(Issuer.decide(Query, 1, Start + 11s).Granted_);
+    // Other VMs may have asked another issuer since 11.5 s.
+    CHECK_FALSE(Issuer.decide(Query, 1, Start + 13s).Granted_);
+    SECTION("until the others have heard of it again") {
+      Issuer.recordActivity(100ms, Start + 13100ms);
+      CHECK_FALSE(Issuer.decide(Query, 1, Start + 13150ms).Granted_);
+      CHECK(Issuer.decide(Query, 1, Start + 13300ms).Granted_);
+    }
+    SECTION("or that has learned of many others just now") {
+      Issuer.recordActivity(700ms, Start + 13100ms);
+      CHECK_FALSE(Issuer.decide(Query, 1, Start + 13800ms).Granted_);
+      CHECK(Issuer.decide(Query, 1, Start + 13900ms).Granted_);
+    }
+    SECTION("while those for limits of several seconds go on") {
+      Query.IsCold_ = false;
+      CHECK(Issuer.decide(Query, 1, Start + 13s).Granted_);
+    }
+  }
+  SECTION("of all issuers of a cold target stay within the users' rule") {
+    // In one second 1.5 times the rate and 5 more, with permits that may be
+    // 0.2 s old.
+    Query.IsCold_ = true;
+    Query.RatePerSecond_ = GENERATE(0.2, 2.0, 13.0, 50.0);
+    auto IssuerCount = GENERATE(1, 2, 3, 5, 8, 20, 62, 195);
+    INFO(IssuerCount << " issuers, " << Query.RatePerSecond_ << " a second");
+    int Granted = 0;
+    for (int Number = 0; Number < IssuerCount; ++Number) {
+      PermitIssuer Each;
+      double Share = 1.0 / IssuerCount;
+      Each.decide(Query, Share, Start);
+      for (Duration After = 50s; After < 51200ms; After += 1ms)
+        while (Each.decide(Query, Share, Start + After).Granted_)
+          ++Granted;
+    }
+    CHECK(Granted <= 1.5 * Query.RatePerSecond_ + 5);
+    SECTION("and there are some with few issuers") {
+      if (IssuerCount <= 5)
+        CHECK(Granted > 0);
     }
   }
   SECTION("are fewer while other VMs are unreachable") {
