--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -94,8 +94,7 @@
   return std::tie(Of.Clock_, Of.RequestedAt_, Of.ClockTime_);
 }
 auto fieldsOf(MaybeConst<PermitQuery> auto &Of) {
-  return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_,
-                  Of.IsCold_);
+  return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_, Of.IsCold_);
 }
 auto fieldsOf(MaybeConst<PermitDecision> auto &Of) {
   return std::tie(Of.Granted_, Of.RetryIn_);
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -105,7 +105,8 @@
 
 void EntryFleet::writeTargetEntry(const std::string &Target,
                                   const std::string &State,
-                                  std::int64_t Incarnation) {
+                                  std::int64_t Incarnation,
+                                  std::optional<Millis> ColdRemaining) {
   bool IsEngine = Target.starts_with("engine");
   json Entry = {{"Service", IsEngine ? "engines" : "plain"},
                 {"Address", "127.0.0.1:" + std::to_string(at(Target).port())},
@@ -114,6 +115,8 @@
                 {"State", State},
                 {"born", Incarnation},
                 {"Seq", 0}};
+  if (ColdRemaining)
+    Entry["ColdRemainingMs"] = ColdRemaining->count();
   if (IsEngine)
     Entry["Models"] = json::array(
         {{{"Name", "base"}, {"Version", 1}, {"Adapters", json::array()}}});
@@ -141,14 +144,18 @@
                  {"MaxAdapters", 3},
                  {"LoadsPerS", 5},
                  {"Models", json::array({{{"Name", "base"}}})}};
+  json Plain = {{"Name", "plain"}};
+  if (Plan_.PlainColdStart_) {
+    Plain["ColdStartS"] = Plan_.PlainColdStart_->first;
+    Plain["ColdPerS"] = Plan_.PlainColdStart_->second;
+  }
   json Config = {
       {"Version", Revision},
       {"Routes",
        {Route("/safe/", "safe", "plain", 2),
         Route("/once/", "unsafe", "plain", 1),
         Route("/stream/", "streaming", "engines", 1), Stream}},
-      {"Services",
-       {{{"Name", "engines"}, {"Engine", Engine}}, {{"Name", "plain"}}}},
+      {"Services", {{{"Name", "engines"}, {"Engine", Engine}}, Plain}},
       {"Tenants", json::array({{{"Name", "serenas"}, {"ApiKeys", Keys}}})}};
   writeRow("op", "config", Config);
 }
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -19,6 +19,9 @@
   /// Time limit and target latency of every route.
   Millis Timeout_{3000};
   Millis LatencyTarget_{800};
+  /// The cold time and the requests per second of cold targets of the plain
+  /// service; absent if it has no cold starts.
+  std::optional<std::pair<double, double>> PlainColdStart_;
 };
 
 /// A test system of real processes in entry mode: two `anvild` entry VMs, two
@@ -61,7 +64,8 @@
 
   /// Writes a target's registration row.
   void writeTargetEntry(const std::string &Target, const std::string &State,
-                        std::int64_t Incarnation = 1700000000000);
+                        std::int64_t Incarnation = 1700000000000,
+                        std::optional<Millis> ColdRemaining = std::nullopt);
 
   /// Kills a VM with SIGKILL and starts it again.
   void restart(const std::string &Vm);
