--- a/Source/Entry/ColdTargets.cpp
+++ b/Source/Entry/ColdTargets.cpp
@@ -14,6 +14,11 @@
 Status ColdTargets::start() {
   Plans_->Changed_.attach(
       [this](const ServingPlan &Plan) { applyPlan(Plan, BootClock::now()); });
+  Plans_->EvacuationChanged_.attach(
+      [this](const std::string &DataCentre, bool IsEvacuated) {
+        if (!IsEvacuated)
+          recordDataCentreReturned(DataCentre, BootClock::now());
+      });
   Targets_->Changed_.attach([this](const RosterChange &Change) {
     applyRosterChange(Change, BootClock::now());
   });
