--- a/Tests/Serving/RequestCodecTest.cpp
+++ b/Tests/Serving/RequestCodecTest.cpp
@@ -103,6 +103,37 @@
   CHECK_FALSE(Response.Sealed_);
   CHECK(Response.KeepAlive_ == Duration(7s));
   CHECK(Response.Load_ == std::pair(3, 1));
+  CHECK_FALSE(Response.WorkPercent_);
+  SECTION("with the load and how long work takes at this moment") {
+    auto Decode = [](std::vector<HttpHeader> Given) {
+      HttpReplyHead With{200, {}};
+      for (HttpHeader &Header : Given)
+        With.Headers_.add(Header.Name_, Header.Value_);
+      return decodeTargetResponse(With);
+    };
+    auto Four = Decode({{"X-Server-Load", "3, 1,8 ,250"}});
+    CHECK(Four.Load_ == std::pair(3, 1));
+    CHECK(Four.WorkPercent_ == 250);
+    CHECK_FALSE(isUnreadable(Four, TargetSignal::Load));
+    CHECK_FALSE(isUnreadable(Decode({}), TargetSignal::Load));
+    SECTION("which have no effect if they are malformed") {
+      for (const char *Bad :
+           {"", "3", "3,1", "3,1,8,100,1", "3,1,8,", "3,,8", "-1,1,8", "3,x,8",
+            "3,1,nan", "3,1,1e300", "3,1,8,-100", "3,1,8,0", "3,1,8,inf",
+            "3,1,8,1e9", "3,1,8,100%"}) {
+        INFO(Bad);
+        auto Read = Decode({{"X-Server-Load", Bad}});
+        CHECK_FALSE(Read.Load_);
+        CHECK_FALSE(Read.WorkPercent_);
+        CHECK(isUnreadable(Read, TargetSignal::Load));
+      }
+      auto Repeated = Decode(
+          {{"X-Server-Load", "3,1,8,100"}, {"X-Server-Load", "3,1,8,250"}});
+      CHECK_FALSE(Repeated.Load_);
+      CHECK_FALSE(Repeated.WorkPercent_);
+      CHECK(isUnreadable(Repeated, TargetSignal::Load));
+    }
+  }
   SECTION("with a rate limit for the requests of all VMs") {
     auto Decode = [](std::vector<HttpHeader> Given) {
       HttpReplyHead With{200, {}};
