Choose targets by their measured speed

Cause: the choice of target knew one speed for all targets of a service, so slow engines got as many requests as fast ones, and their streams paused.

A target whose factor is usual or unknown is served as before.

--- a/Source/Capacity/TargetSpeeds.cpp
+++ b/Source/Capacity/TargetSpeeds.cpp
@@ -46,6 +46,9 @@
 /// many bits on are taken together.
 static constexpr unsigned MaxRunningBits = 6;
 
+/// The maximum number of references; configurations have far fewer routes.
+static constexpr std::size_t MaxReferences = 20000;
+
 /// The least number of measured targets of a service that can be compared.
 static constexpr std::size_t MinTargets = 2;
 
@@ -111,8 +114,11 @@
     return;
   auto Running = static_cast<unsigned>(std::max(0, Measurement.Running_));
   auto Bits = static_cast<unsigned>(std::bit_width(Running));
-  RobustLevel &Reference = References_[{Target.Service_, Measurement.Signal_,
-                                        std::min(Bits, MaxRunningBits)}];
+  ReferenceKey Key{Target.Service_, Measurement.Signal_, Measurement.Work_,
+                   std::min(Bits, MaxRunningBits)};
+  if (References_.size() >= MaxReferences && !References_.contains(Key))
+    return;
+  RobustLevel &Reference = References_[Key];
   double Log =
       std::log(toSeconds(Measurement.Took_) / toSeconds(Measurement.Expected_));
   Log -= momentaryLog(*Known, Now);
@@ -221,7 +227,8 @@
   });
   auto Medians = mediansByService();
   std::vector<SpeedClassChange> Changes;
-  Counts_.clear();
+  for (auto &[Key, Count] : Counts_)
+    Count = 0;
   for (auto &[Target, Known] : Targets_) {
     auto Median = Medians.find(Known.Service_);
     bool IsRemote = Known.RemoteUntil_ >= Now && !hasLocalEstimate(Known, Now);
@@ -248,6 +255,18 @@
   return Changes;
 }
 
+Duration TargetSpeeds::usualServiceTime(const std::string &Service,
+                                        const std::string &Work) const {
+  for (unsigned Bits = 0; Bits <= MaxRunningBits; ++Bits) {
+    auto Found =
+        References_.find({Service, SpeedSignal::ServiceTime, Work, Bits});
+    if (Found != References_.end() && Found->second.isKnown())
+      return std::chrono::duration_cast<Duration>(
+          SpeedMeasurement().Expected_ * std::exp(Found->second.value()));
+  }
+  return Duration::zero();
+}
+
 double TargetSpeeds::factorOf(const std::string &Target,
                               std::int64_t Incarnation, TimePoint Now) const {
   auto Found = Targets_.find(Target);
--- a/Source/Capacity/TargetSpeeds.h
+++ b/Source/Capacity/TargetSpeeds.h
@@ -2,6 +2,7 @@
 #define ANVIL_CAPACITY_TARGETSPEEDS_H
 
 #include "Capacity/RobustLevel.h"
+#include "Capacity/SpeedMeasurement.h"
 #include "Capacity/SpeedReport.h"
 #include "Kernel/Clock.h"
 
@@ -16,11 +17,6 @@
 
 namespace anvil {
 
-/// What a measurement of a target's speed is taken from: the time to the first
-/// byte of an engine's answer, the time between events of a stream, or the time
-/// that a plain service takes for an answer.
-enum class SpeedSignal { FirstByte, EventInterval, ServiceTime };
-
 /// How a target's lasting speed compares with that of its service's median
 /// target.
 enum class SpeedClass { Fast, Usual, Slow };
@@ -38,17 +34,6 @@
   std::string Service_;
 };
 
-/// One measurement at a target.
-struct SpeedMeasurement {
-  SpeedSignal Signal_ = SpeedSignal::FirstByte;
-  Duration Took_{};
-  /// The time that a usual target is expected to take; only the ratio to other
-  /// measurements of the same signal matters.
-  Duration Expected_{};
-  /// The target's running requests of all VMs.
-  int Running_ = 0;
-};
-
 /// A change of a target's class, for the log.
 struct SpeedClassChange {
   MeasuredTarget Target_;
@@ -108,6 +93,11 @@
     return Counts_;
   }
 
+  /// The time that a plain service's median target takes for requests of the
+  /// same work when it has few others; zero if unknown.
+  Duration usualServiceTime(const std::string &Service,
+                            const std::string &Work) const;
+
   std::size_t size() const { return Targets_.size(); }
 
 private:
@@ -131,7 +121,9 @@
     double Log_ = 0;
     SpeedClass Class_ = SpeedClass::Usual;
   };
-  using ReferenceKey = std::tuple<std::string, SpeedSignal, unsigned>;
+  /// Service, signal, work and the magnitude of the running requests.
+  using ReferenceKey =
+      std::tuple<std::string, SpeedSignal, std::string, unsigned>;
 
   /// The record of an incarnation; null if a later one is known, or if there
   /// are too many.
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -43,18 +43,21 @@
 auto fieldsOf(MaybeConst<AdvertisedLimit> auto &Of) {
   return std::tie(Of.Incarnation_, Of.RatePerSecond_, Of.Age_);
 }
+auto fieldsOf(MaybeConst<SpeedReport> auto &Of) {
+  return std::tie(Of.Incarnation_, Of.LogTimeCents_);
+}
 auto fieldsOf(MaybeConst<VmStateUpdate> auto &Of) {
   return std::tie(Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_,
                   Of.PeerAddress_, Of.Period_, Of.Revision_, Of.ShuttingDown_,
                   Of.Spent_, Of.BudgetCoverage_, Of.Balances_, Of.Running_,
                   Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
-                  Of.LeavingTargets_, Of.Limits_, Of.Loads_);
+                  Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_);
 }
 auto fieldsOf(MaybeConst<DataCentreSummary> auto &Of) {
   return std::tie(Of.DataCentre_, Of.Sender_, Of.Incarnation_, Of.Sequence_,
                   Of.Period_, Of.Vms_, Of.BudgetCoverage_, Of.Balances_,
                   Of.Spent_, Of.Running_, Of.Crashes_, Of.LeavingTargets_,
-                  Of.Limits_);
+                  Of.Limits_, Of.Speeds_);
 }
 auto fieldsOf(MaybeConst<AdapterRequest> auto &Of) {
   return std::tie(Of.Vm_, Of.Engine_, Of.Adapter_, Of.Version_, Of.WasMissing_);
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -66,7 +66,8 @@
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
       BudgetBootstrap_(std::chrono::seconds(Settings.Bounds_.QuotaWindowS_)),
       Crashes_({SuspectTime, QuarantineTime, MaxDigests}),
-      Prefill_(Settings.PrefillTokensPerMs_) {}
+      Prefill_(Settings.PrefillTokensPerMs_),
+      Speeds_(Targets_, Services.require<Metrics>(Metrics::Name)) {}
 
 Status FleetState::start() {
   Link_->onComposeUpdate(
@@ -114,8 +115,9 @@
 void FleetState::recordStart(const std::string &Target,
                              const std::string &Adapter, std::int64_t Tokens,
                              std::int64_t PromptTokens) {
-  Prefill_.recordPrompt(Target, static_cast<double>(PromptTokens),
-                        BootClock::now());
+  TimePoint Now = BootClock::now();
+  Prefill_.recordPrompt(Target, static_cast<double>(PromptTokens), Now,
+                        Speeds_.factorOf(Target, Now));
   bool IsLong =
       PromptTokens >=
       (Link_->topology().isSplit() ? LongPromptTokensLarge : LongPromptTokens);
@@ -382,6 +384,7 @@
   Update.LeavingTargets_ = recentlyDraining(Now);
   Update.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
   Update.Loads_ = OwnLoads_;
+  Update.Speeds_ = Speeds_.composeReports(Now);
   addInventories(Update, Now);
   return Update;
 }
@@ -406,6 +409,7 @@
   Summary.Crashes_ = recentCrashes(Now);
   Summary.LeavingTargets_ = recentlyDraining(Now);
   Summary.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
+  Summary.Speeds_ = Speeds_.speeds().takeEstimates(Now);
   View_.addLocalUpdates(Summary, Now);
   return Summary;
 }
@@ -416,7 +420,7 @@
     View_.applyInventory(Notice->Engine_, Notice->Inventory_, Now);
   else if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
     Prefill_.recordPrompt(Prompt->Engine_, static_cast<double>(Prompt->Tokens_),
-                          Now);
+                          Now, Speeds_.factorOf(Prompt->Engine_, Now));
   else if (const auto *Update = std::get_if<VmStateUpdate>(&Message))
     receiveUpdate(*Update, Now);
   else if (const auto *Summary = std::get_if<DataCentreSummary>(&Message))
@@ -444,12 +448,14 @@
   BudgetBootstrap_.recordUpdate(Update.Vm_, Update.BudgetCoverage_);
   applyPeerBudget(Update.Vm_, Update.BudgetCoverage_, Update.Balances_, Now);
   for (const auto &[Target, Tokens] : Update.PromptTokens_)
-    Prefill_.recordPrompt(Target, static_cast<double>(Tokens), Now);
+    Prefill_.recordPrompt(Target, static_cast<double>(Tokens), Now,
+                          Speeds_.factorOf(Target, Now));
   for (const VmStateUpdate::Crash &Observed : Update.Crashes_)
     applyCrash(Observed, Now);
   applyDraining(Update.LeavingTargets_, Update.Vm_);
   applyLimits(Update.Limits_, Update.Vm_, Now);
   applyPeerLoads(Update, Now);
+  Speeds_.applyReports(Update.Speeds_, Now);
 }
 
 void FleetState::receiveSummary(const DataCentreSummary &Summary,
@@ -469,6 +475,7 @@
     applyCrash(Observed, Now);
   applyDraining(Summary.LeavingTargets_, Summary.Sender_);
   applyLimits(Summary.Limits_, Summary.Sender_, Now);
+  Speeds_.applyEstimates(Summary.Speeds_, Now);
 }
 
 void FleetState::applyDraining(
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -2,6 +2,7 @@
 #define ANVIL_ENTRY_FLEETSTATE_H
 
 #include "Entry/FleetLink.h"
+#include "Entry/FleetSpeeds.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
 #include "Kernel/ServiceRegistry.h"
@@ -53,6 +54,8 @@
 
   const PrefillBacklog &prefill() const { return Prefill_; }
 
+  TargetSpeeds &speeds() { return Speeds_.speeds(); }
+
   /// The factor by which loads of adapters take longer than usual because many
   /// are in transit; below one while the fleet's limit is not reached.
   double transitFactor(TimePoint Now) const;
@@ -151,6 +154,7 @@
   /// The load counts that other VMs reported, with the VM's incarnation.
   std::map<std::string, std::pair<std::string, LoadCounts>> PeerLoads_;
   PrefillBacklog Prefill_;
+  FleetSpeeds Speeds_;
   /// Own running requests by adapter, and prompts sent since the last state
   /// update.
   std::map<std::string, int> OwnUses_;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -65,11 +65,9 @@
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
       Pause_(Shared.Executor_) {
   Shared_.Running_.push_back(*this);
-  Query_ = {Request_.Service_,
-            Request_.Fields_.Model_,
-            Request_.Fields_.Adapter_,
-            Request_.Fields_.Shape_,
-            {}};
+  Query_ = {Request_.Service_,       Request_.Route_->Name_,
+            Request_.Fields_.Model_, Request_.Fields_.Adapter_,
+            Request_.Fields_.Shape_, {}};
   Duration PrefillTime = Shared_.Fleet_->prefill().prefillTime(
       Request_.Fields_.Shape_.PromptTokens_);
   Duration Pause = Request_.Route_->PauseTarget_;
@@ -310,6 +308,7 @@
   ++Sends_;
   ++Runs_;
   Duration Timeout = std::max<Duration>(timeLeft(), ReplyMargin);
+  TimePoint RequestSentAt = BootClock::now();
   auto Head = co_await Connection_.exchange(Outgoing, Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   TimePoint Now = BootClock::now();
@@ -335,6 +334,10 @@
   bool Failed = Response.Status_ >= 500 || !Response.Sealed_;
   Shared_.Picker_->health().recordResponse(Chosen.Target_, Failed, Now - SentAt,
                                            Now);
+  bool IsSuccess = !Failed && Response.Status_ >= 200 && Response.Status_ < 300;
+  if (IsSuccess)
+    recordSpeed(Chosen, firstByteMeasurement(sendConditions(Chosen),
+                                             Now - RequestSentAt));
   FirstByteAt_ = Now;
   co_return co_await forwardReply(Chosen, std::move(valueOf(Head)), Response);
 }
@@ -351,6 +354,10 @@
               {"incarnation", Chosen.Incarnation_},
               {"word", Name}});
   }
+  if (Response.WorkPercent_ && Response.Sealed_)
+    Shared_.Fleet_->speeds().recordStatedTime(
+        {Chosen.Target_, Chosen.Incarnation_, Request_.Service_},
+        *Response.WorkPercent_, Now);
   if (Response.Leaving_)
     Shared_.Fleet_->recordDraining(Chosen.Target_, Chosen.Incarnation_, Now);
   if (Response.BackOff_)
@@ -366,6 +373,20 @@
                                 Response.RateLimit_, SentAt, Now);
 }
 
+SendConditions RequestRun::sendConditions(const TargetChoice &Chosen) const {
+  return {Chosen.Running_,    Chosen.Slots_,       Chosen.Prefill_,
+          Chosen.OwnPrefill_, Chosen.SpeedFactor_, Request_.Route_->Name_};
+}
+
+void RequestRun::recordSpeed(
+    const TargetChoice &Chosen,
+    const std::optional<SpeedMeasurement> &Measurement) {
+  if (Measurement)
+    Shared_.Fleet_->speeds().recordMeasurement(
+        {Chosen.Target_, Chosen.Incarnation_, Request_.Service_}, *Measurement,
+        BootClock::now());
+}
+
 asio::awaitable<RequestRun::SendOutcome>
 RequestRun::forwardReply(const TargetChoice &Chosen, HttpReplyHead Head,
                          const platform::TargetResponse &Response) {
@@ -442,6 +463,7 @@
       co_return SendOutcome::Done;
     }
   }
+  StreamPace Pace;
   while (true) {
     auto Chunk = co_await Connection_.readPart(
         std::max<Duration>(timeLeft(), ReplyMargin));
@@ -460,6 +482,7 @@
     if (LastChunkAt_ != TimePoint{})
       LongestGap_ = std::max(LongestGap_, Now - LastChunkAt_);
     LastChunkAt_ = Now;
+    Pace.recordPart(Now);
     // Only after a complete event can another target resume the stream.
     std::string Forwarded = IsResumable ? Events_.appendBytes(valueOf(Chunk))
                                         : std::move(valueOf(Chunk));
@@ -472,7 +495,9 @@
       logDisconnect(Response.Status_);
       co_return SendOutcome::Done;
     }
+    Pace.recordForwarded(BootClock::now());
   }
+  recordSpeed(Chosen, Pace.measurement(sendConditions(Chosen)));
   keepConnection(Chosen, Response);
   if (IsResumable && !Events_.incompleteEvent().empty())
     co_await Exchange_.write(std::string(Events_.incompleteEvent()));
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -90,6 +90,10 @@
   void applyTargetHeaders(const TargetChoice &Chosen,
                           const platform::TargetResponse &Response,
                           TimePoint SentAt, TimePoint Now);
+  /// Records a measurement of the target's speed, if there is one.
+  void recordSpeed(const TargetChoice &Chosen,
+                   const std::optional<SpeedMeasurement> &Measurement);
+  SendConditions sendConditions(const TargetChoice &Chosen) const;
   void keepConnection(const TargetChoice &Chosen,
                       const platform::TargetResponse &Response);
   /// Records that a target broke off, unless this VM or the caller ended the
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -48,13 +48,21 @@
   Candidate.Limited_ = Permits_->needsPermit(Entry.Id_, Entry.Incarnation_);
   Candidate.LimitIsStale_ = Fleet_->limits().isStale(Entry.Id_, Now);
   Candidate.FailureShare_ = Health_.failureShare(Entry.Id_, Now);
-  Candidate.ExcessLatency_ = Health_.excessLatency(Entry.Id_, Now);
+  Candidate.SpeedFactor_ =
+      Fleet_->speeds().factorOf(Entry.Id_, Entry.Incarnation_, Now);
+  Candidate.ExcessLatency_ =
+      Health_.excessLatency(Entry.Id_, Now, Candidate.SpeedFactor_);
   if (Engine) {
     Candidate.Prefill_ = Fleet_->prefill().remainingTime(Entry.Id_, Now);
+    Candidate.UsualWork_ =
+        Fleet_->prefill().prefillTime(Query.Shape_.PromptTokens_);
     Candidate.KvTokens_ = Engine->KvTokens_;
     Candidate.AdapterCapacity_ = Engine->MaxAdapters_;
     Candidate.LoadFactor_ = std::max(1.0, TransitFactor);
     describeAdapter(Candidate, Query, Now);
+  } else if (Candidate.SpeedFactor_ != 1) {
+    Candidate.UsualWork_ =
+        Fleet_->speeds().usualServiceTime(Query.Service_, Query.Route_);
   }
   return Candidate;
 }
@@ -176,12 +184,13 @@
   Chosen.ReadyIn_ = Candidate.ReadyIn_;
   Chosen.Running_ = Candidate.Running_;
   Chosen.Slots_ = Candidate.Slots_;
+  Chosen.SpeedFactor_ = Candidate.SpeedFactor_;
   Chosen.Cost_ = dispatchCost(Candidate, Query.Shape_);
   Chosen.Limited_ = Candidate.Limited_;
   if (Engine) {
     Chosen.Prefill_ = Candidate.Prefill_;
-    Chosen.OwnPrefill_ =
-        Fleet_->prefill().prefillTime(Query.Shape_.PromptTokens_);
+    Chosen.OwnPrefill_ = Fleet_->prefill().prefillTime(
+        Query.Shape_.PromptTokens_, Candidate.SpeedFactor_);
   }
   if (NeedsAdapter) {
     std::uint64_t Newest =
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -21,6 +21,8 @@
 /// What a request requires of a target.
 struct TargetQuery {
   std::string Service_;
+  /// The name of the request's route.
+  std::string Route_;
   std::string Model_;
   std::string Adapter_;
   RequestShape Shape_;
@@ -46,6 +48,8 @@
   Duration OwnPrefill_{};
   int Running_ = 0;
   int Slots_ = 0;
+  /// The factor by which work takes longer there than at a usual target.
+  double SpeedFactor_ = 1;
   double Cost_ = 0;
 };
 
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -1,6 +1,7 @@
 #include "Serving/DispatchCost.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvil {
 
@@ -98,11 +99,13 @@
 
 double dispatchCost(const DispatchCandidate &Candidate,
                     const RequestShape &Shape) {
-  double Cost = RunningRequestMs * Candidate.Running_ +
-                PrefillWeight * toSeconds(Candidate.Prefill_) * 1000;
+  double Factor = Candidate.SpeedFactor_;
+  double Cost = RunningRequestMs * Factor * Candidate.Running_ +
+                PrefillWeight * toSeconds(Candidate.Prefill_) * 1000 +
+                (Factor - 1) * toSeconds(Candidate.UsualWork_) * 1000;
   if (Candidate.Running_ >= Candidate.Slots_)
-    Cost += SlotsFullMs +
-            WaitingRequestMs * (Candidate.Running_ - Candidate.Slots_ + 1);
+    Cost += SlotsFullMs + WaitingRequestMs * Factor *
+                              (Candidate.Running_ - Candidate.Slots_ + 1);
   if (isMemoryFull(Candidate, Shape))
     Cost += MemoryFullMs;
   if (Shape.StallsStreams_)
@@ -172,8 +175,13 @@
                    Candidate.HasOwner_ && Candidate.InTransit_ < MaxInTransit &&
                    Candidate.PinnedAdapterSlots_ < Candidate.AdapterCapacity_ &&
                    !Candidate.Limited_;
+    // A further home is needed where the adapter has many requests, so slow
+    // engines come last.
+    bool IsSlow = Candidate.SpeedFactor_ > 1;
     bool IsBetter = Next == Candidates.size() ||
-                    Candidate.HomeRank_ < Candidates[Next].HomeRank_;
+                    std::pair(IsSlow, Candidate.HomeRank_) <
+                        std::pair(Candidates[Next].SpeedFactor_ > 1,
+                                  Candidates[Next].HomeRank_);
     if (CanLoad && IsBetter)
       Next = Index;
   }
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -55,6 +55,11 @@
   bool LimitIsStale_ = false;
   double FailureShare_ = 0;
   Duration ExcessLatency_{};
+  /// The factor by which work takes longer there than at the service's median
+  /// target, and the time that the request's own prefill or service takes at
+  /// that target. `Prefill_` includes the factor.
+  double SpeedFactor_ = 1;
+  Duration UsualWork_{};
 };
 
 /// The resources that a request takes.
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_SERVING_FLEETVIEW_H
 #define ANVIL_SERVING_FLEETVIEW_H
 
+#include "Capacity/SpeedReport.h"
 #include "Routing/TargetLimits.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/EngineController.h"
@@ -79,6 +80,8 @@
   AdvertisedLimits Limits_;
   /// The outcomes of the loads that this VM's requests waited for.
   LoadCounts Loads_;
+  /// The speeds of targets that this VM measured since its last report.
+  SpeedReports Speeds_;
 };
 
 /// The summary of its own data centre that one VM sends to other data centres:
@@ -99,6 +102,8 @@
   std::vector<VmStateUpdate::Crash> Crashes_;
   std::map<std::string, std::int64_t> LeavingTargets_;
   AdvertisedLimits Limits_;
+  /// The estimated speeds of targets that are slow or fast for their service.
+  SpeedReports Speeds_;
 };
 
 /// An adapter on an engine in this VM's view.
--- a/Source/Serving/PrefillBacklog.cpp
+++ b/Source/Serving/PrefillBacklog.cpp
@@ -19,14 +19,15 @@
 static constexpr Duration MaxWait = std::chrono::milliseconds(40);
 
 void PrefillBacklog::recordPrompt(const std::string &Engine, double Tokens,
-                                  TimePoint Now) {
+                                  TimePoint Now, double SpeedFactor) {
   TimePoint &DoneAt = DoneAt_[Engine];
-  DoneAt = std::max(DoneAt, Now) + prefillTime(Tokens);
+  DoneAt = std::max(DoneAt, Now) + prefillTime(Tokens, SpeedFactor);
 }
 
-Duration PrefillBacklog::prefillTime(double Tokens) const {
+Duration PrefillBacklog::prefillTime(double Tokens, double SpeedFactor) const {
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(Tokens / TokensPerMs_));
+      std::chrono::duration<double, std::milli>(Tokens / TokensPerMs_ *
+                                                SpeedFactor));
 }
 
 Duration PrefillBacklog::remainingTime(const std::string &Engine,
--- a/Source/Serving/PrefillBacklog.h
+++ b/Source/Serving/PrefillBacklog.h
@@ -17,11 +17,13 @@
   /// `TokensPerMs` is the prefill speed of an engine.
   explicit PrefillBacklog(double TokensPerMs) : TokensPerMs_(TokensPerMs) {}
 
-  /// Records a prompt that was sent to an engine.
-  void recordPrompt(const std::string &Engine, double Tokens, TimePoint Now);
+  /// Records a prompt that was sent to an engine on which work takes
+  /// `SpeedFactor` times the usual time.
+  void recordPrompt(const std::string &Engine, double Tokens, TimePoint Now,
+                    double SpeedFactor = 1);
 
   /// The prefill time of a prompt of `Tokens`.
-  Duration prefillTime(double Tokens) const;
+  Duration prefillTime(double Tokens, double SpeedFactor = 1) const;
 
   /// The time until the engine has processed the prompts sent to it.
   Duration remainingTime(const std::string &Engine, TimePoint Now) const;
--- a/Source/Serving/TargetHealth.cpp
+++ b/Source/Serving/TargetHealth.cpp
@@ -48,15 +48,16 @@
          (Found->second.Trials_ * Decay + PriorTrials);
 }
 
-Duration TargetHealth::excessLatency(const std::string &Target,
-                                     TimePoint Now) const {
+Duration TargetHealth::excessLatency(const std::string &Target, TimePoint Now,
+                                     double SpeedFactor) const {
   auto Found = Targets_.find(Target);
   if (Found == Targets_.end())
     return Duration::zero();
   double Decay = decay(Found->second, Now);
   double Trials = Found->second.Trials_ * Decay;
   double Confidence = Trials / (Trials + PriorTrials);
-  double LateMs = (Found->second.FirstByteMs_ - MeanFirstByteMs_) * Confidence;
+  double PredictedMs = MeanFirstByteMs_ * std::max(1.0, SpeedFactor);
+  double LateMs = (Found->second.FirstByteMs_ - PredictedMs) * Confidence;
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(std::max(0.0, LateMs)));
 }
--- a/Source/Serving/TargetHealth.h
+++ b/Source/Serving/TargetHealth.h
@@ -22,8 +22,11 @@
   /// no requests.
   double failureShare(const std::string &Target, TimePoint Now) const;
 
-  /// By how much a target's time to first byte exceeds the fleet's mean.
-  Duration excessLatency(const std::string &Target, TimePoint Now) const;
+  /// By how much a target's time to first byte exceeds what the fleet's mean
+  /// and its own speed predict. `SpeedFactor` is the factor by which work takes
+  /// longer there than at a usual target.
+  Duration excessLatency(const std::string &Target, TimePoint Now,
+                         double SpeedFactor = 1) const;
 
 private:
   struct Record {
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -73,6 +73,22 @@
     CHECK(selectCheapest({Failing, Good}, Usual) == 1);
     CHECK(selectCheapest({Failing}, Usual) == 0);
   }
+  SECTION("gives a slow engine fewer requests than a fast one") {
+    auto Slow = engine("slow", AdapterReadiness::Resident, 6);
+    Slow.SpeedFactor_ = 2.4;
+    CHECK(selectCheapest({Slow, Resident}, Usual) == 1);
+    Slow.Running_ = 3;
+    CHECK(selectCheapest({Slow, Resident}, Usual) == 0);
+    SECTION("but takes it once the fast ones are full") {
+      Slow.Running_ = 12;
+      Resident.Running_ = 32;
+      CHECK(selectCheapest({Slow, Resident}, Usual) == 0);
+    }
+    SECTION("and considers how long the request itself takes there") {
+      Slow.UsualWork_ = 60ms;
+      CHECK(selectCheapest({Slow, Resident}, Usual) == 1);
+    }
+  }
   SECTION("is empty if no candidate can run the request") {
     auto Empty = engine("empty", AdapterReadiness::Impossible, 0);
     CHECK(selectCheapest({Empty}, Usual) == 1);
@@ -340,3 +356,35 @@
     CHECK(selectCheapest(Candidates, {}) == 1);
   }
 }
+
+TEST_CASE("a target whose speed is known", "[dispatch][speed]") {
+  SECTION("is not charged once more for latency that its speed explains") {
+    TargetHealth Health;
+    for (int Answer = 0; Answer < 30; ++Answer)
+      for (int Target = 0; Target < 5; ++Target)
+        Health.recordResponse("t" + std::to_string(Target), false,
+                              Target == 0 ? 150ms : 60ms, Start);
+    CHECK(Health.excessLatency("t0", Start) > 50ms);
+    CHECK(Health.excessLatency("t0", Start, 2.5) == 0ms);
+    CHECK(Health.excessLatency("t0", Start, 1.5) > 0ms);
+  }
+  SECTION("reads prompts by its own speed") {
+    PrefillBacklog Prefill(20);
+    CHECK(Prefill.prefillTime(800, 2) == 80ms);
+    Prefill.recordPrompt("slow", 800, Start, 2);
+    Prefill.recordPrompt("usual", 800, Start);
+    CHECK(Prefill.remainingTime("slow", Start) == 80ms);
+    CHECK(Prefill.remainingTime("usual", Start) == 40ms);
+  }
+  SECTION("becomes a popular adapter's home after faster ones") {
+    auto Home = engine("home", AdapterReadiness::Resident, 20);
+    auto Slow = engine("slow", AdapterReadiness::Absent, 0);
+    auto Other = engine("other", AdapterReadiness::Absent, 0);
+    Slow.HomeRank_ = 1;
+    Other.HomeRank_ = 2;
+    CHECK(nextHomeToLoad({Home, Slow, Other}, 20) == 1);
+    Slow.SpeedFactor_ = 2.4;
+    CHECK(nextHomeToLoad({Home, Slow, Other}, 20) == 2);
+    CHECK(nextHomeToLoad({Home, Slow}, 20) == 1);
+  }
+}
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -28,7 +28,9 @@
       Update.LeavingTargets_ = {{"e2", 5}};
       Update.Limits_ = {{"e4", {6, 1.8, 20ms}}, {"e5", {6, std::nullopt, 0ms}}};
       Update.Inventories_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
+      Update.Speeds_ = {{"e6", {7, -35}}};
       VmStateUpdate Decoded = roundTrip(Update);
+      CHECK(Decoded.Speeds_ == Update.Speeds_);
       CHECK(Decoded.Spent_ == Update.Spent_);
       CHECK(Decoded.BudgetCoverage_ == 4s);
       CHECK(Decoded.Balances_ == Update.Balances_);
@@ -46,7 +48,9 @@
       Summary.Period_ = 600ms;
       Summary.Spent_ = {{"serenas", -5}};
       Summary.Running_["e1"] = {4, 400, {{"a1", 4}}};
+      Summary.Speeds_ = {{"e6", {7, 88}}};
       DataCentreSummary Decoded = roundTrip(Summary);
+      CHECK(Decoded.Speeds_ == Summary.Speeds_);
       CHECK(Decoded.Sender_ == "vm-1");
       CHECK(Decoded.Vms_ == 39);
       CHECK(Decoded.Period_ == 600ms);
--- a/Tests/Serving/TargetSpeedsTest.cpp
+++ b/Tests/Serving/TargetSpeedsTest.cpp
@@ -29,7 +29,7 @@
     // Events take 40 ms at usual speed, give or take a fifth.
     double Noise = std::normal_distribution<double>(0, 0.2)(Random_);
     double Ms = 40 * Factor * std::exp(Noise);
-    SpeedMeasurement Measurement{SpeedSignal::EventInterval,
+    SpeedMeasurement Measurement{SpeedSignal::EventInterval, "",
                                  Duration(static_cast<int>(Ms * 1000)), 1ms, 4};
     Speeds_.recordMeasurement(target(Index, Incarnation), Measurement, Now_);
   }
@@ -136,7 +136,8 @@
     TargetSpeeds Speeds;
     for (Duration Took : {Duration(-5s), Duration(0s)})
       Speeds.recordMeasurement({"e0", 1, "assistant"},
-                               {SpeedSignal::FirstByte, Took, 20ms, 1}, Start);
+                               {SpeedSignal::FirstByte, "", Took, 20ms, 1},
+                               Start);
     Speeds.recordStatedTime({"e0", 1, "assistant"}, 0, Start);
     CHECK(Speeds.size() == 0);
   }
@@ -244,3 +245,42 @@
     }
   }
 }
+
+// Requests that waited for others, and streams whose caller reads slowly, would
+// make sound targets look slow.
+TEST_CASE("what is measured at a request", "[speed]") {
+  SendConditions Sent{3, 8, 10ms, 40ms, 2, "chat"};
+  SECTION("is the time to the first byte against the prefill of an engine") {
+    auto Measured = firstByteMeasurement(Sent, 60ms);
+    REQUIRE(Measured);
+    CHECK(Measured->Signal_ == SpeedSignal::FirstByte);
+    CHECK(Measured->Expected_ == 35ms);
+    SECTION("unless the request waited for a slot or other prompts") {
+      Sent.Running_ = 8;
+      CHECK_FALSE(firstByteMeasurement(Sent, 60ms));
+      Sent.Running_ = 3;
+      Sent.Prefill_ = 50ms;
+      CHECK_FALSE(firstByteMeasurement(Sent, 60ms));
+    }
+  }
+  SECTION("is the whole time of a plain service, by route") {
+    auto Measured = firstByteMeasurement({3, 8, {}, {}, 1, "tiles"}, 60ms);
+    REQUIRE(Measured);
+    CHECK(Measured->Signal_ == SpeedSignal::ServiceTime);
+    CHECK(Measured->Work_ == "tiles");
+  }
+  SECTION("is the interval between the parts of a stream") {
+    StreamPace Pace;
+    for (int Part = 0; Part < 4; ++Part)
+      Pace.recordPart(Start + Part * 40ms);
+    CHECK_FALSE(Pace.measurement(Sent));
+    Pace.recordPart(Start + 160ms);
+    Pace.recordForwarded(Start + 161ms);
+    REQUIRE(Pace.measurement(Sent));
+    CHECK(Pace.measurement(Sent)->Took_ == 40ms);
+    SECTION("unless the caller reads slowly") {
+      Pace.recordForwarded(Start + 260ms);
+      CHECK_FALSE(Pace.measurement(Sent));
+    }
+  }
+}
