--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -54,14 +54,12 @@
       Health_.excessLatency(Entry.Id_, Now, Candidate.SpeedFactor_);
   if (Engine) {
     Candidate.Prefill_ = Fleet_->prefill().remainingTime(Entry.Id_, Now);
-    Candidate.UsualWork_ =
-        Fleet_->prefill().prefillTime(Query.Shape_.PromptTokens_);
     Candidate.KvTokens_ = Engine->KvTokens_;
     Candidate.AdapterCapacity_ = Engine->MaxAdapters_;
     Candidate.LoadFactor_ = std::max(1.0, TransitFactor);
     describeAdapter(Candidate, Query, Now);
   } else if (Candidate.SpeedFactor_ != 1) {
-    Candidate.UsualWork_ =
+    Candidate.UsualServiceTime_ =
         Fleet_->speeds().usualServiceTime(Query.Service_, Query.Route_);
   }
   return Candidate;
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -100,9 +100,10 @@
 double dispatchCost(const DispatchCandidate &Candidate,
                     const RequestShape &Shape) {
   double Factor = Candidate.SpeedFactor_;
-  double Cost = RunningRequestMs * Factor * Candidate.Running_ +
+  // Work on a slow target is shared out by its factor, the request included.
+  double Cost = RunningRequestMs * (Factor * (Candidate.Running_ + 1) - 1) +
                 PrefillWeight * toSeconds(Candidate.Prefill_) * 1000 +
-                (Factor - 1) * toSeconds(Candidate.UsualWork_) * 1000;
+                (Factor - 1) * toSeconds(Candidate.UsualServiceTime_) * 1000;
   if (Candidate.Running_ >= Candidate.Slots_)
     Cost += SlotsFullMs + WaitingRequestMs * Factor *
                               (Candidate.Running_ - Candidate.Slots_ + 1);
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -56,10 +56,10 @@
   double FailureShare_ = 0;
   Duration ExcessLatency_{};
   /// The factor by which work takes longer there than at the service's median
-  /// target, and the time that the request's own prefill or service takes at
-  /// that target. `Prefill_` includes the factor.
+  /// target. `Prefill_` includes it.
   double SpeedFactor_ = 1;
-  Duration UsualWork_{};
+  /// The time that a plain service takes at its median target; zero if unknown.
+  Duration UsualServiceTime_{};
 };
 
 /// The resources that a request takes.
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -84,8 +84,8 @@
       Resident.Running_ = 32;
       CHECK(selectCheapest({Slow, Resident}, Usual) == 0);
     }
-    SECTION("and considers how long the request itself takes there") {
-      Slow.UsualWork_ = 60ms;
+    SECTION("and considers how long a plain service takes there") {
+      Slow.UsualServiceTime_ = 60ms;
       CHECK(selectCheapest({Slow, Resident}, Usual) == 1);
     }
   }
