--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -59,6 +59,11 @@
   bool Cold_ = false;
   double FailureShare_ = 0;
   Duration ExcessLatency_{};
+  /// The factor by which work takes longer there than at the service's median
+  /// target. `Prefill_` includes it.
+  double SpeedFactor_ = 1;
+  /// The time that a plain service takes at its median target; zero if unknown.
+  Duration UsualServiceTime_{};
 };
 
 /// The resources that a request takes.
