Speeds: keep disturbances and queues from being taken for speeds

Cause: in a load test with equal targets some were classed slow: all first samples came from one disturbance of 600 ms, streams were compared at the running requests known when they were sent, and few answers of plain services had waited behind requests that the VM didn't know of yet.

Change: first samples lie 700 ms apart; a stream counts with the mean of the running requests at its begin and end; the first byte only counts on a target that is at most half full and has no known backlog; classes need more samples where a service has no streams.

--- a/Source/Capacity/RobustLevel.cpp
+++ b/Source/Capacity/RobustLevel.cpp
@@ -4,9 +4,9 @@
 
 namespace anvil {
 
-/// The number of samples from which the level counts as known; one outlier
-/// among them doesn't change their median much.
-static constexpr int MinSamples = 3;
+/// The number of samples from which the level counts as known; with half of
+/// them spoilt, it is still between the two values.
+static constexpr int MinSamples = 4;
 
 /// The fraction of a deviation by which a step moves the level, the largest
 /// deviation that counts, and the minimum time between steps. Together they
@@ -21,6 +21,8 @@
 void RobustLevel::add(double Sample, TimePoint Now) {
   auto Known = static_cast<std::size_t>(Count_);
   if (Known < FirstSamples) {
+    if (Known > 0 && Now < SteppedAt_ + FirstSpacing_)
+      return;
     First_[Known] = Sample;
     ++Count_;
     auto Sorted = First_;
--- a/Source/Capacity/RobustLevel.h
+++ b/Source/Capacity/RobustLevel.h
@@ -14,6 +14,11 @@
 /// disturbance with many samples moves it far. Uses constant memory.
 class RobustLevel {
 public:
+  /// `FirstSpacing` is the least time between the first samples, so that one
+  /// disturbance spoils only one of them.
+  explicit RobustLevel(Duration FirstSpacing = Duration::zero())
+      : FirstSpacing_(FirstSpacing) {}
+
   void add(double Sample, TimePoint Now);
 
   /// Whether there are enough samples for a value.
@@ -28,6 +33,7 @@
 private:
   static constexpr std::size_t FirstSamples = 5;
 
+  Duration FirstSpacing_;
   std::array<double, FirstSamples> First_{};
   int Count_ = 0;
   double Level_ = 0;
--- a/Source/Capacity/SpeedMeasurement.cpp
+++ b/Source/Capacity/SpeedMeasurement.cpp
@@ -17,18 +17,20 @@
 std::optional<SpeedMeasurement>
 firstByteMeasurement(const SendConditions &Conditions, Duration Took) {
   bool IsEngine = Conditions.OwnPrefill_ > Duration::zero();
-  bool HasWaited = Conditions.Running_ >= Conditions.Slots_ ||
-                   Conditions.Prefill_ > Conditions.OwnPrefill_;
-  if (HasWaited)
+  // Other VMs' latest requests aren't known yet, so a target that is known to
+  // be half full may be full.
+  bool MayHaveWaited = 2 * Conditions.Running_ > Conditions.Slots_ ||
+                       Conditions.Prefill_ > Duration::zero();
+  if (MayHaveWaited)
     return std::nullopt;
   SpeedMeasurement Measurement;
   Measurement.Took_ = Took;
-  Measurement.Running_ = Conditions.Running_;
   if (IsEngine) {
+    Measurement.Running_ = Conditions.Running_;
     Measurement.Expected_ =
-        FirstStepTime + std::chrono::duration_cast<Duration>(
-                            (Conditions.Prefill_ + Conditions.OwnPrefill_) /
-                            std::max(Conditions.SpeedFactor_, 0.01));
+        FirstStepTime +
+        std::chrono::duration_cast<Duration>(
+            Conditions.OwnPrefill_ / std::max(Conditions.SpeedFactor_, 0.01));
   } else {
     Measurement.Signal_ = SpeedSignal::ServiceTime;
     Measurement.Work_ = Conditions.Route_;
@@ -48,14 +50,14 @@
   IsCallerSlow_ = IsCallerSlow_ || Now - LastAt_ > SlowWrite;
 }
 
-std::optional<SpeedMeasurement>
-StreamPace::measurement(const SendConditions &Conditions) const {
+std::optional<SpeedMeasurement> StreamPace::measurement(int RunningAtSend,
+                                                        int RunningNow) const {
   if (Intervals_ < MinIntervals || IsCallerSlow_)
     return std::nullopt;
   SpeedMeasurement Measurement;
   Measurement.Signal_ = SpeedSignal::EventInterval;
   Measurement.Took_ = (LastAt_ - FirstAt_) / Intervals_;
-  Measurement.Running_ = Conditions.Running_;
+  Measurement.Running_ = (RunningAtSend + RunningNow + 1) / 2;
   return Measurement;
 }
 
--- a/Source/Capacity/SpeedMeasurement.h
+++ b/Source/Capacity/SpeedMeasurement.h
@@ -23,7 +23,8 @@
   /// The time that a usual target is expected to take; only the ratio to other
   /// measurements of the same signal and work matters.
   Duration Expected_ = std::chrono::milliseconds(1);
-  /// The target's running requests of all VMs.
+  /// The target's running requests of all VMs; zero for a plain service, whose
+  /// answers don't slow each other down while it has free slots.
   int Running_ = 0;
 };
 
@@ -41,8 +42,8 @@
 };
 
 /// The measurement by a successful answer whose first byte came after `Took`;
-/// none where the request waited for a slot or mostly for other prompts, which
-/// says little about the target's speed.
+/// none where the request may have waited for a slot or for other prompts,
+/// which says little about the target's speed.
 std::optional<SpeedMeasurement>
 firstByteMeasurement(const SendConditions &Conditions, Duration Took);
 
@@ -57,9 +58,10 @@
   void recordForwarded(TimePoint Now);
 
   /// The measurement by the stream as far as it has been received, if it was
-  /// long enough.
-  std::optional<SpeedMeasurement>
-  measurement(const SendConditions &Conditions) const;
+  /// long enough. `RunningAtSend` and `RunningNow` are the target's running
+  /// requests, on whose mean over the stream the pace depends.
+  std::optional<SpeedMeasurement> measurement(int RunningAtSend,
+                                              int RunningNow) const;
 
 private:
   TimePoint FirstAt_{};
--- a/Source/Capacity/TargetSpeeds.cpp
+++ b/Source/Capacity/TargetSpeeds.cpp
@@ -17,8 +17,11 @@
 
 /// The additional distance, as a logarithm, that a target with a single sample
 /// needs for another class; it shrinks with the square root of the number of
-/// samples, which is counted up to a maximum.
-static constexpr double SampleUncertainty = 0.6;
+/// samples, which is counted up to a maximum. It is higher for services without
+/// streams: a stream's pace is a mean over many events, a single answer may
+/// have waited.
+static constexpr double StreamUncertainty = 0.8;
+static constexpr double AnswerUncertainty = 1.6;
 static constexpr int MaxCertainSamples = 64;
 
 /// How long a stated time is valid; it changes many times a second.
@@ -209,9 +212,18 @@
   return Medians;
 }
 
-SpeedClass TargetSpeeds::classify(const Record &Known) {
+bool TargetSpeeds::hasStreams(const std::string &Service) const {
+  auto Found =
+      References_.lower_bound({Service, SpeedSignal::EventInterval, "", 0});
+  return Found != References_.end() && std::get<0>(Found->first) == Service &&
+         std::get<1>(Found->first) == SpeedSignal::EventInterval;
+}
+
+SpeedClass TargetSpeeds::classify(const Record &Known) const {
   int Samples = std::clamp(Known.Level_.count(), 1, MaxCertainSamples);
-  double Enter = std::log(ClassRatio) + SampleUncertainty / std::sqrt(Samples);
+  double Uncertainty =
+      hasStreams(Known.Service_) ? StreamUncertainty : AnswerUncertainty;
+  double Enter = std::log(ClassRatio) + Uncertainty / std::sqrt(Samples);
   double Leave = std::log(UsualRatio);
   if (Known.Log_ > (Known.Class_ == SpeedClass::Slow ? Leave : Enter))
     return SpeedClass::Slow;
@@ -257,13 +269,10 @@
 
 Duration TargetSpeeds::usualServiceTime(const std::string &Service,
                                         const std::string &Work) const {
-  for (unsigned Bits = 0; Bits <= MaxRunningBits; ++Bits) {
-    auto Found =
-        References_.find({Service, SpeedSignal::ServiceTime, Work, Bits});
-    if (Found != References_.end() && Found->second.isKnown())
-      return std::chrono::duration_cast<Duration>(
-          SpeedMeasurement().Expected_ * std::exp(Found->second.value()));
-  }
+  auto Found = References_.find({Service, SpeedSignal::ServiceTime, Work, 0});
+  if (Found != References_.end() && Found->second.isKnown())
+    return std::chrono::duration_cast<Duration>(
+        SpeedMeasurement().Expected_ * std::exp(Found->second.value()));
   return Duration::zero();
 }
 
--- a/Source/Capacity/TargetSpeeds.h
+++ b/Source/Capacity/TargetSpeeds.h
@@ -94,18 +94,21 @@
   }
 
   /// The time that a plain service's median target takes for requests of the
-  /// same work when it has few others; zero if unknown.
+  /// same work; zero if unknown.
   Duration usualServiceTime(const std::string &Service,
                             const std::string &Work) const;
 
   std::size_t size() const { return Targets_.size(); }
 
 private:
+  /// Shared machines slow work down for up to 600 ms at a time.
+  static constexpr Duration DisturbanceTime = std::chrono::milliseconds(700);
+
   struct Record {
     std::int64_t Incarnation_ = 0;
     std::string Service_;
     /// The logarithm of the time relative to the service's references.
-    RobustLevel Level_;
+    RobustLevel Level_{DisturbanceTime};
     TimePoint MeasuredAt_{};
     /// Own measurements since the last report.
     double PendingSum_ = 0;
@@ -114,7 +117,7 @@
     double RemoteLog_ = 0;
     TimePoint RemoteUntil_{};
     /// What the target stated, as logarithms: usually and last.
-    RobustLevel StatedLevel_;
+    RobustLevel StatedLevel_{DisturbanceTime};
     double StatedLog_ = 0;
     TimePoint StatedAt_{};
     /// As of the last update: the logarithm relative to the median target.
@@ -131,7 +134,8 @@
   static double momentaryLog(const Record &Known, TimePoint Now);
   static bool hasLocalEstimate(const Record &Known, TimePoint Now);
   std::map<std::string, double> mediansByService() const;
-  static SpeedClass classify(const Record &Known);
+  bool hasStreams(const std::string &Service) const;
+  SpeedClass classify(const Record &Known) const;
 
   std::map<std::string, Record> Targets_;
   /// The logarithm of the time at a usual target, relative to the expected
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -49,6 +49,12 @@
   /// The requests of this VM that run on a target.
   const RunningShare &ownShareOn(const std::string &Target) const;
 
+  /// The number of requests of all VMs that run on a target.
+  int runningOn(const std::string &Target) const {
+    return ownShareOn(Target).Requests_ +
+           View_.peersRunningOn(Target).Requests_;
+  }
+
   /// The number of requests of all VMs that run with an adapter.
   int requestsUsing(const std::string &Adapter) const;
 
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -497,7 +497,9 @@
     }
     Pace.recordForwarded(BootClock::now());
   }
-  recordSpeed(Chosen, Pace.measurement(sendConditions(Chosen)));
+  recordSpeed(Chosen,
+              Pace.measurement(Chosen.Running_,
+                               Shared_.Fleet_->runningOn(Chosen.Target_)));
   keepConnection(Chosen, Response);
   if (IsResumable && !Events_.incompleteEvent().empty())
     co_await Exchange_.write(std::string(Events_.incompleteEvent()));
