--- a/Source/Entry/AdapterWait.cpp
+++ b/Source/Entry/AdapterWait.cpp
@@ -78,10 +78,12 @@
 Duration AdapterWait::pauseBefore(const TargetChoice &Chosen,
                                   TimePoint Now) const {
   auto Found = NotBefore_.find(Chosen.Target_);
-  return Found == NotBefore_.end()
-             ? Duration::zero()
-             : std::clamp<Duration>(Found->second - Now, Duration::zero(),
-                                    MaxTransitWait);
+  if (Found != NotBefore_.end() && Found->second > Now)
+    return std::min(Found->second - Now, MaxTransitWait);
+  if (!Chosen.OrderedAt_)
+    return Duration::zero();
+  return Picker_->loadChecks().pauseBefore(Chosen.Target_, Adapter_,
+                                           *Chosen.OrderedAt_, Now);
 }
 
 void AdapterWait::end() {
@@ -96,7 +98,10 @@
   if (WasAwaited && Chosen.OrderedAt_)
     Shared_.Fleet_->recordLoad(Chosen.Source_, SentAt - *Chosen.OrderedAt_,
                                WasMissing, Now);
-  if (!WasMissing || Adapter_.empty())
+  if (Adapter_.empty())
+    return true;
+  Picker_->loadChecks().recordReply(Chosen.Target_, Adapter_, WasMissing);
+  if (!WasMissing)
     return true;
   auto Pause = Missing_.recordMissing(TimeLeft);
   if (Pause)
--- a/Source/Entry/AdapterWait.h
+++ b/Source/Entry/AdapterWait.h
@@ -30,8 +30,9 @@
                                     const TargetQuery &Query, Duration TimeLeft,
                                     Duration Waited, TimePoint Now);
 
-  /// The remaining time for which the request isn't sent to a target that
-  /// lacked the adapter.
+  /// The time for which the request isn't sent yet to a target that is expected
+  /// to hold the adapter: because it lacked the adapter, or because another
+  /// request is finding out whether its load has ended.
   Duration pauseBefore(const TargetChoice &Chosen, TimePoint Now) const;
 
   /// Ends the wait, before the request is sent.
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -157,7 +157,8 @@
   auto Pause = Wait_.nextPause(Chosen, Query_, timeLeft() - ReplyMargin,
                                AdapterWait_, Now);
   if (!Pause) {
-    LastReason_ = "adapter_too_late";
+    LastReason_ = Chosen.Load_ == LoadStage::Unknown ? "adapter_not_loaded"
+                                                     : "adapter_too_late";
     CallerRetryAfter_ = Wait_.expectedIn();
     co_return false;
   }
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -7,6 +7,7 @@
 #include "Entry/TargetListService.h"
 #include "Entry/TargetPermits.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Loading/LoadChecks.h"
 #include "Serving/DispatchCost.h"
 #include "Serving/TargetHealth.h"
 #include "Settings/EntrySettings.h"
@@ -92,6 +93,9 @@
   /// The requests of this VM that wait for adapters.
   WaitingRequests &waiting() { return Waiting_; }
 
+  /// The checks whether loads that are due have ended.
+  LoadChecks &loadChecks() { return LoadChecks_; }
+
   TargetHealth &health() { return Health_; }
 
 private:
@@ -133,6 +137,7 @@
   std::map<std::pair<std::string, std::string>, SentRequest> AdapterRequests_;
   TimePoint NextPrune_{};
   WaitingRequests Waiting_;
+  LoadChecks LoadChecks_;
 };
 
 } // namespace anvil
--- a/Source/Serving/EngineController.cpp
+++ b/Source/Serving/EngineController.cpp
@@ -238,9 +238,12 @@
     StoreQueue Ahead = Fleet;
     Ahead.Queued_ *=
         static_cast<double>(Index) / static_cast<double>(Order.size());
-    Queued[Adapter] = sourceOf(Adapter) == LoadSource::Engine
-                          ? Options_.WarmAdapterLoadTime_
-                          : expectedLoadEnd(Ahead);
+    Duration Expected = sourceOf(Adapter) == LoadSource::Engine
+                            ? Options_.WarmAdapterLoadTime_
+                            : expectedLoadEnd(Ahead);
+    // The engine may be blocked, for example because it can evict no adapter.
+    // Nothing tells for how long, so it is taken to last as long again.
+    Queued[Adapter] = std::max(Expected, Now - Requests_.at(Adapter).FirstAt_);
   }
   return Queued;
 }
