Follow the store's era: decisions, client, wiring

The store may be restored from a copy and give out versions again. Rows of VMs and owners are kept under keys that contain the era, so that a transaction prepared in an earlier era can't change them. A VM whose lease runs holds its targets on and writes their rows again; a target's first owner of an era waits until every right of the earlier one has ended. Evidence of a current plan counts once the table shows a revision not below this VM's.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -45,6 +45,10 @@
 static constexpr std::uint64_t RoundsPerReadLarge = 3;
 static constexpr std::uint64_t RoundsPerStandbyRead = 7;
 
+/// The maximum random delay before rows are written again in a new era, so that
+/// the VMs don't call the store at the same time.
+static constexpr Duration MaxRewriteDelay = std::chrono::milliseconds(200);
+
 /// The fraction of a period by which rounds are shortened at random, so that
 /// VMs that started or regained the store together don't call it at the same
 /// time.
@@ -72,9 +76,11 @@
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       Control_(ControlTimeout),
-      Ownership_(Self_, ownershipOptions(Settings), BootClock::now()) {}
+      Ownership_(Self_, ownershipOptions(Settings), BootClock::now()),
+      RoundTimer_(Executor_) {}
 
 Status EngineOwnershipService::start() {
+  Store_->EraChanged_.attach([this](std::uint64_t Era) { startEra(Era); });
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
   Fleet_->onCollectInventories([this] { return inventories(); });
@@ -103,6 +109,25 @@
   }
 }
 
+void EngineOwnershipService::startEra(std::uint64_t Era) {
+  TimePoint Now = BootClock::now();
+  std::size_t OwnedBefore = Ownership_.owned().size();
+  TimePoint NewOwnersFrom = Store_->era().earlierRightsEndAt(
+      Ownership_.rightsValidity(), Settings_.Bootstrap_);
+  Ownership_.startEra(Era, NewOwnersFrom, Now);
+  Duration Wait = NewOwnersFrom > Now ? NewOwnersFrom - Now : Duration::zero();
+  logEvent(LogLevel::Info, "ownership_era_begun",
+           {{"era", Era},
+            {"owned", OwnedBefore},
+            {"held", Ownership_.owned().size()},
+            {"new_owners_wait_ms", toMillis(Wait)}});
+  HasRead_ = false;
+  OwnRowVersion_ = 0;
+  IsRowWritten_ = false;
+  Fleet_->setStoreEra(Era);
+  RoundTimer_.cancel();
+}
+
 VmRow EngineOwnershipService::ownRow() const {
   Endpoint Peer{Settings_.Listen_.Address_, Link_->port()};
   return {Self_,       Incarnation_, Settings_.DataCentre_,
@@ -159,6 +184,7 @@
         co_await readRows();
       co_await claimTargets();
       co_await removeExpiredVms();
+      co_await removeEarlierRows();
     }
     updateEngines();
     Duration Period =
@@ -166,8 +192,15 @@
             ? StartPeriod
             : std::chrono::milliseconds(Settings_.Store_.RenewPeriodMs_);
     Round += HasRead_ ? 1 : 0;
-    co_await pauseFor(std::chrono::duration_cast<Duration>(
+    // A new era that begins in the pause shortens it.
+    RoundTimer_.expires_after(std::chrono::duration_cast<Duration>(
         Period * (1 - RoundJitter * randomFraction())));
+    boost::system::error_code Interrupted;
+    co_await RoundTimer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, Interrupted));
+    if (Interrupted)
+      co_await pauseFor(std::chrono::duration_cast<Duration>(MaxRewriteDelay *
+                                                             randomFraction()));
   }
 }
 
@@ -176,7 +209,8 @@
   if (!isOk(Rows))
     co_return;
   TimePoint Now = BootClock::now();
-  ControlRows Decoded = decodeControlRows(valueOf(Rows));
+  ControlRows Decoded =
+      decodeControlRows(valueOf(Rows), Store_->era().current());
   Ownership_.applyVms(Decoded.Vms_, Now);
   Ownership_.applyOwners(Decoded.Owners_, Now);
   RoundsSinceRead_ = 0;
@@ -187,15 +221,23 @@
         OwnRowVersion_ = Row.RowVersion_;
     HasRead_ = true;
   }
+  updatePeers(Decoded, Now);
+  EarlierRows_ = std::move(Decoded.EarlierRows_);
+  RowsRead_.fire();
+}
+
+void EngineOwnershipService::updatePeers(const ControlRows &Rows,
+                                         TimePoint Now) {
   std::map<std::string, FleetLink::PeerLocation> Peers;
-  for (const VmRow &Row : Decoded.Vms_) {
-    auto Address = parseEndpoint(Row.PeerAddress_);
-    if (Row.Vm_ != Self_ && isOk(Address))
-      Peers[Row.Vm_] = {valueOf(Address), Row.DataCentre_};
-  }
+  for (const auto *Vms : {&Rows.Vms_, &Rows.EarlierVms_})
+    for (const VmRow &Row : *Vms) {
+      auto Address = parseEndpoint(Row.PeerAddress_);
+      if (Row.Vm_ != Self_ && isOk(Address))
+        Peers[Row.Vm_] = {valueOf(Address), Row.DataCentre_};
+    }
   Link_->setPeers(Peers);
-  Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
-  RowsRead_.fire();
+  std::size_t Count = Ownership_.knownVms() + Rows.EarlierVms_.size();
+  Fleet_->setVms(std::max<std::size_t>(1, Count), Now);
 }
 
 asio::awaitable<bool> EngineOwnershipService::renew() {
@@ -203,12 +245,17 @@
     co_return false;
   TableTransaction Change;
   ++Renewals_;
-  Change.Checks_.push_back({vmRowKey(Self_), OwnRowVersion_});
-  Change.Writes_.push_back({vmRowKey(Self_), encodeVmRow(ownRow())});
+  std::uint64_t Era = Store_->era().current();
+  std::string OwnKey = vmRowKey(Self_, Era);
+  Change.Checks_.push_back({OwnKey, OwnRowVersion_});
+  Change.Writes_.push_back({OwnKey, encodeVmRow(ownRow())});
   TimePoint SentAt = BootClock::now();
   CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
   Metrics_->observe("anvil_lease_renewal_seconds", {},
                     BootClock::now() - SentAt);
+  // The row that was written is one of an earlier era.
+  if (Store_->era().current() != Era)
+    co_return false;
   IsRowWritten_ = Outcome.Result_ == CommitResult::Committed;
   if (IsRowWritten_) {
     bool WasMissing = std::exchange(OwnRowVersion_, Outcome.Version_) == 0;
@@ -230,12 +277,13 @@
 }
 
 asio::awaitable<void> EngineOwnershipService::resolveRenewal() {
-  std::vector<std::string> Keys{vmRowKey(Self_)};
+  std::uint64_t Era = Store_->era().current();
+  std::vector<std::string> Keys{vmRowKey(Self_, Era)};
   auto Rows = co_await Store_->read(std::move(Keys));
-  if (!isOk(Rows))
+  if (!isOk(Rows) || Store_->era().current() != Era)
     co_return;
   const TableRow &Row = valueOf(Rows).front();
-  ControlRows Decoded = decodeControlRows({Row});
+  ControlRows Decoded = decodeControlRows({Row}, Era);
   bool IsOwn = Row.Version_ > 0 && !Decoded.Vms_.empty() &&
                Decoded.Vms_.front().Incarnation_ == Incarnation_;
   if (!IsOwn) {
@@ -247,8 +295,11 @@
 
 asio::awaitable<void> EngineOwnershipService::claimTargets() {
   TimePoint Now = BootClock::now();
+  std::uint64_t Era = Store_->era().current();
   for (const OwnerClaim &Claim : Ownership_.claims(engines(), Now)) {
-    auto Change = claimTransaction(Claim, Self_, OwnRowVersion_);
+    if (Store_->era().current() != Era)
+      co_return;
+    auto Change = claimTransaction(Claim, Self_, OwnRowVersion_, Era);
     TimePoint SentAt = BootClock::now();
     Ownership_.recordClaimSent(Claim.Row_.Target_, SentAt);
     CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
@@ -257,7 +308,9 @@
               {"fence", Claim.Row_.Fence_},
               {"from", Claim.ExpiredVm_},
               {"outcome", enumName(Outcome.Result_, CommitResultNames)}});
-    if (Outcome.Result_ != CommitResult::Committed)
+    bool IsOwn = Outcome.Result_ == CommitResult::Committed &&
+                 Store_->era().current() == Era;
+    if (!IsOwn)
       continue;
     OwnerRow Row = Claim.Row_;
     Row.RowVersion_ = Outcome.Version_;
@@ -267,16 +320,38 @@
 
 asio::awaitable<void> EngineOwnershipService::removeExpiredVms() {
   TimePoint Now = BootClock::now();
+  std::uint64_t Era = Store_->era().current();
   for (const VmRow &Row : Ownership_.rowsToPurge(Now)) {
     TableTransaction Change;
-    Change.Checks_.push_back({vmRowKey(Row.Vm_), Row.RowVersion_});
-    Change.Writes_.push_back({vmRowKey(Row.Vm_), std::nullopt});
+    std::string Key = vmRowKey(Row.Vm_, Era);
+    Change.Checks_.push_back({Key, Row.RowVersion_});
+    Change.Writes_.push_back({Key, std::nullopt});
     CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
     logEvent(LogLevel::Info, "silent_vm_removed",
              {{"peer", Row.Vm_}, {"outcome", Outcome.Detail_}});
   }
 }
 
+asio::awaitable<void> EngineOwnershipService::removeEarlierRows() {
+  TimePoint Now = BootClock::now();
+  if (EarlierRows_.empty() || !Ownership_.areEarlierRowsVoid(Now))
+    co_return;
+  std::vector<std::string> Live;
+  for (const VmRow &Row : Ownership_.liveVms(Now))
+    if (!Row.Standby_)
+      Live.push_back(Row.Vm_);
+  bool IsRemover =
+      !Live.empty() && rendezvousOrder("earlier_rows", Live).front() == Self_;
+  if (!IsRemover)
+    co_return;
+  CommitOutcome Outcome = co_await Store_->commit(removal(EarlierRows_));
+  logEvent(LogLevel::Info, "earlier_rows_removed",
+           {{"rows", EarlierRows_.size()},
+            {"era", Store_->era().current()},
+            {"outcome", Outcome.Detail_}});
+  EarlierRows_.clear();
+}
+
 std::map<std::string, std::string> EngineOwnershipService::engines() const {
   std::map<std::string, std::string> Found;
   for (const auto &[Id, Listed] : Targets_->roster().all())
@@ -513,9 +588,10 @@
 }
 
 void EngineOwnershipService::receive(const FleetMessage &Message) {
-  if (const auto *Update = std::get_if<VmStateUpdate>(&Message))
+  if (const auto *Update = std::get_if<VmStateUpdate>(&Message)) {
+    Store_->recordPeerEra(Update->StoreEra_);
     recordUses(Update->Running_);
-  else if (const auto *Summary = std::get_if<DataCentreSummary>(&Message))
+  } else if (const auto *Summary = std::get_if<DataCentreSummary>(&Message))
     recordUses(Summary->Running_);
   const auto *Request = std::get_if<AdapterRequest>(&Message);
   if (!Request)
--- a/Source/Entry/EngineOwnershipService.h
+++ b/Source/Entry/EngineOwnershipService.h
@@ -2,6 +2,7 @@
 #define ANVIL_ENTRY_ENGINEOWNERSHIPSERVICE_H
 
 #include "Entry/FleetLink.h"
+#include "Entry/OwnerRows.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
 #include "Kernel/ServiceRegistry.h"
@@ -83,6 +84,11 @@
   boost::asio::awaitable<void> readRows();
   boost::asio::awaitable<void> claimTargets();
   boost::asio::awaitable<void> removeExpiredVms();
+  /// Removes the rows of earlier eras once they show nothing any more.
+  boost::asio::awaitable<void> removeEarlierRows();
+  void startEra(std::uint64_t Era);
+  /// Sets the peers and the size of the fleet from the rows.
+  void updatePeers(const ControlRows &Rows, TimePoint Now);
   boost::asio::awaitable<void> serveEngine(std::string Engine,
                                            std::shared_ptr<OwnedEngine> Owned);
   boost::asio::awaitable<void> sendOrder(const std::string &Engine,
@@ -122,8 +128,12 @@
   platform::EngineControl Control_;
   TargetOwnership Ownership_;
   std::map<std::string, std::shared_ptr<OwnedEngine>> Owned_;
+  boost::asio::steady_timer RoundTimer_;
+  /// Rows of earlier eras, as last read.
+  std::vector<TableRow> EarlierRows_;
   std::uint64_t Renewals_ = 0;
   std::uint64_t OwnRowVersion_ = 0;
+  /// Whether the rows of the store's era were read.
   bool HasRead_ = false;
   /// Whether this VM owns no targets and renews its row only to show that it
   /// is alive.
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -57,6 +57,8 @@
   /// rows if they are too large for a datagram.
   std::uint64_t NewestBefore_ = 0;
   std::vector<TableRow> Rows_{};
+  /// The store's era in which it was read; zero if the store names none.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// Reports a read of the list of targets, at `At_` of the VM's clock or later,
@@ -68,6 +70,8 @@
   std::uint64_t Digest_ = 0;
   /// As in `TargetListUpdate`.
   Duration LapseRemaining_{};
+  /// As in `PlanReadNotice`.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// Requests the time of another VM's clock, in order to date that VM's notices.
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -48,7 +48,7 @@
                   Of.PeerAddress_, Of.Period_, Of.Revision_, Of.ShuttingDown_,
                   Of.Spent_, Of.BudgetCoverage_, Of.Balances_, Of.Running_,
                   Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
-                  Of.LeavingTargets_, Of.Limits_, Of.Loads_);
+                  Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<DataCentreSummary> auto &Of) {
   return std::tie(Of.DataCentre_, Of.Sender_, Of.Incarnation_, Of.Sequence_,
@@ -70,7 +70,7 @@
 }
 auto fieldsOf(MaybeConst<PlanReadNotice> auto &Of) {
   return std::tie(Of.Clock_, Of.At_, Of.NewestRow_, Of.RowsPort_,
-                  Of.NewestBefore_, Of.Rows_);
+                  Of.NewestBefore_, Of.Rows_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<HeldModel> auto &Of) {
   return std::tie(Of.Version_, Of.Adapters_);
@@ -85,7 +85,7 @@
 }
 auto fieldsOf(MaybeConst<TargetsReadNotice> auto &Of) {
   return std::tie(Of.Clock_, Of.At_, Of.Changes_, Of.Digest_,
-                  Of.LapseRemaining_);
+                  Of.LapseRemaining_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<ClockRequest> auto &Of) {
   return std::tie(Of.Vm_, Of.RequestedAt_);
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -382,6 +382,7 @@
   Update.LeavingTargets_ = recentlyDraining(Now);
   Update.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
   Update.Loads_ = OwnLoads_;
+  Update.StoreEra_ = StoreEra_;
   addInventories(Update, Now);
   return Update;
 }
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -38,6 +38,9 @@
   FleetView &view() { return View_; }
   CustomerBudget &budget() { return Budget_; }
 
+  /// Sets the store's era that the state updates carry.
+  void setStoreEra(std::uint64_t Era) { StoreEra_ = Era; }
+
   /// Records that a request starts or ends at a target. `Tokens` is the sum of
   /// prompt and expected output.
   void recordStart(const std::string &Target, const std::string &Adapter,
@@ -163,6 +166,7 @@
   TimePoint InventorySentAt_{};
   TimePoint RemoteInventorySentAt_{};
   std::uint64_t Sequence_ = 0;
+  std::uint64_t StoreEra_ = 0;
   std::uint64_t SummarySequence_ = 0;
   /// Zero before the rows of the VMs were read for the first time.
   std::size_t KnownVms_ = 0;
--- a/Source/Entry/OwnerRows.cpp
+++ b/Source/Entry/OwnerRows.cpp
@@ -1,20 +1,47 @@
 #include "Entry/OwnerRows.h"
 
+#include "StoreEra/StoreEra.h"
+
 #include <nlohmann/json.hpp>
 
+#include <map>
+#include <utility>
+
 namespace anvil {
 
 using nlohmann::json;
 
+static constexpr std::string_view EraPrefix = "era/";
 static constexpr std::string_view VmPrefix = "vm/";
 static constexpr std::string_view OwnerPrefix = "owner/";
 
-std::string vmRowKey(const std::string &Vm) {
-  return std::string(VmPrefix) + Vm;
+/// The number of rows in one removal; each takes two of the entries that a call
+/// may hold.
+static constexpr std::size_t MaxRemovedRows = 50;
+
+static std::string eraPrefix(std::uint64_t Era) {
+  return Era == 0 ? std::string()
+                  : std::string(EraPrefix) + std::to_string(Era) + "/";
+}
+
+std::string vmRowKey(const std::string &Vm, std::uint64_t Era) {
+  return eraPrefix(Era) + std::string(VmPrefix) + Vm;
+}
+
+std::string ownerRowKey(const std::string &Target, std::uint64_t Era) {
+  return eraPrefix(Era) + std::string(OwnerPrefix) + Target;
 }
 
-std::string ownerRowKey(const std::string &Target) {
-  return std::string(OwnerPrefix) + Target;
+/// Splits the era off a key. Malformed eras count as zero.
+static std::pair<std::uint64_t, std::string_view>
+splitKey(std::string_view Key) {
+  auto End = Key.starts_with(EraPrefix) ? Key.find('/', EraPrefix.size())
+                                        : std::string_view::npos;
+  if (End == std::string_view::npos)
+    return {0, Key};
+  auto Era =
+      StoreEra::parse(Key.substr(EraPrefix.size(), End - EraPrefix.size()));
+  return {Era.value_or(0), Key.substr(End + 1)};
 }
 
 std::string encodeVmRow(const VmRow &Row) {
@@ -48,35 +75,60 @@
   return IsText ? Found->get<std::string>() : std::string();
 }
 
-ControlRows decodeControlRows(const std::vector<TableRow> &Rows) {
+static VmRow decodeVmRow(std::string_view Vm, const json &Value,
+                         std::uint64_t Version) {
+  return {std::string(Vm),
+          textOf(Value, "incarnation"),
+          textOf(Value, "data_centre"),
+          textOf(Value, "peer_address"),
+          countOf(Value, "renewals"),
+          Version,
+          flagOf(Value, "standby")};
+}
+
+ControlRows decodeControlRows(const std::vector<TableRow> &Rows,
+                              std::uint64_t Era) {
   ControlRows Decoded;
+  std::map<std::string, VmRow> Earlier;
   for (const TableRow &Row : Rows) {
     json Value = json::parse(Row.Value_, nullptr, false);
-    if (!Value.is_object())
+    auto [RowEra, Key] = splitKey(Row.Key_);
+    bool IsVm = Key.starts_with(VmPrefix);
+    bool IsOwner = Key.starts_with(OwnerPrefix);
+    if (!Value.is_object() || RowEra > Era || (!IsVm && !IsOwner))
       continue;
-    if (Row.Key_.starts_with(VmPrefix))
-      Decoded.Vms_.push_back(
-          {Row.Key_.substr(VmPrefix.size()), textOf(Value, "incarnation"),
-           textOf(Value, "data_centre"), textOf(Value, "peer_address"),
-           countOf(Value, "renewals"), Row.Version_, flagOf(Value, "standby")});
-    else if (Row.Key_.starts_with(OwnerPrefix))
-      Decoded.Owners_.push_back({Row.Key_.substr(OwnerPrefix.size()),
-                                 textOf(Value, "vm"), countOf(Value, "fence"),
-                                 Row.Version_});
+    std::string Name(Key.substr(IsVm ? VmPrefix.size() : OwnerPrefix.size()));
+    if (RowEra < Era)
+      Decoded.EarlierRows_.push_back(Row);
+    if (IsVm) {
+      VmRow Vm = decodeVmRow(Name, Value, Row.Version_);
+      if (RowEra == Era)
+        Decoded.Vms_.push_back(std::move(Vm));
+      else
+        Earlier[Name] = std::move(Vm);
+    } else if (RowEra == Era) {
+      Decoded.Owners_.push_back({std::move(Name), textOf(Value, "vm"),
+                                 countOf(Value, "fence"), Row.Version_});
+    }
   }
+  for (const VmRow &Row : Decoded.Vms_)
+    Earlier.erase(Row.Vm_);
+  for (auto &[Name, Row] : Earlier)
+    Decoded.EarlierVms_.push_back(std::move(Row));
   return Decoded;
 }
 
 TableTransaction claimTransaction(const OwnerClaim &Claim,
                                   const std::string &Self,
-                                  std::uint64_t OwnRowVersion) {
+                                  std::uint64_t OwnRowVersion,
+                                  std::uint64_t Era) {
   TableTransaction Change;
-  std::string OwnerKey = ownerRowKey(Claim.Row_.Target_);
+  std::string OwnerKey = ownerRowKey(Claim.Row_.Target_, Era);
   Change.Checks_.push_back({OwnerKey, Claim.ExpectedRow_});
-  Change.Checks_.push_back({vmRowKey(Self), OwnRowVersion});
+  Change.Checks_.push_back({vmRowKey(Self, Era), OwnRowVersion});
   Change.Writes_.push_back({OwnerKey, encodeOwnerRow(Claim.Row_)});
   if (!Claim.ExpiredVm_.empty()) {
-    std::string ExpiredKey = vmRowKey(Claim.ExpiredVm_);
+    std::string ExpiredKey = vmRowKey(Claim.ExpiredVm_, Era);
     Change.Checks_.push_back({ExpiredKey, Claim.ExpiredVmRow_});
     // Without its row the expired VM can't renew a lease that it may still
     // consider valid.
@@ -86,4 +138,15 @@
   return Change;
 }
 
+TableTransaction removal(const std::vector<TableRow> &Rows) {
+  TableTransaction Change;
+  for (const TableRow &Row : Rows) {
+    if (Change.Writes_.size() == MaxRemovedRows)
+      break;
+    Change.Checks_.push_back({Row.Key_, Row.Version_});
+    Change.Writes_.push_back({Row.Key_, std::nullopt});
+  }
+  return Change;
+}
+
 } // namespace anvil
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -12,6 +12,9 @@
 /// The path under which the rows are served.
 static constexpr std::string_view RowsPage = "/plan-rows";
 
+/// The header that names the store's era of the rows' versions.
+static constexpr std::string_view RowsEraHeader = "Row-Era";
+
 /// Time limit for fetching another VM's rows, which are some 100 KB.
 static constexpr Duration FetchTimeout = std::chrono::milliseconds(1000);
 
@@ -36,9 +39,11 @@
 
 asio::awaitable<void> PlanExchange::serveRows(HttpExchange &Exchange) {
   bool IsKnown = Exchange.request().path() == RowsPage;
-  HttpReply Reply{IsKnown ? 200 : 404,
-                  {{"Content-Type", "application/msgpack"}},
-                  IsKnown ? encodeTableRows(Plans_->knownRows()) : ""};
+  HttpReply Reply{
+      IsKnown ? 200 : 404,
+      {{"Content-Type", "application/msgpack"},
+       {std::string(RowsEraHeader), std::to_string(Store_->era().current())}},
+      IsKnown ? encodeTableRows(Plans_->knownRows()) : ""};
   co_await Exchange.respond(std::move(Reply));
 }
 
@@ -62,6 +67,9 @@
       Error{ErrorCode::Protocol, Vm, "has no page of rows", ""};
   if (!isOk(Reply))
     Rows = errorOf(Reply);
+  else if (valueOf(Reply).Headers_.find(RowsEraHeader) !=
+           std::to_string(Store_->era().current()))
+    Rows = Error{ErrorCode::Conflict, Vm, "has rows of another era", ""};
   else if (valueOf(Reply).Status_ == 200)
     Rows = decodeTableRows(valueOf(Reply).Body_);
   logEvent(isOk(Rows) ? LogLevel::Info : LogLevel::Warning, "plan_rows_taken",
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -42,7 +42,9 @@
     : Executor_(std::move(Executor)), Settings_(Settings),
       Store_(std::move(Store)), ReadRotation_(rotationOptions(Settings)),
       Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
-                VersionMargin) {}
+                VersionMargin) {
+  Store_->EraChanged_.attach([this](std::uint64_t) { startEra(); });
+}
 
 Status PlanService::start() {
   spawn(Executor_, follow());
@@ -55,6 +57,15 @@
   return ConfirmedAt_ && *ConfirmedAt_ + Bound - WithdrawalMargin > Now;
 }
 
+void PlanService::startEra() {
+  ReadVersion_.reset();
+  NewestRow_ = 0;
+  PeerNewestRow_ = 0;
+  Rows_.clear();
+  StoreClock_ = {};
+  IsRevisionShown_ = !Plan_;
+}
+
 asio::awaitable<void> PlanService::follow() {
   Backoff RetryWaits(MinRetryWait, MaxRetryWait);
   while (true) {
@@ -66,7 +77,8 @@
       continue;
     }
     // The store no longer has the history, so read the whole table at once.
-    if (errorOf(Page).Code_ == ErrorCode::NotFound) {
+    ErrorCode Code = errorOf(Page).Code_;
+    if (Code == ErrorCode::HistoryGone || Code == ErrorCode::NotFound) {
       logEvent(LogLevel::Info, "plan_history_gone");
       ReadVersion_.reset();
     }
@@ -85,6 +97,7 @@
 asio::awaitable<Result<platform::TablePage>> PlanService::readOnce() {
   TimePoint RequestedAt = BootClock::now();
   std::uint64_t PeerNewest = PeerNewestRow_;
+  std::uint64_t EraBefore = Store_->era().current();
   bool WasAwaited = ReadVersion_.has_value();
   Result<platform::TablePage> Page = Error{};
   if (WasAwaited) {
@@ -99,6 +112,8 @@
   }
   if (!isOk(Page))
     co_return Page;
+  if (Store_->era().current() != EraBefore)
+    PeerNewest = 0;
   ReadVersion_ = valueOf(Page).Version_;
   // A row that other VMs have read but the store no longer lists has been
   // deleted since, unless the store's reply is older than their read.
@@ -107,9 +122,12 @@
   TimePoint ReadAt = StoreClock_.recordCall(
       RequestedAt, valueOf(Page).StoreTime_, BootClock::now());
   std::uint64_t NewestBefore = NewestRow_;
-  apply(valueOf(Page).Rows_, WasAwaited ? ConfirmedAt_ : std::nullopt);
+  // What a new era shows for the first time was written after the last read of
+  // the earlier one.
+  bool IsContinued = WasAwaited || Store_->era().hasSeenEarlier();
+  apply(valueOf(Page).Rows_, IsContinued ? ConfirmedAt_ : std::nullopt);
   if (Plan_) {
-    if (!ConfirmedAt_ || ReadAt > *ConfirmedAt_)
+    if (IsRevisionShown_ && (!ConfirmedAt_ || ReadAt > *ConfirmedAt_))
       confirm(ReadAt);
     TableRead_.fire({ReadAt, NewestRow_, NewestBefore, valueOf(Page).Rows_});
   }
@@ -120,7 +138,7 @@
                                 std::uint64_t NewestRow) {
   PeerNewestRow_ = std::max(PeerNewestRow_, NewestRow);
   bool IsNewer = At && ConfirmedAt_ && *At > *ConfirmedAt_;
-  if (NewestRow <= NewestRow_ && Plan_ && IsNewer)
+  if (NewestRow <= NewestRow_ && Plan_ && IsRevisionShown_ && IsNewer)
     confirm(*At);
 }
 
@@ -165,6 +183,13 @@
     return;
   }
   ServingPlanPtr New = std::move(valueOf(Decoded));
+  if (!IsRevisionShown_ && Plan_ && New->revision() >= Plan_->revision()) {
+    IsRevisionShown_ = true;
+    logEvent(LogLevel::Info, "plan_shown_in_era",
+             {{"era", Store_->era().current()},
+              {"revision", New->revision()},
+              {"known", Plan_->revision()}});
+  }
   // A reply that was overtaken by a newer one must not revert the plan.
   if (Plan_ && New->revision() <= Plan_->revision())
     return;
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -70,7 +70,7 @@
   /// rows to read.
   void applyPeerRead(std::optional<TimePoint> At, std::uint64_t NewestRow);
 
-  /// The newest row that this VM knows.
+  /// The newest row of the store's era that this VM knows.
   std::uint64_t newestRow() const { return NewestRow_; }
 
   /// All rows that this VM knows, for copying to another VM.
@@ -93,6 +93,9 @@
   boost::asio::awaitable<void> follow();
   boost::asio::awaitable<Result<platform::TablePage>> readOnce();
   bool isReadDue(TimePoint Now) const;
+  /// Starts an era of the store: what was read stays in force, but the versions
+  /// of rows are void and the table is read again as a whole.
+  void startEra();
   void confirm(TimePoint At);
   void apply(const std::vector<TableRow> &Rows,
              std::optional<TimePoint> NotBefore);
@@ -114,6 +117,10 @@
   std::uint64_t PeerNewestRow_ = 0;
   std::map<std::string, TableRow> Rows_;
   RemoteClock StoreClock_;
+  /// Whether the store has shown a configuration of at least this VM's revision
+  /// since its era began. Until the operator has written a lost revision again,
+  /// reads don't confirm that the plan is current.
+  bool IsRevisionShown_ = true;
   VersionRequirements Versions_;
 };
 
--- a/Source/Entry/StoreReadRelay.cpp
+++ b/Source/Entry/StoreReadRelay.cpp
@@ -26,7 +26,8 @@
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
       Owners_(Services.require<EngineOwnershipService>(
           EngineOwnershipService::Name)),
-      Exchange_(Services.require<PlanExchange>(PlanExchange::Name)) {}
+      Exchange_(Services.require<PlanExchange>(PlanExchange::Name)),
+      Store_(Services.require<platform::StoreClient>(PlatformService::Name)) {}
 
 Status StoreReadRelay::start() {
   Owners_->RowsRead_.attach([this] { dropClocks(); });
@@ -34,9 +35,10 @@
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->onReadRank([this] { return readRank("plan"); });
   Plans_->TableRead_.attach([this](const PlanReadResult &Read) {
-    Link_->sendToPeers(PlanReadNotice{
-        ownClock(), Read.At_.time_since_epoch(), Read.NewestRow_,
-        Exchange_->port(), Read.NewestBefore_, smallRows(Read.Rows_)});
+    Link_->sendToPeers(PlanReadNotice{ownClock(), Read.At_.time_since_epoch(),
+                                      Read.NewestRow_, Exchange_->port(),
+                                      Read.NewestBefore_, smallRows(Read.Rows_),
+                                      Store_->era().current()});
   });
   Targets_->onReadRank([this] { return readRank("targets"); });
   Targets_->ListRead_.attach([this](TimePoint At) {
@@ -46,11 +48,16 @@
       Update.Changes_ = {};
     Link_->sendToPeers(TargetsReadNotice{
         ownClock(), At.time_since_epoch(), std::move(Update.Changes_),
-        Update.Digest_, Update.LapseRemaining_});
+        Update.Digest_, Update.LapseRemaining_, Store_->era().current()});
   });
   return std::monostate{};
 }
 
+bool StoreReadRelay::adoptEra(std::uint64_t Era) {
+  Store_->recordPeerEra(Era);
+  return Era == Store_->era().current();
+}
+
 VmClock StoreReadRelay::ownClock() const { return {Self_, Incarnation_}; }
 
 void StoreReadRelay::dropClocks() {
@@ -76,12 +83,16 @@
 void StoreReadRelay::receive(const FleetMessage &Message) {
   TimePoint Now = BootClock::now();
   if (const auto *Plan = std::get_if<PlanReadNotice>(&Message)) {
+    if (!adoptEra(Plan->StoreEra_))
+      return;
     if (!Plan->Rows_.empty() && Plans_->newestRow() >= Plan->NewestBefore_)
       Plans_->applyPeerRows(Plan->Rows_);
     Plans_->applyPeerRead(localTimeOf(Plan->Clock_, Plan->At_, Now),
                           Plan->NewestRow_);
     Exchange_->applyReadNotice(*Plan);
   } else if (const auto *Targets = std::get_if<TargetsReadNotice>(&Message)) {
+    if (!adoptEra(Targets->StoreEra_))
+      return;
     if (auto At = localTimeOf(Targets->Clock_, Targets->At_, Now))
       Targets_->applyPeerRead(
           *At, {Targets->Changes_, Targets->Digest_, Targets->LapseRemaining_});
--- a/Source/Entry/StoreReadRelay.h
+++ b/Source/Entry/StoreReadRelay.h
@@ -41,6 +41,9 @@
   std::optional<TimePoint> localTimeOf(const VmClock &Clock, Duration At,
                                        TimePoint Now);
   VmClock ownClock() const;
+  /// Records the era of another VM's notice. Returns whether its versions and
+  /// digests are comparable with those of this VM.
+  bool adoptEra(std::uint64_t Era);
 
   std::string Self_;
   std::string Incarnation_;
@@ -50,6 +53,7 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<EngineOwnershipService> Owners_;
   std::shared_ptr<PlanExchange> Exchange_;
+  std::shared_ptr<platform::StoreClient> Store_;
   std::map<VmClock, RemoteClock> Clocks_;
 };
 
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -22,7 +22,12 @@
     asio::any_io_executor Executor, const EntrySettings &Settings,
     std::shared_ptr<platform::StoreClient> Store)
     : Executor_(std::move(Executor)), Settings_(Settings),
-      Store_(std::move(Store)), ReadRotation_(rotationOptions(Settings)) {}
+      Store_(std::move(Store)), ReadRotation_(rotationOptions(Settings)) {
+  // Entries that are missing in the copy are written again if their targets
+  // run.
+  Store_->EraChanged_.attach(
+      [this](std::uint64_t) { Roster_.recordListOutage(); });
+}
 
 Status TargetListService::start() {
   spawn(Executor_, follow());
--- a/Source/Kernel/Error.cpp
+++ b/Source/Kernel/Error.cpp
@@ -5,7 +5,7 @@
 
 namespace anvil {
 
-static constexpr std::array<std::pair<ErrorCode, std::string_view>, 10>
+static constexpr std::array<std::pair<ErrorCode, std::string_view>, 11>
     ErrorCodeNames{{
         {ErrorCode::InvalidInput, "invalid_input"},
         {ErrorCode::NotFound, "not_found"},
@@ -17,6 +17,7 @@
         {ErrorCode::Protocol, "protocol"},
         {ErrorCode::Ambiguous, "ambiguous"},
         {ErrorCode::Refused, "refused"},
+        {ErrorCode::HistoryGone, "history_gone"},
     }};
 
 std::string_view errorCodeName(ErrorCode Code) {
--- a/Source/Kernel/Error.h
+++ b/Source/Kernel/Error.h
@@ -19,6 +19,7 @@
   Protocol,
   Ambiguous,
   Refused,
+  HistoryGone,
 };
 
 /// The stable name of an error code, as used in logs and JSON.
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -79,6 +79,8 @@
   AdvertisedLimits Limits_;
   /// The outcomes of the loads that this VM's requests waited for.
   LoadCounts Loads_;
+  /// The highest era of the store that the VM has seen; zero if none.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// The summary of its own data centre that one VM sends to other data centres:
--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -1,6 +1,7 @@
 #include "Serving/TargetOwnership.h"
 
 #include "Membership/Rendezvous.h"
+#include "StoreEra/StoreEra.h"
 
 #include <algorithm>
 #include <set>
@@ -83,11 +84,58 @@
     // A row of this VM is either from an earlier incarnation of its process,
     // which may continue at once, or from a claim whose reply was lost.
     auto Sent = ClaimSentAt_.find(Row.Target_);
-    if (Row.Vm_ == Self_ && Sent != ClaimSentAt_.end() && Row.Fence_ > 1)
+    if (Row.Vm_ == Self_ && Sent != ClaimSentAt_.end() &&
+        Row.Fence_ > StoreEra::firstFence(Era_))
       New.OrdersFrom_ = Sent->second + Options_.HandoverPause_;
+    auto Held = Held_.find(Row.Target_);
+    if (Row.Vm_ == Self_ && Held != Held_.end())
+      New.OrdersFrom_ =
+          std::max(New.OrdersFrom_, Held->second.Owner_.OrdersFrom_);
     Seen.emplace(Row.Target_, New);
   }
   Owners_ = std::move(Seen);
+  std::erase_if(
+      Held_, [&](const auto &Entry) { return Owners_.contains(Entry.first); });
+}
+
+void TargetOwnership::startEra(std::uint64_t Era, TimePoint NewOwnersFrom,
+                               TimePoint Now) {
+  if (Era <= Era_)
+    return;
+  std::erase_if(Held_,
+                [&](const auto &Entry) { return Entry.second.Until_ <= Now; });
+  if (isLeased(Now))
+    for (const auto &[Target, Known] : Owners_)
+      if (Known.Row_.Vm_ == Self_)
+        Held_[Target] = {Known, *RenewedAt_ + Options_.LeaseTerm_};
+  Era_ = Era;
+  NewOwnersFrom_ = NewOwnersFrom;
+  Owners_.clear();
+  Vms_.clear();
+  ClaimSentAt_.clear();
+  RenewedAt_.reset();
+  RowsReadAt_.reset();
+}
+
+bool TargetOwnership::isLeased(TimePoint Now) const {
+  return RenewedAt_ && *RenewedAt_ + Options_.LeaseTerm_ > Now;
+}
+
+bool TargetOwnership::isHeld(const std::string &Target, TimePoint Now) const {
+  auto Found = Held_.find(Target);
+  return Found != Held_.end() && Found->second.Until_ > Now;
+}
+
+std::vector<OwnerClaim> TargetOwnership::heldClaims(TimePoint Now) const {
+  std::vector<OwnerClaim> Claims;
+  for (const auto &[Target, Held] : Held_) {
+    if (!isHeld(Target, Now))
+      continue;
+    OwnerClaim Claim;
+    Claim.Row_ = {Target, Self_, StoreEra::firstFence(Era_), 0};
+    Claims.push_back(std::move(Claim));
+  }
+  return Claims;
 }
 
 void TargetOwnership::recordRenewalRefused() {
@@ -97,18 +145,26 @@
 
 void TargetOwnership::recordClaimed(const OwnerRow &Row, TimePoint Now) {
   // The first owner of a target has no predecessor to wait for.
-  bool IsFirst = Row.Fence_ <= 1;
+  bool IsFirst = Row.Fence_ <= StoreEra::firstFence(Era_);
   Duration Pause = IsFirst ? Duration::zero() : Options_.HandoverPause_;
-  Owners_[Row.Target_] = {Row, Now + Pause};
+  TimePoint OrdersFrom = Now + Pause;
+  if (auto Held = Held_.find(Row.Target_); Held != Held_.end()) {
+    OrdersFrom = std::max(OrdersFrom, Held->second.Owner_.OrdersFrom_);
+    Held_.erase(Held);
+  }
+  Owners_[Row.Target_] = {Row, OrdersFrom};
 }
 
 std::optional<OwnerClaim> TargetOwnership::claimOf(const std::string &Target,
                                                    TimePoint Now) const {
   OwnerClaim Claim;
-  Claim.Row_ = {Target, Self_, 1, 0};
+  Claim.Row_ = {Target, Self_, StoreEra::firstFence(Era_), 0};
   auto Found = Owners_.find(Target);
-  if (Found == Owners_.end())
-    return Claim;
+  if (Found == Owners_.end()) {
+    // Another VM may hold the target from an earlier era.
+    bool MustWait = isHeld(Target, Now) || Now < NewOwnersFrom_;
+    return MustWait ? std::nullopt : std::optional(std::move(Claim));
+  }
   const OwnerRow &Row = Found->second.Row_;
   auto Owner = Vms_.find(Row.Vm_);
   bool IsFree = Row.Vm_.empty() || Owner == Vms_.end() ||
@@ -126,10 +182,10 @@
 std::vector<OwnerClaim>
 TargetOwnership::claims(const std::map<std::string, std::string> &Targets,
                         TimePoint Now) const {
-  std::vector<OwnerClaim> Claims;
-  bool CanClaim = RenewedAt_ && *RenewedAt_ + Options_.LeaseTerm_ > Now &&
-                  StartedAt_ + Options_.SettleTime_ <= Now;
-  if (!CanClaim)
+  if (!isLeased(Now))
+    return {};
+  std::vector<OwnerClaim> Claims = heldClaims(Now);
+  if (StartedAt_ + Options_.SettleTime_ > Now)
     return Claims;
   std::map<std::string, std::vector<std::string>> Live;
   std::vector<std::string> AllLive;
@@ -180,16 +236,21 @@
 std::optional<std::uint64_t>
 TargetOwnership::orderingFence(const std::string &Target, TimePoint Now) const {
   auto Found = Owners_.find(Target);
-  bool IsLeased = RenewedAt_ && *RenewedAt_ + Options_.LeaseTerm_ > Now;
-  if (!IsLeased || Found == Owners_.end() || Found->second.Row_.Vm_ != Self_ ||
-      Found->second.OrdersFrom_ > Now)
+  const KnownOwner *Owner = nullptr;
+  if (Found != Owners_.end() && isLeased(Now))
+    Owner = &Found->second;
+  else if (Found == Owners_.end() && isHeld(Target, Now))
+    Owner = &Held_.at(Target).Owner_;
+  if (!Owner || Owner->Row_.Vm_ != Self_ || Owner->OrdersFrom_ > Now)
     return std::nullopt;
-  return Found->second.Row_.Fence_;
+  return Owner->Row_.Fence_;
 }
 
 std::string TargetOwnership::ownerOf(const std::string &Target) const {
   auto Found = Owners_.find(Target);
-  return Found == Owners_.end() ? std::string() : Found->second.Row_.Vm_;
+  if (Found != Owners_.end())
+    return Found->second.Row_.Vm_;
+  return Held_.contains(Target) ? Self_ : std::string();
 }
 
 std::vector<OwnerRow> TargetOwnership::owned() const {
@@ -197,6 +258,8 @@
   for (const auto &[Target, Known] : Owners_)
     if (Known.Row_.Vm_ == Self_)
       Rows.push_back(Known.Row_);
+  for (const auto &[Target, Held] : Held_)
+    Rows.push_back(Held.Owner_.Row_);
   return Rows;
 }
 
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -99,6 +99,24 @@
   /// read before no longer show what it owns.
   void recordRowCreated() { Owners_.clear(); }
 
+  /// Starts an era of the store, in which the rows of earlier ones are void.
+  /// Targets that this VM may send orders now are held on: it may until the end
+  /// of the lease that it has, and writes their rows again before others may.
+  /// Until `NewOwnersFrom` no other target gets its first owner of this era.
+  void startEra(std::uint64_t Era, TimePoint NewOwnersFrom, TimePoint Now);
+
+  /// How long a right to send orders may last after the last answer of the era
+  /// that confirmed it, and a pause until the next owner's first order.
+  Duration rightsValidity() const {
+    return Options_.LeaseTerm_ + Options_.ClockMargin_ +
+           Options_.HandoverPause_;
+  }
+
+  /// Whether rows of earlier eras no longer matter.
+  bool areEarlierRowsVoid(TimePoint Now) const {
+    return Era_ > 0 && NewOwnersFrom_ <= Now;
+  }
+
   /// Records that a standby row was confirmed, which grants no lease.
   void recordStandby() { RenewedAt_.reset(); }
 
@@ -163,7 +181,19 @@
     TimePoint OrdersFrom_{};
   };
 
+  /// A target that this VM owned when an era began and whose row it has not
+  /// found or written in this era yet.
+  struct HeldTarget {
+    KnownOwner Owner_;
+    /// The end of the lease of the earlier era.
+    TimePoint Until_{};
+  };
+
   Duration termOf(const VmRow &Row) const;
+  bool isLeased(TimePoint Now) const;
+  bool isHeld(const std::string &Target, TimePoint Now) const;
+  /// The claims that write the rows of held targets again.
+  std::vector<OwnerClaim> heldClaims(TimePoint Now) const;
   bool looksExpired(const KnownVm &Known, TimePoint Now) const;
   bool mayClaimAcrossDataCentres(const OwnerClaim &Claim, TimePoint Now) const;
   bool isExpired(const KnownVm &Known, TimePoint Now) const;
@@ -179,6 +209,10 @@
   std::map<std::string, KnownVm> Vms_;
   std::map<std::string, KnownOwner> Owners_;
   std::map<std::string, TimePoint> ClaimSentAt_;
+  /// The store's era; zero if it names none.
+  std::uint64_t Era_ = 0;
+  TimePoint NewOwnersFrom_ = TimePoint::min();
+  std::map<std::string, HeldTarget> Held_;
 };
 
 } // namespace anvil
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -52,6 +52,7 @@
   Fields.choice("dispatch_policy", Settings.DispatchPolicy_,
                 DispatchPolicyNames);
   Fields.field("transit_limit", Settings.TransitLimit_, {0, 100000});
+  Fields.field("bootstrap", Settings.Bootstrap_);
   Fields.field("prefill_tokens_per_ms", Settings.PrefillTokensPerMs_,
                {0.1, 100000});
   Fields.record("listen", Settings.Listen_, FieldPresence::Required);
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -72,6 +72,9 @@
   /// The number of adapters, over all engines, that can be in transit without
   /// slowing each other down; 0 derives it from the number of engines.
   std::int64_t TransitLimit_ = 0;
+  /// Whether the whole system starts for the first time, so that no earlier
+  /// owner of a target can exist.
+  bool Bootstrap_ = false;
   /// Prompt tokens sent to an engine per millisecond. Well below its prefill
   /// rate, so that its running streams continue to make progress.
   double PrefillTokensPerMs_ = 20;
