--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -32,6 +32,8 @@
     writeTargetEntry(Target, "ready");
   }
   configure(1, {"good-key"});
+  if (Plan_.HasStoreEra_)
+    control("store", {{"era", 1}, {"copy", true}});
   start("proxy", {"--kind", "proxy", "--link", storeLinkName("vm-1"), "--link",
                   storeLinkName("vm-2")});
   for (const char *Vm : {"vm-1", "vm-2"})
@@ -84,6 +86,8 @@
                      {"target_list_ms", 200},
                      {"renew_ms", 400}}},
                    {"bounds", {{"key_withdrawal_ms", 3000}}}};
+  if (Plan_.HasStoreEra_)
+    Settings["bootstrap"] = true;
   if (Plan_.StopSeconds_)
     Settings["bounds"]["stop_s"] = *Plan_.StopSeconds_;
   std::ofstream(Path) << Settings.dump();
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -19,6 +19,9 @@
   /// Time limit and target latency of every route.
   Millis Timeout_{3000};
   Millis LatencyTarget_{800};
+  /// Whether the store names its era. It then has a copy from before the VMs
+  /// started.
+  bool HasStoreEra_ = false;
 };
 
 /// A test system of real processes in entry mode: two `anvild` entry VMs, two
--- a/Tests/Standins/RowStoreStandin.cpp
+++ b/Tests/Standins/RowStoreStandin.cpp
@@ -70,6 +70,12 @@
                              std::stoll(std::string(Request.query("WaitMs"))));
   json Rows = json::array();
   while (true) {
+    // It doesn't have the history from a version that it hasn't given out.
+    if (After > Version_) {
+      HttpReply Gone = withEra(jsonReply(410, "{}"));
+      co_await Exchange.respond(std::move(Gone));
+      co_return;
+    }
     for (const auto &[Key, Item] : Tables_[Name])
       if (Item.Version_ > After)
         Rows.push_back(rowJson(Name, Key, Item));
@@ -79,7 +85,7 @@
     constexpr Duration PollInterval = std::chrono::milliseconds(10);
     co_await pauseFor(PollInterval);
   }
-  HttpReply Reply = rowsReply(std::move(Rows), false);
+  HttpReply Reply = withEra(rowsReply(std::move(Rows), false));
   co_await Exchange.respond(std::move(Reply));
 }
 
@@ -112,6 +118,16 @@
     return jsonReply(400, "{}");
   Down_ = Body.value("down", Down_);
   LoseReplies_ = Body.value("lose_answers", LoseReplies_);
+  Era_ = Body.value("era", Era_);
+  if (Body.value("copy", false)) {
+    CopiedTables_ = Tables_;
+    CopiedVersion_ = Version_;
+  }
+  if (Body.value("restore", false)) {
+    Tables_ = CopiedTables_;
+    Version_ = CopiedVersion_;
+    ++Era_;
+  }
   return jsonReply(200, "{}");
 }
 
@@ -125,6 +141,12 @@
   return jsonReply(200, "{}");
 }
 
+HttpReply RowStoreStandin::withEra(HttpReply Reply) const {
+  if (Era_ > 0)
+    Reply.Headers_.add("Store-Era", std::to_string(Era_));
+  return Reply;
+}
+
 asio::awaitable<void> RowStoreStandin::handle(HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   HttpReply Reply = jsonReply(404, "{}");
@@ -147,6 +169,7 @@
       co_return;
     }
   }
+  Reply = withEra(std::move(Reply));
   co_await Exchange.respond(std::move(Reply));
 }
 
--- a/Tests/Standins/RowStoreStandin.h
+++ b/Tests/Standins/RowStoreStandin.h
@@ -16,6 +16,9 @@
 /// "Value"}` writes a row with a text value, as the operator or a target does;
 /// `DELETE /row` drops one. `POST /control` with `{"down", "lose_answers"}`
 /// makes it unreachable, or applies that many transactions without replying.
+/// With `{"era": N}` its answers name that era, with `{"copy": true}` it takes
+/// a copy, and with `{"restore": true}` it goes back to that copy: the era
+/// rises by one, and versions are given out again.
 class RowStoreStandin {
 public:
   explicit RowStoreStandin(boost::asio::any_io_executor Executor);
@@ -41,8 +44,14 @@
                          const Row &Item) const;
   HttpReply rowsReply(nlohmann::json Rows, bool HasMore) const;
 
+  /// Adds the era, if there is one.
+  HttpReply withEra(HttpReply Reply) const;
+
   std::map<std::string, Table> Tables_;
   std::uint64_t Version_ = 0;
+  std::map<std::string, Table> CopiedTables_;
+  std::uint64_t CopiedVersion_ = 0;
+  std::uint64_t Era_ = 0;
   bool Down_ = false;
   std::int64_t LoseReplies_ = 0;
   HttpServer Server_;
