--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -396,6 +396,7 @@
   Update.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
   Update.Loads_ = Loads_.report();
   Update.Speeds_ = Speeds_.composeReports(Now);
+  Update.StoreEra_ = StoreEra_;
   addInventories(Update, Now);
   reportLoads(Now);
   return Update;
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -27,6 +27,10 @@
 static constexpr Duration MinRetryWait = std::chrono::milliseconds(100);
 static constexpr Duration MaxRetryWait = std::chrono::milliseconds(800);
 
+/// How long after the start of a new era of the store the operator may need to
+/// write again what the store has lost.
+static constexpr Duration RewriteTime = std::chrono::seconds(5);
+
 /// A wait for changes so short that the store replies at once.
 static constexpr Duration ImmediateWait = std::chrono::milliseconds(1);
 
@@ -46,7 +50,9 @@
     : Executor_(std::move(Executor)), Settings_(Settings),
       Store_(std::move(Store)), ReadRotation_(rotationOptions(Settings)),
       Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
-                VersionMargin) {}
+                VersionMargin) {
+  Store_->EraChanged_.attach([this](std::uint64_t) { startEra(); });
+}
 
 Status PlanService::start() {
   spawn(Executor_, follow());
@@ -59,6 +65,16 @@
   return ConfirmedAt_ && *ConfirmedAt_ + Bound - WithdrawalMargin > Now;
 }
 
+void PlanService::startEra() {
+  ReadVersion_.reset();
+  NewestRow_ = 0;
+  PeerNewestRow_ = 0;
+  Rows_.forgetVersions();
+  Evacuations_.keepMissingUntil(BootClock::now() + RewriteTime);
+  StoreClock_ = {};
+  IsRevisionShown_ = !Plan_;
+}
+
 asio::awaitable<void> PlanService::follow() {
   Backoff RetryWaits(MinRetryWait, MaxRetryWait);
   while (true) {
@@ -73,7 +89,8 @@
       continue;
     }
     // The store no longer has the history, so read the whole table at once.
-    if (errorOf(Page).Code_ == ErrorCode::NotFound) {
+    ErrorCode Code = errorOf(Page).Code_;
+    if (Code == ErrorCode::HistoryGone || Code == ErrorCode::NotFound) {
       logEvent(LogLevel::Info, "plan_history_gone");
       ReadVersion_.reset();
     }
@@ -92,6 +109,7 @@
 asio::awaitable<Result<platform::TablePage>> PlanService::readOnce() {
   TimePoint RequestedAt = BootClock::now();
   std::uint64_t PeerNewest = PeerNewestRow_;
+  std::uint64_t EraBefore = Store_->era().current();
   bool WasAwaited = ReadVersion_.has_value();
   Result<platform::TablePage> Page = Error{};
   if (WasAwaited) {
@@ -106,6 +124,8 @@
   }
   if (!isOk(Page))
     co_return Page;
+  if (Store_->era().current() != EraBefore)
+    PeerNewest = 0;
   ReadVersion_ = valueOf(Page).Version_;
   // A row that other VMs have read but the store no longer lists has been
   // deleted since, unless the store's reply is older than their read.
@@ -123,10 +143,13 @@
   if (!WasAwaited)
     std::ranges::copy_if(Newer, std::back_inserter(Returned),
                          &TableRow::Deleted_);
-  apply(Newer, WasAwaited ? ConfirmedAt_ : std::nullopt,
+  // What a new era shows for the first time was written after the last read of
+  // the earlier one.
+  bool IsContinued = WasAwaited || Store_->era().hasSeenEarlier();
+  apply(Newer, IsContinued ? ConfirmedAt_ : std::nullopt,
         {RowSource::OwnRead, ReadAt});
   if (Plan_) {
-    if (!ConfirmedAt_ || ReadAt > *ConfirmedAt_)
+    if (IsRevisionShown_ && (!ConfirmedAt_ || ReadAt > *ConfirmedAt_))
       confirm(ReadAt);
     TableRead_.fire({ReadAt, NewestRow_, NewestBefore, std::move(Returned)});
   }
@@ -137,7 +160,7 @@
                                 std::uint64_t NewestRow) {
   PeerNewestRow_ = std::max(PeerNewestRow_, NewestRow);
   bool IsNewer = At && ConfirmedAt_ && *At > *ConfirmedAt_;
-  if (NewestRow <= NewestRow_ && Plan_ && IsNewer)
+  if (NewestRow <= NewestRow_ && Plan_ && IsRevisionShown_ && IsNewer)
     confirm(*At);
 }
 
@@ -216,6 +239,13 @@
     return;
   }
   ServingPlanPtr New = std::move(valueOf(Decoded));
+  if (!IsRevisionShown_ && Plan_ && New->revision() >= Plan_->revision()) {
+    IsRevisionShown_ = true;
+    logEvent(LogLevel::Info, "plan_shown_in_era",
+             {{"era", Store_->era().current()},
+              {"revision", New->revision()},
+              {"known", Plan_->revision()}});
+  }
   // A reply that was overtaken by a newer one must not revert the plan.
   if (Plan_ && New->revision() <= Plan_->revision())
     return;
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -96,7 +96,7 @@
   /// rows to read.
   void applyPeerRead(std::optional<TimePoint> At, std::uint64_t NewestRow);
 
-  /// The newest row that this VM knows.
+  /// The newest row of the store's era that this VM knows.
   std::uint64_t newestRow() const { return NewestRow_; }
 
   /// All rows that this VM knows, removed ones included, for copying to another
@@ -125,6 +125,9 @@
   boost::asio::awaitable<void> follow();
   boost::asio::awaitable<Result<platform::TablePage>> readOnce();
   bool isReadDue(TimePoint Now) const;
+  /// Starts an era of the store: what was read stays in force, but the versions
+  /// of rows are void and the table is read again as a whole.
+  void startEra();
   void confirm(TimePoint At);
   /// Applies rows that were not known before.
   void apply(const std::vector<TableRow> &Newer,
@@ -151,6 +154,10 @@
   std::uint64_t PeerNewestRow_ = 0;
   TableCopy Rows_;
   RemoteClock StoreClock_;
+  /// Whether the store has shown a configuration of at least this VM's revision
+  /// since its era began. Until the operator has written a lost revision again,
+  /// reads don't confirm that the plan is current.
+  bool IsRevisionShown_ = true;
   VersionRequirements Versions_;
   EvacuationRegister Evacuations_;
 };
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -88,6 +88,8 @@
   LoadReport Loads_;
   /// The speeds of targets that this VM measured since its last report.
   SpeedReports Speeds_;
+  /// The highest era of the store that the VM has seen; zero if none.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// The summary of its own data centre that one VM sends to other data centres:
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -22,6 +22,9 @@
   /// The cold time and the requests per second of cold targets of the plain
   /// service; absent if it has no cold starts.
   std::optional<std::pair<double, double>> PlainColdStart_;
+  /// Whether the store names its era. It then has a copy from before the VMs
+  /// started.
+  bool HasStoreEra_ = false;
 };
 
 /// A test system of real processes in entry mode: two `anvild` entry VMs, two
