--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -40,7 +40,7 @@
 auto fieldsOf(MaybeConst<LoadCounts> auto &Of) {
   return std::tie(Of.OnTime_, Of.Late_, Of.Mistimed_, Of.Early_);
 }
-auto fieldsOf(MaybeConst<LoadReport> auto &Of) {
+auto fieldsOf(MaybeConst<AdapterLoadReport> auto &Of) {
   return std::tie(Of.Counts_, Of.StoreLoad_, Of.EngineLoad_);
 }
 auto fieldsOf(MaybeConst<AdvertisedLimit> auto &Of) {
@@ -50,12 +50,11 @@
   return std::tie(Of.Incarnation_, Of.LogTimeCents_);
 }
 auto fieldsOf(MaybeConst<VmStateUpdate> auto &Of) {
-  return std::tie(Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_,
-                  Of.PeerAddress_, Of.Period_, Of.Revision_, Of.ShuttingDown_,
-                  Of.Spent_, Of.BudgetCoverage_, Of.Balances_, Of.Running_,
-                  Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
-                  Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_,
-                  Of.StoreEra_);
+  return std::tie(
+      Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_, Of.PeerAddress_,
+      Of.Period_, Of.Revision_, Of.ShuttingDown_, Of.Spent_, Of.BudgetCoverage_,
+      Of.Balances_, Of.Running_, Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
+      Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<DataCentreSummary> auto &Of) {
   return std::tie(Of.DataCentre_, Of.Sender_, Of.Incarnation_, Of.Sequence_,
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -85,7 +85,7 @@
   std::map<std::string, std::int64_t> LeavingTargets_;
   /// Limits that targets recently declared or withdrew.
   AdvertisedLimits Limits_;
-  LoadReport Loads_;
+  AdapterLoadReport Loads_;
   /// The speeds of targets that this VM measured since its last report.
   SpeedReports Speeds_;
   /// The highest era of the store that the VM has seen; zero if none.
