--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -71,7 +71,7 @@
       "127.0.0.1:" + std::to_string(at("proxy").port(storeLinkName(Name)));
   json Settings = {{"mode", "entry"},
                    {"vm", Name},
-                   {"data_centre", "north"},
+                   {"data_centre", dataCentreOf(Name)},
                    {"listen",
                     {{"callers", "127.0.0.1:0"},
                      {"ready", "127.0.0.1:0"},
@@ -103,13 +103,24 @@
            {{"Table", Table}, {"Key", Key}, {"Value", Value.dump()}});
 }
 
+std::string EntryFleet::dataCentreOf(const std::string &Name) const {
+  return Plan_.TwoDataCentres_ && Name.ends_with("2") ? "south" : "north";
+}
+
+void EntryFleet::setEvacuated(const std::string &DataCentre, bool IsRequested) {
+  sendJson(at("store").port(), IsRequested ? "PUT" : "DELETE", "/row",
+           {{"Table", "op"},
+            {"Key", "evacuate/" + DataCentre},
+            {"Value", json::object().dump()}});
+}
+
 void EntryFleet::writeTargetEntry(const std::string &Target,
                                   const std::string &State,
                                   std::int64_t Incarnation) {
   bool IsEngine = Target.starts_with("engine");
   json Entry = {{"Service", IsEngine ? "engines" : "plain"},
                 {"Address", "127.0.0.1:" + std::to_string(at(Target).port())},
-                {"Zone", "north"},
+                {"Zone", dataCentreOf(Target)},
                 {"Slots", 8},
                 {"State", State},
                 {"born", Incarnation},
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -19,6 +19,9 @@
   /// Time limit and target latency of every route.
   Millis Timeout_{3000};
   Millis LatencyTarget_{800};
+  /// Whether the VM and the targets whose names end in 2 are in a data centre
+  /// of their own, `south`. The others are in `north`.
+  bool TwoDataCentres_ = false;
 };
 
 /// A test system of real processes in entry mode: two `anvild` entry VMs, two
@@ -63,6 +66,12 @@
   void writeTargetEntry(const std::string &Target, const std::string &State,
                         std::int64_t Incarnation = 1700000000000);
 
+  /// Writes or removes the request to evacuate a data centre.
+  void setEvacuated(const std::string &DataCentre, bool IsRequested);
+
+  /// The data centre of a VM or target.
+  std::string dataCentreOf(const std::string &Name) const;
+
   /// Kills a VM with SIGKILL and starts it again.
   void restart(const std::string &Vm);
 
