Learn a VM's new address from its state updates

Change: an update with another address than the known one replaces it. The test now always waits longer than evidence lasts, so that it shows the fault.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -430,8 +430,10 @@
                   Update.DataCentre_ != Settings_.DataCentre_;
   if (IsRemote || Update.Vm_ == Self_ || !View_.apply(Update, Now))
     return;
-  if (!Link_->addressOf(Update.Vm_)) {
-    // The VM started after the rows were read.
+  auto Known = Link_->addressOf(Update.Vm_);
+  if (!Known || Known->text() != Update.PeerAddress_) {
+    // The VM started, for the first time or again at another address, after
+    // the rows were read.
     auto Address = parseEndpoint(Update.PeerAddress_);
     if (isOk(Address))
       Link_->addPeer(Update.Vm_, {valueOf(Address), Update.DataCentre_});
--- a/Tests/Integration/EvacuationTest.cpp
+++ b/Tests/Integration/EvacuationTest.cpp
@@ -14,6 +14,9 @@
 /// How long the load goes on after the bound.
 static constexpr Millis WatchedTime{1500};
 
+/// Longer than a VM's keys stay confirmed without evidence (3 s in the tests).
+static constexpr Millis EvidenceLifetime{3500};
+
 static std::int64_t nowUs() {
   return BootClock::now().time_since_epoch().count();
 }
@@ -118,6 +121,8 @@
   CHECK(Rest.Complete_);
   CHECK(Rest.Body_.find("word 20") != std::string::npos);
 
+  // It starts at another address, which the VM that is cut from the store
+  // learns only from it.
   System.restart("vm-2");
   auto Serves = [&] { return System.call("vm-2", "/safe/x").Status_ == 200; };
   REQUIRE(eventually(Serves, Millis(10000)));
@@ -128,6 +133,8 @@
   CHECK(ordersSince(System, Emptied, EmptyFrom) == 0);
 
   SECTION("and gets requests again from all VMs then") {
+    // The VM that is cut needs the other one's new address for its evidence.
+    std::this_thread::sleep_for(EvidenceLifetime);
     System.setEvacuated(System.dataCentreOf(Emptied), false);
     // Otherwise a VM prefers the targets of its own data centre.
     System.setEvacuated(System.dataCentreOf(Other), true);
