--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -25,6 +25,9 @@
   /// Whether the store names its era. It then has a copy from before the VMs
   /// started.
   bool HasStoreEra_ = false;
+  /// Whether the VM and the targets whose names end in 2 are in a data centre
+  /// of their own, `south`. The others are in `north`.
+  bool TwoDataCentres_ = false;
 };
 
 /// A test system of real processes in entry mode: two `anvild` entry VMs, two
@@ -70,6 +73,12 @@
                         std::int64_t Incarnation = 1700000000000,
                         std::optional<Millis> ColdRemaining = std::nullopt);
 
+  /// Writes or removes the request to evacuate a data centre.
+  void setEvacuated(const std::string &DataCentre, bool IsRequested);
+
+  /// The data centre of a VM or target.
+  std::string dataCentreOf(const std::string &Name) const;
+
   /// Kills a VM with SIGKILL and starts it again.
   void restart(const std::string &Vm);
 
