Speeds: don't take a stated work time for momentary before its usual is known

Cause: a target that always states 170 would have had its measurements divided by 1.7 until this VM knew what it usually states, which takes minutes at few answers, and would have counted as usual.

Change: until then measurements stay as they are, and the stated time is compared with the measured speed.

--- a/Source/Capacity/TargetSpeeds.cpp
+++ b/Source/Capacity/TargetSpeeds.cpp
@@ -86,13 +86,10 @@
   return &Known;
 }
 
-double TargetSpeeds::momentaryLog(const Record &Known, TimePoint Now) {
+double TargetSpeeds::momentaryLog(const Record &Known, double Usually,
+                                  TimePoint Now) {
   if (Known.StatedAt_ == TimePoint{} || Known.StatedAt_ + StatedValidity < Now)
     return 0;
-  // A target whose stated time always differs from 100 is lastingly slow or
-  // fast, which the measurements show.
-  double Usually =
-      Known.StatedLevel_.isKnown() ? Known.StatedLevel_.value() : 0;
   double Log = clampLog(Known.StatedLog_ - Usually);
   return std::abs(Log) < std::log(ClassRatio) ? 0 : Log;
 }
@@ -124,7 +121,10 @@
   RobustLevel &Reference = References_[Key];
   double Log =
       std::log(toSeconds(Measurement.Took_) / toSeconds(Measurement.Expected_));
-  Log -= momentaryLog(*Known, Now);
+  // A target whose stated time always differs from 100 is lastingly slow or
+  // fast, so only the deviation from what it usually states is momentary.
+  if (Known->StatedLevel_.isKnown())
+    Log -= momentaryLog(*Known, Known->StatedLevel_.value(), Now);
   // The reference is the time at the median target, whichever targets the
   // measurements come from.
   Reference.add(Log - Known->Log_, Now);
@@ -283,7 +283,9 @@
     return 1;
   const Record &Known = Found->second;
   double Lasting = Known.Class_ == SpeedClass::Usual ? 0 : Known.Log_;
-  double Log = clampLog(Lasting + momentaryLog(Known, Now));
+  double Usually =
+      Known.StatedLevel_.isKnown() ? Known.StatedLevel_.value() : Lasting;
+  double Log = clampLog(Lasting + momentaryLog(Known, Usually, Now));
   return Log == 0 ? 1 : std::exp(Log);
 }
 
--- a/Source/Capacity/TargetSpeeds.h
+++ b/Source/Capacity/TargetSpeeds.h
@@ -131,7 +131,10 @@
   /// The record of an incarnation; null if a later one is known, or if there
   /// are too many.
   Record *recordOf(const MeasuredTarget &Target, TimePoint Now);
-  static double momentaryLog(const Record &Known, TimePoint Now);
+  /// The deviation of the time that a target stated last from what it usually
+  /// states; zero if it is stale or small.
+  static double momentaryLog(const Record &Known, double Usually,
+                             TimePoint Now);
   static bool hasLocalEstimate(const Record &Known, TimePoint Now);
   std::map<std::string, double> mediansByService() const;
   bool hasStreams(const std::string &Service) const;
--- a/Tests/Serving/TargetSpeedsTest.cpp
+++ b/Tests/Serving/TargetSpeedsTest.cpp
@@ -167,6 +167,16 @@
     State(100);
     CHECK(Alike.factor(0) == 1);
   }
+  SECTION("is compared with the measured speed until its usual is known") {
+    for (int Answer = 0; Answer < 6; ++Answer, Alike.Now_ += 700ms) {
+      if (Answer % 3 == 0)
+        State(170);
+      for (std::size_t Index = 0; Index < 6; ++Index)
+        Alike.measure(Index, Index == 0 ? 1.7 : 1);
+    }
+    State(170);
+    CHECK(Alike.factor(0) == Approx(1.7).epsilon(0.2));
+  }
   SECTION("says nothing of this moment where it is always the same") {
     for (int Answer = 0; Answer < 200; ++Answer, Alike.Now_ += 100ms) {
       State(170);
