Adapter loads: compute the store's queue once for each choice

Requests check a due load after their pacing delay, so that they don't wait for their own check. A missing model counts towards the four refused sends again. Codec test covers the new fields.

--- a/Source/Entry/AdapterWait.cpp
+++ b/Source/Entry/AdapterWait.cpp
@@ -35,7 +35,7 @@
                                                const TargetQuery &Query,
                                                Duration TimeLeft,
                                                Duration Waited, TimePoint Now) {
-  StoreQueue Queue = Shared_.Fleet_->storeQueue(Now);
+  StoreQueue Queue = Chosen.Queue_;
   if (Chosen.Source_ == LoadSource::Engine)
     Queue = {Shared_.Fleet_->loadTimes().expected(LoadSource::Engine)};
   LoadOutlook Outlook;
--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -361,8 +361,8 @@
       for (const auto &[Adapter, Count] : Fleet_->ownShareOn(Engine).Adapters_)
         Owned->Controller_.recordUse(Adapter, Now);
       Owned->Controller_.setLoadTimes(Fleet_->loadTimes(), LoadsOrdered_, Now);
-      if (auto Order =
-              Owned->Controller_.nextOrder(Fleet_->transitFactor(Now), Now)) {
+      if (auto Order = Owned->Controller_.nextOrder(
+              transitFactor(Fleet_->storeQueue(Now)), Now)) {
         co_await sendOrder(Engine, Owned, *Order, *Fence);
         continue;
       }
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -191,10 +191,6 @@
               {"limit", Loads_.limit()}});
 }
 
-double FleetState::transitFactor(TimePoint Now) const {
-  return static_cast<double>(View_.inTransit(Now) + 1) / Loads_.limit();
-}
-
 void FleetState::recordCrash(const std::string &Digest,
                              const std::string &Target,
                              std::int64_t Incarnation, TimePoint Now) {
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -55,10 +55,6 @@
 
   const PrefillBacklog &prefill() const { return Prefill_; }
 
-  /// The factor by which loads of adapters take longer than usual because many
-  /// are in transit; below one while the fleet's limit is not reached.
-  double transitFactor(TimePoint Now) const;
-
   /// The expected times of loads.
   const LoadTimeEstimate &loadTimes() const { return Loads_.times(); }
 
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -122,13 +122,6 @@
         co_return co_await finishUnserved();
       continue;
     }
-    Duration MissingPause = Wait_.pauseBefore(*Chosen, Now);
-    if (MissingPause > Duration::zero()) {
-      co_await pauseFor(Pause_, MissingPause);
-      AdapterWait_ += MissingPause;
-      continue;
-    }
-    Wait_.end();
     Duration PacingDelay =
         pacingDelay(Chosen->Prefill_, Chosen->OwnPrefill_, PacingWait_,
                     Request_.Route_->LatencyTarget_);
@@ -137,6 +130,13 @@
       PacingWait_ += PacingDelay;
       continue;
     }
+    Duration MissingPause = Wait_.pauseBefore(*Chosen, Now);
+    if (MissingPause > Duration::zero()) {
+      co_await pauseFor(Pause_, MissingPause);
+      AdapterWait_ += MissingPause;
+      continue;
+    }
+    Wait_.end();
     bool MaySend =
         !Chosen->Limited_ || co_await Shared_.Permits_->acquire(
                                  Chosen->Target_, Chosen->Incarnation_, Pause_);
@@ -171,10 +171,8 @@
   const RoutePlan &Route = *Request_.Route_;
   bool MayRunAgain = Route.Kind_ == RequestKind::Repeatable ||
                      (Route.Kind_ == RequestKind::Stream && Route.Resumable_);
-  bool IsMissing = LastReason_ == AdapterMissing;
-  if (End == SendOutcome::NotRun &&
-      (IsMissing ? !MaySendAgain_
-                 : Sends_ - Wait_.missingSends() >= MaxRefusedSends))
+  bool IsSentOften = Sends_ - Wait_.missingSends() >= MaxRefusedSends;
+  if (End == SendOutcome::NotRun && (IsSentOften || !MaySendAgain_))
     return false;
   // Once a caller has received part of a stream, only the rest of that stream
   // can follow.
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -146,9 +146,9 @@
     return std::nullopt;
   const EnginePlan *Engine = Service->Engine_ ? &*Service->Engine_ : nullptr;
   bool NeedsAdapter = Engine && !Query.Adapter_.empty();
-  // The factor is a sum over all engines, the same for every candidate.
-  double TransitFactor = NeedsAdapter ? Fleet_->transitFactor(Now) : 0;
-  double LoadFactor = NeedsAdapter ? loadFactor(Fleet_->storeQueue(Now)) : 1;
+  // The queue is a sum over all engines, the same for every candidate.
+  StoreQueue Queue = NeedsAdapter ? Fleet_->storeQueue(Now) : StoreQueue();
+  double LoadFactor = loadFactor(Queue);
   std::vector<const ListedTarget *> Listed;
   std::vector<DispatchCandidate> Candidates;
   for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
@@ -167,7 +167,7 @@
     rankByRendezvous(Candidates, Query.Adapter_);
   bool IsBaseline = Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost;
   if (NeedsAdapter && !IsBaseline)
-    spreadAdapter(Query, Candidates, TransitFactor, Now);
+    spreadAdapter(Query, Candidates, transitFactor(Queue), Now);
   std::size_t Best = IsBaseline
                          ? selectByPolicy(Candidates, Settings_.DispatchPolicy_,
                                           randomFraction())
@@ -202,6 +202,7 @@
     if (Newest > 0)
       Chosen.Version_ =
           Held == View->Adapters_.end() ? Newest : Held->second.Version_;
+    Chosen.Queue_ = Queue;
     describeLoad(Chosen, Query, Now);
   }
   return Chosen;
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -42,6 +42,8 @@
   LoadStage Load_ = LoadStage::Unknown;
   LoadSource Source_ = LoadSource::Store;
   std::optional<TimePoint> OrderedAt_;
+  /// The loads of all engines from the weight store.
+  StoreQueue Queue_;
   /// The adapter version that the target is required to run, if one was named.
   std::optional<std::uint64_t> Version_;
   /// Whether a request to it needs a permit.
--- a/Source/Loading/LoadPatience.cpp
+++ b/Source/Loading/LoadPatience.cpp
@@ -13,6 +13,10 @@
 /// given up or be less urgent, so the end of the whole queue isn't certain.
 static constexpr double CertainQueueShare = 0.5;
 
+double transitFactor(const StoreQueue &Queue) {
+  return (Queue.InTransit_ + 1) / std::max(1.0, Queue.Limit_);
+}
+
 double loadFactor(const StoreQueue &Queue) {
   double Ahead =
       std::max(0.0, Queue.InTransit_ + Queue.Queued_ + 1 - Queue.Limit_);
--- a/Source/Loading/LoadPatience.h
+++ b/Source/Loading/LoadPatience.h
@@ -21,6 +21,10 @@
   double Queued_ = 0;
 };
 
+/// The factor by which one more load in transit would take longer than usual;
+/// below one while the limit is not reached.
+double transitFactor(const StoreQueue &Queue);
+
 /// The factor by which a load that is requested now takes longer than usual,
 /// behind all loads that were requested before; at least one.
 double loadFactor(const StoreQueue &Queue);
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -27,7 +27,10 @@
       Update.Crashes_ = {{"digest", "e1", 77}};
       Update.LeavingTargets_ = {{"e2", 5}};
       Update.Limits_ = {{"e4", {6, 1.8, 20ms}}, {"e5", {6, std::nullopt, 0ms}}};
-      Update.Inventories_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
+      Update.Inventories_["e3"] = {
+          8, true, {{"a4", {2, 30ms, 70ms, LoadSource::Engine}}}};
+      Update.Inventories_["e3"].Queued_ = {{"a5", 400ms}};
+      Update.Loads_ = {{7, 3, 2, 1}, 288ms, 30ms};
       VmStateUpdate Decoded = roundTrip(Update);
       CHECK(Decoded.Spent_ == Update.Spent_);
       CHECK(Decoded.BudgetCoverage_ == 4s);
@@ -36,7 +39,22 @@
       CHECK(Decoded.LeavingTargets_ == Update.LeavingTargets_);
       CHECK(Decoded.Limits_ == Update.Limits_);
       CHECK(Decoded.Running_.at("e1").Adapters_.at("a1") == 4);
-      CHECK(Decoded.Inventories_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
+      const EngineInventory &Inventory = Decoded.Inventories_.at("e3");
+      CHECK(Inventory.Adapters_.at("a4").ReadyIn_ == 30ms);
+      CHECK(Inventory.Adapters_.at("a4").LoadingFor_ == 70ms);
+      CHECK(Inventory.Adapters_.at("a4").Source_ == LoadSource::Engine);
+      CHECK(Inventory.Queued_.at("a5") == 400ms);
+      CHECK(Decoded.Loads_.Counts_ == Update.Loads_.Counts_);
+      CHECK(Decoded.Loads_.StoreLoad_ == 288ms);
+      CHECK(Decoded.Loads_.EngineLoad_ == 30ms);
+    }
+    SECTION("of an adapter request") {
+      AdapterRequest Decoded =
+          roundTrip(AdapterRequest{"vm-1", "e1", "a1", 2, true, 3, -20ms, 5});
+      CHECK(Decoded.WasMissing_);
+      CHECK(Decoded.Rank_ == 3);
+      CHECK(Decoded.AimIn_ == -20ms);
+      CHECK(Decoded.Waiting_ == 5);
     }
     SECTION("of a data centre summary") {
       DataCentreSummary Summary;
