Load test of adapter loads against the policy before

The baseline orders loads by first request at the transit factor of before. One load in three is expected early while the estimate is raised, so that a recovered store is seen sooner.

--- a/Source/Loading/LoadTimeEstimate.cpp
+++ b/Source/Loading/LoadTimeEstimate.cpp
@@ -29,7 +29,7 @@
 /// that the estimate is too long. One of this number of loads is expected early
 /// while the estimate is above its settled value.
 static constexpr double EarlyShare = 0.75;
-static constexpr std::uint64_t LoadsPerEarlyOne = 4;
+static constexpr std::uint64_t LoadsPerEarlyOne = 3;
 
 /// How long after a rise the estimate doesn't fall, and the fractions by which
 /// it then falls for each expected load time; each is twice the previous one.
--- a/Tests/Loading/AdapterLoadTest.cpp
+++ b/Tests/Loading/AdapterLoadTest.cpp
@@ -270,27 +270,32 @@
 
   bool requestLoad(const Call &Waiting) {
     SimulatedVm &Vm = Vms_[Waiting.Vm_];
-    EngineController &Controller = Engines_[Waiting.Engine_].Controller_;
     if (Policy_ == Policy::Before) {
       if (Now_ - Waiting.ArrivedAt_ > Kinds[Waiting.Kind_].Aim_)
         return refuse(Waiting);
     } else {
-      double Queued = 0;
       StoreQueue Queue{Vm.Learning_.times().expected(LoadSource::Store),
-                       InTransit_, Vm.Learning_.limit(), Queued};
+                       InTransit_, Vm.Learning_.limit()};
       LoadOutlook Outlook{{}, false, Queue, {}, timeLeft(Waiting)};
       if (decidePatience(Outlook).Action_ == PatienceAction::Refuse)
         return refuse(Waiting);
     }
     if (Waiting.Engine_ % Vms_.size() != StoppedOwner_)
-      Controller.requestAdapter(Waiting.Adapter_, 1, Now_,
-                                Policy_ == Policy::Before
-                                    ? LoadDemand{}
-                                    : Vm.Waiting_.demandFor(Waiting.Adapter_),
-                                std::to_string(Waiting.Vm_));
+      requestAdapter(Waiting);
     return false;
   }
 
+  void requestAdapter(const Call &Waiting) {
+    // The same demand for all loads leaves them in the order of the requests.
+    bool IsBefore = Policy_ == Policy::Before;
+    LoadDemand Demand{0, TimePoint::max(), 1};
+    if (!IsBefore)
+      Demand = Vms_[Waiting.Vm_].Waiting_.demandFor(Waiting.Adapter_);
+    Engines_[Waiting.Engine_].Controller_.requestAdapter(
+        Waiting.Adapter_, 1, Now_, Demand,
+        IsBefore ? "" : std::to_string(Waiting.Vm_));
+  }
+
   bool refuse(const Call &Waiting) {
     ++Report_.Kinds_[Waiting.Kind_].Refused_;
     return finish(Waiting);
@@ -346,8 +351,10 @@
 
 } // namespace
 
-// Guards against callers refused although their adapter would have been loaded
-// in their time, and against sends that find it missing.
+// Load: 10,000 adapters (Zipf 1.2) on 90 engines with 12 places that start
+// empty, 400 requests a second through 8 and 60 VMs, a store that bears 64
+// loads at once. Guards against callers refused although their adapter would
+// have been loaded in their time, and against sends that find it missing.
 TEST_CASE("callers of rare adapters on engines that start empty",
           "[loading][load]") {
   auto Vms = GENERATE(std::size_t{8}, std::size_t{60});
