--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -154,10 +154,11 @@
   return Link_->topology().isSplit() ? RoundsPerReadLarge : RoundsPerRead;
 }
 
-asio::awaitable<bool> EngineOwnershipService::updateRows(std::uint64_t Round) {
+asio::awaitable<bool> EngineOwnershipService::updateRows(std::uint64_t Round,
+                                                         bool JustRead) {
   bool IsDue = ++RoundsSinceRead_ >= roundsPerRead();
   bool IsStarting = Round == 1 || (Round < StartRounds && !Standby_);
-  bool IsWriteUncertain = Round > 0 && !IsRowWritten_;
+  bool IsWriteUncertain = Round > 0 && !IsRowWritten_ && !JustRead;
   bool MustRead = IsDue || IsStarting || IsWriteUncertain;
   if (MustRead)
     co_await readRows();
@@ -177,9 +178,10 @@
 
 asio::awaitable<void> EngineOwnershipService::maintainRows() {
   for (std::uint64_t Round = 0; !Stopping_;) {
-    if (!HasRead_)
+    bool MustRead = !HasRead_;
+    if (MustRead)
       co_await readRows();
-    if (HasRead_ && co_await updateRows(Round)) {
+    if (HasRead_ && co_await updateRows(Round, MustRead)) {
       if (Ownership_.needsRead(BootClock::now()))
         co_await readRows();
       co_await claimTargets();
--- a/Source/Entry/EngineOwnershipService.h
+++ b/Source/Entry/EngineOwnershipService.h
@@ -76,7 +76,7 @@
   boost::asio::awaitable<void> maintainRows();
   /// Reads and writes rows as far as this round of `maintainRows` needs it.
   /// Returns whether this VM holds a lease that was just renewed.
-  boost::asio::awaitable<bool> updateRows(std::uint64_t Round);
+  boost::asio::awaitable<bool> updateRows(std::uint64_t Round, bool JustRead);
   /// The number of rounds from one read of all VMs' rows to the next.
   std::uint64_t roundsPerRead() const;
   boost::asio::awaitable<bool> renew();
--- a/Tests/Integration/StoreEraTest.cpp
+++ b/Tests/Integration/StoreEraTest.cpp
@@ -60,6 +60,9 @@
   for (int Try = 0; Try < 20; ++Try)
     for (const char *Vm : {"vm-1", "vm-2"})
       CHECK(StatusOf(Vm, "good-key") != 200);
+  // Reads of an older revision are no evidence that the plan is current.
+  CHECK(eventually([&] { return StatusOf("vm-1", "new-key") == 503; },
+                   Millis(10000)));
   System.configure(2, {"new-key"});
   CHECK(ServesOnAll("new-key"));
   useAdapters(System, "b");
--- a/Tests/Serving/EntrySettingsTest.cpp
+++ b/Tests/Serving/EntrySettingsTest.cpp
@@ -33,6 +33,7 @@
     const auto &Settings = std::get<EntrySettings>(Parsed);
     CHECK(Settings.Bounds_.KeyWithdrawalMs_ == 5000);
     CHECK(Settings.holderName() == "vm-1@10.0.0.1");
+    CHECK_FALSE(Settings.Bootstrap_);
   }
   SECTION("report where an error is, what is wrong and how to correct it") {
     auto Errors = errorsOf(settingsText(R"({"address": "nowhere"})"));
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -74,7 +74,8 @@
     }
     SECTION("of a notice of a plan read") {
       PlanReadNotice Decoded = roundTrip(PlanReadNotice{
-          {"vm-1", "life"}, 77s, 12, 7600, 11, {{"version/a1", "2", 12}}});
+          {"vm-1", "life"}, 77s, 12, 7600, 11, {{"version/a1", "2", 12}}, 3});
+      CHECK(Decoded.StoreEra_ == 3);
       CHECK(Decoded.NewestBefore_ == 11);
       REQUIRE(Decoded.Rows_.size() == 1);
       CHECK(Decoded.Rows_.front().Key_ == "version/a1");
@@ -90,8 +91,9 @@
       Target.State_ = TargetState::Draining;
       Target.Remaining_ = 900ms;
       Target.Models_["base"] = {3, {{"a1", 2}}};
-      TargetsReadNotice Decoded = roundTrip(
-          TargetsReadNotice{{"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s});
+      TargetsReadNotice Decoded = roundTrip(TargetsReadNotice{
+          {"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s, 3});
+      CHECK(Decoded.StoreEra_ == 3);
       REQUIRE(Decoded.Changes_.Entries_.size() == 1);
       const RegisteredTarget &Entry = Decoded.Changes_.Entries_.front();
       CHECK(Entry.State_ == TargetState::Draining);
--- a/Tests/Serving/TargetRosterTest.cpp
+++ b/Tests/Serving/TargetRosterTest.cpp
@@ -36,6 +36,13 @@
       Roster.applyList({entry("a"), entry("b")}, Start + 2s);
       CHECK(Roster.usable("engines").size() == 1);
     }
+    // A store that was restored from a copy shows the entry from before.
+    SECTION("nor when it is missing for a while and an old entry returns") {
+      Roster.recordListOutage();
+      Roster.applyList({entry("a")}, Start + 2s);
+      Roster.applyList({entry("a"), entry("b")}, Start + 3s);
+      CHECK(Roster.usable("engines").size() == 1);
+    }
     SECTION("until it restarts") {
       Roster.applyList({entry("a"), entry("b", 2)}, Start + 2s);
       CHECK(Roster.usable("engines").size() == 2);
