Read the rows of a new era without waiting for the next renewal

An era first seen during a renewal left the VM without rows for a whole renewal period (3 s of a lease of 8 s).

IntegrationTests "[store-era]" passed three times in a row.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -189,8 +189,9 @@
       co_await removeEarlierRows();
     }
     updateEngines();
+    // Without the rows of the store's era the next round comes early.
     Duration Period =
-        Round < StartRounds
+        Round < StartRounds || !HasRead_
             ? StartPeriod
             : std::chrono::milliseconds(Settings_.Store_.RenewPeriodMs_);
     Round += HasRead_ ? 1 : 0;
