--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -157,10 +157,11 @@
   return Link_->topology().isSplit() ? RoundsPerReadLarge : RoundsPerRead;
 }
 
-asio::awaitable<bool> EngineOwnershipService::updateRows(std::uint64_t Round) {
+asio::awaitable<bool> EngineOwnershipService::updateRows(std::uint64_t Round,
+                                                         bool JustRead) {
   bool IsDue = ++RoundsSinceRead_ >= roundsPerRead();
   bool IsStarting = Round == 1 || (Round < StartRounds && !Standby_);
-  bool IsWriteUncertain = Round > 0 && !IsRowWritten_;
+  bool IsWriteUncertain = Round > 0 && !IsRowWritten_ && !JustRead;
   bool MustRead = IsDue || IsStarting || IsWriteUncertain;
   if (MustRead)
     co_await readRows();
@@ -180,9 +181,10 @@
 
 asio::awaitable<void> EngineOwnershipService::maintainRows() {
   for (std::uint64_t Round = 0; !Stopping_;) {
-    if (!HasRead_)
+    bool MustRead = !HasRead_;
+    if (MustRead)
       co_await readRows();
-    if (HasRead_ && co_await updateRows(Round)) {
+    if (HasRead_ && co_await updateRows(Round, MustRead)) {
       if (Ownership_.needsRead(BootClock::now()))
         co_await readRows();
       co_await claimTargets();
@@ -190,8 +192,9 @@
       co_await removeEarlierRows();
     }
     updateEngines();
+    // Without the rows of the store's era the next round comes early.
     Duration Period =
-        Round < StartRounds
+        Round < StartRounds || !HasRead_
             ? StartPeriod
             : std::chrono::milliseconds(Settings_.Store_.RenewPeriodMs_);
     Round += HasRead_ ? 1 : 0;
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -81,7 +81,7 @@
   std::shared_ptr<PlanService> Plans_;
   std::shared_ptr<FleetState> Fleet_;
   std::shared_ptr<TargetPicker> Picker_;
-  TargetQuery Query_{"plain", "", "", {}, {}};
+  TargetQuery Query_{"plain", "", "", "", {}, {}};
 };
 
 /// Guards against requests that still go to a data centre that the operator
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -101,7 +101,9 @@
           12,
           7600,
           11,
-          {{"version/a1", "2", 12}, {"version/a2", "", 11, true}}});
+          {{"version/a1", "2", 12}, {"version/a2", "", 11, true}},
+          3});
+      CHECK(Decoded.StoreEra_ == 3);
       CHECK(Decoded.NewestBefore_ == 11);
       REQUIRE(Decoded.Rows_.size() == 2);
       CHECK(Decoded.Rows_.front().Key_ == "version/a1");
@@ -121,8 +123,9 @@
       Target.Remaining_ = 900ms;
       Target.ColdRemaining_ = 4s;
       Target.Models_["base"] = {3, {{"a1", 2}}};
-      TargetsReadNotice Decoded = roundTrip(
-          TargetsReadNotice{{"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s});
+      TargetsReadNotice Decoded = roundTrip(TargetsReadNotice{
+          {"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s, 3});
+      CHECK(Decoded.StoreEra_ == 3);
       REQUIRE(Decoded.Changes_.Entries_.size() == 1);
       const RegisteredTarget &Entry = Decoded.Changes_.Entries_.front();
       CHECK(Entry.State_ == TargetState::Draining);
