--- a/Tests/Bench/TargetPickerBench.cpp
+++ b/Tests/Bench/TargetPickerBench.cpp
@@ -40,7 +40,7 @@
                                                            "1", Services_));
     Services_.add(std::make_shared<TargetPermits>(Settings_, Services_));
     Picker_ = std::make_shared<TargetPicker>(Settings_, Services_);
-    Plans->applyPeerRows({{"config", plan().dump(), 1}});
+    Plans->applyPeerRows({{"config", plan().dump(), 1}}, {});
     addEngines(Engines, *Targets, *Fleet);
   }
 
