--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -40,7 +40,7 @@
 auto fieldsOf(MaybeConst<LoadCounts> auto &Of) {
   return std::tie(Of.OnTime_, Of.Late_, Of.Mistimed_, Of.Early_);
 }
-auto fieldsOf(MaybeConst<LoadReport> auto &Of) {
+auto fieldsOf(MaybeConst<LoadingReport> auto &Of) {
   return std::tie(Of.Counts_, Of.StoreLoad_, Of.EngineLoad_);
 }
 auto fieldsOf(MaybeConst<AdvertisedLimit> auto &Of) {
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -84,7 +84,7 @@
   std::map<std::string, std::int64_t> LeavingTargets_;
   /// Limits that targets recently declared or withdrew.
   AdvertisedLimits Limits_;
-  LoadReport Loads_;
+  LoadingReport Loads_;
 };
 
 /// The summary of its own data centre that one VM sends to other data centres:
--- a/Source/Serving/LoadLearning.cpp
+++ b/Source/Serving/LoadLearning.cpp
@@ -22,7 +22,7 @@
 
 void LoadLearning::recordPeer(const std::string &Vm,
                               const std::string &Incarnation,
-                              const LoadReport &Report, double InTransit,
+                              const LoadingReport &Report, double InTransit,
                               TimePoint Now) {
   auto [Found, IsNew] = Peers_.try_emplace(Vm);
   auto &[KnownIncarnation, Before] = Found->second;
@@ -47,7 +47,7 @@
   recordEnded(Ended, InTransit, Now);
 }
 
-LoadReport LoadLearning::report() const {
+LoadingReport LoadLearning::report() const {
   return {Own_, Times_.expected(LoadSource::Store),
           Times_.expected(LoadSource::Engine)};
 }
--- a/Source/Serving/LoadLearning.h
+++ b/Source/Serving/LoadLearning.h
@@ -12,7 +12,7 @@
 
 /// What a VM reports about loads to the others: the outcomes of the loads that
 /// its requests waited for, and the load times that it expects.
-struct LoadReport {
+struct LoadingReport {
   LoadCounts Counts_;
   Duration StoreLoad_{};
   Duration EngineLoad_{};
@@ -44,10 +44,10 @@
 
   /// Records the report of another VM's incarnation.
   void recordPeer(const std::string &Vm, const std::string &Incarnation,
-                  const LoadReport &Report, double InTransit, TimePoint Now);
+                  const LoadingReport &Report, double InTransit, TimePoint Now);
 
   /// The report to the other VMs.
-  LoadReport report() const;
+  LoadingReport report() const;
 
 private:
   void recordEnded(const LoadCounts &Ended, double InTransit, TimePoint Now);
