--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -70,7 +70,7 @@
   NewestRow_ = 0;
   PeerNewestRow_ = 0;
   Rows_.forgetVersions();
-  Evacuations_.keepMissingUntil(BootClock::now() + RewriteTime);
+  keepEvacuationsUntil(BootClock::now() + RewriteTime);
   StoreClock_ = {};
   IsRevisionShown_ = !Plan_;
 }
