--- a/Tests/Bench/TargetPickerBench.cpp
+++ b/Tests/Bench/TargetPickerBench.cpp
@@ -38,6 +38,7 @@
     Services_.add(Fleet);
     Services_.add(std::make_shared<EngineOwnershipService>(Executor, Settings_,
                                                            "1", Services_));
+    Services_.add(std::make_shared<ColdTargets>(Services_));
     Services_.add(std::make_shared<TargetPermits>(Settings_, Services_));
     Picker_ = std::make_shared<TargetPicker>(Settings_, Services_);
     Plans->applyPeerRows({{"config", plan().dump(), 1}}, {});
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -33,6 +33,7 @@
     Services_.add(Fleet_);
     Services_.add(std::make_shared<EngineOwnershipService>(Executor, Settings_,
                                                            "life", Services_));
+    Services_.add(std::make_shared<ColdTargets>(Services_));
     Services_.add(std::make_shared<TargetPermits>(Settings_, Services_));
     Picker_ = std::make_shared<TargetPicker>(Settings_, Services_);
     std::vector<RegisteredTarget> Listed;
