Split the ownership of engines and the run of a request into two files each

Rows in the store and replies to callers have files of their own; no line of code changed but two constants, which became members, since both files use them.

--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -1,7 +1,6 @@
 #include "Entry/RequestRun.h"
 
 #include "Entry/CrashProbe.h"
-#include "Entry/RandomFraction.h"
 #include "Http/Pause.h"
 #include "Kernel/EnumNames.h"
 #include "Serving/RetryAfter.h"
@@ -27,32 +26,10 @@
 /// How often a waiting request checks the retry budget.
 static constexpr Duration RetryCheckPeriod = std::chrono::milliseconds(50);
 
-/// The fraction of a target's keep-alive time for which a connection is
-/// reused, so that the target doesn't close it while a request is in transit.
-static constexpr double KeepAliveFraction = 0.8;
-
-/// The retry hint for callers if no target is available.
-static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(400);
-
 /// The retry hint for callers while all targets are in evacuated data centres,
 /// which takes the operator seconds at least.
 static constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
 
-/// Streams with a longer gap between chunks are logged at info level.
-static constexpr Duration LoggedGap = std::chrono::milliseconds(250);
-
-/// Time reserved before the deadline for sending the reply.
-static constexpr Duration ReplyMargin = std::chrono::milliseconds(20);
-
-/// The maximum size of a buffered reply, and of one event of a stream that can
-/// be resumed at another target. Other replies are forwarded as they arrive,
-/// without a limit.
-static constexpr std::size_t MaxReplyBytes = 4 * 1024 * 1024;
-
-/// The reason logged for requests that no target outside evacuated data
-/// centres can take.
-static constexpr std::string_view Evacuated = "evacuated";
-
 /// The reason logged for requests that end because the VM stops.
 static constexpr std::string_view VmStopping = "vm_stopping";
 
@@ -65,12 +42,9 @@
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
                        EntryRequest Request)
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
-      Query_{Request_.Service_,
-             Request_.Route_->Name_,
-             Request_.Fields_.Model_,
-             Request_.Fields_.Adapter_,
-             Request_.Fields_.Shape_,
-             {}},
+      Query_{Request_.Service_,       Request_.Route_->Name_,
+             Request_.Fields_.Model_, Request_.Fields_.Adapter_,
+             Request_.Fields_.Shape_, {}},
       Wait_(Shared, Query_, rank(),
             Request_.ArrivedAt_ + Request_.Route_->LatencyTarget_),
       Pause_(Shared.Executor_) {
@@ -417,248 +391,4 @@
         BootClock::now());
 }
 
-asio::awaitable<RequestRun::SendOutcome>
-RequestRun::forwardReply(const TargetChoice &Chosen, HttpReplyHead Head,
-                         const platform::TargetResponse &Response) {
-  // An unsealed reply does not come from the target itself, so its status
-  // can't be relied on.
-  if (!Response.Sealed_) {
-    LastReason_ = "not_sealed";
-    co_return SendOutcome::Lost;
-  }
-  bool IsSuccess = Response.Status_ >= 200 && Response.Status_ < 300;
-  bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
-  // The connection is already closed, so only the head could be forwarded.
-  if (IsStream && !HeadSent_ && Shared_.ServingEnded_)
-    co_return SendOutcome::Lost;
-  if (IsStream)
-    co_return co_await forwardStream(Chosen, std::move(Head), Response);
-  co_return co_await forwardBuffered(Chosen, std::move(Head), Response);
-}
-
-asio::awaitable<RequestRun::SendOutcome>
-RequestRun::forwardBuffered(const TargetChoice &Chosen, HttpReplyHead Head,
-                            const platform::TargetResponse &Response) {
-  HttpReplyHead CallerHead = platform::encodeCallerHead(Head);
-  HttpReply Reply{CallerHead.Status_, std::move(CallerHead.Headers_), {}};
-  while (true) {
-    auto Chunk = co_await Connection_.readPart(
-        std::max<Duration>(timeLeft(), ReplyMargin));
-    if (!isOk(Chunk)) {
-      LastReason_ = "answer_cut";
-      if (!isCancelled())
-        Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
-                                                 BootClock::now());
-      co_return SendOutcome::Lost;
-    }
-    if (valueOf(Chunk).empty())
-      break;
-    Reply.Body_ += valueOf(Chunk);
-    if (Reply.Body_.size() > MaxReplyBytes) {
-      LastReason_ = "answer_too_long";
-      Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
-                                               BootClock::now());
-      co_return SendOutcome::Lost;
-    }
-  }
-  keepConnection(Chosen, Response);
-  if (HeadSent_) {
-    // A stream resumed at another target ended in a failure; the head that the
-    // caller received can't change.
-    LastReason_ = "resume_failed";
-    co_return SendOutcome::Failed;
-  }
-  if (Response.Status_ >= 500) {
-    LastReason_ = "target_failed";
-    Failure_ = std::move(Reply);
-    co_return SendOutcome::Failed;
-  }
-  int Status = Reply.Status_;
-  bool IsSent = co_await Exchange_.respond(std::move(Reply));
-  logReply(IsSent, "served", Status);
-  co_return SendOutcome::Done;
-}
-
-asio::awaitable<RequestRun::SendOutcome>
-RequestRun::forwardStream(const TargetChoice &Chosen, HttpReplyHead Head,
-                          const platform::TargetResponse &Response) {
-  bool IsResumable = Request_.Route_->Resumable_;
-  Events_.dropIncompleteEvent();
-  if (!HeadSent_) {
-    HeadSent_ = true;
-    int Status = Head.Status_;
-    HttpReplyHead CallerHead = platform::encodeCallerHead(Head);
-    if (!co_await Exchange_.startStream(std::move(CallerHead))) {
-      logDisconnect(Status);
-      co_return SendOutcome::Done;
-    }
-  }
-  StreamPace Pace;
-  while (true) {
-    auto Chunk = co_await Connection_.readPart(
-        std::max<Duration>(timeLeft(), ReplyMargin));
-    if (!isOk(Chunk)) {
-      if (Exchange_.callerDisconnected()) {
-        logDisconnect(Response.Status_);
-        co_return SendOutcome::Done;
-      }
-      LastReason_ = "stream_broken";
-      recordFailure(Chosen, {}, BootClock::now());
-      co_return SendOutcome::Broken;
-    }
-    if (valueOf(Chunk).empty())
-      break;
-    TimePoint Now = BootClock::now();
-    if (LastChunkAt_ != TimePoint{})
-      LongestGap_ = std::max(LongestGap_, Now - LastChunkAt_);
-    LastChunkAt_ = Now;
-    Pace.recordPart(Now);
-    // Only after a complete event can another target resume the stream.
-    std::string Forwarded = IsResumable ? Events_.appendBytes(valueOf(Chunk))
-                                        : std::move(valueOf(Chunk));
-    if (Events_.incompleteEvent().size() > MaxReplyBytes) {
-      LastReason_ = "event_too_long";
-      recordFailure(Chosen, {}, Now);
-      co_return SendOutcome::Broken;
-    }
-    if (!co_await Exchange_.write(Forwarded)) {
-      logDisconnect(Response.Status_);
-      co_return SendOutcome::Done;
-    }
-    Pace.recordForwarded(BootClock::now());
-  }
-  recordSpeed(Chosen,
-              Pace.measurement(Chosen.Running_,
-                               Shared_.Fleet_->runningOn(Chosen.Target_)));
-  keepConnection(Chosen, Response);
-  if (IsResumable && !Events_.incompleteEvent().empty())
-    co_await Exchange_.write(std::string(Events_.incompleteEvent()));
-  bool IsSent = co_await Exchange_.finishStream();
-  logReply(IsSent, "served", Response.Status_);
-  co_return SendOutcome::Done;
-}
-
-void RequestRun::keepConnection(const TargetChoice &Chosen,
-                                const platform::TargetResponse &Response) {
-  Duration Keep = ConnectionPool::MaxIdleTime;
-  if (Response.KeepAlive_)
-    Keep = std::chrono::duration_cast<Duration>(*Response.KeepAlive_ *
-                                                KeepAliveFraction);
-  Shared_.Pool_.returnConnection(Chosen.Address_, std::move(Connection_),
-                                 BootClock::now(), Keep);
-}
-
-void RequestRun::recordFailure(const TargetChoice &Chosen, Duration Took,
-                               TimePoint Now) {
-  if (isCancelled())
-    return;
-  Shared_.Picker_->health().recordResponse(Chosen.Target_, true, Took, Now);
-  if (LastReason_ == errorCodeName(ErrorCode::Timeout))
-    return;
-  probeAfterFailure(Shared_, Chosen, Request_.Digest_);
-}
-
-asio::awaitable<void> RequestRun::finishUnserved() {
-  if (Exchange_.callerDisconnected()) {
-    logDisconnect(0);
-    co_return;
-  }
-  if (HeadSent_) {
-    // The rest of the stream is unavailable; closing the connection signals
-    // this to the caller.
-    logEnd("stream_cut", 0);
-    Exchange_.abort();
-    co_return;
-  }
-  if (Failure_) {
-    int Status = Failure_->Status_;
-    bool IsSent = co_await Exchange_.respond(std::move(*Failure_));
-    logReply(IsSent, "target_failed", Status);
-    co_return;
-  }
-  if (Runs_ > 0) {
-    bool IsLate = timeLeft() <= ReplyMargin;
-    co_return co_await refuse(IsLate ? 504 : 502, "the target gave no answer",
-                              std::nullopt);
-  }
-  co_return co_await refuse(
-      503,
-      LastReason_ == Evacuated ? Evacuated : "no target could take the request",
-      retryAfter(CallerRetryAfter_.value_or(BusyRetryAfter), randomFraction()));
-}
-
-asio::awaitable<void> RequestRun::refuse(int Status, std::string_view Reason,
-                                         std::optional<Duration> RetryAfter) {
-  bool IsSent = co_await Exchange_.respond(platform::makeErrorReply(
-      Status, Request_.Fields_.RequestId_, Reason, RetryAfter));
-  logReply(IsSent, "refused", Status);
-}
-
-void RequestRun::countResult(std::string_view Outcome, int Status,
-                             TimePoint Now) {
-  Shared_.Metrics_->count("anvil_requests_total",
-                          {{"route", Request_.Route_->Name_},
-                           {"outcome", std::string(Outcome)},
-                           {"status", std::to_string(Status)}});
-  std::string Customer = Request_.Customer_ ? Request_.Customer_->Name_ : "";
-  MetricLabels Labels{{"route", Request_.Route_->Name_},
-                      {"customer", std::move(Customer)}};
-  Shared_.Metrics_->observe("anvil_request_seconds", Labels,
-                            Now - Request_.ArrivedAt_);
-  if (FirstByteAt_ != TimePoint{})
-    Shared_.Metrics_->observe("anvil_first_byte_seconds", Labels,
-                              FirstByteAt_ - Request_.ArrivedAt_);
-  if (AdapterWait_ > Duration::zero())
-    Shared_.Metrics_->observe("anvil_adapter_wait_seconds", {}, AdapterWait_);
-  if (PacingWait_ > Duration::zero())
-    Shared_.Metrics_->observe("anvil_paced_seconds", {}, PacingWait_);
-}
-
-void RequestRun::logReply(bool IsSent, std::string_view Outcome, int Status) {
-  if (IsSent)
-    logEnd(Outcome, Status);
-  else
-    logDisconnect(Status);
-}
-
-void RequestRun::logDisconnect(int Status) {
-  logEnd(Exchange_.closedByServer() ? "connection_closed" : "caller_gone",
-         Status);
-}
-
-void RequestRun::logEnd(std::string_view Outcome, int Status) {
-  TimePoint Now = BootClock::now();
-  countResult(Outcome, Status, Now);
-  bool IsLate =
-      FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
-      LongestGap_ > LoggedGap;
-  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate;
-  logEvent(
-      IsRoutine ? LogLevel::Debug : LogLevel::Info, "request_end",
-      {{"request", Request_.Fields_.RequestId_},
-       {"outcome", Outcome},
-       {"status", Status},
-       {"route", Request_.Route_->Name_},
-       {"customer", Request_.Customer_ ? Request_.Customer_->Name_ : ""},
-       {"kind", requestKindName(Request_.Route_->Kind_)},
-       {"adapter", Request_.Fields_.Adapter_},
-       {"target", LastTarget_},
-       {"reason", LastReason_},
-       {"sends", Sends_},
-       {"runs", Runs_},
-       {"adapter_wait_ms", toMillis(AdapterWait_)},
-       {"adapter_missing_sends", Wait_.missingSends()},
-       {"adapter_expected_ms",
-        Wait_.expectedIn() ? toMillis(*Wait_.expectedIn()) : -1},
-       {"paced_ms", toMillis(PacingWait_)},
-       {"first_byte_ms", FirstByteAt_ == TimePoint{}
-                             ? -1
-                             : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
-       {"longest_gap_ms", toMillis(LongestGap_)},
-       {"running", RunningAtPick_},
-       {"took_ms", toMillis(Now - Request_.ArrivedAt_)},
-       {"left_ms", toMillis(Request_.Deadline_ - Now)},
-       {"revision", Request_.Plan_->revision()}});
-}
-
 } // namespace anvil
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -47,6 +47,13 @@
   void interrupt();
 
 private:
+  /// Time reserved before the deadline for sending the reply.
+  static constexpr Duration ReplyMargin = std::chrono::milliseconds(20);
+
+  /// The reason logged for requests that no target outside evacuated data
+  /// centres can take.
+  static constexpr std::string_view Evacuated = "evacuated";
+
   /// The result of one attempt at a target.
   enum class SendOutcome {
     /// The caller has its final reply or has disconnected.
