Wait for an adapter at one target without comparing all of them again

A request that waits for its adapter chose again every 2 to 80 ms; each choice describes 140 engines, about 0.1 ms (DecisionBench pickTarget), and requests wait longer now.

Change: the request looks at its own target only, and chooses again after 200 ms, when the load is done or given up. A refused send is followed by a growing pause instead of 25 ms each time, so that a request outlasts a short overload of all targets (RetryAfterTest).

--- a/Source/Entry/AdapterWait.cpp
+++ b/Source/Entry/AdapterWait.cpp
@@ -75,6 +75,23 @@
   return pauseFor(Chosen, Waited);
 }
 
+std::optional<Duration> AdapterWait::pauseAtTarget(const TargetChoice &Chosen,
+                                                   const TargetQuery &Query,
+                                                   Duration Waited,
+                                                   TimePoint Now) const {
+  DispatchCandidate At = Picker_->adapterAt(Chosen.Target_, Query, Now);
+  bool WasAbsent = Chosen.Readiness_ == AdapterReadiness::Absent;
+  bool IsLoading = At.Readiness_ == AdapterReadiness::Loading;
+  bool IsAwaited =
+      IsLoading || (WasAbsent && At.Readiness_ == AdapterReadiness::Absent);
+  if (!IsAwaited)
+    return std::nullopt;
+  TargetChoice Current = Chosen;
+  Current.Readiness_ = At.Readiness_;
+  Current.ReadyIn_ = At.ReadyIn_;
+  return pauseFor(Current, Waited);
+}
+
 Duration AdapterWait::pauseBefore(const TargetChoice &Chosen,
                                   TimePoint Now) const {
   auto Found = NotBefore_.find(Chosen.Target_);
--- a/Source/Entry/AdapterWait.h
+++ b/Source/Entry/AdapterWait.h
@@ -30,6 +30,12 @@
                                     const TargetQuery &Query, Duration TimeLeft,
                                     Duration Waited, TimePoint Now);
 
+  /// How long to wait on at the chosen target, without a new choice; nothing
+  /// once the adapter is loaded there or its load is given up.
+  std::optional<Duration> pauseAtTarget(const TargetChoice &Chosen,
+                                        const TargetQuery &Query,
+                                        Duration Waited, TimePoint Now) const;
+
   /// The time for which the request isn't sent yet to a target that is expected
   /// to hold the adapter: because it lacked the adapter, or because another
   /// request is finding out whether its load has ended.
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -16,8 +16,10 @@
 /// takes about a millisecond.
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 
-/// The pause after a target refused the request without running it.
-static constexpr Duration RefusedPause = std::chrono::milliseconds(25);
+/// For how long a request waits for its adapter at one target before all
+/// targets are compared again, which takes most of a waiting request's
+/// processor time.
+static constexpr Duration MaxWaitAtTarget = std::chrono::milliseconds(200);
 
 /// The maximum number of sends of one request that targets refuse to run,
 /// besides those to targets that lack the adapter.
@@ -139,7 +141,9 @@
     if (!isRetryable(End) || !co_await awaitRetryBudget(End))
       co_return co_await finishUnserved();
     if (End == SendOutcome::NotRun)
-      co_await pauseFor(Pause_, RefusedPause);
+      co_await pauseFor(
+          Pause_, refusedSendPause(Sends_, Request_.Route_->LatencyTarget_,
+                                   timeLeft()));
   }
 }
 
@@ -153,8 +157,15 @@
     CallerRetryAfter_ = Wait_.expectedIn();
     co_return false;
   }
-  co_await pauseFor(Pause_, *Pause);
-  AdapterWait_ += BootClock::now() - Now;
+  TimePoint ChooseAgainAt = Now + MaxWaitAtTarget;
+  while (Pause) {
+    co_await pauseFor(Pause_, *Pause);
+    TimePoint Then = std::exchange(Now, BootClock::now());
+    AdapterWait_ += Now - Then;
+    bool MustChoose = Now >= ChooseAgainAt || isCancelled() || isOutOfTime();
+    Pause = MustChoose ? std::nullopt
+                       : Wait_.pauseAtTarget(Chosen, Query_, AdapterWait_, Now);
+  }
   co_return true;
 }
 
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -120,6 +120,15 @@
   Candidate.Warm_ = View->Warm_.contains(Query.Adapter_);
 }
 
+DispatchCandidate TargetPicker::adapterAt(const std::string &Target,
+                                          const TargetQuery &Query,
+                                          TimePoint Now) {
+  DispatchCandidate Candidate;
+  Candidate.Id_ = Target;
+  describeAdapter(Candidate, Query, Now);
+  return Candidate;
+}
+
 void TargetPicker::describeAdapterSlots(DispatchCandidate &Candidate,
                                         const EngineView &View,
                                         TimePoint Now) const {
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -97,6 +97,10 @@
   std::optional<Duration> untilResumed(const TargetQuery &Query,
                                        TimePoint Now) const;
 
+  /// The state of the query's adapter at one target. Much cheaper than `pick`.
+  DispatchCandidate adapterAt(const std::string &Target,
+                              const TargetQuery &Query, TimePoint Now);
+
   /// Requests the adapter at the given target, unless it was requested just
   /// before.
   void requestAdapter(const TargetQuery &Query, const std::string &Target,
--- a/Source/Serving/RetryAfter.h
+++ b/Source/Serving/RetryAfter.h
@@ -17,6 +17,13 @@
 /// refuse many requests at once while a newly started VM has earned no retries.
 Duration maxRetryWait(Duration TimeLeft, Duration LatencyTarget);
 
+/// How long a request waits after a target has refused it for the `Refusals`-th
+/// time without running it. The waits double, so that a request outlasts a
+/// short overload of all targets, and leave three quarters of the remaining
+/// time.
+Duration refusedSendPause(int Refusals, Duration LatencyTarget,
+                          Duration TimeLeft);
+
 } // namespace anvil
 
 #endif // ANVIL_SERVING_RETRYAFTER_H
--- a/Tests/Serving/RetryAfterTest.cpp
+++ b/Tests/Serving/RetryAfterTest.cpp
@@ -29,3 +29,22 @@
     CHECK(Most->second < Callers / 4);
   }
 }
+
+/// Requests that are sent again at once give up while a burst still fills all
+/// targets, though their callers would wait for seconds.
+TEST_CASE("a refused request waits longer each time", "[retry-after][load]") {
+  SECTION("so that it outlasts an overload of half its latency target") {
+    Duration Sum{};
+    for (int Refusals = 1; Refusals <= 3; ++Refusals)
+      Sum += refusedSendPause(Refusals, 300ms, 4s);
+    CHECK(Sum >= 150ms);
+    CHECK(Sum < 300ms);
+  }
+  SECTION("but keeps most of the time that is left") {
+    CHECK(refusedSendPause(5, 300ms, 400ms) == 100ms);
+  }
+  SECTION("and at least a moment, since the target is full") {
+    CHECK(refusedSendPause(1, 100ms, 1500ms) == 25ms);
+    CHECK(refusedSendPause(2, 100ms, 0ms) == 25ms);
+  }
+}
