Check the era again after the rows are read in a renewal

Cause: a created row is followed by a read, in which an era may begin; the renewal of the earlier era was then recorded as a lease of the new one, and claims were written without an own row. Change: `renew` compares the era again, and `claimTargets` returns without an own row. No test covers the moment itself.

--- a/Source/Entry/EngineOwnershipRows.cpp
+++ b/Source/Entry/EngineOwnershipRows.cpp
@@ -198,6 +198,8 @@
     if (WasMissing && !Ownership_.owned().empty()) {
       Ownership_.recordRowCreated();
       co_await readRows();
+      if (Store_->era().current() != Era)
+        co_return false;
     }
     if (Standby_)
       Ownership_.recordStandby();
@@ -233,7 +235,8 @@
   TimePoint Now = BootClock::now();
   std::uint64_t Era = Store_->era().current();
   for (const OwnerClaim &Claim : Ownership_.claims(engines(), Now)) {
-    if (Store_->era().current() != Era)
+    // Without its own row this VM has no lease in the store's era.
+    if (Store_->era().current() != Era || OwnRowVersion_ == 0)
       co_return;
     auto Change = claimTransaction(Claim, Self_, OwnRowVersion_, Era);
     TimePoint SentAt = BootClock::now();
