Keep a target cold that an older entry calls warm

Cause: any statement, also that of a response, let a warm entry end the cold time, although the entry may be older. A new plan recorded known entries again and restarted their time. Change: a warm entry ends a cold time only if an entry has said since the last other sign that the target is cold. A plan records unknown targets only. An entry that is missing for one read no longer loses the signs (`forget` on Unlisted); `expire` removes them, so that the test of `forget` now checks that what is known of a target that left ends by itself.

--- a/Source/Entry/ColdTargets.cpp
+++ b/Source/Entry/ColdTargets.cpp
@@ -43,14 +43,16 @@
   ColdStarts_.setPlan(Plan);
   // The list may have been read before the plan.
   for (const auto &[Id, Listed] : Targets_->roster().all())
-    report(ColdStarts_.recordEntry(Listed.Entry_, false, Now));
+    // An entry that was applied before would start its time again.
+    if (!ColdStarts_.isKnown(Id, Listed.Entry_.Incarnation_))
+      report(ColdStarts_.recordEntry(Listed.Entry_, false, Now));
 }
 
 void ColdTargets::applyRosterChange(const RosterChange &Change, TimePoint Now) {
-  if (Change.Usability_ == TargetUsability::Unlisted) {
-    ColdStarts_.forget(Change.Id_);
+  // A target whose entry is missing may be listed again, still cold; `expire`
+  // removes what is known of the others.
+  if (Change.Usability_ == TargetUsability::Unlisted)
     return;
-  }
   const ListedTarget *Listed = Targets_->roster().find(Change.Id_);
   if (Listed && Change.NewIncarnation_ && HasList_)
     report(ColdStarts_.recordEntry(Listed->Entry_, true, Now));
--- a/Source/Evacuation/ColdStarts.cpp
+++ b/Source/Evacuation/ColdStarts.cpp
@@ -5,7 +5,7 @@
 namespace anvil {
 
 /// For how long the last statement of a warm target is kept, so that its
-/// repetition isn't taken for a new one. Entries are read every other second.
+/// repetition isn't taken for a new one.
 static constexpr Duration StatementRetention = std::chrono::seconds(60);
 
 void ColdStarts::setPlan(const ServingPlan &Plan) {
@@ -72,20 +72,22 @@
     applyStatement(*Of, *Entry.ColdRemaining_, *Plan, Now);
     Of->Sign_ = ColdSign::Entry;
     Of->SignAt_ = Now;
+    Of->EntrySaidCold_ = true;
   } else if (Entry.ColdRemaining_) {
-    // An entry may be older than what the other signs showed, unless the
-    // target has stated since then that it is cold.
-    bool EndsSign = Of->Stated_ || Of->Sign_ == ColdSign::Entry ||
-                    Of->Sign_ == ColdSign::NewIncarnation;
+    // An entry may be older than what the other signs showed, unless an entry
+    // has said since then that the target is cold.
+    bool EndsSign = Of->EntrySaidCold_ || Of->Sign_ == ColdSign::NewIncarnation;
     if (EndsSign) {
       Of->AssumedUntil_ = {};
       Of->StatedUntil_ = {};
+      Of->Stated_.reset();
     }
-    Of->Stated_.reset();
+    Of->EntrySaidCold_ = false;
   } else if (IsNew) {
     Of->AssumedUntil_ = Now + Plan->Time_;
     Of->Sign_ = ColdSign::NewIncarnation;
     Of->SignAt_ = Now;
+    Of->EntrySaidCold_ = false;
   }
   return report(Entry.Id_, *Of, Of->Sign_, Now);
 }
@@ -101,6 +103,7 @@
   Of->Stated_.reset();
   Of->Sign_ = Sign;
   Of->SignAt_ = Now;
+  Of->EntrySaidCold_ = false;
   return report(Target.Id_, *Of, Sign, Now);
 }
 
@@ -129,6 +132,7 @@
     applyStatement(*Of, Remaining, *Plan, Now);
     Of->Sign_ = ColdSign::Response;
     Of->SignAt_ = Now;
+    Of->EntrySaidCold_ = false;
   } else if (SentAt > Of->SignAt_) {
     Of->AssumedUntil_ = {};
     Of->StatedUntil_ = {};
@@ -157,6 +161,12 @@
              : Duration::zero();
 }
 
+bool ColdStarts::isKnown(const std::string &Target,
+                         std::int64_t Incarnation) const {
+  auto Found = Targets_.find(Target);
+  return Found != Targets_.end() && Found->second.Incarnation_ >= Incarnation;
+}
+
 std::vector<ColdChange> ColdStarts::expire(TimePoint Now) {
   std::vector<ColdChange> Changes;
   for (auto &[Target, Of] : Targets_)
--- a/Source/Evacuation/ColdStarts.h
+++ b/Source/Evacuation/ColdStarts.h
@@ -4,6 +4,7 @@
 #include "Serving/ServingPlan.h"
 #include "Serving/TargetRoster.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -102,8 +103,8 @@
   Duration remaining(const std::string &Target, std::int64_t Incarnation,
                      TimePoint Now) const;
 
-  /// Removes what is known of a target.
-  void forget(const std::string &Target) { Targets_.erase(Target); }
+  /// Whether there were signs of this incarnation or of a later one.
+  bool isKnown(const std::string &Target, std::int64_t Incarnation) const;
 
   /// Returns the targets whose cold time has elapsed since the last call, and
   /// removes what is no longer needed.
@@ -119,6 +120,9 @@
     /// The last sign, and when it came.
     ColdSign Sign_ = ColdSign::Entry;
     TimePoint SignAt_{};
+    /// Whether an entry has said since the last other sign that the target is
+    /// cold.
+    bool EntrySaidCold_ = false;
     /// Until when the target is cold by signs of a start, and by its own
     /// statement.
     TimePoint AssumedUntil_{};
--- a/Tests/Serving/ColdStartsTest.cpp
+++ b/Tests/Serving/ColdStartsTest.cpp
@@ -130,6 +130,15 @@
     CHECK(Decisions.recordResponse(entry(1), 2s, Start, Start));
     CHECK(ColdAt(1999ms));
     CHECK_FALSE(ColdAt(2s));
+    SECTION("although its entry, written before, still says that it is warm") {
+      Decisions.recordEntry(entry(1, 0s), false, Start + 1s);
+      CHECK(ColdAt(1999ms));
+    }
+    SECTION("until its entry has said that it was cold and now is warm") {
+      Decisions.recordEntry(entry(1, 1s), false, Start + 1s);
+      Decisions.recordEntry(entry(1, 0s), false, Start + 1500ms);
+      CHECK_FALSE(ColdAt(1500ms));
+    }
   }
 }
 
@@ -196,9 +205,12 @@
   CHECK(Decisions.size() == 0);
   SECTION("and ends with a target that has left") {
     Decisions.recordEntry(entry(1, 5s), false, Start);
-    Decisions.forget("e1");
+    CHECK(Decisions.isKnown("e1", 1));
+    CHECK(Decisions.expire(Start + 5s).size() == 1);
+    CHECK_FALSE(Decisions.rateOf("e1", 1, Start + 5s));
+    Decisions.expire(Start + 60s);
     CHECK(Decisions.size() == 0);
-    CHECK_FALSE(Decisions.rateOf("e1", 1, Start));
+    CHECK_FALSE(Decisions.isKnown("e1", 1));
   }
   SECTION("and the operator may end cold starts") {
     Decisions.recordEntry(entry(1, 5s), false, Start);
