Take no removed row from an older notice after a whole read

Cause: a row that a copy never held, removed before a whole read, came back with an older notice, for instance an evacuation that had ended. Change: unknown rows up to the version of the last whole read are ignored. Tombstones are kept, since peers that can't read get them.

--- a/Source/TableService/TableCopy.cpp
+++ b/Source/TableService/TableCopy.cpp
@@ -9,6 +9,8 @@
 TableCopy::applyChanges(const std::vector<TableRow> &Rows) {
   std::vector<TableRow> Newer;
   for (const TableRow &Row : Rows) {
+    if (Row.Version_ <= WholeVersion_ && !Rows_.contains(Row.Key_))
+      continue;
     auto [Found, IsUnknown] = Rows_.try_emplace(Row.Key_, Row);
     if (!IsUnknown && Row.Version_ <= Found->second.Version_)
       continue;
@@ -29,6 +31,7 @@
     if (!Known.Deleted_ && Known.Version_ <= Version && !Listed.contains(Key))
       Removed.push_back({Key, "", Version, true});
   std::vector<TableRow> Newer = applyChanges(Rows);
+  WholeVersion_ = std::max(WholeVersion_, Version);
   for (TableRow &Row : Removed) {
     Rows_[Row.Key_] = Row;
     Newest_ = std::max(Newest_, Version);
@@ -49,6 +52,7 @@
   for (auto &[Key, Row] : Rows_)
     Row.Version_ = 0;
   Newest_ = 0;
+  WholeVersion_ = 0;
 }
 
 } // namespace anvil
--- a/Source/TableService/TableCopy.h
+++ b/Source/TableService/TableCopy.h
@@ -15,8 +15,9 @@
 /// an older copy of such a row doesn't bring it back.
 class TableCopy {
 public:
-  /// Applies changed and removed rows. Returns those that are newer than the
-  /// rows known before.
+  /// Applies changed and removed rows, except unknown ones up to the version of
+  /// a whole read, which were removed before it. Returns those that are newer
+  /// than the rows known before.
   std::vector<TableRow> applyChanges(const std::vector<TableRow> &Rows);
 
   /// Applies all rows that the table had at `Version`. Known rows up to that
@@ -38,6 +39,8 @@
 private:
   std::map<std::string, TableRow> Rows_;
   std::uint64_t Newest_ = 0;
+  /// The highest version of a whole read.
+  std::uint64_t WholeVersion_ = 0;
 };
 
 } // namespace anvil
--- a/Tests/Serving/TableCopyTest.cpp
+++ b/Tests/Serving/TableCopyTest.cpp
@@ -48,6 +48,14 @@
     }
   }
 
+  SECTION("takes no unknown row that a whole read would have shown") {
+    CHECK(Copy.applyChanges({{"c", "1", 6}}).empty());
+    CHECK(keysOf(Copy) == Keys{"a", "b"});
+    CHECK(Copy.applyChanges({{"c", "1", 7}}).size() == 1);
+    Copy.forgetVersions();
+    CHECK(Copy.applyChanges({{"d", "1", 2}}).size() == 1);
+  }
+
   SECTION("misses removals that a whole read shows") {
     Rows Changed = Copy.applyWhole({{"b", "1", 5}}, 9);
     REQUIRE(Changed.size() == 1);
