Let held targets end with their lease

Cause: entries whose lease had ended stayed, so that owned() never was empty and ownerOf named this VM. Change: applyOwners erases them, and ownerOf asks isHeld.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -327,8 +327,9 @@
 std::string EngineOwnershipService::ownerOf(const std::string &Engine) const {
   // The owner's own report is newer than the rows.
   const EngineView *View = Fleet_->view().engine(Engine);
-  bool IsOwnerReported = View && View->OwnedUntil_ > BootClock::now();
-  return IsOwnerReported ? View->Owner_ : Ownership_.ownerOf(Engine);
+  TimePoint Now = BootClock::now();
+  bool IsOwnerReported = View && View->OwnedUntil_ > Now;
+  return IsOwnerReported ? View->Owner_ : Ownership_.ownerOf(Engine, Now);
 }
 
 void EngineOwnershipService::sendToOwner(AdapterRequest Request,
--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -94,8 +94,9 @@
     Seen.emplace(Row.Target_, New);
   }
   Owners_ = std::move(Seen);
-  std::erase_if(
-      Held_, [&](const auto &Entry) { return Owners_.contains(Entry.first); });
+  std::erase_if(Held_, [&](const auto &Entry) {
+    return Owners_.contains(Entry.first) || Entry.second.Until_ <= ReadAt;
+  });
 }
 
 void TargetOwnership::startEra(std::uint64_t Era, TimePoint NewOwnersFrom,
@@ -203,7 +204,7 @@
   std::map<std::string, std::size_t> LocalTargets;
   for (const auto &[Target, DataCentre] : Targets) {
     ++LocalTargets[DataCentre];
-    ++OwnedCount[ownerOf(Target)];
+    ++OwnedCount[ownerOf(Target, Now)];
   }
   for (const auto &[Target, DataCentre] : Targets) {
     auto Claim = claimOf(Target, Now);
@@ -246,11 +247,12 @@
   return Owner->Row_.Fence_;
 }
 
-std::string TargetOwnership::ownerOf(const std::string &Target) const {
+std::string TargetOwnership::ownerOf(const std::string &Target,
+                                     TimePoint Now) const {
   auto Found = Owners_.find(Target);
   if (Found != Owners_.end())
     return Found->second.Row_.Vm_;
-  return Held_.contains(Target) ? Self_ : std::string();
+  return isHeld(Target, Now) ? Self_ : std::string();
 }
 
 std::vector<OwnerRow> TargetOwnership::owned() const {
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -150,7 +150,7 @@
                                              TimePoint Now) const;
 
   /// The known owner of a target; empty if there is none.
-  std::string ownerOf(const std::string &Target) const;
+  std::string ownerOf(const std::string &Target, TimePoint Now) const;
 
   /// The rows that name this VM.
   std::vector<OwnerRow> owned() const;
--- a/Tests/StoreEra/EraOwnershipTest.cpp
+++ b/Tests/StoreEra/EraOwnershipTest.cpp
@@ -45,6 +45,12 @@
     SECTION("goes on until that lease ends") {
       CHECK(Ownership.orderingFence("e0", LeaseEnd - 1ms));
       CHECK_FALSE(Ownership.orderingFence("e0", LeaseEnd));
+      CHECK(Ownership.ownerOf("e0", LeaseEnd - 1ms) == "a");
+      CHECK(Ownership.ownerOf("e0", LeaseEnd).empty());
+      Ownership.applyOwners({}, LeaseEnd - 1ms);
+      CHECK(Ownership.owned().size() == 1);
+      Ownership.applyOwners({}, LeaseEnd);
+      CHECK(Ownership.owned().empty());
     }
     SECTION("goes on with a higher token once its row is written again") {
       CHECK(Ownership.claims(engines(2), Seen).empty());
