Keep evacuations only if an earlier era was seen

Cause: a VM that started ignored removals for 5 s on a store that names an era. Change: startEra keeps evacuations only if the process saw an earlier era. Also corrects two comments. No test covers the service's call.

--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -70,7 +70,9 @@
   NewestRow_ = 0;
   PeerNewestRow_ = 0;
   Rows_.forgetVersions();
-  keepEvacuationsUntil(BootClock::now() + RewriteTime);
+  // A process that has just started knows no evacuation of an earlier era.
+  if (Store_->era().hasSeenEarlier())
+    keepEvacuationsUntil(BootClock::now() + RewriteTime);
   StoreClock_ = {};
   IsRevisionShown_ = !Plan_;
 }
@@ -181,7 +183,7 @@
                         std::optional<TimePoint> NotBefore,
                         const RowEvidence &Evidence) {
   NewestRow_ = std::max(NewestRow_, Rows_.newest());
-  // Before the first plan, which lets requests in.
+  // Evacuations apply before the plan, so that no request is sent in between.
   for (const TableRow &Row : Newer)
     if (auto DataCentre = platform::evacuatedDataCentre(Row.Key_))
       applyEvacuation(*DataCentre, !Row.Deleted_, Evidence);
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -51,8 +51,8 @@
 
 /// Follows the operator's configuration, the adapter versions it names and the
 /// data centres it evacuates, and tracks when they were last confirmed to be
-/// current. If another VM reports
-/// what it read, this VM reads the store only for newer rows.
+/// current. If another VM reports what it read, this VM reads the store only
+/// for newer rows.
 class PlanService : public Service {
 public:
   static constexpr std::string_view Name = "plan";
