--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -445,8 +445,7 @@
     return;
   auto Known = Link_->addressOf(Update.Vm_);
   if (!Known || Known->text() != Update.PeerAddress_) {
-    // The VM started, for the first time or again at another address, after
-    // the rows were read.
+    // The VM started, maybe again at another address, after the last read.
     auto Address = parseEndpoint(Update.PeerAddress_);
     if (isOk(Address))
       Link_->addPeer(Update.Vm_, {valueOf(Address), Update.DataCentre_});
