Say that a service is evacuated only if all its targets are

Cause: reason, metric and Retry-After were those of an evacuation as soon as one usable target was in an evacuated data centre, also if others were busy or unreachable. Change: `isFullyEvacuated` asks for all usable targets. A target whose data centre is evacuated before the send ends the attempt as `target_evacuated`, so that a request that later ends for another reason isn't refused as evacuated.

--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -97,7 +97,7 @@
     if (!Chosen) {
       CallerRetryAfter_ = Shared_.Picker_->untilResumed(Query_, Now);
       LastReason_ = CallerRetryAfter_ ? "targets_closed" : "no_target";
-      if (!CallerRetryAfter_ && Shared_.Picker_->hasEvacuatedTargets(Query_)) {
+      if (!CallerRetryAfter_ && Shared_.Picker_->isFullyEvacuated(Query_)) {
         LastReason_ = Evacuated;
         CallerRetryAfter_ = EvacuatedRetryAfter;
         Shared_.Metrics_->count("anvil_evacuated_refusals_total",
@@ -175,7 +175,7 @@
 
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
   // A target that could not be connected to has received nothing.
-  if (LastReason_ == "no_connection" || LastReason_ == Evacuated)
+  if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated)
     co_return true;
   // A request whose adapter is being loaded waits for the budget as it does for
   // the load.
@@ -294,7 +294,7 @@
   if (isCancelled())
     co_return SendOutcome::NotRun;
   if (Shared_.Picker_->isEvacuated(Chosen)) {
-    LastReason_ = Evacuated;
+    LastReason_ = TargetEvacuated;
     co_return SendOutcome::NotRun;
   }
   bool IsLimited = Shared_.Fleet_->limits()
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -54,6 +54,10 @@
   /// centres can take.
   static constexpr std::string_view Evacuated = "evacuated";
 
+  /// The reason logged when a chosen target's data centre was evacuated before
+  /// the send.
+  static constexpr std::string_view TargetEvacuated = "target_evacuated";
+
   /// The result of one attempt at a target.
   enum class SendOutcome {
     /// The caller has its final reply or has disconnected.
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -175,12 +175,12 @@
   return Targets;
 }
 
-bool TargetPicker::hasEvacuatedTargets(const TargetQuery &Query) const {
-  return std::ranges::any_of(Targets_->roster().usable(Query.Service_),
-                             [&](const ListedTarget *Target) {
-                               return Plans_->evacuations().isEvacuated(
-                                   Target->Entry_.DataCentre_);
-                             });
+bool TargetPicker::isFullyEvacuated(const TargetQuery &Query) const {
+  auto Usable = Targets_->roster().usable(Query.Service_);
+  return !Usable.empty() &&
+         std::ranges::all_of(Usable, [&](const ListedTarget *Target) {
+           return Plans_->evacuations().isEvacuated(Target->Entry_.DataCentre_);
+         });
 }
 
 std::optional<TargetChoice> TargetPicker::pick(const TargetQuery &Query,
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -89,8 +89,9 @@
     return Plans_->evacuations().isEvacuated(Chosen.DataCentre_);
   }
 
-  /// Whether usable targets of the service are in evacuated data centres.
-  bool hasEvacuatedTargets(const TargetQuery &Query) const;
+  /// Whether the service has usable targets and all of them are in evacuated
+  /// data centres.
+  bool isFullyEvacuated(const TargetQuery &Query) const;
 
   /// Time until the first suspended target is available again; nothing if none
   /// is suspended.
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -123,6 +123,7 @@
   REQUIRE(Chosen);
   REQUIRE_FALSE(Vm.Picker_->isEvacuated(*Chosen));
   Vm.apply({"evacuate/" + Chosen->DataCentre_, "{}", 2});
+  CHECK_FALSE(Vm.Picker_->isFullyEvacuated(Vm.Query_));
   SECTION("no longer holds") {
     CHECK(Vm.Picker_->isEvacuated(*Chosen));
     CHECK(Vm.Picker_->pick(Vm.Query_, BootClock::now()));
@@ -131,7 +132,7 @@
     for (const std::string &DataCentre : DataCentres)
       Vm.apply({"evacuate/" + DataCentre, "{}", 3});
     CHECK_FALSE(Vm.Picker_->pick(Vm.Query_, BootClock::now()));
-    CHECK(Vm.Picker_->hasEvacuatedTargets(Vm.Query_));
+    CHECK(Vm.Picker_->isFullyEvacuated(Vm.Query_));
     CHECK_FALSE(Vm.Picker_->untilResumed(Vm.Query_, BootClock::now()));
   }
 }
