Check the permit again after connecting

Cause: a target may state a limit, or turn cold, while the connection opens, and a permit may outlive its 200 ms; the request was sent all the same. Change: TargetPermits::maySend decides at the send. If not, the attempt ends as not run (`permit_missing`) without excluding the target, drawing on the retry budget or counting as a refused send. Test: the decision only.

--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -127,7 +127,13 @@
       continue;
     }
     Wait_.end();
-    bool MaySend = !Chosen->NeedsPermit_ ||
+    PermitRequestedAt_.reset();
+    TimePoint RequestedAt = BootClock::now();
+    if (Chosen->NeedsPermit_ &&
+        Shared_.Permits_->needsPermit(Chosen->Target_, Chosen->Incarnation_,
+                                      RequestedAt))
+      PermitRequestedAt_ = RequestedAt;
+    bool MaySend = !PermitRequestedAt_ ||
                    co_await Shared_.Permits_->acquire(
                        Chosen->Target_, Chosen->Incarnation_, Pause_);
     // An evacuation may have begun while the permit was awaited.
@@ -175,7 +181,8 @@
 
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
   // A target that could not be connected to has received nothing.
-  if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated)
+  if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated ||
+      LastReason_ == PermitMissing)
     co_return true;
   // A request whose adapter is being loaded waits for the budget as it does for
   // the load.
@@ -218,7 +225,9 @@
               {"runs", Runs_},
               {"running", Chosen.Running_},
               {"cost", Chosen.Cost_}});
-  bool MustExclude = End != SendOutcome::Done && LastReason_ != AdapterMissing;
+  bool MustExclude = End != SendOutcome::Done &&
+                     LastReason_ != AdapterMissing &&
+                     LastReason_ != PermitMissing;
   if (MustExclude)
     Query_.Excluded_.insert(Chosen.Target_);
   co_return End;
@@ -297,6 +306,11 @@
     LastReason_ = TargetEvacuated;
     co_return SendOutcome::NotRun;
   }
+  if (!Shared_.Permits_->maySend(Chosen.Target_, Chosen.Incarnation_,
+                                 PermitRequestedAt_, BootClock::now())) {
+    LastReason_ = PermitMissing;
+    co_return SendOutcome::NotRun;
+  }
   bool IsLimited = Shared_.Fleet_->limits()
                        .rateOf(Chosen.Target_, Chosen.Incarnation_)
                        .has_value();
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -54,9 +54,11 @@
   /// centres can take.
   static constexpr std::string_view Evacuated = "evacuated";
 
-  /// The reason logged when a chosen target's data centre was evacuated before
-  /// the send.
+  /// The reasons logged when a chosen target could no longer get the request
+  /// after the connection was open: its data centre was evacuated, or there was
+  /// no valid permit.
   static constexpr std::string_view TargetEvacuated = "target_evacuated";
+  static constexpr std::string_view PermitMissing = "permit_missing";
 
   /// The result of one attempt at a target.
   enum class SendOutcome {
@@ -136,6 +138,8 @@
   boost::asio::steady_timer Pause_;
   EventSplitter Events_;
   /// The number of targets that have run the request or may have.
+  /// When the permit for the current send was requested; nothing without one.
+  std::optional<TimePoint> PermitRequestedAt_;
   int Runs_ = 0;
   int Sends_ = 0;
   bool HeadSent_ = false;
--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -63,6 +63,13 @@
   return queryFor(Target, Incarnation, Now).has_value();
 }
 
+bool TargetPermits::maySend(const std::string &Target, std::int64_t Incarnation,
+                            std::optional<TimePoint> RequestedAt,
+                            TimePoint Now) const {
+  bool IsPermitted = RequestedAt && Now - *RequestedAt <= PermitLifetime;
+  return IsPermitted || !needsPermit(Target, Incarnation, Now);
+}
+
 Duration TargetPermits::suspendedFor(const std::string &Target,
                                      std::int64_t Incarnation,
                                      TimePoint Now) const {
--- a/Source/Entry/TargetPermits.h
+++ b/Source/Entry/TargetPermits.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace anvil {
@@ -22,9 +23,9 @@
 /// back-off or no permit is available, and enforces the rate limits that
 /// targets state and the rates that cold targets take. For a target with either
 /// each request needs a permit, which is valid for one request and a short
-/// time. One VM hands out the permits for a
-/// target to all VMs that exchange state updates directly; a VM that receives
-/// from no other VM hands out its own permits from its share of the limit.
+/// time. One VM hands out the permits for a target to all VMs that exchange
+/// state updates directly; a VM that receives from no other VM hands out its
+/// own permits from its share of the limit.
 class TargetPermits : public Service {
 public:
   static constexpr std::string_view Name = "target_permits";
@@ -38,6 +39,11 @@
   bool needsPermit(const std::string &Target, std::int64_t Incarnation,
                    TimePoint Now) const;
 
+  /// Whether a request may be sent at `Now` with a permit requested at
+  /// `RequestedAt`; no time if it has none.
+  bool maySend(const std::string &Target, std::int64_t Incarnation,
+               std::optional<TimePoint> RequestedAt, TimePoint Now) const;
+
   /// Suspends a target that asked this VM to send nothing for `Time`.
   void backOff(const std::string &Target, std::int64_t Incarnation,
                Duration Time, TimePoint Now);
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 using namespace anvil;
+using namespace std::chrono_literals;
 using nlohmann::json;
 
 static const std::vector<std::string> DataCentres{"east", "north", "south"};
@@ -137,6 +138,22 @@
   }
 }
 
+/// Guards against a request beyond a target's rate after connecting took long.
+TEST_CASE("a permit at the time of the send", "[EVAC][target-limit]") {
+  PickingVm Vm("north", 1);
+  auto Permits = Vm.Services_.require<TargetPermits>(TargetPermits::Name);
+  TimePoint Now = BootClock::now();
+  CHECK(Permits->maySend("north-0", 7, std::nullopt, Now));
+  Vm.Fleet_->recordLimit("north-0", 7, 5, Now, Now);
+  SECTION("is missing if the target stated its limit after the choice") {
+    CHECK_FALSE(Permits->maySend("north-0", 7, std::nullopt, Now));
+  }
+  SECTION("is valid for a short time") {
+    CHECK(Permits->maySend("north-0", 7, Now, Now + 200ms));
+    CHECK_FALSE(Permits->maySend("north-0", 7, Now, Now + 201ms));
+  }
+}
+
 TEST_CASE("a new plan is in force only with its evacuations",
           "[EVAC][evacuation]") {
   PickingVm Vm("north", 1);
