--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 using namespace anvil;
+using namespace std::chrono_literals;
 using nlohmann::json;
 
 static const std::vector<std::string> DataCentres{"east", "north", "south"};
@@ -123,6 +124,7 @@
   REQUIRE(Chosen);
   REQUIRE_FALSE(Vm.Picker_->isEvacuated(*Chosen));
   Vm.apply({"evacuate/" + Chosen->DataCentre_, "{}", 2});
+  CHECK_FALSE(Vm.Picker_->isFullyEvacuated(Vm.Query_));
   SECTION("no longer holds") {
     CHECK(Vm.Picker_->isEvacuated(*Chosen));
     CHECK(Vm.Picker_->pick(Vm.Query_, BootClock::now()));
@@ -131,11 +133,27 @@
     for (const std::string &DataCentre : DataCentres)
       Vm.apply({"evacuate/" + DataCentre, "{}", 3});
     CHECK_FALSE(Vm.Picker_->pick(Vm.Query_, BootClock::now()));
-    CHECK(Vm.Picker_->hasEvacuatedTargets(Vm.Query_));
+    CHECK(Vm.Picker_->isFullyEvacuated(Vm.Query_));
     CHECK_FALSE(Vm.Picker_->untilResumed(Vm.Query_, BootClock::now()));
   }
 }
 
+/// Guards against a request beyond a target's rate after connecting took long.
+TEST_CASE("a permit at the time of the send", "[EVAC][target-limit]") {
+  PickingVm Vm("north", 1);
+  auto Permits = Vm.Services_.require<TargetPermits>(TargetPermits::Name);
+  TimePoint Now = BootClock::now();
+  CHECK(Permits->maySend("north-0", 7, std::nullopt, Now));
+  Vm.Fleet_->recordLimit("north-0", 7, 5, Now, Now);
+  SECTION("is missing if the target stated its limit after the choice") {
+    CHECK_FALSE(Permits->maySend("north-0", 7, std::nullopt, Now));
+  }
+  SECTION("is valid for a short time") {
+    CHECK(Permits->maySend("north-0", 7, Now, Now + 200ms));
+    CHECK_FALSE(Permits->maySend("north-0", 7, Now, Now + 201ms));
+  }
+}
+
 TEST_CASE("a new plan is in force only with its evacuations",
           "[EVAC][evacuation]") {
   PickingVm Vm("north", 1);
