--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -79,7 +79,9 @@
 }
 
 std::map<std::string, std::uint16_t> EntryDaemon::ports() const {
-  return Services_.require<EntryGateway>(EntryGateway::Name)->ports();
+  auto Ports = Services_.require<EntryGateway>(EntryGateway::Name)->ports();
+  Ports["peer"] = Services_.require<FleetLink>(FleetLink::Name)->port();
+  return Ports;
 }
 
 void EntryDaemon::run() { Loop_.run(); }
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -67,7 +67,7 @@
       ANVIL_STANDIN, std::move(Arguments), Directory_, Name);
 }
 
-void EntryFleet::startVm(const std::string &Name) {
+void EntryFleet::startVm(const std::string &Name, std::uint16_t PeerPort) {
   std::string Path = Directory_ + "/" + Name + ".json";
   std::string Store =
       "127.0.0.1:" + std::to_string(at("proxy").port(storeLinkName(Name)));
@@ -78,7 +78,7 @@
                     {{"callers", "127.0.0.1:0"},
                      {"ready", "127.0.0.1:0"},
                      {"address", "127.0.0.1"},
-                     {"peer_port", 0}}},
+                     {"peer_port", PeerPort}}},
                    {"store",
                     {{"address", Store},
                      {"timeout_ms", 300},
@@ -97,8 +97,10 @@
 }
 
 void EntryFleet::restart(const std::string &Vm) {
+  // VMs have the same ports in all their lives.
+  std::uint16_t PeerPort = at(Vm).port("peer");
   at(Vm).kill();
-  startVm(Vm);
+  startVm(Vm, PeerPort);
 }
 
 void EntryFleet::writeRow(const std::string &Table, const std::string &Key,
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -93,7 +93,8 @@
 
 private:
   void start(const std::string &Name, std::vector<std::string> Arguments);
-  void startVm(const std::string &Name);
+  /// Starts a VM; a peer port of 0 lets the system choose one.
+  void startVm(const std::string &Name, std::uint16_t PeerPort = 0);
   void writeRow(const std::string &Table, const std::string &Key,
                 const nlohmann::json &Value);
 
