Cost the load of an adapter by the expected load time

An absent adapter cost a fixed 300 ms (60 ms if warm), while one in transit cost the learned estimate. On a slow store each new pick therefore requested the load at a further engine. Candidates now carry the expected load times, which replace the constants.

--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -118,6 +118,9 @@
       Sent != AdapterRequests_.end() &&
       Sent->second.FirstAt_ + AdapterRequestRetention > Now;
   Candidate.Warm_ = View->Warm_.contains(Query.Adapter_);
+  const LoadTimeEstimate &Times = Fleet_->loadTimes();
+  Candidate.LoadTime_ = OrderLatency + Times.expected(LoadSource::Store);
+  Candidate.WarmLoadTime_ = OrderLatency + Times.expected(LoadSource::Engine);
 }
 
 void TargetPicker::describeAdapterSlots(DispatchCandidate &Candidate,
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -34,14 +34,6 @@
 /// for each waiting request.
 static constexpr double SlotsFullMs = 250;
 
-/// The time to load an adapter, with the order's latency, ms; from the users'
-/// sheets.
-static constexpr double LoadMs = 300;
-
-/// The time to load an adapter that the engine held recently, with the order's
-/// latency, ms.
-static constexpr double WarmLoadMs = 60;
-
 /// The delay that a load from the weight store causes to other loads, ms: it
 /// occupies one of few transit slots for the time of a load.
 static constexpr double StoreContentionMs = 250;
@@ -120,13 +112,15 @@
     break;
   case AdapterReadiness::Absent:
     Cost += Candidate.Warm_
-                ? WarmLoadMs
-                : LoadMs * Candidate.LoadFactor_ + StoreContentionMs;
+                ? toSeconds(Candidate.WarmLoadTime_) * 1000
+                : toSeconds(Candidate.LoadTime_) * 1000 *
+                          Candidate.LoadFactor_ +
+                      StoreContentionMs;
     Cost += HomeRankMs * static_cast<double>(Candidate.HomeRank_);
     if (Candidate.Limited_)
       Cost += LimitedTargetLoadMs;
     if (Candidate.InTransit_ >= MaxInTransit)
-      Cost += LoadMs;
+      Cost += toSeconds(Candidate.LoadTime_) * 1000;
     if (Candidate.OwnerUnresponsive_)
       Cost += UnansweredRequestMs;
     if (Candidate.PinnedAdapterSlots_ >= Candidate.AdapterCapacity_)
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -36,6 +36,10 @@
   std::size_t HomeRank_ = 0;
   /// Whether the target held the adapter recently, so that it loads fast.
   bool Warm_ = false;
+  /// The expected time to load the adapter from the weight store, and where the
+  /// target held it recently; both with the order's latency.
+  Duration LoadTime_ = std::chrono::milliseconds(300);
+  Duration WarmLoadTime_ = std::chrono::milliseconds(60);
   /// Whether the engine has an owner that can order the adapter to be loaded.
   bool HasOwner_ = false;
   /// The used adapter slots of the engine, and the number of all.
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -66,6 +66,18 @@
     Loading.ReadyIn_ = 200ms;
     CHECK(selectCheapest({Absent, Loading}, Usual) == 1);
   }
+  // Guards against one more load of the adapter for each pick on a slow store.
+  SECTION("waits for the load in progress when all loads are slow") {
+    auto Loading = engine("loading", AdapterReadiness::Loading, 0);
+    Loading.ReadyIn_ = 600ms;
+    Absent.LoadTime_ = 600ms;
+    CHECK(selectCheapest({Absent, Loading}, Usual) == 1);
+    SECTION("also if the other engine held the adapter recently") {
+      Absent.Warm_ = true;
+      Absent.WarmLoadTime_ = 620ms;
+      CHECK(selectCheapest({Absent, Loading}, Usual) == 1);
+    }
+  }
   SECTION("avoids failing targets as long as there are others") {
     auto Failing = engine("failing", AdapterReadiness::NotNeeded, 0);
     Failing.FailureShare_ = 0.4;
