Don't hold a reply back for a load beyond the latency target

A request with a target's failure in hand, or with a stream that broke off, waited for an adapter as long as its deadline allowed. It now ends once it has waited for its latency target.

--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -145,8 +145,14 @@
 
 asio::awaitable<bool> RequestRun::awaitAdapter(const TargetChoice &Chosen) {
   TimePoint Now = BootClock::now();
-  auto Pause = Wait_.nextPause(Chosen, Query_, timeLeft() - ReplyMargin,
-                               AdapterWait_, Now);
+  // A reply that is ready, or a stream that has begun, isn't held back for a
+  // load beyond the latency target.
+  bool HasReply = Failure_ || HeadSent_;
+  bool MayWait = !HasReply || AdapterWait_ < Request_.Route_->LatencyTarget_;
+  std::optional<Duration> Pause;
+  if (MayWait)
+    Pause = Wait_.nextPause(Chosen, Query_, timeLeft() - ReplyMargin,
+                            AdapterWait_, Now);
   if (!Pause) {
     LastReason_ = Chosen.Load_ == LoadStage::Unknown ? "adapter_not_loaded"
                                                      : "adapter_too_late";
