Report mistimed and early loads by source

Loads from an engine's memory that were early made other VMs lower the time expected of the store, and mistimed ones raised it. Early loads are counted for the store only, mistimed ones by source.

--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -38,7 +38,8 @@
   return std::tie(Of.Digest_, Of.Target_, Of.Incarnation_);
 }
 auto fieldsOf(MaybeConst<LoadCounts> auto &Of) {
-  return std::tie(Of.OnTime_, Of.Late_, Of.Mistimed_, Of.Early_);
+  return std::tie(Of.OnTime_, Of.Late_, Of.Mistimed_, Of.Early_,
+                  Of.EngineMistimed_);
 }
 auto fieldsOf(MaybeConst<LoadingReport> auto &Of) {
   return std::tie(Of.Counts_, Of.StoreLoad_, Of.EngineLoad_);
--- a/Source/Serving/StoreLoadLimit.h
+++ b/Source/Serving/StoreLoadLimit.h
@@ -15,8 +15,12 @@
   std::uint64_t OnTime_ = 0;
   std::uint64_t Late_ = 0;
   std::uint64_t Mistimed_ = 0;
-  /// Those of the adapters ready on time that were ready much earlier.
+  /// Those of the adapters from the store ready on time that were ready much
+  /// earlier.
   std::uint64_t Early_ = 0;
+  /// As `Mistimed_`, but for loads from an engine's own memory, which
+  /// `Mistimed_` doesn't count.
+  std::uint64_t EngineMistimed_ = 0;
 
   bool operator==(const LoadCounts &) const = default;
 };
--- a/Tests/Loading/LoadLearningTest.cpp
+++ b/Tests/Loading/LoadLearningTest.cpp
@@ -37,6 +37,27 @@
       CHECK(Other.times().expected(LoadSource::Store) ==
             Learning.times().expected(LoadSource::Store));
     }
+    // Guards against loads from one source that change the time expected of
+    // the other source at other VMs.
+    SECTION("for the source whose loads were late only") {
+      Learning.recordOwn(LoadSource::Engine, 25ms, true, Limit, Start);
+      CHECK(Learning.report().Counts_.Mistimed_ == 0);
+      Learning.recordOwn(LoadSource::Engine, 2ms, false, Limit, Start + 20s);
+      CHECK(Learning.report().Counts_.Early_ == 0);
+      auto Report = Learning.report();
+      Report.EngineLoad_ = 30ms;
+      SECTION("not if the store is reported slower") {
+        Report.StoreLoad_ = 300ms;
+        Other.recordPeer("vm-1", "1", Report, Limit, Start);
+        CHECK(Other.times().expected(LoadSource::Store) == 250ms);
+        CHECK(Other.times().expected(LoadSource::Engine) == 30ms);
+      }
+      SECTION("nor if it is reported faster") {
+        Report.StoreLoad_ = 200ms;
+        Other.recordPeer("vm-1", "1", Report, Limit, Start);
+        CHECK(Other.times().expected(LoadSource::Store) == 250ms);
+      }
+    }
     SECTION("for loads that show an overloaded store") {
       Miss(600ms, 50);
       Other.recordPeer("vm-1", "1", Learning.report(), Limit, Start);
