--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -259,8 +259,10 @@
 void TargetPicker::describeLoad(TargetChoice &Chosen, const TargetQuery &Query,
                                 TimePoint Now) const {
   const EngineView *View = Fleet_->view().engine(Chosen.Target_);
+  std::uint64_t Required =
+      Plans_->versions().required(Query.Model_, Query.Adapter_, Now);
   auto Held = View->Adapters_.find(Query.Adapter_);
-  if (Held != View->Adapters_.end()) {
+  if (Held != View->Adapters_.end() && Held->second.Version_ >= Required) {
     Chosen.Load_ = LoadStage::Ordered;
     Chosen.Source_ = Held->second.Source_;
     Chosen.OrderedAt_ = Held->second.OrderedAt_;
