--- a/Source/Balancing/SpareCapacityChoice.cpp
+++ b/Source/Balancing/SpareCapacityChoice.cpp
@@ -20,9 +20,16 @@
   return dispatchCost(Idle, Shape);
 }
 
-static double spareSlots(const DispatchCandidate &Candidate) {
+/// The weight of a target: its free slots, each by the requests that it serves
+/// in the same time.
+static double spareWeight(const DispatchCandidate &Candidate) {
   double Slots = Candidate.Slots_;
-  return std::max(Slots - Candidate.Running_, Slots * MinSpareShare);
+  return std::max(Slots - Candidate.Running_, Slots * MinSpareShare) /
+         Candidate.SpeedFactor_;
+}
+
+static bool needsPermit(const DispatchCandidate &Candidate) {
+  return Candidate.Cold_ || Candidate.Limited_;
 }
 
 std::size_t
@@ -40,12 +47,20 @@
       MaxExcessCostMs;
   std::erase_if(Costs,
                 [&](const auto &Entry) { return Entry.second > MaxCost; });
+  // Permits are too few for a share by free slots.
+  bool AllNeedPermit = std::ranges::all_of(Costs, [&](const auto &Entry) {
+    return needsPermit(Candidates[Entry.first]);
+  });
+  if (!AllNeedPermit)
+    std::erase_if(Costs, [&](const auto &Entry) {
+      return needsPermit(Candidates[Entry.first]);
+    });
   double Total = 0;
   for (const auto &[Index, Cost] : Costs)
-    Total += spareSlots(Candidates[Index]);
+    Total += spareWeight(Candidates[Index]);
   double Drawn = Random * Total;
   for (const auto &[Index, Cost] : Costs) {
-    Drawn -= spareSlots(Candidates[Index]);
+    Drawn -= spareWeight(Candidates[Index]);
     if (Drawn < 0)
       return Index;
   }
--- a/Tests/Balancing/SpareCapacityChoiceTest.cpp
+++ b/Tests/Balancing/SpareCapacityChoiceTest.cpp
@@ -47,6 +47,23 @@
     Candidates[0].ExcessLatency_ = 200ms;
     CHECK(choices(Candidates)[0] == 0);
   }
+  SECTION("a target that takes twice as long gets half as much") {
+    Candidates[0].SpeedFactor_ = 2;
+    CHECK(choices(Candidates)[0] == Approx(500).margin(2));
+  }
+  SECTION("a cold target, which needs a permit, gets none") {
+    Candidates[0].Cold_ = true;
+    CHECK(choices(Candidates)[0] == 0);
+    SECTION("unless all need one") {
+      Candidates[1].Limited_ = true;
+      CHECK(choices(Candidates)[0] > 0);
+      CHECK(choices(Candidates)[1] > 0);
+    }
+  }
+  SECTION("a target with a limit, which needs a permit, gets none") {
+    Candidates[0].Limited_ = true;
+    CHECK(choices(Candidates)[0] == 0);
+  }
   SECTION("targets that all fail share the requests") {
     for (DispatchCandidate &Candidate : Candidates)
       Candidate.FailureShare_ = 1;
