--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -387,9 +387,10 @@
   }
   // A request that was repeated before its load could be ordered is queued; the
   // other VM then waits for it rather than requesting the load elsewhere.
-  auto Inventory = inventoryOf(Request.Engine_, Now);
-  bool IsRepeated = Controller.isRepeatedRequest(Request.Adapter_, Now);
-  if (IsRepeated && Inventory) {
+  std::optional<EngineInventory> Inventory;
+  if (Controller.isRepeatedRequest(Request.Adapter_, Now))
+    Inventory = inventoryOf(Request.Engine_, Now);
+  if (Inventory) {
     Fleet_->view().applyInventory(Request.Engine_, *Inventory, Now);
     if (Request.Vm_ != Self_)
       Link_->send(Request.Vm_, InventoryNotice{Request.Engine_, *Inventory});
