--- a/Source/Serving/SpendingPace.cpp
+++ b/Source/Serving/SpendingPace.cpp
@@ -48,7 +48,7 @@
   double Part = 1 / static_cast<double>(std::max<std::size_t>(1, Shared.Vms_));
   // Callers of the customer may reach few VMs.
   if (All_.Sum_ > 0)
-    Part = std::max(Part, Own_.at(All_.At_) / All_.Sum_);
+    Part = std::clamp(Own_.at(All_.At_) / All_.Sum_, Part, 1.0);
   double Fill = std::clamp(Shared.Balance_ / Shared.Capacity_, 0.0, 1.0);
   return Part * Shared.RatePerSecond_ * (1 + MaxQuickening * Fill);
 }
