Choose plain targets by cost in small fleets, as before

The spread by free slots applied to fleets of any size. It now applies to split fleets only, counts the requests of the other VMs only, and uses the least number of slots among the candidates rather than the first one's.

--- a/Source/Balancing/StaleLoadDetector.cpp
+++ b/Source/Balancing/StaleLoadDetector.cpp
@@ -25,7 +25,7 @@
   if (Found == Rates_.end())
     return false;
   double PerSecond = decayed(Found->second, Now) / RateSeconds *
-                     static_cast<double>(Reporting.Vms_);
+                     static_cast<double>(Reporting.Vms_ - 1);
   return PerSecond * toSeconds(Reporting.Period_) > Slots;
 }
 
--- a/Source/Balancing/StaleLoadDetector.h
+++ b/Source/Balancing/StaleLoadDetector.h
@@ -11,7 +11,8 @@
 
 /// How the loads of a service's targets become known to this VM.
 struct LoadReporting {
-  /// The number of VMs that send requests to the targets, this one included.
+  /// The number of VMs that send requests to the targets, this one included; at
+  /// least one.
   std::size_t Vms_ = 1;
   /// The interval at which the other VMs report what they run.
   Duration Period_{};
@@ -27,7 +28,7 @@
   void recordRequest(const std::string &Service, TimePoint Now);
 
   /// Whether reported loads are out of date for targets with `Slots` slots. The
-  /// rate of all VMs is estimated from this VM's own rate.
+  /// rate of the other VMs is estimated from this VM's own rate.
   bool isStale(const std::string &Service, const LoadReporting &Reporting,
                int Slots, TimePoint Now) const;
 
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -259,13 +259,15 @@
   updateReachableShare(Now);
 }
 
+bool FleetState::isSplit() const { return Link_->topology().isSplit(); }
+
 void FleetState::updateReachableShare(TimePoint Now) {
   std::size_t Vms = std::max<std::size_t>(1, KnownVms_);
   std::size_t Reachable = std::min(Vms, View_.reachableVms(Now) + 1);
   Budget_.setReachableShare(
       static_cast<double>(Reachable) / static_cast<double>(Vms), Now);
   // In a small fleet updates are so frequent that no pace is needed.
-  Budget_.setReachableVms(Link_->topology().isSplit() ? Reachable : 1);
+  Budget_.setReachableVms(isSplit() ? Reachable : 1);
   if (!Plans_->current() || !BudgetBootstrap_.canGrant(KnownVms_))
     return;
   const PlatformBoundSettings &Bounds = Settings_.Bounds_;
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -122,6 +122,10 @@
   /// The number of VMs, unresponsive ones included; at least one.
   std::size_t knownVms() const { return std::max<std::size_t>(1, KnownVms_); }
 
+  /// Whether the fleet is so large that VMs exchange state updates within their
+  /// data centre only.
+  bool isSplit() const;
+
   /// The interval at which the VMs of this data centre send state updates.
   Duration peerUpdatePeriod() const;
 
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -158,12 +158,15 @@
   if (Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost)
     return selectByPolicy(Candidates, Settings_.DispatchPolicy_,
                           randomFraction());
-  // Requests to engines last for several reports of load.
+  // Requests to engines last for several reports of load, and in a small fleet
+  // updates are frequent.
+  bool MaySpread = Fleet_->isSplit() && !Service.Engine_ && !Candidates.empty();
   bool IsSpread =
-      !Service.Engine_ && !Candidates.empty() &&
-      StaleLoads_.isStale(Service.Name_,
-                          {Fleet_->knownVms(), Fleet_->peerUpdatePeriod()},
-                          Candidates.front().Slots_, Now);
+      MaySpread &&
+      StaleLoads_.isStale(
+          Service.Name_, {Fleet_->knownVms(), Fleet_->peerUpdatePeriod()},
+          std::ranges::min(Candidates, {}, &DispatchCandidate::Slots_).Slots_,
+          Now);
   return IsSpread
              ? selectBySpareCapacity(Candidates, Query.Shape_, randomFraction())
              : selectCheapest(Candidates, Query.Shape_);
--- a/Tests/Balancing/StaleLoadDetectorTest.cpp
+++ b/Tests/Balancing/StaleLoadDetectorTest.cpp
@@ -21,6 +21,10 @@
     TimePoint Now = recordRequests(Detector, 180ms);
     CHECK_FALSE(Detector.isStale("plain", {8, 100ms}, Slots, Now));
   }
+  SECTION("a VM without others knows what runs") {
+    TimePoint Now = recordRequests(Detector, 1ms);
+    CHECK_FALSE(Detector.isStale("plain", {1, 100ms}, Slots, Now));
+  }
   SECTION("sixty VMs that report every 240 ms don't") {
     TimePoint Now = recordRequests(Detector, 300ms);
     CHECK(Detector.isStale("plain", {60, 240ms}, Slots, Now));
