--- a/Source/Capacity/RobustLevel.cpp
+++ b/Source/Capacity/RobustLevel.cpp
@@ -5,13 +5,11 @@
 namespace anvil {
 
 /// The number of samples from which the level counts as known; with half of
-/// them spoilt, it is still between the two values.
+/// them outliers, it is still between the two values.
 static constexpr int MinSamples = 4;
 
 /// The fraction of a deviation by which a step moves the level, the largest
-/// deviation that counts, and the minimum time between steps. Together they
-/// keep the level within a fifth during 600 ms of work that takes 2.5 times as
-/// long.
+/// deviation that counts, and the minimum time between steps.
 static constexpr double StepGain = 1.0 / 16;
 static constexpr double MaxDeviation = 0.35;
 static constexpr Duration StepPeriod = std::chrono::milliseconds(100);
--- a/Source/Capacity/RobustLevel.h
+++ b/Source/Capacity/RobustLevel.h
@@ -15,7 +15,7 @@
 class RobustLevel {
 public:
   /// `FirstSpacing` is the least time between the first samples, so that one
-  /// disturbance spoils only one of them.
+  /// disturbance affects only one of them.
   explicit RobustLevel(Duration FirstSpacing = Duration::zero())
       : FirstSpacing_(FirstSpacing) {}
 
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -183,8 +183,8 @@
   // A target that could not be connected to has received nothing.
   if (LastReason_ == "no_connection" || LastReason_ == Evacuated)
     co_return true;
-  // A request whose adapter is being loaded waits for the budget as it does for
-  // the load.
+  // A request whose adapter is being loaded waits for the budget for up to a
+  // quarter of the time left, even beyond its latency target.
   Duration MaxWait = LastReason_ == AdapterMissing
                          ? timeLeft()
                          : Request_.Route_->LatencyTarget_;
--- a/Source/Serving/EngineController.h
+++ b/Source/Serving/EngineController.h
@@ -120,8 +120,8 @@
   void requireReport() { NeedsReport_ = true; }
 
   /// Sets the expected times of loads. After a large fall, loads in transit are
-  /// expected earlier too. `LoadNumber` counts the VM's loads
-  /// from the store.
+  /// expected earlier too. `LoadNumber` counts the loads that
+  /// the VM ordered, from the store and from engines' own memory.
   void setLoadTimes(const LoadTimeEstimate &Estimate, std::uint64_t LoadNumber,
                     TimePoint Now);
 
--- a/Source/Serving/SpendingPace.cpp
+++ b/Source/Serving/SpendingPace.cpp
@@ -14,7 +14,7 @@
 
 /// How much faster than its part of the rate a VM spends while the shared
 /// bucket is full.
-static constexpr double MaxQuickening = 2;
+static constexpr double MaxPaceIncrease = 2;
 
 double SpendingPace::RecentTokens::at(TimePoint Now) const {
   return Sum_ * std::exp(-std::max(0.0, toSeconds(Now - At_)) / RecentSeconds);
@@ -50,7 +50,7 @@
   if (All_.Sum_ > 0)
     Part = std::clamp(Own_.at(All_.At_) / All_.Sum_, Part, 1.0);
   double Fill = std::clamp(Shared.Balance_ / Shared.Capacity_, 0.0, 1.0);
-  return Part * Shared.RatePerSecond_ * (1 + MaxQuickening * Fill);
+  return Part * Shared.RatePerSecond_ * (1 + MaxPaceIncrease * Fill);
 }
 
 bool SpendingPace::take(double Tokens, const SharedBucket &Shared,
--- a/Source/Serving/SpendingPace.h
+++ b/Source/Serving/SpendingPace.h
@@ -21,7 +21,7 @@
 /// Without a pace all of them spend the same tokens as soon as the shared
 /// balance is positive, and the customer gets more than its rate in each of
 /// these intervals. A paced VM spends no faster than its part of the rate; a
-/// balance that rises, since other VMs leave tokens unused, quickens it.
+/// balance that rises, since other VMs leave tokens unused, raises it.
 class SpendingPace {
 public:
   /// Records what this VM spent, and what other VMs did.
