--- a/Source/Loading/LoadChecks.h
+++ b/Source/Loading/LoadChecks.h
@@ -15,8 +15,8 @@
 class LoadChecks {
 public:
   /// The time for which others wait for the first request's reply. Engines
-  /// refuse within milliseconds, so a request without a reply by then is taken to
-  /// be running.
+  /// refuse within milliseconds, so a request without a reply by then is taken
+  /// to be running.
   static constexpr Duration MaxCheck = std::chrono::milliseconds(20);
 
   /// Returns the time for which a request for an adapter on an engine, whose
