--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -118,6 +118,9 @@
       Sent != AdapterRequests_.end() &&
       Sent->second.FirstAt_ + AdapterRequestRetention > Now;
   Candidate.Warm_ = View->Warm_.contains(Query.Adapter_);
+  const LoadTimeEstimate &Times = Fleet_->loadTimes();
+  Candidate.LoadTime_ = OrderLatency + Times.expected(LoadSource::Store);
+  Candidate.WarmLoadTime_ = OrderLatency + Times.expected(LoadSource::Engine);
 }
 
 DispatchCandidate TargetPicker::adapterAt(const std::string &Target,
@@ -164,12 +167,15 @@
   if (Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost)
     return selectByPolicy(Candidates, Settings_.DispatchPolicy_,
                           randomFraction());
-  // Requests to engines last for several reports of load.
+  // Requests to engines last for several reports of load, and in a small fleet
+  // updates are frequent.
+  bool MaySpread = Fleet_->isSplit() && !Service.Engine_ && !Candidates.empty();
   bool IsSpread =
-      !Service.Engine_ && !Candidates.empty() &&
-      StaleLoads_.isStale(Service.Name_,
-                          {Fleet_->knownVms(), Fleet_->peerUpdatePeriod()},
-                          Candidates.front().Slots_, Now);
+      MaySpread &&
+      StaleLoads_.isStale(
+          Service.Name_, {Fleet_->knownVms(), Fleet_->peerUpdatePeriod()},
+          std::ranges::min(Candidates, {}, &DispatchCandidate::Slots_).Slots_,
+          Now);
   return IsSpread
              ? selectBySpareCapacity(Candidates, Query.Shape_, randomFraction())
              : selectCheapest(Candidates, Query.Shape_);
@@ -265,8 +271,10 @@
 void TargetPicker::describeLoad(TargetChoice &Chosen, const TargetQuery &Query,
                                 TimePoint Now) const {
   const EngineView *View = Fleet_->view().engine(Chosen.Target_);
+  std::uint64_t Required =
+      Plans_->versions().required(Query.Model_, Query.Adapter_, Now);
   auto Held = View->Adapters_.find(Query.Adapter_);
-  if (Held != View->Adapters_.end()) {
+  if (Held != View->Adapters_.end() && Held->second.Version_ >= Required) {
     Chosen.Load_ = LoadStage::Ordered;
     Chosen.Source_ = Held->second.Source_;
     Chosen.OrderedAt_ = Held->second.OrderedAt_;
--- a/Source/Serving/SpendingPace.cpp
+++ b/Source/Serving/SpendingPace.cpp
@@ -14,7 +14,7 @@
 
 /// How much faster than its part of the rate a VM spends while the shared
 /// bucket is full.
-static constexpr double MaxQuickening = 2;
+static constexpr double MaxPaceIncrease = 2;
 
 double SpendingPace::RecentTokens::at(TimePoint Now) const {
   return Sum_ * std::exp(-std::max(0.0, toSeconds(Now - At_)) / RecentSeconds);
@@ -48,9 +48,9 @@
   double Part = 1 / static_cast<double>(std::max<std::size_t>(1, Shared.Vms_));
   // Callers of the customer may reach few VMs.
   if (All_.Sum_ > 0)
-    Part = std::max(Part, Own_.at(All_.At_) / All_.Sum_);
+    Part = std::clamp(Own_.at(All_.At_) / All_.Sum_, Part, 1.0);
   double Fill = std::clamp(Shared.Balance_ / Shared.Capacity_, 0.0, 1.0);
-  return Part * Shared.RatePerSecond_ * (1 + MaxQuickening * Fill);
+  return Part * Shared.RatePerSecond_ * (1 + MaxPaceIncrease * Fill);
 }
 
 bool SpendingPace::take(double Tokens, const SharedBucket &Shared,
