--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -111,11 +111,10 @@
     Cost += toSeconds(Candidate.ReadyIn_) * 1000;
     break;
   case AdapterReadiness::Absent:
-    Cost += Candidate.Warm_
-                ? toSeconds(Candidate.WarmLoadTime_) * 1000
-                : toSeconds(Candidate.LoadTime_) * 1000 *
-                          Candidate.LoadFactor_ +
-                      StoreContentionMs;
+    Cost += Candidate.Warm_ ? toSeconds(Candidate.WarmLoadTime_) * 1000
+                            : toSeconds(Candidate.LoadTime_) * 1000 *
+                                      Candidate.LoadFactor_ +
+                                  StoreContentionMs;
     Cost += HomeRankMs * static_cast<double>(Candidate.HomeRank_);
     if (Candidate.Limited_)
       Cost += LimitedTargetLoadMs;
