--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -1,12 +1,9 @@
 #include "Entry/EngineOwnershipService.h"
 
 #include "Entry/FleetState.h"
-#include "Entry/OwnerRows.h"
-#include "Entry/RandomFraction.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Kernel/EnumNames.h"
-#include "Membership/Rendezvous.h"
 #include "Telemetry/Log.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -33,23 +30,6 @@
 /// that made the view uncertain.
 static constexpr Duration MaxReportAge = std::chrono::milliseconds(150);
 
-/// Period of the first rounds, until the first claims are settled. VMs that
-/// start together have all written their rows by the second round.
-static constexpr Duration StartPeriod = std::chrono::milliseconds(800);
-static constexpr std::uint64_t StartRounds = 4;
-
-/// Numbers of renewals from one read of all VMs' rows to the next: in a small
-/// fleet, for target owners in a large fleet, and for standby VMs. A standby
-/// VM writes its own row only in the rounds in which it reads.
-static constexpr std::uint64_t RoundsPerRead = 2;
-static constexpr std::uint64_t RoundsPerReadLarge = 3;
-static constexpr std::uint64_t RoundsPerStandbyRead = 7;
-
-/// The fraction of a period by which rounds are shortened at random, so that
-/// VMs that started or regained the store together don't call it at the same
-/// time.
-static constexpr double RoundJitter = 0.1;
-
 static TargetOwnershipOptions ownershipOptions(const EntrySettings &Settings) {
   TargetOwnershipOptions Options;
   constexpr Duration OrderLatency = std::chrono::milliseconds(300);
@@ -72,9 +52,11 @@
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       Control_(ControlTimeout),
-      Ownership_(Self_, ownershipOptions(Settings), BootClock::now()) {}
+      Ownership_(Self_, ownershipOptions(Settings), BootClock::now()),
+      RoundTimer_(Executor_) {}
 
 Status EngineOwnershipService::start() {
+  Store_->EraChanged_.attach([this](std::uint64_t Era) { startEra(Era); });
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
   Fleet_->onCollectInventories([this] { return inventories(); });
@@ -91,6 +73,9 @@
           Owned->Wake_.cancel();
         }
       });
+  Plans_->EvacuationChanged_.attach(
+      [this](const std::string &, bool) { showEvacuations(); });
+  showEvacuations();
   spawn(Executor_, maintainRows());
   return std::monostate{};
 }
@@ -103,180 +88,6 @@
   }
 }
 
-VmRow EngineOwnershipService::ownRow() const {
-  Endpoint Peer{Settings_.Listen_.Address_, Link_->port()};
-  return {Self_,       Incarnation_, Settings_.DataCentre_,
-          Peer.text(), Renewals_,    OwnRowVersion_,
-          Standby_};
-}
-
-bool EngineOwnershipService::isLeaseCandidate(TimePoint Now) const {
-  if (!Link_->topology().isSplit() || !Ownership_.owned().empty())
-    return true;
-  std::vector<std::string> Serving = Fleet_->servingPeers(Now);
-  Serving.push_back(Self_);
-  auto LocalEngines = std::ranges::count_if(engines(), [&](const auto &Entry) {
-    return Entry.second == Settings_.DataCentre_;
-  });
-  auto Candidates = TargetOwnership::leaseCandidates(
-      std::move(Serving), static_cast<std::size_t>(LocalEngines));
-  return std::ranges::find(Candidates, Self_) != Candidates.end();
-}
-
-std::uint64_t EngineOwnershipService::roundsPerRead() const {
-  if (Standby_)
-    return RoundsPerStandbyRead;
-  return Link_->topology().isSplit() ? RoundsPerReadLarge : RoundsPerRead;
-}
-
-asio::awaitable<bool> EngineOwnershipService::updateRows(std::uint64_t Round) {
-  bool IsDue = ++RoundsSinceRead_ >= roundsPerRead();
-  bool IsStarting = Round == 1 || (Round < StartRounds && !Standby_);
-  bool IsWriteUncertain = Round > 0 && !IsRowWritten_;
-  bool MustRead = IsDue || IsStarting || IsWriteUncertain;
-  if (MustRead)
-    co_await readRows();
-  bool WasStandby = Standby_;
-  // `isLeaseCandidate` needs state updates; none have arrived in round 0, since
-  // the rows of the other VMs were unknown. What this VM owns is certain only
-  // from rows that were just read.
-  if (Round == 0)
-    Standby_ = Ownership_.owned().empty();
-  else if (Standby_ || MustRead)
-    Standby_ = !isLeaseCandidate(BootClock::now());
-  bool CanSkipRenewal = IsRowWritten_ && Standby_ && WasStandby && !IsDue;
-  if (CanSkipRenewal)
-    co_return false;
-  co_return co_await renew() && !Standby_;
-}
-
-asio::awaitable<void> EngineOwnershipService::maintainRows() {
-  for (std::uint64_t Round = 0; !Stopping_;) {
-    if (!HasRead_)
-      co_await readRows();
-    if (HasRead_ && co_await updateRows(Round)) {
-      if (Ownership_.needsRead(BootClock::now()))
-        co_await readRows();
-      co_await claimTargets();
-      co_await removeExpiredVms();
-    }
-    updateEngines();
-    Duration Period =
-        Round < StartRounds
-            ? StartPeriod
-            : std::chrono::milliseconds(Settings_.Store_.RenewPeriodMs_);
-    Round += HasRead_ ? 1 : 0;
-    co_await pauseFor(std::chrono::duration_cast<Duration>(
-        Period * (1 - RoundJitter * randomFraction())));
-  }
-}
-
-asio::awaitable<void> EngineOwnershipService::readRows() {
-  auto Rows = co_await Store_->scan("", "", SIZE_MAX);
-  if (!isOk(Rows))
-    co_return;
-  TimePoint Now = BootClock::now();
-  ControlRows Decoded = decodeControlRows(valueOf(Rows));
-  Ownership_.applyVms(Decoded.Vms_, Now);
-  Ownership_.applyOwners(Decoded.Owners_, Now);
-  RoundsSinceRead_ = 0;
-  if (!HasRead_) {
-    // Adopt the row that an earlier incarnation of this VM wrote.
-    for (const VmRow &Row : Decoded.Vms_)
-      if (Row.Vm_ == Self_)
-        OwnRowVersion_ = Row.RowVersion_;
-    HasRead_ = true;
-  }
-  std::map<std::string, FleetLink::PeerLocation> Peers;
-  for (const VmRow &Row : Decoded.Vms_) {
-    auto Address = parseEndpoint(Row.PeerAddress_);
-    if (Row.Vm_ != Self_ && isOk(Address))
-      Peers[Row.Vm_] = {valueOf(Address), Row.DataCentre_};
-  }
-  Link_->setPeers(Peers);
-  Fleet_->setVms(std::max<std::size_t>(1, Ownership_.knownVms()), Now);
-  RowsRead_.fire();
-}
-
-asio::awaitable<bool> EngineOwnershipService::renew() {
-  if (!HasRead_)
-    co_return false;
-  TableTransaction Change;
-  ++Renewals_;
-  Change.Checks_.push_back({vmRowKey(Self_), OwnRowVersion_});
-  Change.Writes_.push_back({vmRowKey(Self_), encodeVmRow(ownRow())});
-  TimePoint SentAt = BootClock::now();
-  CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
-  Metrics_->observe("anvil_lease_renewal_seconds", {},
-                    BootClock::now() - SentAt);
-  IsRowWritten_ = Outcome.Result_ == CommitResult::Committed;
-  if (IsRowWritten_) {
-    bool WasMissing = std::exchange(OwnRowVersion_, Outcome.Version_) == 0;
-    if (WasMissing && !Ownership_.owned().empty()) {
-      Ownership_.recordRowCreated();
-      co_await readRows();
-    }
-    if (Standby_)
-      Ownership_.recordStandby();
-    else
-      Ownership_.recordRenewal(SentAt);
-    co_return true;
-  }
-  logEvent(LogLevel::Warning, "lease_not_renewed",
-           {{"reason", Outcome.Detail_}, {"renewals", Renewals_}});
-  if (Outcome.Result_ != CommitResult::Unavailable)
-    co_await resolveRenewal();
-  co_return false;
-}
-
-asio::awaitable<void> EngineOwnershipService::resolveRenewal() {
-  std::vector<std::string> Keys{vmRowKey(Self_)};
-  auto Rows = co_await Store_->read(std::move(Keys));
-  if (!isOk(Rows))
-    co_return;
-  const TableRow &Row = valueOf(Rows).front();
-  ControlRows Decoded = decodeControlRows({Row});
-  bool IsOwn = Row.Version_ > 0 && !Decoded.Vms_.empty() &&
-               Decoded.Vms_.front().Incarnation_ == Incarnation_;
-  if (!IsOwn) {
-    logEvent(LogLevel::Warning, "lease_lost", {{"row", Row.Version_}});
-    Ownership_.recordRenewalRefused();
-  }
-  OwnRowVersion_ = Row.Version_;
-}
-
-asio::awaitable<void> EngineOwnershipService::claimTargets() {
-  TimePoint Now = BootClock::now();
-  for (const OwnerClaim &Claim : Ownership_.claims(engines(), Now)) {
-    auto Change = claimTransaction(Claim, Self_, OwnRowVersion_);
-    TimePoint SentAt = BootClock::now();
-    Ownership_.recordClaimSent(Claim.Row_.Target_, SentAt);
-    CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
-    logEvent(LogLevel::Info, "engine_claimed",
-             {{"target", Claim.Row_.Target_},
-              {"fence", Claim.Row_.Fence_},
-              {"from", Claim.ExpiredVm_},
-              {"outcome", enumName(Outcome.Result_, CommitResultNames)}});
-    if (Outcome.Result_ != CommitResult::Committed)
-      continue;
-    OwnerRow Row = Claim.Row_;
-    Row.RowVersion_ = Outcome.Version_;
-    Ownership_.recordClaimed(Row, SentAt);
-  }
-}
-
-asio::awaitable<void> EngineOwnershipService::removeExpiredVms() {
-  TimePoint Now = BootClock::now();
-  for (const VmRow &Row : Ownership_.rowsToPurge(Now)) {
-    TableTransaction Change;
-    Change.Checks_.push_back({vmRowKey(Row.Vm_), Row.RowVersion_});
-    Change.Writes_.push_back({vmRowKey(Row.Vm_), std::nullopt});
-    CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
-    logEvent(LogLevel::Info, "silent_vm_removed",
-             {{"peer", Row.Vm_}, {"outcome", Outcome.Detail_}});
-  }
-}
-
 std::map<std::string, std::string> EngineOwnershipService::engines() const {
   std::map<std::string, std::string> Found;
   for (const auto &[Id, Listed] : Targets_->roster().all())
@@ -336,6 +147,21 @@
   });
 }
 
+bool EngineOwnershipService::isEvacuated(const std::string &Engine) const {
+  const ListedTarget *Listed = Targets_->roster().find(Engine);
+  return Listed &&
+         Plans_->evacuations().isEvacuated(Listed->Entry_.DataCentre_);
+}
+
+void EngineOwnershipService::showEvacuations() {
+  Metrics_->gauge(
+      "anvil_evacuated_data_centres", {},
+      static_cast<double>(Plans_->evacuations().evacuated().size()));
+  // Engines of a data centre that is taken back may have work waiting.
+  for (const auto &[Engine, Owned] : Owned_)
+    Owned->Wake_.cancel();
+}
+
 void EngineOwnershipService::checkOrderCounts() {
   for (const auto &[Engine, Owned] : Owned_) {
     const ListedTarget *Listed = Targets_->roster().find(Engine);
@@ -353,15 +179,16 @@
   while (!Owned->Ended_) {
     TimePoint Now = BootClock::now();
     auto Fence = Ownership_.orderingFence(Engine, Now);
-    if (Fence) {
+    if (Fence && !isEvacuated(Engine)) {
       if (Owned->Controller_.needsReport()) {
         co_await fetchReport(Engine, Owned);
         continue;
       }
       for (const auto &[Adapter, Count] : Fleet_->ownShareOn(Engine).Adapters_)
         Owned->Controller_.recordUse(Adapter, Now);
-      if (auto Order =
-              Owned->Controller_.nextOrder(Fleet_->transitFactor(Now), Now)) {
+      Owned->Controller_.setLoadTimes(Fleet_->loadTimes(), LoadsOrdered_, Now);
+      if (auto Order = Owned->Controller_.nextOrder(
+              transitFactor(Fleet_->storeQueue(Now)), Now)) {
         co_await sendOrder(Engine, Owned, *Order, *Fence);
         continue;
       }
@@ -399,6 +226,8 @@
                    {"outcome", std::string(orderResultName(Result))}});
   bool IsAccepted =
       Result == OrderResult::Accepted || Result == OrderResult::AlreadyHolds;
+  bool IsLoad = Order.Kind_ == OrderKind::LoadAdapter;
+  LoadsOrdered_ += IsLoad && Result == OrderResult::Accepted ? 1 : 0;
   logEvent(IsAccepted ? LogLevel::Debug : LogLevel::Warning, "engine_order",
            {{"target", Engine},
             {"order", orderKindName(Order.Kind_)},
@@ -457,11 +286,18 @@
                             Controller.hasModel(),
                             {},
                             Fleet_->inventoryPeriod(),
-                            Self_};
-  for (const auto &[Adapter, Slot] : Controller.heldAdapters())
+                            Self_,
+                            {}};
+  for (const auto &[Adapter, Slot] : Controller.heldAdapters()) {
+    bool IsLoading = Slot.ReadyAt_ > Now;
+    Duration LoadingFor =
+        IsLoading && Slot.OrderedAt_ ? Now - *Slot.OrderedAt_ : Duration{};
     Inventory.Adapters_[Adapter] = {
         Slot.Version_,
-        std::max<Duration>(Duration::zero(), Slot.ReadyAt_ - Now)};
+        std::max<Duration>(Duration::zero(), Slot.ReadyAt_ - Now), LoadingFor,
+        Slot.Source_};
+  }
+  Inventory.Queued_ = Controller.queuedLoads(Fleet_->storeQueue(Now), Now);
   return Inventory;
 }
 
@@ -476,27 +312,35 @@
 
 void EngineOwnershipService::requestAdapter(const std::string &Engine,
                                             const std::string &Adapter,
-                                            std::uint64_t Version) {
-  sendToOwner({Self_, Engine, Adapter, Version, false});
+                                            std::uint64_t Version,
+                                            const LoadDemand &Demand) {
+  sendToOwner({Self_, Engine, Adapter, Version, false}, Demand);
 }
 
 void EngineOwnershipService::reportMissing(const std::string &Engine,
                                            const std::string &Adapter,
-                                           std::uint64_t Version) {
-  sendToOwner({Self_, Engine, Adapter, Version, true});
+                                           std::uint64_t Version,
+                                           const LoadDemand &Demand) {
+  sendToOwner({Self_, Engine, Adapter, Version, true}, Demand);
 }
 
 std::string EngineOwnershipService::ownerOf(const std::string &Engine) const {
   // The owner's own report is newer than the rows.
   const EngineView *View = Fleet_->view().engine(Engine);
-  bool IsOwnerReported = View && View->OwnedUntil_ > BootClock::now();
-  return IsOwnerReported ? View->Owner_ : Ownership_.ownerOf(Engine);
+  TimePoint Now = BootClock::now();
+  bool IsOwnerReported = View && View->OwnedUntil_ > Now;
+  return IsOwnerReported ? View->Owner_ : Ownership_.ownerOf(Engine, Now);
 }
 
-void EngineOwnershipService::sendToOwner(AdapterRequest Request) {
+void EngineOwnershipService::sendToOwner(AdapterRequest Request,
+                                         const LoadDemand &Demand) {
+  Request.Rank_ = Demand.Rank_;
+  Request.Waiting_ = Demand.Waiting_;
+  if (Demand.Waiting_ > 0)
+    Request.AimIn_ = Demand.AimAt_ - BootClock::now();
   std::string Owner = ownerOf(Request.Engine_);
   if (Owner == Self_)
-    receive(Request);
+    receiveRequest(Request);
   else
     Link_->send(Owner, Request);
 }
@@ -513,24 +357,44 @@
 }
 
 void EngineOwnershipService::receive(const FleetMessage &Message) {
-  if (const auto *Update = std::get_if<VmStateUpdate>(&Message))
+  if (const auto *Update = std::get_if<VmStateUpdate>(&Message)) {
+    Store_->recordPeerEra(Update->StoreEra_);
     recordUses(Update->Running_);
-  else if (const auto *Summary = std::get_if<DataCentreSummary>(&Message))
+  } else if (const auto *Summary = std::get_if<DataCentreSummary>(&Message))
     recordUses(Summary->Running_);
-  const auto *Request = std::get_if<AdapterRequest>(&Message);
-  if (!Request)
-    return;
-  auto Found = Owned_.find(Request->Engine_);
+  else if (const auto *Request = std::get_if<AdapterRequest>(&Message))
+    receiveRequest(*Request);
+}
+
+void EngineOwnershipService::receiveRequest(const AdapterRequest &Request) {
+  auto Found = Owned_.find(Request.Engine_);
   if (Found == Owned_.end())
     return;
   EngineController &Controller = Found->second->Controller_;
-  if (Request->WasMissing_)
+  if (Request.WasMissing_)
     Controller.requireReport();
-  auto ReadyAt = Controller.requestAdapter(Request->Adapter_, Request->Version_,
-                                           BootClock::now());
-  if (ReadyAt && !Request->WasMissing_) {
-    broadcastInventory(Request->Engine_);
+  // The adapter may no longer be wanted once the data centre is taken back.
+  if (isEvacuated(Request.Engine_))
     return;
+  TimePoint Now = BootClock::now();
+  LoadDemand Demand;
+  if (Request.Waiting_ > 0)
+    Demand = {Request.Rank_, Now + Request.AimIn_, Request.Waiting_};
+  auto ReadyAt = Controller.requestAdapter(Request.Adapter_, Request.Version_,
+                                           Now, Demand, Request.Vm_);
+  if (ReadyAt && !Request.WasMissing_) {
+    broadcastInventory(Request.Engine_);
+    return;
+  }
+  // A request that was repeated before its load could be ordered is queued; the
+  // other VM then waits for it rather than requesting the load elsewhere.
+  std::optional<EngineInventory> Inventory;
+  if (Controller.isRepeatedRequest(Request.Adapter_, Now))
+    Inventory = inventoryOf(Request.Engine_, Now);
+  if (Inventory) {
+    Fleet_->view().applyInventory(Request.Engine_, *Inventory, Now);
+    if (Request.Vm_ != Self_)
+      Link_->send(Request.Vm_, InventoryNotice{Request.Engine_, *Inventory});
   }
   Found->second->Wake_.cancel();
 }
--- a/Source/Entry/EngineOwnershipService.h
+++ b/Source/Entry/EngineOwnershipService.h
@@ -2,6 +2,7 @@
 #define ANVIL_ENTRY_ENGINEOWNERSHIPSERVICE_H
 
 #include "Entry/FleetLink.h"
+#include "Entry/OwnerRows.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
 #include "Kernel/ServiceRegistry.h"
@@ -45,13 +46,13 @@
   /// Requests that an engine load an adapter. The request goes to the engine's
   /// owner, which may be this VM.
   void requestAdapter(const std::string &Engine, const std::string &Adapter,
-                      std::uint64_t Version);
+                      std::uint64_t Version, const LoadDemand &Demand);
 
   /// Reports to an engine's owner that the engine refused an adapter which the
   /// fleet view listed as loaded. The owner then fetches a new report from the
   /// engine.
   void reportMissing(const std::string &Engine, const std::string &Adapter,
-                     std::uint64_t Version);
+                     std::uint64_t Version, const LoadDemand &Demand);
 
   /// The inventories of the engines that this VM owns.
   std::map<std::string, EngineInventory> inventories() const;
@@ -75,7 +76,7 @@
   boost::asio::awaitable<void> maintainRows();
   /// Reads and writes rows as far as this round of `maintainRows` needs it.
   /// Returns whether this VM holds a lease that was just renewed.
-  boost::asio::awaitable<bool> updateRows(std::uint64_t Round);
+  boost::asio::awaitable<bool> updateRows(std::uint64_t Round, bool JustRead);
   /// The number of rounds from one read of all VMs' rows to the next.
   std::uint64_t roundsPerRead() const;
   boost::asio::awaitable<bool> renew();
@@ -83,6 +84,11 @@
   boost::asio::awaitable<void> readRows();
   boost::asio::awaitable<void> claimTargets();
   boost::asio::awaitable<void> removeExpiredVms();
+  /// Removes the rows of earlier eras once they show nothing any more.
+  boost::asio::awaitable<void> removeEarlierRows();
+  void startEra(std::uint64_t Era);
+  /// Sets the peers and the size of the fleet from the rows.
+  void updatePeers(const ControlRows &Rows, TimePoint Now);
   boost::asio::awaitable<void> serveEngine(std::string Engine,
                                            std::shared_ptr<OwnedEngine> Owned);
   boost::asio::awaitable<void> sendOrder(const std::string &Engine,
@@ -92,6 +98,10 @@
   boost::asio::awaitable<void> fetchReport(const std::string &Engine,
                                            std::shared_ptr<OwnedEngine> Owned);
   void updateEngines();
+  /// Whether an engine gets no orders and no reports from it are fetched, since
+  /// its data centre is evacuated. Its ownership is kept.
+  bool isEvacuated(const std::string &Engine) const;
+  void showEvacuations();
   void checkOrderCounts();
   /// The inventory of an engine; nothing while it is uncertain or this VM may
   /// not send orders to the engine.
@@ -99,7 +109,8 @@
                                              TimePoint Now) const;
   void broadcastInventory(const std::string &Engine);
   std::string ownerOf(const std::string &Engine) const;
-  void sendToOwner(AdapterRequest Request);
+  void sendToOwner(AdapterRequest Request, const LoadDemand &Demand);
+  void receiveRequest(const AdapterRequest &Request);
   void recordUses(const RunningShares &Running);
   void receive(const FleetMessage &Message);
   /// The listed engines, each with its data centre.
@@ -122,8 +133,12 @@
   platform::EngineControl Control_;
   TargetOwnership Ownership_;
   std::map<std::string, std::shared_ptr<OwnedEngine>> Owned_;
+  boost::asio::steady_timer RoundTimer_;
+  /// Rows of earlier eras, as last read.
+  std::vector<TableRow> EarlierRows_;
   std::uint64_t Renewals_ = 0;
   std::uint64_t OwnRowVersion_ = 0;
+  /// Whether the rows of the store's era were read.
   bool HasRead_ = false;
   /// Whether this VM owns no targets and renews its row only to show that it
   /// is alive.
@@ -131,6 +146,8 @@
   /// Whether the last write of the row succeeded.
   bool IsRowWritten_ = false;
   std::uint64_t RoundsSinceRead_ = 0;
+  /// The number of loads that this VM has ordered.
+  std::uint64_t LoadsOrdered_ = 0;
   bool Stopping_ = false;
 };
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Entry/EntryDaemon.h"
 
+#include "Entry/ColdTargets.h"
 #include "Entry/EngineOwnershipService.h"
 #include "Entry/EntryGateway.h"
 #include "Entry/FleetLink.h"
@@ -58,6 +59,7 @@
   Services_.add(std::make_shared<PlanExchange>(Executor, Settings_, Services_));
   Services_.add(
       std::make_shared<StoreReadRelay>(Settings_, Incarnation_, Services_));
+  Services_.add(std::make_shared<ColdTargets>(Services_));
   Services_.add(std::make_shared<TargetPermits>(Settings_, Services_));
   Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
   Services_.add(std::make_shared<EntryGateway>(Executor, Settings_, Services_));
@@ -77,7 +79,9 @@
 }
 
 std::map<std::string, std::uint16_t> EntryDaemon::ports() const {
-  return Services_.require<EntryGateway>(EntryGateway::Name)->ports();
+  auto Ports = Services_.require<EntryGateway>(EntryGateway::Name)->ports();
+  Ports["peer"] = Services_.require<FleetLink>(FleetLink::Name)->port();
+  return Ports;
 }
 
 void EntryDaemon::run() { Loop_.run(); }
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -22,6 +22,11 @@
   /// Whether the engine refused a request for the adapter although the fleet
   /// view listed it as loaded.
   bool WasMissing_ = false;
+  /// As in `LoadDemand`: the requests of this VM that wait for the adapter. The
+  /// time to the first latency target is negative when it has passed.
+  int Rank_ = LoadDemand::LeastUrgentRank;
+  Duration AimIn_{};
+  int Waiting_ = 0;
 };
 
 /// An engine's inventory, sent by the engine's owner right after a change.
@@ -57,6 +62,8 @@
   /// rows if they are too large for a datagram.
   std::uint64_t NewestBefore_ = 0;
   std::vector<TableRow> Rows_{};
+  /// The store's era in which it was read; zero if the store names none.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// Reports a read of the list of targets, at `At_` of the VM's clock or later,
@@ -68,6 +75,8 @@
   std::uint64_t Digest_ = 0;
   /// As in `TargetListUpdate`.
   Duration LapseRemaining_{};
+  /// As in `PlanReadNotice`.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// Requests the time of another VM's clock, in order to date that VM's notices.
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -28,36 +28,44 @@
   return std::tie(Of.Requests_, Of.Tokens_, Of.Adapters_);
 }
 auto fieldsOf(MaybeConst<EngineInventory::Item> auto &Of) {
-  return std::tie(Of.Version_, Of.ReadyIn_);
+  return std::tie(Of.Version_, Of.ReadyIn_, Of.LoadingFor_, Of.Source_);
 }
 auto fieldsOf(MaybeConst<EngineInventory> auto &Of) {
   return std::tie(Of.Incarnation_, Of.HasModel_, Of.Adapters_, Of.RepeatPeriod_,
-                  Of.Owner_);
+                  Of.Owner_, Of.Queued_);
 }
 auto fieldsOf(MaybeConst<VmStateUpdate::Crash> auto &Of) {
   return std::tie(Of.Digest_, Of.Target_, Of.Incarnation_);
 }
 auto fieldsOf(MaybeConst<LoadCounts> auto &Of) {
-  return std::tie(Of.OnTime_, Of.Late_);
+  return std::tie(Of.OnTime_, Of.Late_, Of.Mistimed_, Of.Early_,
+                  Of.EngineMistimed_);
+}
+auto fieldsOf(MaybeConst<LoadingReport> auto &Of) {
+  return std::tie(Of.Counts_, Of.StoreLoad_, Of.EngineLoad_);
 }
 auto fieldsOf(MaybeConst<AdvertisedLimit> auto &Of) {
   return std::tie(Of.Incarnation_, Of.RatePerSecond_, Of.Age_);
 }
+auto fieldsOf(MaybeConst<SpeedReport> auto &Of) {
+  return std::tie(Of.Incarnation_, Of.LogTimeCents_);
+}
 auto fieldsOf(MaybeConst<VmStateUpdate> auto &Of) {
-  return std::tie(Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_,
-                  Of.PeerAddress_, Of.Period_, Of.Revision_, Of.ShuttingDown_,
-                  Of.Spent_, Of.BudgetCoverage_, Of.Balances_, Of.Running_,
-                  Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
-                  Of.LeavingTargets_, Of.Limits_, Of.Loads_);
+  return std::tie(
+      Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_, Of.PeerAddress_,
+      Of.Period_, Of.Revision_, Of.ShuttingDown_, Of.Spent_, Of.BudgetCoverage_,
+      Of.Balances_, Of.Running_, Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
+      Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<DataCentreSummary> auto &Of) {
   return std::tie(Of.DataCentre_, Of.Sender_, Of.Incarnation_, Of.Sequence_,
                   Of.Period_, Of.Vms_, Of.BudgetCoverage_, Of.Balances_,
                   Of.Spent_, Of.Running_, Of.Crashes_, Of.LeavingTargets_,
-                  Of.Limits_);
+                  Of.Limits_, Of.Speeds_);
 }
 auto fieldsOf(MaybeConst<AdapterRequest> auto &Of) {
-  return std::tie(Of.Vm_, Of.Engine_, Of.Adapter_, Of.Version_, Of.WasMissing_);
+  return std::tie(Of.Vm_, Of.Engine_, Of.Adapter_, Of.Version_, Of.WasMissing_,
+                  Of.Rank_, Of.AimIn_, Of.Waiting_);
 }
 auto fieldsOf(MaybeConst<InventoryNotice> auto &Of) {
   return std::tie(Of.Engine_, Of.Inventory_);
@@ -70,7 +78,7 @@
 }
 auto fieldsOf(MaybeConst<PlanReadNotice> auto &Of) {
   return std::tie(Of.Clock_, Of.At_, Of.NewestRow_, Of.RowsPort_,
-                  Of.NewestBefore_, Of.Rows_);
+                  Of.NewestBefore_, Of.Rows_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<HeldModel> auto &Of) {
   return std::tie(Of.Version_, Of.Adapters_);
@@ -78,14 +86,14 @@
 auto fieldsOf(MaybeConst<RegisteredTarget> auto &Of) {
   return std::tie(Of.Id_, Of.Incarnation_, Of.Service_, Of.Address_,
                   Of.DataCentre_, Of.Slots_, Of.State_, Of.Remaining_,
-                  Of.OrdersAccepted_, Of.Models_);
+                  Of.ColdRemaining_, Of.OrdersAccepted_, Of.Models_);
 }
 auto fieldsOf(MaybeConst<ListingChanges> auto &Of) {
   return std::tie(Of.Entries_, Of.Removed_);
 }
 auto fieldsOf(MaybeConst<TargetsReadNotice> auto &Of) {
   return std::tie(Of.Clock_, Of.At_, Of.Changes_, Of.Digest_,
-                  Of.LapseRemaining_);
+                  Of.LapseRemaining_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<ClockRequest> auto &Of) {
   return std::tie(Of.Vm_, Of.RequestedAt_);
@@ -94,7 +102,7 @@
   return std::tie(Of.Clock_, Of.RequestedAt_, Of.ClockTime_);
 }
 auto fieldsOf(MaybeConst<PermitQuery> auto &Of) {
-  return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_);
+  return std::tie(Of.Target_, Of.Incarnation_, Of.RatePerSecond_, Of.IsCold_);
 }
 auto fieldsOf(MaybeConst<PermitDecision> auto &Of) {
   return std::tie(Of.Granted_, Of.RetryIn_);
@@ -106,7 +114,7 @@
   return std::tie(Of.Serial_, Of.Decision_);
 }
 auto fieldsOf(MaybeConst<TableRow> auto &Of) {
-  return std::tie(Of.Key_, Of.Value_, Of.Version_);
+  return std::tie(Of.Key_, Of.Value_, Of.Version_, Of.Deleted_);
 }
 
 template <class Type>
@@ -114,6 +122,7 @@
 
 } // namespace anvil
 
+MSGPACK_ADD_ENUM(anvil::LoadSource)
 MSGPACK_ADD_ENUM(anvil::TargetState)
 
 namespace msgpack {
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -64,9 +64,12 @@
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
       BudgetBootstrap_(std::chrono::seconds(Settings.Bounds_.QuotaWindowS_)),
       Crashes_({SuspectTime, QuarantineTime, MaxDigests}),
-      Prefill_(Settings.PrefillTokensPerMs_) {}
+      Prefill_(Settings.PrefillTokensPerMs_), Speeds_(Targets_, Metrics_) {
+  Loads_.setFixedLimit(static_cast<double>(Settings.TransitLimit_));
+}
 
 Status FleetState::start() {
   Link_->onComposeUpdate(
@@ -114,8 +117,9 @@
 void FleetState::recordStart(const std::string &Target,
                              const std::string &Adapter, std::int64_t Tokens,
                              std::int64_t PromptTokens) {
-  Prefill_.recordPrompt(Target, static_cast<double>(PromptTokens),
-                        BootClock::now());
+  TimePoint Now = BootClock::now();
+  Prefill_.recordPrompt(Target, static_cast<double>(PromptTokens), Now,
+                        Speeds_.factorOf(Target, Now));
   bool IsLong =
       PromptTokens >=
       (Link_->topology().isSplit() ? LongPromptTokensLarge : LongPromptTokens);
@@ -160,44 +164,32 @@
   return Own + View_.peerRequestsWith(Adapter);
 }
 
-double FleetState::transitLimit() const {
-  if (Settings_.TransitLimit_ > 0)
-    return static_cast<double>(Settings_.TransitLimit_);
-  return StoreLoadLimit_.limit();
-}
-
-void FleetState::recordLoad(bool WasLate, TimePoint Now) {
-  WasLate ? ++OwnLoads_.Late_ : ++OwnLoads_.OnTime_;
-  updateCapacity({WasLate ? 0U : 1U, WasLate ? 1U : 0U}, Now);
+StoreQueue FleetState::storeQueue(TimePoint Now) const {
+  return {Loads_.times().expected(LoadSource::Store),
+          static_cast<double>(View_.inTransit(Now)), Loads_.limit(),
+          static_cast<double>(View_.queuedLoads(Now))};
 }
 
-void FleetState::applyPeerLoads(const VmStateUpdate &Update, TimePoint Now) {
-  auto [Found, IsNew] = PeerLoads_.try_emplace(Update.Vm_);
-  auto &[Incarnation, Before] = Found->second;
-  LoadCounts Finished;
-  // Counts from a VM without earlier updates are not recent.
-  if (!IsNew && Incarnation == Update.Incarnation_)
-    Finished = {Update.Loads_.OnTime_ - Before.OnTime_,
-                Update.Loads_.Late_ - Before.Late_};
-  Incarnation = Update.Incarnation_;
-  Before = Update.Loads_;
-  updateCapacity(Finished, Now);
-}
-
-void FleetState::updateCapacity(const LoadCounts &Finished, TimePoint Now) {
-  if (Finished == LoadCounts{})
-    return;
-  double Before = StoreLoadLimit_.limit();
-  StoreLoadLimit_.recordLoads(Finished, View_.inTransit(Now), Now);
-  if (StoreLoadLimit_.limit() < Before)
-    logEvent(LogLevel::Debug, "transit_limit_cut",
-             {{"before", Before},
-              {"limit", StoreLoadLimit_.limit()},
-              {"in_transit", View_.inTransit(Now)}});
-}
-
-double FleetState::transitFactor(TimePoint Now) const {
-  return static_cast<double>(View_.inTransit(Now) + 1) / transitLimit();
+void FleetState::recordLoad(LoadSource Source, Duration Age, bool WasMissing,
+                            TimePoint Now) {
+  Duration TimeBefore = Loads_.times().expected(Source);
+  double LimitBefore = Loads_.limit();
+  double InTransit = View_.inTransit(Now);
+  LateCause Cause = Loads_.recordOwn(Source, Age, WasMissing, InTransit, Now);
+  Metrics_->count("anvil_awaited_loads_total",
+                  {{"source", std::string(loadSourceName(Source))},
+                   {"outcome", std::string(lateCauseName(Cause))}});
+  Duration Expected = Loads_.times().expected(Source);
+  if (Expected != TimeBefore || Loads_.limit() < LimitBefore)
+    logEvent(LogLevel::Debug, "load_estimate_changed",
+             {{"source", loadSourceName(Source)},
+              {"outcome", lateCauseName(Cause)},
+              {"age_ms", toMillis(Age)},
+              {"in_transit", InTransit},
+              {"expected_before_ms", toMillis(TimeBefore)},
+              {"expected_ms", toMillis(Expected)},
+              {"limit_before", LimitBefore},
+              {"limit", Loads_.limit()}});
 }
 
 void FleetState::recordCrash(const std::string &Digest,
@@ -215,6 +207,7 @@
   if (Crashes_.addCrash(Observed.Digest_, CrashedTarget, Now))
     logEvent(LogLevel::Warning, "request_quarantined",
              {{"digest", Observed.Digest_}, {"target", Observed.Target_}});
+  TargetCrashed_.fire(Observed.Target_, Observed.Incarnation_);
 }
 
 static void logLimit(const std::string &Target, std::int64_t Incarnation,
@@ -266,11 +259,15 @@
   updateReachableShare(Now);
 }
 
+bool FleetState::isSplit() const { return Link_->topology().isSplit(); }
+
 void FleetState::updateReachableShare(TimePoint Now) {
   std::size_t Vms = std::max<std::size_t>(1, KnownVms_);
   std::size_t Reachable = std::min(Vms, View_.reachableVms(Now) + 1);
   Budget_.setReachableShare(
       static_cast<double>(Reachable) / static_cast<double>(Vms), Now);
+  // In a small fleet updates are so frequent that no pace is needed.
+  Budget_.setReachableVms(isSplit() ? Reachable : 1);
   if (!Plans_->current() || !BudgetBootstrap_.canGrant(KnownVms_))
     return;
   const PlatformBoundSettings &Bounds = Settings_.Bounds_;
@@ -339,6 +336,10 @@
   return static_cast<double>(Reachable) / static_cast<double>(KnownVms_);
 }
 
+Duration FleetState::peerUpdatePeriod() const {
+  return updatePeriod(Link_->topology().directPeers().size());
+}
+
 Duration FleetState::inventoryPeriod() const {
   // Both are sent with the state updates, whose period is shorter.
   return Link_->topology().isSplit() ? RemoteInventoryPeriod + InventoryPeriod
@@ -357,11 +358,21 @@
   RemoteInventorySentAt_ = Now;
 }
 
+void FleetState::reportLoads(TimePoint Now) {
+  for (const auto &[Source, Name] : LoadSourceNames)
+    Metrics_->gauge("anvil_load_time_seconds", {{"source", std::string(Name)}},
+                    toSeconds(Loads_.times().expected(Source)));
+  StoreQueue Queue = storeQueue(Now);
+  Metrics_->gauge("anvil_loads_in_transit", {}, Queue.InTransit_);
+  Metrics_->gauge("anvil_load_limit", {}, Queue.Limit_);
+  Metrics_->gauge("anvil_loads_queued", {}, Queue.Queued_);
+}
+
 VmStateUpdate FleetState::composeUpdate(Duration Period) {
   TimePoint Now = BootClock::now();
   View_.expire(Now);
   Limits_.prune(LimitRetention, Now);
-  StoreLoadLimit_.setEngines(View_.engineCount());
+  Loads_.setEngines(View_.engineCount());
   updateReachableShare(Now);
   VmStateUpdate Update;
   Update.Vm_ = Self_;
@@ -381,8 +392,11 @@
   Update.Crashes_ = recentCrashes(Now);
   Update.LeavingTargets_ = recentlyDraining(Now);
   Update.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
-  Update.Loads_ = OwnLoads_;
+  Update.Loads_ = Loads_.report();
+  Update.Speeds_ = Speeds_.composeReports(Now);
+  Update.StoreEra_ = StoreEra_;
   addInventories(Update, Now);
+  reportLoads(Now);
   return Update;
 }
 
@@ -406,6 +420,7 @@
   Summary.Crashes_ = recentCrashes(Now);
   Summary.LeavingTargets_ = recentlyDraining(Now);
   Summary.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
+  Summary.Speeds_ = Speeds_.speeds().takeEstimates(Now);
   View_.addLocalUpdates(Summary, Now);
   return Summary;
 }
@@ -416,7 +431,7 @@
     View_.applyInventory(Notice->Engine_, Notice->Inventory_, Now);
   else if (const auto *Prompt = std::get_if<PromptNotice>(&Message))
     Prefill_.recordPrompt(Prompt->Engine_, static_cast<double>(Prompt->Tokens_),
-                          Now);
+                          Now, Speeds_.factorOf(Prompt->Engine_, Now));
   else if (const auto *Update = std::get_if<VmStateUpdate>(&Message))
     receiveUpdate(*Update, Now);
   else if (const auto *Summary = std::get_if<DataCentreSummary>(&Message))
@@ -430,8 +445,9 @@
                   Update.DataCentre_ != Settings_.DataCentre_;
   if (IsRemote || Update.Vm_ == Self_ || !View_.apply(Update, Now))
     return;
-  if (!Link_->addressOf(Update.Vm_)) {
-    // The VM started after the rows were read.
+  auto Known = Link_->addressOf(Update.Vm_);
+  if (!Known || Known->text() != Update.PeerAddress_) {
+    // The VM started, maybe again at another address, after the last read.
     auto Address = parseEndpoint(Update.PeerAddress_);
     if (isOk(Address))
       Link_->addPeer(Update.Vm_, {valueOf(Address), Update.DataCentre_});
@@ -444,12 +460,15 @@
   BudgetBootstrap_.recordUpdate(Update.Vm_, Update.BudgetCoverage_);
   applyPeerBudget(Update.Vm_, Update.BudgetCoverage_, Update.Balances_, Now);
   for (const auto &[Target, Tokens] : Update.PromptTokens_)
-    Prefill_.recordPrompt(Target, static_cast<double>(Tokens), Now);
+    Prefill_.recordPrompt(Target, static_cast<double>(Tokens), Now,
+                          Speeds_.factorOf(Target, Now));
   for (const VmStateUpdate::Crash &Observed : Update.Crashes_)
     applyCrash(Observed, Now);
   applyDraining(Update.LeavingTargets_, Update.Vm_);
   applyLimits(Update.Limits_, Update.Vm_, Now);
-  applyPeerLoads(Update, Now);
+  Loads_.recordPeer(Update.Vm_, Update.Incarnation_, Update.Loads_,
+                    View_.inTransit(Now), Now);
+  Speeds_.applyReports(Update.Speeds_, Now);
 }
 
 void FleetState::receiveSummary(const DataCentreSummary &Summary,
@@ -469,6 +488,7 @@
     applyCrash(Observed, Now);
   applyDraining(Summary.LeavingTargets_, Summary.Sender_);
   applyLimits(Summary.Limits_, Summary.Sender_, Now);
+  Speeds_.applyEstimates(Summary.Speeds_, Now);
 }
 
 void FleetState::applyDraining(
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -2,18 +2,23 @@
 #define ANVIL_ENTRY_FLEETSTATE_H
 
 #include "Entry/FleetLink.h"
+#include "Entry/FleetSpeeds.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
+#include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Loading/LoadPatience.h"
 #include "Routing/CrashTracker.h"
 #include "Routing/TargetLimits.h"
 #include "Serving/BudgetBootstrap.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/FleetView.h"
+#include "Serving/LoadLearning.h"
 #include "Serving/PrefillBacklog.h"
-#include "Serving/StoreLoadLimit.h"
 #include "Settings/EntrySettings.h"
+#include "Telemetry/Metrics.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +43,9 @@
   FleetView &view() { return View_; }
   CustomerBudget &budget() { return Budget_; }
 
+  /// Sets the store's era that the state updates carry.
+  void setStoreEra(std::uint64_t Era) { StoreEra_ = Era; }
+
   /// Records that a request starts or ends at a target. `Tokens` is the sum of
   /// prompt and expected output.
   void recordStart(const std::string &Target, const std::string &Adapter,
@@ -48,18 +56,28 @@
   /// The requests of this VM that run on a target.
   const RunningShare &ownShareOn(const std::string &Target) const;
 
+  /// The number of requests of all VMs that run on a target.
+  int runningOn(const std::string &Target) const {
+    return ownShareOn(Target).Requests_ +
+           View_.peersRunningOn(Target).Requests_;
+  }
+
   /// The number of requests of all VMs that run with an adapter.
   int requestsUsing(const std::string &Adapter) const;
 
   const PrefillBacklog &prefill() const { return Prefill_; }
 
-  /// The factor by which loads of adapters take longer than usual because many
-  /// are in transit; below one while the fleet's limit is not reached.
-  double transitFactor(TimePoint Now) const;
+  TargetSpeeds &speeds() { return Speeds_.speeds(); }
+
+  /// The expected times of loads.
+  const LoadTimeEstimate &loadTimes() const { return Loads_.times(); }
+
+  /// The loads of all engines from the weight store.
+  StoreQueue storeQueue(TimePoint Now) const;
 
-  /// Records whether a load that a request of this VM waited for was on time
-  /// or late.
-  void recordLoad(bool WasLate, TimePoint Now);
+  /// Records what a request of this VM found that had waited for a load.
+  void recordLoad(LoadSource Source, Duration Age, bool WasMissing,
+                  TimePoint Now);
 
   /// Records that a request was running when a target crashed, and reports it
   /// to the other VMs.
@@ -101,6 +119,16 @@
   /// directly, itself included; zero before the number of VMs is known.
   double reachableShare(TimePoint Now) const;
 
+  /// The number of VMs, unresponsive ones included; at least one.
+  std::size_t knownVms() const { return std::max<std::size_t>(1, KnownVms_); }
+
+  /// Whether the fleet is so large that VMs exchange state updates within their
+  /// data centre only.
+  bool isSplit() const;
+
+  /// The interval at which the VMs of this data centre send state updates.
+  Duration peerUpdatePeriod() const;
+
   /// The time within which the inventory of an engine is sent again to every
   /// VM.
   Duration inventoryPeriod() const;
@@ -109,10 +137,13 @@
   void markStopping() { Stopping_ = true; }
   bool isStopping() const { return Stopping_; }
 
+  /// Fired when this or another VM saw a target's incarnation crash, also for
+  /// repeated reports.
+  Hook<const std::string &, std::int64_t> TargetCrashed_;
+
 private:
-  double transitLimit() const;
-  void applyPeerLoads(const VmStateUpdate &Update, TimePoint Now);
-  void updateCapacity(const LoadCounts &Finished, TimePoint Now);
+  /// Sets the gauges of loads.
+  void reportLoads(TimePoint Now);
   VmStateUpdate composeUpdate(Duration Period);
   std::optional<DataCentreSummary> composeSummary(Duration Period);
   void addInventories(VmStateUpdate &Update, TimePoint Now);
@@ -138,6 +169,7 @@
   std::shared_ptr<FleetLink> Link_;
   std::shared_ptr<PlanService> Plans_;
   std::shared_ptr<TargetListService> Targets_;
+  std::shared_ptr<Metrics> Metrics_;
   FleetView View_;
   CustomerBudget Budget_;
   BudgetBootstrap BudgetBootstrap_;
@@ -146,11 +178,9 @@
   TimePoint NewVmSeenAt_{};
   CrashTracker Crashes_;
   TargetLimits Limits_;
-  StoreLoadLimit StoreLoadLimit_;
-  LoadCounts OwnLoads_;
-  /// The load counts that other VMs reported, with the VM's incarnation.
-  std::map<std::string, std::pair<std::string, LoadCounts>> PeerLoads_;
+  LoadLearning Loads_;
   PrefillBacklog Prefill_;
+  FleetSpeeds Speeds_;
   /// Own running requests by adapter, and prompts sent since the last state
   /// update.
   std::map<std::string, int> OwnUses_;
@@ -163,6 +193,7 @@
   TimePoint InventorySentAt_{};
   TimePoint RemoteInventorySentAt_{};
   std::uint64_t Sequence_ = 0;
+  std::uint64_t StoreEra_ = 0;
   std::uint64_t SummarySequence_ = 0;
   /// Zero before the rows of the VMs were read for the first time.
   std::size_t KnownVms_ = 0;
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -3,10 +3,14 @@
 #include "Entry/RandomFraction.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
+#include "Kernel/EnumNames.h"
 #include "TableService/Backoff.h"
 #include "Telemetry/Log.h"
 #include "platform/PlanCodec.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -23,6 +27,10 @@
 static constexpr Duration MinRetryWait = std::chrono::milliseconds(100);
 static constexpr Duration MaxRetryWait = std::chrono::milliseconds(800);
 
+/// How long after the start of a new era of the store the operator may need to
+/// write again what the store has lost.
+static constexpr Duration RewriteTime = std::chrono::seconds(5);
+
 /// A wait for changes so short that the store replies at once.
 static constexpr Duration ImmediateWait = std::chrono::milliseconds(1);
 
@@ -42,7 +50,9 @@
     : Executor_(std::move(Executor)), Settings_(Settings),
       Store_(std::move(Store)), ReadRotation_(rotationOptions(Settings)),
       Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
-                VersionMargin) {}
+                VersionMargin) {
+  Store_->EraChanged_.attach([this](std::uint64_t) { startEra(); });
+}
 
 Status PlanService::start() {
   spawn(Executor_, follow());
@@ -55,18 +65,34 @@
   return ConfirmedAt_ && *ConfirmedAt_ + Bound - WithdrawalMargin > Now;
 }
 
+void PlanService::startEra() {
+  ReadVersion_.reset();
+  NewestRow_ = 0;
+  PeerNewestRow_ = 0;
+  Rows_.forgetVersions();
+  // A process that has just started knows no evacuation of an earlier era.
+  if (Store_->era().hasSeenEarlier())
+    keepEvacuationsUntil(BootClock::now() + RewriteTime);
+  StoreClock_ = {};
+  IsRevisionShown_ = !Plan_;
+}
+
 asio::awaitable<void> PlanService::follow() {
   Backoff RetryWaits(MinRetryWait, MaxRetryWait);
   while (true) {
-    while (!isReadDue(BootClock::now()))
+    endKeptEvacuations();
+    while (!isReadDue(BootClock::now())) {
       co_await pauseFor(ReadRotation::CheckPeriod);
+      endKeptEvacuations();
+    }
     auto Page = co_await readOnce();
     if (isOk(Page)) {
       RetryWaits.reset();
       continue;
     }
     // The store no longer has the history, so read the whole table at once.
-    if (errorOf(Page).Code_ == ErrorCode::NotFound) {
+    ErrorCode Code = errorOf(Page).Code_;
+    if (Code == ErrorCode::HistoryGone || Code == ErrorCode::NotFound) {
       logEvent(LogLevel::Info, "plan_history_gone");
       ReadVersion_.reset();
     }
@@ -85,6 +111,7 @@
 asio::awaitable<Result<platform::TablePage>> PlanService::readOnce() {
   TimePoint RequestedAt = BootClock::now();
   std::uint64_t PeerNewest = PeerNewestRow_;
+  std::uint64_t EraBefore = Store_->era().current();
   bool WasAwaited = ReadVersion_.has_value();
   Result<platform::TablePage> Page = Error{};
   if (WasAwaited) {
@@ -99,6 +126,8 @@
   }
   if (!isOk(Page))
     co_return Page;
+  if (Store_->era().current() != EraBefore)
+    PeerNewest = 0;
   ReadVersion_ = valueOf(Page).Version_;
   // A row that other VMs have read but the store no longer lists has been
   // deleted since, unless the store's reply is older than their read.
@@ -107,11 +136,24 @@
   TimePoint ReadAt = StoreClock_.recordCall(
       RequestedAt, valueOf(Page).StoreTime_, BootClock::now());
   std::uint64_t NewestBefore = NewestRow_;
-  apply(valueOf(Page).Rows_, WasAwaited ? ConfirmedAt_ : std::nullopt);
+  std::vector<TableRow> Returned = valueOf(Page).Rows_;
+  std::vector<TableRow> Newer = WasAwaited
+                                    ? Rows_.applyChanges(Returned)
+                                    : Rows_.applyWhole(Returned, *ReadVersion_);
+  // A whole read returns no removed rows, so the other VMs are told of those
+  // that it lacks.
+  if (!WasAwaited)
+    std::ranges::copy_if(Newer, std::back_inserter(Returned),
+                         &TableRow::Deleted_);
+  // What a new era shows for the first time was written after the last read of
+  // the earlier one.
+  bool IsContinued = WasAwaited || Store_->era().hasSeenEarlier();
+  apply(Newer, IsContinued ? ConfirmedAt_ : std::nullopt,
+        {RowSource::OwnRead, ReadAt});
   if (Plan_) {
-    if (!ConfirmedAt_ || ReadAt > *ConfirmedAt_)
+    if (IsRevisionShown_ && (!ConfirmedAt_ || ReadAt > *ConfirmedAt_))
       confirm(ReadAt);
-    TableRead_.fire({ReadAt, NewestRow_, NewestBefore, valueOf(Page).Rows_});
+    TableRead_.fire({ReadAt, NewestRow_, NewestBefore, std::move(Returned)});
   }
   co_return Page;
 }
@@ -120,7 +162,7 @@
                                 std::uint64_t NewestRow) {
   PeerNewestRow_ = std::max(PeerNewestRow_, NewestRow);
   bool IsNewer = At && ConfirmedAt_ && *At > *ConfirmedAt_;
-  if (NewestRow <= NewestRow_ && Plan_ && IsNewer)
+  if (NewestRow <= NewestRow_ && Plan_ && IsRevisionShown_ && IsNewer)
     confirm(*At);
 }
 
@@ -132,24 +174,22 @@
              {{"revision", Plan_->revision()}});
 }
 
-std::vector<TableRow> PlanService::knownRows() const {
-  std::vector<TableRow> All;
-  for (const auto &[Key, Row] : Rows_)
-    All.push_back(Row);
-  return All;
-}
-
-void PlanService::applyPeerRows(const std::vector<TableRow> &Rows) {
-  apply(Rows, ConfirmedAt_);
+void PlanService::applyPeerRows(const std::vector<TableRow> &Rows,
+                                const RowEvidence &Evidence) {
+  apply(Rows_.applyChanges(Rows), ConfirmedAt_, Evidence);
 }
 
-void PlanService::apply(const std::vector<TableRow> &Rows,
-                        std::optional<TimePoint> NotBefore) {
-  for (const TableRow &Row : Rows) {
-    NewestRow_ = std::max(NewestRow_, Row.Version_);
-    TableRow &Known = Rows_[Row.Key_];
-    if (Row.Version_ >= Known.Version_)
-      Known = Row;
+void PlanService::apply(const std::vector<TableRow> &Newer,
+                        std::optional<TimePoint> NotBefore,
+                        const RowEvidence &Evidence) {
+  NewestRow_ = std::max(NewestRow_, Rows_.newest());
+  // Evacuations apply before the plan, so that no request is sent in between.
+  for (const TableRow &Row : Newer)
+    if (auto DataCentre = platform::evacuatedDataCentre(Row.Key_))
+      applyEvacuation(*DataCentre, !Row.Deleted_, Evidence);
+  for (const TableRow &Row : Newer) {
+    if (Row.Deleted_)
+      continue;
     if (Row.Key_ == "config")
       applyPlan(Row);
     else if (Row.Key_.starts_with("version/"))
@@ -157,6 +197,42 @@
   }
 }
 
+void PlanService::applyEvacuation(const std::string &DataCentre,
+                                  bool IsRequested,
+                                  const RowEvidence &Evidence) {
+  TimePoint Now = BootClock::now();
+  auto Since = Evacuations_.evacuatedSince(DataCentre);
+  bool IsChange = Evacuations_.set(DataCentre, IsRequested, Now);
+  bool IsEvacuated = Evacuations_.isEvacuated(DataCentre);
+  std::string_view State = IsEvacuated ? "begins" : "ends";
+  if (!IsChange && IsEvacuated)
+    State = IsRequested ? "repeated" : "kept";
+  else if (!IsChange)
+    return;
+  logEvent(
+      LogLevel::Info, "evacuation",
+      {{"data_centre", DataCentre},
+       {"state", State},
+       {"source", enumName(Evidence.Source_, RowSourceNames)},
+       {"evidence_age_ms", Evidence.At_ ? toMillis(Now - *Evidence.At_) : -1},
+       {"lasted_ms", Since ? toMillis(Now - *Since) : 0}});
+  if (IsChange)
+    EvacuationChanged_.fire(DataCentre, IsEvacuated);
+}
+
+void PlanService::endKeptEvacuations() {
+  TimePoint Now = BootClock::now();
+  for (const std::string &DataCentre : Evacuations_.endKept(Now)) {
+    logEvent(LogLevel::Info, "evacuation",
+             {{"data_centre", DataCentre},
+              {"state", "ends"},
+              {"source", "kept"},
+              {"evidence_age_ms",
+               ConfirmedAt_ ? toMillis(Now - *ConfirmedAt_) : -1}});
+    EvacuationChanged_.fire(DataCentre, false);
+  }
+}
+
 void PlanService::applyPlan(const TableRow &Row) {
   auto Decoded = platform::decodePlan(Row.Value_);
   if (!isOk(Decoded)) {
@@ -165,6 +241,13 @@
     return;
   }
   ServingPlanPtr New = std::move(valueOf(Decoded));
+  if (!IsRevisionShown_ && Plan_ && New->revision() >= Plan_->revision()) {
+    IsRevisionShown_ = true;
+    logEvent(LogLevel::Info, "plan_shown_in_era",
+             {{"era", Store_->era().current()},
+              {"revision", New->revision()},
+              {"known", Plan_->revision()}});
+  }
   // A reply that was overtaken by a newer one must not revert the plan.
   if (Plan_ && New->revision() <= Plan_->revision())
     return;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -1,7 +1,6 @@
 #include "Entry/RequestRun.h"
 
 #include "Entry/CrashProbe.h"
-#include "Entry/RandomFraction.h"
 #include "Http/Pause.h"
 #include "Kernel/EnumNames.h"
 #include "Serving/RetryAfter.h"
@@ -17,59 +16,41 @@
 /// takes about a millisecond.
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 
-/// How long to wait for an adapter before a target is chosen again: minimum
-/// and maximum for an adapter that is loading, and the wait while the engine's
-/// owner has not replied to the adapter request.
-static constexpr Duration MinAdapterWait = std::chrono::milliseconds(2);
-static constexpr Duration MaxAdapterWait = std::chrono::milliseconds(40);
-static constexpr Duration AdapterRequestWait = std::chrono::milliseconds(8);
+/// For how long a request waits for its adapter at one target before all
+/// targets are compared again, which takes most of a waiting request's
+/// processor time.
+static constexpr Duration MaxWaitAtTarget = std::chrono::milliseconds(200);
 
-/// A load with at least this expected duration comes from the weight store.
-static constexpr Duration StoreLoadThreshold = std::chrono::milliseconds(100);
-
-/// The pause after a target refused the request without running it.
-static constexpr Duration RefusedPause = std::chrono::milliseconds(25);
-
-/// The maximum number of sends of one request that targets refuse to run.
+/// The maximum number of sends of one request that targets refuse to run,
+/// besides those to targets that lack the adapter.
 static constexpr int MaxRefusedSends = 4;
 
 /// How often a waiting request checks the retry budget.
 static constexpr Duration RetryCheckPeriod = std::chrono::milliseconds(50);
 
-/// The fraction of a target's keep-alive time for which a connection is
-/// reused, so that the target doesn't close it while a request is in transit.
-static constexpr double KeepAliveFraction = 0.8;
-
-/// The retry hint for callers if no target is available.
-static constexpr Duration BusyRetryAfter = std::chrono::milliseconds(400);
-
-/// Streams with a longer gap between chunks are logged at info level.
-static constexpr Duration LoggedGap = std::chrono::milliseconds(250);
-
-/// Time reserved before the deadline for sending the reply.
-static constexpr Duration ReplyMargin = std::chrono::milliseconds(20);
-
-/// The maximum size of a buffered reply, and of one event of a stream that can
-/// be resumed at another target. Other replies are forwarded as they arrive,
-/// without a limit.
-static constexpr std::size_t MaxReplyBytes = 4 * 1024 * 1024;
+/// The retry hint for callers while all targets are in evacuated data centres,
+/// which takes the operator seconds at least.
+static constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
 
 /// The reason logged for requests that end because the VM stops.
 static constexpr std::string_view VmStopping = "vm_stopping";
 
+/// The reason logged when a target lacked the adapter.
+static constexpr std::string_view AdapterMissing = "adapter_missing";
+
 /// The rank of the least urgent requests to targets; zero is the most urgent.
 static constexpr int LeastUrgentRank = 9;
 
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
                        EntryRequest Request)
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
+      Query_{Request_.Service_,       Request_.Route_->Name_,
+             Request_.Fields_.Model_, Request_.Fields_.Adapter_,
+             Request_.Fields_.Shape_, {}},
+      Wait_(Shared, Query_, rank(),
+            Request_.ArrivedAt_ + Request_.Route_->LatencyTarget_),
       Pause_(Shared.Executor_) {
   Shared_.Running_.push_back(*this);
-  Query_ = {Request_.Service_,
-            Request_.Fields_.Model_,
-            Request_.Fields_.Adapter_,
-            Request_.Fields_.Shape_,
-            {}};
   Duration PrefillTime = Shared_.Fleet_->prefill().prefillTime(
       Request_.Fields_.Shape_.PromptTokens_);
   Duration Pause = Request_.Route_->PauseTarget_;
@@ -96,6 +77,7 @@
 
 asio::awaitable<void> RequestRun::serve() {
   Shared_.retryBudgetOf(Request_.Service_).recordRequest();
+  Shared_.Picker_->recordRequest(Request_.Service_, Request_.ArrivedAt_);
   Exchange_.setDisconnectHandler([this] { Connection_.close(); });
   while (true) {
     if (Exchange_.callerDisconnected()) {
@@ -117,6 +99,12 @@
     if (!Chosen) {
       CallerRetryAfter_ = Shared_.Picker_->untilResumed(Query_, Now);
       LastReason_ = CallerRetryAfter_ ? "targets_closed" : "no_target";
+      if (!CallerRetryAfter_ && Shared_.Picker_->isFullyEvacuated(Query_)) {
+        LastReason_ = Evacuated;
+        CallerRetryAfter_ = EvacuatedRetryAfter;
+        Shared_.Metrics_->count("anvil_evacuated_refusals_total",
+                                {{"service", Query_.Service_}});
+      }
       co_return co_await finishUnserved();
     }
     bool MustWait = Chosen->Readiness_ == AdapterReadiness::Absent ||
@@ -134,10 +122,24 @@
       PacingWait_ += PacingDelay;
       continue;
     }
-    bool MaySend =
-        !Chosen->Limited_ || co_await Shared_.Permits_->acquire(
-                                 Chosen->Target_, Chosen->Incarnation_, Pause_);
-    if (!MaySend)
+    Duration MissingPause = Wait_.pauseBefore(*Chosen, Now);
+    if (MissingPause > Duration::zero()) {
+      co_await pauseFor(Pause_, MissingPause);
+      AdapterWait_ += MissingPause;
+      continue;
+    }
+    Wait_.end();
+    PermitRequestedAt_.reset();
+    TimePoint RequestedAt = BootClock::now();
+    if (Chosen->NeedsPermit_ &&
+        Shared_.Permits_->needsPermit(Chosen->Target_, Chosen->Incarnation_,
+                                      RequestedAt))
+      PermitRequestedAt_ = RequestedAt;
+    bool MaySend = !PermitRequestedAt_ ||
+                   co_await Shared_.Permits_->acquire(
+                       Chosen->Target_, Chosen->Incarnation_, Pause_);
+    // An evacuation may have begun while the permit was awaited.
+    if (!MaySend || Shared_.Picker_->isEvacuated(*Chosen))
       continue;
     SendOutcome End = co_await tryTarget(std::move(*Chosen));
     if (End == SendOutcome::Done)
@@ -145,31 +147,37 @@
     if (!isRetryable(End) || !co_await awaitRetryBudget(End))
       co_return co_await finishUnserved();
     if (End == SendOutcome::NotRun)
-      co_await pauseFor(Pause_, RefusedPause);
+      co_await pauseFor(
+          Pause_, refusedSendPause(Sends_, Request_.Route_->LatencyTarget_,
+                                   timeLeft()));
   }
 }
 
 asio::awaitable<bool> RequestRun::awaitAdapter(const TargetChoice &Chosen) {
   TimePoint Now = BootClock::now();
-  if (Chosen.ReadyIn_ >= timeLeft()) {
-    LastReason_ = "adapter_too_late";
+  // A reply that is ready, or a stream that has begun, isn't held back for a
+  // load beyond the latency target.
+  bool HasReply = Failure_ || HeadSent_;
+  bool MayWait = !HasReply || AdapterWait_ < Request_.Route_->LatencyTarget_;
+  std::optional<Duration> Pause;
+  if (MayWait)
+    Pause = Wait_.nextPause(Chosen, Query_, timeLeft() - ReplyMargin,
+                            AdapterWait_, Now);
+  if (!Pause) {
+    LastReason_ = Chosen.Load_ == LoadStage::Unknown ? "adapter_not_loaded"
+                                                     : "adapter_too_late";
+    CallerRetryAfter_ = Wait_.expectedIn();
     co_return false;
   }
-  bool IsOverdue = Chosen.Readiness_ == AdapterReadiness::Absent &&
-                   AdapterWait_ > Request_.Route_->LatencyTarget_;
-  if (IsOverdue) {
-    LastReason_ = "adapter_not_loaded";
-    co_return false;
+  TimePoint ChooseAgainAt = Now + MaxWaitAtTarget;
+  while (Pause) {
+    co_await pauseFor(Pause_, *Pause);
+    TimePoint Then = std::exchange(Now, BootClock::now());
+    AdapterWait_ += Now - Then;
+    bool MustChoose = Now >= ChooseAgainAt || isCancelled() || isOutOfTime();
+    Pause = MustChoose ? std::nullopt
+                       : Wait_.pauseAtTarget(Chosen, Query_, AdapterWait_, Now);
   }
-  Shared_.Picker_->requestAdapter(Query_, Chosen.Target_, Now);
-  bool IsLoading = Chosen.Readiness_ == AdapterReadiness::Loading;
-  if (IsLoading && Chosen.ReadyIn_ >= StoreLoadThreshold)
-    AwaitedLoadTarget_ = Chosen.Target_;
-  co_await pauseFor(
-      Pause_, IsLoading
-                  ? std::clamp(Chosen.ReadyIn_, MinAdapterWait, MaxAdapterWait)
-                  : AdapterRequestWait);
-  AdapterWait_ += BootClock::now() - Now;
   co_return true;
 }
 
@@ -177,7 +185,8 @@
   const RoutePlan &Route = *Request_.Route_;
   bool MayRunAgain = Route.Kind_ == RequestKind::Repeatable ||
                      (Route.Kind_ == RequestKind::Stream && Route.Resumable_);
-  if (End == SendOutcome::NotRun && Sends_ >= MaxRefusedSends)
+  bool IsSentOften = Sends_ - Wait_.missingSends() >= MaxRefusedSends;
+  if (End == SendOutcome::NotRun && (IsSentOften || !MaySendAgain_))
     return false;
   // Once a caller has received part of a stream, only the rest of that stream
   // can follow.
@@ -189,10 +198,15 @@
 
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
   // A target that could not be connected to has received nothing.
-  if (LastReason_ == "no_connection")
+  if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated ||
+      LastReason_ == PermitMissing)
     co_return true;
-  TimePoint Until = BootClock::now() +
-                    maxRetryWait(timeLeft(), Request_.Route_->LatencyTarget_);
+  // A request whose adapter is being loaded waits for the budget for up to a
+  // quarter of the time left, even beyond its latency target.
+  Duration MaxWait = LastReason_ == AdapterMissing
+                         ? timeLeft()
+                         : Request_.Route_->LatencyTarget_;
+  TimePoint Until = BootClock::now() + maxRetryWait(timeLeft(), MaxWait);
   while (!Shared_.retryBudgetOf(Request_.Service_).take(BootClock::now())) {
     bool MayWait = End == SendOutcome::NotRun && !isCancelled() &&
                    BootClock::now() + RetryCheckPeriod < Until;
@@ -228,8 +242,9 @@
               {"runs", Runs_},
               {"running", Chosen.Running_},
               {"cost", Chosen.Cost_}});
-  bool MustExclude =
-      End != SendOutcome::Done && LastReason_ != "adapter_missing";
+  bool MustExclude = End != SendOutcome::Done &&
+                     LastReason_ != AdapterMissing &&
+                     LastReason_ != PermitMissing;
   if (MustExclude)
     Query_.Excluded_.insert(Chosen.Target_);
   co_return End;
@@ -245,19 +260,23 @@
   co_return isOk(Opened);
 }
 
+int RequestRun::rank() const {
+  int Rank = Request_.Route_->Rank_;
+  // The customer's rank takes precedence over the route's.
+  constexpr int RanksPerCustomerRank = 3;
+  if (Request_.Customer_)
+    Rank += RanksPerCustomerRank * Request_.Customer_->Rank_.value_or(0);
+  return std::clamp(Rank, 0, LeastUrgentRank);
+}
+
 HttpRequest RequestRun::targetRequest(const TargetChoice &Chosen,
                                       TimePoint Now) const {
   platform::TargetFields Fields;
   Fields.TargetId_ = Chosen.Target_;
   Fields.TimeLeft_ = Request_.Deadline_ - Now;
-  int Rank = Request_.Route_->Rank_;
-  if (Request_.Customer_) {
+  if (Request_.Customer_)
     Fields.Customer_ = Request_.Customer_->Name_;
-    // The customer's rank takes precedence over the route's.
-    constexpr int RanksPerCustomerRank = 3;
-    Rank += RanksPerCustomerRank * Request_.Customer_->Rank_.value_or(0);
-  }
-  Fields.Rank_ = std::clamp(Rank, 0, LeastUrgentRank);
+  Fields.Rank_ = rank();
   Fields.Version_ = Chosen.Version_;
   Fields.ResumeAfter_ = Events_.lastId();
   return platform::encodeTargetRequest(Exchange_.request(), Fields);
@@ -300,16 +319,28 @@
   }
   if (isCancelled())
     co_return SendOutcome::NotRun;
+  if (Shared_.Picker_->isEvacuated(Chosen)) {
+    LastReason_ = TargetEvacuated;
+    co_return SendOutcome::NotRun;
+  }
+  if (!Shared_.Permits_->maySend(Chosen.Target_, Chosen.Incarnation_,
+                                 PermitRequestedAt_, BootClock::now())) {
+    LastReason_ = PermitMissing;
+    co_return SendOutcome::NotRun;
+  }
   bool IsLimited = Shared_.Fleet_->limits()
                        .rateOf(Chosen.Target_, Chosen.Incarnation_)
                        .has_value();
   if (IsLimited)
     Shared_.Metrics_->count("anvil_limited_sends_total",
                             {{"target", Chosen.Target_}});
+  Shared_.ColdTargets_->countSend(Chosen.Target_, Chosen.Incarnation_,
+                                  BootClock::now());
   HttpRequest Outgoing = targetRequest(Chosen, BootClock::now());
   ++Sends_;
   ++Runs_;
   Duration Timeout = std::max<Duration>(timeLeft(), ReplyMargin);
+  TimePoint RequestSentAt = BootClock::now();
   auto Head = co_await Connection_.exchange(Outgoing, Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   TimePoint Now = BootClock::now();
@@ -320,13 +351,13 @@
   }
   auto Response = platform::decodeTargetResponse(valueOf(Head));
   applyTargetHeaders(Chosen, Response, SentAt, Now);
-  bool WasAwaited = std::exchange(AwaitedLoadTarget_, {}) == Chosen.Target_;
   bool IsMissing = Response.Status_ == 421;
-  if (WasAwaited && (IsMissing || !Response.NotExecuted_))
-    Shared_.Fleet_->recordLoad(IsMissing, Now);
+  if (IsMissing || !Response.NotExecuted_)
+    MaySendAgain_ =
+        Wait_.recordReply(Chosen, IsMissing, SentAt, timeLeft(), Now);
   if (Response.NotExecuted_) {
     --Runs_;
-    LastReason_ = IsMissing ? "adapter_missing" : "target_refused";
+    LastReason_ = IsMissing ? AdapterMissing : "target_refused";
     if (IsMissing)
       Shared_.Picker_->recordMissing(Query_, Chosen.Target_);
     keepConnection(Chosen, Response);
@@ -335,6 +366,10 @@
   bool Failed = Response.Status_ >= 500 || !Response.Sealed_;
   Shared_.Picker_->health().recordResponse(Chosen.Target_, Failed, Now - SentAt,
                                            Now);
+  bool IsSuccess = !Failed && Response.Status_ >= 200 && Response.Status_ < 300;
+  if (IsSuccess)
+    recordSpeed(Chosen, firstByteMeasurement(sendConditions(Chosen),
+                                             Now - RequestSentAt));
   FirstByteAt_ = Now;
   co_return co_await forwardReply(Chosen, std::move(valueOf(Head)), Response);
 }
@@ -351,11 +386,18 @@
               {"incarnation", Chosen.Incarnation_},
               {"word", Name}});
   }
+  if (Response.WorkPercent_ && Response.Sealed_)
+    Shared_.Fleet_->speeds().recordStatedTime(
+        {Chosen.Target_, Chosen.Incarnation_, Request_.Service_},
+        *Response.WorkPercent_, Now);
   if (Response.Leaving_)
     Shared_.Fleet_->recordDraining(Chosen.Target_, Chosen.Incarnation_, Now);
   if (Response.BackOff_)
     Shared_.Permits_->backOff(Chosen.Target_, Chosen.Incarnation_,
                               *Response.BackOff_, Now);
+  if (Response.ColdRemaining_)
+    Shared_.ColdTargets_->recordResponse(Chosen.Target_, Chosen.Incarnation_,
+                                         *Response.ColdRemaining_, SentAt, Now);
   // A refusal may carry fewer headers than the target's own replies.
   bool StatesLimit =
       Response.RateLimit_ || (Response.Sealed_ && !Response.NotExecuted_);
@@ -366,237 +408,18 @@
                                 Response.RateLimit_, SentAt, Now);
 }
 
-asio::awaitable<RequestRun::SendOutcome>
-RequestRun::forwardReply(const TargetChoice &Chosen, HttpReplyHead Head,
-                         const platform::TargetResponse &Response) {
-  // An unsealed reply does not come from the target itself, so its status
-  // can't be relied on.
-  if (!Response.Sealed_) {
-    LastReason_ = "not_sealed";
-    co_return SendOutcome::Lost;
-  }
-  bool IsSuccess = Response.Status_ >= 200 && Response.Status_ < 300;
-  bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
-  // The connection is already closed, so only the head could be forwarded.
-  if (IsStream && !HeadSent_ && Shared_.ServingEnded_)
-    co_return SendOutcome::Lost;
-  if (IsStream)
-    co_return co_await forwardStream(Chosen, std::move(Head), Response);
-  co_return co_await forwardBuffered(Chosen, std::move(Head), Response);
+SendConditions RequestRun::sendConditions(const TargetChoice &Chosen) const {
+  return {Chosen.Running_,    Chosen.Slots_,       Chosen.Prefill_,
+          Chosen.OwnPrefill_, Chosen.SpeedFactor_, Request_.Route_->Name_};
 }
 
-asio::awaitable<RequestRun::SendOutcome>
-RequestRun::forwardBuffered(const TargetChoice &Chosen, HttpReplyHead Head,
-                            const platform::TargetResponse &Response) {
-  HttpReplyHead CallerHead = platform::encodeCallerHead(Head);
-  HttpReply Reply{CallerHead.Status_, std::move(CallerHead.Headers_), {}};
-  while (true) {
-    auto Chunk = co_await Connection_.readPart(
-        std::max<Duration>(timeLeft(), ReplyMargin));
-    if (!isOk(Chunk)) {
-      LastReason_ = "answer_cut";
-      if (!isCancelled())
-        Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
-                                                 BootClock::now());
-      co_return SendOutcome::Lost;
-    }
-    if (valueOf(Chunk).empty())
-      break;
-    Reply.Body_ += valueOf(Chunk);
-    if (Reply.Body_.size() > MaxReplyBytes) {
-      LastReason_ = "answer_too_long";
-      Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
-                                               BootClock::now());
-      co_return SendOutcome::Lost;
-    }
-  }
-  keepConnection(Chosen, Response);
-  if (HeadSent_) {
-    // A stream resumed at another target ended in a failure; the head that the
-    // caller received can't change.
-    LastReason_ = "resume_failed";
-    co_return SendOutcome::Failed;
-  }
-  if (Response.Status_ >= 500) {
-    LastReason_ = "target_failed";
-    Failure_ = std::move(Reply);
-    co_return SendOutcome::Failed;
-  }
-  int Status = Reply.Status_;
-  bool IsSent = co_await Exchange_.respond(std::move(Reply));
-  logReply(IsSent, "served", Status);
-  co_return SendOutcome::Done;
-}
-
-asio::awaitable<RequestRun::SendOutcome>
-RequestRun::forwardStream(const TargetChoice &Chosen, HttpReplyHead Head,
-                          const platform::TargetResponse &Response) {
-  bool IsResumable = Request_.Route_->Resumable_;
-  Events_.dropIncompleteEvent();
-  if (!HeadSent_) {
-    HeadSent_ = true;
-    int Status = Head.Status_;
-    HttpReplyHead CallerHead = platform::encodeCallerHead(Head);
-    if (!co_await Exchange_.startStream(std::move(CallerHead))) {
-      logDisconnect(Status);
-      co_return SendOutcome::Done;
-    }
-  }
-  while (true) {
-    auto Chunk = co_await Connection_.readPart(
-        std::max<Duration>(timeLeft(), ReplyMargin));
-    if (!isOk(Chunk)) {
-      if (Exchange_.callerDisconnected()) {
-        logDisconnect(Response.Status_);
-        co_return SendOutcome::Done;
-      }
-      LastReason_ = "stream_broken";
-      recordFailure(Chosen, {}, BootClock::now());
-      co_return SendOutcome::Broken;
-    }
-    if (valueOf(Chunk).empty())
-      break;
-    TimePoint Now = BootClock::now();
-    if (LastChunkAt_ != TimePoint{})
-      LongestGap_ = std::max(LongestGap_, Now - LastChunkAt_);
-    LastChunkAt_ = Now;
-    // Only after a complete event can another target resume the stream.
-    std::string Forwarded = IsResumable ? Events_.appendBytes(valueOf(Chunk))
-                                        : std::move(valueOf(Chunk));
-    if (Events_.incompleteEvent().size() > MaxReplyBytes) {
-      LastReason_ = "event_too_long";
-      recordFailure(Chosen, {}, Now);
-      co_return SendOutcome::Broken;
-    }
-    if (!co_await Exchange_.write(Forwarded)) {
-      logDisconnect(Response.Status_);
-      co_return SendOutcome::Done;
-    }
-  }
-  keepConnection(Chosen, Response);
-  if (IsResumable && !Events_.incompleteEvent().empty())
-    co_await Exchange_.write(std::string(Events_.incompleteEvent()));
-  bool IsSent = co_await Exchange_.finishStream();
-  logReply(IsSent, "served", Response.Status_);
-  co_return SendOutcome::Done;
-}
-
-void RequestRun::keepConnection(const TargetChoice &Chosen,
-                                const platform::TargetResponse &Response) {
-  Duration Keep = ConnectionPool::MaxIdleTime;
-  if (Response.KeepAlive_)
-    Keep = std::chrono::duration_cast<Duration>(*Response.KeepAlive_ *
-                                                KeepAliveFraction);
-  Shared_.Pool_.returnConnection(Chosen.Address_, std::move(Connection_),
-                                 BootClock::now(), Keep);
-}
-
-void RequestRun::recordFailure(const TargetChoice &Chosen, Duration Took,
-                               TimePoint Now) {
-  if (isCancelled())
-    return;
-  Shared_.Picker_->health().recordResponse(Chosen.Target_, true, Took, Now);
-  if (LastReason_ == errorCodeName(ErrorCode::Timeout))
-    return;
-  probeAfterFailure(Shared_, Chosen, Request_.Digest_);
-}
-
-asio::awaitable<void> RequestRun::finishUnserved() {
-  if (Exchange_.callerDisconnected()) {
-    logDisconnect(0);
-    co_return;
-  }
-  if (HeadSent_) {
-    // The rest of the stream is unavailable; closing the connection signals
-    // this to the caller.
-    logEnd("stream_cut", 0);
-    Exchange_.abort();
-    co_return;
-  }
-  if (Failure_) {
-    int Status = Failure_->Status_;
-    bool IsSent = co_await Exchange_.respond(std::move(*Failure_));
-    logReply(IsSent, "target_failed", Status);
-    co_return;
-  }
-  if (Runs_ > 0) {
-    bool IsLate = timeLeft() <= ReplyMargin;
-    co_return co_await refuse(IsLate ? 504 : 502, "the target gave no answer",
-                              std::nullopt);
-  }
-  co_return co_await refuse(
-      503, "no target could take the request",
-      retryAfter(CallerRetryAfter_.value_or(BusyRetryAfter), randomFraction()));
-}
-
-asio::awaitable<void> RequestRun::refuse(int Status, std::string_view Reason,
-                                         std::optional<Duration> RetryAfter) {
-  bool IsSent = co_await Exchange_.respond(platform::makeErrorReply(
-      Status, Request_.Fields_.RequestId_, Reason, RetryAfter));
-  logReply(IsSent, "refused", Status);
-}
-
-void RequestRun::countResult(std::string_view Outcome, int Status,
-                             TimePoint Now) {
-  Shared_.Metrics_->count("anvil_requests_total",
-                          {{"route", Request_.Route_->Name_},
-                           {"outcome", std::string(Outcome)},
-                           {"status", std::to_string(Status)}});
-  std::string Customer = Request_.Customer_ ? Request_.Customer_->Name_ : "";
-  MetricLabels Labels{{"route", Request_.Route_->Name_},
-                      {"customer", std::move(Customer)}};
-  Shared_.Metrics_->observe("anvil_request_seconds", Labels,
-                            Now - Request_.ArrivedAt_);
-  if (FirstByteAt_ != TimePoint{})
-    Shared_.Metrics_->observe("anvil_first_byte_seconds", Labels,
-                              FirstByteAt_ - Request_.ArrivedAt_);
-  if (AdapterWait_ > Duration::zero())
-    Shared_.Metrics_->observe("anvil_adapter_wait_seconds", {}, AdapterWait_);
-  if (PacingWait_ > Duration::zero())
-    Shared_.Metrics_->observe("anvil_paced_seconds", {}, PacingWait_);
-}
-
-void RequestRun::logReply(bool IsSent, std::string_view Outcome, int Status) {
-  if (IsSent)
-    logEnd(Outcome, Status);
-  else
-    logDisconnect(Status);
-}
-
-void RequestRun::logDisconnect(int Status) {
-  logEnd(Exchange_.closedByServer() ? "connection_closed" : "caller_gone",
-         Status);
-}
-
-void RequestRun::logEnd(std::string_view Outcome, int Status) {
-  TimePoint Now = BootClock::now();
-  countResult(Outcome, Status, Now);
-  bool IsLate =
-      FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
-      LongestGap_ > LoggedGap;
-  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate;
-  logEvent(
-      IsRoutine ? LogLevel::Debug : LogLevel::Info, "request_end",
-      {{"request", Request_.Fields_.RequestId_},
-       {"outcome", Outcome},
-       {"status", Status},
-       {"route", Request_.Route_->Name_},
-       {"kind", requestKindName(Request_.Route_->Kind_)},
-       {"adapter", Request_.Fields_.Adapter_},
-       {"target", LastTarget_},
-       {"reason", LastReason_},
-       {"sends", Sends_},
-       {"runs", Runs_},
-       {"adapter_wait_ms", toMillis(AdapterWait_)},
-       {"paced_ms", toMillis(PacingWait_)},
-       {"first_byte_ms", FirstByteAt_ == TimePoint{}
-                             ? -1
-                             : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
-       {"longest_gap_ms", toMillis(LongestGap_)},
-       {"running", RunningAtPick_},
-       {"took_ms", toMillis(Now - Request_.ArrivedAt_)},
-       {"left_ms", toMillis(Request_.Deadline_ - Now)},
-       {"revision", Request_.Plan_->revision()}});
+void RequestRun::recordSpeed(
+    const TargetChoice &Chosen,
+    const std::optional<SpeedMeasurement> &Measurement) {
+  if (Measurement)
+    Shared_.Fleet_->speeds().recordMeasurement(
+        {Chosen.Target_, Chosen.Incarnation_, Request_.Service_}, *Measurement,
+        BootClock::now());
 }
 
 } // namespace anvil
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_REQUESTRUN_H
 #define ANVIL_ENTRY_REQUESTRUN_H
 
+#include "Entry/AdapterWait.h"
 #include "Entry/RequestServices.h"
 #include "Http/HttpExchange.h"
 #include "Serving/EventSplitter.h"
@@ -46,6 +47,19 @@
   void interrupt();
 
 private:
+  /// Time reserved before the deadline for sending the reply.
+  static constexpr Duration ReplyMargin = std::chrono::milliseconds(20);
+
+  /// The reason logged for requests that no target outside evacuated data
+  /// centres can take.
+  static constexpr std::string_view Evacuated = "evacuated";
+
+  /// The reasons logged when a chosen target could no longer get the request
+  /// after the connection was open: its data centre was evacuated, or there was
+  /// no valid permit.
+  static constexpr std::string_view TargetEvacuated = "target_evacuated";
+  static constexpr std::string_view PermitMissing = "permit_missing";
+
   /// The result of one attempt at a target.
   enum class SendOutcome {
     /// The caller has its final reply or has disconnected.
@@ -75,7 +89,7 @@
   forwardStream(const TargetChoice &Chosen, HttpReplyHead Head,
                 const platform::TargetResponse &Response);
   /// Waits briefly until a target has loaded the adapter. False if the adapter
-  /// can't be available before the deadline.
+  /// can't be available in time.
   boost::asio::awaitable<bool> awaitAdapter(const TargetChoice &Chosen);
   boost::asio::awaitable<void> refuse(int Status, std::string_view Reason,
                                       std::optional<Duration> RetryAfter);
@@ -85,11 +99,17 @@
   /// Waits until the retry budget allows one more attempt. False if the
   /// request should not wait for it.
   boost::asio::awaitable<bool> awaitRetryBudget(SendOutcome End);
+  /// The request's rank at targets; zero is the most urgent.
+  int rank() const;
   HttpRequest targetRequest(const TargetChoice &Chosen, TimePoint Now) const;
   /// Applies what the target states about itself in the headers of its reply.
   void applyTargetHeaders(const TargetChoice &Chosen,
                           const platform::TargetResponse &Response,
                           TimePoint SentAt, TimePoint Now);
+  /// Records a measurement of the target's speed, if there is one.
+  void recordSpeed(const TargetChoice &Chosen,
+                   const std::optional<SpeedMeasurement> &Measurement);
+  SendConditions sendConditions(const TargetChoice &Chosen) const;
   void keepConnection(const TargetChoice &Chosen,
                       const platform::TargetResponse &Response);
   /// Records that a target broke off, unless this VM or the caller ended the
@@ -113,10 +133,13 @@
   HttpExchange &Exchange_;
   EntryRequest Request_;
   TargetQuery Query_;
+  AdapterWait Wait_;
   HttpConnection Connection_;
   boost::asio::steady_timer Pause_;
   EventSplitter Events_;
   /// The number of targets that have run the request or may have.
+  /// When the permit for the current send was requested; nothing without one.
+  std::optional<TimePoint> PermitRequestedAt_;
   int Runs_ = 0;
   int Sends_ = 0;
   bool HeadSent_ = false;
@@ -126,9 +149,8 @@
   /// When a refused caller should retry, if known.
   std::optional<Duration> CallerRetryAfter_;
   Duration AdapterWait_{};
-  /// The target whose load of the adapter the request waited for, if the
-  /// expected load time was long enough to tell whether the load was on time.
-  std::string AwaitedLoadTarget_;
+  /// Whether the request may be sent again after a target lacked the adapter.
+  bool MaySendAgain_ = true;
   /// How long the request was delayed so that its prefill doesn't pause the
   /// engine's running streams for too long.
   Duration PacingWait_{};
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -1,5 +1,6 @@
 #include "Entry/TargetPicker.h"
 
+#include "Balancing/SpareCapacityChoice.h"
 #include "Entry/RandomFraction.h"
 #include "Membership/Rendezvous.h"
 #include "Serving/DispatchBaseline.h"
@@ -8,9 +9,9 @@
 
 namespace anvil {
 
-/// The assumed load time after an adapter request, until the owner's reply
-/// replaces it.
-static constexpr Duration AssumedLoadTime = std::chrono::milliseconds(320);
+/// The time from an adapter request to the order, assumed until the owner
+/// replies.
+static constexpr Duration OrderLatency = std::chrono::milliseconds(70);
 
 /// How long an adapter request may wait for a reply before the engine's owner
 /// counts as unresponsive, and until when after the request it does.
@@ -19,8 +20,10 @@
 static constexpr Duration AdapterRequestRetention =
     std::chrono::milliseconds(1000);
 
-/// The minimum time before an adapter request is repeated.
+/// The minimum time before an adapter request is repeated: before the owner has
+/// replied, and while the load is queued there.
 static constexpr Duration AdapterRequestPeriod = std::chrono::milliseconds(60);
+static constexpr Duration QueuedRequestPeriod = std::chrono::milliseconds(150);
 
 TargetPicker::TargetPicker(const EntrySettings &Settings,
                            const ServiceRegistry &Services)
@@ -30,12 +33,13 @@
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Owners_(Services.require<EngineOwnershipService>(
           EngineOwnershipService::Name)),
+      ColdTargets_(Services.require<ColdTargets>(ColdTargets::Name)),
       Permits_(Services.require<TargetPermits>(TargetPermits::Name)) {}
 
 DispatchCandidate TargetPicker::describe(const ListedTarget &Listed,
                                          const TargetQuery &Query,
                                          const EnginePlan *Engine,
-                                         double TransitFactor, TimePoint Now) {
+                                         double LoadFactor, TimePoint Now) {
   const RegisteredTarget &Entry = Listed.Entry_;
   DispatchCandidate Candidate;
   Candidate.Id_ = Entry.Id_;
@@ -45,16 +49,25 @@
   Candidate.Running_ = Own.Requests_ + Others.Requests_;
   Candidate.Tokens_ = static_cast<double>(Own.Tokens_ + Others.Tokens_);
   Candidate.Slots_ = std::max(1, Entry.Slots_);
-  Candidate.Limited_ = Permits_->needsPermit(Entry.Id_, Entry.Incarnation_);
+  Candidate.Limited_ =
+      Fleet_->limits().rateOf(Entry.Id_, Entry.Incarnation_).has_value();
+  Candidate.Cold_ =
+      ColdTargets_->rateOf(Entry.Id_, Entry.Incarnation_, Now).has_value();
   Candidate.LimitIsStale_ = Fleet_->limits().isStale(Entry.Id_, Now);
   Candidate.FailureShare_ = Health_.failureShare(Entry.Id_, Now);
-  Candidate.ExcessLatency_ = Health_.excessLatency(Entry.Id_, Now);
+  Candidate.SpeedFactor_ =
+      Fleet_->speeds().factorOf(Entry.Id_, Entry.Incarnation_, Now);
+  Candidate.ExcessLatency_ =
+      Health_.excessLatency(Entry.Id_, Now, Candidate.SpeedFactor_);
   if (Engine) {
     Candidate.Prefill_ = Fleet_->prefill().remainingTime(Entry.Id_, Now);
     Candidate.KvTokens_ = Engine->KvTokens_;
     Candidate.AdapterCapacity_ = Engine->MaxAdapters_;
-    Candidate.LoadFactor_ = std::max(1.0, TransitFactor);
+    Candidate.LoadFactor_ = LoadFactor;
     describeAdapter(Candidate, Query, Now);
+  } else if (Candidate.SpeedFactor_ != 1) {
+    Candidate.UsualServiceTime_ =
+        Fleet_->speeds().usualServiceTime(Query.Service_, Query.Route_);
   }
   return Candidate;
 }
@@ -84,11 +97,19 @@
                                : AdapterReadiness::Resident;
     return;
   }
+  auto Queued = View->Queued_.find(Query.Adapter_);
+  if (Candidate.HasOwner_ && Queued != View->Queued_.end() &&
+      Queued->second > Now) {
+    Candidate.Readiness_ = AdapterReadiness::Loading;
+    Candidate.ReadyIn_ = Queued->second - Now;
+    return;
+  }
   auto Sent = AdapterRequests_.find({Candidate.Id_, Query.Adapter_});
   if (Sent != AdapterRequests_.end() &&
       Sent->second.FirstAt_ + AdapterRequestTimeout > Now) {
     Candidate.Readiness_ = AdapterReadiness::Loading;
-    Candidate.ReadyIn_ = Sent->second.FirstAt_ + AssumedLoadTime - Now;
+    Candidate.ReadyIn_ = Sent->second.FirstAt_ + OrderLatency +
+                         Fleet_->loadTimes().expected(LoadSource::Store) - Now;
     return;
   }
   describeAdapterSlots(Candidate, *View, Now);
@@ -97,6 +118,18 @@
       Sent != AdapterRequests_.end() &&
       Sent->second.FirstAt_ + AdapterRequestRetention > Now;
   Candidate.Warm_ = View->Warm_.contains(Query.Adapter_);
+  const LoadTimeEstimate &Times = Fleet_->loadTimes();
+  Candidate.LoadTime_ = OrderLatency + Times.expected(LoadSource::Store);
+  Candidate.WarmLoadTime_ = OrderLatency + Times.expected(LoadSource::Engine);
+}
+
+DispatchCandidate TargetPicker::adapterAt(const std::string &Target,
+                                          const TargetQuery &Query,
+                                          TimePoint Now) {
+  DispatchCandidate Candidate;
+  Candidate.Id_ = Target;
+  describeAdapter(Candidate, Query, Now);
+  return Candidate;
 }
 
 void TargetPicker::describeAdapterSlots(DispatchCandidate &Candidate,
@@ -127,6 +160,44 @@
     Candidates[Scores[Rank].second].HomeRank_ = Rank;
 }
 
+std::size_t
+TargetPicker::select(const TargetQuery &Query, const ServicePlan &Service,
+                     const std::vector<DispatchCandidate> &Candidates,
+                     TimePoint Now) const {
+  if (Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost)
+    return selectByPolicy(Candidates, Settings_.DispatchPolicy_,
+                          randomFraction());
+  // Requests to engines last for several reports of load, and in a small fleet
+  // updates are frequent.
+  bool MaySpread = Fleet_->isSplit() && !Service.Engine_ && !Candidates.empty();
+  bool IsSpread =
+      MaySpread &&
+      StaleLoads_.isStale(
+          Service.Name_, {Fleet_->knownVms(), Fleet_->peerUpdatePeriod()},
+          std::ranges::min(Candidates, {}, &DispatchCandidate::Slots_).Slots_,
+          Now);
+  return IsSpread
+             ? selectBySpareCapacity(Candidates, Query.Shape_, randomFraction())
+             : selectCheapest(Candidates, Query.Shape_);
+}
+
+std::vector<const ListedTarget *>
+TargetPicker::eligibleTargets(const std::string &Service) const {
+  auto Targets = Targets_->roster().usable(Service);
+  std::erase_if(Targets, [&](const ListedTarget *Target) {
+    return Plans_->evacuations().isEvacuated(Target->Entry_.DataCentre_);
+  });
+  return Targets;
+}
+
+bool TargetPicker::isFullyEvacuated(const TargetQuery &Query) const {
+  auto Usable = Targets_->roster().usable(Query.Service_);
+  return !Usable.empty() &&
+         std::ranges::all_of(Usable, [&](const ListedTarget *Target) {
+           return Plans_->evacuations().isEvacuated(Target->Entry_.DataCentre_);
+         });
+}
+
 std::optional<TargetChoice> TargetPicker::pick(const TargetQuery &Query,
                                                TimePoint Now) {
   ServingPlanPtr Plan = Plans_->current();
@@ -136,11 +207,12 @@
     return std::nullopt;
   const EnginePlan *Engine = Service->Engine_ ? &*Service->Engine_ : nullptr;
   bool NeedsAdapter = Engine && !Query.Adapter_.empty();
-  // The factor is a sum over all engines, the same for every candidate.
-  double TransitFactor = NeedsAdapter ? Fleet_->transitFactor(Now) : 0;
+  // The queue is a sum over all engines, the same for every candidate.
+  StoreQueue Queue = NeedsAdapter ? Fleet_->storeQueue(Now) : StoreQueue();
+  double LoadFactor = loadFactor(Queue);
   std::vector<const ListedTarget *> Listed;
   std::vector<DispatchCandidate> Candidates;
-  for (const ListedTarget *Target : Targets_->roster().usable(Service->Name_)) {
+  for (const ListedTarget *Target : eligibleTargets(Service->Name_)) {
     auto Down = Unreachable_.find(Target->Entry_.Id_);
     bool IsDown = Down != Unreachable_.end() &&
                   Down->second == Target->Entry_.Incarnation_;
@@ -150,17 +222,14 @@
     if (IsDown || IsSuspended || Query.Excluded_.contains(Target->Entry_.Id_))
       continue;
     Listed.push_back(Target);
-    Candidates.push_back(describe(*Target, Query, Engine, TransitFactor, Now));
+    Candidates.push_back(describe(*Target, Query, Engine, LoadFactor, Now));
   }
   if (NeedsAdapter)
     rankByRendezvous(Candidates, Query.Adapter_);
   bool IsBaseline = Settings_.DispatchPolicy_ != DispatchPolicy::LeastCost;
   if (NeedsAdapter && !IsBaseline)
-    spreadAdapter(Query, Candidates, TransitFactor, Now);
-  std::size_t Best = IsBaseline
-                         ? selectByPolicy(Candidates, Settings_.DispatchPolicy_,
-                                          randomFraction())
-                         : selectCheapest(Candidates, Query.Shape_);
+    spreadAdapter(Query, Candidates, transitFactor(Queue), Now);
+  std::size_t Best = select(Query, *Service, Candidates, Now);
   if (Best == Candidates.size())
     return std::nullopt;
   const RegisteredTarget &Entry = Listed[Best]->Entry_;
@@ -172,16 +241,18 @@
   Chosen.Target_ = Entry.Id_;
   Chosen.Incarnation_ = Entry.Incarnation_;
   Chosen.Address_ = valueOf(Where);
+  Chosen.DataCentre_ = Entry.DataCentre_;
   Chosen.Readiness_ = Candidate.Readiness_;
   Chosen.ReadyIn_ = Candidate.ReadyIn_;
   Chosen.Running_ = Candidate.Running_;
   Chosen.Slots_ = Candidate.Slots_;
+  Chosen.SpeedFactor_ = Candidate.SpeedFactor_;
   Chosen.Cost_ = dispatchCost(Candidate, Query.Shape_);
-  Chosen.Limited_ = Candidate.Limited_;
+  Chosen.NeedsPermit_ = Candidate.Limited_ || Candidate.Cold_;
   if (Engine) {
     Chosen.Prefill_ = Candidate.Prefill_;
-    Chosen.OwnPrefill_ =
-        Fleet_->prefill().prefillTime(Query.Shape_.PromptTokens_);
+    Chosen.OwnPrefill_ = Fleet_->prefill().prefillTime(
+        Query.Shape_.PromptTokens_, Candidate.SpeedFactor_);
   }
   if (NeedsAdapter) {
     std::uint64_t Newest =
@@ -191,14 +262,35 @@
     if (Newest > 0)
       Chosen.Version_ =
           Held == View->Adapters_.end() ? Newest : Held->second.Version_;
+    Chosen.Queue_ = Queue;
+    describeLoad(Chosen, Query, Now);
   }
   return Chosen;
 }
 
+void TargetPicker::describeLoad(TargetChoice &Chosen, const TargetQuery &Query,
+                                TimePoint Now) const {
+  const EngineView *View = Fleet_->view().engine(Chosen.Target_);
+  std::uint64_t Required =
+      Plans_->versions().required(Query.Model_, Query.Adapter_, Now);
+  auto Held = View->Adapters_.find(Query.Adapter_);
+  if (Held != View->Adapters_.end() && Held->second.Version_ >= Required) {
+    Chosen.Load_ = LoadStage::Ordered;
+    Chosen.Source_ = Held->second.Source_;
+    Chosen.OrderedAt_ = Held->second.OrderedAt_;
+    return;
+  }
+  auto Queued = View->Queued_.find(Query.Adapter_);
+  if (Queued != View->Queued_.end() && Queued->second > Now)
+    Chosen.Load_ = LoadStage::Queued;
+  if (View->Warm_.contains(Query.Adapter_))
+    Chosen.Source_ = LoadSource::Engine;
+}
+
 std::optional<Duration> TargetPicker::untilResumed(const TargetQuery &Query,
                                                    TimePoint Now) const {
   std::optional<Duration> Shortest;
-  for (const ListedTarget *Target : Targets_->roster().usable(Query.Service_)) {
+  for (const ListedTarget *Target : eligibleTargets(Query.Service_)) {
     Duration Remaining = Permits_->suspendedFor(
         Target->Entry_.Id_, Target->Entry_.Incarnation_, Now);
     if (Remaining > Duration::zero())
@@ -227,16 +319,20 @@
     std::erase_if(AdapterRequests_, [&](const auto &Entry) {
       return Entry.second.FirstAt_ + AdapterRequestRetention < Now;
     });
-    NextPrune_ = Now + AssumedLoadTime;
+    NextPrune_ = Now + AdapterRequestRetention;
   }
+  const EngineView *View = Fleet_->view().engine(Target);
+  bool IsQueued = View && View->Queued_.contains(Query.Adapter_);
   SentRequest &Sent = AdapterRequests_[{Target, Query.Adapter_}];
-  if (Sent.LastAt_ + AdapterRequestPeriod > Now)
+  if (Sent.LastAt_ + (IsQueued ? QueuedRequestPeriod : AdapterRequestPeriod) >
+      Now)
     return;
   if (Sent.FirstAt_ == TimePoint{} ||
       Sent.FirstAt_ + AdapterRequestRetention < Now)
     Sent.FirstAt_ = Now;
   Sent.LastAt_ = Now;
-  Owners_->requestAdapter(Target, Query.Adapter_, requestedVersion(Query));
+  Owners_->requestAdapter(Target, Query.Adapter_, requestedVersion(Query),
+                          Waiting_.demandFor(Query.Adapter_));
 }
 
 std::uint64_t TargetPicker::requestedVersion(const TargetQuery &Query) const {
@@ -250,7 +346,8 @@
   if (!Fleet_->view().recordMissingAdapter(Target, Query.Adapter_,
                                            BootClock::now()))
     return;
-  Owners_->reportMissing(Target, Query.Adapter_, requestedVersion(Query));
+  Owners_->reportMissing(Target, Query.Adapter_, requestedVersion(Query),
+                         Waiting_.demandFor(Query.Adapter_));
 }
 
 bool TargetPicker::markUnreachable(const TargetChoice &Chosen) {
@@ -270,8 +367,10 @@
 
 void TargetPicker::markReachable(const TargetChoice &Chosen) {
   auto Found = Unreachable_.find(Chosen.Target_);
-  if (Found != Unreachable_.end() && Found->second == Chosen.Incarnation_)
-    Unreachable_.erase(Found);
+  if (Found == Unreachable_.end() || Found->second != Chosen.Incarnation_)
+    return;
+  Unreachable_.erase(Found);
+  ColdTargets_->recordReachable(Chosen.Target_, Chosen.Incarnation_);
 }
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -1,12 +1,15 @@
 #ifndef ANVIL_ENTRY_TARGETPICKER_H
 #define ANVIL_ENTRY_TARGETPICKER_H
 
+#include "Balancing/StaleLoadDetector.h"
+#include "Entry/ColdTargets.h"
 #include "Entry/EngineOwnershipService.h"
 #include "Entry/FleetState.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
 #include "Entry/TargetPermits.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Loading/LoadChecks.h"
 #include "Serving/DispatchCost.h"
 #include "Serving/TargetHealth.h"
 #include "Settings/EntrySettings.h"
@@ -21,6 +24,8 @@
 /// What a request requires of a target.
 struct TargetQuery {
   std::string Service_;
+  /// The name of the request's route.
+  std::string Route_;
   std::string Model_;
   std::string Adapter_;
   RequestShape Shape_;
@@ -33,19 +38,29 @@
   std::string Target_;
   std::int64_t Incarnation_ = 0;
   Endpoint Address_;
+  std::string DataCentre_;
   AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
   /// Time until the adapter is usable.
   Duration ReadyIn_{};
+  /// The state of the adapter's load, where it comes from, and when it was
+  /// ordered, if known.
+  LoadStage Load_ = LoadStage::Unknown;
+  LoadSource Source_ = LoadSource::Store;
+  std::optional<TimePoint> OrderedAt_;
+  /// The loads of all engines from the weight store.
+  StoreQueue Queue_;
   /// The adapter version that the target is required to run, if one was named.
   std::optional<std::uint64_t> Version_;
   /// Whether a request to it needs a permit.
-  bool Limited_ = false;
+  bool NeedsPermit_ = false;
   /// The remaining prefill time of earlier prompts at the target, and the
   /// expected prefill time of this prompt.
   Duration Prefill_{};
   Duration OwnPrefill_{};
   int Running_ = 0;
   int Slots_ = 0;
+  /// The factor by which work takes longer there than at a usual target.
+  double SpeedFactor_ = 1;
   double Cost_ = 0;
 };
 
@@ -59,15 +74,34 @@
 
   std::string_view serviceName() const override { return Name; }
 
+  /// Records the arrival of a request for a service.
+  void recordRequest(const std::string &Service, TimePoint Now) {
+    StaleLoads_.recordRequest(Service, Now);
+  }
+
   /// The target with the lowest cost (or by the configured baseline policy);
-  /// nothing if no target can run the request.
+  /// nothing if no target can run the request. Short requests of a large fleet
+  /// are spread at random over targets with free slots.
   std::optional<TargetChoice> pick(const TargetQuery &Query, TimePoint Now);
 
+  /// Whether the operator has evacuated the chosen target's data centre since.
+  bool isEvacuated(const TargetChoice &Chosen) const {
+    return Plans_->evacuations().isEvacuated(Chosen.DataCentre_);
+  }
+
+  /// Whether the service has usable targets and all of them are in evacuated
+  /// data centres.
+  bool isFullyEvacuated(const TargetQuery &Query) const;
+
   /// Time until the first suspended target is available again; nothing if none
   /// is suspended.
   std::optional<Duration> untilResumed(const TargetQuery &Query,
                                        TimePoint Now) const;
 
+  /// The state of the query's adapter at one target. Much cheaper than `pick`.
+  DispatchCandidate adapterAt(const std::string &Target,
+                              const TargetQuery &Query, TimePoint Now);
+
   /// Requests the adapter at the given target, unless it was requested just
   /// before.
   void requestAdapter(const TargetQuery &Query, const std::string &Target,
@@ -84,12 +118,21 @@
   /// Whether a target that is still listed is excluded as unreachable.
   bool isUnreachable(const TargetChoice &Chosen) const;
 
+  /// The requests of this VM that wait for adapters.
+  WaitingRequests &waiting() { return Waiting_; }
+
+  /// The checks whether loads that are due have ended.
+  LoadChecks &loadChecks() { return LoadChecks_; }
+
   TargetHealth &health() { return Health_; }
 
 private:
+  /// The usable targets of a service outside evacuated data centres.
+  std::vector<const ListedTarget *>
+  eligibleTargets(const std::string &Service) const;
   DispatchCandidate describe(const ListedTarget &Listed,
                              const TargetQuery &Query, const EnginePlan *Engine,
-                             double TransitFactor, TimePoint Now);
+                             double LoadFactor, TimePoint Now);
   void spreadAdapter(const TargetQuery &Query,
                      const std::vector<DispatchCandidate> &Candidates,
                      double TransitFactor, TimePoint Now);
@@ -100,6 +143,16 @@
   void describeAdapterSlots(DispatchCandidate &Candidate,
                             const EngineView &View, TimePoint Now) const;
 
+  /// The index of the chosen candidate, or the size of the list when none can
+  /// run the request.
+  std::size_t select(const TargetQuery &Query, const ServicePlan &Service,
+                     const std::vector<DispatchCandidate> &Candidates,
+                     TimePoint Now) const;
+
+  /// Fills in what the fleet view knows of the adapter at the chosen target.
+  void describeLoad(TargetChoice &Chosen, const TargetQuery &Query,
+                    TimePoint Now) const;
+
   std::uint64_t requestedVersion(const TargetQuery &Query) const;
 
   /// An adapter request that the owner has not replied to yet.
@@ -113,13 +166,17 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<FleetState> Fleet_;
   std::shared_ptr<EngineOwnershipService> Owners_;
+  std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<TargetPermits> Permits_;
   TargetHealth Health_;
+  StaleLoadDetector StaleLoads_;
   /// The unreachable incarnations, by target.
   std::map<std::string, std::int64_t> Unreachable_;
   /// Adapter requests sent recently, by engine and adapter.
   std::map<std::pair<std::string, std::string>, SentRequest> AdapterRequests_;
   TimePoint NextPrune_{};
+  WaitingRequests Waiting_;
+  LoadChecks LoadChecks_;
 };
 
 } // namespace anvil
--- a/Source/Serving/DispatchCost.cpp
+++ b/Source/Serving/DispatchCost.cpp
@@ -1,6 +1,7 @@
 #include "Serving/DispatchCost.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvil {
 
@@ -33,14 +34,6 @@
 /// for each waiting request.
 static constexpr double SlotsFullMs = 250;
 
-/// The time to load an adapter, with the order's latency, ms; from the users'
-/// sheets.
-static constexpr double LoadMs = 300;
-
-/// The time to load an adapter that the engine held recently, with the order's
-/// latency, ms.
-static constexpr double WarmLoadMs = 60;
-
 /// The delay that a load from the weight store causes to other loads, ms: it
 /// occupies one of few transit slots for the time of a load.
 static constexpr double StoreContentionMs = 250;
@@ -98,11 +91,14 @@
 
 double dispatchCost(const DispatchCandidate &Candidate,
                     const RequestShape &Shape) {
-  double Cost = RunningRequestMs * Candidate.Running_ +
-                PrefillWeight * toSeconds(Candidate.Prefill_) * 1000;
+  double Factor = Candidate.SpeedFactor_;
+  // Work on a slow target is shared out by its factor, the request included.
+  double Cost = RunningRequestMs * (Factor * (Candidate.Running_ + 1) - 1) +
+                PrefillWeight * toSeconds(Candidate.Prefill_) * 1000 +
+                (Factor - 1) * toSeconds(Candidate.UsualServiceTime_) * 1000;
   if (Candidate.Running_ >= Candidate.Slots_)
-    Cost += SlotsFullMs +
-            WaitingRequestMs * (Candidate.Running_ - Candidate.Slots_ + 1);
+    Cost += SlotsFullMs + WaitingRequestMs * Factor *
+                              (Candidate.Running_ - Candidate.Slots_ + 1);
   if (isMemoryFull(Candidate, Shape))
     Cost += MemoryFullMs;
   if (Shape.StallsStreams_)
@@ -115,14 +111,15 @@
     Cost += toSeconds(Candidate.ReadyIn_) * 1000;
     break;
   case AdapterReadiness::Absent:
-    Cost += Candidate.Warm_
-                ? WarmLoadMs
-                : LoadMs * Candidate.LoadFactor_ + StoreContentionMs;
+    Cost += Candidate.Warm_ ? toSeconds(Candidate.WarmLoadTime_) * 1000
+                            : toSeconds(Candidate.LoadTime_) * 1000 *
+                                      Candidate.LoadFactor_ +
+                                  StoreContentionMs;
     Cost += HomeRankMs * static_cast<double>(Candidate.HomeRank_);
     if (Candidate.Limited_)
       Cost += LimitedTargetLoadMs;
     if (Candidate.InTransit_ >= MaxInTransit)
-      Cost += LoadMs;
+      Cost += toSeconds(Candidate.LoadTime_) * 1000;
     if (Candidate.OwnerUnresponsive_)
       Cost += UnansweredRequestMs;
     if (Candidate.PinnedAdapterSlots_ >= Candidate.AdapterCapacity_)
@@ -135,7 +132,7 @@
   }
   // Only responses to requests show that a limit was withdrawn, so a stale
   // limit has no penalty.
-  if (Candidate.Limited_ && !Candidate.LimitIsStale_)
+  if ((Candidate.Limited_ && !Candidate.LimitIsStale_) || Candidate.Cold_)
     Cost += PermitMs;
   if (!Candidate.SameDataCentre_)
     Cost += RemoteDataCentreMs;
@@ -172,8 +169,13 @@
                    Candidate.HasOwner_ && Candidate.InTransit_ < MaxInTransit &&
                    Candidate.PinnedAdapterSlots_ < Candidate.AdapterCapacity_ &&
                    !Candidate.Limited_;
+    // A further home is needed where the adapter has many requests, so slow
+    // engines come last.
+    bool IsSlow = Candidate.SpeedFactor_ > 1;
     bool IsBetter = Next == Candidates.size() ||
-                    Candidate.HomeRank_ < Candidates[Next].HomeRank_;
+                    std::pair(IsSlow, Candidate.HomeRank_) <
+                        std::pair(Candidates[Next].SpeedFactor_ > 1,
+                                  Candidates[Next].HomeRank_);
     if (CanLoad && IsBetter)
       Next = Index;
   }
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -36,6 +36,10 @@
   std::size_t HomeRank_ = 0;
   /// Whether the target held the adapter recently, so that it loads fast.
   bool Warm_ = false;
+  /// The expected time to load the adapter from the weight store, and where the
+  /// target held it recently; both with the order's latency.
+  Duration LoadTime_ = std::chrono::milliseconds(300);
+  Duration WarmLoadTime_ = std::chrono::milliseconds(60);
   /// Whether the engine has an owner that can order the adapter to be loaded.
   bool HasOwner_ = false;
   /// The used adapter slots of the engine, and the number of all.
@@ -53,8 +57,17 @@
   /// a permit, and whether no recent response has confirmed that limit.
   bool Limited_ = false;
   bool LimitIsStale_ = false;
+  /// Whether the target is cold and therefore takes requests only with a
+  /// permit. Unlike a limit, this doesn't keep adapters away: the target takes
+  /// its share of requests as soon as it is warm.
+  bool Cold_ = false;
   double FailureShare_ = 0;
   Duration ExcessLatency_{};
+  /// The factor by which work takes longer there than at the service's median
+  /// target. `Prefill_` includes it.
+  double SpeedFactor_ = 1;
+  /// The time that a plain service takes at its median target; zero if unknown.
+  Duration UsualServiceTime_{};
 };
 
 /// The resources that a request takes.
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -32,6 +32,8 @@
     writeTargetEntry(Target, "ready");
   }
   configure(1, {"good-key"});
+  if (Plan_.HasStoreEra_)
+    control("store", {{"era", 1}, {"copy", true}});
   start("proxy", {"--kind", "proxy", "--link", storeLinkName("vm-1"), "--link",
                   storeLinkName("vm-2")});
   for (const char *Vm : {"vm-1", "vm-2"})
@@ -65,18 +67,18 @@
       ANVIL_STANDIN, std::move(Arguments), Directory_, Name);
 }
 
-void EntryFleet::startVm(const std::string &Name) {
+void EntryFleet::startVm(const std::string &Name, std::uint16_t PeerPort) {
   std::string Path = Directory_ + "/" + Name + ".json";
   std::string Store =
       "127.0.0.1:" + std::to_string(at("proxy").port(storeLinkName(Name)));
   json Settings = {{"mode", "entry"},
                    {"vm", Name},
-                   {"data_centre", "north"},
+                   {"data_centre", dataCentreOf(Name)},
                    {"listen",
                     {{"callers", "127.0.0.1:0"},
                      {"ready", "127.0.0.1:0"},
                      {"address", "127.0.0.1"},
-                     {"peer_port", 0}}},
+                     {"peer_port", PeerPort}}},
                    {"store",
                     {{"address", Store},
                      {"timeout_ms", 300},
@@ -84,6 +86,8 @@
                      {"target_list_ms", 200},
                      {"renew_ms", 400}}},
                    {"bounds", {{"key_withdrawal_ms", 3000}}}};
+  if (Plan_.HasStoreEra_)
+    Settings["bootstrap"] = true;
   if (Plan_.StopSeconds_)
     Settings["bounds"]["stop_s"] = *Plan_.StopSeconds_;
   std::ofstream(Path) << Settings.dump();
@@ -93,8 +97,10 @@
 }
 
 void EntryFleet::restart(const std::string &Vm) {
+  // VMs have the same ports in all their lives.
+  std::uint16_t PeerPort = at(Vm).port("peer");
   at(Vm).kill();
-  startVm(Vm);
+  startVm(Vm, PeerPort);
 }
 
 void EntryFleet::writeRow(const std::string &Table, const std::string &Key,
@@ -103,17 +109,31 @@
            {{"Table", Table}, {"Key", Key}, {"Value", Value.dump()}});
 }
 
+std::string EntryFleet::dataCentreOf(const std::string &Name) const {
+  return Plan_.TwoDataCentres_ && Name.ends_with("2") ? "south" : "north";
+}
+
+void EntryFleet::setEvacuated(const std::string &DataCentre, bool IsRequested) {
+  sendJson(at("store").port(), IsRequested ? "PUT" : "DELETE", "/row",
+           {{"Table", "op"},
+            {"Key", "evacuate/" + DataCentre},
+            {"Value", json::object().dump()}});
+}
+
 void EntryFleet::writeTargetEntry(const std::string &Target,
                                   const std::string &State,
-                                  std::int64_t Incarnation) {
+                                  std::int64_t Incarnation,
+                                  std::optional<Millis> ColdRemaining) {
   bool IsEngine = Target.starts_with("engine");
   json Entry = {{"Service", IsEngine ? "engines" : "plain"},
                 {"Address", "127.0.0.1:" + std::to_string(at(Target).port())},
-                {"Zone", "north"},
+                {"Zone", dataCentreOf(Target)},
                 {"Slots", 8},
                 {"State", State},
                 {"born", Incarnation},
                 {"Seq", 0}};
+  if (ColdRemaining)
+    Entry["ColdRemainingMs"] = ColdRemaining->count();
   if (IsEngine)
     Entry["Models"] = json::array(
         {{{"Name", "base"}, {"Version", 1}, {"Adapters", json::array()}}});
@@ -141,14 +161,18 @@
                  {"MaxAdapters", 3},
                  {"LoadsPerS", 5},
                  {"Models", json::array({{{"Name", "base"}}})}};
+  json Plain = {{"Name", "plain"}};
+  if (Plan_.PlainColdStart_) {
+    Plain["ColdStartS"] = Plan_.PlainColdStart_->first;
+    Plain["ColdPerS"] = Plan_.PlainColdStart_->second;
+  }
   json Config = {
       {"Version", Revision},
       {"Routes",
        {Route("/safe/", "safe", "plain", 2),
         Route("/once/", "unsafe", "plain", 1),
         Route("/stream/", "streaming", "engines", 1), Stream}},
-      {"Services",
-       {{{"Name", "engines"}, {"Engine", Engine}}, {{"Name", "plain"}}}},
+      {"Services", {{{"Name", "engines"}, {"Engine", Engine}}, Plain}},
       {"Tenants", json::array({{{"Name", "serenas"}, {"ApiKeys", Keys}}})}};
   writeRow("op", "config", Config);
 }
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -19,6 +19,15 @@
   /// Time limit and target latency of every route.
   Millis Timeout_{3000};
   Millis LatencyTarget_{800};
+  /// The cold time and the requests per second of cold targets of the plain
+  /// service; absent if it has no cold starts.
+  std::optional<std::pair<double, double>> PlainColdStart_;
+  /// Whether the store names its era. It then has a copy from before the VMs
+  /// started.
+  bool HasStoreEra_ = false;
+  /// Whether the VM and the targets whose names end in 2 are in a data centre
+  /// of their own, `south`. The others are in `north`.
+  bool TwoDataCentres_ = false;
 };
 
 /// A test system of real processes in entry mode: two `anvild` entry VMs, two
@@ -61,7 +70,14 @@
 
   /// Writes a target's registration row.
   void writeTargetEntry(const std::string &Target, const std::string &State,
-                        std::int64_t Incarnation = 1700000000000);
+                        std::int64_t Incarnation = 1700000000000,
+                        std::optional<Millis> ColdRemaining = std::nullopt);
+
+  /// Writes or removes the request to evacuate a data centre.
+  void setEvacuated(const std::string &DataCentre, bool IsRequested);
+
+  /// The data centre of a VM or target.
+  std::string dataCentreOf(const std::string &Name) const;
 
   /// Kills a VM with SIGKILL and starts it again.
   void restart(const std::string &Vm);
@@ -77,7 +93,8 @@
 
 private:
   void start(const std::string &Name, std::vector<std::string> Arguments);
-  void startVm(const std::string &Name);
+  /// Starts a VM; a peer port of 0 lets the system choose one.
+  void startVm(const std::string &Name, std::uint16_t PeerPort = 0);
   void writeRow(const std::string &Table, const std::string &Key,
                 const nlohmann::json &Value);
 
--- a/Tests/Serving/DispatchCostTest.cpp
+++ b/Tests/Serving/DispatchCostTest.cpp
@@ -66,6 +66,18 @@
     Loading.ReadyIn_ = 200ms;
     CHECK(selectCheapest({Absent, Loading}, Usual) == 1);
   }
+  // Guards against one more load of the adapter for each pick on a slow store.
+  SECTION("waits for the load in progress when all loads are slow") {
+    auto Loading = engine("loading", AdapterReadiness::Loading, 0);
+    Loading.ReadyIn_ = 600ms;
+    Absent.LoadTime_ = 600ms;
+    CHECK(selectCheapest({Absent, Loading}, Usual) == 1);
+    SECTION("also if the other engine held the adapter recently") {
+      Absent.Warm_ = true;
+      Absent.WarmLoadTime_ = 620ms;
+      CHECK(selectCheapest({Absent, Loading}, Usual) == 1);
+    }
+  }
   SECTION("avoids failing targets as long as there are others") {
     auto Failing = engine("failing", AdapterReadiness::NotNeeded, 0);
     Failing.FailureShare_ = 0.4;
@@ -73,6 +85,22 @@
     CHECK(selectCheapest({Failing, Good}, Usual) == 1);
     CHECK(selectCheapest({Failing}, Usual) == 0);
   }
+  SECTION("gives a slow engine fewer requests than a fast one") {
+    auto Slow = engine("slow", AdapterReadiness::Resident, 6);
+    Slow.SpeedFactor_ = 2.4;
+    CHECK(selectCheapest({Slow, Resident}, Usual) == 1);
+    Slow.Running_ = 3;
+    CHECK(selectCheapest({Slow, Resident}, Usual) == 0);
+    SECTION("but takes it once the fast ones are full") {
+      Slow.Running_ = 12;
+      Resident.Running_ = 32;
+      CHECK(selectCheapest({Slow, Resident}, Usual) == 0);
+    }
+    SECTION("and considers how long a plain service takes there") {
+      Slow.UsualServiceTime_ = 60ms;
+      CHECK(selectCheapest({Slow, Resident}, Usual) == 1);
+    }
+  }
   SECTION("is empty if no candidate can run the request") {
     auto Empty = engine("empty", AdapterReadiness::Impossible, 0);
     CHECK(selectCheapest({Empty}, Usual) == 1);
@@ -309,6 +337,31 @@
   }
 }
 
+TEST_CASE("a cold target", "[dispatch][cold]") {
+  std::vector<DispatchCandidate> Candidates(2);
+  for (DispatchCandidate &Candidate : Candidates) {
+    Candidate.Slots_ = 8;
+    Candidate.SameDataCentre_ = true;
+  }
+  Candidates[0].Cold_ = true;
+  SECTION("is left to requests that no other target serves as soon") {
+    CHECK(selectCheapest(Candidates, {}) == 1);
+    Candidates[1].FailureShare_ = 1;
+    CHECK(selectCheapest(Candidates, {}) == 0);
+  }
+  SECTION("fills with adapters as a warm one does") {
+    for (DispatchCandidate &Candidate : Candidates) {
+      Candidate.Readiness_ = AdapterReadiness::Absent;
+      Candidate.HasOwner_ = true;
+      Candidate.AdapterCapacity_ = 3;
+    }
+    Candidates[1].HomeRank_ = 5;
+    CHECK(selectCheapest(Candidates, {}) == 0);
+    Candidates.emplace_back().Readiness_ = AdapterReadiness::Resident;
+    CHECK(nextHomeToLoad(Candidates, 1000) == 0);
+  }
+}
+
 TEST_CASE("a target with a limit", "[dispatch][limits]") {
   std::vector<DispatchCandidate> Candidates(2);
   for (DispatchCandidate &Candidate : Candidates) {
@@ -340,3 +393,35 @@
     CHECK(selectCheapest(Candidates, {}) == 1);
   }
 }
+
+TEST_CASE("a target whose speed is known", "[dispatch][speed]") {
+  SECTION("is not charged once more for latency that its speed explains") {
+    TargetHealth Health;
+    for (int Answer = 0; Answer < 30; ++Answer)
+      for (int Target = 0; Target < 5; ++Target)
+        Health.recordResponse("t" + std::to_string(Target), false,
+                              Target == 0 ? 150ms : 60ms, Start);
+    CHECK(Health.excessLatency("t0", Start) > 50ms);
+    CHECK(Health.excessLatency("t0", Start, 2.5) == 0ms);
+    CHECK(Health.excessLatency("t0", Start, 1.5) > 0ms);
+  }
+  SECTION("reads prompts by its own speed") {
+    PrefillBacklog Prefill(20);
+    CHECK(Prefill.prefillTime(800, 2) == 80ms);
+    Prefill.recordPrompt("slow", 800, Start, 2);
+    Prefill.recordPrompt("usual", 800, Start);
+    CHECK(Prefill.remainingTime("slow", Start) == 80ms);
+    CHECK(Prefill.remainingTime("usual", Start) == 40ms);
+  }
+  SECTION("becomes a popular adapter's home after faster ones") {
+    auto Home = engine("home", AdapterReadiness::Resident, 20);
+    auto Slow = engine("slow", AdapterReadiness::Absent, 0);
+    auto Other = engine("other", AdapterReadiness::Absent, 0);
+    Slow.HomeRank_ = 1;
+    Other.HomeRank_ = 2;
+    CHECK(nextHomeToLoad({Home, Slow, Other}, 20) == 1);
+    Slow.SpeedFactor_ = 2.4;
+    CHECK(nextHomeToLoad({Home, Slow, Other}, 20) == 2);
+    CHECK(nextHomeToLoad({Home, Slow}, 20) == 1);
+  }
+}
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -27,8 +27,13 @@
       Update.Crashes_ = {{"digest", "e1", 77}};
       Update.LeavingTargets_ = {{"e2", 5}};
       Update.Limits_ = {{"e4", {6, 1.8, 20ms}}, {"e5", {6, std::nullopt, 0ms}}};
-      Update.Inventories_["e3"] = {8, true, {{"a4", {2, 30ms}}}};
+      Update.Inventories_["e3"] = {
+          8, true, {{"a4", {2, 30ms, 70ms, LoadSource::Engine}}}};
+      Update.Inventories_["e3"].Queued_ = {{"a5", 400ms}};
+      Update.Loads_ = {{7, 3, 2, 1}, 288ms, 30ms};
+      Update.Speeds_ = {{"e6", {7, -35}}};
       VmStateUpdate Decoded = roundTrip(Update);
+      CHECK(Decoded.Speeds_ == Update.Speeds_);
       CHECK(Decoded.Spent_ == Update.Spent_);
       CHECK(Decoded.BudgetCoverage_ == 4s);
       CHECK(Decoded.Balances_ == Update.Balances_);
@@ -36,7 +41,22 @@
       CHECK(Decoded.LeavingTargets_ == Update.LeavingTargets_);
       CHECK(Decoded.Limits_ == Update.Limits_);
       CHECK(Decoded.Running_.at("e1").Adapters_.at("a1") == 4);
-      CHECK(Decoded.Inventories_.at("e3").Adapters_.at("a4").ReadyIn_ == 30ms);
+      const EngineInventory &Inventory = Decoded.Inventories_.at("e3");
+      CHECK(Inventory.Adapters_.at("a4").ReadyIn_ == 30ms);
+      CHECK(Inventory.Adapters_.at("a4").LoadingFor_ == 70ms);
+      CHECK(Inventory.Adapters_.at("a4").Source_ == LoadSource::Engine);
+      CHECK(Inventory.Queued_.at("a5") == 400ms);
+      CHECK(Decoded.Loads_.Counts_ == Update.Loads_.Counts_);
+      CHECK(Decoded.Loads_.StoreLoad_ == 288ms);
+      CHECK(Decoded.Loads_.EngineLoad_ == 30ms);
+    }
+    SECTION("of an adapter request") {
+      AdapterRequest Decoded =
+          roundTrip(AdapterRequest{"vm-1", "e1", "a1", 2, true, 3, -20ms, 5});
+      CHECK(Decoded.WasMissing_);
+      CHECK(Decoded.Rank_ == 3);
+      CHECK(Decoded.AimIn_ == -20ms);
+      CHECK(Decoded.Waiting_ == 5);
     }
     SECTION("of a data centre summary") {
       DataCentreSummary Summary;
@@ -46,7 +66,9 @@
       Summary.Period_ = 600ms;
       Summary.Spent_ = {{"serenas", -5}};
       Summary.Running_["e1"] = {4, 400, {{"a1", 4}}};
+      Summary.Speeds_ = {{"e6", {7, 88}}};
       DataCentreSummary Decoded = roundTrip(Summary);
+      CHECK(Decoded.Speeds_ == Summary.Speeds_);
       CHECK(Decoded.Sender_ == "vm-1");
       CHECK(Decoded.Vms_ == 39);
       CHECK(Decoded.Period_ == 600ms);
@@ -74,10 +96,20 @@
     }
     SECTION("of a notice of a plan read") {
       PlanReadNotice Decoded = roundTrip(PlanReadNotice{
-          {"vm-1", "life"}, 77s, 12, 7600, 11, {{"version/a1", "2", 12}}});
+          {"vm-1", "life"},
+          77s,
+          12,
+          7600,
+          11,
+          {{"version/a1", "2", 12}, {"version/a2", "", 11, true}},
+          3});
+      CHECK(Decoded.StoreEra_ == 3);
       CHECK(Decoded.NewestBefore_ == 11);
-      REQUIRE(Decoded.Rows_.size() == 1);
+      REQUIRE(Decoded.Rows_.size() == 2);
       CHECK(Decoded.Rows_.front().Key_ == "version/a1");
+      CHECK_FALSE(Decoded.Rows_.front().Deleted_);
+      CHECK(Decoded.Rows_.back().Deleted_);
+      CHECK(Decoded.Rows_.back().Version_ == 11);
       CHECK(Decoded.Clock_ == VmClock{"vm-1", "life"});
       CHECK(Decoded.At_ == 77s);
       CHECK(Decoded.NewestRow_ == 12);
@@ -89,13 +121,16 @@
       Target.Incarnation_ = 5;
       Target.State_ = TargetState::Draining;
       Target.Remaining_ = 900ms;
+      Target.ColdRemaining_ = 4s;
       Target.Models_["base"] = {3, {{"a1", 2}}};
-      TargetsReadNotice Decoded = roundTrip(
-          TargetsReadNotice{{"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s});
+      TargetsReadNotice Decoded = roundTrip(TargetsReadNotice{
+          {"vm-1", "life"}, 77s, {{Target}, {"e2"}}, 99, 2s, 3});
+      CHECK(Decoded.StoreEra_ == 3);
       REQUIRE(Decoded.Changes_.Entries_.size() == 1);
       const RegisteredTarget &Entry = Decoded.Changes_.Entries_.front();
       CHECK(Entry.State_ == TargetState::Draining);
       CHECK(Entry.Remaining_ == Target.Remaining_);
+      CHECK(Entry.ColdRemaining_ == Target.ColdRemaining_);
       CHECK(Entry.Models_.at("base").Adapters_.at("a1") == 2);
       CHECK(Decoded.Changes_.Removed_ == std::vector<std::string>{"e2"});
       CHECK(Decoded.Digest_ == 99);
@@ -103,12 +138,13 @@
     }
     SECTION("of permit requests and replies") {
       TargetPermitRequest Request =
-          roundTrip(TargetPermitRequest{"vm-1", 77, {"e1", 5, 1.8}});
+          roundTrip(TargetPermitRequest{"vm-1", 77, {"e1", 5, 1.8, true}});
       CHECK(Request.Vm_ == "vm-1");
       CHECK(Request.Serial_ == 77);
       CHECK(Request.Request_.Target_ == "e1");
       CHECK(Request.Request_.Incarnation_ == 5);
       CHECK(Request.Request_.RatePerSecond_ == 1.8);
+      CHECK(Request.Request_.IsCold_);
       TargetPermitReply Given =
           roundTrip(TargetPermitReply{77, {false, 300ms}});
       CHECK(Given.Serial_ == 77);
