--- a/Source/Entry/AdapterWait.h
+++ b/Source/Entry/AdapterWait.h
@@ -24,8 +24,8 @@
   ~AdapterWait() { end(); }
 
   /// Requests the adapter at a target that doesn't hold it. Returns the time
-  /// after which a target is chosen again, or nothing if the adapter can't be
-  /// there in time.
+  /// after which to look at that target again, or nothing if the adapter can't
+  /// be there in time.
   std::optional<Duration> nextPause(const TargetChoice &Chosen,
                                     const TargetQuery &Query, Duration TimeLeft,
                                     Duration Waited, TimePoint Now);
