--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include <unistd.h>
+
 namespace anvil {
 
 using nlohmann::json;
@@ -19,6 +21,14 @@
   return Vm + ">store";
 }
 
+/// A loopback address of this test and VM alone, so that no other process takes
+/// the VM's peer port between two of its lives.
+static std::string peerAddress(const std::string &Vm) {
+  int Test = ::getpid();
+  return "127." + std::to_string(1 + Test % 250) + "." +
+         std::to_string(1 + Test / 250 % 250) + "." + Vm.substr(Vm.size() - 1);
+}
+
 EntryFleet::EntryFleet(EntryFleetPlan Plan) : Plan_(Plan) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "anvil-entry-XXXXXX").string();
@@ -77,7 +87,7 @@
                    {"listen",
                     {{"callers", "127.0.0.1:0"},
                      {"ready", "127.0.0.1:0"},
-                     {"address", "127.0.0.1"},
+                     {"address", peerAddress(Name)},
                      {"peer_port", PeerPort}}},
                    {"store",
                     {{"address", Store},
