--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -88,8 +88,8 @@
   boost::asio::awaitable<SendOutcome>
   forwardStream(const TargetChoice &Chosen, HttpReplyHead Head,
                 const platform::TargetResponse &Response);
-  /// Waits until the chosen target has loaded the adapter, or all targets should
-  /// be compared again. False if the adapter can't be available in time.
+  /// Waits until the chosen target has loaded the adapter, or all targets
+  /// should be compared again. False if the adapter can't be available in time.
   boost::asio::awaitable<bool> awaitAdapter(const TargetChoice &Chosen);
   boost::asio::awaitable<void> refuse(int Status, std::string_view Reason,
                                       std::optional<Duration> RetryAfter);
