Record how targets end their streams

HttpConnection names the framing of a response, StreamEndCheck follows the last bytes of a stream, and request_end, try_failed and anvil_target_streams_total carry both. A stream whose end is in doubt is logged at info level. No decision uses this yet.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -5,6 +5,7 @@
 
 #include "Entry/CrashProbe.h"
 #include "Entry/RandomFraction.h"
+#include "Kernel/EnumNames.h"
 #include "Serving/RetryAfter.h"
 #include "Telemetry/Log.h"
 
@@ -106,6 +107,7 @@
     }
   }
   StreamPace Pace;
+  StreamEndCheck EndCheck;
   while (true) {
     auto Chunk = co_await Connection_.readPart(
         std::max<Duration>(timeLeft(), ReplyMargin));
@@ -115,11 +117,13 @@
         co_return SendOutcome::Done;
       }
       LastReason_ = "stream_broken";
+      recordStreamEnd("error");
       recordFailure(Chosen, {}, BootClock::now());
       co_return SendOutcome::Broken;
     }
     if (valueOf(Chunk).empty())
       break;
+    EndCheck.append(valueOf(Chunk));
     TimePoint Now = BootClock::now();
     if (LastChunkAt_ != TimePoint{})
       LongestGap_ = std::max(LongestGap_, Now - LastChunkAt_);
@@ -139,6 +143,8 @@
     }
     Pace.recordForwarded(BootClock::now());
   }
+  StreamEnding Ending = EndCheck.ending(Framing_ == BodyFraming::UntilClose);
+  recordStreamEnd(enumName(Ending, StreamEndingNames));
   recordSpeed(Chosen,
               Pace.measurement(Chosen.Running_,
                                Shared_.Fleet_->runningOn(Chosen.Target_)));
@@ -206,6 +212,14 @@
   logReply(IsSent, "refused", Status);
 }
 
+void RequestRun::recordStreamEnd(std::string_view Ending) {
+  StreamEnd_ = Ending;
+  Shared_.Metrics_->count(
+      "anvil_target_streams_total",
+      {{"framing", std::string(enumName(Framing_, BodyFramingNames))},
+       {"end", std::string(Ending)}});
+}
+
 void RequestRun::countResult(std::string_view Outcome, int Status,
                              TimePoint Now) {
   Shared_.Metrics_->count("anvil_requests_total",
@@ -244,7 +258,10 @@
   bool IsLate =
       FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
       LongestGap_ > LoggedGap;
-  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate;
+  bool IsWhole =
+      StreamEnd_.empty() ||
+      StreamEnd_ == enumName(StreamEnding::Complete, StreamEndingNames);
+  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate && IsWhole;
   logEvent(
       IsRoutine ? LogLevel::Debug : LogLevel::Info, "request_end",
       {{"request", Request_.Fields_.RequestId_},
@@ -258,6 +275,8 @@
        {"reason", LastReason_},
        {"sends", Sends_},
        {"runs", Runs_},
+       {"framing", enumName(Framing_, BodyFramingNames)},
+       {"stream_end", StreamEnd_},
        {"adapter_wait_ms", toMillis(AdapterWait_)},
        {"adapter_missing_sends", Wait_.missingSends()},
        {"adapter_expected_ms",
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -240,6 +240,8 @@
               {"reason", LastReason_},
               {"sends", Sends_},
               {"runs", Runs_},
+              {"framing", enumName(Framing_, BodyFramingNames)},
+              {"stream_end", StreamEnd_},
               {"running", Chosen.Running_},
               {"cost", Chosen.Cost_}});
   bool MustExclude = End != SendOutcome::Done &&
@@ -349,6 +351,8 @@
     recordFailure(Chosen, Now - SentAt, Now);
     co_return SendOutcome::Lost;
   }
+  Framing_ = Connection_.framing();
+  StreamEnd_ = {};
   auto Response = platform::decodeTargetResponse(valueOf(Head));
   applyTargetHeaders(Chosen, Response, SentAt, Now);
   bool IsMissing = Response.Status_ == 421;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -6,6 +6,7 @@
 #include "Http/HttpExchange.h"
 #include "Serving/EventSplitter.h"
 #include "Serving/ServingPlan.h"
+#include "Serving/StreamEnding.h"
 #include "platform/RequestCodec.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -121,6 +122,8 @@
   void logReply(bool IsSent, std::string_view Outcome, int Status);
   /// Logs the end of a request whose connection to the caller is closed.
   void logDisconnect(int Status);
+  /// Counts and keeps for the log how a target's stream ended.
+  void recordStreamEnd(std::string_view Ending);
   void countResult(std::string_view Outcome, int Status, TimePoint Now);
   Duration timeLeft() const;
   /// Whether the deadline has passed or this VM has stopped serving.
@@ -154,6 +157,10 @@
   /// How long the request was delayed so that its prefill doesn't pause the
   /// engine's running streams for too long.
   Duration PacingWait_{};
+  /// How the last response of a target marked its end, and how its stream
+  /// ended; empty if there was none.
+  BodyFraming Framing_ = BodyFraming::None;
+  std::string_view StreamEnd_;
   TimePoint FirstByteAt_{};
   TimePoint LastChunkAt_{};
   Duration LongestGap_{};
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -156,6 +156,18 @@
   co_return std::string();
 }
 
+BodyFraming HttpConnection::framing() const {
+  if (!State_ || !State_->Parser_ || !State_->Parser_->is_header_done())
+    return BodyFraming::None;
+  const auto &Parser = *State_->Parser_;
+  if (Parser.chunked())
+    return BodyFraming::Chunks;
+  if (Parser.need_eof())
+    return BodyFraming::UntilClose;
+  return Parser.content_length().value_or(0) > 0 ? BodyFraming::Length
+                                                 : BodyFraming::None;
+}
+
 bool HttpConnection::requestSent() const {
   return State_ && State_->RequestSent_;
 }
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_HTTP_HTTPCONNECTION_H
 #define ANVIL_HTTP_HTTPCONNECTION_H
 
+#include "Http/BodyFraming.h"
 #include "Http/Endpoint.h"
 #include "Http/HttpMessage.h"
 #include "Kernel/Clock.h"
@@ -41,6 +42,9 @@
   /// is the end of the response. Errors: timeout, connection closed, protocol.
   boost::asio::awaitable<Result<std::string>> readPart(Duration Timeout);
 
+  /// How the end of the current response's body is marked.
+  BodyFraming framing() const;
+
   /// Whether any byte of the last request may have reached the server.
   bool requestSent() const;
 
