--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -134,9 +134,22 @@
                                   const std::string &State,
                                   std::int64_t Incarnation,
                                   std::optional<Millis> ColdRemaining) {
+  writeTargetRow(Target, at(Target).port(), State, Incarnation, ColdRemaining);
+}
+
+void EntryFleet::replaceEngines(const std::string &Id, std::uint16_t Port) {
+  writeTargetRow(Id, Port, "ready", 1700000000000, std::nullopt);
+  for (const char *Engine : {"engine-1", "engine-2"})
+    writeTargetEntry(Engine, "draining");
+}
+
+void EntryFleet::writeTargetRow(const std::string &Target, std::uint16_t Port,
+                                const std::string &State,
+                                std::int64_t Incarnation,
+                                std::optional<Millis> ColdRemaining) {
   bool IsEngine = Target.starts_with("engine");
   json Entry = {{"Service", IsEngine ? "engines" : "plain"},
-                {"Address", "127.0.0.1:" + std::to_string(at(Target).port())},
+                {"Address", "127.0.0.1:" + std::to_string(Port)},
                 {"Zone", dataCentreOf(Target)},
                 {"Slots", 8},
                 {"State", State},
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -73,6 +73,10 @@
                         std::int64_t Incarnation = 1700000000000,
                         std::optional<Millis> ColdRemaining = std::nullopt);
 
+  /// Registers an engine that the test itself runs at a port of the loopback
+  /// address, and lets the other engines leave.
+  void replaceEngines(const std::string &Id, std::uint16_t Port);
+
   /// Writes or removes the request to evacuate a data centre.
   void setEvacuated(const std::string &DataCentre, bool IsRequested);
 
@@ -95,6 +99,9 @@
   void start(const std::string &Name, std::vector<std::string> Arguments);
   /// Starts a VM; a peer port of 0 lets the system choose one.
   void startVm(const std::string &Name, std::uint16_t PeerPort = 0);
+  void writeTargetRow(const std::string &Target, std::uint16_t Port,
+                      const std::string &State, std::int64_t Incarnation,
+                      std::optional<Millis> ColdRemaining);
   void writeRow(const std::string &Table, const std::string &Key,
                 const nlohmann::json &Value);
 
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -83,13 +83,21 @@
   return jsonReply(202, "{}");
 }
 
+HttpReplyHead
+RegisteredTargetStandin::streamHead(const HttpRequest &Request) const {
+  HttpReplyHead Head;
+  Head.Headers_.add("Content-Type", "text/event-stream");
+  for (const HttpHeader &Header : sealed(200, "", Request).Headers_)
+    if (Header.Name_ != "Content-Type")
+      Head.Headers_.add(Header.Name_, Header.Value_);
+  return Head;
+}
+
 asio::awaitable<void> RegisteredTargetStandin::stream(HttpExchange &Exchange) {
-  HttpReply Head = sealed(200, "", Exchange.request());
-  HttpReplyHead StreamHead{200, Head.Headers_};
   int From = 0;
   if (auto LastEventId = Exchange.request().Headers_.find("Last-Event-Id"))
     From = std::stoi(std::string(*LastEventId));
-  co_await Exchange.startStream(std::move(StreamHead));
+  co_await Exchange.startStream(streamHead(Exchange.request()));
   for (int Event = From + 1; Event <= StreamEvents; ++Event) {
     if (CutAfter_ >= 0 && Event > CutAfter_) {
       CutAfter_ = -1;
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -39,6 +39,7 @@
   HttpReply order(const HttpRequest &Request);
   HttpReply report() const;
   HttpReply control(const HttpRequest &Request);
+  HttpReplyHead streamHead(const HttpRequest &Request) const;
   HttpReply sealed(int Status, const std::string &Body,
                    const HttpRequest &Request) const;
   HttpReply withExtraHeaders(HttpReply Reply) const;
--- /dev/null
+++ b/Tests/Standins/ScriptedTarget.h
@@ -0,0 +1,55 @@
+#ifndef ANVIL_TESTS_STANDINS_SCRIPTEDTARGET_H
+#define ANVIL_TESTS_STANDINS_SCRIPTEDTARGET_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace anvil {
+
+/// The bytes that a `ScriptedTarget` sends as its reply to one request.
+struct ScriptedReply {
+  /// Further lines of the head, each with its line end.
+  std::string HeadLines_;
+  /// The body as it is sent, with chunk sizes if there are any.
+  std::string Body_;
+  /// Whether the connection is reset after the last byte instead of closed.
+  bool IsReset_ = false;
+};
+
+/// An engine on a thread of the test that replies byte for byte as the test
+/// says, with status 200 and its seal, and then ends the connection. Each reply
+/// is for one request; the last one is kept. Reports list the model `base`.
+class ScriptedTarget {
+public:
+  explicit ScriptedTarget(std::string Id);
+  ~ScriptedTarget();
+  ScriptedTarget(const ScriptedTarget &) = delete;
+  ScriptedTarget &operator=(const ScriptedTarget &) = delete;
+
+  std::uint16_t port() const { return Acceptor_.local_endpoint().port(); }
+
+  void script(std::deque<ScriptedReply> Replies);
+
+private:
+  void run();
+  void serve(boost::asio::ip::tcp::socket Caller);
+  ScriptedReply nextReply();
+
+  std::string Id_;
+  boost::asio::io_context Loop_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::mutex Mutex_;
+  std::deque<ScriptedReply> Replies_;
+  bool Stopped_ = false;
+  std::thread Thread_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_TESTS_STANDINS_SCRIPTEDTARGET_H
