Cut streams that end inside an event instead of completing them

Cause: an answer with neither a length nor chunks ends with its connection, so the parser reports the end of every broken one as a regular end, and forwardStream marked the caller's stream as complete. The class of fault: the end of a transfer is taken for the end of its content.

A stream of events is complete now only if its last event is, whatever the framing says, and if its end was marked at all before the first event. What ends otherwise is broken: resumed where the route allows it, else closed for the caller, and counted against the target. Bodies of other types still end as their framing says.

--- a/Source/Commands/RequestTrace.cpp
+++ b/Source/Commands/RequestTrace.cpp
@@ -25,6 +25,8 @@
      "an event of the target did not end within the permitted size"},
     {"targets_closed", "the targets had reported limits or requested a pause"},
     {"stream_broken", "the target's stream was interrupted"},
+    {"stream_incomplete", "the target's stream ended inside an event, or with "
+                          "its connection before the first one"},
     {"not_sealed", "the answer did not come from the target itself"},
     {"vm_stopping", "the VM's time to stop ran out"},
     {"resume_failed", "the stream could not go on at another target"},
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -143,8 +143,15 @@
     }
     Pace.recordForwarded(BootClock::now());
   }
-  StreamEnding Ending = EndCheck.ending(Framing_ == BodyFraming::UntilClose);
+  StreamEnding Ending = StreamEnding::Complete;
+  if (Response.EventStream_)
+    Ending = EndCheck.ending(Framing_ == BodyFraming::UntilClose);
   recordStreamEnd(enumName(Ending, StreamEndingNames));
+  if (Ending != StreamEnding::Complete) {
+    LastReason_ = "stream_incomplete";
+    recordFailure(Chosen, {}, BootClock::now());
+    co_return SendOutcome::Broken;
+  }
   recordSpeed(Chosen,
               Pace.measurement(Chosen.Running_,
                                Shared_.Fleet_->runningOn(Chosen.Target_)));
@@ -258,10 +265,7 @@
   bool IsLate =
       FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
       LongestGap_ > LoggedGap;
-  bool IsWhole =
-      StreamEnd_.empty() ||
-      StreamEnd_ == enumName(StreamEnding::Complete, StreamEndingNames);
-  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate && IsWhole;
+  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate;
   logEvent(
       IsRoutine ? LogLevel::Debug : LogLevel::Info, "request_end",
       {{"request", Request_.Fields_.RequestId_},
