Test that a prompt part which crashes engines is quarantined (fails)

The registered stand-in ends when it begins to answer a prompt with a certain part. Ten engines crash one after the other and no request is refused, since the quarantine compares whole requests.

--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -106,6 +106,12 @@
       Name);
 }
 
+void EntryFleet::restartTarget(const std::string &Target,
+                               std::int64_t Incarnation) {
+  start(Target, {"--kind", "registered-target", "--id", Target});
+  writeTargetEntry(Target, "ready", Incarnation);
+}
+
 void EntryFleet::restart(const std::string &Vm) {
   // VMs have the same ports in all their lives.
   std::uint16_t PeerPort = at(Vm).port("peer");
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -83,6 +83,9 @@
   /// The data centre of a VM or target.
   std::string dataCentreOf(const std::string &Name) const;
 
+  /// Starts a target that has ended again, as a new incarnation.
+  void restartTarget(const std::string &Target, std::int64_t Incarnation);
+
   /// Kills a VM with SIGKILL and starts it again.
   void restart(const std::string &Vm);
 
--- /dev/null
+++ b/Tests/Integration/PromptQuarantineTest.cpp
@@ -0,0 +1,94 @@
+#include "Integration/EntryFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace anvil;
+
+/// Whether the request was refused since it crashes targets, without
+/// Retry-After.
+static bool isQuarantined(const CallerReply &Reply) {
+  return Reply.Status_ == 503 &&
+         Reply.Body_.find("crashes targets") != std::string::npos &&
+         !Reply.Headers_.contains("retry-after");
+}
+
+/// Sends requests with a part that crashes engines, no two alike, and starts
+/// the engines again.
+class DeadlyRequests {
+public:
+  explicit DeadlyRequests(EntryFleet &System) : System_(System) { arm(); }
+
+  CallerReply send(const std::string &Vm) {
+    std::string Number = std::to_string(++Sent_);
+    CallerReply Reply = System_.call(
+        Vm, "/stream/" + Number,
+        {{"X-Model", "base"},
+         {"X-Prompt-Prefix", "5c1e07a2:800,dead:410,ab" + Number + ":250"}});
+    for (const char *Engine : {"engine-1", "engine-2"})
+      if (System_.at(Engine).exitedUnexpectedly()) {
+        ++Crashes_;
+        System_.restartTarget(Engine, ++Incarnation_);
+      }
+    arm();
+    return Reply;
+  }
+
+  /// Sends through both VMs in turn until one is refused. False if none is
+  /// refused before `MaxCrashes` engines have crashed.
+  bool sendUntilRefused(int MaxCrashes) {
+    while (Crashes_ < MaxCrashes) {
+      if (isQuarantined(send(Sent_ % 2 ? "vm-1" : "vm-2")))
+        return true;
+      std::this_thread::sleep_for(Millis(300));
+    }
+    return false;
+  }
+
+  int crashes() const { return Crashes_; }
+
+private:
+  void arm() {
+    for (const char *Engine : {"engine-1", "engine-2"})
+      System_.control(Engine, {{"deadly_part", "dead"}});
+  }
+
+  EntryFleet &System_;
+  std::int64_t Incarnation_ = 1700000000000;
+  int Sent_ = 0;
+  int Crashes_ = 0;
+};
+
+TEST_CASE("prompts with a part that crashes engines stop reaching engines",
+          "[prompt-quarantine]") {
+  EntryFleet System;
+  auto SendSound = [&](const std::string &Vm) {
+    return System.call(
+        Vm, "/stream/sound",
+        {{"X-Model", "base"}, {"X-Prompt-Prefix", "5c1e07a2:800,beef:250"}});
+  };
+  REQUIRE(SendSound("vm-1").Complete_);
+  REQUIRE(SendSound("vm-2").Complete_);
+  DeadlyRequests Deadly(System);
+  REQUIRE(Deadly.sendUntilRefused(10));
+  int Before = Deadly.crashes();
+
+  SECTION("through any VM, in requests that were never seen before") {
+    for (int Index = 0; Index < 4; ++Index)
+      for (const char *Vm : {"vm-1", "vm-2"})
+        CHECK(isQuarantined(Deadly.send(Vm)));
+    CHECK(Deadly.crashes() == Before);
+  }
+  SECTION("while sound prompts with the same first part are served") {
+    for (const char *Vm : {"vm-1", "vm-2"})
+      CHECK(eventually([&] { return SendSound(Vm).Complete_; }, Millis(5000)));
+  }
+  SECTION("also through a VM that starts later") {
+    System.restart("vm-2");
+    REQUIRE(
+        eventually([&] { return SendSound("vm-2").Complete_; }, Millis(10000)));
+    CHECK(isQuarantined(Deadly.send("vm-2")));
+    CHECK(Deadly.crashes() == Before);
+  }
+}
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -2,6 +2,8 @@
 
 #include "Http/Pause.h"
 
+#include <cstdlib>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -46,6 +48,7 @@
   Busy_ = Body.value("busy", Busy_);
   BareRefusals_ = Body.value("bare_refusals", BareRefusals_);
   Endless_ = Body.value("endless", Endless_);
+  DeadlyPart_ = Body.value("deadly_part", DeadlyPart_);
   if (Body.contains("headers")) {
     ExtraHeaders_ = HttpHeaders();
     for (const json &Header : Body["headers"])
@@ -98,6 +101,10 @@
   if (auto LastEventId = Exchange.request().Headers_.find("Last-Event-Id"))
     From = std::stoi(std::string(*LastEventId));
   co_await Exchange.startStream(streamHead(Exchange.request()));
+  std::string_view Prompt =
+      Exchange.request().Headers_.find("X-Prompt-Prefix").value_or("");
+  if (!DeadlyPart_.empty() && Prompt.find(DeadlyPart_) != Prompt.npos)
+    std::_Exit(1);
   for (int Event = From + 1; Event <= StreamEvents; ++Event) {
     if (CutAfter_ >= 0 && Event > CutAfter_) {
       CutAfter_ = -1;
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -22,6 +22,8 @@
 ///  - `busy`: orders are rejected as if another one were running;
 ///  - `headers`: a list of names and values that are added to all replies, and
 ///    to refusals unless `bare_refusals` is set;
+///  - `deadly_part`: the process ends as soon as it begins to answer a request
+///    whose prompt has this part;
 ///  - `endless`: bodies continue until the caller closes the connection.
 class RegisteredTargetStandin {
 public:
@@ -47,6 +49,7 @@
   std::string Id_;
   std::map<std::string, std::uint64_t> Adapters_;
   std::uint64_t Orders_ = 0;
+  std::string DeadlyPart_;
   std::int64_t Fail_ = 0;
   std::int64_t Refuse_ = 0;
   std::int64_t Unsealed_ = 0;
