Record which parts of prompts are at crashes of targets

The logs gave only a digest of each request at a crash, so they could not tell a part that all of them share. PromptPartGuard collects the parts of the requests that were running at each crash, over all VMs, clears those that work and convicts the one that is left. It logs prompt_part and counts anvil_prompt_part_changes_total. Nothing is refused yet.

--- a/Source/Entry/CrashProbe.cpp
+++ b/Source/Entry/CrashProbe.cpp
@@ -49,7 +49,8 @@
 }
 
 static asio::awaitable<void> probe(RequestServices &Shared, TargetChoice Lost,
-                                   std::string Digest) {
+                                   std::string Digest,
+                                   std::vector<PartId> Parts) {
   co_await pauseFor(ProbeDelay);
   HttpConnection Connection;
   Status Opened = co_await Connection.open(Lost.Address_, ProbeTimeout);
@@ -58,15 +59,16 @@
   logEvent(LogLevel::Warning, "target_crashed",
            {{"target", Lost.Target_},
             {"incarnation", Lost.Incarnation_},
-            {"digest", Digest}});
-  Shared.Fleet_->recordCrash(Digest, Lost.Target_, Lost.Incarnation_,
+            {"digest", Digest},
+            {"suspect_parts", Parts.size()}});
+  Shared.Fleet_->recordCrash(Digest, Parts, Lost.Target_, Lost.Incarnation_,
                              BootClock::now());
   excludeTarget(Shared, Lost);
 }
 
 void probeAfterFailure(RequestServices &Shared, const TargetChoice &Lost,
-                       const std::string &Digest) {
-  spawn(Shared.Executor_, probe(Shared, Lost, Digest));
+                       const std::string &Digest, std::vector<PartId> Parts) {
+  spawn(Shared.Executor_, probe(Shared, Lost, Digest, std::move(Parts)));
 }
 
 } // namespace anvil
--- a/Source/Entry/CrashProbe.h
+++ b/Source/Entry/CrashProbe.h
@@ -1,7 +1,10 @@
 #ifndef ANVIL_ENTRY_CRASHPROBE_H
 #define ANVIL_ENTRY_CRASHPROBE_H
 
+#include "Routing/PartReport.h"
+
 #include <string>
+#include <vector>
 
 namespace anvil {
 
@@ -10,9 +13,9 @@
 
 /// Checks in the background whether a target that broke off a request has
 /// crashed. If so, excludes the target and records that a request with this
-/// digest was running when it crashed.
+/// digest and these parts of its prompt was running when it crashed.
 void probeAfterFailure(RequestServices &Shared, const TargetChoice &Lost,
-                       const std::string &Digest);
+                       const std::string &Digest, std::vector<PartId> Parts);
 
 /// Excludes an unreachable target and probes it until it is reachable or no
 /// longer listed.
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -207,7 +207,11 @@
     return Refused;
   Admitted.Digest_ = digestOf(Request, Admitted.Customer_);
   if (Shared_.Fleet_->isRefusedDigest(Admitted.Digest_, Admitted.ArrivedAt_))
-    return Refusal{503, "the request crashes targets", std::nullopt};
+    return Refusal{503, CrashesTargets, std::nullopt};
+  // The last part belongs to the request or its session.
+  const std::vector<std::string> &Parts = Admitted.Fields_.PromptParts_;
+  for (std::size_t Index = 0; Index + 1 < Parts.size(); ++Index)
+    Admitted.Parts_.push_back(stableHash(Parts[Index]));
   Admitted.Service_ = chooseService(*Admitted.Route_, randomFraction());
   Duration Timeout =
       std::min(Admitted.Fields_.WaitLimit_.value_or(DefaultTimeout),
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -50,18 +50,31 @@
 auto fieldsOf(MaybeConst<SpeedReport> auto &Of) {
   return std::tie(Of.Incarnation_, Of.LogTimeCents_);
 }
+auto fieldsOf(MaybeConst<TargetInstance> auto &Of) {
+  return std::tie(Of.Target_, Of.Incarnation_);
+}
+auto fieldsOf(MaybeConst<PartCrash> auto &Of) {
+  return std::tie(Of.Crashed_, Of.Age_, Of.Parts_);
+}
+auto fieldsOf(MaybeConst<PartQuarantineReport> auto &Of) {
+  return std::tie(Of.Remaining_, Of.EvidenceAge_, Of.IsInDoubt_);
+}
+auto fieldsOf(MaybeConst<PartReport> auto &Of) {
+  return std::tie(Of.Crashes_, Of.Sound_, Of.Quarantined_);
+}
 auto fieldsOf(MaybeConst<VmStateUpdate> auto &Of) {
-  return std::tie(
-      Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_, Of.PeerAddress_,
-      Of.Period_, Of.Revision_, Of.ShuttingDown_, Of.Spent_, Of.BudgetCoverage_,
-      Of.Balances_, Of.Running_, Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
-      Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_, Of.StoreEra_);
+  return std::tie(Of.Vm_, Of.Incarnation_, Of.Sequence_, Of.DataCentre_,
+                  Of.PeerAddress_, Of.Period_, Of.Revision_, Of.ShuttingDown_,
+                  Of.Spent_, Of.BudgetCoverage_, Of.Balances_, Of.Running_,
+                  Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
+                  Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_,
+                  Of.StoreEra_, Of.Parts_);
 }
 auto fieldsOf(MaybeConst<DataCentreSummary> auto &Of) {
   return std::tie(Of.DataCentre_, Of.Sender_, Of.Incarnation_, Of.Sequence_,
                   Of.Period_, Of.Vms_, Of.BudgetCoverage_, Of.Balances_,
                   Of.Spent_, Of.Running_, Of.Crashes_, Of.LeavingTargets_,
-                  Of.Limits_, Of.Speeds_);
+                  Of.Limits_, Of.Speeds_, Of.Parts_);
 }
 auto fieldsOf(MaybeConst<AdapterRequest> auto &Of) {
   return std::tie(Of.Vm_, Of.Engine_, Of.Adapter_, Of.Version_, Of.WasMissing_,
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -1,5 +1,6 @@
 #include "Entry/FleetState.h"
 
+#include "Kernel/EnumNames.h"
 #include "Serving/ReadRotation.h"
 #include "Serving/UpdateSchedule.h"
 #include "Telemetry/Log.h"
@@ -93,9 +94,31 @@
   Targets_->Updated_.attach([this](const std::vector<RegisteredTarget> &Fresh) {
     applyEntries(Fresh);
   });
+  PromptParts_.onEvent([this](PartId Part, PartEvent Event, std::size_t Crashes,
+                              Duration Evidence) {
+    std::string_view Name = enumName(Event, PartEventNames);
+    logEvent(LogLevel::Warning, "prompt_part",
+             {{"part", partName(Part)},
+              {"change", Name},
+              {"crashes", Crashes},
+              {"evidence_age_ms", toMillis(Evidence)}});
+    Metrics_->count("anvil_prompt_part_changes_total",
+                    {{"change", std::string(Name)}});
+  });
+  Link_->UpdateDue_.attach(
+      [this](Duration) { updatePromptParts(BootClock::now()); });
   return std::monostate{};
 }
 
+void FleetState::updatePromptParts(TimePoint Now) {
+  PromptParts_.update(Now);
+  PromptParts_.setRank(Link_->topology().rank(), Link_->topology().vms());
+  Metrics_->gauge("anvil_prompt_parts", {{"state", "suspect"}},
+                  static_cast<double>(PromptParts_.suspects()));
+  Metrics_->gauge("anvil_prompt_parts", {{"state", "quarantined"}},
+                  static_cast<double>(PromptParts_.quarantined(Now)));
+}
+
 void FleetState::applyEntries(const std::vector<RegisteredTarget> &Fresh) {
   ServingPlanPtr Plan = Plans_->current();
   if (!Plan)
@@ -193,8 +216,10 @@
 }
 
 void FleetState::recordCrash(const std::string &Digest,
+                             const std::vector<PartId> &Parts,
                              const std::string &Target,
                              std::int64_t Incarnation, TimePoint Now) {
+  PromptParts_.recordCrash({Target, std::to_string(Incarnation)}, Parts, Now);
   VmStateUpdate::Crash Observed{Digest, Target, Incarnation};
   RecentCrashes_.emplace_back(Now, Observed);
   applyCrash(Observed, Now);
@@ -395,6 +420,7 @@
   Update.Loads_ = Loads_.report();
   Update.Speeds_ = Speeds_.composeReports(Now);
   Update.StoreEra_ = StoreEra_;
+  Update.Parts_ = PromptParts_.report(Now);
   addInventories(Update, Now);
   reportLoads(Now);
   return Update;
@@ -421,6 +447,8 @@
   Summary.LeavingTargets_ = recentlyDraining(Now);
   Summary.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
   Summary.Speeds_ = Speeds_.speeds().takeEstimates(Now);
+  if (PartReport Own = PromptParts_.report(Now); !Own.empty())
+    Summary.Parts_.push_back(std::move(Own));
   View_.addLocalUpdates(Summary, Now);
   return Summary;
 }
@@ -469,6 +497,7 @@
   Loads_.recordPeer(Update.Vm_, Update.Incarnation_, Update.Loads_,
                     View_.inTransit(Now), Now);
   Speeds_.applyReports(Update.Speeds_, Now);
+  PromptParts_.apply(Update.Parts_, Now);
 }
 
 void FleetState::receiveSummary(const DataCentreSummary &Summary,
@@ -489,6 +518,8 @@
   applyDraining(Summary.LeavingTargets_, Summary.Sender_);
   applyLimits(Summary.Limits_, Summary.Sender_, Now);
   Speeds_.applyEstimates(Summary.Speeds_, Now);
+  for (const PartReport &Report : Summary.Parts_)
+    PromptParts_.apply(Report, Now);
 }
 
 void FleetState::applyDraining(
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -9,6 +9,7 @@
 #include "Kernel/ServiceRegistry.h"
 #include "Loading/LoadPatience.h"
 #include "Routing/CrashTracker.h"
+#include "Routing/PromptPartGuard.h"
 #include "Routing/TargetLimits.h"
 #include "Serving/BudgetBootstrap.h"
 #include "Serving/CustomerBudget.h"
@@ -80,15 +81,20 @@
                   TimePoint Now);
 
   /// Records that a request was running when a target crashed, and reports it
-  /// to the other VMs.
-  void recordCrash(const std::string &Digest, const std::string &Target,
-                   std::int64_t Incarnation, TimePoint Now);
+  /// to the other VMs. `Parts` are the parts of its prompt that may have caused
+  /// the crash.
+  void recordCrash(const std::string &Digest, const std::vector<PartId> &Parts,
+                   const std::string &Target, std::int64_t Incarnation,
+                   TimePoint Now);
 
   /// Whether requests with this digest are refused because they crash targets.
   bool isRefusedDigest(const std::string &Digest, TimePoint Now) const {
     return Crashes_.isQuarantined(Digest, Now);
   }
 
+  /// Finds and refuses prompts with a part that crashes targets.
+  PromptPartGuard &promptParts() { return PromptParts_; }
+
   /// Records that a target announced in a reply that it is about to stop.
   void recordDraining(const std::string &Target, std::int64_t Incarnation,
                       TimePoint Now);
@@ -160,6 +166,7 @@
   void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmStateUpdate::Crash &Observed, TimePoint Now);
   void updateReachableShare(TimePoint Now);
+  void updatePromptParts(TimePoint Now);
   void applyPeerBudget(const std::string &Vm, Duration BudgetAge,
                        const TokenBalances &Balances, TimePoint Now);
 
@@ -177,6 +184,7 @@
   /// When a newly started VM last sent a state update.
   TimePoint NewVmSeenAt_{};
   CrashTracker Crashes_;
+  PromptPartGuard PromptParts_{PromptPartOptions{}};
   TargetLimits Limits_;
   LoadLearning Loads_;
   PrefillBacklog Prefill_;
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -87,11 +87,18 @@
     co_return SendOutcome::Failed;
   }
   int Status = Reply.Status_;
+  if (Status < 300)
+    recordSuccess(Chosen, endProof(), BootClock::now());
   bool IsSent = co_await Exchange_.respond(std::move(Reply));
   logReply(IsSent, "served", Status);
   co_return SendOutcome::Done;
 }
 
+SuccessProof RequestRun::endProof() const {
+  return Framing_ == BodyFraming::UntilClose ? SuccessProof::EndOfConnection
+                                             : SuccessProof::Complete;
+}
+
 asio::awaitable<RequestRun::SendOutcome>
 RequestRun::forwardStream(const TargetChoice &Chosen, HttpReplyHead Head,
                           const platform::TargetResponse &Response) {
@@ -129,6 +136,8 @@
       LongestGap_ = std::max(LongestGap_, Now - LastChunkAt_);
     LastChunkAt_ = Now;
     Pace.recordPart(Now);
+    if (LongRun_.recordPart(Now))
+      recordSuccess(Chosen, SuccessProof::LongRun, Now);
     // Only after a complete event can another target resume the stream.
     std::string Forwarded = IsResumable ? Events_.appendBytes(valueOf(Chunk))
                                         : std::move(valueOf(Chunk));
@@ -155,6 +164,8 @@
   recordSpeed(Chosen,
               Pace.measurement(Chosen.Running_,
                                Shared_.Fleet_->runningOn(Chosen.Target_)));
+  if (!LongRun_.isLong())
+    recordSuccess(Chosen, endProof(), BootClock::now());
   keepConnection(Chosen, Response);
   if (IsResumable && !Events_.incompleteEvent().empty())
     co_await Exchange_.write(std::string(Events_.incompleteEvent()));
@@ -180,7 +191,16 @@
   Shared_.Picker_->health().recordResponse(Chosen.Target_, true, Took, Now);
   if (LastReason_ == errorCodeName(ErrorCode::Timeout))
     return;
-  probeAfterFailure(Shared_, Chosen, Request_.Digest_);
+  probeAfterFailure(Shared_, Chosen, Request_.Digest_,
+                    LongRun_.isLong() ? std::vector<PartId>{}
+                                      : Request_.Parts_);
+}
+
+void RequestRun::recordSuccess(const TargetChoice &Chosen, SuccessProof Proof,
+                               TimePoint Now) {
+  Shared_.Fleet_->promptParts().recordSuccess(
+      {Chosen.Target_, std::to_string(Chosen.Incarnation_)}, Request_.Parts_,
+      SentAt_, Proof, Now);
 }
 
 asio::awaitable<void> RequestRun::finishUnserved() {
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -197,7 +197,7 @@
 }
 
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
-  // A target that could not be connected to has received nothing.
+  // Nothing was sent.
   if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated ||
       LastReason_ == PermitMissing)
     co_return true;
@@ -343,6 +343,8 @@
   ++Runs_;
   Duration Timeout = std::max<Duration>(timeLeft(), ReplyMargin);
   TimePoint RequestSentAt = BootClock::now();
+  SentAt_ = RequestSentAt;
+  LongRun_ = LongRunDetector();
   auto Head = co_await Connection_.exchange(Outgoing, Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   TimePoint Now = BootClock::now();
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -4,6 +4,7 @@
 #include "Entry/AdapterWait.h"
 #include "Entry/RequestServices.h"
 #include "Http/HttpExchange.h"
+#include "Routing/LongRunDetector.h"
 #include "Serving/EventSplitter.h"
 #include "Serving/ServingPlan.h"
 #include "Serving/StreamEnding.h"
@@ -25,11 +26,17 @@
   platform::CallerFields Fields_;
   std::string Service_;
   std::string Digest_;
+  /// The parts of the prompt that are shared with other requests.
+  std::vector<PartId> Parts_;
   TimePoint ArrivedAt_{};
   /// When the caller's or the route's time limit expires.
   TimePoint Deadline_{};
 };
 
+/// The reason that callers get for a request that crashes targets.
+inline constexpr std::string_view CrashesTargets =
+    "the request crashes targets";
+
 /// Serves one admitted request: selects targets, sends the request and
 /// forwards the reply to the caller as it arrives.
 class RequestRun : public RunHook {
@@ -116,6 +123,11 @@
   /// Records that a target broke off, unless this VM or the caller ended the
   /// request.
   void recordFailure(const TargetChoice &Chosen, Duration Took, TimePoint Now);
+  /// What a complete response shows.
+  SuccessProof endProof() const;
+  /// Records that the request has worked at a target.
+  void recordSuccess(const TargetChoice &Chosen, SuccessProof Proof,
+                     TimePoint Now);
   void logEnd(std::string_view Outcome, int Status);
   /// Logs the end of a request that has a reply, or a disconnect if the reply
   /// could not be sent.
@@ -157,6 +169,10 @@
   /// How long the request was delayed so that its prefill doesn't pause the
   /// engine's running streams for too long.
   Duration PacingWait_{};
+  /// When the request was sent to the last target, and whether its response
+  /// went on for so long that the request can't crash targets.
+  TimePoint SentAt_{};
+  LongRunDetector LongRun_;
   /// How the last response of a target marked its end, and how its stream
   /// ended; empty if there was none.
   BodyFraming Framing_ = BodyFraming::None;
--- /dev/null
+++ b/Source/Routing/PromptPartGuard.cpp
@@ -0,0 +1,198 @@
+#include "Routing/PromptPartGuard.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace anvil {
+
+PromptPartGuard::PromptPartGuard(PromptPartOptions Options)
+    : Options_(Options), Sound_(Options.MaxSoundParts_),
+      Suspects_(Options.Suspects_), Quarantine_(Options.Quarantine_) {}
+
+void PromptPartGuard::fire(PartId Part, PartEvent Event, std::size_t Crashes,
+                           Duration Evidence) {
+  if (OnEvent_)
+    OnEvent_(Part, Event, Crashes, Evidence);
+}
+
+void PromptPartGuard::recordCrash(const TargetInstance &Crashed,
+                                  const std::vector<PartId> &Parts,
+                                  TimePoint Now) {
+  addOwnCrash(Crashed, Parts, Now, Now);
+  withdrawSuccesses(Crashed, Now, Now);
+}
+
+void PromptPartGuard::addOwnCrash(const TargetInstance &Crashed,
+                                  const std::vector<PartId> &Parts,
+                                  TimePoint NoticedAt, TimePoint Now) {
+  OwnCrash &Own =
+      OwnCrashes_.try_emplace(Crashed, OwnCrash{NoticedAt, {}}).first->second;
+  for (PartId Part : Parts)
+    if (Own.Parts_.size() < Options_.MaxReportedParts_)
+      Own.Parts_.emplace(Part, Sound_.lastSent(Part).has_value());
+  addCrash(Crashed, Own.Parts_, Own.NoticedAt_, Now);
+  if (OwnCrashes_.size() > Options_.MaxReportedCrashes_)
+    OwnCrashes_.erase(
+        std::ranges::min_element(OwnCrashes_, {}, [](const auto &Entry) {
+          return Entry.second.NoticedAt_;
+        }));
+}
+
+void PromptPartGuard::withdrawSuccesses(const TargetInstance &Crashed,
+                                        TimePoint NoticedAt, TimePoint Now) {
+  std::vector<PartId> InDoubt;
+  std::erase_if(Unconfirmed_, [&](const Success &Recent) {
+    if (Recent.Target_ != Crashed)
+      return false;
+    if (Recent.Proof_ != SuccessProof::LongRun)
+      InDoubt.insert(InDoubt.end(), Recent.Parts_.begin(), Recent.Parts_.end());
+    return true;
+  });
+  if (!InDoubt.empty())
+    addOwnCrash(Crashed, InDoubt, NoticedAt, Now);
+}
+
+void PromptPartGuard::addCrash(const TargetInstance &Crashed,
+                               std::map<PartId, bool> Parts,
+                               TimePoint NoticedAt, TimePoint Now) {
+  bool IsExplained = false;
+  for (auto &[Part, WasSound] : Parts) {
+    if (Quarantine_.isOnProbation(Part, Now)) {
+      Quarantine_.add(Part, NoticedAt, false, Now);
+      fire(Part, PartEvent::Relapsed, 1, Now - NoticedAt);
+    }
+    IsExplained |= Quarantine_.isCertain(Part, Now);
+    Quarantine_.recordCrash(Part, NoticedAt);
+    WasSound |= Sound_.lastSent(Part).has_value();
+  }
+  std::erase_if(Parts, [&](const auto &Entry) {
+    return Quarantine_.contains(Entry.first, Now);
+  });
+  if (IsExplained)
+    Suspects_.addExplained(Crashed, NoticedAt);
+  else
+    Suspects_.addCrash(Crashed, Parts, NoticedAt, Now);
+}
+
+void PromptPartGuard::recordSuccess(const TargetInstance &Target,
+                                    const std::vector<PartId> &Parts,
+                                    TimePoint SentAt, SuccessProof Proof,
+                                    TimePoint Now) {
+  if (Parts.empty() || Unconfirmed_.size() >= Options_.MaxUnconfirmed_)
+    return;
+  Unconfirmed_.push_back(
+      {Target, Parts, SentAt, Proof, Now + Options_.ConfirmationTime_});
+}
+
+void PromptPartGuard::confirmSuccesses(TimePoint Now) {
+  while (!Unconfirmed_.empty() && Unconfirmed_.front().ConfirmedAt_ <= Now) {
+    Success Confirmed = std::move(Unconfirmed_.front());
+    Unconfirmed_.pop_front();
+    if (Confirmed.Proof_ == SuccessProof::EndOfConnection)
+      continue;
+    for (PartId Part : Confirmed.Parts_)
+      recordSound(Part, Confirmed.SentAt_, Now);
+  }
+}
+
+void PromptPartGuard::recordSound(PartId Part, TimePoint SentAt,
+                                  TimePoint Now) {
+  Sound_.record(Part, SentAt);
+  // A request that was sent before a part's first crash proves nothing: the
+  // part may have begun to crash targets since.
+  auto FirstCrash = Suspects_.firstCrashAt(Part);
+  bool IsCleared = FirstCrash && SentAt > *FirstCrash && Suspects_.clear(Part);
+  if (Quarantine_.liftIfSound(Part, SentAt)) {
+    IsCleared = true;
+    fire(Part, PartEvent::Lifted, 0, Duration::zero());
+  }
+  if (IsCleared)
+    announceSound(Part, Now);
+}
+
+void PromptPartGuard::announceSound(PartId Part, TimePoint Now) {
+  if (Announced_.size() >= Options_.MaxReportedParts_ &&
+      !Announced_.contains(Part))
+    Announced_.erase(std::ranges::min_element(
+        Announced_, {}, [](const auto &Entry) { return Entry.second; }));
+  Announced_[Part] = Now;
+}
+
+bool PromptPartGuard::isQuarantined(const std::vector<PartId> &Parts,
+                                    TimePoint Now) const {
+  return std::ranges::any_of(
+      Parts, [&](PartId Part) { return Quarantine_.contains(Part, Now); });
+}
+
+PartDecision PromptPartGuard::decide(const std::vector<PartId> &Parts,
+                                     TimePoint Now) {
+  std::vector<PartId> Quarantined;
+  std::ranges::copy_if(
+      Parts, std::back_inserter(Quarantined),
+      [&](PartId Part) { return Quarantine_.contains(Part, Now); });
+  if (Quarantined.empty())
+    return PartDecision::Serve;
+  // With two of them, the trial would not show which one crashes targets.
+  if (Quarantined.size() > 1 || !Quarantine_.mayTry(Quarantined.front(), Now))
+    return PartDecision::Refuse;
+  Quarantine_.recordTrial(Quarantined.front(), Now);
+  fire(Quarantined.front(), PartEvent::Tried, 0, Duration::zero());
+  return PartDecision::Try;
+}
+
+PartReport PromptPartGuard::report(TimePoint Now) {
+  std::erase_if(OwnCrashes_, [&](const auto &Entry) {
+    return Entry.second.NoticedAt_ + Options_.RepeatTime_ < Now;
+  });
+  std::erase_if(Announced_, [&](const auto &Entry) {
+    return Entry.second + Options_.RepeatTime_ < Now;
+  });
+  PartReport Report;
+  for (const auto &[Crashed, Own] : OwnCrashes_)
+    Report.Crashes_.push_back({Crashed, Now - Own.NoticedAt_, Own.Parts_});
+  for (const auto &[Part, At] : Announced_)
+    Report.Sound_.push_back(Part);
+  Report.Quarantined_ = Quarantine_.report(Now);
+  return Report;
+}
+
+void PromptPartGuard::apply(const PartReport &Report, TimePoint Now) {
+  for (const PartCrash &Crash : Report.Crashes_) {
+    addCrash(Crash.Crashed_, Crash.Parts_, Now - Crash.Age_, Now);
+    withdrawSuccesses(Crash.Crashed_, Now - Crash.Age_, Now);
+  }
+  for (PartId Part : Report.Sound_) {
+    Sound_.record(Part, Now);
+    Suspects_.clear(Part);
+    if (Quarantine_.lift(Part))
+      fire(Part, PartEvent::Lifted, 0, Duration::zero());
+  }
+  for (const auto &[Part, Known] : Report.Quarantined_) {
+    auto Sound = Sound_.lastSent(Part);
+    if (Sound && *Sound > Now - Known.EvidenceAge_) {
+      // The other VM could not know that the part works.
+      announceSound(Part, Now);
+      continue;
+    }
+    if (!Quarantine_.adopt(Part, Known, Now))
+      continue;
+    if (Known.IsInDoubt_)
+      Suspects_.removeInDoubt(Part);
+    else
+      Suspects_.explainBy(Part);
+    fire(Part, PartEvent::Adopted, 0, Known.EvidenceAge_);
+  }
+}
+
+void PromptPartGuard::update(TimePoint Now) {
+  confirmSuccesses(Now);
+  Suspects_.expire(Now);
+  Quarantine_.expire(Now);
+  for (const PartSuspects::Conviction &Found : Suspects_.convict(Now)) {
+    Quarantine_.add(Found.Part_, Found.FirstCrashAt_, Found.IsInDoubt_, Now);
+    fire(Found.Part_, PartEvent::Convicted, Found.Crashes_,
+         Now - Found.FirstCrashAt_);
+  }
+}
+
+} // namespace anvil
--- a/Source/Serving/FleetTopology.cpp
+++ b/Source/Serving/FleetTopology.cpp
@@ -13,6 +13,9 @@
 static constexpr std::size_t MaxForwardedBytes = 64 * 1024;
 
 void FleetTopology::setVms(const std::map<std::string, std::string> &Others) {
+  Vms_ = Others.size() + 1;
+  Rank_ = static_cast<std::size_t>(std::ranges::count_if(
+      Others, [&](const auto &Other) { return Other.first < Self_; }));
   IsSplit_ = Others.size() + 1 > MaxUnsplitVms;
   Peers_.clear();
   RemoteVms_.clear();
--- a/Source/Serving/FleetTopology.h
+++ b/Source/Serving/FleetTopology.h
@@ -31,6 +31,10 @@
   /// Whether data centres exchange summaries only.
   bool isSplit() const { return IsSplit_; }
 
+  /// The number of all VMs, and this VM's rank among them by name, from zero.
+  std::size_t vms() const { return Vms_; }
+  std::size_t rank() const { return Rank_; }
+
   /// The VMs to which this VM sends its state updates, ordered by name.
   const std::vector<std::string> &directPeers() const { return Peers_; }
 
@@ -51,6 +55,8 @@
   std::string Self_;
   std::string DataCentre_;
   bool IsSplit_ = false;
+  std::size_t Vms_ = 1;
+  std::size_t Rank_ = 0;
   std::vector<std::string> Peers_;
   /// The VMs of each remote data centre, ordered by name.
   std::map<std::string, std::vector<std::string>> RemoteVms_;
--- a/Source/Serving/FleetView.cpp
+++ b/Source/Serving/FleetView.cpp
@@ -191,6 +191,8 @@
     addRunningShares(Sums.Running_, State.Update_.Running_);
     Sums.Crashes_.insert(Sums.Crashes_.end(), State.Update_.Crashes_.begin(),
                          State.Update_.Crashes_.end());
+    if (!State.Update_.Parts_.empty())
+      Sums.Parts_.push_back(State.Update_.Parts_);
     Sums.LeavingTargets_.insert(State.Update_.LeavingTargets_.begin(),
                                 State.Update_.LeavingTargets_.end());
   }
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -2,6 +2,7 @@
 #define ANVIL_SERVING_FLEETVIEW_H
 
 #include "Capacity/SpeedReport.h"
+#include "Routing/PartReport.h"
 #include "Routing/TargetLimits.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/EngineController.h"
@@ -90,6 +91,7 @@
   SpeedReports Speeds_;
   /// The highest era of the store that the VM has seen; zero if none.
   std::uint64_t StoreEra_ = 0;
+  PartReport Parts_;
 };
 
 /// The summary of its own data centre that one VM sends to other data centres:
@@ -112,6 +114,8 @@
   AdvertisedLimits Limits_;
   /// The estimated speeds of targets that are slow or fast for their service.
   SpeedReports Speeds_;
+  /// One report for each VM that has something to tell.
+  std::vector<PartReport> Parts_;
 };
 
 /// An adapter on an engine in this VM's view.
@@ -174,7 +178,7 @@
   const RunningShare &peersRunningOn(const std::string &Target) const;
 
   /// Adds the VMs whose state updates are valid to a summary: their number,
-  /// running requests, crashes and leaving targets.
+  /// running requests, crashes, leaving targets and parts of prompts.
   void addLocalUpdates(DataCentreSummary &Sums, TimePoint Now) const;
 
   /// The requests that the other VMs run with an adapter, on all targets.
--- a/Tests/Serving/RequestCodecTest.cpp
+++ b/Tests/Serving/RequestCodecTest.cpp
@@ -36,6 +36,8 @@
   CHECK(Fields.HasTokenCounts_);
   CHECK(Fields.ChargeTokens_ == 1540);
   CHECK(Fields.SharedPrefix_ == "91bd3f06:410");
+  CHECK(Fields.PromptParts_ ==
+        std::vector<std::string>{"5c1e07a2", "91bd3f06", "e4402b7d"});
   SECTION("and ignored if they are malformed") {
     rc::prop("no header value crashes the decoder",
              [](const std::string &Value) {
