Refuse prompts with a part that crashes targets

Cause: the quarantine compared whole requests. What crashes a target may be any part of a request; requests that share it need not be equal in anything else.

A VM refuses a prompt with a quarantined part at once, with 503 and without Retry-After, at its admission and again before each send. A part that is quarantined in doubt is tried by single requests.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -196,6 +196,11 @@
                                       : Request_.Parts_);
 }
 
+bool RequestRun::isQuarantined(TimePoint Now) const {
+  return !Request_.IsTrial_ &&
+         Shared_.Fleet_->promptParts().isQuarantined(Request_.Parts_, Now);
+}
+
 void RequestRun::recordSuccess(const TargetChoice &Chosen, SuccessProof Proof,
                                TimePoint Now) {
   Shared_.Fleet_->promptParts().recordSuccess(
@@ -226,6 +231,8 @@
     co_return co_await refuse(IsLate ? 504 : 502, "the target gave no answer",
                               std::nullopt);
   }
+  if (LastReason_ == PartQuarantined)
+    co_return co_await refuse(503, CrashesTargets, std::nullopt);
   co_return co_await refuse(
       503,
       LastReason_ == Evacuated ? Evacuated : "no target could take the request",
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -89,6 +89,10 @@
       LastReason_ = VmStopping;
     if (isOutOfTime())
       co_return co_await finishUnserved();
+    if (isQuarantined(Now)) {
+      LastReason_ = PartQuarantined;
+      co_return co_await finishUnserved();
+    }
     auto Chosen = Shared_.Picker_->pick(Query_, Now);
     if (!Chosen && !Query_.Excluded_.empty()) {
       // No other target can take the request; one that refused it earlier may
@@ -199,7 +203,7 @@
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
   // Nothing was sent.
   if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated ||
-      LastReason_ == PermitMissing)
+      LastReason_ == PermitMissing || LastReason_ == PartQuarantined)
     co_return true;
   // A request whose adapter is being loaded waits for the budget for up to a
   // quarter of the time left, even beyond its latency target.
@@ -330,6 +334,10 @@
     LastReason_ = PermitMissing;
     co_return SendOutcome::NotRun;
   }
+  if (isQuarantined(BootClock::now())) {
+    LastReason_ = PartQuarantined;
+    co_return SendOutcome::NotRun;
+  }
   bool IsLimited = Shared_.Fleet_->limits()
                        .rateOf(Chosen.Target_, Chosen.Incarnation_)
                        .has_value();
