Try doubtful parts when a request is sent, and one at a time

While nothing is known to work, a part is quarantined in doubt beside the deadly one. Its trials were spent at admission, on requests that were never sent, and after a full round of turns every VM tried at once.

A trial is spent when a request is sent, and turns go round without an end. A part that is convicted in place of another gives its evidence back when it proves sound; a new part at few of the crashes no longer holds up the verdict on a known one.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -212,11 +212,9 @@
   const std::vector<std::string> &Parts = Admitted.Fields_.PromptParts_;
   for (std::size_t Index = 0; Index + 1 < Parts.size(); ++Index)
     Admitted.Parts_.push_back(stableHash(Parts[Index]));
-  PartDecision Decision = Shared_.Fleet_->promptParts().decide(
-      Admitted.Parts_, Admitted.ArrivedAt_);
-  if (Decision == PartDecision::Refuse)
+  if (Shared_.Fleet_->promptParts().decide(
+          Admitted.Parts_, Admitted.ArrivedAt_) == PartDecision::Refuse)
     return Refusal{503, CrashesTargets, std::nullopt};
-  Admitted.IsTrial_ = Decision == PartDecision::Try;
   Admitted.Service_ = chooseService(*Admitted.Route_, randomFraction());
   Duration Timeout =
       std::min(Admitted.Fields_.WaitLimit_.value_or(DefaultTimeout),
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -196,9 +196,9 @@
                                       : Request_.Parts_);
 }
 
-bool RequestRun::isQuarantined(TimePoint Now) const {
-  return !Request_.IsTrial_ &&
-         Shared_.Fleet_->promptParts().isQuarantined(Request_.Parts_, Now);
+bool RequestRun::isPartRefused(TimePoint Now) const {
+  return Shared_.Fleet_->promptParts().decide(Request_.Parts_, Now) ==
+         PartDecision::Refuse;
 }
 
 void RequestRun::recordSuccess(const TargetChoice &Chosen, SuccessProof Proof,
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -89,7 +89,7 @@
       LastReason_ = VmStopping;
     if (isOutOfTime())
       co_return co_await finishUnserved();
-    if (isQuarantined(Now)) {
+    if (isPartRefused(Now)) {
       LastReason_ = PartQuarantined;
       co_return co_await finishUnserved();
     }
@@ -334,7 +334,8 @@
     LastReason_ = PermitMissing;
     co_return SendOutcome::NotRun;
   }
-  if (isQuarantined(BootClock::now())) {
+  if (!Shared_.Fleet_->promptParts().beginSend(Request_.Parts_,
+                                               BootClock::now())) {
     LastReason_ = PartQuarantined;
     co_return SendOutcome::NotRun;
   }
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -28,8 +28,6 @@
   std::string Digest_;
   /// The parts of the prompt that are shared with other requests.
   std::vector<PartId> Parts_;
-  /// Whether it is served although one of them is quarantined.
-  bool IsTrial_ = false;
   TimePoint ArrivedAt_{};
   /// When the caller's or the route's time limit expires.
   TimePoint Deadline_{};
@@ -129,8 +127,8 @@
   /// Records that a target broke off, unless this VM or the caller ended the
   /// request.
   void recordFailure(const TargetChoice &Chosen, Duration Took, TimePoint Now);
-  /// Whether a part of the prompt has been quarantined since its admission.
-  bool isQuarantined(TimePoint Now) const;
+  /// Whether the prompt has a part that crashes targets.
+  bool isPartRefused(TimePoint Now) const;
   /// What a complete response shows.
   SuccessProof endProof() const;
   /// Records that the request has worked at a target.
--- a/Source/Routing/PartQuarantine.cpp
+++ b/Source/Routing/PartQuarantine.cpp
@@ -47,7 +47,7 @@
 bool PartQuarantine::isOwnTurn(std::int64_t Turn) const {
   auto Turns =
       static_cast<std::int64_t>(std::clamp(Vms_, std::size_t{1}, MaxTurns));
-  return Turn >= Turns || static_cast<std::int64_t>(Rank_) % Turns == Turn;
+  return static_cast<std::int64_t>(Rank_) % Turns == Turn % Turns;
 }
 
 bool PartQuarantine::mayTry(PartId Part, TimePoint Now) const {
--- a/Source/Routing/PartQuarantine.h
+++ b/Source/Routing/PartQuarantine.h
@@ -46,9 +46,8 @@
 
   bool isOnProbation(PartId Part, TimePoint Now) const;
 
-  /// Sets this VM's rank among all VMs, counted from zero. They take turns in
-  /// trying parts; a part that comes so rarely that none of them could try it
-  /// in its turn is then tried by any.
+  /// Sets this VM's rank among all VMs, counted from zero, by which they take
+  /// turns in trying parts.
   void setRank(std::size_t Rank, std::size_t Vms) {
     Rank_ = Rank;
     Vms_ = Vms;
--- a/Source/Routing/PartSuspects.cpp
+++ b/Source/Routing/PartSuspects.cpp
@@ -12,7 +12,7 @@
           return Entry.second.NoticedAt_;
         }));
   auto [Found, IsNew] =
-      Crashes_.try_emplace(Crashed, Crash{NoticedAt, false, false, {}});
+      Crashes_.try_emplace(Crashed, Crash{NoticedAt, std::nullopt, false, {}});
   Found->second.NoticedAt_ = std::min(Found->second.NoticedAt_, NoticedAt);
   return Found->second;
 }
@@ -31,30 +31,44 @@
                             const std::map<PartId, bool> &Parts,
                             TimePoint NoticedAt, TimePoint Now) {
   Crash &Known = crashOf(Crashed, NoticedAt);
-  if (Known.Explained_)
-    return;
   for (const auto &[Part, WasSound] : Parts) {
     bool IsNew = Known.Parts_.size() < Options_.MaxPartsPerCrash_ &&
-                 Known.Parts_.insert(Part).second;
-    if (!IsNew)
-      continue;
-    Suspect &Found = suspectOf(Part, Now);
-    bool IsFirst = Found.Crashes_.empty();
-    Found.Crashes_[Crashed] = Known.NoticedAt_;
-    Found.FirstAt_ =
-        IsFirst ? Known.NoticedAt_ : std::min(Found.FirstAt_, Known.NoticedAt_);
-    Found.WasSound_ |= WasSound;
+                 Known.Parts_.emplace(Part, WasSound).second;
+    if (IsNew && !Known.ExplainedBy_)
+      suspect(Part, Crashed, Known.NoticedAt_, WasSound, Now);
   }
 }
 
-void PartSuspects::addExplained(const TargetInstance &Crashed,
+void PartSuspects::suspect(PartId Part, const TargetInstance &Crashed,
+                           TimePoint NoticedAt, bool WasSound, TimePoint Now) {
+  Suspect &Found = suspectOf(Part, Now);
+  bool IsFirst = Found.Crashes_.empty();
+  Found.Crashes_[Crashed] = NoticedAt;
+  Found.FirstAt_ = IsFirst ? NoticedAt : std::min(Found.FirstAt_, NoticedAt);
+  Found.WasSound_ |= WasSound;
+}
+
+void PartSuspects::addExplained(const TargetInstance &Crashed, PartId Part,
                                 TimePoint NoticedAt) {
-  crashOf(Crashed, NoticedAt).Explained_ = true;
-  for (auto &[Part, Known] : Suspects_)
+  crashOf(Crashed, NoticedAt).ExplainedBy_ = Part;
+  for (auto &[Other, Known] : Suspects_)
     Known.Crashes_.erase(Crashed);
   removeUnburdened();
 }
 
+void PartSuspects::withdrawExplanations(PartId Part,
+                                        const WorkedSinceHook &WorkedSince,
+                                        TimePoint Now) {
+  for (auto &[Crashed, Known] : Crashes_) {
+    if (Known.ExplainedBy_ != Part)
+      continue;
+    Known.ExplainedBy_.reset();
+    for (const auto &[Other, WasSound] : Known.Parts_)
+      if (Other != Part && !WorkedSince(Other, Known.NoticedAt_))
+        suspect(Other, Crashed, Known.NoticedAt_, WasSound, Now);
+  }
+}
+
 std::optional<TimePoint> PartSuspects::firstCrashAt(PartId Part) const {
   auto Found = Suspects_.find(Part);
   if (Found == Suspects_.end())
@@ -69,7 +83,7 @@
   auto Explained = std::move(Found->second.Crashes_);
   Suspects_.erase(Found);
   for (const auto &[Crashed, NoticedAt] : Explained)
-    addExplained(Crashed, NoticedAt);
+    addExplained(Crashed, Part, NoticedAt);
 }
 
 void PartSuspects::removeInDoubt(PartId Part) {
@@ -112,9 +126,11 @@
     (Entry.WasSound_ ? Known : New).emplace_back(countCrashes(Entry), Part);
   std::ranges::sort(New, std::greater());
   std::ranges::sort(Known, std::greater());
-  // A part that may still explain the crashes comes before all that are known
+  // A part that may explain most of the crashes comes before all that are known
   // to have worked.
-  bool IsNew = !New.empty() && New.front().first >= Options_.MinCrashes_;
+  std::size_t MostKnown = Known.empty() ? 0 : Known.front().first;
+  bool IsNew = !New.empty() && New.front().first >= Options_.MinCrashes_ &&
+               2 * New.front().first >= MostKnown;
   const std::vector<Counted> &Ranked = IsNew ? New : Known;
   std::size_t Most = Ranked.empty() ? 0 : Ranked.front().first;
   if (Most < Options_.MinCrashes_)
@@ -124,7 +140,7 @@
                  !isInDoubt(Suspects_.at(Ranked.front().second));
   // Where parts that are known to work were at the crashes too, more of those
   // that work are known, and the rest needs less time to prove itself.
-  bool IsWarm = !Known.empty() && 2 * Known.front().first >= Most;
+  bool IsWarm = MostKnown > 0 && 2 * MostKnown >= Most;
   Duration Settle = Options_.KnownSettleTime_;
   if (IsNew)
     Settle =
--- a/Source/Routing/PartSuspects.h
+++ b/Source/Routing/PartSuspects.h
@@ -3,9 +3,9 @@
 
 #include "Routing/PartReport.h"
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace anvil {
@@ -49,8 +49,15 @@
                 const std::map<PartId, bool> &Parts, TimePoint NoticedAt,
                 TimePoint Now);
 
-  /// Adds a crash that a quarantined part explains.
-  void addExplained(const TargetInstance &Crashed, TimePoint NoticedAt);
+  /// Records that a quarantined part explains a crash.
+  void addExplained(const TargetInstance &Crashed, PartId Part,
+                    TimePoint NoticedAt);
+
+  /// Suspects the other parts again that were at crashes which the part
+  /// explained, except those that have worked since.
+  using WorkedSinceHook = std::function<bool(PartId Part, TimePoint Since)>;
+  void withdrawExplanations(PartId Part, const WorkedSinceHook &WorkedSince,
+                            TimePoint Now);
 
   /// When the part's first crash was noticed; nothing if it is no suspect.
   std::optional<TimePoint> firstCrashAt(PartId Part) const;
@@ -91,12 +98,13 @@
   };
   struct Crash {
     TimePoint NoticedAt_{};
-    bool Explained_ = false;
+    std::optional<PartId> ExplainedBy_;
     /// Whether a part that was quarantined in doubt was there.
     bool IsInDoubt_ = false;
-    /// The parts that were suspected for it; each counts once, also if the
-    /// report is repeated after the part was cleared.
-    std::set<PartId> Parts_;
+    /// The parts that were suspected for it, and whether each had worked
+    /// before. Each counts once, also if the report is repeated after the part
+    /// was cleared.
+    std::map<PartId, bool> Parts_;
   };
 
   /// Removes suspects without crashes.
@@ -105,6 +113,8 @@
   std::size_t countCrashes(const Suspect &Of) const;
   /// The suspects at most crashes, if these are enough to convict them.
   std::vector<Conviction> convictable(TimePoint Now) const;
+  void suspect(PartId Part, const TargetInstance &Crashed, TimePoint NoticedAt,
+               bool WasSound, TimePoint Now);
   Crash &crashOf(const TargetInstance &Crashed, TimePoint NoticedAt);
   Suspect &suspectOf(PartId Part, TimePoint Now);
 
--- a/Source/Routing/PromptPartGuard.cpp
+++ b/Source/Routing/PromptPartGuard.cpp
@@ -55,23 +55,23 @@
 void PromptPartGuard::addCrash(const TargetInstance &Crashed,
                                std::map<PartId, bool> Parts,
                                TimePoint NoticedAt, TimePoint Now) {
-  bool IsExplained = false;
+  std::optional<PartId> ExplainedBy;
   for (auto &[Part, WasSound] : Parts) {
     if (Quarantine_.isOnProbation(Part, Now)) {
       Quarantine_.add(Part, NoticedAt, false, Now);
       fire(Part, PartEvent::Relapsed, 1, Now - NoticedAt);
     }
-    IsExplained |= Quarantine_.isCertain(Part, Now);
+    if (Quarantine_.isCertain(Part, Now))
+      ExplainedBy = Part;
     Quarantine_.recordCrash(Part, NoticedAt);
     WasSound |= Sound_.lastSent(Part).has_value();
   }
+  if (ExplainedBy)
+    Suspects_.addExplained(Crashed, *ExplainedBy, NoticedAt);
   std::erase_if(Parts, [&](const auto &Entry) {
     return Quarantine_.contains(Entry.first, Now);
   });
-  if (IsExplained)
-    Suspects_.addExplained(Crashed, NoticedAt);
-  else
-    Suspects_.addCrash(Crashed, Parts, NoticedAt, Now);
+  Suspects_.addCrash(Crashed, Parts, NoticedAt, Now);
 }
 
 void PromptPartGuard::recordSuccess(const TargetInstance &Target,
@@ -104,12 +104,23 @@
   bool IsCleared = FirstCrash && SentAt > *FirstCrash && Suspects_.clear(Part);
   if (Quarantine_.liftIfSound(Part, SentAt)) {
     IsCleared = true;
-    fire(Part, PartEvent::Lifted, 0, Duration::zero());
+    lift(Part, Now);
   }
   if (IsCleared)
     announceSound(Part, Now);
 }
 
+void PromptPartGuard::lift(PartId Part, TimePoint Now) {
+  fire(Part, PartEvent::Lifted, 0, Duration::zero());
+  Suspects_.withdrawExplanations(
+      Part,
+      [this](PartId Other, TimePoint Since) {
+        auto Sound = Sound_.lastSent(Other);
+        return Sound && *Sound > Since;
+      },
+      Now);
+}
+
 void PromptPartGuard::announceSound(PartId Part, TimePoint Now) {
   if (Announced_.size() >= Options_.MaxReportedParts_ &&
       !Announced_.contains(Part))
@@ -118,26 +129,40 @@
   Announced_[Part] = Now;
 }
 
+std::vector<PartId>
+PromptPartGuard::quarantinedOf(const std::vector<PartId> &Parts,
+                               TimePoint Now) const {
+  std::vector<PartId> Found;
+  std::ranges::copy_if(Parts, std::back_inserter(Found), [&](PartId Part) {
+    return Quarantine_.contains(Part, Now);
+  });
+  return Found;
+}
+
 bool PromptPartGuard::isQuarantined(const std::vector<PartId> &Parts,
                                     TimePoint Now) const {
-  return std::ranges::any_of(
-      Parts, [&](PartId Part) { return Quarantine_.contains(Part, Now); });
+  return !quarantinedOf(Parts, Now).empty();
 }
 
 PartDecision PromptPartGuard::decide(const std::vector<PartId> &Parts,
-                                     TimePoint Now) {
-  std::vector<PartId> Quarantined;
-  std::ranges::copy_if(
-      Parts, std::back_inserter(Quarantined),
-      [&](PartId Part) { return Quarantine_.contains(Part, Now); });
-  if (Quarantined.empty())
+                                     TimePoint Now) const {
+  std::vector<PartId> Found = quarantinedOf(Parts, Now);
+  if (Found.empty())
     return PartDecision::Serve;
   // With two of them, the trial would not show which one crashes targets.
-  if (Quarantined.size() > 1 || !Quarantine_.mayTry(Quarantined.front(), Now))
-    return PartDecision::Refuse;
-  Quarantine_.recordTrial(Quarantined.front(), Now);
-  fire(Quarantined.front(), PartEvent::Tried, 0, Duration::zero());
-  return PartDecision::Try;
+  bool MayTry = Found.size() == 1 && Quarantine_.mayTry(Found.front(), Now);
+  return MayTry ? PartDecision::Try : PartDecision::Refuse;
+}
+
+bool PromptPartGuard::beginSend(const std::vector<PartId> &Parts,
+                                TimePoint Now) {
+  PartDecision Decision = decide(Parts, Now);
+  if (Decision != PartDecision::Try)
+    return Decision == PartDecision::Serve;
+  PartId Tried = quarantinedOf(Parts, Now).front();
+  Quarantine_.recordTrial(Tried, Now);
+  fire(Tried, PartEvent::Tried, 0, Duration::zero());
+  return true;
 }
 
 PartReport PromptPartGuard::report(TimePoint Now) {
@@ -165,7 +190,7 @@
     Sound_.record(Part, Now);
     Suspects_.clear(Part);
     if (Quarantine_.lift(Part))
-      fire(Part, PartEvent::Lifted, 0, Duration::zero());
+      lift(Part, Now);
   }
   for (const auto &[Part, Known] : Report.Quarantined_) {
     auto Sound = Sound_.lastSent(Part);
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -91,8 +91,12 @@
     Quarantine_.setRank(Rank, Vms);
   }
 
-  /// Decides on a prompt that has just arrived.
-  PartDecision decide(const std::vector<PartId> &Parts, TimePoint Now);
+  /// Decides on a prompt that waits to be sent to a target.
+  PartDecision decide(const std::vector<PartId> &Parts, TimePoint Now) const;
+
+  /// Whether a prompt may be sent to a target at this moment. If it is to be
+  /// tried, this is the trial.
+  bool beginSend(const std::vector<PartId> &Parts, TimePoint Now);
 
   /// Whether a prompt has a quarantined part.
   bool isQuarantined(const std::vector<PartId> &Parts, TimePoint Now) const;
@@ -126,6 +130,8 @@
 
   void addCrash(const TargetInstance &Crashed, std::map<PartId, bool> Parts,
                 TimePoint NoticedAt, TimePoint Now);
+  std::vector<PartId> quarantinedOf(const std::vector<PartId> &Parts,
+                                    TimePoint Now) const;
   void addOwnCrash(const TargetInstance &Crashed,
                    const std::vector<PartId> &Parts, TimePoint NoticedAt,
                    TimePoint Now);
@@ -133,6 +139,7 @@
   void withdrawSuccesses(const TargetInstance &Crashed, TimePoint NoticedAt,
                          TimePoint Now);
   void confirmSuccesses(TimePoint Now);
+  void lift(PartId Part, TimePoint Now);
   void recordSound(PartId Part, TimePoint SentAt, TimePoint Now);
   void announceSound(PartId Part, TimePoint Now);
   void fire(PartId Part, PartEvent Event, std::size_t Crashes,
--- a/Tests/Routing/PromptPartGuardTest.cpp
+++ b/Tests/Routing/PromptPartGuardTest.cpp
@@ -173,7 +173,9 @@
   Story.wait(2s);
   SECTION("is tried by one request of the VM whose turn it is") {
     CHECK(Decide({First, Other}) == PartDecision::Try);
+    CHECK(Story.Guard_.beginSend({First, Other}, Story.Now_));
     CHECK(Decide({First, Other}) == PartDecision::Refuse);
+    CHECK_FALSE(Story.Guard_.beginSend({First, Other}, Story.Now_));
     SECTION("and served once that has worked") {
       Story.succeed({First, Other}, Story.Now_, SuccessProof::LongRun);
       CHECK(Decide({First}) == PartDecision::Serve);
@@ -184,7 +186,7 @@
     int Trials = 0;
     for (int Step = 0; Step < 250; ++Step) {
       Story.wait(100ms);
-      if (Decide({Deadly}) != PartDecision::Try)
+      if (!Story.Guard_.beginSend({Deadly}, Story.Now_))
         continue;
       ++Trials;
       Story.crash({Deadly});
@@ -205,6 +207,25 @@
   CHECK(Story.refuses(Deadly));
 }
 
+TEST_CASE("a part that is convicted in place of another", "[prompt-part]") {
+  GuardStory Story;
+  // The part that crashes targets worked before; the new one only comes along.
+  Story.succeed({First}, Story.Now_);
+  Story.succeed({Deadly}, Story.Now_);
+  while (!Story.refuses(Other)) {
+    Story.crash({First, Other, Deadly});
+    Story.wait(300ms);
+  }
+  REQUIRE_FALSE(Story.refuses(Deadly));
+  SECTION("gives the evidence back when it proves sound") {
+    Story.succeed({First, Other}, Story.Now_);
+    REQUIRE_FALSE(Story.refuses(Other));
+    Story.wait(2s);
+    CHECK(Story.refuses(Deadly));
+    CHECK_FALSE(Story.refuses(First));
+  }
+}
+
 TEST_CASE("a short response that is complete just before its target crashes",
           "[prompt-part]") {
   GuardStory Story;
--- a/Tests/Routing/PromptPartLoad.cpp
+++ b/Tests/Routing/PromptPartLoad.cpp
@@ -8,6 +8,9 @@
 
 static constexpr PartId Deadly = 1000000;
 
+/// The number of parts that sound prompts have after their first.
+static constexpr PartId Subjects = 100;
+
 /// The bound on what may reach targets after the fifth crash.
 static constexpr Duration ContactTime = 3s;
 
@@ -48,13 +51,11 @@
   Sent.Vm_ = static_cast<int>(Random_() % Vms_.size());
   Sent.SentAt_ = Now_;
   Vm &Entry = Vms_[static_cast<std::size_t>(Sent.Vm_)];
-  if (Entry.Guard_.decide(Sent.Parts_, Now_) == PartDecision::Refuse)
-    return false;
   std::vector<int> Up;
   for (int Index = 0; Index < Plan_.Targets_; ++Index)
     if (Targets_[static_cast<std::size_t>(Index)].UpFrom_ <= Now_)
       Up.push_back(Index);
-  if (Up.empty())
+  if (Up.empty() || !Entry.Guard_.beginSend(Sent.Parts_, Now_))
     return false;
   Sent.Target_ = Up[Random_() % Up.size()];
   Sent.Life_ = Targets_[static_cast<std::size_t>(Sent.Target_)].Life_;
@@ -66,7 +67,7 @@
   if (Now_ < End_)
     at(Now_ + nextArrival(Plan_.SoundPerSecond_), [this] { sendSound(); });
   Request Sent;
-  Sent.Parts_ = {Random_() % 5, 100 + Random_() % 400};
+  Sent.Parts_ = {Random_() % 5, 100 + Random_() % Subjects};
   bool IsLast = Now_ > End_ - 5s;
   ++Result_.Sound_;
   Result_.LastSound_ += IsLast ? 1 : 0;
@@ -95,9 +96,10 @@
   if (Now_ < End_)
     at(Now_ + nextArrival(Plan_.DeadlyPerSecond_), [this] { sendDeadly(); });
   Request Sent;
-  Sent.Parts_ = {Random_() % 5, Deadly};
+  // The others are in sound prompts too, the second of them in few.
+  Sent.Parts_ = {0, 100, Deadly};
   if (Plan_.IsDeadlyFirst_)
-    Sent.Parts_ = {Deadly, 100 + Random_() % 400};
+    Sent.Parts_ = {Deadly, 100};
   if (!place(Sent))
     return;
   const Vm &Entry = Vms_[static_cast<std::size_t>(Sent.Vm_)];
--- a/Tests/Routing/PromptPartLoad.h
+++ b/Tests/Routing/PromptPartLoad.h
@@ -17,7 +17,7 @@
   double SoundPerSecond_ = 90;
   double DeadlyPerSecond_ = 4.5;
   /// Whether the part that crashes targets is the first of its prompts instead
-  /// of one after a part that sound prompts have too.
+  /// of one after parts that sound prompts have too.
   bool IsDeadlyFirst_ = false;
   /// Whether the part worked before the load begins to crash targets.
   bool WorkedBefore_ = false;
