--- a/Source/LoadTool/LoadRunner.cpp
+++ b/Source/LoadTool/LoadRunner.cpp
@@ -96,6 +96,9 @@
   }
 }
 
+/// The event that ends a complete stream.
+static constexpr std::string_view LastEvent = "data: [DONE]\n\n";
+
 static HttpRequest makeRequest(const TrafficSource &Source,
                                const std::string &Model) {
   json Body{{"model", Model},
@@ -124,7 +127,7 @@
   Status Opened = co_await Connection.open(Vm, std::chrono::seconds(2));
   if (isOk(Opened)) {
     HttpRequest Request = makeRequest(Source, Model);
-    co_await receive(Connection, std::move(Request), Record);
+    co_await receive(Connection, std::move(Request), Source.Stream_, Record);
   } else {
     Record.Cause_ = "no_connection";
   }
@@ -162,7 +165,7 @@
 }
 
 asio::awaitable<void> LoadRunner::receive(HttpConnection &Connection,
-                                          HttpRequest Request,
+                                          HttpRequest Request, bool IsStream,
                                           RequestRecord &Record) {
   Duration Timeout = fromSeconds(Run_.TimeoutSeconds_);
   auto Head = co_await Connection.exchange(Request, Timeout);
@@ -184,7 +187,8 @@
       Record.FirstToken_ = elapsed() - Record.Arrived_;
     Body += valueOf(Part);
   }
-  if (Record.Status_ != 200)
+  bool IsCut = IsStream && !Body.ends_with(LastEvent);
+  if (Record.Status_ != 200 || IsCut)
     Record.Cause_ = refusalCode(Body);
   else
     Record.UsedTokens_ = usedTokens(Body);
--- a/Source/LoadTool/LoadRunner.h
+++ b/Source/LoadTool/LoadRunner.h
@@ -35,7 +35,7 @@
                                     std::string Model, Endpoint Vm,
                                     Duration Arrived);
   boost::asio::awaitable<void> receive(HttpConnection &Connection,
-                                       HttpRequest Request,
+                                       HttpRequest Request, bool IsStream,
                                        RequestRecord &Record);
   boost::asio::awaitable<void> inject(ScheduledFault Fault);
   boost::asio::awaitable<void> readEngineRecords();
