--- a/Source/Routing/PromptPartGuard.cpp
+++ b/Source/Routing/PromptPartGuard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 
 namespace anvil {
 
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -9,6 +9,8 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace anvil {
