Evict the lowest entry of bounded maps in one place

Five places of the quarantine of prompt parts had written again what CrashTracker, FleetView and EngineController do. No change of behaviour.

--- a/Source/Routing/CrashTracker.cpp
+++ b/Source/Routing/CrashTracker.cpp
@@ -1,9 +1,8 @@
 #include "Routing/CrashTracker.h"
 
+#include "Kernel/EraseLowest.h"
 #include "Kernel/Invariant.h"
 
-#include <algorithm>
-
 namespace anvil {
 
 /// Crashes of different target incarnations that quarantine a request.
@@ -18,15 +17,7 @@
 
 bool CrashTracker::addCrash(const std::string &Digest,
                             const TargetInstance &Crashed, TimePoint Now) {
-  bool IsNew = Suspects_.count(Digest) == 0;
-  if (IsNew && Suspects_.size() >= Options_.MaxDigests_) {
-    // Evicts the entry that would expire first.
-    auto Oldest =
-        std::ranges::min_element(Suspects_, {}, [](const auto &Entry) {
-          return Entry.second.ExpiresAt_;
-        });
-    Suspects_.erase(Oldest);
-  }
+  makeRoomFor(Digest, Suspects_, Options_.MaxDigests_, &Suspect::ExpiresAt_);
   Suspect &Known = Suspects_[Digest];
   if (Known.ExpiresAt_ <= Now)
     Known = Suspect();
--- a/Source/Routing/PartQuarantine.cpp
+++ b/Source/Routing/PartQuarantine.cpp
@@ -1,5 +1,7 @@
 #include "Routing/PartQuarantine.h"
 
+#include "Kernel/EraseLowest.h"
+
 #include <algorithm>
 
 namespace anvil {
@@ -8,9 +10,7 @@
 static constexpr std::size_t MaxTurns = 16;
 
 void PartQuarantine::insert(PartId Part, Entry Added, TimePoint Now) {
-  if (!Entries_.contains(Part) && Entries_.size() >= Options_.MaxParts_)
-    Entries_.erase(std::ranges::min_element(
-        Entries_, {}, [](const auto &Item) { return Item.second.Until_; }));
+  makeRoomFor(Part, Entries_, Options_.MaxParts_, &Entry::Until_);
   Added.NextTrialAt_ = Now + Options_.FirstTrialAfter_;
   Added.TrialPause_ = Options_.NextTrialAfter_;
   Entries_[Part] = Added;
--- a/Source/Routing/PartSuspects.cpp
+++ b/Source/Routing/PartSuspects.cpp
@@ -1,16 +1,14 @@
 #include "Routing/PartSuspects.h"
 
+#include "Kernel/EraseLowest.h"
+
 #include <algorithm>
 
 namespace anvil {
 
 PartSuspects::Crash &PartSuspects::crashOf(const TargetInstance &Crashed,
                                            TimePoint NoticedAt) {
-  if (!Crashes_.contains(Crashed) && Crashes_.size() >= Options_.MaxCrashes_)
-    Crashes_.erase(
-        std::ranges::min_element(Crashes_, {}, [](const auto &Entry) {
-          return Entry.second.NoticedAt_;
-        }));
+  makeRoomFor(Crashed, Crashes_, Options_.MaxCrashes_, &Crash::NoticedAt_);
   auto [Found, IsNew] =
       Crashes_.try_emplace(Crashed, Crash{NoticedAt, std::nullopt, false, {}});
   Found->second.NoticedAt_ = std::min(Found->second.NoticedAt_, NoticedAt);
@@ -18,10 +16,7 @@
 }
 
 PartSuspects::Suspect &PartSuspects::suspectOf(PartId Part, TimePoint Now) {
-  bool IsNew = !Suspects_.contains(Part);
-  if (IsNew && Suspects_.size() >= Options_.MaxParts_)
-    Suspects_.erase(std::ranges::min_element(
-        Suspects_, {}, [](const auto &Entry) { return Entry.second.LastAt_; }));
+  makeRoomFor(Part, Suspects_, Options_.MaxParts_, &Suspect::LastAt_);
   Suspect &Known = Suspects_[Part];
   Known.LastAt_ = Now;
   return Known;
--- a/Source/Routing/PromptPartGuard.cpp
+++ b/Source/Routing/PromptPartGuard.cpp
@@ -1,5 +1,7 @@
 #include "Routing/PromptPartGuard.h"
 
+#include "Kernel/EraseLowest.h"
+
 #include <algorithm>
 #include <iterator>
 #include <optional>
@@ -33,10 +35,7 @@
       Own.Parts_.emplace(Part, Sound_.lastSent(Part).has_value());
   addCrash(Crashed, Own.Parts_, Own.NoticedAt_, Now);
   if (OwnCrashes_.size() > Options_.MaxReportedCrashes_)
-    OwnCrashes_.erase(
-        std::ranges::min_element(OwnCrashes_, {}, [](const auto &Entry) {
-          return Entry.second.NoticedAt_;
-        }));
+    eraseLowest(OwnCrashes_, &OwnCrash::NoticedAt_);
 }
 
 void PromptPartGuard::withdrawSuccesses(const TargetInstance &Crashed,
@@ -123,10 +122,7 @@
 }
 
 void PromptPartGuard::announceSound(PartId Part, TimePoint Now) {
-  if (Announced_.size() >= Options_.MaxReportedParts_ &&
-      !Announced_.contains(Part))
-    Announced_.erase(std::ranges::min_element(
-        Announced_, {}, [](const auto &Entry) { return Entry.second; }));
+  makeRoomFor(Part, Announced_, Options_.MaxReportedParts_);
   Announced_[Part] = Now;
 }
 
--- a/Source/Serving/EngineController.cpp
+++ b/Source/Serving/EngineController.cpp
@@ -1,6 +1,7 @@
 #include "Serving/EngineController.h"
 
 #include "Kernel/EnumNames.h"
+#include "Kernel/EraseLowest.h"
 
 #include <algorithm>
 #include <tuple>
@@ -49,10 +50,8 @@
 
 void EngineController::markWarm(const std::string &Adapter, TimePoint Now) {
   Warm_[Adapter] = Now;
-  if (Warm_.size() <= Options_.WarmAdapters_)
-    return;
-  Warm_.erase(std::ranges::min_element(
-      Warm_, {}, [](const auto &Entry) { return Entry.second; }));
+  if (Warm_.size() > Options_.WarmAdapters_)
+    eraseLowest(Warm_);
 }
 
 bool EngineController::adopt(const EngineReport &Report, TimePoint Now) {
--- a/Source/Serving/FleetView.cpp
+++ b/Source/Serving/FleetView.cpp
@@ -1,5 +1,6 @@
 #include "Serving/FleetView.h"
 
+#include "Kernel/EraseLowest.h"
 #include "Serving/UpdateSchedule.h"
 
 #include <algorithm>
@@ -144,8 +145,7 @@
   for (const auto &[Adapter, Held] : View.Adapters_)
     View.Warm_[Adapter] = Now;
   while (View.Warm_.size() > WarmAdapters_)
-    View.Warm_.erase(std::ranges::min_element(
-        View.Warm_, {}, [](const auto &Entry) { return Entry.second; }));
+    eraseLowest(View.Warm_);
 }
 
 void FleetView::addRunning(const RunningShares &Running, int Sign) {
