Give the fleet's prompt parts and loads classes of their own

FleetState held the log lines and metrics of both; FleetSpeeds shows the form. The quarantine of parts loses a second copy of one choice, a part-by-part list of empty fields, functions that nothing calls and a second text form of 64-bit hashes. A comment goes back to its member. No change of behaviour.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -1,12 +1,11 @@
 #include "Entry/EntryGateway.h"
 
 #include "Entry/RandomFraction.h"
+#include "Kernel/HexText.h"
 #include "Membership/Rendezvous.h"
 #include "Serving/RetryAfter.h"
 #include "Telemetry/Log.h"
 
-#include <cstdio>
-
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -153,10 +152,7 @@
   if (Customer)
     Text += Customer->Name_;
   Text += '\n' + Request.Body_;
-  char Digest[17];
-  std::snprintf(Digest, sizeof(Digest), "%016llx",
-                static_cast<unsigned long long>(stableHash(Text)));
-  return Digest;
+  return hexText(stableHash(Text));
 }
 
 std::optional<EntryGateway::Refusal>
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -1,6 +1,5 @@
 #include "Entry/FleetState.h"
 
-#include "Kernel/EnumNames.h"
 #include "Serving/ReadRotation.h"
 #include "Serving/UpdateSchedule.h"
 #include "Telemetry/Log.h"
@@ -68,8 +67,9 @@
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       BudgetBootstrap_(std::chrono::seconds(Settings.Bounds_.QuotaWindowS_)),
       Crashes_({SuspectTime, QuarantineTime, MaxDigests}),
+      PromptParts_(Metrics_), Loads_(View_, Metrics_),
       Prefill_(Settings.PrefillTokensPerMs_), Speeds_(Targets_, Metrics_) {
-  Loads_.setFixedLimit(static_cast<double>(Settings.TransitLimit_));
+  Loads_.learning().setFixedLimit(static_cast<double>(Settings.TransitLimit_));
 }
 
 Status FleetState::start() {
@@ -94,31 +94,12 @@
   Targets_->Updated_.attach([this](const std::vector<RegisteredTarget> &Fresh) {
     applyEntries(Fresh);
   });
-  PromptParts_.onEvent([this](PartId Part, PartEvent Event, std::size_t Crashes,
-                              Duration Evidence) {
-    std::string_view Name = enumName(Event, PartEventNames);
-    logEvent(LogLevel::Warning, "prompt_part",
-             {{"part", partName(Part)},
-              {"change", Name},
-              {"crashes", Crashes},
-              {"evidence_age_ms", toMillis(Evidence)}});
-    Metrics_->count("anvil_prompt_part_changes_total",
-                    {{"change", std::string(Name)}});
+  Link_->UpdateDue_.attach([this](Duration) {
+    PromptParts_.update(Link_->topology(), BootClock::now());
   });
-  Link_->UpdateDue_.attach(
-      [this](Duration) { updatePromptParts(BootClock::now()); });
   return std::monostate{};
 }
 
-void FleetState::updatePromptParts(TimePoint Now) {
-  PromptParts_.update(Now);
-  PromptParts_.setRank(Link_->topology().rank(), Link_->topology().vms());
-  Metrics_->gauge("anvil_prompt_parts", {{"state", "suspect"}},
-                  static_cast<double>(PromptParts_.suspects()));
-  Metrics_->gauge("anvil_prompt_parts", {{"state", "quarantined"}},
-                  static_cast<double>(PromptParts_.quarantined(Now)));
-}
-
 void FleetState::applyEntries(const std::vector<RegisteredTarget> &Fresh) {
   ServingPlanPtr Plan = Plans_->current();
   if (!Plan)
@@ -187,39 +168,11 @@
   return Own + View_.peerRequestsWith(Adapter);
 }
 
-StoreQueue FleetState::storeQueue(TimePoint Now) const {
-  return {Loads_.times().expected(LoadSource::Store),
-          static_cast<double>(View_.inTransit(Now)), Loads_.limit(),
-          static_cast<double>(View_.queuedLoads(Now))};
-}
-
-void FleetState::recordLoad(LoadSource Source, Duration Age, bool WasMissing,
-                            TimePoint Now) {
-  Duration TimeBefore = Loads_.times().expected(Source);
-  double LimitBefore = Loads_.limit();
-  double InTransit = View_.inTransit(Now);
-  LateCause Cause = Loads_.recordOwn(Source, Age, WasMissing, InTransit, Now);
-  Metrics_->count("anvil_awaited_loads_total",
-                  {{"source", std::string(loadSourceName(Source))},
-                   {"outcome", std::string(lateCauseName(Cause))}});
-  Duration Expected = Loads_.times().expected(Source);
-  if (Expected != TimeBefore || Loads_.limit() < LimitBefore)
-    logEvent(LogLevel::Debug, "load_estimate_changed",
-             {{"source", loadSourceName(Source)},
-              {"outcome", lateCauseName(Cause)},
-              {"age_ms", toMillis(Age)},
-              {"in_transit", InTransit},
-              {"expected_before_ms", toMillis(TimeBefore)},
-              {"expected_ms", toMillis(Expected)},
-              {"limit_before", LimitBefore},
-              {"limit", Loads_.limit()}});
-}
-
 void FleetState::recordCrash(const std::string &Digest,
                              const std::vector<PartId> &Parts,
                              const std::string &Target,
                              std::int64_t Incarnation, TimePoint Now) {
-  PromptParts_.recordCrash({Target, std::to_string(Incarnation)}, Parts, Now);
+  promptParts().recordCrash({Target, std::to_string(Incarnation)}, Parts, Now);
   VmStateUpdate::Crash Observed{Digest, Target, Incarnation};
   RecentCrashes_.emplace_back(Now, Observed);
   applyCrash(Observed, Now);
@@ -383,21 +336,11 @@
   RemoteInventorySentAt_ = Now;
 }
 
-void FleetState::reportLoads(TimePoint Now) {
-  for (const auto &[Source, Name] : LoadSourceNames)
-    Metrics_->gauge("anvil_load_time_seconds", {{"source", std::string(Name)}},
-                    toSeconds(Loads_.times().expected(Source)));
-  StoreQueue Queue = storeQueue(Now);
-  Metrics_->gauge("anvil_loads_in_transit", {}, Queue.InTransit_);
-  Metrics_->gauge("anvil_load_limit", {}, Queue.Limit_);
-  Metrics_->gauge("anvil_loads_queued", {}, Queue.Queued_);
-}
-
 VmStateUpdate FleetState::composeUpdate(Duration Period) {
   TimePoint Now = BootClock::now();
   View_.expire(Now);
   Limits_.prune(LimitRetention, Now);
-  Loads_.setEngines(View_.engineCount());
+  Loads_.learning().setEngines(View_.engineCount());
   updateReachableShare(Now);
   VmStateUpdate Update;
   Update.Vm_ = Self_;
@@ -417,12 +360,12 @@
   Update.Crashes_ = recentCrashes(Now);
   Update.LeavingTargets_ = recentlyDraining(Now);
   Update.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
-  Update.Loads_ = Loads_.report();
+  Update.Loads_ = Loads_.learning().report();
   Update.Speeds_ = Speeds_.composeReports(Now);
   Update.StoreEra_ = StoreEra_;
-  Update.Parts_ = PromptParts_.report(Now);
+  Update.Parts_ = promptParts().report(Now);
   addInventories(Update, Now);
-  reportLoads(Now);
+  Loads_.report(Now);
   return Update;
 }
 
@@ -447,7 +390,7 @@
   Summary.LeavingTargets_ = recentlyDraining(Now);
   Summary.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
   Summary.Speeds_ = Speeds_.speeds().takeEstimates(Now);
-  if (PartReport Own = PromptParts_.report(Now); !Own.empty())
+  if (PartReport Own = promptParts().report(Now); !Own.empty())
     Summary.Parts_.push_back(std::move(Own));
   View_.addLocalUpdates(Summary, Now);
   return Summary;
@@ -494,10 +437,10 @@
     applyCrash(Observed, Now);
   applyDraining(Update.LeavingTargets_, Update.Vm_);
   applyLimits(Update.Limits_, Update.Vm_, Now);
-  Loads_.recordPeer(Update.Vm_, Update.Incarnation_, Update.Loads_,
-                    View_.inTransit(Now), Now);
+  Loads_.learning().recordPeer(Update.Vm_, Update.Incarnation_, Update.Loads_,
+                               View_.inTransit(Now), Now);
   Speeds_.applyReports(Update.Speeds_, Now);
-  PromptParts_.apply(Update.Parts_, Now);
+  promptParts().apply(Update.Parts_, Now);
 }
 
 void FleetState::receiveSummary(const DataCentreSummary &Summary,
@@ -519,7 +462,7 @@
   applyLimits(Summary.Limits_, Summary.Sender_, Now);
   Speeds_.applyEstimates(Summary.Speeds_, Now);
   for (const PartReport &Report : Summary.Parts_)
-    PromptParts_.apply(Report, Now);
+    promptParts().apply(Report, Now);
 }
 
 void FleetState::applyDraining(
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -2,19 +2,18 @@
 #define ANVIL_ENTRY_FLEETSTATE_H
 
 #include "Entry/FleetLink.h"
+#include "Entry/FleetLoads.h"
+#include "Entry/FleetPromptParts.h"
 #include "Entry/FleetSpeeds.h"
 #include "Entry/PlanService.h"
 #include "Entry/TargetListService.h"
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
-#include "Loading/LoadPatience.h"
 #include "Routing/CrashTracker.h"
-#include "Routing/PromptPartGuard.h"
 #include "Routing/TargetLimits.h"
 #include "Serving/BudgetBootstrap.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/FleetView.h"
-#include "Serving/LoadLearning.h"
 #include "Serving/PrefillBacklog.h"
 #include "Settings/EntrySettings.h"
 #include "Telemetry/Metrics.h"
@@ -71,14 +70,18 @@
   TargetSpeeds &speeds() { return Speeds_.speeds(); }
 
   /// The expected times of loads.
-  const LoadTimeEstimate &loadTimes() const { return Loads_.times(); }
+  const LoadTimeEstimate &loadTimes() const {
+    return Loads_.learning().times();
+  }
 
   /// The loads of all engines from the weight store.
-  StoreQueue storeQueue(TimePoint Now) const;
+  StoreQueue storeQueue(TimePoint Now) const { return Loads_.storeQueue(Now); }
 
   /// Records what a request of this VM found that had waited for a load.
   void recordLoad(LoadSource Source, Duration Age, bool WasMissing,
-                  TimePoint Now);
+                  TimePoint Now) {
+    Loads_.recordOwn(Source, Age, WasMissing, Now);
+  }
 
   /// Records that a request was running when a target crashed, and reports it
   /// to the other VMs. `Parts` are the parts of its prompt that may have caused
@@ -93,7 +96,7 @@
   }
 
   /// Finds and refuses prompts with a part that crashes targets.
-  PromptPartGuard &promptParts() { return PromptParts_; }
+  PromptPartGuard &promptParts() { return PromptParts_.guard(); }
 
   /// Records that a target announced in a reply that it is about to stop.
   void recordDraining(const std::string &Target, std::int64_t Incarnation,
@@ -148,8 +151,6 @@
   Hook<const std::string &, std::int64_t> TargetCrashed_;
 
 private:
-  /// Sets the gauges of loads.
-  void reportLoads(TimePoint Now);
   VmStateUpdate composeUpdate(Duration Period);
   std::optional<DataCentreSummary> composeSummary(Duration Period);
   void addInventories(VmStateUpdate &Update, TimePoint Now);
@@ -166,7 +167,6 @@
   void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmStateUpdate::Crash &Observed, TimePoint Now);
   void updateReachableShare(TimePoint Now);
-  void updatePromptParts(TimePoint Now);
   void applyPeerBudget(const std::string &Vm, Duration BudgetAge,
                        const TokenBalances &Balances, TimePoint Now);
 
@@ -184,9 +184,9 @@
   /// When a newly started VM last sent a state update.
   TimePoint NewVmSeenAt_{};
   CrashTracker Crashes_;
-  PromptPartGuard PromptParts_{PromptPartOptions{}};
   TargetLimits Limits_;
-  LoadLearning Loads_;
+  FleetPromptParts PromptParts_;
+  FleetLoads Loads_;
   PrefillBacklog Prefill_;
   FleetSpeeds Speeds_;
   /// Own running requests by adapter, and prompts sent since the last state
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -158,9 +158,9 @@
   HttpConnection Connection_;
   boost::asio::steady_timer Pause_;
   EventSplitter Events_;
-  /// The number of targets that have run the request or may have.
   /// When the permit for the current send was requested; nothing without one.
   std::optional<TimePoint> PermitRequestedAt_;
+  /// The number of targets that have run the request or may have.
   int Runs_ = 0;
   int Sends_ = 0;
   bool HeadSent_ = false;
--- a/Source/Routing/PartQuarantine.cpp
+++ b/Source/Routing/PartQuarantine.cpp
@@ -9,37 +9,33 @@
 /// The maximum number of turns; VMs of a larger fleet share turns.
 static constexpr std::size_t MaxTurns = 16;
 
-void PartQuarantine::insert(PartId Part, Entry Added, TimePoint Now) {
+void PartQuarantine::insert(PartId Part, TimePoint EvidenceFrom,
+                            TimePoint Until, bool IsInDoubt, TimePoint Now) {
   makeRoomFor(Part, Entries_, Options_.MaxParts_, &Entry::Until_);
+  Entry &Added = Entries_[Part];
+  Added = {};
+  Added.EvidenceFrom_ = EvidenceFrom;
+  Added.Until_ = Until;
+  Added.IsInDoubt_ = IsInDoubt;
   Added.NextTrialAt_ = Now + Options_.FirstTrialAfter_;
   Added.TrialPause_ = Options_.NextTrialAfter_;
-  Entries_[Part] = Added;
 }
 
 void PartQuarantine::add(PartId Part, TimePoint EvidenceFrom, bool IsInDoubt,
                          TimePoint Now) {
-  insert(Part,
-         {EvidenceFrom, Now + Options_.QuarantineTime_, IsInDoubt, {}, {}, {}},
-         Now);
+  insert(Part, EvidenceFrom, Now + Options_.QuarantineTime_, IsInDoubt, Now);
 }
 
 bool PartQuarantine::adopt(PartId Part, const PartQuarantineReport &Report,
                            TimePoint Now) {
-  auto Found = Entries_.find(Part);
-  if (Found != Entries_.end() && Found->second.Until_ > Now) {
-    Found->second.IsInDoubt_ &= Report.IsInDoubt_;
+  if (contains(Part, Now)) {
+    Entries_[Part].IsInDoubt_ &= Report.IsInDoubt_;
     return false;
   }
   if (Report.Remaining_ <= Duration::zero())
     return false;
   Duration Remaining = std::min(Report.Remaining_, Options_.QuarantineTime_);
-  insert(Part,
-         {Now - Report.EvidenceAge_,
-          Now + Remaining,
-          Report.IsInDoubt_,
-          {},
-          {},
-          {}},
+  insert(Part, Now - Report.EvidenceAge_, Now + Remaining, Report.IsInDoubt_,
          Now);
   return true;
 }
@@ -97,6 +93,11 @@
   return true;
 }
 
+std::size_t PartQuarantine::count(TimePoint Now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Entries_, [&](const auto &Item) { return Item.second.Until_ > Now; }));
+}
+
 std::map<PartId, PartQuarantineReport>
 PartQuarantine::report(TimePoint Now) const {
   std::map<PartId, PartQuarantineReport> Quarantined;
--- a/Source/Routing/PartQuarantine.h
+++ b/Source/Routing/PartQuarantine.h
@@ -3,10 +3,9 @@
 
 #include "Routing/PartReport.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <vector>
 
 namespace anvil {
 
@@ -41,9 +40,9 @@
   bool adopt(PartId Part, const PartQuarantineReport &Report, TimePoint Now);
 
   bool contains(PartId Part, TimePoint Now) const;
+
   /// Whether it is quarantined and its conviction isn't in doubt.
   bool isCertain(PartId Part, TimePoint Now) const;
-
   bool isOnProbation(PartId Part, TimePoint Now) const;
 
   /// Sets this VM's rank among all VMs, counted from zero, by which they take
@@ -72,7 +71,8 @@
 
   void expire(TimePoint Now);
 
-  std::size_t size() const { return Entries_.size(); }
+  /// The number of parts that are quarantined now.
+  std::size_t count(TimePoint Now) const;
 
 private:
   struct Entry {
@@ -86,7 +86,8 @@
   };
 
   bool isOwnTurn(std::int64_t Turn) const;
-  void insert(PartId Part, Entry Added, TimePoint Now);
+  void insert(PartId Part, TimePoint EvidenceFrom, TimePoint Until,
+              bool IsInDoubt, TimePoint Now);
 
   PartQuarantineOptions Options_;
   std::size_t Rank_ = 0;
--- a/Source/Routing/PartReport.h
+++ b/Source/Routing/PartReport.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace anvil {
@@ -14,9 +13,6 @@
 /// Identifies a part of prompts that requests share: a hash of the part's id.
 using PartId = std::uint64_t;
 
-/// The part's name in logs.
-std::string partName(PartId Part);
-
 /// A crash of a target as one VM reports it.
 struct PartCrash {
   TargetInstance Crashed_;
--- a/Source/Routing/PartSuspects.cpp
+++ b/Source/Routing/PartSuspects.cpp
@@ -71,23 +71,17 @@
   return Found->second.FirstAt_;
 }
 
-void PartSuspects::explainBy(PartId Part) {
+void PartSuspects::removeQuarantined(PartId Part, bool IsInDoubt) {
   auto Found = Suspects_.find(Part);
   if (Found == Suspects_.end())
     return;
-  auto Explained = std::move(Found->second.Crashes_);
-  Suspects_.erase(Found);
-  for (const auto &[Crashed, NoticedAt] : Explained)
-    addExplained(Crashed, Part, NoticedAt);
-}
-
-void PartSuspects::removeInDoubt(PartId Part) {
-  auto Found = Suspects_.find(Part);
-  if (Found == Suspects_.end())
-    return;
-  for (const auto &[Crashed, NoticedAt] : Found->second.Crashes_)
-    crashOf(Crashed, NoticedAt).IsInDoubt_ = true;
+  auto Crashes = std::move(Found->second.Crashes_);
   Suspects_.erase(Found);
+  for (const auto &[Crashed, NoticedAt] : Crashes)
+    if (IsInDoubt)
+      crashOf(Crashed, NoticedAt).IsInDoubt_ = true;
+    else
+      addExplained(Crashed, Part, NoticedAt);
 }
 
 bool PartSuspects::isInDoubt(const Suspect &Of) const {
@@ -155,10 +149,7 @@
   for (auto Found = convictable(Now); !Found.empty();
        Found = convictable(Now)) {
     for (const Conviction &Entry : Found)
-      if (Entry.IsInDoubt_)
-        removeInDoubt(Entry.Part_);
-      else
-        explainBy(Entry.Part_);
+      removeQuarantined(Entry.Part_, Entry.IsInDoubt_);
     Convicted.insert(Convicted.end(), Found.begin(), Found.end());
   }
   return Convicted;
--- a/Source/Routing/PartSuspects.h
+++ b/Source/Routing/PartSuspects.h
@@ -65,13 +65,10 @@
   /// Removes a part that has proved sound. False if it was no suspect.
   bool clear(PartId Part) { return Suspects_.erase(Part) > 0; }
 
-  /// Marks the crashes at which the part was as explained by it, also for later
-  /// reports of them, and removes the part.
-  void explainBy(PartId Part);
-
-  /// Removes a part that is quarantined in doubt. Whoever else was at its
-  /// crashes is in doubt as well.
-  void removeInDoubt(PartId Part);
+  /// Removes a part that is quarantined from now on. It explains its crashes,
+  /// also in later reports of them; if it is in doubt, whoever else was there
+  /// is in doubt as well.
+  void removeQuarantined(PartId Part, bool IsInDoubt);
 
   struct Conviction {
     PartId Part_ = 0;
--- a/Source/Routing/PromptPartGuard.cpp
+++ b/Source/Routing/PromptPartGuard.cpp
@@ -198,10 +198,7 @@
     }
     if (!Quarantine_.adopt(Part, Known, Now))
       continue;
-    if (Known.IsInDoubt_)
-      Suspects_.removeInDoubt(Part);
-    else
-      Suspects_.explainBy(Part);
+    Suspects_.removeQuarantined(Part, Known.IsInDoubt_);
     fire(Part, PartEvent::Adopted, 0, Known.EvidenceAge_);
   }
 }
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -114,7 +114,7 @@
 
   std::size_t suspects() const { return Suspects_.size(); }
   std::size_t quarantined(TimePoint Now) const {
-    return Quarantine_.report(Now).size();
+    return Quarantine_.count(Now);
   }
 
 private:
--- a/Source/Routing/SoundParts.h
+++ b/Source/Routing/SoundParts.h
@@ -21,8 +21,6 @@
   /// none is remembered.
   std::optional<TimePoint> lastSent(PartId Part) const;
 
-  std::size_t size() const { return Recent_.size() + Earlier_.size(); }
-
 private:
   std::size_t MaxParts_;
   std::unordered_map<PartId, TimePoint> Recent_;
--- a/Source/Serving/FleetTopology.cpp
+++ b/Source/Serving/FleetTopology.cpp
@@ -16,7 +16,7 @@
   Vms_ = Others.size() + 1;
   Rank_ = static_cast<std::size_t>(std::ranges::count_if(
       Others, [&](const auto &Other) { return Other.first < Self_; }));
-  IsSplit_ = Others.size() + 1 > MaxUnsplitVms;
+  IsSplit_ = Vms_ > MaxUnsplitVms;
   Peers_.clear();
   RemoteVms_.clear();
   for (const auto &[Vm, DataCentre] : Others)
