Share the decayed sum, the removal of rows and the signs of cold targets

The detector of outdated loads and the pace of spending had the same decayed sum; the removal of a silent VM's row built the transaction of removal() again; ColdStarts set the same fields at each sign. How a stream ended is a value of its enumeration everywhere now, an error included. No change of behaviour; log fields and metrics keep their names and values.

--- a/Source/Balancing/StaleLoadDetector.h
+++ b/Source/Balancing/StaleLoadDetector.h
@@ -2,6 +2,7 @@
 #define ANVIL_BALANCING_STALELOADDETECTOR_H
 
 #include "Kernel/Clock.h"
+#include "Kernel/DecayedSum.h"
 
 #include <cstddef>
 #include <map>
@@ -33,15 +34,8 @@
                int Slots, TimePoint Now) const;
 
 private:
-  /// An exponentially decayed count of requests.
-  struct Rate {
-    double Requests_ = 0;
-    TimePoint At_{};
-  };
-
-  static double decayed(const Rate &Known, TimePoint Now);
-
-  std::map<std::string, Rate> Rates_;
+  /// The recent requests, by service.
+  std::map<std::string, DecayedSum> Requests_;
 };
 
 } // namespace anvil
--- a/Source/Entry/EngineOwnershipRows.cpp
+++ b/Source/Entry/EngineOwnershipRows.cpp
@@ -261,10 +261,8 @@
   TimePoint Now = BootClock::now();
   std::uint64_t Era = Store_->era().current();
   for (const VmRow &Row : Ownership_.rowsToPurge(Now)) {
-    TableTransaction Change;
-    std::string Key = vmRowKey(Row.Vm_, Era);
-    Change.Checks_.push_back({Key, Row.RowVersion_});
-    Change.Writes_.push_back({Key, std::nullopt});
+    TableRow Expired{vmRowKey(Row.Vm_, Era), "", Row.RowVersion_};
+    TableTransaction Change = removal({std::move(Expired)});
     CommitOutcome Outcome = co_await Store_->commit(std::move(Change));
     logEvent(LogLevel::Info, "silent_vm_removed",
              {{"peer", Row.Vm_}, {"outcome", Outcome.Detail_}});
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -124,7 +124,7 @@
         co_return SendOutcome::Done;
       }
       LastReason_ = "stream_broken";
-      recordStreamEnd("error");
+      recordStreamEnd(StreamEnding::Error);
       recordFailure(Chosen, {}, BootClock::now());
       co_return SendOutcome::Broken;
     }
@@ -155,7 +155,7 @@
   StreamEnding Ending = StreamEnding::Complete;
   if (Response.EventStream_)
     Ending = EndCheck.ending(Framing_ == BodyFraming::UntilClose);
-  recordStreamEnd(enumName(Ending, StreamEndingNames));
+  recordStreamEnd(Ending);
   if (Ending != StreamEnding::Complete) {
     LastReason_ = "stream_incomplete";
     recordFailure(Chosen, {}, BootClock::now());
@@ -246,12 +246,17 @@
   logReply(IsSent, "refused", Status);
 }
 
-void RequestRun::recordStreamEnd(std::string_view Ending) {
+void RequestRun::recordStreamEnd(StreamEnding Ending) {
   StreamEnd_ = Ending;
   Shared_.Metrics_->count(
       "anvil_target_streams_total",
       {{"framing", std::string(enumName(Framing_, BodyFramingNames))},
-       {"end", std::string(Ending)}});
+       {"end", std::string(streamEndName())}});
+}
+
+std::string_view RequestRun::streamEndName() const {
+  return StreamEnd_ ? enumName(*StreamEnd_, StreamEndingNames)
+                    : std::string_view();
 }
 
 void RequestRun::countResult(std::string_view Outcome, int Status,
@@ -307,7 +312,7 @@
        {"sends", Sends_},
        {"runs", Runs_},
        {"framing", enumName(Framing_, BodyFramingNames)},
-       {"stream_end", StreamEnd_},
+       {"stream_end", streamEndName()},
        {"adapter_wait_ms", toMillis(AdapterWait_)},
        {"adapter_missing_sends", Wait_.missingSends()},
        {"adapter_expected_ms",
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -245,7 +245,7 @@
               {"sends", Sends_},
               {"runs", Runs_},
               {"framing", enumName(Framing_, BodyFramingNames)},
-              {"stream_end", StreamEnd_},
+              {"stream_end", streamEndName()},
               {"running", Chosen.Running_},
               {"cost", Chosen.Cost_}});
   bool MustExclude = End != SendOutcome::Done &&
@@ -363,7 +363,7 @@
     co_return SendOutcome::Lost;
   }
   Framing_ = Connection_.framing();
-  StreamEnd_ = {};
+  StreamEnd_.reset();
   auto Response = platform::decodeTargetResponse(valueOf(Head));
   applyTargetHeaders(Chosen, Response, SentAt, Now);
   bool IsMissing = Response.Status_ == 421;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -141,7 +141,10 @@
   /// Logs the end of a request whose connection to the caller is closed.
   void logDisconnect(int Status);
   /// Counts and keeps for the log how a target's stream ended.
-  void recordStreamEnd(std::string_view Ending);
+  void recordStreamEnd(StreamEnding Ending);
+  /// The name of how the last target's stream ended, for logs; empty if there
+  /// was none.
+  std::string_view streamEndName() const;
   void countResult(std::string_view Outcome, int Status, TimePoint Now);
   Duration timeLeft() const;
   /// Whether the deadline has passed or this VM has stopped serving.
@@ -180,9 +183,9 @@
   TimePoint SentAt_{};
   LongRunDetector LongRun_;
   /// How the last response of a target marked its end, and how its stream
-  /// ended; empty if there was none.
+  /// ended.
   BodyFraming Framing_ = BodyFraming::None;
-  std::string_view StreamEnd_;
+  std::optional<StreamEnding> StreamEnd_;
   TimePoint FirstByteAt_{};
   TimePoint LastChunkAt_{};
   Duration LongestGap_{};
--- a/Source/Evacuation/ColdStarts.cpp
+++ b/Source/Evacuation/ColdStarts.cpp
@@ -70,24 +70,17 @@
     return std::nullopt;
   if (IsCold) {
     applyStatement(*Of, *Entry.ColdRemaining_, *Plan, Now);
-    Of->Sign_ = ColdSign::Entry;
-    Of->SignAt_ = Now;
-    Of->EntrySaidCold_ = true;
+    Of->setSign(ColdSign::Entry, Now);
   } else if (Entry.ColdRemaining_) {
     // An entry may be older than what the other signs showed, unless an entry
     // has said since then that the target is cold.
     bool EndsSign = Of->EntrySaidCold_ || Of->Sign_ == ColdSign::NewIncarnation;
-    if (EndsSign) {
-      Of->AssumedUntil_ = {};
-      Of->StatedUntil_ = {};
-      Of->Stated_.reset();
-    }
+    if (EndsSign)
+      Of->endTimes();
     Of->EntrySaidCold_ = false;
   } else if (IsNew) {
     Of->AssumedUntil_ = Now + Plan->Time_;
-    Of->Sign_ = ColdSign::NewIncarnation;
-    Of->SignAt_ = Now;
-    Of->EntrySaidCold_ = false;
+    Of->setSign(ColdSign::NewIncarnation, Now);
   }
   return report(Entry.Id_, *Of, Of->Sign_, Now);
 }
@@ -101,9 +94,7 @@
     return std::nullopt;
   Of->AssumedUntil_ = Now + Plan->Time_;
   Of->Stated_.reset();
-  Of->Sign_ = Sign;
-  Of->SignAt_ = Now;
-  Of->EntrySaidCold_ = false;
+  Of->setSign(Sign, Now);
   return report(Target.Id_, *Of, Sign, Now);
 }
 
@@ -130,13 +121,9 @@
     return std::nullopt;
   if (IsCold) {
     applyStatement(*Of, Remaining, *Plan, Now);
-    Of->Sign_ = ColdSign::Response;
-    Of->SignAt_ = Now;
-    Of->EntrySaidCold_ = false;
+    Of->setSign(ColdSign::Response, Now);
   } else if (SentAt > Of->SignAt_) {
-    Of->AssumedUntil_ = {};
-    Of->StatedUntil_ = {};
-    Of->Stated_.reset();
+    Of->endTimes();
   }
   return report(Target.Id_, *Of, ColdSign::Response, Now);
 }
--- a/Source/Evacuation/ColdStarts.h
+++ b/Source/Evacuation/ColdStarts.h
@@ -134,6 +134,20 @@
     /// Whether `ColdChange` values have reported it as cold.
     bool IsReported_ = false;
 
+    /// Records the last sign of a cold target.
+    void setSign(ColdSign Sign, TimePoint Now) {
+      Sign_ = Sign;
+      SignAt_ = Now;
+      EntrySaidCold_ = Sign == ColdSign::Entry;
+    }
+
+    /// Forgets the times for which the target is cold.
+    void endTimes() {
+      AssumedUntil_ = {};
+      StatedUntil_ = {};
+      Stated_.reset();
+    }
+
     TimePoint until() const { return std::max(AssumedUntil_, StatedUntil_); }
   };
 
--- a/Source/Serving/SpendingPace.cpp
+++ b/Source/Serving/SpendingPace.cpp
@@ -1,14 +1,9 @@
 #include "Serving/SpendingPace.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace anvil {
 
-/// The time constant of recent spending: several intervals between state
-/// updates of a large fleet.
-static constexpr double RecentSeconds = 2;
-
 /// For how long the pace applies after a refusal.
 static constexpr Duration PaceTime = std::chrono::seconds(1);
 
@@ -16,15 +11,6 @@
 /// bucket is full.
 static constexpr double MaxPaceIncrease = 2;
 
-double SpendingPace::RecentTokens::at(TimePoint Now) const {
-  return Sum_ * std::exp(-std::max(0.0, toSeconds(Now - At_)) / RecentSeconds);
-}
-
-void SpendingPace::RecentTokens::add(double Tokens, TimePoint Now) {
-  Sum_ = std::max(0.0, at(Now) + Tokens);
-  At_ = std::max(At_, Now);
-}
-
 void SpendingPace::recordOwn(double Tokens, TimePoint Now) {
   Own_.add(Tokens, Now);
   All_.add(Tokens, Now);
@@ -47,8 +33,8 @@
     return 0;
   double Part = 1 / static_cast<double>(std::max<std::size_t>(1, Shared.Vms_));
   // Callers of the customer may reach few VMs.
-  if (All_.Sum_ > 0)
-    Part = std::clamp(Own_.at(All_.At_) / All_.Sum_, Part, 1.0);
+  if (All_.last() > 0)
+    Part = std::clamp(Own_.at(All_.lastAt()) / All_.last(), Part, 1.0);
   double Fill = std::clamp(Shared.Balance_ / Shared.Capacity_, 0.0, 1.0);
   return Part * Shared.RatePerSecond_ * (1 + MaxPaceIncrease * Fill);
 }
--- a/Source/Serving/SpendingPace.h
+++ b/Source/Serving/SpendingPace.h
@@ -2,6 +2,7 @@
 #define ANVIL_SERVING_SPENDINGPACE_H
 
 #include "Kernel/Clock.h"
+#include "Kernel/DecayedSum.h"
 
 #include <cstddef>
 
@@ -44,20 +45,15 @@
   Duration waitFor(double Tokens, const SharedBucket &Shared) const;
 
 private:
-  /// An exponentially decayed sum.
-  struct RecentTokens {
-    double Sum_ = 0;
-    TimePoint At_{};
-
-    double at(TimePoint Now) const;
-    void add(double Tokens, TimePoint Now);
-  };
+  /// The time constant of recent spending: several intervals between state
+  /// updates of a large fleet.
+  static constexpr double RecentSeconds = 2;
 
   /// The tokens per second that this VM may spend.
   double rate(const SharedBucket &Shared) const;
 
-  RecentTokens Own_;
-  RecentTokens All_;
+  DecayedSum Own_{RecentSeconds};
+  DecayedSum All_{RecentSeconds};
   double Available_ = 0;
   TimePoint UpdatedAt_{};
   TimePoint AppliesUntil_{};
--- a/Source/Serving/StreamEnding.h
+++ b/Source/Serving/StreamEnding.h
@@ -7,7 +7,7 @@
 
 namespace anvil {
 
-/// How a stream of server-sent events ended whose transfer reported no error.
+/// How a stream of server-sent events ended.
 enum class StreamEnding {
   Complete,
   /// The last event has no blank line after it: the target broke off.
@@ -15,6 +15,8 @@
   /// The connection closed before the first byte and nothing else marked the
   /// end of the body.
   Empty,
+  /// The transfer ended with an error.
+  Error,
 };
 
 inline constexpr std::pair<StreamEnding, std::string_view> StreamEndingNames[] =
@@ -22,6 +24,7 @@
         {StreamEnding::Complete, "complete"},
         {StreamEnding::InsideEvent, "inside_event"},
         {StreamEnding::Empty, "empty"},
+        {StreamEnding::Error, "error"},
 };
 
 /// Follows one target's stream of server-sent events to tell whether its end is
@@ -32,7 +35,8 @@
   /// Adds the bytes that the target sent next.
   void append(std::string_view Bytes);
 
-  /// The ending of the stream if nothing follows. `EndsWithConnection` says
+  /// The ending of the stream if nothing follows and the transfer reported no
+  /// error. `EndsWithConnection` says
   /// that only the end of the connection marked the end of the body.
   StreamEnding ending(bool EndsWithConnection) const;
 
