--- a/Tests/Routing/PromptPartLoad.h
+++ b/Tests/Routing/PromptPartLoad.h
@@ -3,6 +3,7 @@
 
 #include "Routing/PromptPartGuard.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <random>
@@ -12,8 +13,8 @@
 
 /// A load on a fleet of guards in which some prompts crash their targets.
 struct PromptPartPlan {
-  int Vms_ = 8;
-  int Targets_ = 18;
+  std::size_t Vms_ = 8;
+  std::size_t Targets_ = 18;
   double SoundPerSecond_ = 90;
   double DeadlyPerSecond_ = 4.5;
   /// Whether the part that crashes targets is the first of its prompts instead
@@ -25,8 +26,8 @@
   bool IsColdStart_ = false;
   /// The number of VMs that hear nothing from the others from 2 to 8 s after
   /// the first deadly request, and of those that start again at 6 s.
-  int CutVms_ = 0;
-  int RestartedVms_ = 0;
+  std::size_t CutVms_ = 0;
+  std::size_t RestartedVms_ = 0;
   double LostReports_ = 0.05;
   Duration ReportPeriod_ = std::chrono::milliseconds(200);
   unsigned Seed_ = 1;
@@ -62,8 +63,8 @@
     TimePoint InTouchSince_{};
   };
   struct Request {
-    int Vm_ = 0;
-    int Target_ = 0;
+    std::size_t Vm_ = 0;
+    std::size_t Target_ = 0;
     int Life_ = 0;
     std::vector<PartId> Parts_;
     TimePoint SentAt_{};
@@ -75,10 +76,10 @@
   void sendSound();
   void sendDeadly();
   bool place(Request &Sent);
-  void crash(int Index);
-  void report(int Index);
+  void crash(std::size_t Index);
+  void report(std::size_t Index);
   bool isUp(const Request &Of) const;
-  bool isCut(int Index) const;
+  bool isCut(std::size_t Index) const;
   Duration nextArrival(double PerSecond);
   TargetInstance instanceOf(const Request &Of) const;
 
@@ -91,7 +92,7 @@
   std::vector<Target> Targets_;
   std::vector<Vm> Vms_;
   /// Running requests by target.
-  std::map<int, std::vector<Request>> Running_;
+  std::map<std::size_t, std::vector<Request>> Running_;
   std::vector<TimePoint> CrashTimes_;
   PromptPartResult Result_;
 };
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -20,7 +20,11 @@
 
 HttpReply RegisteredTargetStandin::sealed(int Status, const std::string &Body,
                                           const HttpRequest &Request) const {
-  HttpReply Reply = jsonReply(Status, Body);
+  return seal(jsonReply(Status, Body), Request);
+}
+
+HttpReply RegisteredTargetStandin::seal(HttpReply Reply,
+                                        const HttpRequest &Request) const {
   Reply.Headers_.add("X-Server-Seal", "seal-of-" + Id_);
   if (auto RequestId = Request.Headers_.find("X-Request-Id"))
     Reply.Headers_.add("X-Request-Id", *RequestId);
@@ -87,20 +91,19 @@
 }
 
 HttpReplyHead
-RegisteredTargetStandin::streamHead(const HttpRequest &Request) const {
-  HttpReplyHead Head;
-  Head.Headers_.add("Content-Type", "text/event-stream");
-  for (const HttpHeader &Header : sealed(200, "", Request).Headers_)
-    if (Header.Name_ != "Content-Type")
-      Head.Headers_.add(Header.Name_, Header.Value_);
-  return Head;
+RegisteredTargetStandin::streamHead(const HttpRequest &Request,
+                                    std::string_view ContentType) const {
+  HttpReply Reply{200, {{"Content-Type", std::string(ContentType)}}, {}};
+  Reply = seal(std::move(Reply), Request);
+  return {Reply.Status_, std::move(Reply.Headers_)};
 }
 
 asio::awaitable<void> RegisteredTargetStandin::stream(HttpExchange &Exchange) {
   int From = 0;
   if (auto LastEventId = Exchange.request().Headers_.find("Last-Event-Id"))
     From = std::stoi(std::string(*LastEventId));
-  co_await Exchange.startStream(streamHead(Exchange.request()));
+  co_await Exchange.startStream(
+      streamHead(Exchange.request(), "text/event-stream"));
   std::string_view Prompt =
       Exchange.request().Headers_.find("X-Prompt-Prefix").value_or("");
   if (!DeadlyPart_.empty() && Prompt.find(DeadlyPart_) != Prompt.npos)
@@ -122,9 +125,8 @@
 
 asio::awaitable<void>
 RegisteredTargetStandin::respondInParts(HttpExchange &Exchange) {
-  HttpReply Head = sealed(200, "", Exchange.request());
-  HttpReplyHead StreamHead{200, Head.Headers_};
-  co_await Exchange.startStream(std::move(StreamHead));
+  co_await Exchange.startStream(
+      streamHead(Exchange.request(), "application/json"));
   co_await Exchange.write("{");
   co_await pauseFor(std::chrono::milliseconds(HoldMs_));
   co_await Exchange.write("}");
@@ -133,9 +135,8 @@
 
 asio::awaitable<void>
 RegisteredTargetStandin::respondEndlessly(HttpExchange &Exchange) {
-  HttpReply Head = sealed(200, "", Exchange.request());
-  HttpReplyHead StreamHead{200, Head.Headers_};
-  co_await Exchange.startStream(std::move(StreamHead));
+  co_await Exchange.startStream(
+      streamHead(Exchange.request(), "application/json"));
   const std::string Piece(65536, 'x');
   while (co_await Exchange.write(Piece)) {
   }
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -41,7 +41,10 @@
   HttpReply order(const HttpRequest &Request);
   HttpReply report() const;
   HttpReply control(const HttpRequest &Request);
-  HttpReplyHead streamHead(const HttpRequest &Request) const;
+  HttpReplyHead streamHead(const HttpRequest &Request,
+                           std::string_view ContentType) const;
+  /// Adds the headers by which a target marks a reply as its own.
+  HttpReply seal(HttpReply Reply, const HttpRequest &Request) const;
   HttpReply sealed(int Status, const std::string &Body,
                    const HttpRequest &Request) const;
   HttpReply withExtraHeaders(HttpReply Reply) const;
