--- a/review/2/old-version.cpp
+++ b/review/4/old-version.cpp
@@ -123,7 +123,7 @@
 
 static int run(const TemporaryDirectory &Directory) {
   // The threads of the stand-ins use these until the process ends.
-  auto &Log = *new Record("review/2/record.txt");
+  auto &Log = *new Record("review/4/record.txt");
   auto &Seen = *new Outcome;
   auto &Platform = *new Store;
   auto &Weights = *new WeightStore;
--- a/review/common/LlmEngine.h
+++ b/review/common/LlmEngine.h
@@ -10,16 +10,18 @@
 
 /// The size of a stand-in model engine.
 struct LlmEngineOptions {
-  std::string Id_;
-  std::string Service_;
-  std::string Zone_;
-  std::string Model_;
+  std::string Id_ = {};
+  std::string Service_ = {};
+  std::string Zone_ = {};
+  std::string Model_ = {};
   std::size_t Slots_ = 32;
   /// How many more requests wait for a slot.
   std::size_t Queue_ = 96;
   std::size_t MaxAdapters_ = 21;
   /// The adapters that it holds at its start.
-  std::set<std::string> Held_;
+  std::set<std::string> Held_ = {};
+  /// The address that it registers; its own if empty.
+  std::string Address_ = {};
 };
 
 /// The weight store that the engines share: a load takes its time while no more
@@ -41,6 +43,8 @@
     for (const std::string &Adapter : Options_.Held_)
       Adapters_[Adapter] = {};
     Server_.listen(ownAddress(1), [this](Channel &Caller) { serve(Caller); });
+    if (Options_.Address_.empty())
+      Options_.Address_ = Server_.endpoint();
     publish();
     std::thread([this] {
       while (true) {
@@ -52,6 +56,11 @@
 
   const std::string &id() const { return Options_.Id_; }
 
+  int port() const { return Server_.port(); }
+
+  /// Called with each order that arrives.
+  std::function<void(const json &)> OnOrder_;
+
   /// Called with each request that begins to run.
   std::function<void(const Request &)> OnRun_;
 
@@ -107,7 +116,7 @@
       std::lock_guard Lock(Mutex_);
       json Ignored = json::array();
       Entry = {{"Service", Options_.Service_},
-               {"Address", Server_.endpoint()},
+               {"Address", Options_.Address_},
                {"Zone", Options_.Zone_},
                {"Version", "v1"},
                {"Slots", Options_.Slots_},
@@ -137,6 +146,8 @@
     if (!Body.is_object() || !Body.contains("Holder") ||
         !Body.contains("Fence"))
       return 400;
+    if (OnOrder_)
+      OnOrder_(Body);
     std::lock_guard Lock(Mutex_);
     std::string Name = Body.value("Adapter", "");
     if (Body.value("Precondition", Orders_) != Orders_)
