--- a/review/2/held-order.cpp
+++ b/review/2/held-order.cpp
@@ -1,7 +1,8 @@
 // The entry VM that gives an engine its orders is cut off from the store and
-// from the engine, with an order on its way. Another VM takes the engine over.
-// Then the cut heals, and the sender's TCP sends again what it still holds. The
-// program looks for orders with a lower fencing token after a higher one.
+// from the engine. While its lease still runs it sends one more order, which
+// the link holds. Another VM takes the engine over. Then the cut heals, and the
+// sender's TCP sends again what it holds. The program looks for orders with a
+// lower fencing token after a higher one.
 
 #include "../common/LlmEngine.h"
 
@@ -20,16 +21,21 @@
 /// time after twice the pause before.
 static constexpr double FirstResendSeconds = 0.2;
 
-/// The age of the owner's last renewal at the start of the cut.
-static constexpr double MinRenewalAge = 1.5;
-static constexpr double MaxRenewalAge = 2.75;
+/// At the start of the cut the owner's last renewal is no older than this, and
+/// the other VM has read it at least this long ago.
+static constexpr double MaxRenewalAge = 2.8;
+static constexpr double MinSeenAge = 0.5;
 
 /// When the last cut may begin at the latest. A second one follows if the first
 /// has broken no rule.
-static constexpr double LastCutBefore = 95;
+static constexpr double LastCutBefore = 78;
 static constexpr int MaxCuts = 2;
-static constexpr double SecondsAfterCut = 5;
-static constexpr int Clients = 24;
+static constexpr double SecondsAfterCut = 6;
+static constexpr int Clients = 6;
+
+/// The engine's places for adapters. All are in use by streams most of the
+/// time, so that the owner orders every few seconds.
+static constexpr int Places = 2;
 
 static const std::string Host = "briefs.example";
 static const std::string Key = "key-of-the-tenant";
@@ -41,7 +47,8 @@
   std::atomic<bool> IsArmed_ = false;
   std::atomic<double> CutFrom_ = 1e9;
   double RenewedAt_ = -1;
-  bool IsRenewalSeen_ = false;
+  /// When the other VM first read that renewal; negative before.
+  double SeenAt_ = -1;
   std::map<std::string, int> Orders_;
   std::uint64_t HighestFence_ = 0;
   std::string HighestHolder_;
@@ -53,7 +60,7 @@
   bool takesCut() {
     std::lock_guard Lock(Mutex_);
     double Age = now() - RenewedAt_;
-    bool IsDue = IsArmed_ && IsRenewalSeen_ && Age > MinRenewalAge &&
+    bool IsDue = IsArmed_ && SeenAt_ >= 0 && now() - SeenAt_ > MinSeenAge &&
                  Age < MaxRenewalAge;
     if (IsDue)
       IsArmed_ = false;
@@ -147,10 +154,6 @@
       bool IsOpen = Caller.fill(now() + 120);
       std::string Bytes = Caller.takeBuffer();
       bool IsOrder = Bytes.find("/api/order") != std::string::npos;
-      if (IsOrder && Machine == Seen_.Owner_ && Seen_.takesCut()) {
-        Seen_.CutFrom_ = now();
-        Log_.line("the owner is cut off from the store and the engine");
-      }
       double SentAt = now();
       if (Seen_.isCut(Machine)) {
         if (IsOrder)
@@ -267,11 +270,12 @@
   std::lock_guard Lock(Seen.Mutex_);
   if (Machine == Seen.Owner_ && Asked.path() == "/api/rows-tx") {
     Seen.RenewedAt_ = now();
-    Seen.IsRenewalSeen_ = false;
+    Seen.SeenAt_ = -1;
   }
   if (Machine >= 0 && Machine != Seen.Owner_ &&
-      Asked.path() == "/api/rows-get" && Asked.query("Table") == "anvil")
-    Seen.IsRenewalSeen_ = true;
+      Asked.path() == "/api/rows-get" && Asked.query("Table") == "anvil" &&
+      Seen.SeenAt_ < 0)
+    Seen.SeenAt_ = now();
   return true;
 }
 
@@ -301,7 +305,7 @@
     return reachesStore(Machine, Asked, Seen);
   };
   LlmEngineOptions Size{
-      "i-m1", "brief-writer", "tx-central-a", "daka", 32, 96, 21,
+      "i-m1", "brief-writer", "tx-central-a", "daka", 32, 96, Places,
       {},     Link.endpoint()};
   Platform.put("op", "config",
                config(json::array({streamRoute("route-brief", Host,
@@ -309,6 +313,7 @@
                       json::array({llmService(Size.Service_, Size)}),
                       json::array({tenant("commuters", Key, 120767, 120767)})));
   auto &Engine = *new LlmEngine(Size, Weights, Platform, Log);
+  Engine.Length_ = [](const Request &) { return std::pair(80, 0.05); };
   Engine.OnOrder_ = [&](const json &Body) { recordOrder(Body, Log, Seen); };
   std::vector<std::unique_ptr<EntryVm>> Entries;
   std::vector<pid_t> Processes;
@@ -334,18 +339,20 @@
     Log.line("the engine's owner: " + Owner);
     std::lock_guard Lock(Seen.Mutex_);
     Seen.CutFrom_ = 1e9;
-    Seen.IsRenewalSeen_ = false;
+    Seen.SeenAt_ = -1;
     bool IsFirst =
         Owner.find("@" + Entries[0]->address() + "\"") != std::string::npos;
     Seen.Owner_ = IsFirst ? 0 : 1;
   };
   FindOwner();
+  // The clients reach the VM that isn't cut off.
+  int FirstOwner = Seen.Owner_;
   std::atomic<bool> IsOver = false;
   std::vector<std::thread> Threads;
   for (int Number = 0; Number < Clients; ++Number)
     Threads.emplace_back([&, Number] {
-      runClient(Number, *Entries[static_cast<std::size_t>(Number % 2)], IsOver,
-                Seen);
+      runClient(Number, *Entries[static_cast<std::size_t>(1 - FirstOwner)],
+                IsOver, Seen);
     });
   sleepFor(8);
   bool IsDone = !isTroubled();
@@ -353,8 +360,10 @@
     if (Cut > 0)
       FindOwner();
     Seen.IsArmed_ = true;
-    if (!eventually(LastCutBefore - now(), [&] { return Seen.CutFrom_ < 1e8; }))
+    if (!eventually(LastCutBefore - now(), [&] { return Seen.takesCut(); }))
       break;
+    Seen.CutFrom_ = now();
+    Log.line("the owner is cut off from the store and the engine");
     IsDone = true;
     sleepFor(CutSeconds + SecondsAfterCut);
   }
