--- a/review/build.sh
+++ b/review/build.sh
@@ -5,9 +5,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+Builds=()
 for Source in review/[1-5]/*.cpp; do
   [ -e "$Source" ] || continue
   Name=$(basename "$Source" .cpp)
   g++ -std=c++20 -O1 -Wall -Wextra -pthread "$Source" -o "target/review/$Name" &
+  Builds+=($!)
+done
+for Build in "${Builds[@]}"; do
+  wait "$Build"
 done
-wait
--- a/review/common/LlmEngine.h
+++ b/review/common/LlmEngine.h
@@ -20,8 +20,6 @@
   std::size_t MaxAdapters_ = 21;
   /// The adapters that it holds at its start.
   std::set<std::string> Held_ = {};
-  /// The address that it registers; its own if empty.
-  std::string Address_ = {};
 };
 
 /// The weight store that the engines share: a load takes its time while no more
@@ -43,8 +41,6 @@
     for (const std::string &Adapter : Options_.Held_)
       Adapters_[Adapter] = {};
     Server_.listen(ownAddress(1), [this](Channel &Caller) { serve(Caller); });
-    if (Options_.Address_.empty())
-      Options_.Address_ = Server_.endpoint();
     publish();
     std::thread([this] {
       while (true) {
@@ -56,11 +52,6 @@
 
   const std::string &id() const { return Options_.Id_; }
 
-  int port() const { return Server_.port(); }
-
-  /// Called with each order that arrives.
-  std::function<void(const json &)> OnOrder_;
-
   /// Called with each request that begins to run.
   std::function<void(const Request &)> OnRun_;
 
@@ -116,7 +107,7 @@
       std::lock_guard Lock(Mutex_);
       json Ignored = json::array();
       Entry = {{"Service", Options_.Service_},
-               {"Address", Options_.Address_},
+               {"Address", Server_.endpoint()},
                {"Zone", Options_.Zone_},
                {"Version", "v1"},
                {"Slots", Options_.Slots_},
@@ -146,8 +137,6 @@
     if (!Body.is_object() || !Body.contains("Holder") ||
         !Body.contains("Fence"))
       return 400;
-    if (OnOrder_)
-      OnOrder_(Body);
     std::lock_guard Lock(Mutex_);
     std::string Name = Body.value("Adapter", "");
     if (Body.value("Precondition", Orders_) != Orders_)
--- a/review/common/Net.h
+++ b/review/common/Net.h
@@ -138,10 +138,6 @@
   }
 
   bool isOpen() const { return Fd_ >= 0; }
-  int descriptor() const { return Fd_; }
-
-  /// Takes the bytes that were read and not used yet.
-  std::string takeBuffer() { return std::exchange(Buffer_, {}); }
 
   void close() {
     if (Fd_ >= 0)
--- a/review/common/Platform.h
+++ b/review/common/Platform.h
@@ -88,23 +88,11 @@
 class Store {
 public:
   void listen(const std::string &Address) {
-    Server_.listen(Address, [this](Channel &Caller) { serve(Caller, -1); });
+    Server_.listen(Address, [this](Channel &Caller) { serve(Caller); });
   }
 
   std::string endpoint() const { return Server_.endpoint(); }
 
-  /// Serves one machine at an endpoint of its own; returns that.
-  std::string listenFor(int Machine, const std::string &Address) {
-    auto &Own = *Servers_.emplace_back(std::make_unique<Server>());
-    Own.listen(Address,
-               [this, Machine](Channel &Caller) { serve(Caller, Machine); });
-    return Own.endpoint();
-  }
-
-  /// Whether a call of a machine reaches the store; without an answer its
-  /// channel delivers nothing further.
-  std::function<bool(int Machine, const Request &)> Reaches_;
-
   /// Writes a row as the operator or an engine does. Its return is the
   /// confirmation.
   void put(const std::string &Table, const std::string &Key,
@@ -232,14 +220,9 @@
     return {200, envelope()};
   }
 
-  void serve(Channel &Caller, int Machine) {
+  void serve(Channel &Caller) {
     const Headers Json{{"Content-Type", "application/json"}};
     while (auto Asked = Caller.readRequest(now() + 600)) {
-      if (Reaches_ && !Reaches_(Machine, *Asked)) {
-        while (Caller.fill(now() + 60)) {
-        }
-        return;
-      }
       std::pair<int, json> Reply{404, json::object()};
       if (Asked->path() == "/api/rows-get")
         Reply = {200, get(*Asked)};
@@ -253,7 +236,6 @@
   }
 
   Server Server_;
-  std::vector<std::unique_ptr<Server>> Servers_;
   std::mutex Mutex_;
   std::condition_variable Changed_;
   std::map<std::string, std::map<std::string, Row>> Tables_;
@@ -343,7 +325,6 @@
   }
 
   int waitStatus() const { return WaitStatus_; }
-  pid_t process() const { return Child_; }
 
   bool isReady() const {
     Channel Check;
