Never take a repeated answer for that of a later send

Cause: a request that an engine refused is sent again, often on the same kept connection. An id names the request and not one of its sends, so a second copy of the refusal counted as the answer to the next send, which the engine ran. The same holds for a refusal without an id, which counted as the answer to whatever request came next on the connection.

Change: a connection keeps the ids that it has carried. A request is never sent twice on one connection, and a connection on which an answer had no id is closed after it, so that any copy of an earlier answer differs from the one awaited. The standalone gateway uses the same pool and the same rule; there, plain services that don't name the request get a connection for each request. Copies are logged (foreign_reply) and counted (anvil_foreign_replies_total).

--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -257,8 +257,8 @@
 }
 
 asio::awaitable<bool> RequestRun::connect(const TargetChoice &Chosen) {
-  Connection_ =
-      Shared_.Pool_.acquireConnection(Chosen.Address_, BootClock::now());
+  Connection_ = Shared_.Pool_.acquireConnection(
+      Chosen.Address_, BootClock::now(), Request_.Fields_.RequestId_);
   if (Connection_.reusable())
     co_return true;
   Shared_.Metrics_->count("anvil_target_connections_total");
@@ -290,14 +290,19 @@
 
 asio::awaitable<Result<HttpReplyHead>>
 RequestRun::readMatchingHead(Result<HttpReplyHead> Head, Duration Timeout) {
-  // The reply to an earlier request may arrive late on a reused connection.
+  // The reply to an earlier request may arrive late, or once more, on a reused
+  // connection. Replies without an id are of this request, since a connection
+  // that has had one isn't reused.
   TimePoint Deadline = BootClock::now() + Timeout;
   while (isOk(Head)) {
     auto Response = platform::decodeTargetResponse(valueOf(Head));
     bool IsOwn = Response.RequestId_.empty() ||
                  Response.RequestId_ == Request_.Fields_.RequestId_;
+    if (Response.RequestId_.empty())
+      Connection_.carried().recordUnnamedAnswer();
     if (IsOwn)
       co_return Head;
+    recordForeignReply(Response);
     while (true) {
       auto Chunk = co_await Connection_.readPart(Deadline - BootClock::now());
       if (!isOk(Chunk))
@@ -313,6 +318,18 @@
   co_return Head;
 }
 
+void RequestRun::recordForeignReply(const platform::TargetResponse &Response) {
+  Shared_.Metrics_->count("anvil_foreign_replies_total",
+                          {{"target", LastTarget_}});
+  logEvent(LogLevel::Warning, "foreign_reply",
+           {{"request", Request_.Fields_.RequestId_},
+            {"target", LastTarget_},
+            {"reply_to", Response.RequestId_},
+            {"status", Response.Status_},
+            {"not_executed", Response.NotExecuted_},
+            {"sends", Sends_}});
+}
+
 asio::awaitable<RequestRun::SendOutcome>
 RequestRun::sendTo(const TargetChoice &Chosen) {
   TimePoint SentAt = BootClock::now();
@@ -354,6 +371,7 @@
   TimePoint RequestSentAt = BootClock::now();
   SentAt_ = RequestSentAt;
   LongRun_ = LongRunDetector();
+  Connection_.carried().recordRequest(Request_.Fields_.RequestId_);
   auto Head = co_await Connection_.exchange(Outgoing, Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   TimePoint Now = BootClock::now();
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -91,6 +91,8 @@
   boost::asio::awaitable<bool> connect(const TargetChoice &Chosen);
   boost::asio::awaitable<Result<HttpReplyHead>>
   readMatchingHead(Result<HttpReplyHead> Head, Duration Timeout);
+  /// Records that a target sent the reply to another request.
+  void recordForeignReply(const platform::TargetResponse &Response);
   boost::asio::awaitable<SendOutcome>
   forwardReply(const TargetChoice &Chosen, HttpReplyHead Head,
                const platform::TargetResponse &Response);
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -255,8 +255,8 @@
   const RequestContext &Request = Admitted.Context_;
   HttpConnection Connection;
   if (Request.Repeatable_)
-    Connection =
-        Connections_.acquireConnection(Held.Address_, BootClock::now());
+    Connection = Connections_.acquireConnection(Held.Address_, BootClock::now(),
+                                                Request.RequestId_);
   auto Cancel = [&Connection, &Exchange] {
     Connection.close();
     Exchange.abort();
--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -22,11 +22,15 @@
 /// The maximum number of times that one stream is resumed.
 static constexpr int MaxResumes = 2;
 
+/// The header that names the request to which a response belongs.
+static constexpr std::string_view RequestIdHeader = "X-Request-Id";
+
 /// Whether the head of a response belongs to the request.
 static bool matchesRequest(const HttpReplyHead &Head,
                            const RequestContext &Request) {
-  auto Id = Head.Headers_.find("X-Request-Id");
-  // Plain services need not support request ids; engines must.
+  auto Id = Head.Headers_.find(RequestIdHeader);
+  // Plain services need not support request ids; engines must. A connection
+  // that has had a response without an id isn't reused.
   if (!Id && Request.Adapter_.empty())
     return true;
   if (!Id || *Id != Request.RequestId_)
@@ -67,6 +71,7 @@
       co_return Attempt;
     }
   }
+  Connection.carried().recordRequest(Request.RequestId_);
   Duration Left = Request.Deadline_ - BootClock::now();
   auto Head = co_await Connection.exchange(Admitted.Outgoing_,
                                            std::max(Left, Duration(1)));
@@ -76,6 +81,8 @@
     co_return Attempt;
   }
   const HttpReplyHead &Given = valueOf(Head);
+  if (!Given.Headers_.find(RequestIdHeader))
+    Connection.carried().recordUnnamedAnswer();
   if (!matchesRequest(Given, Request)) {
     Connection.close();
     fail(Attempt, {ErrorCode::Protocol, Held.Target_,
--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -13,19 +13,34 @@
 
 HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
                                                  TimePoint Now) {
+  return acquire(Server, Now, [](const HttpConnection &) { return true; });
+}
+
+HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
+                                                 TimePoint Now,
+                                                 std::string_view RequestId) {
+  return acquire(Server, Now, [&](const HttpConnection &Pooled) {
+    return Pooled.carried().canIdentify(RequestId);
+  });
+}
+
+HttpConnection ConnectionPool::acquire(const Endpoint &Server, TimePoint Now,
+                                       const Filter &IsSuitable) {
   prune(Now);
   auto Found = Servers_.find(Server.text());
   if (Found == Servers_.end())
     return HttpConnection();
   // The one used most recently is the least likely to have been closed by the
   // server.
-  while (!Found->second.empty()) {
-    Idle Last = std::move(Found->second.back());
-    Found->second.pop_back();
+  auto &Pooled = Found->second;
+  for (std::size_t Index = Pooled.size(); Index-- > 0;) {
+    if (!IsSuitable(Pooled[Index].Connection_))
+      continue;
+    Idle Last = std::move(Pooled[Index]);
+    Pooled.erase(Pooled.begin() + static_cast<std::ptrdiff_t>(Index));
     --Size_;
-    HttpConnection Pooled = std::move(Last.Connection_);
-    if (Last.Until_ > Now && Pooled.isIdle())
-      return Pooled;
+    if (Last.Until_ > Now && Last.Connection_.isIdle())
+      return std::move(Last.Connection_);
   }
   return HttpConnection();
 }
@@ -34,7 +49,9 @@
                                       HttpConnection Used, TimePoint Now,
                                       Duration Keep) {
   prune(Now);
-  if (!Used.reusable() || Size_ >= MaxIdleTotal)
+  bool IsKept =
+      Used.reusable() && Used.carried().mayCarryMore() && Size_ < MaxIdleTotal;
+  if (!IsKept)
     return;
   auto &Pooled = Servers_[Server.text()];
   if (Pooled.size() >= MaxIdlePerServer)
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -4,8 +4,10 @@
 #include "Http/HttpConnection.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace anvil {
 
@@ -17,8 +19,13 @@
   /// Returns an idle connection to the server, or one that is not open yet.
   HttpConnection acquireConnection(const Endpoint &Server, TimePoint Now);
 
-  /// Returns a connection to the pool if it is reusable. It is kept for at most
-  /// `Keep`.
+  /// The same for a request with an id: returns a connection on which the
+  /// answer can't be mistaken for that of an earlier request.
+  HttpConnection acquireConnection(const Endpoint &Server, TimePoint Now,
+                                   std::string_view RequestId);
+
+  /// Returns a connection to the pool if it is reusable and may carry more
+  /// requests. It is kept for at most `Keep`.
   void returnConnection(const Endpoint &Server, HttpConnection Used,
                         TimePoint Now, Duration Keep = MaxIdleTime);
 
@@ -33,6 +40,10 @@
     TimePoint Until_{};
   };
 
+  using Filter = std::function<bool(const HttpConnection &)>;
+
+  HttpConnection acquire(const Endpoint &Server, TimePoint Now,
+                         const Filter &IsSuitable);
   void prune(TimePoint Now);
 
   std::map<std::string, std::deque<Idle>> Servers_;
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -31,6 +31,7 @@
   beast::flat_buffer Buffer_;
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::string Server_;
+  CarriedRequests Carried_;
   bool Open_ = false;
   bool RequestSent_ = false;
 };
@@ -168,6 +169,12 @@
                                                  : BodyFraming::None;
 }
 
+CarriedRequests &HttpConnection::carried() { return State_->Carried_; }
+
+const CarriedRequests &HttpConnection::carried() const {
+  return State_->Carried_;
+}
+
 bool HttpConnection::requestSent() const {
   return State_ && State_->RequestSent_;
 }
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -2,6 +2,7 @@
 #define ANVIL_HTTP_HTTPCONNECTION_H
 
 #include "Http/BodyFraming.h"
+#include "Http/CarriedRequests.h"
 #include "Http/Endpoint.h"
 #include "Http/HttpMessage.h"
 #include "Kernel/Clock.h"
@@ -55,6 +56,11 @@
   /// Unexpected bytes, or the close by the server, make it unusable.
   bool isIdle() const;
 
+  /// The requests that this connection has carried. Callers whose requests have
+  /// ids record them here. To be used only once the connection is open.
+  CarriedRequests &carried();
+  const CarriedRequests &carried() const;
+
   /// Closes at once; pending operations fail.
   void close();
 
