Tell an engine's owner of new versions at every step

An engine's owner learnt of a new adapter version once, as it was named. A VM that took the engine over later, a controller made for a restarted engine, and an adapter whose load was under way at that moment missed it, so that nobody planned the replacement. Besides, a second version named before the first was in force moved the replacement to its own, later time.

Change: the owner compares what its engine holds with the published versions before each order (EngineController::applyVersions), and replaces a version by the time at which the first newer one is required.

Tests: "replace a version that was outdated before it was held" needs the new function; with the news at the time of naming only, the controller has no order at the deadline.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -65,13 +65,9 @@
     checkOrderCounts();
   });
   Plans_->VersionNamed_.attach(
-      [this](const std::string &Model, const std::string &Adapter) {
-        for (const auto &[Engine, Owned] : Owned_) {
-          Owned->Controller_.recordNewVersion(
-              Adapter, Plans_->versions().newest(Model, Adapter),
-              Plans_->versions().requiredFrom(Model, Adapter));
+      [this](const std::string &, const std::string &) {
+        for (const auto &[Engine, Owned] : Owned_)
           Owned->Wake_.cancel();
-        }
       });
   Plans_->EvacuationChanged_.attach(
       [this](const std::string &, bool) { showEvacuations(); });
@@ -187,6 +183,7 @@
       for (const auto &[Adapter, Count] : Fleet_->ownShareOn(Engine).Adapters_)
         Owned->Controller_.recordUse(Adapter, Now);
       Owned->Controller_.setLoadTimes(Fleet_->loadTimes(), LoadsOrdered_, Now);
+      Owned->Controller_.applyVersions(Plans_->versions());
       if (auto Order = Owned->Controller_.nextOrder(
               transitFactor(Fleet_->storeQueue(Now)), Now)) {
         co_await sendOrder(Engine, Owned, *Order, *Fence);
--- a/Source/Serving/EngineController.cpp
+++ b/Source/Serving/EngineController.cpp
@@ -142,10 +142,16 @@
   if (Held == HeldAdapters_.end() || Held->second.Version_ >= Version)
     return;
   Replacement &Planned = Replacements_[Adapter];
-  if (Planned.Version_ < Version)
+  if (Planned.Version_ <= Version)
     Planned = {Version, ReplaceBy};
 }
 
+void EngineController::applyVersions(const VersionRequirements &Versions) {
+  for (const auto &[Adapter, Held] : HeldAdapters_)
+    if (auto From = Versions.outdatedFrom(Model_, Adapter, Held.Version_))
+      recordNewVersion(Adapter, Versions.newest(Model_, Adapter), *From);
+}
+
 bool EngineController::isInUse(const HeldAdapter &Entry, TimePoint Now) const {
   return Entry.ReadyAt_ > Now || Entry.LastUse_ + UseTimeout > Now;
 }
--- a/Source/Serving/EngineController.h
+++ b/Source/Serving/EngineController.h
@@ -5,6 +5,7 @@
 #include "Loading/LoadPatience.h"
 #include "Loading/LoadTimeEstimate.h"
 #include "Serving/Target.h"
+#include "Serving/VersionRequirements.h"
 
 #include <cstdint>
 #include <map>
@@ -140,6 +141,11 @@
   void recordNewVersion(const std::string &Adapter, std::uint64_t Version,
                         TimePoint ReplaceBy);
 
+  /// Plans the replacement of every held adapter that has a newer version, also
+  /// of those published before this VM owned the engine or the engine held the
+  /// adapter.
+  void applyVersions(const VersionRequirements &Versions);
+
   /// The next order, if there is one to send. No further one is returned until
   /// `recordOrderResult`. `TransitFactor` lengthens the expected load time.
   /// Above a bound, loads from the weight store wait, since more concurrent
--- a/Source/Serving/VersionRequirements.cpp
+++ b/Source/Serving/VersionRequirements.cpp
@@ -1,5 +1,7 @@
 #include "Serving/VersionRequirements.h"
 
+#include <algorithm>
+
 namespace anvil {
 
 const std::vector<VersionRequirements::PublishedVersion> *
@@ -40,10 +42,17 @@
   return Required;
 }
 
-TimePoint VersionRequirements::requiredFrom(const std::string &Model,
-                                            const std::string &Adapter) const {
-  const std::vector<PublishedVersion> *Versions = find(Model, Adapter);
-  return Versions ? Versions->back().RequiredFrom_ : TimePoint{};
+std::optional<TimePoint>
+VersionRequirements::outdatedFrom(const std::string &Model,
+                                  const std::string &Adapter,
+                                  std::uint64_t Version) const {
+  std::optional<TimePoint> From;
+  if (const std::vector<PublishedVersion> *Versions = find(Model, Adapter))
+    for (const PublishedVersion &Published : *Versions)
+      if (Published.Version_ > Version)
+        From = std::min(From.value_or(Published.RequiredFrom_),
+                        Published.RequiredFrom_);
+  return From;
 }
 
 } // namespace anvil
--- a/Source/Serving/VersionRequirements.h
+++ b/Source/Serving/VersionRequirements.h
@@ -32,9 +32,16 @@
   std::uint64_t required(const std::string &Model, const std::string &Adapter,
                          TimePoint Now) const;
 
-  /// When the newest version becomes required.
-  TimePoint requiredFrom(const std::string &Model,
-                         const std::string &Adapter) const;
+  /// From when no request may start on this version any more; nothing while it
+  /// is the newest.
+  std::optional<TimePoint> outdatedFrom(const std::string &Model,
+                                        const std::string &Adapter,
+                                        std::uint64_t Version) const;
+
+  /// How long a request may wait at a target before it starts, if its version
+  /// is to be allowed then even where a newer one is published right after it
+  /// was sent.
+  Duration maxWaitAtTarget() const { return Grace_; }
 
 private:
   struct PublishedVersion {
--- a/Tests/Serving/EngineControllerTest.cpp
+++ b/Tests/Serving/EngineControllerTest.cpp
@@ -165,4 +165,24 @@
       CHECK(Controller.nextOrder(1, Start + 4s));
     }
   }
+  // Guards against VERSION: an owner learns of a version only while it owns
+  // the engine and the engine holds the adapter.
+  SECTION("replace a version that was outdated before it was held") {
+    VersionRequirements Versions(4s);
+    Versions.recordVersion("base", "a2", 2, Start - 1s);
+    Versions.recordVersion("base", "a2", 3, Start + 2s);
+    Controller.applyVersions(Versions);
+    Controller.requestAdapter("a2", 1, Start);
+    REQUIRE(Controller.nextOrder(1, Start));
+    Controller.recordOrderResult(OrderResult::Accepted, Start);
+    Controller.applyVersions(Versions);
+    Controller.recordUse("a2", Start + 3s);
+    SECTION("by the time of the first newer version") {
+      CHECK_FALSE(Controller.nextOrder(1, Start + 2900ms));
+      auto Order = Controller.nextOrder(1, Start + 3s);
+      REQUIRE(Order);
+      CHECK(Order->Adapter_ == "a2");
+      CHECK(Order->Version_ == 3);
+    }
+  }
 }
--- a/Tests/Serving/VersionRequirementsTest.cpp
+++ b/Tests/Serving/VersionRequirementsTest.cpp
@@ -23,6 +23,13 @@
     CHECK(Versions.required("base", "a1", Start + 4s) == 2);
     CHECK(Versions.required("base", "a1", Start + 5s) == 3);
   }
+  SECTION("make each older one outdated from the first newer one's time") {
+    REQUIRE(Versions.recordVersion("base", "a1", 3, Start + 2s));
+    CHECK(Versions.outdatedFrom("base", "a1", 1) == Start + 3s);
+    CHECK(Versions.outdatedFrom("base", "a1", 2) == Start + 5s);
+    CHECK_FALSE(Versions.outdatedFrom("base", "a1", 3));
+    CHECK_FALSE(Versions.outdatedFrom("base", "a2", 1));
+  }
   SECTION("are never replaced by older ones") {
     CHECK_FALSE(Versions.recordVersion("base", "a1", 1, Start + 1s));
     CHECK_FALSE(Versions.recordVersion("base", "a1", 2, Start + 1s));
