Require a request's version for the time at which it starts

Cause: an entry VM used the old version until 1.8 s before the bound, and took for granted that a request starts as soon as it is sent. At an engine whose slots are taken it waits for seconds. What waits is turned away only when the engine's owner orders the replacement; for 8 s of its lease and 3.3 s of hand-over after a VM was removed, nobody may.

Change: the expected wait for a slot (SlotWait) is learned from how long requests occupy slots, how many are at the engine, and the queue that the engine states. The version that a request needs is that of the moment at which it is expected to start. A request that would wait for longer than a version named right after its send allows (3.2 s with the bound of 5 s) is held back at the VM, which needs no owner. request_end names slot_wait_ms and held_ms.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -166,6 +166,8 @@
                                Shared_.Fleet_->runningOn(Chosen.Target_)));
   if (!LongRun_.isLong())
     recordSuccess(Chosen, endProof(), BootClock::now());
+  Shared_.Picker_->slotWaits().recordRun(
+      Request_.Service_, BootClock::now() - FirstByteAt_ + Chosen.OwnPrefill_);
   keepConnection(Chosen, Response);
   if (IsResumable && !Events_.incompleteEvent().empty())
     co_await Exchange_.write(std::string(Events_.incompleteEvent()));
@@ -275,6 +277,8 @@
                               FirstByteAt_ - Request_.ArrivedAt_);
   if (AdapterWait_ > Duration::zero())
     Shared_.Metrics_->observe("anvil_adapter_wait_seconds", {}, AdapterWait_);
+  if (SlotHold_ > Duration::zero())
+    Shared_.Metrics_->observe("anvil_slot_hold_seconds", {}, SlotHold_);
   if (PacingWait_ > Duration::zero())
     Shared_.Metrics_->observe("anvil_paced_seconds", {}, PacingWait_);
 }
@@ -318,6 +322,8 @@
        {"adapter_expected_ms",
         Wait_.expectedIn() ? toMillis(*Wait_.expectedIn()) : -1},
        {"paced_ms", toMillis(PacingWait_)},
+       {"slot_wait_ms", toMillis(SlotWait_)},
+       {"held_ms", toMillis(SlotHold_)},
        {"first_byte_ms", FirstByteAt_ == TimePoint{}
                              ? -1
                              : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -126,6 +126,8 @@
       PacingWait_ += PacingDelay;
       continue;
     }
+    if (co_await holdForSlot(*Chosen))
+      continue;
     Duration MissingPause = Wait_.pauseBefore(*Chosen, Now);
     if (MissingPause > Duration::zero()) {
       co_await pauseFor(Pause_, MissingPause);
@@ -185,6 +187,17 @@
   co_return true;
 }
 
+asio::awaitable<bool> RequestRun::holdForSlot(const TargetChoice &Chosen) {
+  Duration Hold = Shared_.Picker_->holdFor(Query_, Chosen);
+  if (Hold == Duration::zero())
+    co_return false;
+  LastReason_ = "slots_busy";
+  SlotWait_ = Chosen.SlotWait_;
+  co_await pauseFor(Pause_, Hold);
+  SlotHold_ += Hold;
+  co_return true;
+}
+
 bool RequestRun::isRetryable(SendOutcome End) const {
   const RoutePlan &Route = *Request_.Route_;
   bool MayRunAgain = Route.Kind_ == RequestKind::Repeatable ||
@@ -229,6 +242,7 @@
                                 Request_.Fields_.Shape_.OutputTokens_);
   LastTarget_ = Chosen.Target_;
   RunningAtPick_ = Chosen.Running_;
+  SlotWait_ = Chosen.SlotWait_;
   Shared_.Fleet_->recordStart(
       Chosen.Target_, Adapter, Tokens,
       static_cast<std::int64_t>(Request_.Fields_.Shape_.PromptTokens_));
@@ -423,6 +437,9 @@
     Shared_.Fleet_->speeds().recordStatedTime(
         {Chosen.Target_, Chosen.Incarnation_, Request_.Service_},
         *Response.WorkPercent_, Now);
+  if (Response.Load_ && Response.Sealed_ && !Query_.Model_.empty())
+    Shared_.Picker_->slotWaits().recordQueue(Chosen.Target_,
+                                             Response.Load_->second, Now);
   if (Response.Leaving_)
     Shared_.Fleet_->recordDraining(Chosen.Target_, Chosen.Incarnation_, Now);
   if (Response.BackOff_)
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -105,6 +105,9 @@
   /// Waits until the chosen target has loaded the adapter, or all targets
   /// should be compared again. False if the adapter can't be available in time.
   boost::asio::awaitable<bool> awaitAdapter(const TargetChoice &Chosen);
+  /// Holds the request back for a while if it would wait for too long at the
+  /// chosen target. Returns whether the target must be chosen anew.
+  boost::asio::awaitable<bool> holdForSlot(const TargetChoice &Chosen);
   boost::asio::awaitable<void> refuse(int Status, std::string_view Reason,
                                       std::optional<Duration> RetryAfter);
   boost::asio::awaitable<void> finishUnserved();
@@ -180,6 +183,9 @@
   /// How long the request was delayed so that its prefill doesn't pause the
   /// engine's running streams for too long.
   Duration PacingWait_{};
+  /// How long the request was held back so that it doesn't wait at a target for
+  /// longer than a new version of its adapter allows.
+  Duration SlotHold_{};
   /// When the request was sent to the last target, and whether its response
   /// went on for so long that the request can't crash targets.
   TimePoint SentAt_{};
@@ -192,6 +198,8 @@
   TimePoint LastChunkAt_{};
   Duration LongestGap_{};
   int RunningAtPick_ = 0;
+  /// The expected wait for a slot of the last target.
+  Duration SlotWait_{};
 };
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -64,6 +64,7 @@
     Candidate.KvTokens_ = Engine->KvTokens_;
     Candidate.AdapterCapacity_ = Engine->MaxAdapters_;
     Candidate.LoadFactor_ = LoadFactor;
+    Candidate.SlotWait_ = slotWait(Entry, Candidate.Running_, Now);
     describeAdapter(Candidate, Query, Now);
   } else if (Candidate.SpeedFactor_ != 1) {
     Candidate.UsualServiceTime_ =
@@ -84,8 +85,8 @@
   // Adapter requests get no reply from an owner that may not send orders or is
   // unreachable.
   Candidate.HasOwner_ = View->OwnedUntil_ > Now;
-  std::uint64_t Required =
-      Plans_->versions().required(Query.Model_, Query.Adapter_, Now);
+  std::uint64_t Required = Plans_->versions().required(
+      Query.Model_, Query.Adapter_, Now + Candidate.SlotWait_);
   auto Held = View->Adapters_.find(Query.Adapter_);
   bool IsHeld =
       Held != View->Adapters_.end() && Held->second.Version_ >= Required;
@@ -128,10 +129,30 @@
                                           TimePoint Now) {
   DispatchCandidate Candidate;
   Candidate.Id_ = Target;
+  if (const ListedTarget *Listed = Targets_->roster().find(Target))
+    Candidate.SlotWait_ =
+        slotWait(Listed->Entry_, Fleet_->runningOn(Target), Now);
   describeAdapter(Candidate, Query, Now);
   return Candidate;
 }
 
+Duration TargetPicker::slotWait(const RegisteredTarget &Entry, int Running,
+                                TimePoint Now) const {
+  auto RunTime = std::chrono::duration_cast<Duration>(
+      SlotWaits_.meanRun(Entry.Service_) *
+      Fleet_->speeds().factorOf(Entry.Id_, Entry.Incarnation_, Now));
+  return SlotWaits_.expectedWait(Entry.Id_, Running, Entry.Slots_, RunTime,
+                                 Now);
+}
+
+Duration TargetPicker::holdFor(const TargetQuery &Query,
+                               const TargetChoice &Chosen) const {
+  return Query.Adapter_.empty()
+             ? Duration::zero()
+             : holdBeforeSend(Chosen.SlotWait_,
+                              Plans_->versions().maxWaitAtTarget());
+}
+
 void TargetPicker::describeAdapterSlots(DispatchCandidate &Candidate,
                                         const EngineView &View,
                                         TimePoint Now) const {
@@ -244,6 +265,7 @@
   Chosen.DataCentre_ = Entry.DataCentre_;
   Chosen.Readiness_ = Candidate.Readiness_;
   Chosen.ReadyIn_ = Candidate.ReadyIn_;
+  Chosen.SlotWait_ = Candidate.SlotWait_;
   Chosen.Running_ = Candidate.Running_;
   Chosen.Slots_ = Candidate.Slots_;
   Chosen.SpeedFactor_ = Candidate.SpeedFactor_;
@@ -271,8 +293,8 @@
 void TargetPicker::describeLoad(TargetChoice &Chosen, const TargetQuery &Query,
                                 TimePoint Now) const {
   const EngineView *View = Fleet_->view().engine(Chosen.Target_);
-  std::uint64_t Required =
-      Plans_->versions().required(Query.Model_, Query.Adapter_, Now);
+  std::uint64_t Required = Plans_->versions().required(
+      Query.Model_, Query.Adapter_, Now + Chosen.SlotWait_);
   auto Held = View->Adapters_.find(Query.Adapter_);
   if (Held != View->Adapters_.end() && Held->second.Version_ >= Required) {
     Chosen.Load_ = LoadStage::Ordered;
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -11,6 +11,7 @@
 #include "Kernel/ServiceRegistry.h"
 #include "Loading/LoadChecks.h"
 #include "Serving/DispatchCost.h"
+#include "Serving/SlotWait.h"
 #include "Serving/TargetHealth.h"
 #include "Settings/EntrySettings.h"
 
@@ -57,6 +58,8 @@
   /// expected prefill time of this prompt.
   Duration Prefill_{};
   Duration OwnPrefill_{};
+  /// The expected wait for a slot.
+  Duration SlotWait_{};
   int Running_ = 0;
   int Slots_ = 0;
   /// The factor by which work takes longer there than at a usual target.
@@ -126,6 +129,14 @@
 
   TargetHealth &health() { return Health_; }
 
+  /// The waits for slots of engines.
+  SlotWait &slotWaits() { return SlotWaits_; }
+
+  /// How long a request with an adapter is held back before it is sent to the
+  /// chosen target, since it would otherwise wait there for longer than a new
+  /// version of the adapter allows; zero to send it now.
+  Duration holdFor(const TargetQuery &Query, const TargetChoice &Chosen) const;
+
 private:
   /// The usable targets of a service outside evacuated data centres.
   std::vector<const ListedTarget *>
@@ -136,8 +147,13 @@
   void spreadAdapter(const TargetQuery &Query,
                      const std::vector<DispatchCandidate> &Candidates,
                      double TransitFactor, TimePoint Now);
+  /// Requires the candidate's `SlotWait_`: the adapter's version must be
+  /// allowed when the request starts.
   void describeAdapter(DispatchCandidate &Candidate, const TargetQuery &Query,
                        TimePoint Now);
+  /// The expected wait for a slot of an engine.
+  Duration slotWait(const RegisteredTarget &Entry, int Running,
+                    TimePoint Now) const;
   /// Fills in how many adapter slots of an engine are used, pinned (loading or
   /// serving a request), and loading.
   void describeAdapterSlots(DispatchCandidate &Candidate,
@@ -169,6 +185,7 @@
   std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<TargetPermits> Permits_;
   TargetHealth Health_;
+  SlotWait SlotWaits_;
   StaleLoadDetector StaleLoads_;
   /// The unreachable incarnations, by target.
   std::map<std::string, std::int64_t> Unreachable_;
--- a/Source/Serving/DispatchCost.h
+++ b/Source/Serving/DispatchCost.h
@@ -28,6 +28,8 @@
   int Slots_ = 1;
   /// The time until the prompts sent to it are processed.
   Duration Prefill_{};
+  /// The expected wait for a slot.
+  Duration SlotWait_{};
   double KvTokens_ = 0;
   AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
   /// The time until an adapter in transit is usable.
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -1,5 +1,7 @@
 #include "Integration/EntryFleet.h"
 
+#include "Objects/Digest.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -129,6 +131,25 @@
   return Plan_.TwoDataCentres_ && Name.ends_with("2") ? "south" : "north";
 }
 
+void EntryFleet::nameVersion(const std::string &Adapter,
+                             std::uint64_t Version) {
+  writeRow("op", "version/base." + Adapter,
+           {{"Model", "base"}, {"Adapter", Adapter}, {"Version", Version}});
+}
+
+std::string EntryFleet::ownerOf(const std::string &Engine) {
+  json Page = sendJson(at("store").port(), "GET",
+                       "/api/rows-get?Table=anvil&part=&From=owner/" + Engine +
+                           "&Limit=1",
+                       json::object())
+                  .json();
+  if (Page["Rows"].empty() || Page["Rows"][0]["Key"] != "owner/" + Engine)
+    return "";
+  auto Value = base64Decode(Page["Rows"][0]["Value"].get<std::string>());
+  std::string Holder = json::parse(Value.value_or("{}")).value("vm", "");
+  return Holder.substr(0, Holder.find('@'));
+}
+
 void EntryFleet::setEvacuated(const std::string &DataCentre, bool IsRequested) {
   sendJson(at("store").port(), IsRequested ? "PUT" : "DELETE", "/row",
            {{"Table", "op"},
@@ -157,7 +178,7 @@
   json Entry = {{"Service", IsEngine ? "engines" : "plain"},
                 {"Address", "127.0.0.1:" + std::to_string(Port)},
                 {"Zone", dataCentreOf(Target)},
-                {"Slots", 8},
+                {"Slots", Plan_.EngineSlots_},
                 {"State", State},
                 {"born", Incarnation},
                 {"Seq", 0}};
@@ -185,7 +206,7 @@
   };
   json Stream = Route("/stream/resumable/", "streaming", "engines", 2);
   Stream["Resumable"] = true;
-  json Engine = {{"Slots", 8},
+  json Engine = {{"Slots", Plan_.EngineSlots_},
                  {"KvTokens", 100000},
                  {"MaxAdapters", 3},
                  {"LoadsPerS", 5},
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -19,6 +19,8 @@
   /// Time limit and target latency of every route.
   Millis Timeout_{3000};
   Millis LatencyTarget_{800};
+  /// The slots that engines register.
+  int EngineSlots_ = 8;
   /// The cold time and the requests per second of cold targets of the plain
   /// service; absent if it has no cold starts.
   std::optional<std::pair<double, double>> PlainColdStart_;
@@ -77,6 +79,12 @@
   /// address, and lets the other engines leave.
   void replaceEngines(const std::string &Id, std::uint16_t Port);
 
+  /// Names a version of an adapter of the model `base`.
+  void nameVersion(const std::string &Adapter, std::uint64_t Version);
+
+  /// The VM that owns an engine by its row in the store; empty if none does.
+  std::string ownerOf(const std::string &Engine);
+
   /// Writes or removes the request to evacuate a data centre.
   void setEvacuated(const std::string &DataCentre, bool IsRequested);
 
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -12,6 +12,9 @@
 /// The number of events in a stream.
 static constexpr int StreamEvents = 20;
 
+/// How often a waiting stream looks for a free slot.
+static constexpr Duration SlotCheckPeriod = std::chrono::milliseconds(2);
+
 RegisteredTargetStandin::RegisteredTargetStandin(asio::any_io_executor Executor,
                                                  std::string Id)
     : Id_(std::move(Id)),
@@ -47,6 +50,7 @@
   Drop_ = Body.value("drop", Drop_);
   CutAfter_ = Body.value("cut_after", CutAfter_);
   EventMs_ = Body.value("event_ms", EventMs_);
+  Slots_ = Body.value("slots", Slots_);
   HoldMs_ = Body.value("hold_ms", HoldMs_);
   HoldBody_ = Body.value("hold_body", HoldBody_);
   Busy_ = Body.value("busy", Busy_);
@@ -123,6 +127,34 @@
   co_await Exchange.finishStream();
 }
 
+asio::awaitable<void>
+RegisteredTargetStandin::streamInSlot(HttpExchange &Exchange,
+                                      std::string Adapter) {
+  std::uint64_t Ticket = ++LastTicket_;
+  auto HeldVersion = [&] {
+    auto Held = Adapters_.find(Adapter);
+    return Held == Adapters_.end() ? std::uint64_t{0} : Held->second;
+  };
+  std::uint64_t Version = HeldVersion();
+  Waiting_.insert(Ticket);
+  while (UsedSlots_ >= Slots_ || *Waiting_.begin() != Ticket) {
+    co_await pauseFor(SlotCheckPeriod);
+    if (HeldVersion() == Version)
+      continue;
+    Waiting_.erase(Ticket);
+    HttpReply Refusal = jsonReply(503, "{}");
+    Refusal.Headers_.add("X-Not-Executed", "1");
+    co_await Exchange.respond(std::move(Refusal));
+    co_return;
+  }
+  Waiting_.erase(Ticket);
+  ++UsedSlots_;
+  Records_.add("begin", {{"version", Version},
+                         {"headers", headersToJson(Exchange.request())}});
+  co_await stream(Exchange);
+  --UsedSlots_;
+}
+
 asio::awaitable<void>
 RegisteredTargetStandin::respondInParts(HttpExchange &Exchange) {
   co_await Exchange.startStream(
@@ -148,8 +180,13 @@
   auto Expected = Request.Headers_.find("X-Expect-Instance");
   std::string Model(Request.Headers_.find("X-Model").value_or(""));
   auto Slash = Model.find('/');
-  bool LacksAdapter = Slash != std::string::npos &&
-                      !Adapters_.contains(Model.substr(Slash + 1));
+  std::string AdapterName =
+      Slash == std::string::npos ? "" : Model.substr(Slash + 1);
+  bool LacksAdapter = !AdapterName.empty() && !Adapters_.contains(AdapterName);
+  auto ExpectedVersion = Request.Headers_.find("X-Expect-Version");
+  bool HasOtherVersion =
+      !AdapterName.empty() && !LacksAdapter && ExpectedVersion &&
+      *ExpectedVersion != std::to_string(Adapters_[AdapterName]);
   if (Request.path() == "/control") {
     Reply = control(Request);
   } else if (Request.path() == "/records") {
@@ -160,7 +197,7 @@
     Reply = report();
   } else if (Request.path() == "/api/order") {
     Reply = order(Request);
-  } else if (LacksAdapter) {
+  } else if (LacksAdapter || HasOtherVersion) {
     Reply = jsonReply(421, "{}");
   } else if (Refuse_ > 0) {
     --Refuse_;
@@ -184,6 +221,8 @@
       co_return co_await respondInParts(Exchange);
     if (HoldMs_ > 0)
       co_await pauseFor(std::chrono::milliseconds(HoldMs_));
+    if (Request.path().starts_with("/stream/") && Slots_ > 0)
+      co_return co_await streamInSlot(Exchange, AdapterName);
     if (Request.path().starts_with("/stream/"))
       co_return co_await stream(Exchange);
     if (Unsealed_ > 0) {
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace anvil {
@@ -19,6 +20,9 @@
 ///  - `cut_after`: the next stream breaks off after this number of events;
 ///  - `event_ms`, `hold_ms`: the pause between events and before a reply, or
 ///    in the middle of its body with `hold_body`;
+///  - `slots`: streams that run at once; others wait in order of arrival, also
+///    after their caller has left, and are refused if their adapter is replaced
+///    meanwhile. Each that begins is recorded with the adapter's version;
 ///  - `busy`: orders are rejected as if another one were running;
 ///  - `headers`: a list of names and values that are added to all replies, and
 ///    to refusals unless `bare_refusals` is set;
@@ -36,6 +40,9 @@
 private:
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> stream(HttpExchange &Exchange);
+  /// Waits for a slot, if their number is limited, and runs the stream.
+  boost::asio::awaitable<void> streamInSlot(HttpExchange &Exchange,
+                                            std::string Adapter);
   boost::asio::awaitable<void> respondInParts(HttpExchange &Exchange);
   boost::asio::awaitable<void> respondEndlessly(HttpExchange &Exchange);
   HttpReply order(const HttpRequest &Request);
@@ -60,6 +67,11 @@
   std::int64_t CutAfter_ = -1;
   std::int64_t EventMs_ = 5;
   std::int64_t HoldMs_ = 0;
+  std::int64_t Slots_ = 0;
+  std::int64_t UsedSlots_ = 0;
+  /// The tickets of the waiting streams, in order.
+  std::set<std::uint64_t> Waiting_;
+  std::uint64_t LastTicket_ = 0;
   bool HoldBody_ = false;
   bool Busy_ = false;
   bool Endless_ = false;
