Take no entry for a target that can't be connected to

Another writer's entry with a port out of range, or with a number that overflows, was taken for a target. It looked idle, so it was the cheapest choice, its address didn't parse, and every request for its service was refused (no_target).

The decoder's tests used "a" as an address, which is no target any more; they use 10.0.0.1:1 now and check the same otherwise.

--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -164,6 +164,12 @@
   writeTargetRow(Target, at(Target).port(), State, Incarnation, ColdRemaining);
 }
 
+void EntryFleet::writeTargetBytes(const std::string &Target,
+                                  const std::string &Bytes) {
+  sendJson(at("store").port(), "PUT", "/row",
+           {{"Table", "servers"}, {"Key", Target}, {"Value", Bytes}});
+}
+
 void EntryFleet::replaceEngines(const std::string &Id, std::uint16_t Port) {
   writeTargetRow(Id, Port, "ready", 1700000000000, std::nullopt);
   for (const char *Engine : {"engine-1", "engine-2"})
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -75,6 +75,9 @@
                         std::int64_t Incarnation = 1700000000000,
                         std::optional<Millis> ColdRemaining = std::nullopt);
 
+  /// Writes any bytes as a target's registration row, as another writer may.
+  void writeTargetBytes(const std::string &Target, const std::string &Bytes);
+
   /// Registers an engine that the test itself runs at a port of the loopback
   /// address, and lets the other engines leave.
   void replaceEngines(const std::string &Id, std::uint16_t Port);
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -79,8 +79,9 @@
   SECTION("with the time for which it is still cold") {
     auto Cold = [](const std::string &Value) {
       return decodeRegisteredTarget("i",
-                                    R"({"Service":"s","Address":"a","Slots":1,)"
-                                    R"("State":"ready","ColdRemainingMs":)" +
+                                    R"({"Service":"s","Address":"10.0.0.1:1",)"
+                                    R"("Slots":1,"State":"ready",)"
+                                    R"("ColdRemainingMs":)" +
                                         Value + "}")
           ->ColdRemaining_;
     };
@@ -93,9 +94,39 @@
     CHECK_FALSE(decodeRegisteredTarget("i", "\xff\x00"));
     CHECK_FALSE(decodeRegisteredTarget("i", "[]"));
     CHECK_FALSE(decodeRegisteredTarget(
-        "i", R"({"Service":"s","Address":"a","Slots":1,"State":"odd"})"));
+        "i",
+        R"({"Service":"s","Address":"10.0.0.1:1","Slots":1,"State":"odd"})"));
     CHECK_FALSE(decodeRegisteredTarget(
-        "i", R"({"Service":7,"Address":"a","Slots":1,"State":"ready"})"));
+        "i",
+        R"({"Service":7,"Address":"10.0.0.1:1","Slots":1,"State":"ready"})"));
+  }
+  // Guards against an entry of another writer that is taken for a target to
+  // which no connection can be opened, or that overflows a number.
+  SECTION("and skipped if a value is out of range") {
+    auto IsTaken = [](const std::string &Address, const std::string &Slots,
+                      const std::string &Born) {
+      return decodeRegisteredTarget(
+                 "i", R"({"Service":"s","State":"ready","Address":")" +
+                          Address + R"(","Slots":)" + Slots + R"(,"born":)" +
+                          Born + "}")
+          .has_value();
+    };
+    CHECK(IsTaken("10.0.0.1:65535", "32", "1700000000000"));
+    for (const char *Address : {"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1",
+                                "10.0.0.999:1", "host:1", "10.0.0.1:-1", ""})
+      CHECK_FALSE(IsTaken(Address, "32", "1700000000000"));
+    for (const char *Slots : {"4294967328", "18446744073709551615", "1e999"})
+      CHECK_FALSE(IsTaken("10.0.0.1:1", Slots, "1700000000000"));
+    CHECK_FALSE(IsTaken("10.0.0.1:1", "32", "18446744073709551615"));
+  }
+  SECTION("however deep a field is nested") {
+    std::string Deep = std::string(60000, '[') + std::string(60000, ']');
+    for (const char *Field : {"Models", "Address", "Zone", "Other"})
+      decodeRegisteredTarget("i", R"({"Service":"s","Slots":1,)"
+                                  R"("State":"ready",")" +
+                                      std::string(Field) + "\":" + Deep + "}");
+    CHECK_FALSE(decodeRegisteredTarget("i", Deep));
+    CHECK_FALSE(decodeRegisteredTarget("i", std::string(65000, '[')));
   }
 }
 
