Continue a broken stream with events only

After a stream had broken off, the next engine's answer was appended to it whatever it was, if only its status was 2xx: callers found a JSON error in the middle of their events, and its end looked like the end of the stream. Errors with a status of 400 or more were already kept out.

Change: only an event stream continues a stream. HttpExchange refuses to send a second head on any path and closes the connection instead.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -41,6 +41,9 @@
   }
   bool IsSuccess = Response.Status_ >= 200 && Response.Status_ < 300;
   bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
+  // Only events can follow those that the caller has received.
+  if (HeadSent_ && !Response.EventStream_)
+    IsStream = false;
   // The connection is already closed, so only the head could be forwarded.
   if (IsStream && !HeadSent_ && Shared_.ServingEnded_)
     co_return SendOutcome::Lost;
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <utility>
+
 namespace anvil {
 
 namespace asio = boost::asio;
@@ -21,8 +23,18 @@
     To.insert(Header.Name_, Header.Value_);
 }
 
+bool HttpExchange::beginResponse() {
+  // A second head would become part of the first response's body.
+  if (std::exchange(ResponseStarted_, true)) {
+    abort();
+    return false;
+  }
+  return true;
+}
+
 asio::awaitable<bool> HttpExchange::respond(HttpReply Reply) {
-  ResponseStarted_ = true;
+  if (!beginResponse())
+    co_return false;
   http::response<http::string_body> Message;
   Message.version(11);
   Message.result(static_cast<unsigned>(Reply.Status_));
@@ -45,7 +57,8 @@
 }
 
 asio::awaitable<bool> HttpExchange::startStream(HttpReplyHead Head) {
-  ResponseStarted_ = true;
+  if (!beginResponse())
+    co_return false;
   http::response<http::empty_body> Message;
   Message.version(11);
   Message.result(static_cast<unsigned>(Head.Status_));
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -15,7 +15,7 @@
 
 /// One request to the server and the means to respond to it. A response is sent
 /// either whole (`respond`) or as a stream (`startStream`, `write`,
-/// `finishStream`).
+/// `finishStream`). A second response closes the connection instead.
 class HttpExchange {
 public:
   HttpExchange(ServerConnection &Owner, HttpRequest Request);
@@ -59,6 +59,9 @@
   void closeAfterResponse();
 
 private:
+  /// Whether no response has begun yet; otherwise aborts.
+  bool beginResponse();
+
   ServerConnection &Owner_;
   HttpRequest Request_;
   bool ResponseStarted_ = false;
--- a/Tests/Integration/StreamEndingTest.cpp
+++ b/Tests/Integration/StreamEndingTest.cpp
@@ -104,6 +104,29 @@
     CallerReply Answer = Call("/stream/resumable/x");
     CHECK(Answer.Complete_);
     CHECK(Answer.Body_ == FirstEvent + LastEvent);
+    // Guards against MIXED and ORDER: the error of the next engine becomes part
+    // of the stream, or its end the end of the stream.
+    SECTION("and is cut if the next answer is an error") {
+      const std::string Text = R"({"error":"out of memory"})";
+      const std::string Json = "Content-Type: application/json\r\n";
+      const std::string Length =
+          "Content-Length: " + std::to_string(Text.size()) + "\r\n";
+      auto Error = GENERATE_COPY(
+          ScriptedReply{Json + Length, Text, false,
+                        "500 Internal Server Error"},
+          ScriptedReply{Json, Text, false, "500 Internal Server Error"},
+          ScriptedReply{Json + Length, Text, false, "400 Bad Request"},
+          ScriptedReply{Json + Length, Text}, ScriptedReply{Json, Text},
+          ScriptedReply{"Content-Type: text/plain\r\n", Text + "\n\n"},
+          ScriptedReply{"X-Not-Executed: 1\r\nContent-Length: 0\r\n", "", false,
+                        "503 Service Unavailable"});
+      INFO(Error.Status_ << " " << Error.HeadLines_);
+      Engine.script({Cut, Error});
+      CallerReply Next = Call("/stream/resumable/x");
+      CHECK(Next.Status_ == 200);
+      CHECK_FALSE(Next.Complete_);
+      CHECK(Next.Body_ == FirstEvent);
+    }
     SECTION("and is cut if that breaks off as well") {
       Engine.script({Cut, untilClose(CutEvent)});
       CallerReply Next = Call("/stream/resumable/x");
--- a/Tests/Standins/ScriptedTarget.cpp
+++ b/Tests/Standins/ScriptedTarget.cpp
@@ -84,7 +84,8 @@
   } else {
     Reply = nextReply();
   }
-  std::string Bytes = "HTTP/1.1 200 OK\r\nX-Server-Seal: seal-of-" + Id_ +
+  std::string Bytes = "HTTP/1.1 " + Reply.Status_ +
+                      "\r\nX-Server-Seal: seal-of-" + Id_ +
                       "\r\nX-Request-Id: " + RequestId + "\r\n" +
                       Reply.HeadLines_ + "\r\n" + Reply.Body_;
   asio::write(Caller, asio::buffer(Bytes), Cause);
--- a/Tests/Standins/ScriptedTarget.h
+++ b/Tests/Standins/ScriptedTarget.h
@@ -20,10 +20,11 @@
   std::string Body_;
   /// Whether the connection is reset after the last byte instead of closed.
   bool IsReset_ = false;
+  std::string Status_ = "200 OK";
 };
 
 /// An engine on a thread of the test that replies byte for byte as the test
-/// says, with status 200 and its seal, and then ends the connection. Each reply
+/// says, with its seal, and then ends the connection. Each reply
 /// is for one request; the last one is kept. Reports list the model `base`.
 class ScriptedTarget {
 public:
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -78,3 +78,22 @@
   asio::write(Caller.Socket_, asio::buffer(std::string("more")));
   CHECK(Caller.readToEnd().ends_with("fourmore"));
 }
+
+// Guards against MIXED: the head of an error in the middle of a stream.
+TEST_CASE("a second response to a request closes the connection instead") {
+  asio::io_context Loop(1);
+  HttpServer Server(Loop.get_executor(), {},
+                    [](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      HttpReplyHead Head;
+                      co_await Exchange.startStream(std::move(Head));
+                      co_await Exchange.write("first");
+                      HttpReply Error{502, {}, "second"};
+                      CHECK_FALSE(co_await Exchange.respond(std::move(Error)));
+                    });
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  PersistentCaller Caller(Loop, Server.port());
+  Caller.send("/stream");
+  std::string Received = Caller.readToEnd();
+  CHECK(Received.ends_with("5\r\nfirst\r\n"));
+  CHECK(Received.find("502") == std::string::npos);
+}
