Recover from an order that only seemed to be accepted

Found by going through all places where an answer is matched to a send. If an engine repeats the answer 202 to an earlier order, a later order that it rejected counts as accepted. The owner then refused every report, since each showed fewer orders than it had counted, and sent the engine no order for as long as it owned it.

Change: reports that stay older for longer than they may lag are believed.

Tests: "an order that counts as accepted and wasn't" (the report at 1.2 s was refused before), "never taken for the answer to an order, nor the reverse".

--- a/Source/Serving/EngineController.cpp
+++ b/Source/Serving/EngineController.cpp
@@ -36,6 +36,12 @@
 /// this share of the previous one.
 static constexpr double FallenShare = 0.75;
 
+/// How long reports may lag behind the accepted orders; the platform's
+/// documentation speaks of some hundred milliseconds. An order that no report
+/// has shown after this time was not accepted: the answer that said so was that
+/// of another order.
+static constexpr Duration MaxReportLag = std::chrono::milliseconds(1000);
+
 /// The interval after which the engine's state is read again during a model
 /// load.
 static constexpr Duration ModelLoadCheckPeriod = std::chrono::milliseconds(400);
@@ -55,8 +61,12 @@
 }
 
 bool EngineController::adopt(const EngineReport &Report, TimePoint Now) {
-  if (HasAdopted_ && Report.OrdersAccepted_ < OrdersAccepted_)
+  bool IsOlder = HasAdopted_ && Report.OrdersAccepted_ < OrdersAccepted_;
+  if (IsOlder && OlderReportsSince_.value_or(Now) + MaxReportLag > Now) {
+    OlderReportsSince_ = OlderReportsSince_.value_or(Now);
     return false;
+  }
+  OlderReportsSince_.reset();
   HasAdopted_ = true;
   auto Previous = std::move(HeldAdapters_);
   HeldAdapters_.clear();
--- a/Source/Serving/EngineController.h
+++ b/Source/Serving/EngineController.h
@@ -111,7 +111,8 @@
 
   /// Replaces the view of the engine by its report. Returns false when the
   /// report is older than the last accepted order; the state must then be read
-  /// again.
+  /// again. If reports stay older for longer than they may lag, the order
+  /// wasn't accepted.
   bool adopt(const EngineReport &Report, TimePoint Now);
 
   /// Whether the engine's state must be read before the next order.
@@ -219,6 +220,8 @@
   std::uint64_t OrdersAccepted_ = 0;
   bool NeedsReport_ = true;
   bool HasAdopted_ = false;
+  /// Since when all reports have been older than the last accepted order.
+  std::optional<TimePoint> OlderReportsSince_;
   bool HasModel_ = false;
   TimePoint ModelReadyAt_{};
 };
--- a/Tests/Serving/EngineControllerTest.cpp
+++ b/Tests/Serving/EngineControllerTest.cpp
@@ -46,6 +46,36 @@
   }
 }
 
+// Guards against an engine that gets no orders any more: the repeated answer to
+// an earlier order counts as that to a later one, which wasn't accepted.
+TEST_CASE("an order that counts as accepted and wasn't", "[placement]") {
+  EngineController Controller = controllerOf(4, {{"a1", 1}});
+  Controller.requestAdapter("a2", 1, Start);
+  REQUIRE(Controller.nextOrder(1, Start));
+  Controller.recordOrderResult(OrderResult::Accepted, Start);
+  Controller.requestAdapter("a3", 1, Start);
+  REQUIRE(Controller.nextOrder(1, Start));
+  Controller.recordOrderResult(OrderResult::Conflict, Start);
+  REQUIRE(Controller.needsReport());
+  EngineReport Report = reportOf(3, {{"a1", 1}});
+  SECTION("is awaited while reports may lag") {
+    CHECK_FALSE(Controller.adopt(Report, Start + 150ms));
+    CHECK_FALSE(Controller.adopt(Report, Start + 900ms));
+    CHECK(Controller.adopt(reportOf(4, {{"a1", 1}, {"a2", 1}}), Start + 950ms));
+    CHECK(Controller.heldAdapters().contains("a2"));
+  }
+  SECTION("is given up after that") {
+    CHECK_FALSE(Controller.adopt(Report, Start + 150ms));
+    REQUIRE(Controller.adopt(Report, Start + 1200ms));
+    CHECK(Controller.ordersAccepted() == 3);
+    CHECK_FALSE(Controller.heldAdapters().contains("a2"));
+    Controller.requestAdapter("a2", 1, Start + 1200ms);
+    auto Order = Controller.nextOrder(1, Start + 1200ms);
+    REQUIRE(Order);
+    CHECK(Order->ExpectedOrders_ == 3);
+  }
+}
+
 TEST_CASE("the orders to an engine", "[placement]") {
   SECTION("are not sent before the engine's state is known") {
     EngineController Controller("base", {});
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -138,6 +138,16 @@
   CHECK(valueOf(Report).OrdersAccepted_ == 5);
   CHECK(valueOf(Report).Running_ == 12);
   CHECK(valueOf(Report).Loading_.at("m").at("a9") == 3);
+  // Guards against a wrong view of an engine: it repeats an answer, which
+  // counts as that to the next call.
+  SECTION("and never taken for the answer to an order, nor the reverse") {
+    CHECK_FALSE(isOk(decodeEngineReport("{}")));
+    CHECK_FALSE(isOk(decodeEngineReport("")));
+    CHECK_FALSE(isOk(decodeEngineReport(R"({"Seq":5})")));
+    CHECK(decodeOrderResult(200, "{}") == OrderResult::AlreadyHolds);
+    CHECK(decodeOrderResult(200, R"({"Seq":5,"Models":[]})") ==
+          OrderResult::Unknown);
+  }
 }
 
 TEST_CASE("an order is encoded and its result decoded", "[platform]") {
@@ -150,10 +160,10 @@
     Order.Adapter_ = "a\xff";
     CHECK_FALSE(encodeOrder(Order, "vm-1", 41).empty());
   }
-  CHECK(decodeOrderResult(202) == OrderResult::Accepted);
-  CHECK(decodeOrderResult(409) == OrderResult::Conflict);
+  CHECK(decodeOrderResult(202, "") == OrderResult::Accepted);
+  CHECK(decodeOrderResult(409, "") == OrderResult::Conflict);
   // The engine may still execute the order.
-  CHECK(decodeOrderResult(503) == OrderResult::Unknown);
+  CHECK(decodeOrderResult(503, "") == OrderResult::Unknown);
 }
 
 TEST_CASE("rows of the store are decoded", "[platform]") {
