Use a target again that was only missing from the list

Cause: a VM that missed an entry in the list told the others that the target leaves, and such a word is final for the incarnation, also for itself. An entry vanishes after three silent intervals, too.

Change: only a target that is listed or answers as leaving is reported as such. A missing entry shows in each VM's own read of the list, and so does its return.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -85,9 +85,9 @@
   });
   Targets_->Changed_.attach([this](const RosterChange &Change) {
     const ListedTarget *Listed = Targets_->roster().find(Change.Id_);
-    bool IsDraining = Change.Usability_ == TargetUsability::Draining ||
-                      Change.Usability_ == TargetUsability::Unlisted;
-    if (IsDraining && Listed)
+    // A target whose entry is missing may only be cut off from the store. Other
+    // VMs read that from the list themselves, and read it when it is back.
+    if (Change.Usability_ == TargetUsability::Draining && Listed)
       RecentlyDraining_[Change.Id_] = {BootClock::now(),
                                        Listed->Entry_.Incarnation_};
   });
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -164,6 +164,11 @@
   writeTargetRow(Target, at(Target).port(), State, Incarnation, ColdRemaining);
 }
 
+void EntryFleet::removeTargetEntry(const std::string &Target) {
+  sendJson(at("store").port(), "DELETE", "/row",
+           {{"Table", "servers"}, {"Key", Target}, {"Value", ""}});
+}
+
 void EntryFleet::writeTargetBytes(const std::string &Target,
                                   const std::string &Bytes) {
   sendJson(at("store").port(), "PUT", "/row",
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -75,6 +75,9 @@
                         std::int64_t Incarnation = 1700000000000,
                         std::optional<Millis> ColdRemaining = std::nullopt);
 
+  /// Removes a target's registration row.
+  void removeTargetEntry(const std::string &Target);
+
   /// Writes any bytes as a target's registration row, as another writer may.
   void writeTargetBytes(const std::string &Target, const std::string &Bytes);
 
