--- a/Tests/Integration/MalformedRequestTest.cpp
+++ b/Tests/Integration/MalformedRequestTest.cpp
@@ -28,8 +28,8 @@
     }
   }
   SECTION("by headers that are no text") {
-    for (const char *Header : {"X-Request-Id", "X-Prompt-Prefix", "X-Other",
-                               "X-Token-Counts"})
+    for (const char *Header :
+         {"X-Request-Id", "X-Prompt-Prefix", "X-Other", "X-Token-Counts"})
       CHECK(System
                 .call("vm-1", "/stream/x",
                       {{"X-Model", "base/warm"}, {Header, "a\xff"}})
--- a/Tests/Unit/HttpServerTest.cpp
+++ b/Tests/Unit/HttpServerTest.cpp
@@ -88,7 +88,8 @@
                       co_await Exchange.startStream(std::move(Head));
                       co_await Exchange.write("first");
                       HttpReply Error{502, {}, "second"};
-                      CHECK_FALSE(co_await Exchange.respond(std::move(Error)));
+                      bool IsSent = co_await Exchange.respond(std::move(Error));
+                      CHECK_FALSE(IsSent);
                     });
   REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
   PersistentCaller Caller(Loop, Server.port());
