--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -64,7 +64,9 @@
     Candidate.KvTokens_ = Engine->KvTokens_;
     Candidate.AdapterCapacity_ = Engine->MaxAdapters_;
     Candidate.LoadFactor_ = LoadFactor;
-    Candidate.SlotWait_ = slotWait(Entry, Candidate.Running_, Now);
+    if (!Query.Adapter_.empty())
+      Candidate.SlotWait_ =
+          slotWait(Entry, Candidate.Running_, Candidate.SpeedFactor_, Now);
     describeAdapter(Candidate, Query, Now);
   } else if (Candidate.SpeedFactor_ != 1) {
     Candidate.UsualServiceTime_ =
@@ -130,17 +132,18 @@
   DispatchCandidate Candidate;
   Candidate.Id_ = Target;
   if (const ListedTarget *Listed = Targets_->roster().find(Target))
-    Candidate.SlotWait_ =
-        slotWait(Listed->Entry_, Fleet_->runningOn(Target), Now);
+    Candidate.SlotWait_ = slotWait(
+        Listed->Entry_, Fleet_->runningOn(Target),
+        Fleet_->speeds().factorOf(Target, Listed->Entry_.Incarnation_, Now),
+        Now);
   describeAdapter(Candidate, Query, Now);
   return Candidate;
 }
 
 Duration TargetPicker::slotWait(const RegisteredTarget &Entry, int Running,
-                                TimePoint Now) const {
+                                double SpeedFactor, TimePoint Now) const {
   auto RunTime = std::chrono::duration_cast<Duration>(
-      SlotWaits_.meanRun(Entry.Service_) *
-      Fleet_->speeds().factorOf(Entry.Id_, Entry.Incarnation_, Now));
+      SlotWaits_.meanRun(Entry.Service_) * SpeedFactor);
   return SlotWaits_.expectedWait(Entry.Id_, Running, Entry.Slots_, RunTime,
                                  Now);
 }
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -153,7 +153,7 @@
                        TimePoint Now);
   /// The expected wait for a slot of an engine.
   Duration slotWait(const RegisteredTarget &Entry, int Running,
-                    TimePoint Now) const;
+                    double SpeedFactor, TimePoint Now) const;
   /// Fills in how many adapter slots of an engine are used, pinned (loading or
   /// serving a request), and loading.
   void describeAdapterSlots(DispatchCandidate &Candidate,
