Tell a newly started VM which requests crash targets

Cause: crashes are repeated in state updates for 2 s only, and the quarantine lives in each VM's memory.

Change: while a newly started VM is seen, state updates carry the crashes of the latest 32 quarantined requests (CrashTracker::evidence).

PoisonProperty: the evidence quarantines the same requests elsewhere.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -31,6 +31,10 @@
 /// started VM; includes part of the delay until that VM receives them.
 static constexpr Duration NewVmWindow = std::chrono::milliseconds(1500);
 
+/// The number of quarantined requests that a newly started VM is told of, which
+/// fit into one datagram beside the rest of a state update.
+static constexpr std::size_t MaxRepeatedDigests = 32;
+
 /// Prompts of at least this many tokens are reported at once; shorter ones are
 /// sent with the next state update. The threshold is higher in a large fleet,
 /// where each VM would receive too many notices otherwise.
@@ -279,6 +283,12 @@
   std::vector<VmStateUpdate::Crash> Recent;
   for (const auto &[At, Observed] : RecentCrashes_)
     Recent.push_back(Observed);
+  // A VM that has just started missed the reports of earlier crashes.
+  if (NewVmSeenAt_ + NewVmWindow > Now)
+    for (const auto &[Digest, Crashed] :
+         Crashes_.evidence(MaxRepeatedDigests, Now))
+      Recent.push_back(
+          {Digest, Crashed.Target_, std::stoll(Crashed.Incarnation_)});
   return Recent;
 }
 
--- a/Source/Routing/CrashTracker.cpp
+++ b/Source/Routing/CrashTracker.cpp
@@ -3,6 +3,9 @@
 #include "Kernel/EraseLowest.h"
 #include "Kernel/Invariant.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace anvil {
 
 /// Crashes of different target incarnations that quarantine a request.
@@ -67,6 +70,20 @@
   return Digests;
 }
 
+std::vector<std::pair<std::string, TargetInstance>>
+CrashTracker::evidence(std::size_t MaxDigests, TimePoint Now) const {
+  std::vector<std::string> Digests = quarantined(Now);
+  std::ranges::sort(Digests, std::greater<>(), [&](const std::string &Digest) {
+    return timeLeft(Digest, Now);
+  });
+  Digests.resize(std::min(Digests.size(), MaxDigests));
+  std::vector<std::pair<std::string, TargetInstance>> Crashes;
+  for (const std::string &Digest : Digests)
+    for (const auto &[Crashed, At] : find(Digest, Now)->Crashes_)
+      Crashes.emplace_back(Digest, Crashed);
+  return Crashes;
+}
+
 void CrashTracker::expire(TimePoint Now) {
   std::erase_if(Suspects_, [Now](const auto &Entry) {
     return Entry.second.ExpiresAt_ <= Now;
--- a/Source/Routing/CrashTracker.h
+++ b/Source/Routing/CrashTracker.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvil {
@@ -50,6 +51,11 @@
 
   std::vector<std::string> quarantined(TimePoint Now) const;
 
+  /// The crashes by which a VM that knows none quarantines the same digests:
+  /// the latest ones, at most `MaxDigests`.
+  std::vector<std::pair<std::string, TargetInstance>>
+  evidence(std::size_t MaxDigests, TimePoint Now) const;
+
   /// Removes expired entries.
   void expire(TimePoint Now);
 
--- a/Tests/Integration/PromptQuarantineTest.cpp
+++ b/Tests/Integration/PromptQuarantineTest.cpp
@@ -110,3 +110,41 @@
     CHECK(Deadly.crashes() == Before);
   }
 }
+
+// Guards against BUDGET: a VM that was restarted doesn't know which requests
+// the others refuse, and sends one of them to further engines, which crash.
+TEST_CASE("a restarted VM refuses the requests that crash targets",
+          "[quarantine-restart]") {
+  EntryFleet System;
+  std::int64_t Incarnation = 1700000000000;
+  int Crashes = 0;
+  // The only part of its prompt belongs to the request itself.
+  auto Send = [&](const std::string &Vm) {
+    for (const char *Engine : {"engine-1", "engine-2"})
+      System.control(Engine, {{"deadly_part", "dead"}});
+    CallerReply Reply =
+        System.call(Vm, "/stream/deadly",
+                    {{"X-Model", "base"}, {"X-Prompt-Prefix", "dead:100"}});
+    std::this_thread::sleep_for(Millis(400));
+    for (const char *Engine : {"engine-1", "engine-2"})
+      if (System.at(Engine).exitedUnexpectedly()) {
+        ++Crashes;
+        System.restartTarget(Engine, ++Incarnation);
+      }
+    return Reply;
+  };
+  while (Crashes < 6 && !isQuarantined(Send("vm-1")))
+    std::this_thread::sleep_for(Millis(500));
+  REQUIRE(Crashes >= 2);
+  REQUIRE(Crashes < 6);
+  // Longer than a crash is repeated in state updates.
+  std::this_thread::sleep_for(Millis(2500));
+  System.restart("vm-2");
+  REQUIRE(
+      eventually([&] { return System.call("vm-2", "/safe/x").Status_ == 200; },
+                 Millis(10000)));
+  std::this_thread::sleep_for(Millis(500));
+  int CrashesBefore = Crashes;
+  CHECK(isQuarantined(Send("vm-2")));
+  CHECK(Crashes == CrashesBefore);
+}
--- a/Tests/Property/PoisonProperty.cpp
+++ b/Tests/Property/PoisonProperty.cpp
@@ -55,6 +55,14 @@
       REQUIRE(!Tracker.isQuarantined("poison", Now));
       REQUIRE(!Tracker.addCrash("poison", {"t3", "c"}, Now));
     }
+    SECTION("is known to a VM that is told of its crashes later") {
+      CrashTracker Restarted({});
+      for (const auto &[Digest, Crashed] : Tracker.evidence(10, Now))
+        Restarted.addCrash(Digest, Crashed, Now);
+      CHECK(Restarted.quarantined(Now) == Tracker.quarantined(Now));
+      CHECK_FALSE(Restarted.isSuspect("bystander", Now));
+      CHECK(Tracker.evidence(0, Now).empty());
+    }
     SECTION("is served again when an operator clears it") {
       REQUIRE(Tracker.clear("poison"));
       REQUIRE(!Tracker.isSuspect("poison", Now));
