--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -175,10 +175,12 @@
            {{"Table", "servers"}, {"Key", Target}, {"Value", Bytes}});
 }
 
-void EntryFleet::replaceEngines(const std::string &Id, std::uint16_t Port) {
+void EntryFleet::replaceTargets(const std::string &Id, std::uint16_t Port) {
   writeTargetRow(Id, Port, "ready", 1700000000000, std::nullopt);
-  for (const char *Engine : {"engine-1", "engine-2"})
-    writeTargetEntry(Engine, "draining");
+  std::string Kind = Id.substr(0, Id.find('-'));
+  for (const std::string &Target : EntryTargets)
+    if (Target.starts_with(Kind))
+      writeTargetEntry(Target, "draining");
 }
 
 void EntryFleet::writeTargetRow(const std::string &Target, std::uint16_t Port,
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -81,9 +81,10 @@
   /// Writes any bytes as a target's registration row, as another writer may.
   void writeTargetBytes(const std::string &Target, const std::string &Bytes);
 
-  /// Registers an engine that the test itself runs at a port of the loopback
-  /// address, and lets the other engines leave.
-  void replaceEngines(const std::string &Id, std::uint16_t Port);
+  /// Registers a target that the test itself runs at a port of the loopback
+  /// address, and lets the other targets of its service leave. An engine's name
+  /// starts with `engine`, a plain service's with `plain`.
+  void replaceTargets(const std::string &Id, std::uint16_t Port);
 
   /// Names a version of an adapter of the model `base`.
   void nameVersion(const std::string &Adapter, std::uint64_t Version);
--- a/Tests/Integration/RepeatedReplyTest.cpp
+++ b/Tests/Integration/RepeatedReplyTest.cpp
@@ -13,7 +13,7 @@
           "[repeated-reply]") {
   EntryFleet System;
   RepeatingTarget Engine("engine-3");
-  System.replaceEngines("engine-3", Engine.port());
+  System.replaceTargets("engine-3", Engine.port());
   int Requests = 0;
   auto Call = [&](const std::string &Id) {
     return System.call("vm-1", "/stream/x",
--- a/Tests/Integration/StreamEndingTest.cpp
+++ b/Tests/Integration/StreamEndingTest.cpp
@@ -33,7 +33,7 @@
           "[stream-ending]") {
   EntryFleet System;
   ScriptedTarget Engine("engine-3");
-  System.replaceEngines("engine-3", Engine.port());
+  System.replaceTargets("engine-3", Engine.port());
   auto Call = [&](const std::string &Path) {
     return System.call("vm-1", Path, {{"X-Model", "base"}});
   };
--- a/Tests/Standins/ScriptedTarget.cpp
+++ b/Tests/Standins/ScriptedTarget.cpp
@@ -34,8 +34,14 @@
   Replies_ = std::move(Replies);
 }
 
+int ScriptedTarget::requestCount() const {
+  std::lock_guard Lock(Mutex_);
+  return Requests_;
+}
+
 ScriptedReply ScriptedTarget::nextReply() {
   std::lock_guard Lock(Mutex_);
+  ++Requests_;
   if (Replies_.empty())
     return {};
   ScriptedReply Reply = Replies_.front();
@@ -84,10 +90,14 @@
   } else {
     Reply = nextReply();
   }
-  std::string Bytes = "HTTP/1.1 " + Reply.Status_ +
-                      "\r\nX-Server-Seal: seal-of-" + Id_ +
-                      "\r\nX-Request-Id: " + RequestId + "\r\n" +
-                      Reply.HeadLines_ + "\r\n" + Reply.Body_;
+  std::string Bytes =
+      "HTTP/1.1 " + Reply.Status_ + "\r\nX-Server-Seal: seal-of-" + Id_ +
+      "\r\nX-Request-Id: " + RequestId + "\r\n" + Reply.HeadLines_ + "\r\n";
+  int Sent = Reply.SentBytes_.value_or(0);
+  std::size_t HeadSize = Bytes.size();
+  Bytes += Reply.Body_;
+  if (Reply.SentBytes_)
+    Bytes.resize(static_cast<std::size_t>(Sent) + (Sent < 0 ? HeadSize : 0));
   asio::write(Caller, asio::buffer(Bytes), Cause);
   if (Reply.IsReset_) {
     // The caller has the bytes before the reset discards what it hasn't read.
--- a/Tests/Standins/ScriptedTarget.h
+++ b/Tests/Standins/ScriptedTarget.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -21,9 +22,12 @@
   /// Whether the connection is reset after the last byte instead of closed.
   bool IsReset_ = false;
   std::string Status_ = "200 OK";
+  /// How many bytes are sent, counted from the first one of the head; negative
+  /// numbers count from the end of the head. All if absent.
+  std::optional<int> SentBytes_ = std::nullopt;
 };
 
-/// An engine on a thread of the test that replies byte for byte as the test
+/// A target on a thread of the test that replies byte for byte as the test
 /// says, with its seal, and then ends the connection. Each reply
 /// is for one request; the last one is kept. Reports list the model `base`.
 class ScriptedTarget {
@@ -37,6 +41,9 @@
 
   void script(std::deque<ScriptedReply> Replies);
 
+  /// How many requests were read, reports left out.
+  int requestCount() const;
+
 private:
   void run();
   void serve(boost::asio::ip::tcp::socket Caller);
@@ -45,7 +52,8 @@
   std::string Id_;
   boost::asio::io_context Loop_;
   boost::asio::ip::tcp::acceptor Acceptor_;
-  std::mutex Mutex_;
+  mutable std::mutex Mutex_;
+  int Requests_ = 0;
   std::deque<ScriptedReply> Replies_;
   bool Stopped_ = false;
   std::thread Thread_;
