Refuse requests that may outlast a stop half a second earlier

A report of other operators: late requests of a planned stop were taken, passed on and cut without an answer at its end (LOST).

What was found: the refusal began exactly 3 s after the VM had noticed the signal, while a cut is excused only for requests sent up to 3 s after the signal itself.

The steps of a stop are a class of their own, StopSchedule. Requests whose deadline is after the end are refused from 2.5 s on, which the new log line long_requests_refused tells; idle connections are closed at 3 s as before.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -13,6 +13,7 @@
 #include "Entry/TargetPicker.h"
 #include "Http/WhenIdle.h"
 #include "Objects/Digest.h"
+#include "Serving/StopSchedule.h"
 #include "Telemetry/Log.h"
 #include "Telemetry/Metrics.h"
 #include "platform/StoreClient.h"
@@ -21,18 +22,6 @@
 
 namespace anvil {
 
-/// How long the balancer may need to detect that a VM is not ready: two checks
-/// one second apart, plus their replies.
-static constexpr Duration BalancerDetectionTime =
-    std::chrono::milliseconds(3000);
-
-/// Time reserved at the end of the grace period, after which the process is
-/// killed.
-static constexpr Duration StopMargin = std::chrono::milliseconds(400);
-
-/// How long sending the final replies to running requests may take.
-static constexpr Duration FinalReplyTime = std::chrono::milliseconds(200);
-
 EntryDaemon::EntryDaemon(EntrySettings Settings)
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
       TimerDriver_(Loop_.get_executor(), Timers_,
@@ -108,15 +97,19 @@
            {{"running_requests", Gateway->runningRequests()}});
   Gateway->beginDrain();
   Services_.require<FleetState>(FleetState::Name)->markStopping();
-  auto Grace = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Settings_.Bounds_.StopTimeoutS_));
-  FinalRepliesAt_ = BootClock::now() + Grace - StopMargin - FinalReplyTime;
-  // The balancer keeps sending new connections until its next check.
-  StopTimer_.expires_after(std::min(BalancerDetectionTime, Grace / 2));
-  StopTimer_.async_wait([this](auto) {
+  StopSchedule Steps(std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Settings_.Bounds_.StopTimeoutS_)));
+  FinalRepliesAt_ = BootClock::now() + Steps.finalReplies();
+  StopTimer_.expires_after(Steps.refuseLong());
+  StopTimer_.async_wait([this, Steps](auto) {
     Services_.require<EntryGateway>(EntryGateway::Name)
-        ->closeIdle(FinalRepliesAt_);
-    waitForRequests();
+        ->refuseBeyond(FinalRepliesAt_);
+    // The balancer keeps sending new connections until its next check.
+    StopTimer_.expires_after(Steps.idleClose() - Steps.refuseLong());
+    StopTimer_.async_wait([this](auto) {
+      Services_.require<EntryGateway>(EntryGateway::Name)->closeIdle();
+      waitForRequests();
+    });
   });
 }
 
@@ -135,7 +128,7 @@
   auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
   // Counted from now, since a busy VM may get here late.
   callWhenIdle(
-      StopTimer_, BootClock::now() + FinalReplyTime,
+      StopTimer_, BootClock::now() + StopSchedule::FinalReplyTime,
       [Gateway] { return Gateway->openConnections() == 0; },
       [this, Gateway] {
         logEvent(LogLevel::Info, "stopped",
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -118,8 +118,13 @@
   Callers_.beginDrain();
 }
 
-void EntryGateway::closeIdle(TimePoint StopAt) {
+void EntryGateway::refuseBeyond(TimePoint StopAt) {
   StopAt_ = StopAt;
+  logEvent(LogLevel::Info, "long_requests_refused",
+           {{"stop_in_ms", toMillis(StopAt - BootClock::now())}});
+}
+
+void EntryGateway::closeIdle() {
   ClosedConnections Counts = Callers_.close();
   logEvent(LogLevel::Info, "idle_connections_closed",
            {{"closed", Counts.IdleCount_}, {"kept", Counts.BusyCount_}});
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -32,10 +32,12 @@
   /// Reports not ready from now on and closes each connection after its reply.
   void beginDrain();
 
-  /// Stops accepting connections and closes those without a request. Requests
-  /// that are received later are served only if their deadline is before
-  /// `StopAt`.
-  void closeIdle(TimePoint StopAt);
+  /// Refuses requests that are received from now on and whose deadline is after
+  /// `StopAt`, when this VM stops serving.
+  void refuseBeyond(TimePoint StopAt);
+
+  /// Stops accepting connections and closes those without a request.
+  void closeIdle();
 
   /// Ends all requests, also those received later, with a final reply; cuts
   /// streams that have begun.
@@ -77,7 +79,7 @@
   HttpServer Ready_;
   HttpServer MetricsPage_;
   bool Draining_ = false;
-  /// When this VM stops serving; set by `closeIdle`.
+  /// When this VM stops serving; set by `refuseBeyond`.
   std::optional<TimePoint> StopAt_;
 };
 
