End waits at engines that outlast a new adapter version

The late requests had been sent when the older version was allowed and waited 3.7 s at their engine.

Cause: the wait was estimated as the request was sent, and nobody looked at it again. An engine that becomes slower makes the estimate too short, and one without an owner gets no order that would turn away what waits.

Change: 0.6 s before the bound a VM closes the connections of its requests that still wait with an older version; engines drop what waits on a closed connection. Such a request may have begun, so only what may run twice is sent again. After a wait for a permit the version is looked at again.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -1,6 +1,8 @@
 #include "Entry/EntryGateway.h"
 
 #include "Entry/RandomFraction.h"
+#include "Http/Pause.h"
+#include "Http/Spawn.h"
 #include "Kernel/HexText.h"
 #include "Kernel/Utf8.h"
 #include "Membership/Rendezvous.h"
@@ -85,6 +87,10 @@
     Limits.IdleTime_ = Plan.limits().IdleTime_;
     Callers_.setLimits(Limits);
   });
+  Plans_->VersionNamed_.attach(
+      [this](const std::string &Model, const std::string &Adapter) {
+        spawn(Executor_, endOutdatedWaits(Model, Adapter));
+      });
   Owners_->RowsRead_.attach([this] {
     Shared_.setVms(static_cast<double>(
         std::max<std::size_t>(1, Owners_->ownership().knownVms())));
@@ -130,6 +136,20 @@
            {{"closed", Counts.IdleCount_}, {"kept", Counts.BusyCount_}});
 }
 
+asio::awaitable<void> EntryGateway::endOutdatedWaits(std::string Model,
+                                                     std::string Adapter) {
+  const VersionRequirements &Versions = Plans_->versions();
+  // The version before the newest one is the last to become outdated.
+  auto Limit =
+      Versions.waitLimit(Model, Adapter, Versions.newest(Model, Adapter) - 1);
+  if (!Limit)
+    co_return;
+  co_await pauseFor(*Limit - BootClock::now());
+  TimePoint Now = std::max(*Limit, BootClock::now());
+  for (RequestRun &Run : Shared_.Running_)
+    Run.endIfOutdated(Versions, Now);
+}
+
 std::string EntryGateway::notReadyReason() const {
   if (Draining_)
     return "stopping";
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -62,6 +62,10 @@
 
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> respondReady(HttpExchange &Exchange);
+  /// Waits until no request may start on the versions before an adapter's
+  /// newest one, and ends those that still wait at a target for that.
+  boost::asio::awaitable<void> endOutdatedWaits(std::string Model,
+                                                std::string Adapter);
   std::optional<Refusal> admit(const HttpRequest &Request,
                                EntryRequest &Admitted);
   std::optional<Refusal> admitKey(EntryRequest &Admitted);
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -22,6 +22,10 @@
 /// How long before its bound a newer version is required for every request.
 static constexpr Duration VersionMargin = std::chrono::milliseconds(1800);
 
+/// How long before its bound requests that still wait at a target with an older
+/// version are ended; covers the time until the target notices.
+static constexpr Duration VersionEndMargin = std::chrono::milliseconds(600);
+
 /// Retry waits while the store can't be read. They are short, since all time
 /// bounds keep running, and spread so that VMs don't retry at the same time.
 static constexpr Duration MinRetryWait = std::chrono::milliseconds(100);
@@ -50,7 +54,9 @@
     : Executor_(std::move(Executor)), Settings_(Settings),
       Store_(std::move(Store)), ReadRotation_(rotationOptions(Settings)),
       Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
-                VersionMargin) {
+                    VersionMargin,
+                std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
+                    VersionEndMargin) {
   Store_->EraChanged_.attach([this](std::uint64_t) { startEra(); });
 }
 
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -75,6 +75,18 @@
   Connection_.close();
 }
 
+void RequestRun::endIfOutdated(const VersionRequirements &Versions,
+                               TimePoint Now) {
+  if (!AwaitedVersion_)
+    return;
+  auto Limit =
+      Versions.waitLimit(Query_.Model_, Query_.Adapter_, *AwaitedVersion_);
+  if (!Limit || *Limit > Now)
+    return;
+  IsOutdated_ = true;
+  Connection_.close();
+}
+
 asio::awaitable<void> RequestRun::serve() {
   Shared_.retryBudgetOf(Request_.Service_).recordRequest();
   Shared_.Picker_->recordRequest(Request_.Service_, Request_.ArrivedAt_);
@@ -144,8 +156,12 @@
     bool MaySend = !PermitRequestedAt_ ||
                    co_await Shared_.Permits_->acquire(
                        Chosen->Target_, Chosen->Incarnation_, Pause_);
-    // An evacuation may have begun while the permit was awaited.
-    if (!MaySend || Shared_.Picker_->isEvacuated(*Chosen))
+    // While the permit was awaited, an evacuation may have begun or the
+    // target's version of the adapter become outdated.
+    bool IsStale =
+        Shared_.Picker_->isEvacuated(*Chosen) ||
+        Shared_.Picker_->isOutdated(Query_, *Chosen, BootClock::now());
+    if (!MaySend || IsStale)
       continue;
     SendOutcome End = co_await tryTarget(std::move(*Chosen));
     if (End == SendOutcome::Done)
@@ -386,9 +402,20 @@
   SentAt_ = RequestSentAt;
   LongRun_ = LongRunDetector();
   Connection_.carried().recordRequest(Request_.Fields_.RequestId_);
+  IsOutdated_ = false;
+  if (!Query_.Adapter_.empty())
+    AwaitedVersion_ = Chosen.HeldVersion_;
   auto Head = co_await Connection_.exchange(Outgoing, Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
+  AwaitedVersion_.reset();
   TimePoint Now = BootClock::now();
+  if (!isOk(Head) && IsOutdated_) {
+    // The target may have begun just then.
+    LastReason_ = VersionOutdated;
+    Shared_.Metrics_->count("anvil_outdated_waits_total",
+                            {{"service", Query_.Service_}});
+    co_return SendOutcome::Lost;
+  }
   if (!isOk(Head)) {
     LastReason_ = errorCodeName(errorOf(Head).Code_);
     recordFailure(Chosen, Now - SentAt, Now);
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -54,6 +54,10 @@
   /// Cancels a pause and closes the connection to the target.
   void interrupt();
 
+  /// Closes the connection to the target if the request may still wait there to
+  /// start on a version of its adapter that is too old by now.
+  void endIfOutdated(const VersionRequirements &Versions, TimePoint Now);
+
 private:
   /// Time reserved before the deadline for sending the reply.
   static constexpr Duration ReplyMargin = std::chrono::milliseconds(20);
@@ -68,6 +72,10 @@
   static constexpr std::string_view TargetEvacuated = "target_evacuated";
   static constexpr std::string_view PermitMissing = "permit_missing";
 
+  /// The reason logged when the version of the adapter became outdated while
+  /// the request waited at its target.
+  static constexpr std::string_view VersionOutdated = "version_outdated";
+
   /// The reason logged for requests whose prompt has a part that crashes
   /// targets.
   static constexpr std::string_view PartQuarantined = "part_quarantined";
@@ -178,6 +186,10 @@
   /// When a refused caller should retry, if known.
   std::optional<Duration> CallerRetryAfter_;
   Duration AdapterWait_{};
+  /// The adapter version of the target that hasn't begun to answer yet.
+  std::optional<std::uint64_t> AwaitedVersion_;
+  /// Whether that target's connection was closed because of its version.
+  bool IsOutdated_ = false;
   /// Whether the request may be sent again after a target lacked the adapter.
   bool MaySendAgain_ = true;
   /// How long the request was delayed so that its prefill doesn't pause the
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -284,9 +284,10 @@
         Plans_->versions().newest(Query.Model_, Query.Adapter_);
     const EngineView *View = Fleet_->view().engine(Entry.Id_);
     auto Held = View->Adapters_.find(Query.Adapter_);
+    Chosen.HeldVersion_ =
+        Held == View->Adapters_.end() ? Newest : Held->second.Version_;
     if (Newest > 0)
-      Chosen.Version_ =
-          Held == View->Adapters_.end() ? Newest : Held->second.Version_;
+      Chosen.Version_ = Chosen.HeldVersion_;
     Chosen.Queue_ = Queue;
     describeLoad(Chosen, Query, Now);
   }
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -52,6 +52,8 @@
   StoreQueue Queue_;
   /// The adapter version that the target is required to run, if one was named.
   std::optional<std::uint64_t> Version_;
+  /// The adapter version that the target is known to hold; zero if none.
+  std::uint64_t HeldVersion_ = 0;
   /// Whether a request to it needs a permit.
   bool NeedsPermit_ = false;
   /// The remaining prefill time of earlier prompts at the target, and the
@@ -92,6 +94,15 @@
     return Plans_->evacuations().isEvacuated(Chosen.DataCentre_);
   }
 
+  /// Whether the adapter version of the chosen target has become too old for
+  /// requests that are sent now.
+  bool isOutdated(const TargetQuery &Query, const TargetChoice &Chosen,
+                  TimePoint Now) const {
+    return !Query.Adapter_.empty() &&
+           Plans_->versions().required(Query.Model_, Query.Adapter_, Now) >
+               Chosen.HeldVersion_;
+  }
+
   /// Whether the service has usable targets and all of them are in evacuated
   /// data centres.
   bool isFullyEvacuated(const TargetQuery &Query) const;
--- a/Source/Serving/VersionRequirements.cpp
+++ b/Source/Serving/VersionRequirements.cpp
@@ -55,4 +55,15 @@
   return From;
 }
 
+std::optional<TimePoint>
+VersionRequirements::waitLimit(const std::string &Model,
+                               const std::string &Adapter,
+                               std::uint64_t Version) const {
+  auto From = outdatedFrom(Model, Adapter, Version);
+  // A version that was found after a start may have been published long ago.
+  if (!From || *From == TimePoint{})
+    return From;
+  return *From + (MaxStart_ - Grace_);
+}
+
 } // namespace anvil
--- a/Source/Serving/VersionRequirements.h
+++ b/Source/Serving/VersionRequirements.h
@@ -15,8 +15,11 @@
 /// ones may no longer be used.
 class VersionRequirements {
 public:
-  /// `Grace` is how long after its publication a version need not be used yet.
-  explicit VersionRequirements(Duration Grace) : Grace_(Grace) {}
+  /// `Grace` is how long after its publication a version need not be used yet,
+  /// and `MaxStart` how long after it a request that was sent before may still
+  /// start on an older one.
+  VersionRequirements(Duration Grace, Duration MaxStart)
+      : Grace_(Grace), MaxStart_(MaxStart) {}
 
   /// Records a published version. `NotBefore` is a time at which it was
   /// certainly not published yet; without one it may have been published long
@@ -38,6 +41,12 @@
                                         const std::string &Adapter,
                                         std::uint64_t Version) const;
 
+  /// Until when a request that was sent with this version may wait at its
+  /// target for its start; nothing while it is the newest.
+  std::optional<TimePoint> waitLimit(const std::string &Model,
+                                     const std::string &Adapter,
+                                     std::uint64_t Version) const;
+
   /// How long a request may wait at a target before it starts, if its version
   /// is to be allowed then even where a newer one is published right after it
   /// was sent.
@@ -53,6 +62,7 @@
                                             const std::string &Adapter) const;
 
   Duration Grace_;
+  Duration MaxStart_;
   /// Versions in order, by model and adapter.
   std::map<std::string, std::map<std::string, std::vector<PublishedVersion>>>
       Published_;
--- a/Tests/Integration/OutdatedVersionTest.cpp
+++ b/Tests/Integration/OutdatedVersionTest.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
 #include <thread>
 
 using namespace anvil;
@@ -51,44 +52,83 @@
   std::vector<std::thread> Threads_;
 };
 
-TEST_CASE("no request begins on an outdated version", "[outdated-version]") {
+/// Callers that wait at one engine for some seconds, through the VM that
+/// doesn't own it.
+class WaitingCallers {
+public:
+  explicit WaitingCallers(EntryFleet &System) : System_(System) {
+    System.writeTargetEntry("engine-2", "draining");
+    REQUIRE(eventually([&] { return !System.ownerOf("engine-1").empty(); },
+                       Millis(10000)));
+    Owner_ = System.ownerOf("engine-1");
+    std::string Sender = Owner_ == "vm-1" ? "vm-2" : "vm-1";
+    REQUIRE(eventually(
+        [&] {
+          return System.call(Sender, "/stream/x", {{"X-Model", "base/a1"}})
+                     .Status_ == 200;
+        },
+        Millis(10000)));
+    // Each request runs for a second, so those of 16 callers would wait for up
+    // to seven.
+    System.control("engine-1", {{"slots", 2}, {"event_ms", 50}});
+    Callers_.emplace(System, Sender, 16);
+    std::this_thread::sleep_for(Millis(9000));
+  }
+
+  void killOwner() {
+    System_.at(Owner_).kill();
+    std::this_thread::sleep_for(Millis(1000));
+  }
+
+  /// Names version 2 and checks that nothing begins on version 1 after the
+  /// bound, and that version 2 is used once a VM may order it.
+  void checkNewVersion() {
+    System_.nameVersion("a1", 2);
+    std::int64_t NamedAt = BootClock::now().time_since_epoch().count();
+    std::this_thread::sleep_for(Millis(8000));
+    std::int64_t LastBegin = 0;
+    for (const json &Begin : System_.records("begin"))
+      if (Begin["version"] == 1)
+        LastBegin = std::max(LastBegin, Begin["at_us"].get<std::int64_t>());
+    CHECK(LastBegin < NamedAt + VersionBoundUs);
+    // A successor wasn't there when the version was named.
+    int ServedBefore = Callers_->served();
+    CHECK(eventually([&] { return Callers_->served() > ServedBefore + 2; },
+                     Millis(15000)));
+    CHECK(System_.records("begin").back()["version"] == 2);
+  }
+
+private:
+  EntryFleet &System_;
+  std::string Owner_;
+  std::optional<AdapterCallers> Callers_;
+};
+
+static EntryFleetPlan longRequests() {
   EntryFleetPlan Plan;
   Plan.Timeout_ = Millis(12000);
   Plan.EngineSlots_ = 2;
-  EntryFleet System(Plan);
-  System.writeTargetEntry("engine-2", "draining");
-  REQUIRE(eventually([&] { return !System.ownerOf("engine-1").empty(); },
-                     Millis(10000)));
-  std::string Owner = System.ownerOf("engine-1");
-  std::string Sender = Owner == "vm-1" ? "vm-2" : "vm-1";
-  REQUIRE(eventually(
-      [&] {
-        return System.call(Sender, "/stream/x", {{"X-Model", "base/a1"}})
-                   .Status_ == 200;
-      },
-      Millis(10000)));
-  // Each request runs for a second, so those of 16 callers would wait for up to
-  // seven.
-  System.control("engine-1", {{"slots", 2}, {"event_ms", 50}});
-  AdapterCallers Callers(System, Sender, 16);
-  std::this_thread::sleep_for(Millis(9000));
+  return Plan;
+}
+
+TEST_CASE("no request begins on an outdated version", "[outdated-version]") {
+  EntryFleet System(longRequests());
+  WaitingCallers Callers(System);
   bool HasOwner = GENERATE(true, false);
   INFO("the engine has an owner: " << HasOwner);
-  if (!HasOwner) {
-    System.at(Owner).kill();
-    std::this_thread::sleep_for(Millis(1000));
-  }
-  System.nameVersion("a1", 2);
-  std::int64_t NamedAt = BootClock::now().time_since_epoch().count();
-  std::this_thread::sleep_for(Millis(8000));
-  std::int64_t LastBegin = 0;
-  for (const json &Begin : System.records("begin"))
-    if (Begin["version"] == 1)
-      LastBegin = std::max(LastBegin, Begin["at_us"].get<std::int64_t>());
-  CHECK(LastBegin < NamedAt + VersionBoundUs);
-  // A successor wasn't there when the version was named.
-  int ServedBefore = Callers.served();
-  CHECK(eventually([&] { return Callers.served() > ServedBefore + 2; },
-                   Millis(15000)));
-  CHECK(System.records("begin").back()["version"] == 2);
+  if (!HasOwner)
+    Callers.killOwner();
+  Callers.checkNewVersion();
+}
+
+// The wait is much longer than expected when the requests were sent, which no
+// estimate can know.
+TEST_CASE("nor if its engine becomes slower while it waits",
+          "[outdated-wait]") {
+  EntryFleet System(longRequests());
+  WaitingCallers Callers(System);
+  System.control("engine-1", {{"event_ms", 150}, {"drop_waiting", true}});
+  Callers.killOwner();
+  Callers.checkNewVersion();
+  CHECK(System.records("dropped").size() > 0);
 }
--- a/Tests/Serving/EngineControllerTest.cpp
+++ b/Tests/Serving/EngineControllerTest.cpp
@@ -198,7 +198,7 @@
   // Guards against VERSION: an owner learns of a version only while it owns
   // the engine and the engine holds the adapter.
   SECTION("replace a version that was outdated before it was held") {
-    VersionRequirements Versions(4s);
+    VersionRequirements Versions(4s, 5s);
     Versions.recordVersion("base", "a2", 2, Start - 1s);
     Versions.recordVersion("base", "a2", 3, Start + 2s);
     Controller.applyVersions(Versions);
--- a/Tests/Serving/VersionRequirementsTest.cpp
+++ b/Tests/Serving/VersionRequirementsTest.cpp
@@ -8,7 +8,7 @@
 static const TimePoint Start{1000s};
 
 TEST_CASE("published adapter versions", "[versions]") {
-  VersionRequirements Versions(3s);
+  VersionRequirements Versions(3s, 4s);
   CHECK(Versions.newest("base", "a1") == 0);
   REQUIRE(Versions.recordVersion("base", "a1", 2, Start));
   SECTION("are required once their grace period is over") {
@@ -30,6 +30,14 @@
     CHECK_FALSE(Versions.outdatedFrom("base", "a1", 3));
     CHECK_FALSE(Versions.outdatedFrom("base", "a2", 1));
   }
+  // Guards against VERSION: a request waits at a target for longer than was
+  // expected when it was sent.
+  SECTION("limit how long requests may wait for their start on older ones") {
+    REQUIRE(Versions.recordVersion("base", "a1", 3, Start + 2s));
+    CHECK(Versions.waitLimit("base", "a1", 1) == Start + 4s);
+    CHECK(Versions.waitLimit("base", "a1", 2) == Start + 6s);
+    CHECK_FALSE(Versions.waitLimit("base", "a1", 3));
+  }
   SECTION("are never replaced by older ones") {
     CHECK_FALSE(Versions.recordVersion("base", "a1", 1, Start + 1s));
     CHECK_FALSE(Versions.recordVersion("base", "a1", 2, Start + 1s));
@@ -39,8 +47,9 @@
   // of publication is then unknown, so the version must be required at once
   // (incident fresh-8f15 on serenas-norte).
   SECTION("found after a start are required at once") {
-    VersionRequirements Restarted(3s);
+    VersionRequirements Restarted(3s, 4s);
     Restarted.recordVersion("base", "a1", 2, std::nullopt);
     CHECK(Restarted.required("base", "a1", Start) == 2);
+    CHECK(Restarted.waitLimit("base", "a1", 1) <= Start);
   }
 }
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -51,6 +51,7 @@
   CutAfter_ = Body.value("cut_after", CutAfter_);
   EventMs_ = Body.value("event_ms", EventMs_);
   Slots_ = Body.value("slots", Slots_);
+  DropWaiting_ = Body.value("drop_waiting", DropWaiting_);
   HoldMs_ = Body.value("hold_ms", HoldMs_);
   HoldBody_ = Body.value("hold_body", HoldBody_);
   Busy_ = Body.value("busy", Busy_);
@@ -139,9 +140,14 @@
   Waiting_.insert(Ticket);
   while (UsedSlots_ >= Slots_ || *Waiting_.begin() != Ticket) {
     co_await pauseFor(SlotCheckPeriod);
-    if (HeldVersion() == Version)
+    bool IsDropped = DropWaiting_ && Exchange.callerDisconnected();
+    if (HeldVersion() == Version && !IsDropped)
       continue;
     Waiting_.erase(Ticket);
+    if (IsDropped) {
+      Records_.add("dropped", {{"headers", headersToJson(Exchange.request())}});
+      co_return;
+    }
     HttpReply Refusal = jsonReply(503, "{}");
     Refusal.Headers_.add("X-Not-Executed", "1");
     co_await Exchange.respond(std::move(Refusal));
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -21,8 +21,9 @@
 ///  - `event_ms`, `hold_ms`: the pause between events and before a reply, or
 ///    in the middle of its body with `hold_body`;
 ///  - `slots`: streams that run at once; others wait in order of arrival, also
-///    after their caller has left, and are refused if their adapter is replaced
-///    meanwhile. Each that begins is recorded with the adapter's version;
+///    after their caller has left unless `drop_waiting` is set, and are refused
+///    if their adapter is replaced meanwhile. Each that begins is recorded with
+///    the adapter's version;
 ///  - `busy`: orders are rejected as if another one were running;
 ///  - `headers`: a list of names and values that are added to all replies, and
 ///    to refusals unless `bare_refusals` is set;
@@ -72,6 +73,7 @@
   /// The tickets of the waiting streams, in order.
   std::set<std::uint64_t> Waiting_;
   std::uint64_t LastTicket_ = 0;
+  bool DropWaiting_ = false;
   bool HoldBody_ = false;
   bool Busy_ = false;
   bool Endless_ = false;
