--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -204,9 +204,10 @@
 }
 
 void EntryFleet::configure(std::uint64_t Revision,
-                           const std::vector<std::string> &Keys) {
-  auto Route = [this](const char *Prefix, const char *Kind, const char *Service,
-                      int Targets) {
+                           const std::vector<std::string> &Keys,
+                           const std::vector<std::string> &Added) {
+  auto Route = [this](const std::string &Prefix, const char *Kind,
+                      const char *Service, int Targets) {
     return json{{"Name", Prefix},
                 {"Host", "anvil"},
                 {"PathPrefix", Prefix},
@@ -237,6 +238,8 @@
         Route("/stream/", "streaming", "engines", 1), Stream}},
       {"Services", {{{"Name", "engines"}, {"Engine", Engine}}, Plain}},
       {"Tenants", json::array({{{"Name", "serenas"}, {"ApiKeys", Keys}}})}};
+  for (const std::string &Path : Added)
+    Config["Routes"].push_back(Route(Path, "safe", "plain", 2));
   writeRow("op", "config", Config);
 }
 
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -66,9 +66,10 @@
   /// restore it.
   void setStoreLink(const std::string &Vm, const std::string &Mode);
 
-  /// Writes the configuration row; `Keys` are the API keys of its only
-  /// customer.
-  void configure(std::uint64_t Revision, const std::vector<std::string> &Keys);
+  /// Writes the configuration row; `Keys` are the API keys of its only customer
+  /// and `Added` the paths of further routes to the plain service.
+  void configure(std::uint64_t Revision, const std::vector<std::string> &Keys,
+                 const std::vector<std::string> &Added = {});
 
   /// Writes a target's registration row.
   void writeTargetEntry(const std::string &Target, const std::string &State,
