Use a target again that restarted with its clock set back

No caller was seen to meet it.

Cause: an entry with an earlier start time than the known one counts as written before a restart, for as long as it is listed. A target whose machine's clock was set back before it started again under the same id has such an entry: if its address had changed, or the incarnation before had left, nothing was sent to it any more.

Change: an entry that stays for 10 s is believed. Those from before a restart are overwritten by the target within a heartbeat, or removed after three silent ones. TargetRosterTest "unless they stay" fails without the change.

--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -27,9 +27,14 @@
     ListedTarget &Known = It->second;
     bool IsNewIncarnation =
         !IsNew && Known.Entry_.Incarnation_ != Entry.Incarnation_;
-    // The list may still show an entry written before the restart.
-    if (IsNewIncarnation && Entry.Incarnation_ < Known.Entry_.Incarnation_)
-      continue;
+    // The list may still show an entry written before the restart. One that
+    // stays is that of a target whose clock was set back before its restart.
+    if (IsNewIncarnation && Entry.Incarnation_ < Known.Entry_.Incarnation_) {
+      if (!Known.OutdatedSince_)
+        Known.OutdatedSince_ = Now;
+      if (*Known.OutdatedSince_ + Options_.MaxOutdatedTime_ > Now)
+        continue;
+    }
     TargetUsability Usability = Entry.State_ == TargetState::Draining
                                     ? TargetUsability::Draining
                                     : TargetUsability::Usable;
@@ -41,7 +46,8 @@
       Changes.push_back({Entry.Id_, Usability, IsNew || IsNewIncarnation});
     auto RestartedAt =
         IsNewIncarnation ? std::optional(Now) : Known.RestartedAt_;
-    Known = {std::move(Entry), Usability, Now, RestartedAt, IsLeaving};
+    Known = {std::move(Entry), Usability, Now,
+             RestartedAt,      IsLeaving, std::nullopt};
   }
   for (auto It = Targets_.begin(); It != Targets_.end();) {
     ListedTarget &Known = It->second;
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -16,6 +16,10 @@
   /// How long after the recovery of the list the lapsed entries of running
   /// targets may be missing; the platform's documentation gives 2 s.
   Duration LapseGrace_ = std::chrono::milliseconds(2200);
+  /// For how long the list may show an entry from before a target's restart. A
+  /// target writes its entry every second or so, and that of one that is silent
+  /// is removed.
+  Duration MaxOutdatedTime_ = std::chrono::seconds(10);
 };
 
 /// The usability of a target for new requests.
@@ -42,6 +46,8 @@
   std::optional<TimePoint> RestartedAt_;
   /// Whether its present incarnation was reported as leaving, which is final.
   bool IsLeaving_ = false;
+  /// Since when the list has shown an entry that looks older, if it does.
+  std::optional<TimePoint> OutdatedSince_;
 };
 
 /// A change in this VM's view of a target.
--- a/Tests/Serving/TargetRosterTest.cpp
+++ b/Tests/Serving/TargetRosterTest.cpp
@@ -92,5 +92,22 @@
     Roster.applyList({entry("a", 5), entry("b")}, Start + 1s);
     Roster.applyList({entry("a", 1), entry("b")}, Start + 2s);
     CHECK(Roster.find("a")->Entry_.Incarnation_ == 5);
+    // Guards against CONFIG: a target that restarts with its clock set back is
+    // never used again, since its entry looks older than the one before.
+    SECTION("unless they stay, which only those of running targets do") {
+      Roster.recordLeaving("a", 5);
+      Roster.applyList({entry("a", 1), entry("b")}, Start + 11s);
+      CHECK(Roster.find("a")->Entry_.Incarnation_ == 5);
+      auto Changes = Roster.applyList({entry("a", 1), entry("b")}, Start + 12s);
+      REQUIRE(Changes.size() == 1);
+      CHECK(Changes[0].NewIncarnation_);
+      CHECK(Roster.find("a")->Entry_.Incarnation_ == 1);
+      CHECK(Roster.usable("engines").size() == 2);
+    }
+    SECTION("and they stay ignored if newer ones are seen in between") {
+      Roster.applyList({entry("a", 5), entry("b")}, Start + 8s);
+      Roster.applyList({entry("a", 1), entry("b")}, Start + 13s);
+      CHECK(Roster.find("a")->Entry_.Incarnation_ == 5);
+    }
   }
 }
