--- a/Tests/Integration/LateRequestTest.cpp
+++ b/Tests/Integration/LateRequestTest.cpp
@@ -98,16 +98,20 @@
   return "-" + std::to_string(At.count()) + Path.substr(0, Path.rfind('/'));
 }
 
+EntryFleetPlan longRequests() {
+  EntryFleetPlan Plan;
+  Plan.StopSeconds_ = std::chrono::duration<double>(Grace).count();
+  Plan.Timeout_ = Millis(20000);
+  Plan.LatencyTarget_ = Millis(20000);
+  return Plan;
+}
+
 } // namespace
 
 TEST_CASE("requests that come late in a planned stop are answered whole or "
           "refused truly",
           "[late-request]") {
-  EntryFleetPlan Plan;
-  Plan.StopSeconds_ = std::chrono::duration<double>(Grace).count();
-  Plan.Timeout_ = Millis(20000);
-  Plan.LatencyTarget_ = Millis(20000);
-  EntryFleet System(Plan);
+  EntryFleet System(longRequests());
   LateCallers Callers(System, "vm-1");
   const std::vector<std::string> Paths{"/safe/x", "/once/x", "/stream/x",
                                        "/stream/resumable/x"};
@@ -161,11 +165,7 @@
 TEST_CASE("a stopping VM takes no request that may outlast it, already before "
           "it closes idle connections",
           "[late-request]") {
-  EntryFleetPlan Plan;
-  Plan.StopSeconds_ = std::chrono::duration<double>(Grace).count();
-  Plan.Timeout_ = Millis(20000);
-  Plan.LatencyTarget_ = Millis(20000);
-  EntryFleet System(Plan);
+  EntryFleet System(longRequests());
   for (const std::string &Target : EntryTargets)
     System.control(Target, {{"hold_ms", 10000}});
   LateCallers Callers(System, "vm-1");
