--- a/Tests/Integration/LateRequestTest.cpp
+++ b/Tests/Integration/LateRequestTest.cpp
@@ -127,7 +127,7 @@
     Connection->send(System.request("/safe/x", {{"X-Request-Id", "first"}}));
     REQUIRE(Connection->finish(Millis(10000)).Status_ == 200);
   }
-  // A stream's events take as long as other requests as a whole.
+  // Streams work as long as other requests before their first event.
   for (const std::string &Target : EntryTargets)
     System.control(Target, {{"hold_ms", WorkTime.count()}, {"event_ms", 5}});
   std::vector<std::function<void()>> Parts;
--- a/Tests/Integration/OutdatedVersionTest.cpp
+++ b/Tests/Integration/OutdatedVersionTest.cpp
@@ -123,7 +123,8 @@
 
 // The wait is much longer than expected when the requests were sent, which no
 // estimate can know.
-TEST_CASE("nor if its engine becomes slower while it waits",
+TEST_CASE("no request begins on an outdated version if its engine becomes "
+          "slower while it waits",
           "[outdated-wait]") {
   EntryFleet System(longRequests());
   WaitingCallers Callers(System);
