--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -97,9 +97,10 @@
   return std::tie(Of.Version_, Of.Adapters_);
 }
 auto fieldsOf(MaybeConst<RegisteredTarget> auto &Of) {
-  return std::tie(Of.Id_, Of.Incarnation_, Of.Service_, Of.Address_,
-                  Of.DataCentre_, Of.Slots_, Of.State_, Of.Remaining_,
-                  Of.ColdRemaining_, Of.OrdersAccepted_, Of.Models_);
+  return std::tie(Of.Id_, Of.Incarnation_, Of.Service_, Of.SoftwareVersion_,
+                  Of.Address_, Of.DataCentre_, Of.Slots_, Of.State_,
+                  Of.Remaining_, Of.ColdRemaining_, Of.OrdersAccepted_,
+                  Of.Models_);
 }
 auto fieldsOf(MaybeConst<ListingChanges> auto &Of) {
   return std::tie(Of.Entries_, Of.Removed_);
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -315,6 +315,8 @@
        {"kind", requestKindName(Request_.Route_->Kind_)},
        {"adapter", Request_.Fields_.Adapter_},
        {"target", LastTarget_},
+       {"software", LastSoftware_},
+       {"began_as", Request_.Fields_.ResumedId_},
        {"reason", LastReason_},
        {"sends", Sends_},
        {"runs", Runs_},
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -257,6 +257,7 @@
       static_cast<std::int64_t>(Request_.Fields_.Shape_.PromptTokens_ +
                                 Request_.Fields_.Shape_.OutputTokens_);
   LastTarget_ = Chosen.Target_;
+  LastSoftware_ = Chosen.SoftwareVersion_;
   RunningAtPick_ = Chosen.Running_;
   SlotWait_ = Chosen.SlotWait_;
   Shared_.Fleet_->recordStart(
@@ -271,6 +272,7 @@
     logEvent(LogLevel::Info, "try_failed",
              {{"request", Request_.Fields_.RequestId_},
               {"target", Chosen.Target_},
+              {"software", Chosen.SoftwareVersion_},
               {"reason", LastReason_},
               {"sends", Sends_},
               {"runs", Runs_},
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -182,6 +182,8 @@
   bool HeadSent_ = false;
   std::optional<HttpReply> Failure_;
   std::string LastTarget_;
+  /// The version of that target's software.
+  std::string LastSoftware_;
   std::string LastReason_;
   /// When a refused caller should retry, if known.
   std::optional<Duration> CallerRetryAfter_;
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -264,6 +264,7 @@
   TargetChoice Chosen;
   Chosen.Target_ = Entry.Id_;
   Chosen.Incarnation_ = Entry.Incarnation_;
+  Chosen.SoftwareVersion_ = Entry.SoftwareVersion_;
   Chosen.Address_ = valueOf(Where);
   Chosen.DataCentre_ = Entry.DataCentre_;
   Chosen.Readiness_ = Candidate.Readiness_;
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -38,6 +38,7 @@
 struct TargetChoice {
   std::string Target_;
   std::int64_t Incarnation_ = 0;
+  std::string SoftwareVersion_;
   Endpoint Address_;
   std::string DataCentre_;
   AdapterReadiness Readiness_ = AdapterReadiness::NotNeeded;
--- a/Source/Serving/Target.h
+++ b/Source/Serving/Target.h
@@ -34,6 +34,8 @@
   /// The start time of the process; a new value is a new incarnation.
   std::int64_t Incarnation_ = 0;
   std::string Service_;
+  /// The version of its software, which has no order; empty if not stated.
+  std::string SoftwareVersion_;
   std::string Address_;
   std::string DataCentre_;
   int Slots_ = 0;
--- a/Source/Serving/TargetListing.cpp
+++ b/Source/Serving/TargetListing.cpp
@@ -17,7 +17,8 @@
   std::size_t Bytes = NameBytes * Removed_.size();
   for (const RegisteredTarget &Entry : Entries_) {
     Bytes += EntryBytes + Entry.Id_.size() + Entry.Service_.size() +
-             Entry.Address_.size() + Entry.DataCentre_.size();
+             Entry.SoftwareVersion_.size() + Entry.Address_.size() +
+             Entry.DataCentre_.size();
     for (const auto &[Model, Held] : Entry.Models_)
       Bytes += NameBytes * (1 + Held.Adapters_.size());
   }
@@ -28,8 +29,9 @@
 static std::string identityOf(const RegisteredTarget &Entry) {
   std::string Text = Entry.Id_;
   for (const std::string &Part :
-       {std::to_string(Entry.Incarnation_), Entry.Service_, Entry.Address_,
-        Entry.DataCentre_, std::to_string(Entry.Slots_),
+       {std::to_string(Entry.Incarnation_), Entry.Service_,
+        Entry.SoftwareVersion_, Entry.Address_, Entry.DataCentre_,
+        std::to_string(Entry.Slots_),
         std::to_string(static_cast<int>(Entry.State_)),
         std::to_string(isCold(Entry))})
     Text += '\n' + Part;
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -74,6 +74,7 @@
   REQUIRE(Entry);
   CHECK(Entry->Incarnation_ == 1700000000123);
   CHECK(Entry->OrdersAccepted_ == 4);
+  CHECK(Entry->SoftwareVersion_ == "v1");
   CHECK(Entry->Models_.at("m").Adapters_.at("a3") == 2);
   CHECK_FALSE(Entry->ColdRemaining_);
   SECTION("with the time for which it is still cold") {
