--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -114,11 +114,15 @@
   writeTargetEntry(Target, "ready", Incarnation);
 }
 
-void EntryFleet::restart(const std::string &Vm) {
+void EntryFleet::restartTogether(const std::vector<std::string> &Vms) {
   // VMs have the same ports in all their lives.
-  std::uint16_t PeerPort = at(Vm).port("peer");
-  at(Vm).kill();
-  startVm(Vm, PeerPort);
+  std::map<std::string, std::uint16_t> PeerPorts;
+  for (const std::string &Vm : Vms)
+    PeerPorts[Vm] = at(Vm).port("peer");
+  for (const std::string &Vm : Vms)
+    at(Vm).kill();
+  for (const std::string &Vm : Vms)
+    startVm(Vm, PeerPorts[Vm]);
 }
 
 void EntryFleet::writeRow(const std::string &Table, const std::string &Key,
@@ -164,6 +168,12 @@
   writeTargetRow(Target, at(Target).port(), State, Incarnation, ColdRemaining);
 }
 
+void EntryFleet::writeSoftwareVersion(const std::string &Target,
+                                      const std::string &Version) {
+  SoftwareVersions_[Target] = Version;
+  writeTargetEntry(Target, "ready");
+}
+
 void EntryFleet::removeTargetEntry(const std::string &Target) {
   sendJson(at("store").port(), "DELETE", "/row",
            {{"Table", "servers"}, {"Key", Target}, {"Value", ""}});
@@ -194,7 +204,10 @@
                 {"Slots", Plan_.EngineSlots_},
                 {"State", State},
                 {"born", Incarnation},
+                {"Version", "v1"},
                 {"Seq", 0}};
+  if (SoftwareVersions_.contains(Target))
+    Entry["Version"] = SoftwareVersions_[Target];
   if (ColdRemaining)
     Entry["ColdRemainingMs"] = ColdRemaining->count();
   if (IsEngine)
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -76,6 +76,11 @@
                         std::int64_t Incarnation = 1700000000000,
                         std::optional<Millis> ColdRemaining = std::nullopt);
 
+  /// Writes the registration row of a ready target that runs a version of its
+  /// software. Later rows of the target name this version too.
+  void writeSoftwareVersion(const std::string &Target,
+                            const std::string &Version);
+
   /// Removes a target's registration row.
   void removeTargetEntry(const std::string &Target);
 
@@ -102,8 +107,9 @@
   /// Starts a target that has ended again, as a new incarnation.
   void restartTarget(const std::string &Target, std::int64_t Incarnation);
 
-  /// Kills a VM with SIGKILL and starts it again.
-  void restart(const std::string &Vm);
+  /// Kills VMs at the same time with SIGKILL and starts them again.
+  void restartTogether(const std::vector<std::string> &Vms);
+  void restart(const std::string &Vm) { restartTogether({Vm}); }
 
   /// The events with this name that all targets recorded.
   std::vector<nlohmann::json> records(const std::string &Event);
@@ -126,6 +132,8 @@
 
   EntryFleetPlan Plan_;
   std::string Directory_;
+  /// The software versions of targets; the first one if there is none.
+  std::map<std::string, std::string> SoftwareVersions_;
   std::map<std::string, std::unique_ptr<Process>> Processes_;
 };
 
