--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -29,6 +29,8 @@
   Fields.field("watch_ms", Store.WatchTimeoutMs_, {100, 30000});
   Fields.field("target_list_ms", Store.TargetListPeriodMs_, {50, 60000});
   Fields.field("renew_ms", Store.RenewPeriodMs_, {200, 60000});
+  Fields.field("writes_per_s", Store.WritesPerSecond_, {1, 1e7});
+  Fields.field("reads_per_s", Store.ReadsPerSecond_, {1, 1e7});
 }
 
 static void visitFields(FieldReader &Fields, PlatformBoundSettings &Bounds) {
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -33,6 +33,10 @@
   std::int64_t TargetListPeriodMs_ = 1100;
   /// Interval at which a VM renews its row and reads the rows of its peers.
   std::int64_t RenewPeriodMs_ = 3000;
+  /// The write and read calls a second that the store allows to all VMs
+  /// together.
+  double WritesPerSecond_ = 400;
+  double ReadsPerSecond_ = 2000;
 };
 
 /// Time bounds and budgets set by the platform that the entry VM must keep.
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -184,7 +184,7 @@
   SECTION("with the value that was encoded, for arbitrary bytes") {
     rc::prop(
         "a value is unchanged by a round trip", [](const std::string &Value) {
-          std::string Body = encodeTransaction("t", {{}, {{"k", Value}}});
+          std::string Body = encodeTransaction({"t", ""}, {{}, {{"k", Value}}});
           auto Mark = Body.find(R"("Value":")") + 9;
           std::string Text = Body.substr(Mark, Body.find('"', Mark) - Mark);
           auto Read =
--- /dev/null
+++ b/Tests/Streams/StreamLoadTest.cpp
@@ -0,0 +1,171 @@
+#include "StreamFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace anvil;
+using namespace std::chrono_literals;
+
+static Duration percentile(std::vector<Duration> Waits, double Fraction) {
+  if (Waits.empty())
+    return {};
+  std::ranges::sort(Waits);
+  return Waits[static_cast<std::size_t>(Fraction *
+                                        static_cast<double>(Waits.size() - 1))];
+}
+
+/// Lets streams begin at a rate over all VMs, at versions in turn.
+static void beginStreams(StreamFleet &Fleet, double PerSecond, Duration Time,
+                         const std::vector<std::string> &Versions) {
+  double Owed = 0;
+  std::size_t Next = 0;
+  for (TimePoint End = Fleet.now() + Time; Fleet.now() < End;) {
+    for (Owed += PerSecond * toSeconds(StreamFleet::Step); Owed >= 1; --Owed) {
+      Fleet.begin(Next % Fleet.vmCount(), Versions[Next % Versions.size()]);
+      ++Next;
+    }
+    Fleet.advance(StreamFleet::Step);
+  }
+}
+
+struct LoadCase {
+  std::size_t Vms_;
+  double WritesPerSecond_;
+  double StreamsPerSecond_;
+};
+
+TEST_CASE("records of streams beside a release stay within the store's limits",
+          "[streams]") {
+  auto Case = GENERATE(LoadCase{8, 400, 24}, LoadCase{60, 1200, 300},
+                       LoadCase{195, 3200, 33000});
+  StreamFleetPlan Plan;
+  Plan.Vms_ = Case.Vms_;
+  Plan.WritesPerSecond_ = Case.WritesPerSecond_;
+  StreamFleet Fleet(Plan);
+  INFO(Case.Vms_ << " VMs, " << Case.StreamsPerSecond_ << " streams a second");
+
+  SECTION("none are written while one version serves") {
+    beginStreams(Fleet, Case.StreamsPerSecond_, 2s, {"v1"});
+    CHECK(Fleet.writes() == 0);
+    CHECK(Fleet.begun().size() >=
+          static_cast<std::size_t>(1.9 * Case.StreamsPerSecond_));
+  }
+  SECTION("while two versions serve") {
+    Fleet.Usable_ = {{"v1", 5}, {"v2", 5}};
+    Duration Time = 5s;
+    beginStreams(Fleet, Case.StreamsPerSecond_, Time, {"v1", "v2"});
+    double PerSecond = static_cast<double>(Fleet.writes()) / toSeconds(Time);
+    INFO(PerSecond << " rows/s, "
+                   << static_cast<double>(Fleet.recordBytes()) / toSeconds(Time)
+                   << " bytes/s, wait p50 "
+                   << toMillis(percentile(Fleet.waits(), 0.5)) << " ms, p99 "
+                   << toMillis(percentile(Fleet.waits(), 0.99)) << " ms");
+    CHECK(PerSecond <= 0.26 * Case.WritesPerSecond_);
+    CHECK(Fleet.refused() == 0);
+    // A first event is on time within 800 ms, and a prompt is read meanwhile.
+    CHECK(percentile(Fleet.waits(), 0.99) <= 400ms);
+  }
+  SECTION("with a store that is fifty times slower") {
+    Fleet.Usable_ = {{"v1", 5}, {"v2", 5}};
+    Fleet.setAnswerTime(450ms);
+    beginStreams(Fleet, Case.StreamsPerSecond_, 5s, {"v2"});
+    CHECK(static_cast<double>(Fleet.writes()) / 5 <=
+          0.26 * Case.WritesPerSecond_);
+    // Callers give a silent stream up after two seconds.
+    CHECK(percentile(Fleet.waits(), 0.99) <= 1800ms);
+  }
+}
+
+TEST_CASE("streams go on after all VMs lost power beside a release",
+          "[streams]") {
+  StreamFleet Fleet;
+  beginStreams(Fleet, 24, 2s, {"v1"});
+  Fleet.Usable_ = {{"v1", 5}, {"v2", 5}};
+  beginStreams(Fleet, 24, 3s, {"v1", "v2"});
+  auto Killed = GENERATE(std::size_t{1}, std::size_t{4}, std::size_t{8});
+  for (std::size_t Vm = 0; Vm < Killed; ++Vm)
+    Fleet.restart(Vm);
+  Fleet.advance(1s);
+  std::size_t Known = 0;
+  for (const StreamFleet::Stream &Stream : Fleet.begun()) {
+    auto Found = Fleet.lookUp(0, Stream.Key_);
+    Known += Found ? 1 : 0;
+    CHECK(Found == Stream.Version_);
+  }
+  CHECK(Known == Fleet.begun().size());
+}
+
+TEST_CASE("no VM ever takes a stream for one of another version", "[streams]") {
+  // Releases that go on and are taken back, VMs that are cut off, killed one by
+  // one or all at once, and a store that is away or loses answers.
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    StreamFleetPlan Plan;
+    Plan.Vms_ = 5;
+    Plan.Seed_ = Seed;
+    StreamFleet Fleet(Plan);
+    std::mt19937 Random(Seed);
+    auto Draw = [&](int Bound) {
+      return std::uniform_int_distribution<int>(0, Bound - 1)(Random);
+    };
+    std::size_t Looked = 0;
+    std::size_t Found = 0;
+    int Newest = 1;
+    for (int Round = 0; Round < 120; ++Round) {
+      switch (Draw(9)) {
+      case 0:
+        Fleet.setCut(static_cast<std::size_t>(Draw(5)), true);
+        break;
+      case 1:
+        for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm)
+          Fleet.setCut(Vm, false);
+        break;
+      case 2:
+        Fleet.restart(static_cast<std::size_t>(Draw(5)));
+        break;
+      case 3:
+        for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm)
+          Fleet.restart(Vm);
+        break;
+      case 4:
+        Fleet.setStoreUp(Draw(3) > 0);
+        break;
+      case 5:
+        Fleet.setLostAnswers(Draw(2) * 0.4);
+        break;
+      case 6:
+        Fleet.Usable_["v" + std::to_string(++Newest)] = 4;
+        break;
+      case 7:
+        if (Fleet.Usable_.size() > 1)
+          Fleet.Usable_.erase(Draw(2) ? Fleet.Usable_.begin()
+                                      : std::prev(Fleet.Usable_.end()));
+        break;
+      default:
+        // Long enough for a baseline to change.
+        Fleet.advance(std::chrono::seconds(60));
+      }
+      for (int Count = 0; Count < 12; ++Count) {
+        auto Version = std::next(Fleet.Usable_.begin(),
+                                 Draw(static_cast<int>(Fleet.Usable_.size())));
+        Fleet.begin(static_cast<std::size_t>(Draw(5)), Version->first);
+        Fleet.advance(StreamFleet::Step * (1 + Draw(100)));
+      }
+      for (auto Stream = Fleet.begun().rbegin();
+           Stream != Fleet.begun().rend() &&
+           Stream->BeganAt_ + StreamFleet::TakeUpTime > Fleet.now();
+           ++Stream) {
+        auto Origin =
+            Fleet.lookUp(static_cast<std::size_t>(Draw(5)), Stream->Key_);
+        ++Looked;
+        Found += Origin ? 1 : 0;
+        INFO("seed " << Seed << " round " << Round);
+        if (Origin)
+          REQUIRE(*Origin == Stream->Version_);
+      }
+    }
+    INFO("seed " << Seed << ": " << Found << " of " << Looked);
+    // Most of the time the store answers.
+    CHECK(Found > Looked / 4);
+  }
+}
