Let streams go on only at the software version that began them

A VM went on at any engine, and none could know where a stream of another VM, or of its own earlier life, had begun.

Each VM knows now, or refuses: streams begin at the service's baseline, or are recorded in the store before their first event is forwarded. A stream that a caller takes up is looked up by a read that is newer than the request.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -8,6 +8,7 @@
 #include "Entry/PlanExchange.h"
 #include "Entry/PlanService.h"
 #include "Entry/StoreReadRelay.h"
+#include "Entry/StreamVersionService.h"
 #include "Entry/TargetListService.h"
 #include "Entry/TargetPermits.h"
 #include "Entry/TargetPicker.h"
@@ -51,6 +52,8 @@
   Services_.add(std::make_shared<ColdTargets>(Services_));
   Services_.add(std::make_shared<TargetPermits>(Settings_, Services_));
   Services_.add(std::make_shared<TargetPicker>(Settings_, Services_));
+  Services_.add(std::make_shared<StreamVersionService>(
+      Executor, Settings_, Incarnation_, Services_));
   Services_.add(std::make_shared<EntryGateway>(Executor, Settings_, Services_));
 }
 
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -57,6 +57,8 @@
               Services.require<TargetPermits>(TargetPermits::Name),
               Services.require<FleetState>(FleetState::Name),
               Services.require<ColdTargets>(ColdTargets::Name),
+              Services.require<StreamVersionService>(
+                  StreamVersionService::Name),
               Services.require<Metrics>(Metrics::Name),
               {},
               retryOptions(Settings),
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -107,6 +107,11 @@
                           const platform::TargetResponse &Response) {
   bool IsResumable = Request_.Route_->Resumable_;
   Events_.dropIncompleteEvent();
+  if (IsResumable) {
+    bool IsConfirmed = co_await confirmOrigin(Chosen);
+    if (!IsConfirmed || (!HeadSent_ && Shared_.ServingEnded_))
+      co_return SendOutcome::Lost;
+  }
   if (!HeadSent_) {
     HeadSent_ = true;
     int Status = Head.Status_;
@@ -149,6 +154,8 @@
       recordFailure(Chosen, {}, Now);
       co_return SendOutcome::Broken;
     }
+    if (!Forwarded.empty())
+      recordEvents();
     if (!co_await Exchange_.write(Forwarded)) {
       logDisconnect(Response.Status_);
       co_return SendOutcome::Done;
@@ -238,6 +245,14 @@
   }
   if (LastReason_ == PartQuarantined)
     co_return co_await refuse(503, CrashesTargets, std::nullopt);
+  // The caller can begin anew at once.
+  if (LastReason_ == VersionLeft)
+    co_return co_await refuse(
+        503, "the software version that began the stream serves no longer",
+        Duration::zero());
+  if (LastReason_ == OriginUnknown)
+    co_return co_await refuse(503, "it is not known where the stream began",
+                              Duration::zero());
   co_return co_await refuse(
       503,
       LastReason_ == Evacuated ? Evacuated : "no target could take the request",
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -44,9 +44,13 @@
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
                        EntryRequest Request)
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
-      Query_{Request_.Service_,       Request_.Route_->Name_,
-             Request_.Fields_.Model_, Request_.Fields_.Adapter_,
-             Request_.Fields_.Shape_, {}},
+      Query_{Request_.Service_,
+             Request_.Route_->Name_,
+             Request_.Fields_.Model_,
+             Request_.Fields_.Adapter_,
+             Request_.Fields_.Shape_,
+             {},
+             {}},
       Wait_(Shared, Query_, rank(),
             Request_.ArrivedAt_ + Request_.Route_->LatencyTarget_),
       Pause_(Shared.Executor_) {
@@ -91,6 +95,8 @@
   Shared_.retryBudgetOf(Request_.Service_).recordRequest();
   Shared_.Picker_->recordRequest(Request_.Service_, Request_.ArrivedAt_);
   Exchange_.setDisconnectHandler([this] { Connection_.close(); });
+  if (!co_await findOrigin())
+    co_return co_await finishUnserved();
   while (true) {
     if (Exchange_.callerDisconnected()) {
       logDisconnect(0);
@@ -105,6 +111,10 @@
       LastReason_ = PartQuarantined;
       co_return co_await finishUnserved();
     }
+    if (!restrictVersion(Now)) {
+      LastReason_ = NotRecordable;
+      co_return co_await finishUnserved();
+    }
     auto Chosen = Shared_.Picker_->pick(Query_, Now);
     if (!Chosen && !Query_.Excluded_.empty()) {
       // No other target can take the request; one that refused it earlier may
@@ -121,6 +131,8 @@
         Shared_.Metrics_->count("anvil_evacuated_refusals_total",
                                 {{"service", Query_.Service_}});
       }
+      if (!Shared_.Picker_->hasSoftwareVersion(Query_))
+        LastReason_ = Origin_ ? VersionLeft : NotRecordable;
       co_return co_await finishUnserved();
     }
     bool MustWait = Chosen->Readiness_ == AdapterReadiness::Absent ||
@@ -166,6 +178,8 @@
     SendOutcome End = co_await tryTarget(std::move(*Chosen));
     if (End == SendOutcome::Done)
       co_return;
+    if (!HasEvents_ && !IsTakenUp_)
+      Origin_.reset();
     if (!isRetryable(End) || !co_await awaitRetryBudget(End))
       co_return co_await finishUnserved();
     if (End == SendOutcome::NotRun)
@@ -232,7 +246,8 @@
 asio::awaitable<bool> RequestRun::awaitRetryBudget(SendOutcome End) {
   // Nothing was sent.
   if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated ||
-      LastReason_ == PermitMissing || LastReason_ == PartQuarantined)
+      LastReason_ == PermitMissing || LastReason_ == PartQuarantined ||
+      LastReason_ == NotRecordable)
     co_return true;
   // A request whose adapter is being loaded waits for the budget for up to a
   // quarter of the time left, even beyond its latency target.
@@ -388,6 +403,10 @@
     LastReason_ = PartQuarantined;
     co_return SendOutcome::NotRun;
   }
+  if (!beginRecord(Chosen)) {
+    LastReason_ = NotRecordable;
+    co_return SendOutcome::NotRun;
+  }
   bool IsLimited = Shared_.Fleet_->limits()
                        .rateOf(Chosen.Target_, Chosen.Incarnation_)
                        .has_value();
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -80,6 +80,14 @@
   /// targets.
   static constexpr std::string_view PartQuarantined = "part_quarantined";
 
+  /// The reasons logged when a stream can't go on or begin: no target has the
+  /// software version that began it, or that version is unknown, or it can't be
+  /// recorded at present, or the record wasn't written in time.
+  static constexpr std::string_view VersionLeft = "version_left";
+  static constexpr std::string_view OriginUnknown = "origin_unknown";
+  static constexpr std::string_view NotRecordable = "stream_not_recordable";
+  static constexpr std::string_view NotRecorded = "stream_not_recorded";
+
   /// The result of one attempt at a target.
   enum class SendOutcome {
     /// The caller has its final reply or has disconnected.
@@ -110,6 +118,27 @@
   boost::asio::awaitable<SendOutcome>
   forwardStream(const TargetChoice &Chosen, HttpReplyHead Head,
                 const platform::TargetResponse &Response);
+  bool isResumableStream() const;
+  /// Looks up where the stream began that the caller takes up, if it does.
+  /// False if that is unknown.
+  boost::asio::awaitable<bool> findOrigin();
+  /// Requires targets at which the stream may begin or go on. False if none can
+  /// be recorded.
+  bool restrictVersion(TimePoint Now);
+  /// Where a stream begins that the chosen target answers.
+  StreamOrigin originAt(const TargetChoice &Chosen) const;
+  /// Whether a stream may begin at that origin without a record.
+  bool mayBeginUnrecorded(const StreamOrigin &Origin, TimePoint Now) const;
+  /// Begins to record where the stream begins, if it needs a record. False if
+  /// records can't be written at present.
+  bool beginRecord(const TargetChoice &Chosen);
+  /// Waits until it is certain that each VM can find out where the stream
+  /// began. False if that isn't possible in time.
+  boost::asio::awaitable<bool> confirmOrigin(const TargetChoice &Chosen);
+  /// Records that the caller has received events of the stream.
+  void recordEvents();
+  /// For how long the caller may take the stream up again.
+  Duration takeUpTime() const;
   /// Waits until the chosen target has loaded the adapter, or all targets
   /// should be compared again. False if the adapter can't be available in time.
   boost::asio::awaitable<bool> awaitAdapter(const TargetChoice &Chosen);
@@ -174,6 +203,14 @@
   HttpConnection Connection_;
   boost::asio::steady_timer Pause_;
   EventSplitter Events_;
+  /// Where the stream began: as looked up for a stream that the caller takes
+  /// up, or where it is beginning.
+  std::optional<StreamOrigin> Origin_;
+  bool IsTakenUp_ = false;
+  /// Whether the caller has received events of this answer.
+  bool HasEvents_ = false;
+  /// The latest record that was made of this stream.
+  std::optional<std::pair<StreamOrigin, RecordTicket>> Record_;
   /// When the permit for the current send was requested; nothing without one.
   std::optional<TimePoint> PermitRequestedAt_;
   /// The number of targets that have run the request or may have.
--- a/Source/Entry/RequestServices.h
+++ b/Source/Entry/RequestServices.h
@@ -3,6 +3,7 @@
 
 #include "Entry/ColdTargets.h"
 #include "Entry/FleetState.h"
+#include "Entry/StreamVersionService.h"
 #include "Entry/TargetPermits.h"
 #include "Entry/TargetPicker.h"
 #include "Http/ConnectionPool.h"
@@ -33,6 +34,7 @@
   std::shared_ptr<TargetPermits> Permits_;
   std::shared_ptr<FleetState> Fleet_;
   std::shared_ptr<ColdTargets> ColdTargets_;
+  std::shared_ptr<StreamVersionService> Streams_;
   std::shared_ptr<Metrics> Metrics_;
   /// Retry budgets, by service.
   std::map<std::string, RetryBudget> RetryBudgets_;
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -205,6 +205,12 @@
              : selectCheapest(Candidates, Query.Shape_);
 }
 
+/// Whether a target runs the software version that a query requires, if any.
+static bool isOfVersion(const ListedTarget &Target, const TargetQuery &Query) {
+  return !Query.SoftwareVersion_ ||
+         Target.Entry_.SoftwareVersion_ == *Query.SoftwareVersion_;
+}
+
 std::vector<const ListedTarget *>
 TargetPicker::eligibleTargets(const std::string &Service) const {
   auto Targets = Targets_->roster().usable(Service);
@@ -214,6 +220,18 @@
   return Targets;
 }
 
+bool TargetPicker::isSameIncarnation(const TargetChoice &Chosen) const {
+  const ListedTarget *Listed = Targets_->roster().find(Chosen.Target_);
+  return !Listed || Listed->Entry_.Incarnation_ == Chosen.Incarnation_;
+}
+
+bool TargetPicker::hasSoftwareVersion(const TargetQuery &Query) const {
+  auto Usable = Targets_->roster().usable(Query.Service_);
+  return std::ranges::any_of(Usable, [&](const ListedTarget *Target) {
+    return isOfVersion(*Target, Query);
+  });
+}
+
 bool TargetPicker::isFullyEvacuated(const TargetQuery &Query) const {
   auto Usable = Targets_->roster().usable(Query.Service_);
   return !Usable.empty() &&
@@ -243,7 +261,8 @@
     bool IsSuspended =
         Permits_->suspendedFor(Target->Entry_.Id_, Target->Entry_.Incarnation_,
                                Now) > Duration::zero();
-    if (IsDown || IsSuspended || Query.Excluded_.contains(Target->Entry_.Id_))
+    if (IsDown || IsSuspended || Query.Excluded_.contains(Target->Entry_.Id_) ||
+        !isOfVersion(*Target, Query))
       continue;
     Listed.push_back(Target);
     Candidates.push_back(describe(*Target, Query, Engine, LoadFactor, Now));
@@ -318,6 +337,8 @@
                                                    TimePoint Now) const {
   std::optional<Duration> Shortest;
   for (const ListedTarget *Target : eligibleTargets(Query.Service_)) {
+    if (!isOfVersion(*Target, Query))
+      continue;
     Duration Remaining = Permits_->suspendedFor(
         Target->Entry_.Id_, Target->Entry_.Incarnation_, Now);
     if (Remaining > Duration::zero())
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -32,6 +32,8 @@
   RequestShape Shape_;
   /// Targets that already failed or refused the request. They are not chosen.
   std::set<std::string> Excluded_;
+  /// The software version that a target must have, if any.
+  std::optional<std::string> SoftwareVersion_;
 };
 
 /// The target chosen for a request, with the data behind the choice.
@@ -104,6 +106,13 @@
                Chosen.HeldVersion_;
   }
 
+  /// Whether the target's entry still shows the chosen incarnation, or shows
+  /// none since the target has left.
+  bool isSameIncarnation(const TargetChoice &Chosen) const;
+
+  /// Whether the service has usable targets of the query's software version.
+  bool hasSoftwareVersion(const TargetQuery &Query) const;
+
   /// Whether the service has usable targets and all of them are in evacuated
   /// data centres.
   bool isFullyEvacuated(const TargetQuery &Query) const;
