--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -44,13 +44,9 @@
 RequestRun::RequestRun(RequestServices &Shared, HttpExchange &Exchange,
                        EntryRequest Request)
     : Shared_(Shared), Exchange_(Exchange), Request_(std::move(Request)),
-      Query_{Request_.Service_,
-             Request_.Route_->Name_,
-             Request_.Fields_.Model_,
-             Request_.Fields_.Adapter_,
-             Request_.Fields_.Shape_,
-             {},
-             {}},
+      Query_{Request_.Service_,       Request_.Route_->Name_,
+             Request_.Fields_.Model_, Request_.Fields_.Adapter_,
+             Request_.Fields_.Shape_, {}},
       Wait_(Shared, Query_, rank(),
             Request_.ArrivedAt_ + Request_.Route_->LatencyTarget_),
       Pause_(Shared.Executor_) {
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -33,7 +33,7 @@
   /// Targets that already failed or refused the request. They are not chosen.
   std::set<std::string> Excluded_;
   /// The software version that a target must have, if any.
-  std::optional<std::string> SoftwareVersion_;
+  std::optional<std::string> SoftwareVersion_ = std::nullopt;
 };
 
 /// The target chosen for a request, with the data behind the choice.
