Tell refusals of streams apart, and test a VM that can't ask the store

A service without any usable target was logged as stream_not_recordable, and a take-up that couldn't be looked up since the store was away was told to begin anew at once. Found by reading; the first is a matter of the log only. The new section of promise-rejoined-stream cuts a VM from the store: it refuses the take-up with a time to come back, and goes on once it can ask.

--- a/Source/Entry/RequestOrigin.cpp
+++ b/Source/Entry/RequestOrigin.cpp
@@ -68,6 +68,8 @@
             {"took_ms", toMillis(BootClock::now() - Now)}});
   if (!IsRouted) {
     LastReason_ = Found.Origin_ ? VersionLeft : OriginUnknown;
+    if (Found.Source_ == OriginSource::StoreUnavailable)
+      LastReason_ = NotLookedUp;
     co_return false;
   }
   Origin_ = std::move(Found.Origin_);
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -127,7 +127,9 @@
         Shared_.Metrics_->count("anvil_evacuated_refusals_total",
                                 {{"service", Query_.Service_}});
       }
-      if (!Shared_.Picker_->hasSoftwareVersion(Query_))
+      bool LacksVersion = Query_.SoftwareVersion_ &&
+                          !Shared_.Picker_->hasSoftwareVersion(Query_);
+      if (LacksVersion)
         LastReason_ = Origin_ ? VersionLeft : NotRecordable;
       co_return co_await finishUnserved();
     }
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -81,10 +81,12 @@
   static constexpr std::string_view PartQuarantined = "part_quarantined";
 
   /// The reasons logged when a stream can't go on or begin: no target has the
-  /// software version that began it, or that version is unknown, or it can't be
-  /// recorded at present, or the record wasn't written in time.
+  /// software version that began it, that version is unknown or couldn't be
+  /// looked up, it can't be recorded at present, or the record wasn't written
+  /// in time.
   static constexpr std::string_view VersionLeft = "version_left";
   static constexpr std::string_view OriginUnknown = "origin_unknown";
+  static constexpr std::string_view NotLookedUp = "origin_not_looked_up";
   static constexpr std::string_view NotRecordable = "stream_not_recordable";
   static constexpr std::string_view NotRecorded = "stream_not_recorded";
 
@@ -122,8 +124,8 @@
   /// Looks up where the stream began that the caller takes up, if it does.
   /// False if that is unknown.
   boost::asio::awaitable<bool> findOrigin();
-  /// Requires targets at which the stream may begin or go on. False if none can
-  /// be recorded.
+  /// Requires targets at which the stream may begin or go on. False if no
+  /// stream may begin at present.
   bool restrictVersion(TimePoint Now);
   /// Where a stream begins that the chosen target answers.
   StreamOrigin originAt(const TargetChoice &Chosen) const;
--- a/Tests/Integration/RejoinedStreamTest.cpp
+++ b/Tests/Integration/RejoinedStreamTest.cpp
@@ -156,6 +156,21 @@
     CHECK(Rest.Status_ == 503);
     CHECK(Streams.system().runCount("five-again") == 0);
   }
+  SECTION("and not at a VM that can't ask the store, until it can") {
+    std::string Engine = Streams.begin("vm-1", "seven");
+    Streams.system().setStoreLink("vm-2", "cut");
+    CallerReply Refused = Streams.takeUp("vm-2", "seven");
+    CHECK(Refused.Status_ == 503);
+    CHECK(Refused.Headers_.contains("retry-after"));
+    CHECK(Streams.system().runCount("seven-again") == 0);
+    SECTION("while the VM that began it goes on") {
+      CHECK(BrokenStreams::sealOf(Streams.takeUp("vm-1", "seven")) == Engine);
+    }
+    Streams.system().setStoreLink("vm-2", "pass");
+    Streams.settle("vm-2");
+    Engine = Streams.begin("vm-1", "eight");
+    CHECK(BrokenStreams::sealOf(Streams.takeUp("vm-2", "eight")) == Engine);
+  }
   SECTION("and nowhere if nobody knows which one that was") {
     CallerReply Rest = Streams.call("vm-1", "six", {{"Last-Event-Id", "3"}});
     CHECK(Rest.Status_ == 503);
