Decide once at the first event whether a stream needs a record

confirmOrigin asked for the decision and then called beginRecord, which makes the same one. A record exists after beginRecord exactly if one is needed. Behaviour stays.

--- a/Source/Entry/RequestOrigin.cpp
+++ b/Source/Entry/RequestOrigin.cpp
@@ -125,16 +125,17 @@
   }
   TimePoint Now = BootClock::now();
   StreamOrigin Origin = originAt(Chosen);
-  bool IsRecorded = false;
-  if (!mayBeginUnrecorded(Origin, Now)) {
-    IsRecorded =
-        beginRecord(Chosen) &&
-        co_await Shared_.Streams_->awaitRecord(
-            Record_->second, std::min(Now + MaxRecordWait, Request_.Deadline_));
-    if (!IsRecorded) {
-      LastReason_ = NotRecorded;
-      co_return false;
-    }
+  // Since the request was sent, the baseline may have been closed.
+  bool IsRecordable = beginRecord(Chosen);
+  bool IsRecorded = Record_.has_value();
+  bool IsWritten =
+      IsRecordable &&
+      (!IsRecorded ||
+       co_await Shared_.Streams_->awaitRecord(
+           Record_->second, std::min(Now + MaxRecordWait, Request_.Deadline_)));
+  if (!IsWritten) {
+    LastReason_ = NotRecorded;
+    co_return false;
   }
   Shared_.Metrics_->count(
       "anvil_stream_begins_total",
