--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -30,6 +30,48 @@
 /// without a limit.
 static constexpr std::size_t MaxReplyBytes = 4 * 1024 * 1024;
 
+asio::awaitable<Result<HttpReplyHead>>
+RequestRun::readMatchingHead(Result<HttpReplyHead> Head, Duration Timeout) {
+  // The reply to an earlier request may arrive late, or once more, on a reused
+  // connection. Replies without an id are of this request, since a connection
+  // that has had one isn't reused.
+  TimePoint Deadline = BootClock::now() + Timeout;
+  while (isOk(Head)) {
+    auto Response = platform::decodeTargetResponse(valueOf(Head));
+    bool IsOwn = Response.RequestId_.empty() ||
+                 Response.RequestId_ == Request_.Fields_.RequestId_;
+    if (Response.RequestId_.empty())
+      Connection_.carried().recordUnnamedAnswer();
+    if (IsOwn)
+      co_return Head;
+    recordForeignReply(Response);
+    while (true) {
+      auto Chunk = co_await Connection_.readPart(Deadline - BootClock::now());
+      if (!isOk(Chunk))
+        co_return errorOf(Chunk);
+      if (valueOf(Chunk).empty())
+        break;
+    }
+    if (!Connection_.reusable())
+      co_return Error{ErrorCode::ConnectionClosed, LastTarget_,
+                      "answered another request and closed", ""};
+    Head = co_await Connection_.readNextResponse(Deadline - BootClock::now());
+  }
+  co_return Head;
+}
+
+void RequestRun::recordForeignReply(const platform::TargetResponse &Response) {
+  Shared_.Metrics_->count("anvil_foreign_replies_total",
+                          {{"target", LastTarget_}});
+  logEvent(LogLevel::Warning, "foreign_reply",
+           {{"request", Request_.Fields_.RequestId_},
+            {"target", LastTarget_},
+            {"reply_to", Response.RequestId_},
+            {"status", Response.Status_},
+            {"not_executed", Response.NotExecuted_},
+            {"sends", Sends_}});
+}
+
 asio::awaitable<RequestRun::SendOutcome>
 RequestRun::forwardReply(const TargetChoice &Chosen, HttpReplyHead Head,
                          const platform::TargetResponse &Response) {
