--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Entry/FleetState.h"
 #include "Entry/PlanExchange.h"
 #include "Entry/PlanService.h"
+#include "Entry/ReceiveBudgets.h"
 #include "Entry/StoreReadRelay.h"
 #include "Entry/StreamVersionService.h"
 #include "Entry/TargetListService.h"
@@ -31,6 +32,9 @@
   auto Executor = Loop_.get_executor();
   auto MetricsService = std::make_shared<Metrics>();
   Services_.add(MetricsService);
+  constexpr std::size_t BytesPerMb = 1024 * 1024;
+  Services_.add(std::make_shared<ReceiveBudgets>(
+      static_cast<std::size_t>(Settings_.MemoryMb_) * BytesPerMb));
   // The settings were checked, so the address parses.
   auto StoreAddress =
       std::get<Endpoint>(parseEndpoint(Settings_.Store_.Address_));
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -53,6 +53,7 @@
   Fields.field("log_level", Settings.LogLevel_);
   Fields.choice("dispatch_policy", Settings.DispatchPolicy_,
                 DispatchPolicyNames);
+  Fields.field("memory_mb", Settings.MemoryMb_, {64, 1000000});
   Fields.field("transit_limit", Settings.TransitLimit_, {0, 100000});
   Fields.field("bootstrap", Settings.Bootstrap_);
   Fields.field("prefill_tokens_per_ms", Settings.PrefillTokensPerMs_,
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -73,6 +73,8 @@
   EntryStoreSettings Store_;
   PlatformBoundSettings Bounds_;
   DispatchPolicy DispatchPolicy_ = DispatchPolicy::LeastCost;
+  /// The memory that the process may use.
+  std::int64_t MemoryMb_ = 160;
   /// The number of adapters, over all engines, that can be in transit without
   /// slowing each other down; 0 derives it from the number of engines.
   std::int64_t TransitLimit_ = 0;
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -105,7 +105,7 @@
   std::ofstream(Path) << Settings.dump();
   Processes_[Name] = std::make_unique<Process>(
       ANVIL_DAEMON, std::vector<std::string>{"--settings", Path}, Directory_,
-      Name);
+      Name, Plan_.VmLimits_);
 }
 
 void EntryFleet::restartTarget(const std::string &Target,
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -11,6 +11,9 @@
 
 namespace anvil {
 
+/// What the smaller machines of the users' deployments let a VM use.
+inline const ProcessLimits MachineLimits{260, 4100};
+
 /// Options of an `EntryFleet`.
 struct EntryFleetPlan {
   /// The VMs' stop limit in seconds (`bounds.stop_s`); absent means the
@@ -27,6 +30,8 @@
   /// Whether the store names its era. It then has a copy from before the VMs
   /// started.
   bool HasStoreEra_ = false;
+  /// What each VM may use.
+  ProcessLimits VmLimits_;
   /// Whether the VM and the targets whose names end in 2 are in a data centre
   /// of their own, `south`. The others are in `north`.
   bool TwoDataCentres_ = false;
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -9,6 +9,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -45,8 +46,16 @@
   return Wrapper && IsDaemon ? Wrapper : "";
 }
 
+static void setLimit(int Resource, std::optional<std::size_t> Value) {
+  if (!Value)
+    return;
+  rlimit Limit{*Value, *Value};
+  ::setrlimit(static_cast<__rlimit_resource>(Resource), &Limit);
+}
+
 Process::Process(const std::string &Program, std::vector<std::string> Arguments,
-                 const std::string &WorkDirectory, std::string Name)
+                 const std::string &WorkDirectory, std::string Name,
+                 ProcessLimits Limits)
     : Name_(std::move(Name)), LogPath_(WorkDirectory + "/" + Name_ + ".log") {
   std::string ReadyPath = WorkDirectory + "/" + Name_ + ".ready";
   ::unlink(ReadyPath.c_str());
@@ -67,6 +76,10 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(Log, STDOUT_FILENO);
     ::dup2(Log, STDERR_FILENO);
+    constexpr std::size_t BytesPerMb = 1024 * 1024;
+    if (Limits.MemoryMb_)
+      setLimit(RLIMIT_AS, *Limits.MemoryMb_ * BytesPerMb);
+    setLimit(RLIMIT_NOFILE, Limits.Descriptors_);
     ::execvp(Pointers.front(), Pointers.data());
     ::_exit(127);
   }
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,13 @@
 /// held.
 bool eventually(const std::function<bool()> &Condition, Millis Timeout);
 
+/// What a program may use; absent values are not limited.
+struct ProcessLimits {
+  /// Address space, which also counts memory that is reserved but not used.
+  std::optional<std::size_t> MemoryMb_;
+  std::optional<std::size_t> Descriptors_;
+};
+
 /// A program that a test started, with its log file. The destructor kills it by
 /// its process id; the kernel kills it if the test program dies first.
 class Process {
@@ -27,7 +35,8 @@
   /// Starts the program and waits until its ready file exists. Throws if it
   /// does not appear in time.
   Process(const std::string &Program, std::vector<std::string> Arguments,
-          const std::string &WorkDirectory, std::string Name);
+          const std::string &WorkDirectory, std::string Name,
+          ProcessLimits Limits = {});
   ~Process();
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
