Bound what a connection to a server keeps, in the one place that reads

Callers saw their connections cut: a target whose chunk size, chunk extension or trailer never ended filled the memory of the VM that read it, and the VM ended with bad_alloc (FAULT), with all requests that it had in flight (LOST). A target that always had bytes ready was never cut off at the deadline, so its callers got no final answer at all.

Cause: bytes that the parser can't consume yet stayed in a buffer without a limit; each part of a body began its time limit anew; and the sum of what connections keep had no limit.

The buffer of a connection holds 64 KB, heads and trailers 256 fields, and readPart reads nothing after its deadline, even if bytes are there. Bodies and events in progress draw on a budget of the process, and the largest gives way. Replies to other requests are skipped up to 4 MB.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -1,6 +1,7 @@
 #include "Entry/EngineOwnershipService.h"
 
 #include "Entry/FleetState.h"
+#include "Entry/ReceiveBudgets.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Kernel/EnumNames.h"
@@ -51,7 +52,9 @@
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
-      Control_(ControlTimeout),
+      Control_(
+          ControlTimeout,
+          Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->control()),
       Ownership_(Self_, ownershipOptions(Settings), BootClock::now()),
       RoundTimer_(Executor_) {}
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -24,6 +24,9 @@
 
 namespace anvil {
 
+/// The maximum size of one answer of the store. Tables are read in pages.
+static constexpr std::size_t StoreReplyBytes = 16 * 1024 * 1024;
+
 EntryDaemon::EntryDaemon(EntrySettings Settings)
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
       TimerDriver_(Loop_.get_executor(), Timers_,
@@ -33,14 +36,15 @@
   auto MetricsService = std::make_shared<Metrics>();
   Services_.add(MetricsService);
   constexpr std::size_t BytesPerMb = 1024 * 1024;
-  Services_.add(std::make_shared<ReceiveBudgets>(
-      static_cast<std::size_t>(Settings_.MemoryMb_) * BytesPerMb));
+  auto Budgets = std::make_shared<ReceiveBudgets>(
+      static_cast<std::size_t>(Settings_.MemoryMb_) * BytesPerMb);
+  Services_.add(Budgets);
   // The settings were checked, so the address parses.
   auto StoreAddress =
       std::get<Endpoint>(parseEndpoint(Settings_.Store_.Address_));
   auto Store = std::make_shared<platform::StoreClient>(
       StoreAddress, std::chrono::milliseconds(Settings_.Store_.TimeoutMs_),
-      MetricsService);
+      MetricsService, ReceiveLimits{StoreReplyBytes, Budgets->control()});
   Services_.add(Store);
   Services_.add(std::make_shared<PlanService>(Executor, Settings_, Store));
   Services_.add(
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -1,6 +1,7 @@
 #include "Entry/EntryGateway.h"
 
 #include "Entry/RandomFraction.h"
+#include "Entry/ReceiveBudgets.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Kernel/HexText.h"
@@ -63,7 +64,10 @@
           {},
           retryOptions(Settings),
           AssumedVms,
-          {},
+          ConnectionPool(
+              {ReceiveLimits().BodyBytes_,
+               Services.require<ReceiveBudgets>(ReceiveBudgets::Name)
+                   ->targets()}),
           {}},
       Callers_(Executor_, {},
                [this](HttpExchange &Exchange) { return handle(Exchange); }),
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -1,5 +1,6 @@
 #include "Entry/PlanExchange.h"
 
+#include "Entry/ReceiveBudgets.h"
 #include "Http/HttpConnection.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
@@ -28,6 +29,8 @@
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Store_(Services.require<platform::StoreClient>(PlatformService::Name)),
+      Budget_(
+          Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->control()),
       Pages_(Executor_, {},
              [this](HttpExchange &Exchange) { return serveRows(Exchange); }) {}
 
@@ -62,7 +65,10 @@
 
 asio::awaitable<void> PlanExchange::fetchRows(std::string Vm, Endpoint From) {
   HttpRequest Request{"GET", std::string(RowsPage), {}, {}};
-  auto Reply = co_await fetch(From, std::move(Request), FetchTimeout);
+  ReceiveLimits Limits;
+  Limits.Budget_ = Budget_;
+  auto Reply =
+      co_await fetch(From, std::move(Request), FetchTimeout, std::move(Limits));
   Result<std::vector<TableRow>> Rows =
       Error{ErrorCode::Protocol, Vm, "has no page of rows", ""};
   if (!isOk(Reply))
--- a/Source/Entry/PlanExchange.h
+++ b/Source/Entry/PlanExchange.h
@@ -45,6 +45,7 @@
   std::shared_ptr<FleetLink> Link_;
   std::shared_ptr<PlanService> Plans_;
   std::shared_ptr<platform::StoreClient> Store_;
+  std::shared_ptr<BufferBudget> Budget_;
   HttpServer Pages_;
   bool IsFetching_ = false;
 };
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -25,11 +25,18 @@
 /// Streams with a longer gap between chunks are logged at info level.
 static constexpr Duration LoggedGap = std::chrono::milliseconds(250);
 
-/// The maximum size of a buffered reply, and of one event of a stream that can
-/// be resumed at another target. Other replies are forwarded as they arrive,
-/// without a limit.
+/// The maximum size of a buffered reply, of one event of a stream that can be
+/// resumed at another target, and of replies to other requests. Other streams
+/// are forwarded as they arrive, without a limit.
 static constexpr std::size_t MaxReplyBytes = 4 * 1024 * 1024;
 
+/// The reason logged when a reply is too large, or had to give way to others.
+static constexpr std::string_view ReplyTooLong = "answer_too_long";
+
+TimePoint RequestRun::replyDeadline() const {
+  return std::max(Request_.Deadline_, BootClock::now() + ReplyMargin);
+}
+
 asio::awaitable<Result<HttpReplyHead>>
 RequestRun::readMatchingHead(Result<HttpReplyHead> Head, Duration Timeout) {
   // The reply to an earlier request may arrive late, or once more, on a reused
@@ -45,12 +52,17 @@
     if (IsOwn)
       co_return Head;
     recordForeignReply(Response);
+    std::size_t SkippedBytes = 0;
     while (true) {
       auto Chunk = co_await Connection_.readPart(Deadline - BootClock::now());
       if (!isOk(Chunk))
         co_return errorOf(Chunk);
       if (valueOf(Chunk).empty())
         break;
+      SkippedBytes += valueOf(Chunk).size();
+      if (SkippedBytes > MaxReplyBytes)
+        co_return Error{ErrorCode::TooLarge, LastTarget_,
+                        "answered another request without end", ""};
     }
     if (!Connection_.reusable())
       co_return Error{ErrorCode::ConnectionClosed, LastTarget_,
@@ -99,26 +111,19 @@
                             const platform::TargetResponse &Response) {
   HttpReplyHead CallerHead = platform::encodeCallerHead(Head);
   HttpReply Reply{CallerHead.Status_, std::move(CallerHead.Headers_), {}};
-  while (true) {
-    auto Chunk = co_await Connection_.readPart(
-        std::max<Duration>(timeLeft(), ReplyMargin));
-    if (!isOk(Chunk)) {
-      LastReason_ = "answer_cut";
-      if (!isCancelled())
-        Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
-                                                 BootClock::now());
-      co_return SendOutcome::Lost;
-    }
-    if (valueOf(Chunk).empty())
-      break;
-    Reply.Body_ += valueOf(Chunk);
-    if (Reply.Body_.size() > MaxReplyBytes) {
-      LastReason_ = "answer_too_long";
+  ReceivedBody Body({MaxReplyBytes, Shared_.Pool_.limits().Budget_},
+                    [this] { Connection_.close(); });
+  Status Read = co_await Connection_.readBody(Body, replyDeadline());
+  Result<std::string> Whole = isOk(Read) ? Body.finish() : errorOf(Read);
+  if (!isOk(Whole)) {
+    bool IsTooLong = errorOf(Whole).Code_ == ErrorCode::TooLarge;
+    LastReason_ = IsTooLong ? ReplyTooLong : "answer_cut";
+    if (!isCancelled())
       Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
                                                BootClock::now());
-      co_return SendOutcome::Lost;
-    }
+    co_return SendOutcome::Lost;
   }
+  Reply.Body_ = std::move(valueOf(Whole));
   keepConnection(Chosen, Response);
   if (HeadSent_) {
     // A stream resumed at another target ended in a failure; the head that the
@@ -129,6 +134,7 @@
   if (Response.Status_ >= 500) {
     LastReason_ = "target_failed";
     Failure_ = std::move(Reply);
+    FailureShare_ = Body.takeShare();
     co_return SendOutcome::Failed;
   }
   int Status = Reply.Status_;
@@ -165,9 +171,11 @@
   }
   StreamPace Pace;
   StreamEndCheck EndCheck;
+  TimePoint Deadline = replyDeadline();
+  BufferShare EventShare(Shared_.Pool_.limits().Budget_,
+                         [this] { Connection_.close(); });
   while (true) {
-    auto Chunk = co_await Connection_.readPart(
-        std::max<Duration>(timeLeft(), ReplyMargin));
+    auto Chunk = co_await Connection_.readPart(Deadline - BootClock::now());
     if (!isOk(Chunk)) {
       if (Exchange_.callerDisconnected()) {
         logDisconnect(Response.Status_);
@@ -191,7 +199,9 @@
     // Only after a complete event can another target resume the stream.
     std::string Forwarded = IsResumable ? Events_.appendBytes(valueOf(Chunk))
                                         : std::move(valueOf(Chunk));
-    if (Events_.incompleteEvent().size() > MaxReplyBytes) {
+    bool IsTooLong = Events_.incompleteEvent().size() > MaxReplyBytes ||
+                     !EventShare.resize(Events_.incompleteEvent().capacity());
+    if (IsTooLong) {
       LastReason_ = "event_too_long";
       recordFailure(Chosen, {}, Now);
       co_return SendOutcome::Broken;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -383,6 +383,7 @@
   if (!Query_.Adapter_.empty())
     AwaitedVersion_ = Chosen.HeldVersion_;
   auto Head = co_await Connection_.exchange(Outgoing, Timeout);
+  Outgoing = HttpRequest();
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   AwaitedVersion_.reset();
   TimePoint Now = BootClock::now();
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -191,6 +191,8 @@
   std::string_view streamEndName() const;
   void countResult(std::string_view Outcome, int Status, TimePoint Now);
   Duration timeLeft() const;
+  /// When a reply that has begun must be complete.
+  TimePoint replyDeadline() const;
   /// Whether the deadline has passed or this VM has stopped serving.
   bool isOutOfTime() const;
   /// Whether to stop at once because the VM stops or the caller has
@@ -220,6 +222,7 @@
   int Sends_ = 0;
   bool HeadSent_ = false;
   std::optional<HttpReply> Failure_;
+  std::unique_ptr<BufferShare> FailureShare_;
   std::string LastTarget_;
   /// The version of that target's software.
   std::string LastSoftware_;
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -41,6 +41,14 @@
   return encodeRefusal(Given, "");
 }
 
+/// The maximum size of a response that is not streamed, and of all of them
+/// together.
+static ReceiveLimits responseLimits() {
+  constexpr std::size_t BodyBytes = 32 * 1024 * 1024;
+  constexpr std::size_t TotalBytes = 128 * 1024 * 1024;
+  return {BodyBytes, std::make_shared<BufferBudget>(TotalBytes)};
+}
+
 RequestPipeline::RequestPipeline(asio::any_io_executor Executor,
                                  const DaemonSettings &Settings,
                                  const ServiceRegistry &Services)
@@ -55,7 +63,8 @@
       Admission_(State_),
       Dispatcher_(
           std::chrono::milliseconds(Settings.Targets_.ConnectTimeoutMs_),
-          ResponseIdleTimeout, Settings.Routing_.ResumeStreams_),
+          ResponseIdleTimeout, Settings.Routing_.ResumeStreams_,
+          responseLimits()),
       Server_(std::move(Executor), serverLimits(Settings.CallerLimits_),
               [this](HttpExchange &Exchange) { return handle(Exchange); }),
       IdPrefix_(Settings.Vm_ + "-" + randomHex(4) + "-") {
--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -10,9 +10,6 @@
 
 namespace asio = boost::asio;
 
-/// The maximum size of a response body that is not streamed.
-static constexpr std::size_t ResponseLimitBytes = 32 * 1024 * 1024;
-
 /// The data of the event that ends a complete stream.
 static constexpr std::string_view StreamEndMarker = "[DONE]";
 
@@ -153,6 +150,11 @@
       continue;
     if (MustReadToEnd)
       Attempt.Reply_.Body_ += Ready;
+    if (Attempt.Reply_.Body_.size() > Limits_.BodyBytes_) {
+      Stream.Problem_ = {ErrorCode::TooLarge, "target",
+                         "the stream exceeds the size limit", ""};
+      co_return RelayResult::Unusable;
+    }
     bool Delivered = true;
     if (!Attempt.ResponseStarted_)
       Delivered = co_await Exchange.startStream(Head);
@@ -223,6 +225,7 @@
 asio::awaitable<void> TargetDispatcher::collect(const AdmittedRequest &Admitted,
                                                 HttpConnection &Connection,
                                                 AttemptOutcome &Attempt) {
+  ReceivedBody Body(Limits_, [&Connection] { Connection.close(); });
   while (true) {
     // Nothing has been sent to the caller, so the deadline still applies.
     Duration Left = Admitted.Context_.Deadline_ - BootClock::now();
@@ -232,13 +235,17 @@
       co_return fail(Attempt, errorOf(Part));
     if (valueOf(Part).empty())
       break;
-    Attempt.Reply_.Body_ += valueOf(Part);
-    if (Attempt.Reply_.Body_.size() > ResponseLimitBytes) {
+    Status Appended = Body.append(valueOf(Part));
+    if (!isOk(Appended)) {
       Connection.close();
-      co_return fail(Attempt, {ErrorCode::TooLarge, "target",
-                               "the response exceeds the size limit", ""});
+      co_return fail(Attempt, errorOf(Appended));
     }
   }
+  auto Whole = Body.finish();
+  if (!isOk(Whole))
+    co_return fail(Attempt, errorOf(Whole));
+  Attempt.Reply_.Body_ = std::move(valueOf(Whole));
+  Attempt.ReplyShare_ = Body.takeShare();
   const RequestContext &Request = Admitted.Context_;
   if (!Request.Adapter_.empty() && Attempt.Reply_.Status_ == 200) {
     auto Usage = decodeUsage(Attempt.Reply_.Body_);
--- a/Source/Gateway/TargetDispatcher.h
+++ b/Source/Gateway/TargetDispatcher.h
@@ -28,6 +28,8 @@
   /// The whole response. Of a stream, the body has the events, and only if the
   /// request may not be repeated.
   HttpReply Reply_;
+  /// What the body of the response counts for.
+  std::shared_ptr<BufferShare> ReplyShare_;
   std::string Problem_;
 };
 
@@ -37,10 +39,11 @@
   /// `ConnectTimeout` limits connecting to a target, `IdleTimeout` the time
   /// between two parts of a response. `ResumeStreams` is whether engines
   /// support the headers that resume a broken stream.
+  /// Responses that are not streamed are read within the limits.
   TargetDispatcher(Duration ConnectTimeout, Duration IdleTimeout,
-                   bool ResumeStreams)
+                   bool ResumeStreams, ReceiveLimits Limits)
       : ConnectTimeout_(ConnectTimeout), IdleTimeout_(IdleTimeout),
-        ResumeStreams_(ResumeStreams) {}
+        ResumeStreams_(ResumeStreams), Limits_(std::move(Limits)) {}
 
   /// Sends the request to the permit's target. Streams are relayed to the
   /// caller as they arrive; other responses are only returned. `Connection` is
@@ -90,6 +93,7 @@
   Duration ConnectTimeout_;
   Duration IdleTimeout_;
   bool ResumeStreams_;
+  ReceiveLimits Limits_;
 };
 
 } // namespace anvil
--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -29,7 +29,7 @@
   prune(Now);
   auto Found = Servers_.find(Server.text());
   if (Found == Servers_.end())
-    return HttpConnection();
+    return HttpConnection(Limits_.Budget_);
   // The one used most recently is the least likely to have been closed by the
   // server.
   auto &Pooled = Found->second;
@@ -42,7 +42,7 @@
     if (Last.Until_ > Now && Last.Connection_.isIdle())
       return std::move(Last.Connection_);
   }
-  return HttpConnection();
+  return HttpConnection(Limits_.Budget_);
 }
 
 void ConnectionPool::returnConnection(const Endpoint &Server,
@@ -56,6 +56,7 @@
   auto &Pooled = Servers_[Server.text()];
   if (Pooled.size() >= MaxIdlePerServer)
     return;
+  Used.releaseBuffers();
   Pooled.push_back({std::move(Used), Now + std::min(Keep, MaxIdleTime)});
   ++Size_;
 }
@@ -83,7 +84,7 @@
     if (!isOk(Opened))
       co_return errorOf(Opened);
   }
-  auto Reply = co_await readReply(Connection, Request, Deadline);
+  auto Reply = co_await readReply(Connection, Request, Deadline, Pool.limits());
   if (isOk(Reply))
     Pool.returnConnection(Server, std::move(Connection), BootClock::now());
   co_return Reply;
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -16,6 +16,12 @@
 /// the request ran.
 class ConnectionPool {
 public:
+  /// Replies on its connections are read within the limits.
+  explicit ConnectionPool(ReceiveLimits Limits = {})
+      : Limits_(std::move(Limits)) {}
+
+  const ReceiveLimits &limits() const { return Limits_; }
+
   /// Returns an idle connection to the server, or one that is not open yet.
   HttpConnection acquireConnection(const Endpoint &Server, TimePoint Now);
 
@@ -46,6 +52,7 @@
                          const Filter &IsSuitable);
   void prune(TimePoint Now);
 
+  ReceiveLimits Limits_;
   std::map<std::string, std::deque<Idle>> Servers_;
   std::size_t Size_ = 0;
   TimePoint NextPrune_{};
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -24,11 +24,32 @@
 /// The maximum size of the head of a response, in bytes.
 static constexpr std::uint32_t HeadLimitBytes = 64 * 1024;
 
+/// The maximum number of header fields of a response, its trailer included.
+/// Each takes far more memory than the few bytes it can have on the wire.
+static constexpr std::ptrdiff_t MaxFields = 256;
+
+/// The maximum size of what has arrived and can't be parsed yet: a head, or the
+/// size line or the trailer of chunks.
+static constexpr std::size_t BufferLimitBytes = HeadLimitBytes;
+
+/// What the buffer of an idle connection may keep.
+static constexpr std::size_t IdleBufferBytes = 4096;
+
 struct HttpConnection::State {
-  explicit State(const asio::any_io_executor &Executor) : Stream_(Executor) {}
+  State(const asio::any_io_executor &Executor,
+        std::shared_ptr<BufferBudget> Budget)
+      : Stream_(Executor),
+        Share_(std::move(Budget), [this] { closeSocket(); }) {}
+
+  void closeSocket() {
+    Open_ = false;
+    error_code Ignored;
+    Stream_.socket().close(Ignored);
+  }
 
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{BufferLimitBytes};
+  BufferShare Share_;
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::string Server_;
   CarriedRequests Carried_;
@@ -37,6 +58,8 @@
 };
 
 HttpConnection::HttpConnection() = default;
+HttpConnection::HttpConnection(std::shared_ptr<BufferBudget> Budget)
+    : Budget_(std::move(Budget)) {}
 HttpConnection::~HttpConnection() = default;
 HttpConnection::HttpConnection(HttpConnection &&) noexcept = default;
 HttpConnection &HttpConnection::operator=(HttpConnection &&) noexcept = default;
@@ -44,6 +67,10 @@
 static Error networkError(const std::string &Server, const error_code &Cause) {
   if (Cause == beast::error::timeout)
     return {ErrorCode::Timeout, Server, "no response before the timeout", ""};
+  if (Cause == http::error::header_limit ||
+      Cause == http::error::buffer_overflow)
+    return {ErrorCode::TooLarge, Server, "sent a head or framing without end",
+            ""};
   bool IsParse = Cause.category() ==
                      http::make_error_code(http::error::bad_field).category() &&
                  Cause != http::error::end_of_stream &&
@@ -55,7 +82,7 @@
 
 asio::awaitable<Status> HttpConnection::open(const Endpoint &Server,
                                              Duration Timeout) {
-  State_ = std::make_unique<State>(co_await asio::this_coro::executor);
+  State_ = std::make_unique<State>(co_await asio::this_coro::executor, Budget_);
   State_->Server_ = Server.text();
   error_code Cause;
   auto Address = asio::ip::make_address(Server.Address_, Cause);
@@ -79,7 +106,8 @@
 
 asio::awaitable<Result<HttpReplyHead>>
 HttpConnection::exchange(const HttpRequest &Request, Duration Timeout) {
-  http::request<http::string_body> Message;
+  // The body is not copied: the connection may wait long for the response.
+  http::request<http::span_body<const char>> Message;
   Message.method_string(Request.Method_);
   Message.target(Request.Target_);
   Message.version(11);
@@ -87,7 +115,7 @@
     Message.set(http::field::host, State_->Server_);
   for (const HttpHeader &Header : Request.Headers_)
     Message.insert(Header.Name_, Header.Value_);
-  Message.body() = Request.Body_;
+  Message.body() = {Request.Body_.data(), Request.Body_.size()};
   // Unlike `prepare_payload`, this throws for no method.
   bool NamesLength = !Request.Body_.empty() ||
                      Message.method() == http::verb::options ||
@@ -128,23 +156,48 @@
     close();
     co_return networkError(State_->Server_, Cause);
   }
+  co_return takeHead();
+}
+
+Result<HttpReplyHead> HttpConnection::takeHead() {
+  if (!fitsLimits())
+    return Error{ErrorCode::TooLarge, State_->Server_,
+                 "sent too many headers, or there is no memory for them", ""};
   HttpReplyHead Head;
   const auto &Response = State_->Parser_->get();
   Head.Status_ = static_cast<int>(Response.result_int());
   for (const auto &Field : Response)
     Head.Headers_.add(std::string(Field.name_string()),
                       std::string(Field.value()));
-  co_return Head;
+  return Head;
+}
+
+bool HttpConnection::fitsLimits() {
+  const auto &Response = State_->Parser_->get();
+  bool Fits = std::distance(Response.begin(), Response.end()) <= MaxFields &&
+              State_->Share_.resize(State_->Buffer_.capacity());
+  if (!Fits) {
+    State_->Parser_.reset();
+    close();
+  }
+  return Fits;
 }
 
 asio::awaitable<Result<std::string>>
 HttpConnection::readPart(Duration Timeout) {
-  auto &Parser = *State_->Parser_;
-  while (!Parser.is_done()) {
+  TimePoint Deadline = BootClock::now() + Timeout;
+  while (State_->Parser_ && !State_->Parser_->is_done()) {
+    auto &Parser = *State_->Parser_;
+    // The stream's own timer never fires while bytes keep arriving.
+    Duration Left = Deadline - BootClock::now();
+    if (Left <= Duration::zero()) {
+      close();
+      co_return networkError(State_->Server_, beast::error::timeout);
+    }
     std::array<char, PartBytes> Piece;
     Parser.get().body().data = Piece.data();
     Parser.get().body().size = Piece.size();
-    State_->Stream_.expires_after(Timeout);
+    State_->Stream_.expires_after(Left);
     error_code Cause;
     co_await http::async_read_some(
         State_->Stream_, State_->Buffer_, Parser,
@@ -156,13 +209,42 @@
       co_return networkError(State_->Server_, Cause);
     }
     std::size_t Read = Piece.size() - Parser.get().body().size;
+    if (!fitsLimits())
+      break;
     if (Read > 0)
       co_return std::string(Piece.data(), Read);
   }
+  if (!State_->Parser_)
+    co_return Error{ErrorCode::TooLarge, State_->Server_,
+                    "sent too many headers, or there is no memory for them",
+                    ""};
   State_->Stream_.expires_never();
   co_return std::string();
 }
 
+asio::awaitable<Status> HttpConnection::readBody(ReceivedBody &Body,
+                                                 TimePoint Deadline) {
+  while (true) {
+    auto Part = co_await readPart(Deadline - BootClock::now());
+    if (!isOk(Part))
+      co_return errorOf(Part);
+    if (valueOf(Part).empty())
+      co_return std::monostate{};
+    Status Appended = Body.append(valueOf(Part));
+    if (!isOk(Appended)) {
+      close();
+      co_return Appended;
+    }
+  }
+}
+
+void HttpConnection::releaseBuffers() {
+  if (!State_ || State_->Buffer_.capacity() <= IdleBufferBytes)
+    return;
+  State_->Buffer_.shrink_to_fit();
+  State_->Share_.resize(State_->Buffer_.capacity());
+}
+
 BodyFraming HttpConnection::framing() const {
   if (!State_ || !State_->Parser_ || !State_->Parser_->is_header_done())
     return BodyFraming::None;
@@ -205,40 +287,38 @@
 void HttpConnection::close() {
   if (!State_)
     return;
-  State_->Open_ = false;
-  error_code Ignored;
-  State_->Stream_.socket().close(Ignored);
+  State_->closeSocket();
 }
 
 asio::awaitable<Result<HttpReply>> readReply(HttpConnection &Connection,
                                              const HttpRequest &Request,
-                                             TimePoint Deadline) {
+                                             TimePoint Deadline,
+                                             ReceiveLimits Limits) {
   auto Head =
       co_await Connection.exchange(Request, Deadline - BootClock::now());
   if (!isOk(Head))
     co_return errorOf(Head);
-  HttpReply Reply{valueOf(Head).Status_, valueOf(Head).Headers_, {}};
-  while (true) {
-    auto Part = co_await Connection.readPart(Deadline - BootClock::now());
-    if (!isOk(Part))
-      co_return errorOf(Part);
-    if (valueOf(Part).empty())
-      co_return Reply;
-    Reply.Body_ += valueOf(Part);
-    if (Reply.Body_.size() > FetchBodyLimitBytes)
-      co_return Error{ErrorCode::TooLarge, "response body",
-                      "exceeds the size limit", ""};
-  }
+  ReceivedBody Body(Limits, [&Connection] { Connection.close(); });
+  Status Read = co_await Connection.readBody(Body, Deadline);
+  if (!isOk(Read))
+    co_return errorOf(Read);
+  auto Whole = Body.finish();
+  if (!isOk(Whole))
+    co_return errorOf(Whole);
+  co_return HttpReply{valueOf(Head).Status_, std::move(valueOf(Head).Headers_),
+                      std::move(valueOf(Whole))};
 }
 
 asio::awaitable<Result<HttpReply>> fetch(Endpoint Server, HttpRequest Request,
-                                         Duration Timeout) {
+                                         Duration Timeout,
+                                         ReceiveLimits Limits) {
   TimePoint Deadline = BootClock::now() + Timeout;
-  HttpConnection Connection;
+  HttpConnection Connection(Limits.Budget_);
   Status Opened = co_await Connection.open(Server, Timeout);
   if (!isOk(Opened))
     co_return errorOf(Opened);
-  co_return co_await readReply(Connection, Request, Deadline);
+  co_return co_await readReply(Connection, Request, Deadline,
+                               std::move(Limits));
 }
 
 } // namespace anvil
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -5,6 +5,7 @@
 #include "Http/CarriedRequests.h"
 #include "Http/Endpoint.h"
 #include "Http/HttpMessage.h"
+#include "Http/ReceivedBody.h"
 #include "Kernel/Clock.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -16,10 +17,14 @@
 
 /// A client's connection to one server. It carries one request at a time. After
 /// a timeout, a cancellation or a broken response it is closed, so that a late
-/// response can't be taken for that of the next request. Not thread-safe.
+/// response can't be taken for that of the next request. What it buffers is
+/// bounded, whatever the server sends, and counts against a budget. Not
+/// thread-safe.
 class HttpConnection {
 public:
   HttpConnection();
+  /// What the connection buffers counts against the budget.
+  explicit HttpConnection(std::shared_ptr<BufferBudget> Budget);
   ~HttpConnection();
   HttpConnection(HttpConnection &&) noexcept;
   HttpConnection &operator=(HttpConnection &&) noexcept;
@@ -29,7 +34,7 @@
 
   /// Sends a request and reads the head of the response within `Timeout`. The
   /// `Host` header is the server's address unless the request sets it.
-  /// Errors: timeout, connection closed, protocol.
+  /// Errors: timeout, connection closed, protocol, too large.
   boost::asio::awaitable<Result<HttpReplyHead>>
   exchange(const HttpRequest &Request, Duration Timeout);
 
@@ -39,10 +44,20 @@
   boost::asio::awaitable<Result<HttpReplyHead>>
   readNextResponse(Duration Timeout);
 
-  /// Reads the next part of the body, waiting at most `Timeout`. An empty part
-  /// is the end of the response. Errors: timeout, connection closed, protocol.
+  /// Reads the next part of the body, waiting at most `Timeout`; if that is not
+  /// positive, nothing is read even if bytes have arrived. An empty part is the
+  /// end of the response. Errors: timeout, connection closed, protocol, too
+  /// large.
   boost::asio::awaitable<Result<std::string>> readPart(Duration Timeout);
 
+  /// Reads the rest of the body by a deadline. Errors: as for `readPart`, and
+  /// too large if the body exceeds its limits.
+  boost::asio::awaitable<Status> readBody(ReceivedBody &Body,
+                                          TimePoint Deadline);
+
+  /// Frees what an idle connection doesn't need.
+  void releaseBuffers();
+
   /// How the end of the current response's body is marked.
   BodyFraming framing() const;
 
@@ -68,22 +83,27 @@
   struct State;
   boost::asio::awaitable<Result<HttpReplyHead>> readHead(bool HasBody);
 
+  Result<HttpReplyHead> takeHead();
+  /// Whether what is buffered still fits the limits; closes otherwise.
+  bool fitsLimits();
+
+  std::shared_ptr<BufferBudget> Budget_;
   std::unique_ptr<State> State_;
 };
 
-/// The maximum body size that `fetch` accepts, in bytes.
-inline constexpr std::size_t FetchBodyLimitBytes = 64 * 1024 * 1024;
-
 /// Sends one request on an open connection and reads the whole response, by a
 /// deadline.
 boost::asio::awaitable<Result<HttpReply>> readReply(HttpConnection &Connection,
                                                     const HttpRequest &Request,
-                                                    TimePoint Deadline);
+                                                    TimePoint Deadline,
+                                                    ReceiveLimits Limits);
 
 /// Sends one request on a new connection and reads the whole response, all
 /// within `Timeout`.
-boost::asio::awaitable<Result<HttpReply>>
-fetch(Endpoint Server, HttpRequest Request, Duration Timeout);
+boost::asio::awaitable<Result<HttpReply>> fetch(Endpoint Server,
+                                                HttpRequest Request,
+                                                Duration Timeout,
+                                                ReceiveLimits Limits = {});
 
 } // namespace anvil
 
--- a/Tests/Bench/TargetPickerBench.cpp
+++ b/Tests/Bench/TargetPickerBench.cpp
@@ -1,3 +1,4 @@
+#include "Entry/ReceiveBudgets.h"
 #include "Entry/TargetPicker.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +25,7 @@
     auto Executor = Loop_.get_executor();
     auto Counts = std::make_shared<Metrics>();
     Services_.add(Counts);
+    Services_.add(std::make_shared<ReceiveBudgets>(std::size_t(1) << 28));
     auto Store = std::make_shared<platform::StoreClient>(
         Endpoint{"127.0.0.1", 1}, 1s, Counts);
     Services_.add(Store);
