--- a/Tests/Integration/EndlessFramingTest.cpp
+++ b/Tests/Integration/EndlessFramingTest.cpp
@@ -105,3 +105,45 @@
   }
   CHECK(Faulty.requestCount() > 0);
 }
+
+// Guards against FAULT: replies within their limits that together are more than
+// a VM's memory.
+TEST_CASE("bodies that are bounded one by one are bounded together",
+          "[endless-sum]") {
+  constexpr int Many = 96;
+  EntryFleetPlan Plan;
+  Plan.VmLimits_ = MachineLimits;
+  Plan.EngineSlots_ = 2 * Many;
+  EntryFleet System(Plan);
+  EndlessTarget Faulty("plain-3");
+  System.replaceTargets("plain-3", Faulty.port());
+  auto Call = [&](const std::string &Path) {
+    return System.call("vm-1", Path, {{"X-Model", "base"}});
+  };
+  Faulty.script({"Content-Length: 0\r\n", true, "", ""});
+  REQUIRE(eventually(
+      [&] {
+        return Call("/safe/x").Headers_["x-server-seal"] == "seal-of-plain-3";
+      },
+      Millis(5000)));
+  // The bodies arrive side by side: each stops short of the limit of one.
+  std::string Body(3 * 1024 * 1024, 'x');
+  Faulty.script({"", true, Body, "", false, true});
+  std::vector<CallerReply> Replies(Many);
+  std::vector<std::thread> Callers;
+  for (int Index = 0; Index < Many; ++Index)
+    Callers.emplace_back([&, Index] { Replies[Index] = Call("/safe/x"); });
+  int Served = 0;
+  for (int Index = 0; Index < OtherRequests; ++Index) {
+    Served += Call("/stream/x").Complete_;
+    std::this_thread::sleep_for(Millis(20));
+  }
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  REQUIRE_FALSE(System.at("vm-1").exitedUnexpectedly());
+  CHECK(Served == OtherRequests);
+  CHECK(System.at("vm-1").peakMemoryMb() < MemoryMb);
+  CHECK(Faulty.requestCount() > Many);
+  for (const CallerReply &Each : Replies)
+    CHECK((Each.Complete_ && (Each.Status_ == 200 || Each.Status_ >= 500)));
+}
--- a/Tests/Standins/EndlessTarget.cpp
+++ b/Tests/Standins/EndlessTarget.cpp
@@ -91,6 +91,10 @@
         asio::redirect_error(asio::use_awaitable, Cause));
     Bytes = Reply.Repeated_;
   } while (!Cause && !Bytes.empty());
+  if (Reply.IsHeld_)
+    co_await Caller.async_wait(
+        tcp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, Cause));
 }
 
 } // namespace anvil
--- a/Tests/Standins/EndlessTarget.h
+++ b/Tests/Standins/EndlessTarget.h
@@ -23,6 +23,9 @@
   std::string Repeated_;
   /// Whether the reply names another request than the one that was sent.
   bool IsForeign_ = false;
+  /// Whether the connection stays open without another byte if nothing is
+  /// repeated.
+  bool IsHeld_ = false;
 };
 
 /// A target on a thread of the test whose replies, with its seal, go on until
