--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -37,7 +37,8 @@
   Services_.add(MetricsService);
   constexpr std::size_t BytesPerMb = 1024 * 1024;
   auto Budgets = std::make_shared<ReceiveBudgets>(
-      static_cast<std::size_t>(Settings_.MemoryMb_) * BytesPerMb);
+      static_cast<std::size_t>(Settings_.MemoryMb_) * BytesPerMb,
+      MetricsService);
   Services_.add(Budgets);
   // The settings were checked, so the address parses.
   auto StoreAddress =
--- a/Source/Entry/ReceiveBudgets.h
+++ b/Source/Entry/ReceiveBudgets.h
@@ -3,9 +3,11 @@
 
 #include "Kernel/BufferBudget.h"
 #include "Kernel/ServiceRegistry.h"
+#include "Telemetry/Metrics.h"
 
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace anvil {
@@ -16,8 +18,9 @@
 public:
   static constexpr std::string_view Name = "receive-budgets";
 
-  /// `MemoryBytes` is the memory of the whole process.
-  explicit ReceiveBudgets(std::size_t MemoryBytes);
+  /// `MemoryBytes` is the memory of the whole process. Messages that must give
+  /// way are logged and counted.
+  ReceiveBudgets(std::size_t MemoryBytes, std::shared_ptr<Metrics> Counts);
 
   std::string_view serviceName() const override { return Name; }
 
@@ -31,6 +34,10 @@
   const std::shared_ptr<BufferBudget> &control() const { return Control_; }
 
 private:
+  std::shared_ptr<BufferBudget> makeBudget(std::size_t MemoryBytes,
+                                           std::string Peer);
+
+  std::shared_ptr<Metrics> Counts_;
   std::shared_ptr<BufferBudget> Callers_;
   std::shared_ptr<BufferBudget> Targets_;
   std::shared_ptr<BufferBudget> Control_;
--- a/Source/Kernel/BufferBudget.cpp
+++ b/Source/Kernel/BufferBudget.cpp
@@ -8,8 +8,8 @@
   bool WasRetained = Share.Retained_;
   release(Share);
   if (Bytes > Limit_) {
-    ++Revoked_;
     Share.Revoked_ = true;
+    Revoked_.fire(Bytes);
     return false;
   }
   Share.Bytes_ = Bytes;
@@ -58,9 +58,10 @@
 }
 
 void BufferBudget::revoke(BufferShare &Share) {
+  std::size_t Bytes = Share.Bytes_;
   release(Share);
   Share.Revoked_ = true;
-  ++Revoked_;
+  Revoked_.fire(Bytes);
 }
 
 BufferShare::BufferShare(std::shared_ptr<BufferBudget> Budget,
--- a/Source/Kernel/BufferBudget.h
+++ b/Source/Kernel/BufferBudget.h
@@ -1,8 +1,9 @@
 #ifndef ANVIL_KERNEL_BUFFERBUDGET_H
 #define ANVIL_KERNEL_BUFFERBUDGET_H
 
+#include "Kernel/Hook.h"
+
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -25,8 +26,8 @@
   /// The bytes that are held now, without those of revoked shares.
   std::size_t heldBytes() const { return Held_; }
 
-  /// The number of shares that were revoked so far.
-  std::uint64_t revokedCount() const { return Revoked_; }
+  /// Fired with the bytes of each share that must give way.
+  Hook<std::size_t> Revoked_;
 
   /// Shares of at most this many bytes can be retained as long as there is room
   /// at all.
@@ -44,7 +45,6 @@
   std::size_t Held_ = 0;
   /// The part of `Held_` in shares that can't be revoked.
   std::size_t Retained_ = 0;
-  std::uint64_t Revoked_ = 0;
   /// The shares that may be revoked, by their size.
   std::set<std::pair<std::size_t, BufferShare *>> Revocable_;
 };
--- a/Tests/Bench/TargetPickerBench.cpp
+++ b/Tests/Bench/TargetPickerBench.cpp
@@ -25,7 +25,8 @@
     auto Executor = Loop_.get_executor();
     auto Counts = std::make_shared<Metrics>();
     Services_.add(Counts);
-    Services_.add(std::make_shared<ReceiveBudgets>(std::size_t(1) << 28));
+    Services_.add(
+        std::make_shared<ReceiveBudgets>(std::size_t(1) << 28, Counts));
     auto Store = std::make_shared<platform::StoreClient>(
         Endpoint{"127.0.0.1", 1}, 1s, Counts);
     Services_.add(Store);
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -24,7 +24,8 @@
     auto Store = std::make_shared<platform::StoreClient>(
         Endpoint{"127.0.0.1", 9}, std::chrono::seconds(1), Counts);
     Services_.add(Counts);
-    Services_.add(std::make_shared<ReceiveBudgets>(std::size_t(1) << 28));
+    Services_.add(
+        std::make_shared<ReceiveBudgets>(std::size_t(1) << 28, Counts));
     Services_.add(Store);
     Plans_ = std::make_shared<PlanService>(Executor, Settings_, Store);
     Services_.add(Plans_);
