Count entries as lapsed only after an outage of the list itself

The trace: front-b-2 was cut off for five seconds, read the list again at 16.365 s and took its own cut for an outage of the list. It told all VMs that missing entries may only have lapsed for 2.2 s more. All of them had read the list every 1.1 s meanwhile; at 17.51 s they noted the engine that had left as lapsed and went on using it until the reading at 18.61 s.

An entry can only have lapsed if the list was unknown for as long as targets' entries survive their silence (2 s). A VM now counts missing entries as lapsed only if it had no reading, of its own or of another VM, for that long, and takes another VM's word only then. A lapse ends when its time has passed and no longer at the next reading, 1.1 s later. A store restored from a copy still makes entries lapse at once (recordListRestored).

--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -26,7 +26,7 @@
   // Entries that are missing in the copy are written again if their targets
   // run.
   Store_->EraChanged_.attach(
-      [this](std::uint64_t) { Roster_.recordListOutage(); });
+      [this](std::uint64_t) { Roster_.recordListRestored(); });
 }
 
 Status TargetListService::start() {
@@ -41,8 +41,10 @@
 
 asio::awaitable<void> TargetListService::follow() {
   while (true) {
-    while (!isReadDue(BootClock::now()))
+    while (!isReadDue(BootClock::now())) {
+      reportChanges(Roster_.endLapses(BootClock::now()));
       co_await pauseFor(ReadRotation::CheckPeriod);
+    }
     TimePoint RequestedAt = BootClock::now();
     // A difference that is found from here on is not resolved by this reply.
     bool WasOutOfSync = std::exchange(IsOutOfSync_, false);
@@ -72,15 +74,19 @@
 
 void TargetListService::applyToRoster(
     const std::vector<RegisteredTarget> &Fresh, TimePoint Now) {
-  for (const RosterChange &Change :
-       Roster_.applyList(Listing_.entries(), Now)) {
+  reportChanges(Roster_.applyList(Listing_.entries(), Now));
+  Updated_.fire(Fresh);
+}
+
+void TargetListService::reportChanges(
+    const std::vector<RosterChange> &Changes) {
+  for (const RosterChange &Change : Changes) {
     logEvent(LogLevel::Info, "target_standing",
              {{"target", Change.Id_},
               {"standing", targetUsabilityName(Change.Usability_)},
               {"new_incarnation", Change.NewIncarnation_}});
     Changed_.fire(Change);
   }
-  Updated_.fire(Fresh);
 }
 
 void TargetListService::applyPeerRead(TimePoint At,
@@ -93,7 +99,7 @@
     return;
   }
   ConfirmedAt_ = At;
-  Roster_.extendLapse(Now + Update.LapseRemaining_);
+  Roster_.extendLapse(Update.LapseRemaining_, Now);
   applyToRoster(Update.Changes_.Entries_, Now);
 }
 
--- a/Source/Entry/TargetListService.h
+++ b/Source/Entry/TargetListService.h
@@ -69,6 +69,7 @@
   boost::asio::awaitable<void> follow();
   bool isReadDue(TimePoint Now) const;
   void applyToRoster(const std::vector<RegisteredTarget> &Fresh, TimePoint Now);
+  void reportChanges(const std::vector<RosterChange> &Changes);
 
   boost::asio::any_io_executor Executor_;
   const EntrySettings &Settings_;
--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -16,7 +16,8 @@
 
 std::vector<RosterChange>
 TargetRoster::applyList(std::vector<RegisteredTarget> Listed, TimePoint Now) {
-  if (std::exchange(ListUnavailable_, false))
+  bool WasOutage = std::exchange(ListUnavailable_, false) && wasUnknown(Now);
+  if (std::exchange(ListRestored_, false) || WasOutage)
     LapseUntil_ = Now + Options_.LapseGrace_;
   ReadAt_ = Now;
   std::vector<RosterChange> Changes;
@@ -73,6 +74,27 @@
   return Changes;
 }
 
+bool TargetRoster::wasUnknown(TimePoint Now) const {
+  return !ReadAt_ || *ReadAt_ + Options_.MinOutage_ <= Now;
+}
+
+void TargetRoster::extendLapse(Duration Remaining, TimePoint Now) {
+  if (wasUnknown(Now))
+    LapseUntil_ = std::max(LapseUntil_, Now + Remaining);
+}
+
+std::vector<RosterChange> TargetRoster::endLapses(TimePoint Now) {
+  std::vector<RosterChange> Changes;
+  if (Now < LapseUntil_)
+    return Changes;
+  for (auto &[Id, Known] : Targets_)
+    if (Known.Usability_ == TargetUsability::Lapsed) {
+      Known.Usability_ = TargetUsability::Unlisted;
+      Changes.push_back({Id, Known.Usability_, false});
+    }
+  return Changes;
+}
+
 bool TargetRoster::recordLeaving(const std::string &Id,
                                  std::int64_t Incarnation) {
   auto Found = Targets_.find(Id);
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -20,6 +20,9 @@
   /// target writes its entry every second or so, and that of one that is silent
   /// is removed.
   Duration MaxOutdatedTime_ = std::chrono::seconds(10);
+  /// For how long the list must have been unknown before entries may have
+  /// lapsed: a target that can't write its entry for less keeps it.
+  Duration MinOutage_ = std::chrono::seconds(2);
 };
 
 /// The usability of a target for new requests.
@@ -69,14 +72,20 @@
   std::vector<RosterChange> applyList(std::vector<RegisteredTarget> Listed,
                                       TimePoint Now);
 
-  /// Records that the list could not be read.
+  /// Records that this VM could not read the list. That is no outage if
+  /// another VM could.
   void recordListOutage() { ListUnavailable_ = true; }
 
+  /// Records that the list is another one from now on, in which the entries of
+  /// running targets may be missing.
+  void recordListRestored() { ListRestored_ = true; }
+
   /// Extends the time in which missing entries may only have lapsed, as
-  /// reported by another VM.
-  void extendLapse(TimePoint Until) {
-    LapseUntil_ = std::max(LapseUntil_, Until);
-  }
+  /// reported by another VM, unless the list was known here all the while.
+  void extendLapse(Duration Remaining, TimePoint Now);
+
+  /// Ends the lapses whose time has passed. Returns the changes.
+  std::vector<RosterChange> endLapses(TimePoint Now);
 
   /// How much longer missing entries may only have lapsed.
   Duration lapseRemaining(TimePoint Now) const {
@@ -100,10 +109,14 @@
   std::optional<Duration> age(TimePoint Now) const;
 
 private:
+  /// Whether the list was unknown for so long that entries may have lapsed.
+  bool wasUnknown(TimePoint Now) const;
+
   TargetRosterOptions Options_;
   std::map<std::string, ListedTarget> Targets_;
   std::optional<TimePoint> ReadAt_;
   bool ListUnavailable_ = false;
+  bool ListRestored_ = false;
   /// Until when a missing entry may only have lapsed.
   TimePoint LapseUntil_{};
 };
--- a/Tests/Serving/OvertakenListTest.cpp
+++ b/Tests/Serving/OvertakenListTest.cpp
@@ -130,6 +130,18 @@
     CHECK(Store.usabilityOf("b") == TargetUsability::Unlisted);
   }
 
+  // Guards against DRAIN: a VM that was cut off makes all others keep a target
+  // that left.
+  SECTION("has no lapsed entries because that VM couldn't read it before") {
+    DelayedStore Store(std::chrono::milliseconds(50));
+    REQUIRE(Store.IsListening_);
+    Store.runUntil([&] { return Store.Read_ == 1; });
+    TargetListUpdate AfterOutage = WithoutB;
+    AfterOutage.LapseRemaining_ = std::chrono::seconds(2);
+    Store.List_->applyPeerRead(BootClock::now(), AfterOutage);
+    CHECK(Store.usabilityOf("b") == TargetUsability::Unlisted);
+  }
+
   SECTION("causes another read if its changes can't be applied") {
     DelayedStore Store(std::chrono::hours(1));
     REQUIRE(Store.IsListening_);
--- a/Tests/Serving/TargetRosterTest.cpp
+++ b/Tests/Serving/TargetRosterTest.cpp
@@ -88,6 +88,47 @@
       CHECK(Roster.usable("engines").size() == 1);
     }
   }
+  // Guards against DRAIN: a target that left gets requests for two readings,
+  // since one VM couldn't read the list for a moment.
+  SECTION("after a read that failed while the list was known otherwise") {
+    Roster.applyList({entry("a"), entry("b")}, Start + 4s);
+    Roster.recordListOutage();
+    SECTION("drops a missing target at the first reading without it") {
+      Roster.applyList({entry("a")}, Start + 5900ms);
+      CHECK(Roster.usable("engines").size() == 1);
+    }
+    SECTION("also at a later one") {
+      Roster.applyList({entry("a"), entry("b")}, Start + 4500ms);
+      Roster.applyList({entry("a")}, Start + 5600ms);
+      CHECK(Roster.usable("engines").size() == 1);
+    }
+    SECTION("keeps it if the store was restored from a copy") {
+      Roster.recordListRestored();
+      Roster.applyList({entry("a")}, Start + 5s);
+      CHECK(Roster.usable("engines").size() == 2);
+    }
+  }
+  SECTION("ends lapses in time if the list isn't read again") {
+    Roster.recordListOutage();
+    Roster.applyList({entry("a")}, Start + 5s);
+    CHECK(Roster.endLapses(Start + 7199ms).empty());
+    CHECK(Roster.endLapses(Start + 7200ms).size() == 1);
+    CHECK(Roster.usable("engines").size() == 1);
+    CHECK(Roster.endLapses(Start + 8s).empty());
+  }
+  SECTION("takes another VM's word for an outage") {
+    SECTION("that it can't exclude itself") {
+      Roster.extendLapse(1s, Start + 3s);
+      Roster.applyList({entry("a")}, Start + 3s);
+      CHECK(Roster.usable("engines").size() == 2);
+    }
+    SECTION("but not while it knew the list") {
+      Roster.applyList({entry("a"), entry("b")}, Start + 2s);
+      Roster.extendLapse(1s, Start + 3s);
+      Roster.applyList({entry("a")}, Start + 3s);
+      CHECK(Roster.usable("engines").size() == 1);
+    }
+  }
   SECTION("ignores entries from before a restart") {
     Roster.applyList({entry("a", 5), entry("b")}, Start + 1s);
     Roster.applyList({entry("a", 1), entry("b")}, Start + 2s);
