Let a stream go on only at an engine that says it is the one listed

Streams held events of two software versions (ORDER): an engine started again at its id and address with another version, and a VM whose list still showed the earlier entry went on with streams there. A VM that was cut off from the store did so for as long as the cut lasted, for streams that it remembers; all VMs did until the next reading of the list (1.1 s). A stream that began at such an engine was recorded as one of the old version.

Cause: the version of a target was taken from the list alone. A VM now asks the engine which incarnation runs (GET /api/report, `born`), on each new connection for resumable streams of models: before it sends a stream that has begun, and beside the request, before the first event, for others. A connection that was opened before and still answers leads to the incarnation that reported, so later streams on it need no question. An engine that has started again counts as leaving until its new entry is listed. Without a report within 300 ms nothing goes on there; what begins goes by the list.

No service without models is covered.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -20,6 +20,9 @@
 /// The maximum retry hint for a caller that exceeds its rate.
 static constexpr Duration MaxRateRetryAfter = std::chrono::seconds(2);
 
+/// The time limit of an engine's report on which a request waits.
+static constexpr Duration ReportTimeout = std::chrono::milliseconds(300);
+
 /// The time limit of requests that state none.
 static constexpr Duration DefaultTimeout = std::chrono::seconds(30);
 
@@ -68,6 +71,10 @@
               {ReceiveLimits().BodyBytes_,
                Services.require<ReceiveBudgets>(ReceiveBudgets::Name)
                    ->targets()}),
+          std::make_shared<platform::EngineControl>(
+              ReportTimeout,
+              Services.require<ReceiveBudgets>(ReceiveBudgets::Name)
+                  ->control()),
           {}},
       Callers_(Executor_, {},
                [this](HttpExchange &Exchange) { return handle(Exchange); }),
--- a/Source/Entry/RequestOrigin.cpp
+++ b/Source/Entry/RequestOrigin.cpp
@@ -115,12 +115,59 @@
   return true;
 }
 
+asio::awaitable<bool> RequestRun::checkIncarnation(const TargetChoice &Chosen) {
+  Check_.reset();
+  bool IsNeeded = isResumableStream() && !Query_.Model_.empty() &&
+                  Connection_.serverIncarnation() != Chosen.Incarnation_;
+  if (!IsNeeded)
+    co_return true;
+  Check_ = IncarnationCheck::begin(Shared_.Executor_, Shared_.Engines_, Chosen);
+  // A stream that begins waits for the answer before its first event.
+  if (!Origin_)
+    co_return true;
+  co_return co_await confirmIncarnation(Chosen);
+}
+
+asio::awaitable<bool>
+RequestRun::confirmIncarnation(const TargetChoice &Chosen) {
+  auto Check = std::exchange(Check_, nullptr);
+  if (!Check)
+    co_return true;
+  IncarnationFinding Finding = co_await Check->finding();
+  Shared_.Metrics_->count(
+      "anvil_incarnation_checks_total",
+      {{"finding", std::string(enumName(Finding, IncarnationNames))}});
+  switch (Finding) {
+  case IncarnationFinding::Same:
+    Connection_.setServerIncarnation(Chosen.Incarnation_);
+    co_return true;
+  case IncarnationFinding::NotStated:
+    co_return true;
+  case IncarnationFinding::Other:
+    // No VM sends it anything until its new entry is listed.
+    Shared_.Fleet_->recordDraining(Chosen.Target_, Chosen.Incarnation_,
+                                   BootClock::now());
+    LastReason_ = TargetRestarted;
+    co_return false;
+  case IncarnationFinding::NoReport:
+    break;
+  }
+  // What begins goes by the list alone.
+  if (!Origin_)
+    co_return true;
+  LastReason_ = NoReport;
+  ++Sends_;
+  co_return false;
+}
+
 asio::awaitable<bool> RequestRun::confirmOrigin(const TargetChoice &Chosen) {
+  if (!co_await confirmIncarnation(Chosen))
+    co_return false;
   if (Origin_)
     co_return true;
   // A target that restarted meanwhile may run another version now.
   if (!Shared_.Picker_->isSameIncarnation(Chosen)) {
-    LastReason_ = "target_restarted";
+    LastReason_ = TargetRestarted;
     co_return false;
   }
   TimePoint Now = BootClock::now();
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -245,7 +245,7 @@
   // Nothing was sent.
   if (LastReason_ == "no_connection" || LastReason_ == TargetEvacuated ||
       LastReason_ == PermitMissing || LastReason_ == PartQuarantined ||
-      LastReason_ == NotRecordable)
+      LastReason_ == NotRecordable || LastReason_ == TargetRestarted)
     co_return true;
   // A request whose adapter is being loaded waits for the budget for up to a
   // quarter of the time left, even beyond its latency target.
@@ -343,7 +343,8 @@
     excludeTarget(Shared_, Chosen);
     co_return SendOutcome::NotRun;
   }
-  if (isCancelled())
+  bool IsSame = co_await checkIncarnation(Chosen);
+  if (!IsSame || isCancelled())
     co_return SendOutcome::NotRun;
   if (Shared_.Picker_->isEvacuated(Chosen)) {
     LastReason_ = TargetEvacuated;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -2,6 +2,7 @@
 #define ANVIL_ENTRY_REQUESTRUN_H
 
 #include "Entry/AdapterWait.h"
+#include "Entry/IncarnationCheck.h"
 #include "Entry/RequestServices.h"
 #include "Http/HttpExchange.h"
 #include "Routing/LongRunDetector.h"
@@ -90,6 +91,10 @@
   static constexpr std::string_view NotRecordable = "stream_not_recordable";
   static constexpr std::string_view NotRecorded = "stream_not_recorded";
 
+  /// The reasons logged when the chosen target has started again, or may have.
+  static constexpr std::string_view TargetRestarted = "target_restarted";
+  static constexpr std::string_view NoReport = "target_not_reporting";
+
   /// The result of one attempt at a target.
   enum class SendOutcome {
     /// The caller has its final reply or has disconnected.
@@ -134,6 +139,13 @@
   /// Begins to record where the stream begins, if it needs a record. False if
   /// records can't be written at present.
   bool beginRecord(const TargetChoice &Chosen);
+  /// Begins to ask the chosen target which of its incarnations runs, if a
+  /// stream's version depends on it. Waits for the answer if the stream has
+  /// begun before. False if it may not go on there.
+  boost::asio::awaitable<bool> checkIncarnation(const TargetChoice &Chosen);
+  /// Waits for the answer, if there is a question. False if the chosen target
+  /// may run another version than its entry names.
+  boost::asio::awaitable<bool> confirmIncarnation(const TargetChoice &Chosen);
   /// Waits until it is certain that each VM can find out where the stream
   /// began. False if that isn't possible in time.
   boost::asio::awaitable<bool> confirmOrigin(const TargetChoice &Chosen);
@@ -213,6 +225,8 @@
   bool IsTakenUp_ = false;
   /// Whether the caller has received events of this answer.
   bool HasEvents_ = false;
+  /// The unanswered question which incarnation of the last target runs.
+  std::shared_ptr<IncarnationCheck> Check_;
   /// The latest record that was made of this stream.
   std::optional<std::pair<StreamOrigin, RecordTicket>> Record_;
   /// When the permit for the current send was requested; nothing without one.
--- a/Source/Entry/RequestServices.h
+++ b/Source/Entry/RequestServices.h
@@ -9,6 +9,7 @@
 #include "Http/ConnectionPool.h"
 #include "Routing/RetryBudget.h"
 #include "Telemetry/Metrics.h"
+#include "platform/EngineControl.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/intrusive/list.hpp>
@@ -42,6 +43,8 @@
   /// The number of VMs that share the extra retries.
   double Vms_ = 1;
   ConnectionPool Pool_;
+  /// For asking engines which of their incarnations runs.
+  std::shared_ptr<platform::EngineControl> Engines_;
   boost::intrusive::list<RequestRun, boost::intrusive::base_hook<RunHook>,
                          boost::intrusive::constant_time_size<false>>
       Running_;
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -53,6 +53,7 @@
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::string Server_;
   CarriedRequests Carried_;
+  std::optional<std::int64_t> ServerIncarnation_;
   bool Open_ = false;
   bool RequestSent_ = false;
 };
@@ -257,6 +258,14 @@
                                                  : BodyFraming::None;
 }
 
+std::optional<std::int64_t> HttpConnection::serverIncarnation() const {
+  return State_->ServerIncarnation_;
+}
+
+void HttpConnection::setServerIncarnation(std::int64_t Incarnation) {
+  State_->ServerIncarnation_ = Incarnation;
+}
+
 CarriedRequests &HttpConnection::carried() { return State_->Carried_; }
 
 const CarriedRequests &HttpConnection::carried() const {
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -10,7 +10,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace anvil {
@@ -76,6 +78,11 @@
   CarriedRequests &carried();
   const CarriedRequests &carried() const;
 
+  /// The incarnation of the process at the other end, where it is known: a
+  /// process that ends closes its connections.
+  std::optional<std::int64_t> serverIncarnation() const;
+  void setServerIncarnation(std::int64_t Incarnation);
+
   /// Closes at once; pending operations fail.
   void close();
 
--- a/Source/Serving/Target.h
+++ b/Source/Serving/Target.h
@@ -57,6 +57,8 @@
 
 /// An engine's reply to a state query. It may be some hundred milliseconds old.
 struct EngineReport {
+  /// The start time of the process that replied, if it states it.
+  std::optional<std::int64_t> Incarnation_;
   bool Busy_ = false;
   std::uint64_t OrdersAccepted_ = 0;
   int Running_ = 0;
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -114,6 +114,17 @@
   writeTargetEntry(Target, "ready", Incarnation);
 }
 
+void EntryFleet::replaceSoftware(const std::string &Target,
+                                 const std::string &Version,
+                                 std::int64_t Incarnation) {
+  std::uint16_t Port = at(Target).port();
+  at(Target).kill();
+  SoftwareVersions_[Target] = Version;
+  start(Target, {"--kind", "registered-target", "--id", Target, "--software",
+                 Version, "--born", std::to_string(Incarnation), "--port",
+                 std::to_string(Port)});
+}
+
 void EntryFleet::restartTogether(const std::vector<std::string> &Vms) {
   // VMs have the same ports in all their lives.
   std::map<std::string, std::uint16_t> PeerPorts;
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -112,6 +112,11 @@
   /// Starts a target that has ended again, as a new incarnation.
   void restartTarget(const std::string &Target, std::int64_t Incarnation);
 
+  /// Ends a target's process and starts it again at its address, with another
+  /// version of its software. Its entry is written by `writeTargetEntry` only.
+  void replaceSoftware(const std::string &Target, const std::string &Version,
+                       std::int64_t Incarnation);
+
   /// Kills VMs at the same time with SIGKILL and starts them again.
   void restartTogether(const std::vector<std::string> &Vms);
   void restart(const std::string &Vm) { restartTogether({Vm}); }
--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -139,6 +139,12 @@
   CHECK(valueOf(Report).OrdersAccepted_ == 5);
   CHECK(valueOf(Report).Running_ == 12);
   CHECK(valueOf(Report).Loading_.at("m").at("a9") == 3);
+  CHECK_FALSE(valueOf(Report).Incarnation_);
+  SECTION("with the start of the process, if it states it") {
+    auto Named = decodeEngineReport(R"({"Seq":5,"Models":[],"born":17})");
+    REQUIRE(isOk(Named));
+    CHECK(valueOf(Named).Incarnation_ == 17);
+  }
   // Guards against a wrong view of an engine: it repeats an answer, which
   // counts as that to the next call.
   SECTION("and never taken for the answer to an order, nor the reverse") {
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -16,8 +16,9 @@
 static constexpr Duration SlotCheckPeriod = std::chrono::milliseconds(2);
 
 RegisteredTargetStandin::RegisteredTargetStandin(asio::any_io_executor Executor,
-                                                 std::string Id)
-    : Id_(std::move(Id)),
+                                                 std::string Id,
+                                                 TargetProcess Process)
+    : Id_(std::move(Id)), Process_(std::move(Process)),
       Server_(std::move(Executor), {},
               [this](HttpExchange &Exchange) { return handle(Exchange); }) {}
 
@@ -76,6 +77,8 @@
                {"Busy", false},
                {"Seq", Orders_},
                {"Pending", json::array()}};
+  if (Process_.Born_ > 0)
+    Body["born"] = Process_.Born_;
   return jsonReply(200, Body.dump());
 }
 
@@ -120,7 +123,10 @@
       co_return;
     }
     std::string Number = std::to_string(Event);
-    std::string Text = "id: " + Number + "\ndata: word " + Number + "\n\n";
+    std::string Text = "id: " + Number + "\ndata: word " + Number;
+    if (!Process_.Software_.empty())
+      Text += " of " + Process_.Software_;
+    Text += "\n\n";
     if (!co_await Exchange.write(Text))
       co_return;
     co_await pauseFor(std::chrono::milliseconds(EventMs_));
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -11,6 +11,14 @@
 
 namespace anvil {
 
+/// What a registered target says of its process; empty and zero if nothing.
+struct TargetProcess {
+  /// The version of its software, which its events then name.
+  std::string Software_;
+  /// The time of its start, in milliseconds.
+  std::int64_t Born_ = 0;
+};
+
 /// Stand-in for a target that speaks the platform's protocol: an engine that
 /// accepts orders, or a plain service. Requests to paths below `/stream/` get
 /// an event stream. Records requests with their headers. `POST /control` sets:
@@ -32,8 +40,8 @@
 ///  - `endless`: bodies continue until the caller closes the connection.
 class RegisteredTargetStandin {
 public:
-  RegisteredTargetStandin(boost::asio::any_io_executor Executor,
-                          std::string Id);
+  RegisteredTargetStandin(boost::asio::any_io_executor Executor, std::string Id,
+                          TargetProcess Process = {});
 
   Status listen(const Endpoint &Address) { return Server_.listen(Address); }
   std::uint16_t port() const { return Server_.port(); }
@@ -58,6 +66,7 @@
   HttpReply withExtraHeaders(HttpReply Reply) const;
 
   std::string Id_;
+  TargetProcess Process_;
   std::map<std::string, std::uint64_t> Adapters_;
   std::uint64_t Orders_ = 0;
   std::string DeadlyPart_;
--- a/Tests/Standins/RowStoreStandin.cpp
+++ b/Tests/Standins/RowStoreStandin.cpp
@@ -70,8 +70,9 @@
                              std::stoll(std::string(Request.query("WaitMs"))));
   json Rows = json::array();
   while (true) {
-    // It doesn't have the history from a version that it hasn't given out.
-    if (After > Version_) {
+    // It doesn't have the history from a version that it hasn't given out, or
+    // before what it discarded.
+    if (After > Version_ || After < HistoryFrom_) {
       HttpReply Gone = withEra(jsonReply(410, "{}"));
       co_await Exchange.respond(std::move(Gone));
       co_return;
@@ -119,6 +120,8 @@
   Down_ = Body.value("down", Down_);
   LoseReplies_ = Body.value("lose_answers", LoseReplies_);
   Era_ = Body.value("era", Era_);
+  if (Body.value("forget", false))
+    HistoryFrom_ = Version_;
   if (Body.value("copy", false)) {
     CopiedTables_ = Tables_;
     CopiedVersion_ = Version_;
--- a/Tests/Standins/RowStoreStandin.h
+++ b/Tests/Standins/RowStoreStandin.h
@@ -16,6 +16,7 @@
 /// "Value"}` writes a row with a text value, as the operator or a target does;
 /// `DELETE /row` drops one. `POST /control` with `{"down", "lose_answers"}`
 /// makes it unreachable, or applies that many transactions without replying.
+/// With `{"forget": true}` it discards its history.
 /// With `{"era": N}` its answers name that era, with `{"copy": true}` it takes
 /// a copy, and with `{"restore": true}` it goes back to that copy: the era
 /// rises by one, and versions are given out again.
@@ -52,6 +53,8 @@
   std::map<std::string, Table> CopiedTables_;
   std::uint64_t CopiedVersion_ = 0;
   std::uint64_t Era_ = 0;
+  /// The version from which on it has its history.
+  std::uint64_t HistoryFrom_ = 0;
   bool Down_ = false;
   std::int64_t LoseReplies_ = 0;
   HttpServer Server_;
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -34,11 +34,11 @@
   return 0;
 }
 
-/// Runs a stand-in on a free port.
+/// Runs a stand-in on a port; 0 lets the system choose one.
 template <class Standin>
 static int serve(boost::asio::io_context &Loop, Standin &Server,
-                 const std::string &ReadyPath) {
-  anvil::Status Outcome = Server.listen({"127.0.0.1", 0});
+                 const std::string &ReadyPath, std::uint16_t Port = 0) {
+  anvil::Status Outcome = Server.listen({"127.0.0.1", Port});
   return runUntilSignal(Loop, Outcome, {{"port", Server.port()}}, ReadyPath);
 }
 
@@ -52,6 +52,13 @@
       "registered-target");
   Add("id", options::value<std::string>()->default_value("target-1"),
       "the id of a registered target");
+  anvil::TargetProcess Process;
+  Add("software", options::value(&Process.Software_),
+      "the software version that a registered target names in its events");
+  Add("born", options::value(&Process.Born_),
+      "the start time that a registered target reports");
+  std::uint16_t Port = 0;
+  Add("port", options::value(&Port), "the port of a registered target");
   Add("ready-file", options::value<std::string>()->required(),
       "write the ports to this file");
   Add("adapter-slots", options::value(&Behaviour.AdapterSlots_),
@@ -114,8 +121,9 @@
   }
   if (Kind == "registered-target") {
     anvil::RegisteredTargetStandin Server(Loop.get_executor(),
-                                          Variables["id"].as<std::string>());
-    return serve(Loop, Server, ReadyPath);
+                                          Variables["id"].as<std::string>(),
+                                          std::move(Process));
+    return serve(Loop, Server, ReadyPath, Port);
   }
   if (Kind == "proxy") {
     anvil::FaultProxy Proxy(Loop.get_executor(), Links);
