Bound what is kept of the store's replies and of JSON from outside

What callers saw: a VM whose store, or what answers at the store's address, sends without end or reason ends by itself, and every request with it.

Cause: a parsed JSON value takes many times the bytes of its text, and StoreClient gathered pages and pages of changes without a limit and without a check that they advance.

Change: parseBounded decides by the limits on bytes, nesting and number of values before any value is built; all decoders of outside bytes in Source and platform use it.

--- a/Source/Admin/ConfigEndpoints.cpp
+++ b/Source/Admin/ConfigEndpoints.cpp
@@ -1,5 +1,6 @@
 #include "Admin/ConfigEndpoints.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Objects/ObjectCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -103,7 +104,7 @@
     co_return errorReply(503, {errorOf(Rows)});
   json List = json::array();
   for (const TableRow &Row : valueOf(Rows))
-    List.push_back(json::parse(Row.Value_, nullptr, false));
+    List.push_back(parseOrDiscard(Row.Value_));
   co_return jsonReply(200, json{{"history", List}}.dump());
 }
 
--- a/Source/Admission/QuotaRows.cpp
+++ b/Source/Admission/QuotaRows.cpp
@@ -1,5 +1,6 @@
 #include "Admission/QuotaRows.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Kernel/Invariant.h"
 
 #include <nlohmann/json.hpp>
@@ -125,8 +126,11 @@
   Row Found;
   if (Text.empty())
     return Found;
+  auto Parsed = parseBounded(Text);
+  if (!isOk(Parsed))
+    return errorOf(Parsed);
   try {
-    Read(json::parse(Text), Found);
+    Read(valueOf(Parsed), Found);
   } catch (const json::exception &Cause) {
     return Error{ErrorCode::Protocol, "quota row", Cause.what(), ""};
   }
--- a/Source/Config/ConfigHead.cpp
+++ b/Source/Config/ConfigHead.cpp
@@ -1,5 +1,7 @@
 #include "Config/ConfigHead.h"
 
+#include "Kernel/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvil {
@@ -17,8 +19,11 @@
   ConfigHead Head;
   if (Text.empty())
     return Head;
+  auto Parsed = parseBounded(Text);
+  if (!isOk(Parsed))
+    return errorOf(Parsed);
+  const json &Source = valueOf(Parsed);
   try {
-    json Source = json::parse(Text);
     Source.at("revision").get_to(Head.Revision_);
     Source.at("object").get_to(Head.Object_);
     Source.at("submit_id").get_to(Head.SubmitId_);
--- a/Source/Entry/OwnerRows.cpp
+++ b/Source/Entry/OwnerRows.cpp
@@ -1,5 +1,6 @@
 #include "Entry/OwnerRows.h"
 
+#include "Kernel/BoundedJson.h"
 #include "StoreEra/StoreEra.h"
 
 #include <nlohmann/json.hpp>
@@ -91,7 +92,7 @@
   ControlRows Decoded;
   std::map<std::string, VmRow> Earlier;
   for (const TableRow &Row : Rows) {
-    json Value = json::parse(Row.Value_, nullptr, false);
+    json Value = parseOrDiscard(Row.Value_);
     auto [RowEra, Key] = splitKey(Row.Key_);
     bool IsVm = Key.starts_with(VmPrefix);
     bool IsOwner = Key.starts_with(OwnerPrefix);
--- a/Source/Entry/StreamVersionService.cpp
+++ b/Source/Entry/StreamVersionService.cpp
@@ -42,9 +42,6 @@
 /// time, in case their writers are gone.
 static constexpr Duration MaxRemovalDelay = std::chrono::seconds(60);
 
-/// The number of changed rows in an answer after which more may follow.
-static constexpr std::size_t FullPage = 100;
-
 /// The number of rows that one call removes.
 static constexpr std::size_t MaxRemovals = 90;
 
@@ -315,18 +312,11 @@
   if (!FeedVersion_ || SentAt >= FeedReadAt_ + HistoryTime)
     co_return Error{ErrorCode::HistoryGone, "streams", "were read too long ago",
                     ""};
-  std::vector<TableRow> Rows;
-  std::uint64_t Version = *FeedVersion_;
-  for (bool HasMore = true; HasMore;) {
-    auto Page = co_await Store_.streamChanges(Version);
-    if (!isOk(Page))
-      co_return errorOf(Page);
-    HasMore = valueOf(Page).Rows_.size() >= FullPage;
-    Version = valueOf(Page).Version_;
-    std::ranges::move(valueOf(Page).Rows_, std::back_inserter(Rows));
-  }
-  applyRows(Rows, true, SentAt);
-  FeedVersion_ = Version;
+  auto Page = co_await Store_.streamChanges(*FeedVersion_);
+  if (!isOk(Page))
+    co_return errorOf(Page);
+  applyRows(valueOf(Page).Rows_, true, SentAt);
+  FeedVersion_ = valueOf(Page).Version_;
   FeedReadAt_ = SentAt;
   co_return std::monostate{};
 }
--- a/Source/Gateway/OpenAiCodec.cpp
+++ b/Source/Gateway/OpenAiCodec.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/OpenAiCodec.h"
 
+#include "Kernel/BoundedJson.h"
+
 namespace anvil {
 
 using nlohmann::json;
@@ -77,7 +79,7 @@
 
 Result<CompletionRequest> decodeCompletion(std::string_view Text) {
   CompletionRequest Request;
-  Request.Body_ = json::parse(Text, nullptr, false);
+  Request.Body_ = parseOrDiscard(Text);
   const json &Body = Request.Body_;
   if (!Body.is_object())
     return badField("body", "is not a JSON object", "send JSON");
@@ -116,7 +118,7 @@
 }
 
 std::optional<CompletionUsage> decodeUsage(std::string_view Text) {
-  json Body = json::parse(Text, nullptr, false);
+  json Body = parseOrDiscard(Text);
   if (!Body.is_object())
     return std::nullopt;
   CompletionUsage Usage;
@@ -133,7 +135,7 @@
 }
 
 bool isResponseTo(std::string_view Text, const RequestContext &Request) {
-  json Body = json::parse(Text, nullptr, false);
+  json Body = parseOrDiscard(Text);
   if (!Body.is_object())
     return true;
   auto Model = Body.find("model");
--- a/Source/Objects/ChangeSet.cpp
+++ b/Source/Objects/ChangeSet.cpp
@@ -1,5 +1,6 @@
 #include "Objects/ChangeSet.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Objects/FieldReader.h"
 #include "Objects/ObjectCodec.h"
 #include "Objects/ObjectValidator.h"
@@ -30,6 +31,9 @@
 }
 
 std::variant<ChangeSet, ErrorList> decodeChangeSet(std::string_view Text) {
+  if (exceededLimit(Text, ConfigurationLimits))
+    return ErrorList{{ErrorCode::TooLarge, "change set",
+                      "is too long, or nested too deep", "divide it"}};
   json Source;
   try {
     Source = json::parse(Text, nullptr, true, true);
--- a/Source/Objects/ObjectCodec.cpp
+++ b/Source/Objects/ObjectCodec.cpp
@@ -1,5 +1,6 @@
 #include "Objects/ObjectCodec.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Objects/FieldReader.h"
 #include "Objects/FieldWriter.h"
 
@@ -167,7 +168,7 @@
 Result<ConfigSnapshot> decodeSnapshot(std::string_view Text) {
   Error Problem{ErrorCode::InvalidInput, "snapshot", "is not a valid snapshot",
                 ""};
-  json Document = json::parse(Text, nullptr, false);
+  json Document = parseOrDiscard(Text, ConfigurationLimits);
   if (!Document.is_object() || !Document.contains("revision") ||
       !Document["revision"].is_number_unsigned() ||
       !Document.contains("objects") || !Document["objects"].is_array())
--- a/Source/Placement/EngineCodec.cpp
+++ b/Source/Placement/EngineCodec.cpp
@@ -1,5 +1,7 @@
 #include "Placement/EngineCodec.h"
 
+#include "Kernel/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvil {
@@ -56,8 +58,11 @@
 }
 
 Result<EngineStatus> decodeEngineStatus(std::string_view Text) {
+  auto Parsed = parseBounded(Text);
+  if (!isOk(Parsed))
+    return errorOf(Parsed);
+  const json &Source = valueOf(Parsed);
   try {
-    json Source = json::parse(Text);
     EngineStatus Status;
     Source.at("incarnation").get_to(Status.Incarnation_);
     Source.at("running").get_to(Status.Running_);
--- a/Source/Placement/OwnerLease.cpp
+++ b/Source/Placement/OwnerLease.cpp
@@ -1,5 +1,6 @@
 #include "Placement/OwnerLease.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Membership/Rendezvous.h"
 
 #include <nlohmann/json.hpp>
@@ -44,8 +45,10 @@
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const std::string &Text) {
+  json Source = parseOrDiscard(Text);
+  if (Source.is_discarded())
+    return std::nullopt;
   try {
-    json Source = json::parse(Text);
     LeaseRow Row;
     Source.at("generation").get_to(Row.Generation_);
     for (const json &Item : Source.at("holders")) {
--- a/Source/Streams/StreamRows.cpp
+++ b/Source/Streams/StreamRows.cpp
@@ -1,5 +1,6 @@
 #include "Streams/StreamRows.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Kernel/EnumNames.h"
 
 #include <msgpack.hpp>
@@ -56,8 +57,10 @@
                                              std::uint64_t RowVersion,
                                              std::uint64_t Era) {
   std::string Prefix = eraPrefix(Era);
-  json Encoded = json::parse(Value, nullptr, false);
-  if (!Key.starts_with(Prefix) || !Encoded.is_object())
+  if (!Key.starts_with(Prefix))
+    return std::nullopt;
+  json Encoded = parseOrDiscard(Value);
+  if (!Encoded.is_object())
     return std::nullopt;
   // A row that can't be read allows nothing.
   StreamBaseline Baseline{Key.substr(Prefix.size()), std::nullopt,
--- a/Source/TableService/PlatformCodec.cpp
+++ b/Source/TableService/PlatformCodec.cpp
@@ -1,5 +1,7 @@
 #include "TableService/PlatformCodec.h"
 
+#include "Kernel/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvil {
@@ -10,12 +12,15 @@
   return {ErrorCode::Protocol, Subject, Problem.what(), ""};
 }
 
-/// Runs `Read` on the parsed text; JSON exceptions become errors.
+/// Runs `Read` on the parsed text; the library's exceptions become errors.
 template <class Value, class Reader>
 static Result<Value> decodeWith(const char *Subject, std::string_view Text,
                                 Reader Read) {
+  auto Parsed = parseBounded(Text);
+  if (!isOk(Parsed))
+    return errorOf(Parsed);
   try {
-    return Read(json::parse(Text));
+    return Read(valueOf(Parsed));
   } catch (const json::exception &Problem) {
     return decodeError(Subject, Problem);
   }
@@ -116,8 +121,13 @@
     Outcome.Result_ = CommitResult::Unavailable;
     return Outcome;
   }
+  auto Parsed = parseBounded(Reply.Body_);
+  if (!isOk(Parsed)) {
+    Outcome.Detail_ = errorOf(Parsed).describe();
+    return Outcome;
+  }
+  const json &Source = valueOf(Parsed);
   try {
-    json Source = json::parse(Reply.Body_);
     if (Reply.Status_ == 200) {
       Source.at("version").get_to(Outcome.Version_);
       Outcome.Result_ = CommitResult::Committed;
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -289,6 +289,15 @@
   return callOnce(callerPort(Vm), request(Path, std::move(Headers)));
 }
 
+void EntryFleet::replaceStore(const std::string &Vm,
+                              std::optional<std::uint16_t> Port) {
+  std::uint16_t Chosen = Port.value_or(at("store").port());
+  setStoreLink(Vm, "reset");
+  control("proxy", {{"link", storeLinkName(Vm)},
+                    {"target", "127.0.0.1:" + std::to_string(Chosen)},
+                    {"mode", "pass"}});
+}
+
 std::vector<json> EntryFleet::records(const std::string &Event) {
   std::vector<json> Found;
   for (const std::string &Target : EntryTargets) {
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -71,6 +71,12 @@
   /// restore it.
   void setStoreLink(const std::string &Vm, const std::string &Mode);
 
+  /// Connects a VM to what answers in the store's place at a port of the
+  /// loopback address; without one, to the store again. Open connections are
+  /// reset.
+  void replaceStore(const std::string &Vm,
+                    std::optional<std::uint16_t> Port = std::nullopt);
+
   /// Writes the configuration row; `Keys` are the API keys of its only customer
   /// and `Added` the paths of further routes to the plain service.
   void configure(std::uint64_t Revision, const std::vector<std::string> &Keys,
--- a/Tests/Standins/EndlessTarget.cpp
+++ b/Tests/Standins/EndlessTarget.cpp
@@ -62,6 +62,7 @@
   std::string Line;
   std::string RequestId;
   std::getline(Head, Line);
+  std::string Target = Line;
   bool IsReport = Line.find(" /api/report ") != std::string::npos;
   while (std::getline(Head, Line) && Line != "\r") {
     constexpr std::string_view Name = "X-Request-Id: ";
@@ -78,6 +79,8 @@
     std::lock_guard Lock(Mutex_);
     ++Requests_;
     Reply = Reply_;
+    if (Reply.Compose_)
+      Reply.Start_ = Reply_.Compose_(Target);
   }
   if (Reply.IsForeign_)
     RequestId = "of-another";
--- a/Tests/Standins/EndlessTarget.h
+++ b/Tests/Standins/EndlessTarget.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -23,11 +24,14 @@
   std::string Repeated_;
   /// Whether the reply names another request than the one that was sent.
   bool IsForeign_ = false;
+  /// If set, gives the start of each body from the request's target.
+  std::function<std::string(const std::string &Target)> Compose_{};
 };
 
 /// A target on a thread of the test whose replies, with its seal, go on until
 /// the caller closes the connection. Serves any number of connections at once.
-/// Reports are sound and list the model `base`.
+/// Reports are sound and list the model `base`. Can also stand in for the
+/// store, with the same reply to all of its calls.
 class EndlessTarget {
 public:
   explicit EndlessTarget(std::string Id);
