Read changed bytes of the store and of other VMs without ending

What callers saw: a VM ends by itself (an uncaught exception in a coroutine, or a broken invariant) after a datagram or a row that no sound sender writes.

--- a/Source/Admin/ConfigEndpoints.cpp
+++ b/Source/Admin/ConfigEndpoints.cpp
@@ -51,7 +51,7 @@
       json{{"revision", Published.Revision_},
            {"dry_run", Published.DryRun_},
            {"difference", json::parse(encodeChangeSet(Published.Difference_))}}
-          .dump());
+          .dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 static asio::awaitable<Result<SnapshotPtr>>
@@ -105,7 +105,8 @@
   json List = json::array();
   for (const TableRow &Row : valueOf(Rows))
     List.push_back(parseOrDiscard(Row.Value_));
-  co_return jsonReply(200, json{{"history", List}}.dump());
+  co_return jsonReply(200, json{{"history", List}}.dump(
+                               -1, ' ', false, json::error_handler_t::replace));
 }
 
 void addConfigEndpoints(AdminServer &Server,
--- a/Source/Admin/ConfirmationPage.cpp
+++ b/Source/Admin/ConfirmationPage.cpp
@@ -89,7 +89,8 @@
   }
   json Whole{
       {"revision", Revision}, {"in_force", InForce}, {"data_centres", List}};
-  return jsonReply(200, Whole.dump());
+  return jsonReply(200,
+                   Whole.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 static std::optional<std::uint64_t> revisionOf(const HttpRequest &Request) {
--- a/Source/Admin/QuarantineEndpoints.cpp
+++ b/Source/Admin/QuarantineEndpoints.cpp
@@ -12,7 +12,8 @@
   for (const auto &Entry : Guard.list(BootClock::now()))
     List.push_back({{"digest", Entry.Digest_},
                     {"seconds_left", toSeconds(Entry.RemainingTime_)}});
-  return jsonReply(200, json{{"quarantined", List}}.dump());
+  return jsonReply(200, json{{"quarantined", List}}.dump(
+                            -1, ' ', false, json::error_handler_t::replace));
 }
 
 static HttpReply clearReply(FleetPoisonGuard &Guard,
@@ -24,7 +25,8 @@
     return errorReply(400, {Problem});
   }
   bool WasKnown = Guard.clear(Digest);
-  return jsonReply(200, json{{"known_here", WasKnown}}.dump());
+  return jsonReply(200, json{{"known_here", WasKnown}}.dump(
+                            -1, ' ', false, json::error_handler_t::replace));
 }
 
 void addQuarantineEndpoints(AdminServer &Server,
--- a/Source/Admission/QuotaRows.cpp
+++ b/Source/Admission/QuotaRows.cpp
@@ -73,6 +73,15 @@
   return Dropped > 0;
 }
 
+bool isConsistent(const QuotaAllocations &Row, double Reserve) {
+  // False for what is not a number, too.
+  bool IsValid = Row.UnissuedPart_ >= -PartTolerance;
+  for (const auto &[Lease, Allocation] : Row.ByLease_)
+    IsValid = IsValid && Allocation.Part_ >= 0 && Allocation.Demand_ >= 0;
+  return IsValid &&
+         Row.total() + Row.UnissuedPart_ <= 1 - Reserve + PartTolerance;
+}
+
 double QuotaFloors::total() const {
   double Sum = 0;
   for (const auto &[Vm, Part] : ByVm_)
@@ -103,7 +112,7 @@
   for (const auto &[Vm, Lease] : Source)
     Out[Vm] = json::array({Lease.Id_, Lease.Counter_, Lease.Ended_,
                            Lease.AcquiredVersion_, Lease.SeenVersion_});
-  return Out.dump();
+  return Out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string encodeQuotaAllocations(const QuotaAllocations &Source) {
@@ -111,12 +120,13 @@
   for (const auto &[Lease, Entry] : Source.ByLease_)
     Held[Lease] = json::array({Entry.Part_, Entry.Demand_, Entry.EditNumber_,
                                Entry.Vm_, Entry.DataCentre_});
-  return json{{"fresh", Source.UnissuedPart_}, {"held", std::move(Held)}}
-      .dump();
+  return json{{"fresh", Source.UnissuedPart_}, {"held", std::move(Held)}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string encodeQuotaFloors(const QuotaFloors &Source) {
-  return json{{"reserve", Source.Reserve_}, {"vms", Source.ByVm_}}.dump();
+  return json{{"reserve", Source.Reserve_}, {"vms", Source.ByVm_}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 /// Parses a row with `Read`. nlohmann::json reports every unexpected shape by
@@ -156,10 +166,20 @@
 }
 
 Result<QuotaFloors> decodeQuotaFloors(const std::string &Text) {
-  return decode<QuotaFloors>(Text, [](const json &In, QuotaFloors &Found) {
+  auto Read = decode<QuotaFloors>(Text, [](const json &In, QuotaFloors &Found) {
     Found.Reserve_ = In.at("reserve");
     In.at("vms").get_to(Found.ByVm_);
   });
+  if (!isOk(Read))
+    return Read;
+  const QuotaFloors &Floors = valueOf(Read);
+  bool IsValid = Floors.Reserve_ >= 0 && Floors.Reserve_ <= 1;
+  for (const auto &[Vm, Part] : Floors.ByVm_)
+    IsValid = IsValid && Part >= 0 && Part <= 1;
+  if (!IsValid)
+    return Error{ErrorCode::Protocol, "quota row", "holds no parts of a whole",
+                 ""};
+  return Read;
 }
 
 } // namespace anvil
--- a/Source/Admission/QuotaRows.h
+++ b/Source/Admission/QuotaRows.h
@@ -102,6 +102,10 @@
   bool dropEnded(const std::set<std::string> &LiveLeases);
 };
 
+/// Whether the parts of a row that was read are ones that VMs can have written:
+/// none is negative, and all and the reserve together are at most the whole.
+bool isConsistent(const QuotaAllocations &Row, double Reserve);
+
 /// The floors of all VMs, by VM name, and the part that is reserved for them.
 struct QuotaFloors {
   double Reserve_ = 0;
--- a/Source/Admission/QuotaServiceRows.cpp
+++ b/Source/Admission/QuotaServiceRows.cpp
@@ -251,7 +251,7 @@
     co_return;
   TableRow Row = valueOf(Rows).front();
   auto Allocations = decodeQuotaAllocations(Row.Value_);
-  if (!isOk(Allocations)) {
+  if (!isOk(Allocations) || !isConsistent(valueOf(Allocations), Reserve_)) {
     logEvent(LogLevel::Error, "quota_row_unreadable", {{"row", Key}});
     co_return;
   }
--- a/Source/Config/ConfigHead.cpp
+++ b/Source/Config/ConfigHead.cpp
@@ -12,7 +12,7 @@
   return json{{"revision", Head.Revision_},
               {"object", Head.Object_},
               {"submit_id", Head.SubmitId_}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<ConfigHead> decodeHead(std::string_view Text) {
--- a/Source/Config/ConfigPublisher.cpp
+++ b/Source/Config/ConfigPublisher.cpp
@@ -120,7 +120,9 @@
       {std::string(ConfigHead::Row), encodeHead(Next)});
   Transaction.Writes_.push_back(
       {submitRow(Next.SubmitId_), std::to_string(Next.Revision_)});
-  Transaction.Writes_.push_back({historyRow(Next.Revision_), History.dump()});
+  Transaction.Writes_.push_back(
+      {historyRow(Next.Revision_),
+       History.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)});
   co_return co_await Platform_->commit(std::move(Transaction));
 }
 
--- a/Source/Entry/OwnerRows.cpp
+++ b/Source/Entry/OwnerRows.cpp
@@ -51,11 +51,12 @@
               {"peer_address", Row.PeerAddress_},
               {"renewals", Row.Renewals_},
               {"standby", Row.Standby_}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string encodeOwnerRow(const OwnerRow &Row) {
-  return json{{"vm", Row.Vm_}, {"fence", Row.Fence_}}.dump();
+  return json{{"vm", Row.Vm_}, {"fence", Row.Fence_}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 static bool flagOf(const json &Source, const char *Name) {
--- a/Source/Ledger/ClaimCodec.cpp
+++ b/Source/Ledger/ClaimCodec.cpp
@@ -3,6 +3,7 @@
 #include "Kernel/EnumNames.h"
 
 #include "Objects/Digest.h"
+#include "Peer/BoundedUnpack.h"
 
 #include <nlohmann/json.hpp>
 
@@ -42,6 +43,9 @@
   if (!Bytes)
     return Error{ErrorCode::Protocol, "claim", "is not valid base64", ""};
   try {
+    // The library's parser calls itself for each level, and takes lengths for
+    // granted.
+    unpackBounded(*Bytes);
     json Document = json::from_msgpack(*Bytes);
     ClaimRow Row;
     Row.State_ = parseState(Document.at("state").get<std::string>());
@@ -56,7 +60,7 @@
     const auto &Body = Document.at("body").get_binary();
     Row.Reply_.Body_.assign(Body.begin(), Body.end());
     return Row;
-  } catch (const json::exception &Problem) {
+  } catch (const std::exception &Problem) {
     return Error{ErrorCode::Protocol, "claim", Problem.what(), ""};
   }
 }
--- a/Source/Placement/EngineCodec.cpp
+++ b/Source/Placement/EngineCodec.cpp
@@ -10,10 +10,11 @@
 
 static HttpRequest encodeOrder(std::string Path, const json &Body,
                                std::uint64_t FencingToken) {
-  HttpRequest Request{"POST",
-                      std::move(Path),
-                      {{"Content-Type", "application/json"}},
-                      Body.dump()};
+  HttpRequest Request{
+      "POST",
+      std::move(Path),
+      {{"Content-Type", "application/json"}},
+      Body.dump(-1, ' ', false, json::error_handler_t::replace)};
   Request.Headers_.add(FencingHeader, std::to_string(FencingToken));
   return Request;
 }
@@ -54,7 +55,7 @@
               {"running", Status.Running_},
               {"waiting", Status.Waiting_},
               {"resident", Resident}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<EngineStatus> decodeEngineStatus(std::string_view Text) {
--- a/Source/Placement/OwnerLease.cpp
+++ b/Source/Placement/OwnerLease.cpp
@@ -41,7 +41,8 @@
                        {"incarnation", Holder.Incarnation_},
                        {"claim", Holder.Claim_},
                        {"adopted", Holder.Adopted_}});
-  return json{{"generation", Row.Generation_}, {"holders", Holders}}.dump();
+  return json{{"generation", Row.Generation_}, {"holders", Holders}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const std::string &Text) {
--- a/Source/Streams/StreamRows.cpp
+++ b/Source/Streams/StreamRows.cpp
@@ -2,6 +2,7 @@
 
 #include "Kernel/BoundedJson.h"
 #include "Kernel/EnumNames.h"
+#include "Peer/BoundedUnpack.h"
 
 #include <msgpack.hpp>
 #include <nlohmann/json.hpp>
@@ -100,7 +101,7 @@
 std::vector<StreamRecord> decodeStreamRecords(const std::string &Bytes) {
   std::vector<StreamRecord> Records;
   try {
-    msgpack::object_handle Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    msgpack::object_handle Handle = unpackBounded(Bytes);
     auto Encoded = Handle.get().as<EncodedRecords>();
     Duration KeepFor = std::chrono::milliseconds(
         std::clamp<std::int64_t>(std::get<0>(Encoded), 0, MaxKeepMs));
--- a/Source/TableService/PlatformCodec.cpp
+++ b/Source/TableService/PlatformCodec.cpp
@@ -31,7 +31,7 @@
               {"prefix", Query.Prefix_},
               {"after", Query.After_},
               {"limit", Query.Limit_}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<TableQuery> decodeQuery(std::string_view Text) {
@@ -65,7 +65,8 @@
 }
 
 std::string encodeRows(const std::vector<TableRow> &Rows) {
-  return json{{"rows", rowsToJson(Rows)}}.dump();
+  return json{{"rows", rowsToJson(Rows)}}.dump(-1, ' ', false,
+                                               json::error_handler_t::replace);
 }
 
 Result<std::vector<TableRow>> decodeRows(std::string_view Text) {
@@ -85,7 +86,8 @@
       Item["value"] = *Write.Value_;
     Writes.push_back(std::move(Item));
   }
-  return json{{"checks", Checks}, {"writes", Writes}}.dump();
+  return json{{"checks", Checks}, {"writes", Writes}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<TableTransaction> decodeTransaction(std::string_view Text) {
@@ -109,8 +111,10 @@
 
 HttpReply encodeOutcome(const CommitOutcome &Outcome) {
   if (Outcome.Result_ == CommitResult::Committed)
-    return jsonReply(200, json{{"version", Outcome.Version_}}.dump());
-  return jsonReply(409, json{{"rows", rowsToJson(Outcome.Conflicts_)}}.dump());
+    return jsonReply(200, json{{"version", Outcome.Version_}}.dump(
+                              -1, ' ', false, json::error_handler_t::replace));
+  return jsonReply(409, json{{"rows", rowsToJson(Outcome.Conflicts_)}}.dump(
+                            -1, ' ', false, json::error_handler_t::replace));
 }
 
 CommitOutcome decodeOutcome(const HttpReply &Reply) {
@@ -148,7 +152,8 @@
                     {"data_centre", Vm.DataCentre_},
                     {"address", Vm.Address_},
                     {"leaving", Vm.State_ == VmState::Leaving}});
-  return json{{"vms", List}}.dump();
+  return json{{"vms", List}}.dump(-1, ' ', false,
+                                  json::error_handler_t::replace);
 }
 
 Result<std::vector<VmRecord>> decodeVms(std::string_view Text) {
