--- a/Source/Admin/ConfigEndpoints.cpp
+++ b/Source/Admin/ConfigEndpoints.cpp
@@ -1,5 +1,6 @@
 #include "Admin/ConfigEndpoints.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Objects/ObjectCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -50,7 +51,7 @@
       json{{"revision", Published.Revision_},
            {"dry_run", Published.DryRun_},
            {"difference", json::parse(encodeChangeSet(Published.Difference_))}}
-          .dump());
+          .dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 static asio::awaitable<Result<SnapshotPtr>>
@@ -103,8 +104,9 @@
     co_return errorReply(503, {errorOf(Rows)});
   json List = json::array();
   for (const TableRow &Row : valueOf(Rows))
-    List.push_back(json::parse(Row.Value_, nullptr, false));
-  co_return jsonReply(200, json{{"history", List}}.dump());
+    List.push_back(parseOrDiscard(Row.Value_));
+  co_return jsonReply(200, json{{"history", List}}.dump(
+                               -1, ' ', false, json::error_handler_t::replace));
 }
 
 void addConfigEndpoints(AdminServer &Server,
--- a/Source/Entry/OwnerRows.cpp
+++ b/Source/Entry/OwnerRows.cpp
@@ -1,5 +1,6 @@
 #include "Entry/OwnerRows.h"
 
+#include "Kernel/BoundedJson.h"
 #include "StoreEra/StoreEra.h"
 
 #include <nlohmann/json.hpp>
@@ -50,11 +51,12 @@
               {"peer_address", Row.PeerAddress_},
               {"renewals", Row.Renewals_},
               {"standby", Row.Standby_}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string encodeOwnerRow(const OwnerRow &Row) {
-  return json{{"vm", Row.Vm_}, {"fence", Row.Fence_}}.dump();
+  return json{{"vm", Row.Vm_}, {"fence", Row.Fence_}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 static bool flagOf(const json &Source, const char *Name) {
@@ -91,7 +93,7 @@
   ControlRows Decoded;
   std::map<std::string, VmRow> Earlier;
   for (const TableRow &Row : Rows) {
-    json Value = json::parse(Row.Value_, nullptr, false);
+    json Value = parseOrDiscard(Row.Value_);
     auto [RowEra, Key] = splitKey(Row.Key_);
     bool IsVm = Key.starts_with(VmPrefix);
     bool IsOwner = Key.starts_with(OwnerPrefix);
--- a/Source/Placement/EngineCodec.cpp
+++ b/Source/Placement/EngineCodec.cpp
@@ -1,5 +1,7 @@
 #include "Placement/EngineCodec.h"
 
+#include "Kernel/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvil {
@@ -8,10 +10,11 @@
 
 static HttpRequest encodeOrder(std::string Path, const json &Body,
                                std::uint64_t FencingToken) {
-  HttpRequest Request{"POST",
-                      std::move(Path),
-                      {{"Content-Type", "application/json"}},
-                      Body.dump()};
+  HttpRequest Request{
+      "POST",
+      std::move(Path),
+      {{"Content-Type", "application/json"}},
+      Body.dump(-1, ' ', false, json::error_handler_t::replace)};
   Request.Headers_.add(FencingHeader, std::to_string(FencingToken));
   return Request;
 }
@@ -52,12 +55,15 @@
               {"running", Status.Running_},
               {"waiting", Status.Waiting_},
               {"resident", Resident}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<EngineStatus> decodeEngineStatus(std::string_view Text) {
+  auto Parsed = parseBounded(Text);
+  if (!isOk(Parsed))
+    return errorOf(Parsed);
+  const json &Source = valueOf(Parsed);
   try {
-    json Source = json::parse(Text);
     EngineStatus Status;
     Source.at("incarnation").get_to(Status.Incarnation_);
     Source.at("running").get_to(Status.Running_);
--- a/Source/Placement/OwnerLease.cpp
+++ b/Source/Placement/OwnerLease.cpp
@@ -1,5 +1,6 @@
 #include "Placement/OwnerLease.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Membership/Rendezvous.h"
 
 #include <nlohmann/json.hpp>
@@ -40,12 +41,15 @@
                        {"incarnation", Holder.Incarnation_},
                        {"claim", Holder.Claim_},
                        {"adopted", Holder.Adopted_}});
-  return json{{"generation", Row.Generation_}, {"holders", Holders}}.dump();
+  return json{{"generation", Row.Generation_}, {"holders", Holders}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const std::string &Text) {
+  json Source = parseOrDiscard(Text);
+  if (Source.is_discarded())
+    return std::nullopt;
   try {
-    json Source = json::parse(Text);
     LeaseRow Row;
     Source.at("generation").get_to(Row.Generation_);
     for (const json &Item : Source.at("holders")) {
--- a/Source/Streams/StreamRows.cpp
+++ b/Source/Streams/StreamRows.cpp
@@ -1,6 +1,8 @@
 #include "Streams/StreamRows.h"
 
+#include "Kernel/BoundedJson.h"
 #include "Kernel/EnumNames.h"
+#include "Peer/BoundedUnpack.h"
 
 #include <msgpack.hpp>
 #include <nlohmann/json.hpp>
@@ -56,8 +58,10 @@
                                              std::uint64_t RowVersion,
                                              std::uint64_t Era) {
   std::string Prefix = eraPrefix(Era);
-  json Encoded = json::parse(Value, nullptr, false);
-  if (!Key.starts_with(Prefix) || !Encoded.is_object())
+  if (!Key.starts_with(Prefix))
+    return std::nullopt;
+  json Encoded = parseOrDiscard(Value);
+  if (!Encoded.is_object())
     return std::nullopt;
   // A row that can't be read allows nothing.
   StreamBaseline Baseline{Key.substr(Prefix.size()), std::nullopt,
@@ -97,7 +101,7 @@
 std::vector<StreamRecord> decodeStreamRecords(const std::string &Bytes) {
   std::vector<StreamRecord> Records;
   try {
-    msgpack::object_handle Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    msgpack::object_handle Handle = unpackBounded(Bytes);
     auto Encoded = Handle.get().as<EncodedRecords>();
     Duration KeepFor = std::chrono::milliseconds(
         std::clamp<std::int64_t>(std::get<0>(Encoded), 0, MaxKeepMs));
--- a/Source/TableService/PlatformCodec.cpp
+++ b/Source/TableService/PlatformCodec.cpp
@@ -1,5 +1,7 @@
 #include "TableService/PlatformCodec.h"
 
+#include "Kernel/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace anvil {
@@ -10,12 +12,15 @@
   return {ErrorCode::Protocol, Subject, Problem.what(), ""};
 }
 
-/// Runs `Read` on the parsed text; JSON exceptions become errors.
+/// Runs `Read` on the parsed text; the library's exceptions become errors.
 template <class Value, class Reader>
 static Result<Value> decodeWith(const char *Subject, std::string_view Text,
                                 Reader Read) {
+  auto Parsed = parseBounded(Text);
+  if (!isOk(Parsed))
+    return errorOf(Parsed);
   try {
-    return Read(json::parse(Text));
+    return Read(valueOf(Parsed));
   } catch (const json::exception &Problem) {
     return decodeError(Subject, Problem);
   }
@@ -26,7 +31,7 @@
               {"prefix", Query.Prefix_},
               {"after", Query.After_},
               {"limit", Query.Limit_}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<TableQuery> decodeQuery(std::string_view Text) {
@@ -60,7 +65,8 @@
 }
 
 std::string encodeRows(const std::vector<TableRow> &Rows) {
-  return json{{"rows", rowsToJson(Rows)}}.dump();
+  return json{{"rows", rowsToJson(Rows)}}.dump(-1, ' ', false,
+                                               json::error_handler_t::replace);
 }
 
 Result<std::vector<TableRow>> decodeRows(std::string_view Text) {
@@ -80,7 +86,8 @@
       Item["value"] = *Write.Value_;
     Writes.push_back(std::move(Item));
   }
-  return json{{"checks", Checks}, {"writes", Writes}}.dump();
+  return json{{"checks", Checks}, {"writes", Writes}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<TableTransaction> decodeTransaction(std::string_view Text) {
@@ -104,8 +111,10 @@
 
 HttpReply encodeOutcome(const CommitOutcome &Outcome) {
   if (Outcome.Result_ == CommitResult::Committed)
-    return jsonReply(200, json{{"version", Outcome.Version_}}.dump());
-  return jsonReply(409, json{{"rows", rowsToJson(Outcome.Conflicts_)}}.dump());
+    return jsonReply(200, json{{"version", Outcome.Version_}}.dump(
+                              -1, ' ', false, json::error_handler_t::replace));
+  return jsonReply(409, json{{"rows", rowsToJson(Outcome.Conflicts_)}}.dump(
+                            -1, ' ', false, json::error_handler_t::replace));
 }
 
 CommitOutcome decodeOutcome(const HttpReply &Reply) {
@@ -116,8 +125,13 @@
     Outcome.Result_ = CommitResult::Unavailable;
     return Outcome;
   }
+  auto Parsed = parseBounded(Reply.Body_);
+  if (!isOk(Parsed)) {
+    Outcome.Detail_ = errorOf(Parsed).describe();
+    return Outcome;
+  }
+  const json &Source = valueOf(Parsed);
   try {
-    json Source = json::parse(Reply.Body_);
     if (Reply.Status_ == 200) {
       Source.at("version").get_to(Outcome.Version_);
       Outcome.Result_ = CommitResult::Committed;
@@ -138,7 +152,8 @@
                     {"data_centre", Vm.DataCentre_},
                     {"address", Vm.Address_},
                     {"leaving", Vm.State_ == VmState::Leaving}});
-  return json{{"vms", List}}.dump();
+  return json{{"vms", List}}.dump(-1, ' ', false,
+                                  json::error_handler_t::replace);
 }
 
 Result<std::vector<VmRecord>> decodeVms(std::string_view Text) {
