Bound what a caller's request keeps, and let requests share a budget

Callers without a key could end a VM: 40 requests whose chunk size, chunk extension, trailer line or trailer lines don't end took all of its 260 MB of address space and the process ended by itself (repro on the untouched anvild: std::bad_alloc each time), and 40 bodies of 4 MB that stop before their end held 163 to 186 MB.

The cause: the buffer of a connection had no maximum; Beast limits a head only from one call of its parser to the next, not as a whole; the fields were not counted; string_body grows without regard to other requests.

RequestReader now reads requests: the buffer has a maximum, the head and the number of fields (256, trailer included) are bounded as a whole, and the body goes straight from the buffer into a ReceivedBody, which is no further copy. All requests of callers share the budget callers() from their arrival until they have been answered; small ones (8 KB besides the body) aren't counted. If there is no room, the largest request that is incomplete gets 503 with Retry-After at once, after its memory was freed. Each request that is not read has a log line request_not_read and counts in anvil_malformed_requests_total. Pages for health, metrics and rows take bodies of 4 KB at most.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -34,6 +34,16 @@
 /// The fraction of the retry ratio that is handed out.
 static constexpr double RatioFraction = 0.8;
 
+/// The limits of the pages for health checks and metrics.
+static HttpServerLimits
+pageLimits(const std::shared_ptr<BufferBudget> &Budget) {
+  HttpServerLimits Limits;
+  Limits.HeadBytes_ = 8 * 1024;
+  Limits.BodyBytes_ = 4 * 1024;
+  Limits.Budget_ = Budget;
+  return Limits;
+}
+
 static RetryBudgetOptions retryOptions(const EntrySettings &Settings) {
   const PlatformBoundSettings &Bounds = Settings.Bounds_;
   RetryBudgetOptions Options;
@@ -69,11 +79,13 @@
                Services.require<ReceiveBudgets>(ReceiveBudgets::Name)
                    ->targets()}),
           {}},
-      Callers_(Executor_, {},
+      CallerBudget_(
+          Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->callers()),
+      Callers_(Executor_, callerLimits(nullptr),
                [this](HttpExchange &Exchange) { return handle(Exchange); }),
-      Ready_(Executor_, {},
+      Ready_(Executor_, pageLimits(CallerBudget_),
              [this](HttpExchange &Exchange) { return respondReady(Exchange); }),
-      MetricsPage_(Executor_, {},
+      MetricsPage_(Executor_, pageLimits(CallerBudget_),
                    [this](HttpExchange &Exchange) -> asio::awaitable<void> {
                      HttpReply Page{200,
                                     {{"Content-Type", "text/plain"}},
@@ -82,16 +94,11 @@
                    }) {}
 
 Status EntryGateway::start() {
-  Callers_.setMalformedHook([](int Status, std::string_view Reason) {
-    return platform::makeErrorReply(Status, "", Reason, std::nullopt);
+  Callers_.setMalformedHook([this](int Status, std::string_view Reason) {
+    return rejectUnread(Status, Reason);
   });
   Plans_->Changed_.attach([this](const ServingPlan &Plan) {
-    HttpServerLimits Limits;
-    Limits.HeadBytes_ = Plan.limits().HeadBytes_;
-    Limits.BodyBytes_ = Plan.limits().BodyBytes_;
-    Limits.HeadTime_ = Plan.limits().HeadTime_;
-    Limits.IdleTime_ = Plan.limits().IdleTime_;
-    Callers_.setLimits(Limits);
+    Callers_.setLimits(callerLimits(&Plan));
   });
   Plans_->VersionNamed_.attach(
       [this](const std::string &Model, const std::string &Adapter) {
@@ -115,6 +122,33 @@
   return Opened;
 }
 
+HttpServerLimits EntryGateway::callerLimits(const ServingPlan *Plan) const {
+  HttpServerLimits Limits;
+  Limits.Budget_ = CallerBudget_;
+  if (!Plan)
+    return Limits;
+  Limits.HeadBytes_ = Plan->limits().HeadBytes_;
+  Limits.BodyBytes_ = Plan->limits().BodyBytes_;
+  Limits.HeadTime_ = Plan->limits().HeadTime_;
+  Limits.IdleTime_ = Plan->limits().IdleTime_;
+  return Limits;
+}
+
+HttpReply EntryGateway::rejectUnread(int Status, std::string_view Reason) {
+  logEvent(LogLevel::Info, "request_not_read",
+           {{"status", Status},
+            {"reason", Reason},
+            {"held_bytes", CallerBudget_->heldBytes()},
+            {"limit_bytes", CallerBudget_->limitBytes()},
+            {"connections", Callers_.openConnections()}});
+  Shared_.Metrics_->count("anvil_malformed_requests_total",
+                          {{"status", std::to_string(Status)}});
+  std::optional<Duration> RetryAfter;
+  if (Status == 503)
+    RetryAfter = retryAfter(NotReadyRetryAfter, randomFraction());
+  return platform::makeErrorReply(Status, "", Reason, RetryAfter);
+}
+
 void EntryGateway::stop() {
   Callers_.close();
   Ready_.close();
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -60,6 +60,10 @@
     std::optional<Duration> RetryAfter_;
   };
 
+  /// The limits of callers under a plan, or before there is one.
+  HttpServerLimits callerLimits(const ServingPlan *Plan) const;
+  /// Builds the reply to a request that could not be read.
+  HttpReply rejectUnread(int Status, std::string_view Reason);
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> respondReady(HttpExchange &Exchange);
   /// Waits until no request may start on the versions before an adapter's
@@ -79,6 +83,7 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<EngineOwnershipService> Owners_;
   RequestServices Shared_;
+  std::shared_ptr<BufferBudget> CallerBudget_;
   HttpServer Callers_;
   HttpServer Ready_;
   HttpServer MetricsPage_;
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -22,6 +22,15 @@
 /// The pause after a fetch, successful or not.
 static constexpr Duration FetchPause = std::chrono::milliseconds(300);
 
+static HttpServerLimits
+pageLimits(const std::shared_ptr<BufferBudget> &Budget) {
+  HttpServerLimits Limits;
+  Limits.HeadBytes_ = 8 * 1024;
+  Limits.BodyBytes_ = 4 * 1024;
+  Limits.Budget_ = Budget;
+  return Limits;
+}
+
 PlanExchange::PlanExchange(asio::any_io_executor Executor,
                            const EntrySettings &Settings,
                            const ServiceRegistry &Services)
@@ -31,7 +40,7 @@
       Store_(Services.require<platform::StoreClient>(PlatformService::Name)),
       Budget_(
           Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->control()),
-      Pages_(Executor_, {},
+      Pages_(Executor_, pageLimits(Budget_),
              [this](HttpExchange &Exchange) { return serveRows(Exchange); }) {}
 
 Status PlanExchange::start() {
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -18,6 +18,9 @@
 /// The `Retry-After` of requests that no target could serve.
 static constexpr Duration NoTargetRetryDelay = std::chrono::seconds(1);
 
+/// The memory that the requests of all callers share.
+static constexpr std::size_t CallerBudgetBytes = 32 * 1024 * 1024;
+
 static HttpServerLimits serverLimits(const CallerLimitSettings &Given) {
   HttpServerLimits Limits;
   Limits.HeadBytes_ = static_cast<std::uint32_t>(Given.HeadBytes_);
@@ -25,6 +28,7 @@
   Limits.HeadTime_ = std::chrono::milliseconds(Given.RequestMs_);
   Limits.BodyTime_ = Limits.HeadTime_;
   Limits.IdleTime_ = std::chrono::milliseconds(Given.IdleMs_);
+  Limits.Budget_ = std::make_shared<BufferBudget>(CallerBudgetBytes);
   return Limits;
 }
 
@@ -38,6 +42,10 @@
     Given.Code_ = RefusalCode::HeaderTooLarge;
   else if (Status == 408)
     Given.Code_ = RefusalCode::RequestTimeout;
+  if (Status == 503) {
+    Given.Code_ = RefusalCode::QueueFull;
+    Given.RetryAfter_ = NoTargetRetryDelay;
+  }
   return encodeRefusal(Given, "");
 }
 
@@ -69,6 +77,10 @@
               [this](HttpExchange &Exchange) { return handle(Exchange); }),
       IdPrefix_(Settings.Vm_ + "-" + randomHex(4) + "-") {
   Server_.setMalformedHook([this](int Status, std::string_view Reason) {
+    logEvent(LogLevel::Info, "request_not_read",
+             {{"status", Status},
+              {"reason", Reason},
+              {"connections", Server_.openConnections()}});
     Metrics_->count("anvil_malformed_requests_total",
                     {{"status", std::to_string(Status)}});
     return malformedReply(Status, Reason);
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,13 +1,13 @@
 #include "Http/HttpServer.h"
 
 #include "Http/Pause.h"
+#include "Http/RequestReader.h"
 #include "Http/ServerConnection.h"
 #include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -16,8 +16,6 @@
 namespace anvil {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
@@ -35,8 +33,8 @@
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<ServerConnection> Client);
   asio::awaitable<std::optional<HttpRequest>> read(ServerConnection &Client);
-  asio::awaitable<void> rejectMalformed(ServerConnection &Client,
-                                        error_code Cause);
+  asio::awaitable<void> reject(ServerConnection &Client,
+                               const RequestRejection &Why);
   void endAll(ConnectionEnding When);
 
   asio::any_io_executor Executor_;
@@ -74,7 +72,8 @@
     }
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
-    auto Client = std::make_shared<ServerConnection>(std::move(Socket));
+    auto Client =
+        std::make_shared<ServerConnection>(std::move(Socket), Limits_.Budget_);
     Client->end(Ending_);
     Connections_.insert(Client);
     spawn(Executor_, serve(std::move(Client)));
@@ -83,53 +82,21 @@
 
 asio::awaitable<std::optional<HttpRequest>>
 HttpServer::Core::read(ServerConnection &Client) {
-  error_code Cause;
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(Limits_.HeadBytes_);
-  Parser.body_limit(Limits_.BodyBytes_);
-  Client.setReadTimeout(Limits_.HeadTime_);
-  co_await http::async_read_header(
-      Client.Stream_, Client.Buffer_, Parser,
-      asio::redirect_error(asio::use_awaitable, Cause));
-  if (!Cause && !Parser.is_done()) {
-    Client.clearReadTimeout();
-    Client.setReadTimeout(Limits_.BodyTime_);
-    co_await http::async_read(Client.Stream_, Client.Buffer_, Parser,
-                              asio::redirect_error(asio::use_awaitable, Cause));
-  }
-  if (Cause && Client.readTimedOut())
-    Cause = beast::error::timeout;
-  Client.clearReadTimeout();
-  if (Cause) {
-    co_await rejectMalformed(Client, Cause);
-    co_return std::nullopt;
-  }
-  auto Message = Parser.release();
-  Client.KeepAlive_ = Message.keep_alive();
-  HttpRequest Request;
-  Request.Method_ = std::string(Message.method_string());
-  Request.Target_ = std::string(Message.target());
-  for (const auto &Field : Message)
-    Request.Headers_.add(std::string(Field.name_string()),
-                         std::string(Field.value()));
-  Request.Body_ = std::move(Message.body());
-  co_return Request;
+  ReadOutcome Outcome = co_await readRequest(Client, Limits_);
+  if (auto *Request = std::get_if<HttpRequest>(&Outcome))
+    co_return std::move(*Request);
+  Client.releaseRequest();
+  co_await reject(Client, std::get<RequestRejection>(Outcome));
+  co_return std::nullopt;
 }
 
-asio::awaitable<void>
-HttpServer::Core::rejectMalformed(ServerConnection &Client, error_code Cause) {
-  if (Cause == http::error::end_of_stream || !Malformed_ || Destroyed_)
+asio::awaitable<void> HttpServer::Core::reject(ServerConnection &Client,
+                                               const RequestRejection &Why) {
+  if (Why.Status_ == 0 || !Malformed_ || Destroyed_)
     co_return;
-  int Status = 400;
-  if (Cause == http::error::body_limit)
-    Status = 413;
-  else if (Cause == http::error::header_limit)
-    Status = 431;
-  else if (Cause == beast::error::timeout)
-    Status = 408;
   Client.KeepAlive_ = false;
   HttpExchange Exchange(Client, {});
-  co_await Exchange.respond(Malformed_(Status, Cause.message()));
+  co_await Exchange.respond(Malformed_(Why.Status_, Why.Reason_));
 }
 
 asio::awaitable<void>
@@ -147,6 +114,7 @@
       co_await Handle_(Exchange);
       Client->DisconnectHandler_ = {};
     }
+    Client->releaseRequest();
     --Running_;
     Client->Phase_ = ConnectionPhase::Idle;
     if (!IsHandled || !Client->KeepAlive_ || !Client->isOpen())
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -3,7 +3,7 @@
 
 #include "Http/Endpoint.h"
 #include "Http/HttpExchange.h"
-#include "Kernel/Clock.h"
+#include "Http/HttpServerLimits.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -14,19 +14,8 @@
 
 namespace anvil {
 
-/// The limits that a server imposes on its callers.
-struct HttpServerLimits {
-  std::uint32_t HeadBytes_ = 16 * 1024;
-  std::uint64_t BodyBytes_ = 8 * 1024 * 1024;
-  /// The time limit for the head of a request, from its first byte on.
-  Duration HeadTime_ = std::chrono::seconds(15);
-  /// The time limit for the body, from the end of the head on.
-  Duration BodyTime_ = std::chrono::seconds(15);
-  /// The maximum idle time of a connection between requests.
-  Duration IdleTime_ = std::chrono::seconds(75);
-};
-
-/// Builds the response to a malformed request from the status and the reason.
+/// Builds the response to a request that is malformed, or for which there is no
+/// memory (status 503), from the status and the reason.
 using MalformedHook =
     std::function<HttpReply(int Status, std::string_view Reason)>;
 
--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <string_view>
@@ -17,6 +18,13 @@
 /// The size of the first read of a request.
 static constexpr std::size_t FirstReadBytes = 4096;
 
+/// The smallest read of the rest of a request.
+static constexpr std::size_t MinReadBytes = 512;
+
+/// What a connection may hold besides a body without being counted, so that
+/// small requests cost nothing.
+static constexpr std::size_t UncountedBytes = 8 * 1024;
+
 /// The maximum number of responses after the close was requested, so that a
 /// caller that keeps sending can't keep the connection open.
 static constexpr std::size_t MaxResponsesSinceEnd = 32;
@@ -27,8 +35,10 @@
 /// How long a caller may take to close its side after the last response.
 static constexpr Duration LingerTime = std::chrono::seconds(1);
 
-ServerConnection::ServerConnection(tcp::socket Socket)
-    : Stream_(std::move(Socket)), ReadTimer_(Stream_.get_executor()) {}
+ServerConnection::ServerConnection(tcp::socket Socket,
+                                   std::shared_ptr<BufferBudget> Budget)
+    : Stream_(std::move(Socket)), ReadTimer_(Stream_.get_executor()),
+      Share_(std::move(Budget), [this] { giveWay(); }) {}
 
 void ServerConnection::close() {
   error_code Ignored;
@@ -66,6 +76,63 @@
   ReadTimer_.cancel();
 }
 
+void ServerConnection::limitBuffer(std::size_t HeadBytes) {
+  Buffer_.max_size(std::max(HeadBytes, Buffer_.size()) + FirstReadBytes);
+}
+
+bool ServerConnection::countBuffers() {
+  std::size_t Bytes = Buffer_.capacity() + HeadBytes_;
+  if (Bytes <= UncountedBytes)
+    Bytes = 0;
+  return !GaveWay_ && (Bytes == Share_.bytes() || Share_.resize(Bytes));
+}
+
+asio::awaitable<error_code> ServerConnection::receive() {
+  std::size_t Room = Buffer_.max_size() - Buffer_.size();
+  if (Room == 0)
+    co_return boost::beast::http::error::buffer_overflow;
+  std::size_t Free = Buffer_.capacity() - Buffer_.size();
+  auto Space = Buffer_.prepare(std::min(Room, std::max(Free, MinReadBytes)));
+  if (!countBuffers())
+    co_return asio::error::no_memory;
+  error_code Cause;
+  std::size_t Read = co_await Stream_.async_read_some(
+      Space, asio::redirect_error(asio::use_awaitable, Cause));
+  Buffer_.commit(Read);
+  if (GaveWay_)
+    Cause = asio::error::no_memory;
+  else if (ReadTimedOut_)
+    Cause = boost::beast::error::timeout;
+  co_return Cause;
+}
+
+bool ServerConnection::countHead(std::size_t Bytes) {
+  HeadBytes_ = Bytes;
+  return countBuffers();
+}
+
+void ServerConnection::giveWay() {
+  GaveWay_ = true;
+  setReadTimeout(Duration::zero());
+}
+
+void ServerConnection::keepBodyShare(std::unique_ptr<BufferShare> Share) {
+  BodyShare_ = std::move(Share);
+}
+
+bool ServerConnection::retainRequest() {
+  return Share_.bytes() == 0 || (countBuffers() && Share_.retain());
+}
+
+void ServerConnection::releaseRequest() {
+  if (Buffer_.capacity() > FirstReadBytes)
+    Buffer_.shrink_to_fit();
+  Share_.release();
+  BodyShare_.reset();
+  HeadBytes_ = 0;
+  GaveWay_ = false;
+}
+
 bool ServerConnection::hasInput() {
   error_code Cause;
   return Buffer_.size() > 0 || Stream_.socket().available(Cause) > 0;
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_HTTP_SERVERCONNECTION_H
 #define ANVIL_HTTP_SERVERCONNECTION_H
 
+#include "Kernel/BufferBudget.h"
 #include "Kernel/Clock.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -28,7 +30,9 @@
 /// from the socket could be lost.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-  explicit ServerConnection(boost::asio::ip::tcp::socket Socket);
+  /// What arrives counts in `Budget` if there is one.
+  ServerConnection(boost::asio::ip::tcp::socket Socket,
+                   std::shared_ptr<BufferBudget> Budget);
 
   void close();
   bool isOpen() const { return Stream_.socket().is_open(); }
@@ -59,7 +63,30 @@
   /// they close the socket.
   void setReadTimeout(Duration Time);
   void clearReadTimeout();
-  bool readTimedOut() const { return ReadTimedOut_; }
+
+  /// Sets the maximum size of what has arrived and can't be parsed yet.
+  void limitBuffer(std::size_t HeadBytes);
+
+  /// Reads further bytes of a request into the buffer. Errors: buffer overflow,
+  /// no memory, timeout, end of file or those of the socket.
+  boost::asio::awaitable<boost::system::error_code> receive();
+
+  /// Counts the head of the request that is being read. False if there is no
+  /// memory for it.
+  bool countHead(std::size_t Bytes);
+
+  /// Ends the reading of a request in favour of those of other callers.
+  void giveWay();
+
+  /// Keeps the share of the body until `releaseRequest`.
+  void keepBodyShare(std::unique_ptr<BufferShare> Share);
+
+  /// Counts the request until `releaseRequest`, also if others need memory.
+  /// False if there is none for it.
+  bool retainRequest();
+
+  /// Ends the counting of a request, and frees a large buffer.
+  void releaseRequest();
 
   boost::beast::tcp_stream Stream_;
   boost::beast::flat_buffer Buffer_;
@@ -71,6 +98,7 @@
 
 private:
   void cancelReadsAfter(Duration Time);
+  bool countBuffers();
   /// Whether bytes of the next request have arrived.
   bool hasInput();
 
@@ -81,6 +109,12 @@
   bool ReadTimedOut_ = false;
   ConnectionEnding Ending_ = ConnectionEnding::None;
   std::size_t ResponsesSinceEnd_ = 0;
+  BufferShare Share_;
+  std::unique_ptr<BufferShare> BodyShare_;
+  /// The memory of the parsed head.
+  std::size_t HeadBytes_ = 0;
+  /// Whether `giveWay` was called for the request that is being read.
+  bool GaveWay_ = false;
 };
 
 } // namespace anvil
