Bound the number of callers' connections; new ones displace idle ones

4,200 idle connections of callers took all 4,100 descriptors of a VM: until some reached their idle limit, 2 of 20 requests of other callers and 2 of 20 questions to the health check had no answer within 4 s and 2 s (untouched anvild; the same with half heads, and with both). The cause: the number of connections had no maximum of its own.

Callers may now have five eighths of the process's descriptors (RLIMIT_NOFILE), the pages 128 connections each. A new connection displaces the one that has been idle longest, by the existing way to end idle ones: a request that crosses the close is answered. Without idle ones, the request that has been arriving longest gives way with 503. Requests that are handled are never displaced; if there are only these, connections wait in the backlog beyond a sixteenth more.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -4,6 +4,7 @@
 #include "Entry/ReceiveBudgets.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
+#include "Kernel/DescriptorLimit.h"
 #include "Kernel/HexText.h"
 #include "Kernel/Utf8.h"
 #include "Membership/Rendezvous.h"
@@ -34,6 +35,10 @@
 /// The fraction of the retry ratio that is handed out.
 static constexpr double RatioFraction = 0.8;
 
+/// The part of a process's descriptors that callers' connections may use. The
+/// rest is for targets, the store and other VMs.
+static constexpr double CallerDescriptorShare = 0.625;
+
 /// The limits of the pages for health checks and metrics.
 static HttpServerLimits
 pageLimits(const std::shared_ptr<BufferBudget> &Budget) {
@@ -41,6 +46,7 @@
   Limits.HeadBytes_ = 8 * 1024;
   Limits.BodyBytes_ = 4 * 1024;
   Limits.Budget_ = Budget;
+  Limits.Connections_ = 128;
   return Limits;
 }
 
@@ -125,6 +131,8 @@
 HttpServerLimits EntryGateway::callerLimits(const ServingPlan *Plan) const {
   HttpServerLimits Limits;
   Limits.Budget_ = CallerBudget_;
+  Limits.Connections_ = static_cast<std::size_t>(
+      static_cast<double>(descriptorLimit()) * CallerDescriptorShare);
   if (!Plan)
     return Limits;
   Limits.HeadBytes_ = Plan->limits().HeadBytes_;
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -28,6 +28,7 @@
   Limits.HeadBytes_ = 8 * 1024;
   Limits.BodyBytes_ = 4 * 1024;
   Limits.Budget_ = Budget;
+  Limits.Connections_ = 128;
   return Limits;
 }
 
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/RequestPipeline.h"
 
 #include "Gateway/OpenAiCodec.h"
+#include "Kernel/DescriptorLimit.h"
 #include "Objects/Digest.h"
 #include "Telemetry/Log.h"
 
@@ -21,6 +22,9 @@
 /// The memory that the requests of all callers share.
 static constexpr std::size_t CallerBudgetBytes = 32 * 1024 * 1024;
 
+/// The part of a process's descriptors that callers' connections may use.
+static constexpr double CallerDescriptorShare = 0.625;
+
 static HttpServerLimits serverLimits(const CallerLimitSettings &Given) {
   HttpServerLimits Limits;
   Limits.HeadBytes_ = static_cast<std::uint32_t>(Given.HeadBytes_);
@@ -29,6 +33,8 @@
   Limits.BodyTime_ = Limits.HeadTime_;
   Limits.IdleTime_ = std::chrono::milliseconds(Given.IdleMs_);
   Limits.Budget_ = std::make_shared<BufferBudget>(CallerBudgetBytes);
+  Limits.Connections_ = static_cast<std::size_t>(
+      static_cast<double>(descriptorLimit()) * CallerDescriptorShare);
   return Limits;
 }
 
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace anvil {
 
@@ -23,6 +24,10 @@
 /// descriptors would spin.
 static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(10);
 
+/// The fraction of the maximum of connections that may be open beyond it until
+/// displaced ones have ended.
+static constexpr std::size_t SpareDivisor = 16;
+
 /// The server's state, shared with its coroutines, which may outlive the
 /// server.
 struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
@@ -36,6 +41,14 @@
   asio::awaitable<void> reject(ServerConnection &Client,
                                const RequestRejection &Why);
   void endAll(ConnectionEnding When);
+  void move(ServerConnection &Client, ConnectionList &To);
+  void add(tcp::socket Socket);
+  void remove(const std::shared_ptr<ServerConnection> &Client);
+  /// Makes room for a new connection: ends the one that has been idle longest.
+  /// Without idle ones, the request that has been arriving longest gives way.
+  void makeRoom();
+  /// Whether no connection may be accepted until some have ended.
+  bool isFull() const;
 
   asio::any_io_executor Executor_;
   tcp::acceptor Acceptor_;
@@ -44,7 +57,16 @@
   Handler Handle_;
   MalformedHook Malformed_;
   std::set<std::shared_ptr<ServerConnection>> Connections_;
+  /// The connections that are idle and not yet ended, longest first.
+  ConnectionList Idle_;
+  /// The connections on which a request arrives and has not given way, longest
+  /// first.
+  ConnectionList Arriving_;
+  /// All other connections.
+  ConnectionList Others_;
   std::size_t Running_ = 0;
+  /// The number of connections that end to make room for others.
+  std::size_t Displaced_ = 0;
   /// The initial state of new connections.
   ConnectionEnding Ending_ = ConnectionEnding::None;
   /// Whether the server was destroyed; the handler must not be called then,
@@ -58,9 +80,57 @@
     Client->end(When);
 }
 
+void HttpServer::Core::move(ServerConnection &Client, ConnectionList &To) {
+  To.splice(To.end(), *Client.List_, Client.Place_);
+  Client.List_ = &To;
+}
+
+void HttpServer::Core::makeRoom() {
+  bool HasIdle = !Idle_.empty();
+  ConnectionList &From = HasIdle ? Idle_ : Arriving_;
+  if (From.empty())
+    return;
+  ServerConnection &Client = *From.front();
+  move(Client, Others_);
+  if (!std::exchange(Client.Displaced_, true))
+    ++Displaced_;
+  if (HasIdle)
+    Client.end(ConnectionEnding::WhenIdle);
+  else
+    Client.giveWay();
+}
+
+void HttpServer::Core::add(tcp::socket Socket) {
+  if (Connections_.size() - Displaced_ >= Limits_.Connections_)
+    makeRoom();
+  auto Client =
+      std::make_shared<ServerConnection>(std::move(Socket), Limits_.Budget_);
+  Client->end(Ending_);
+  Connections_.insert(Client);
+  Client->List_ = &Idle_;
+  Client->Place_ = Idle_.insert(Idle_.end(), Client.get());
+  spawn(Executor_, serve(std::move(Client)));
+}
+
+void HttpServer::Core::remove(const std::shared_ptr<ServerConnection> &Client) {
+  Client->List_->erase(Client->Place_);
+  Displaced_ -= Client->Displaced_ ? 1 : 0;
+  Connections_.erase(Client);
+}
+
+bool HttpServer::Core::isFull() const {
+  std::size_t Spare = Limits_.Connections_ / SpareDivisor + 1;
+  return Connections_.size() >= Spare &&
+         Connections_.size() - Spare >= Limits_.Connections_;
+}
+
 asio::awaitable<void> HttpServer::Core::accept() {
   auto Self = shared_from_this();
   while (Ending_ != ConnectionEnding::WhenIdle) {
+    if (isFull()) {
+      co_await pauseFor(AcceptTimer_, AcceptRetryDelay);
+      continue;
+    }
     error_code Cause;
     tcp::socket Socket = co_await Acceptor_.async_accept(
         asio::redirect_error(asio::use_awaitable, Cause));
@@ -72,11 +142,7 @@
     }
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
-    auto Client =
-        std::make_shared<ServerConnection>(std::move(Socket), Limits_.Budget_);
-    Client->end(Ending_);
-    Connections_.insert(Client);
-    spawn(Executor_, serve(std::move(Client)));
+    add(std::move(Socket));
   }
 }
 
@@ -86,6 +152,7 @@
   if (auto *Request = std::get_if<HttpRequest>(&Outcome))
     co_return std::move(*Request);
   Client.releaseRequest();
+  move(Client, Others_);
   co_await reject(Client, std::get<RequestRejection>(Outcome));
   co_return std::nullopt;
 }
@@ -104,8 +171,10 @@
   auto Self = shared_from_this();
   while (co_await Client->awaitRequest(Limits_.IdleTime_)) {
     Client->Phase_ = ConnectionPhase::Reading;
+    move(*Client, Arriving_);
     ++Running_;
     auto Request = co_await read(*Client);
+    move(*Client, Others_);
     bool IsHandled = Request && !Destroyed_;
     if (IsHandled) {
       HttpExchange Exchange(*Client, std::move(*Request));
@@ -119,15 +188,18 @@
     Client->Phase_ = ConnectionPhase::Idle;
     if (!IsHandled || !Client->KeepAlive_ || !Client->isOpen())
       break;
+    if (!Client->Displaced_)
+      move(*Client, Idle_);
     // The only operation still pending is the wait for a disconnect.
     error_code Ignored;
     Client->Stream_.socket().cancel(Ignored);
   }
+  move(*Client, Others_);
   bool AnnouncedClose = !Client->KeepAlive_ && Client->isOpen();
   if (AnnouncedClose)
     co_await Client->linger();
   Client->close();
-  Connections_.erase(Client);
+  remove(Client);
 }
 
 HttpServer::HttpServer(asio::any_io_executor Executor, HttpServerLimits Limits,
--- a/Source/Http/HttpServerLimits.h
+++ b/Source/Http/HttpServerLimits.h
@@ -4,7 +4,9 @@
 #include "Kernel/BufferBudget.h"
 #include "Kernel/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 
 namespace anvil {
@@ -23,6 +25,8 @@
   /// have been answered; no limit if absent. Connections keep the budget that
   /// was set when they were accepted.
   std::shared_ptr<BufferBudget> Budget_;
+  /// The maximum number of open connections.
+  std::size_t Connections_ = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace anvil
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,11 @@
 /// values are stricter.
 enum class ConnectionEnding { None, AfterResponse, WhenIdle };
 
+class ServerConnection;
+
+/// Connections in the order in which they came into a phase.
+using ConnectionList = std::list<ServerConnection *>;
+
 /// A caller's connection to a server. Only the coroutine that serves it, or the
 /// handler that it calls, closes it: otherwise a request that was already read
 /// from the socket could be lost.
@@ -94,6 +100,11 @@
   bool KeepAlive_ = true;
   bool CallerDisconnected_ = false;
   std::string Tag_;
+  /// The server's list that the connection is in, and its place there.
+  ConnectionList *List_ = nullptr;
+  ConnectionList::iterator Place_;
+  /// Whether it ends to make room for another connection.
+  bool Displaced_ = false;
   std::function<void()> DisconnectHandler_;
 
 private:
--- a/Tests/Integration/EndlessCallerTest.cpp
+++ b/Tests/Integration/EndlessCallerTest.cpp
@@ -5,6 +5,8 @@
 #include <memory>
 #include <vector>
 
+#include <sys/resource.h>
+
 using namespace anvil;
 
 /// The memory of the smallest machines that `anvild` has to run on, in MB.
@@ -16,6 +18,9 @@
 /// How many other requests are sent meanwhile, one after the other.
 static constexpr int OtherRequests = 10;
 
+/// More than the time limit of the route.
+static constexpr Millis AnswerTime(4000);
+
 /// What a faulty caller sends.
 struct EndlessRequest {
   std::string Place_;
@@ -81,3 +86,40 @@
     CHECK(System.at("vm-1").peakMemoryMb() < MemoryMb);
   }
 }
+
+// Guards against RECOVER: the connections of idle callers leave no descriptors.
+TEST_CASE("callers that keep idle connections leave a VM descriptors for "
+          "others",
+          "[endless-caller]") {
+  EntryFleetPlan Plan;
+  Plan.VmLimits_ = MachineLimits;
+  EntryFleet System(Plan);
+  rlimit Own{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &Own) == 0);
+  std::size_t Connections = *MachineLimits.Descriptors_ + 100;
+  if (Own.rlim_cur < Connections + 200) {
+    WARN("not run: the test itself may open " << Own.rlim_cur
+                                              << " descriptors only");
+    return;
+  }
+  std::vector<std::unique_ptr<CallerConnection>> Callers;
+  std::string Half(9000, 'x');
+  for (std::size_t Index = 0; Index < Connections; ++Index) {
+    Callers.push_back(
+        std::make_unique<CallerConnection>(System.callerPort("vm-1")));
+    if (Index % 2 == 0)
+      Callers.back()->sendRaw("GET /safe/x HTTP/1.1\r\nX-T: " + Half);
+  }
+  for (int Index = 0; Index < OtherRequests; ++Index) {
+    CallerRequest Sent = System.request("/safe/x", {});
+    CHECK(callOnce(System.callerPort("vm-1"), Sent, AnswerTime).Status_ == 200);
+    CallerRequest Ready;
+    Ready.Method_ = "GET";
+    Ready.Target_ = "/";
+    CHECK(
+        callOnce(System.at("vm-1").port("ready"), Ready, AnswerTime).Status_ ==
+        200);
+  }
+  REQUIRE_FALSE(System.at("vm-1").exitedUnexpectedly());
+  CHECK(System.at("vm-1").peakMemoryMb() < MemoryMb);
+}
--- a/Tests/Unit/ServerLimitsTest.cpp
+++ b/Tests/Unit/ServerLimitsTest.cpp
@@ -126,3 +126,66 @@
     CHECK(Limits.Budget_->heldBytes() < 24 * Kilobyte);
   }
 }
+
+// Guards against RECOVER: idle callers leave no descriptor for new ones.
+TEST_CASE("a new connection displaces another one") {
+  asio::io_context Loop(1);
+  HttpServerLimits Limits;
+  Limits.Connections_ = 3;
+  std::size_t Handled = 0;
+  HttpServer Server(Loop.get_executor(), Limits,
+                    [&](HttpExchange &Exchange) -> asio::awaitable<void> {
+                      ++Handled;
+                      co_await respondNoContent(Exchange);
+                    });
+  Server.setMalformedHook(respondStatusOnly);
+  REQUIRE(isOk(Server.listen({"127.0.0.1", 0})));
+  std::vector<std::unique_ptr<PersistentCaller>> Callers;
+  auto Add = [&] {
+    Callers.push_back(std::make_unique<PersistentCaller>(Loop, Server.port()));
+  };
+  auto IsServed = [&](std::size_t Index) {
+    return Callers[Index]->sendAndReceive("/").find(" 204 ") !=
+           std::string::npos;
+  };
+  for (std::size_t Index = 0; Index < Limits.Connections_; ++Index) {
+    Add();
+    REQUIRE(IsServed(Index));
+  }
+  SECTION("that has been idle longest") {
+    REQUIRE(IsServed(0));
+    Add();
+    CHECK(IsServed(3));
+    CHECK(Callers[1]->readToEnd().empty());
+    CHECK(IsServed(0));
+    CHECK(IsServed(2));
+  }
+  SECTION("and a request that crosses the close is answered if it runs") {
+    int Steps = GENERATE(range(0, 8));
+    INFO("after " << Steps << " steps of the server");
+    Handled = 0;
+    Add();
+    for (int Step = 0; Step < Steps; ++Step)
+      Loop.poll_one();
+    Callers[0]->send("/crossing");
+    boost::system::error_code AlreadyClosed;
+    Callers[0]->Socket_.shutdown(asio::ip::tcp::socket::shutdown_send,
+                                 AlreadyClosed);
+    std::string Answer = Callers[0]->readToEnd();
+    CHECK(Answer.empty() == (Handled == 0));
+    CHECK(IsServed(3));
+  }
+  SECTION("whose request has been arriving longest if none is idle") {
+    for (const auto &Caller : Callers) {
+      send(*Caller, "GET / HTTP/1.1\r\n");
+      while (Server.runningRequests() < 1)
+        Loop.run_one();
+      Loop.run_for(std::chrono::milliseconds(5));
+    }
+    Add();
+    CHECK(IsServed(3));
+    CHECK(Callers[0]->readToEnd().find(" 503 ") != std::string::npos);
+    send(*Callers[1], "Connection: close\r\n\r\n");
+    CHECK(Callers[1]->readToEnd().find(" 204 ") != std::string::npos);
+  }
+}
