--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,23 +1,22 @@
 #include "Http/HttpServer.h"
 
 #include "Http/Pause.h"
+#include "Http/RequestReader.h"
 #include "Http/ServerConnection.h"
 #include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace anvil {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
@@ -25,6 +24,10 @@
 /// descriptors would spin.
 static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(10);
 
+/// The fraction of the maximum of connections that may be open beyond it until
+/// displaced ones have ended.
+static constexpr std::size_t SpareDivisor = 16;
+
 /// The server's state, shared with its coroutines, which may outlive the
 /// server.
 struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
@@ -35,9 +38,17 @@
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<ServerConnection> Client);
   asio::awaitable<std::optional<HttpRequest>> read(ServerConnection &Client);
-  asio::awaitable<void> rejectMalformed(ServerConnection &Client,
-                                        error_code Cause);
+  asio::awaitable<void> reject(ServerConnection &Client,
+                               const RequestRejection &Why);
   void endAll(ConnectionEnding When);
+  void move(ServerConnection &Client, ConnectionList &To);
+  void add(tcp::socket Socket);
+  void remove(const std::shared_ptr<ServerConnection> &Client);
+  /// Makes room for a new connection: ends the one that has been idle longest.
+  /// Without idle ones, the request that has been arriving longest gives way.
+  void makeRoom();
+  /// Whether no connection may be accepted until some have ended.
+  bool isFull() const;
 
   asio::any_io_executor Executor_;
   tcp::acceptor Acceptor_;
@@ -46,7 +57,16 @@
   Handler Handle_;
   MalformedHook Malformed_;
   std::set<std::shared_ptr<ServerConnection>> Connections_;
+  /// The connections that are idle and not yet ended, longest first.
+  ConnectionList Idle_;
+  /// The connections on which a request arrives and has not given way, longest
+  /// first.
+  ConnectionList Arriving_;
+  /// All other connections.
+  ConnectionList Others_;
   std::size_t Running_ = 0;
+  /// The number of connections that end to make room for others.
+  std::size_t Displaced_ = 0;
   /// The initial state of new connections.
   ConnectionEnding Ending_ = ConnectionEnding::None;
   /// Whether the server was destroyed; the handler must not be called then,
@@ -60,9 +80,57 @@
     Client->end(When);
 }
 
+void HttpServer::Core::move(ServerConnection &Client, ConnectionList &To) {
+  To.splice(To.end(), *Client.List_, Client.Place_);
+  Client.List_ = &To;
+}
+
+void HttpServer::Core::makeRoom() {
+  bool HasIdle = !Idle_.empty();
+  ConnectionList &From = HasIdle ? Idle_ : Arriving_;
+  if (From.empty())
+    return;
+  ServerConnection &Client = *From.front();
+  move(Client, Others_);
+  if (!std::exchange(Client.Displaced_, true))
+    ++Displaced_;
+  if (HasIdle)
+    Client.end(ConnectionEnding::WhenIdle);
+  else
+    Client.giveWay();
+}
+
+void HttpServer::Core::add(tcp::socket Socket) {
+  if (Connections_.size() - Displaced_ >= Limits_.Connections_)
+    makeRoom();
+  auto Client =
+      std::make_shared<ServerConnection>(std::move(Socket), Limits_.Budget_);
+  Client->end(Ending_);
+  Connections_.insert(Client);
+  Client->List_ = &Idle_;
+  Client->Place_ = Idle_.insert(Idle_.end(), Client.get());
+  spawn(Executor_, serve(std::move(Client)));
+}
+
+void HttpServer::Core::remove(const std::shared_ptr<ServerConnection> &Client) {
+  Client->List_->erase(Client->Place_);
+  Displaced_ -= Client->Displaced_ ? 1 : 0;
+  Connections_.erase(Client);
+}
+
+bool HttpServer::Core::isFull() const {
+  std::size_t Spare = Limits_.Connections_ / SpareDivisor + 1;
+  return Connections_.size() >= Spare &&
+         Connections_.size() - Spare >= Limits_.Connections_;
+}
+
 asio::awaitable<void> HttpServer::Core::accept() {
   auto Self = shared_from_this();
   while (Ending_ != ConnectionEnding::WhenIdle) {
+    if (isFull()) {
+      co_await pauseFor(AcceptTimer_, AcceptRetryDelay);
+      continue;
+    }
     error_code Cause;
     tcp::socket Socket = co_await Acceptor_.async_accept(
         asio::redirect_error(asio::use_awaitable, Cause));
@@ -74,62 +142,28 @@
     }
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
-    auto Client = std::make_shared<ServerConnection>(std::move(Socket));
-    Client->end(Ending_);
-    Connections_.insert(Client);
-    spawn(Executor_, serve(std::move(Client)));
+    add(std::move(Socket));
   }
 }
 
 asio::awaitable<std::optional<HttpRequest>>
 HttpServer::Core::read(ServerConnection &Client) {
-  error_code Cause;
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(Limits_.HeadBytes_);
-  Parser.body_limit(Limits_.BodyBytes_);
-  Client.setReadTimeout(Limits_.HeadTime_);
-  co_await http::async_read_header(
-      Client.Stream_, Client.Buffer_, Parser,
-      asio::redirect_error(asio::use_awaitable, Cause));
-  if (!Cause && !Parser.is_done()) {
-    Client.clearReadTimeout();
-    Client.setReadTimeout(Limits_.BodyTime_);
-    co_await http::async_read(Client.Stream_, Client.Buffer_, Parser,
-                              asio::redirect_error(asio::use_awaitable, Cause));
-  }
-  if (Cause && Client.readTimedOut())
-    Cause = beast::error::timeout;
-  Client.clearReadTimeout();
-  if (Cause) {
-    co_await rejectMalformed(Client, Cause);
-    co_return std::nullopt;
-  }
-  auto Message = Parser.release();
-  Client.KeepAlive_ = Message.keep_alive();
-  HttpRequest Request;
-  Request.Method_ = std::string(Message.method_string());
-  Request.Target_ = std::string(Message.target());
-  for (const auto &Field : Message)
-    Request.Headers_.add(std::string(Field.name_string()),
-                         std::string(Field.value()));
-  Request.Body_ = std::move(Message.body());
-  co_return Request;
+  ReadOutcome Outcome = co_await readRequest(Client, Limits_);
+  if (auto *Request = std::get_if<HttpRequest>(&Outcome))
+    co_return std::move(*Request);
+  Client.releaseRequest();
+  move(Client, Others_);
+  co_await reject(Client, std::get<RequestRejection>(Outcome));
+  co_return std::nullopt;
 }
 
-asio::awaitable<void>
-HttpServer::Core::rejectMalformed(ServerConnection &Client, error_code Cause) {
-  if (Cause == http::error::end_of_stream || !Malformed_ || Destroyed_)
+asio::awaitable<void> HttpServer::Core::reject(ServerConnection &Client,
+                                               const RequestRejection &Why) {
+  if (Why.Status_ == 0 || !Malformed_ || Destroyed_)
     co_return;
-  int Status = 400;
-  if (Cause == http::error::body_limit)
-    Status = 413;
-  else if (Cause == http::error::header_limit)
-    Status = 431;
-  else if (Cause == beast::error::timeout)
-    Status = 408;
   Client.KeepAlive_ = false;
   HttpExchange Exchange(Client, {});
-  co_await Exchange.respond(Malformed_(Status, Cause.message()));
+  co_await Exchange.respond(Malformed_(Why.Status_, Why.Reason_));
 }
 
 asio::awaitable<void>
@@ -137,8 +171,10 @@
   auto Self = shared_from_this();
   while (co_await Client->awaitRequest(Limits_.IdleTime_)) {
     Client->Phase_ = ConnectionPhase::Reading;
+    move(*Client, Arriving_);
     ++Running_;
     auto Request = co_await read(*Client);
+    move(*Client, Others_);
     bool IsHandled = Request && !Destroyed_;
     if (IsHandled) {
       HttpExchange Exchange(*Client, std::move(*Request));
@@ -147,19 +183,23 @@
       co_await Handle_(Exchange);
       Client->DisconnectHandler_ = {};
     }
+    Client->releaseRequest();
     --Running_;
     Client->Phase_ = ConnectionPhase::Idle;
     if (!IsHandled || !Client->KeepAlive_ || !Client->isOpen())
       break;
+    if (!Client->Displaced_)
+      move(*Client, Idle_);
     // The only operation still pending is the wait for a disconnect.
     error_code Ignored;
     Client->Stream_.socket().cancel(Ignored);
   }
+  move(*Client, Others_);
   bool AnnouncedClose = !Client->KeepAlive_ && Client->isOpen();
   if (AnnouncedClose)
     co_await Client->linger();
   Client->close();
-  Connections_.erase(Client);
+  remove(Client);
 }
 
 HttpServer::HttpServer(asio::any_io_executor Executor, HttpServerLimits Limits,
