A VM isn't ended by signals, its log's reader or held addresses

Callers saw a VM end by itself (FAULT) and lost what it served, when the reader of its log's pipe ended (SIGPIPE), when SIGHUP arrived while it started (in standalone mode at any time), or when an address was still held by the process before, for metrics by anybody (status 1).

Signals are held back from the first statement of main until the handlers are installed; SIGPIPE and SIGXFSZ are ignored; standard descriptors that are closed lead to /dev/null (epoll, timer and event descriptors had their numbers). Services claim their addresses before any of them starts, and ServiceRunner, which both modes share, repeats that while one is in use, for as long as a stop may take. The metrics' address and the ready file are tried again while the VM serves. SIGHUP checks the settings in both modes; a path that has become a pipe is refused there, since reading it stopped the VM.

Signals before main still end it: with no delay or 2 ms after exec.

--- a/Source/Admin/AdminServer.cpp
+++ b/Source/Admin/AdminServer.cpp
@@ -50,10 +50,9 @@
           });
 }
 
-Status AdminServer::start() {
-  return Server_.listen(
-      {Settings_.Listen_.Address_,
-       static_cast<std::uint16_t>(Settings_.Listen_.AdminPort_)});
+Endpoint AdminServer::address() const {
+  return {Settings_.Listen_.Address_,
+          static_cast<std::uint16_t>(Settings_.Listen_.AdminPort_)};
 }
 
 void AdminServer::stop() { Server_.close(); }
--- a/Source/Admin/AdminServer.h
+++ b/Source/Admin/AdminServer.h
@@ -30,7 +30,8 @@
               std::shared_ptr<Metrics> MetricsSource);
 
   std::string_view serviceName() const override { return Name; }
-  Status start() override;
+  Status claim() override { return Server_.bind(address()); }
+  Status start() override { return Server_.listen(address()); }
   void stop() override;
 
   /// Adds a page. Pages under `/admin/` require the operators' token if the
@@ -45,6 +46,7 @@
   std::uint16_t port() const;
 
 private:
+  Endpoint address() const;
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   bool isAuthorized(const HttpRequest &Request) const;
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -20,8 +20,6 @@
 #include "Telemetry/Metrics.h"
 #include "platform/StoreClient.h"
 
-#include <csignal>
-
 namespace anvil {
 
 /// The maximum size of one answer of the store. Tables are read in pages.
@@ -31,7 +29,13 @@
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
       TimerDriver_(Loop_.get_executor(), Timers_,
                    [] { return BootClock::now(); }),
-      Signals_(Loop_, SIGTERM, SIGINT, SIGHUP), StopTimer_(Loop_) {
+      Runner_(Loop_, Services_), StopTimer_(Loop_) {
+  Runner_.onStarted([this] {
+    logEvent(LogLevel::Info, "started",
+             {{"incarnation", Incarnation_},
+              {"data_centre", Settings_.DataCentre_}});
+  });
+  Runner_.onStop([this] { beginStop(); });
   auto Executor = Loop_.get_executor();
   auto MetricsService = std::make_shared<Metrics>();
   Services_.add(MetricsService);
@@ -67,15 +71,13 @@
 
 EntryDaemon::~EntryDaemon() = default;
 
-Status EntryDaemon::start() {
-  Status Started = Services_.startAll();
-  if (isOk(Started)) {
-    logEvent(LogLevel::Info, "started",
-             {{"incarnation", Incarnation_},
-              {"data_centre", Settings_.DataCentre_}});
-    waitForSignal();
-  }
-  return Started;
+Status EntryDaemon::run(std::function<Status()> Report) {
+  return Runner_.run(stopLimit(), std::move(Report));
+}
+
+Duration EntryDaemon::stopLimit() const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Settings_.Bounds_.StopTimeoutS_));
 }
 
 std::map<std::string, std::uint16_t> EntryDaemon::ports() const {
@@ -84,32 +86,13 @@
   return Ports;
 }
 
-void EntryDaemon::run() { Loop_.run(); }
-
-void EntryDaemon::waitForSignal() {
-  Signals_.async_wait([this](boost::system::error_code Cause, int Signal) {
-    if (Cause)
-      return;
-    if (Signal == SIGHUP) {
-      if (Reload_)
-        Reload_();
-    } else {
-      beginStop();
-    }
-    waitForSignal();
-  });
-}
-
 void EntryDaemon::beginStop() {
-  if (std::exchange(Stopping_, true))
-    return;
   auto Gateway = Services_.require<EntryGateway>(EntryGateway::Name);
   logEvent(LogLevel::Info, "stopping",
            {{"running_requests", Gateway->runningRequests()}});
   Gateway->beginDrain();
   Services_.require<FleetState>(FleetState::Name)->markStopping();
-  StopSchedule Steps(std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Settings_.Bounds_.StopTimeoutS_)));
+  StopSchedule Steps(stopLimit());
   FinalRepliesAt_ = BootClock::now() + Steps.finalReplies();
   StopTimer_.expires_after(Steps.refuseLong());
   StopTimer_.async_wait([this, Steps](auto) {
@@ -144,8 +127,7 @@
       [this, Gateway] {
         logEvent(LogLevel::Info, "stopped",
                  {{"requests_cut", Gateway->runningRequests()}});
-        Services_.stopAll();
-        Loop_.stop();
+        Runner_.finish();
       });
 }
 
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -4,10 +4,10 @@
 #include "Http/TimerDriver.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Kernel/TimerService.h"
+#include "Process/ServiceRunner.h"
 #include "Settings/EntrySettings.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
@@ -24,20 +24,21 @@
   explicit EntryDaemon(EntrySettings Settings);
   ~EntryDaemon();
 
-  /// Starts all services. The error names the service that failed.
-  Status start();
-
-  /// Runs until the daemon has stopped.
-  void run();
+  /// Starts all services, calls `Report` and runs until the daemon has stopped;
+  /// see `ServiceRunner::run`. The error tells what prevented the start.
+  Status run(std::function<Status()> Report);
 
   /// The ports in use, by the name of what listens there.
   std::map<std::string, std::uint16_t> ports() const;
 
   /// Sets the function that reloads the settings on SIGHUP.
-  void onReload(std::function<void()> Hook) { Reload_ = std::move(Hook); }
+  void onReload(std::function<void()> Hook) {
+    Runner_.onReload(std::move(Hook));
+  }
 
 private:
-  void waitForSignal();
+  /// How long this process may take to stop.
+  Duration stopLimit() const;
   void beginStop();
   void waitForRequests();
   void waitForReplies();
@@ -48,13 +49,11 @@
   TimerService Timers_;
   TimerDriver TimerDriver_;
   ServiceRegistry Services_;
-  boost::asio::signal_set Signals_;
+  ServiceRunner Runner_;
   boost::asio::steady_timer StopTimer_;
   /// When a stopping VM sends the final replies to requests that are still
   /// running.
   TimePoint FinalRepliesAt_{};
-  std::function<void()> Reload_;
-  bool Stopping_ = false;
 };
 
 } // namespace anvil
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -20,6 +20,9 @@
 /// The maximum retry hint for a caller that exceeds its rate.
 static constexpr Duration MaxRateRetryAfter = std::chrono::seconds(2);
 
+/// How long to wait before the metrics' address is tried again.
+static constexpr Duration MetricsRetryDelay = std::chrono::seconds(1);
+
 /// The time limit of requests that state none.
 static constexpr Duration DefaultTimeout = std::chrono::seconds(30);
 
@@ -81,6 +84,19 @@
                      co_await Exchange.respond(std::move(Page));
                    }) {}
 
+/// Parses an address of the settings, which were checked.
+static Endpoint checkedAddress(const std::string &Text) {
+  return std::get<Endpoint>(parseEndpoint(Text));
+}
+
+Status EntryGateway::claim() {
+  Status Bound =
+      Callers_.bind(checkedAddress(Settings_.Listen_.CallerAddress_));
+  if (isOk(Bound))
+    Bound = Ready_.bind(checkedAddress(Settings_.Listen_.ReadyAddress_));
+  return Bound;
+}
+
 Status EntryGateway::start() {
   Callers_.setMalformedHook([](int Status, std::string_view Reason) {
     return platform::makeErrorReply(Status, "", Reason, std::nullopt);
@@ -101,20 +117,31 @@
     Shared_.setVms(static_cast<double>(
         std::max<std::size_t>(1, Owners_->ownership().knownVms())));
   });
-  // The settings were checked, so the addresses parse.
-  auto Where = [](const std::string &Text) {
-    return std::get<Endpoint>(parseEndpoint(Text));
-  };
-  Status Opened = Callers_.listen(Where(Settings_.Listen_.CallerAddress_));
+  Status Opened =
+      Callers_.listen(checkedAddress(Settings_.Listen_.CallerAddress_));
   if (isOk(Opened))
-    Opened = Ready_.listen(Where(Settings_.Listen_.ReadyAddress_));
+    Opened = Ready_.listen(checkedAddress(Settings_.Listen_.ReadyAddress_));
   if (isOk(Opened) && Settings_.Listen_.MetricsPort_ > 0)
-    Opened = MetricsPage_.listen(
-        {Settings_.Listen_.Address_,
-         static_cast<std::uint16_t>(Settings_.Listen_.MetricsPort_)});
+    spawn(Executor_, openMetrics());
   return Opened;
 }
 
+asio::awaitable<void> EntryGateway::openMetrics() {
+  Endpoint Address{Settings_.Listen_.Address_,
+                   static_cast<std::uint16_t>(Settings_.Listen_.MetricsPort_)};
+  bool IsLogged = false;
+  Status Opened = MetricsPage_.listen(Address);
+  while (!isOk(Opened)) {
+    if (!std::exchange(IsLogged, true))
+      logEvent(LogLevel::Warning, "metrics_unavailable",
+               {{"reason", errorOf(Opened).describe()}});
+    co_await pauseFor(MetricsRetryDelay);
+    if (Draining_)
+      co_return;
+    Opened = MetricsPage_.listen(Address);
+  }
+}
+
 void EntryGateway::stop() {
   Callers_.close();
   Ready_.close();
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -26,6 +26,7 @@
                const EntrySettings &Settings, const ServiceRegistry &Services);
 
   std::string_view serviceName() const override { return Name; }
+  Status claim() override;
   Status start() override;
   void stop() override;
 
@@ -61,6 +62,8 @@
   };
 
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
+  /// Serves the metrics once their address is free; requests don't wait for it.
+  boost::asio::awaitable<void> openMetrics();
   boost::asio::awaitable<void> respondReady(HttpExchange &Exchange);
   /// Waits until no request may start on the versions before an adapter's
   /// newest one, and ends those that still wait at a target for that.
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -1,6 +1,7 @@
 #include "Entry/FleetLink.h"
 
 #include "Entry/RandomFraction.h"
+#include "Http/BoundAddress.h"
 #include "Serving/UpdateSchedule.h"
 #include "Telemetry/Log.h"
 
@@ -35,7 +36,9 @@
 
 FleetLink::~FleetLink() = default;
 
-Status FleetLink::start() {
+Status FleetLink::claim() {
+  if (Socket_->Udp_.is_open())
+    return std::monostate{};
   error_code Cause;
   auto Address = asio::ip::make_address(Settings_.Listen_.Address_, Cause);
   udp::endpoint Local(Address,
@@ -44,10 +47,19 @@
     Socket_->Udp_.open(Local.protocol(), Cause);
   if (!Cause)
     Socket_->Udp_.bind(Local, Cause);
-  if (Cause)
-    return Error{ErrorCode::Unavailable, "listen.peer_port",
-                 "can't be bound: " + Cause.message(), "choose a free port"};
-  Socket_->Udp_.non_blocking(true, Cause);
+  if (!Cause)
+    Socket_->Udp_.non_blocking(true, Cause);
+  if (!Cause)
+    return std::monostate{};
+  error_code Ignored;
+  Socket_->Udp_.close(Ignored);
+  return bindError("listen.peer_port", Cause);
+}
+
+Status FleetLink::start() {
+  Status Bound = claim();
+  if (!isOk(Bound))
+    return Bound;
   receive();
   scheduleUpdate();
   scheduleSummary();
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -34,10 +34,9 @@
       Pages_(Executor_, {},
              [this](HttpExchange &Exchange) { return serveRows(Exchange); }) {}
 
-Status PlanExchange::start() {
-  return Pages_.listen(
-      {Settings_.Listen_.Address_,
-       static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_)});
+Endpoint PlanExchange::address() const {
+  return {Settings_.Listen_.Address_,
+          static_cast<std::uint16_t>(Settings_.Listen_.PeerPort_)};
 }
 
 asio::awaitable<void> PlanExchange::serveRows(HttpExchange &Exchange) {
--- a/Source/Entry/PlanExchange.h
+++ b/Source/Entry/PlanExchange.h
@@ -26,7 +26,8 @@
                const EntrySettings &Settings, const ServiceRegistry &Services);
 
   std::string_view serviceName() const override { return Name; }
-  Status start() override;
+  Status claim() override { return Pages_.bind(address()); }
+  Status start() override { return Pages_.listen(address()); }
   void stop() override { Pages_.close(); }
 
   /// The TCP port on which rows are served.
@@ -37,6 +38,7 @@
   void applyReadNotice(const PlanReadNotice &Notice);
 
 private:
+  Endpoint address() const;
   boost::asio::awaitable<void> serveRows(HttpExchange &Exchange);
   boost::asio::awaitable<void> fetchRows(std::string Vm, Endpoint From);
 
--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -99,10 +99,9 @@
           std::string(RequestLedger::Name), std::string(Metrics::Name)};
 }
 
-Status RequestPipeline::start() {
-  return Server_.listen(
-      {Settings_.Listen_.Address_,
-       static_cast<std::uint16_t>(Settings_.Listen_.CallerPort_)});
+Endpoint RequestPipeline::address() const {
+  return {Settings_.Listen_.Address_,
+          static_cast<std::uint16_t>(Settings_.Listen_.CallerPort_)};
 }
 
 void RequestPipeline::stop() { Server_.close(); }
--- a/Source/Gateway/RequestPipeline.h
+++ b/Source/Gateway/RequestPipeline.h
@@ -35,7 +35,8 @@
 
   std::string_view serviceName() const override { return Name; }
   std::vector<std::string> dependencies() const override;
-  Status start() override;
+  Status claim() override { return Server_.bind(address()); }
+  Status start() override { return Server_.listen(address()); }
   void stop() override;
 
   /// The port that callers connect to.
@@ -60,6 +61,7 @@
   RequestAdmission &admission() { return Admission_; }
 
 private:
+  Endpoint address() const;
   /// The outcome of a request, for logs and metrics.
   struct Summary {
     int Status_ = 0;
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpServer.h"
 
+#include "Http/BoundAddress.h"
 #include "Http/Pause.h"
 #include "Http/ServerConnection.h"
 #include "Http/Spawn.h"
@@ -178,22 +179,14 @@
 
 void HttpServer::setLimits(HttpServerLimits Limits) { Core_->Limits_ = Limits; }
 
+Status HttpServer::bind(const Endpoint &Address) {
+  return bindAcceptor(Core_->Acceptor_, Address);
+}
+
 Status HttpServer::listen(const Endpoint &Address) {
-  error_code Cause;
-  auto Number = asio::ip::make_address(Address.Address_, Cause);
-  tcp::endpoint Local(Number, Address.Port_);
-  if (!Cause)
-    Core_->Acceptor_.open(Local.protocol(), Cause);
-  if (!Cause)
-    Core_->Acceptor_.set_option(tcp::acceptor::reuse_address(true), Cause);
-  if (!Cause)
-    Core_->Acceptor_.bind(Local, Cause);
-  if (!Cause)
-    Core_->Acceptor_.listen(asio::socket_base::max_listen_connections, Cause);
-  if (Cause)
-    return Error{ErrorCode::Unavailable, Address.text(),
-                 "can't listen: " + Cause.message(),
-                 "choose a free port of this VM"};
+  Status Listening = listenAt(Core_->Acceptor_, Address);
+  if (!isOk(Listening))
+    return Listening;
   spawn(Core_->Executor_, Core_->accept());
   return std::monostate{};
 }
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -55,7 +55,12 @@
   /// Changes the limits. Connections apply them from their next request on.
   void setLimits(HttpServerLimits Limits);
 
-  /// Starts to listen. Errors: unavailable.
+  /// Takes an address; connections are refused until `listen`. Does nothing if
+  /// an address is taken. Errors: conflict (in use), unavailable.
+  Status bind(const Endpoint &Address);
+
+  /// Starts to listen, at the address taken or else at this one. Errors: as
+  /// `bind`.
   Status listen(const Endpoint &Address);
 
   /// The port that the server listens on.
--- a/Source/Kernel/ServiceRegistry.cpp
+++ b/Source/Kernel/ServiceRegistry.cpp
@@ -47,6 +47,15 @@
   return Order;
 }
 
+Status ServiceRegistry::claimAll() {
+  for (const auto &[Name, Registered] : Services_) {
+    Status Outcome = Registered->claim();
+    if (!isOk(Outcome))
+      return Outcome;
+  }
+  return std::monostate{};
+}
+
 Status ServiceRegistry::startAll() {
   auto Order = startOrder();
   if (!isOk(Order))
--- a/Source/Kernel/ServiceRegistry.h
+++ b/Source/Kernel/ServiceRegistry.h
@@ -23,6 +23,10 @@
   /// The names of the services that must have started before this one.
   virtual std::vector<std::string> dependencies() const { return {}; }
 
+  /// Takes what only one process can hold, such as an address. Error:
+  /// conflict if another process holds it; the call may then be repeated.
+  virtual Status claim() { return std::monostate{}; }
+
   /// Starts the service. An error aborts the start of the whole daemon.
   virtual Status start() { return std::monostate{}; }
 
@@ -65,6 +69,9 @@
     return Found;
   }
 
+  /// Calls `claim` of all services up to the first error.
+  Status claimAll();
+
   /// Starts all services. If one fails, the services already started are
   /// stopped. The error names an unknown dependency, a dependency cycle or the
   /// service that failed.
--- a/Source/Peer/PeerNetwork.cpp
+++ b/Source/Peer/PeerNetwork.cpp
@@ -1,5 +1,6 @@
 #include "Peer/PeerNetwork.h"
 
+#include "Http/BoundAddress.h"
 #include "Http/Spawn.h"
 
 #include "Peer/PeerConnection.h"
@@ -95,22 +96,14 @@
 
 PeerNetwork::~PeerNetwork() { stop(); }
 
+Status PeerNetwork::claim() {
+  return bindAcceptor(Core_->Acceptor_, Core_->Listen_);
+}
+
 Status PeerNetwork::start() {
-  error_code Cause;
-  auto Address = asio::ip::make_address(Core_->Listen_.Address_, Cause);
-  tcp::endpoint Local(Address, Core_->Listen_.Port_);
-  if (!Cause)
-    Core_->Acceptor_.open(Local.protocol(), Cause);
-  if (!Cause)
-    Core_->Acceptor_.set_option(tcp::acceptor::reuse_address(true), Cause);
-  if (!Cause)
-    Core_->Acceptor_.bind(Local, Cause);
-  if (!Cause)
-    Core_->Acceptor_.listen(asio::socket_base::max_listen_connections, Cause);
-  if (Cause)
-    return Error{ErrorCode::Unavailable, Core_->Listen_.text(),
-                 "cannot listen for peers: " + Cause.message(),
-                 "choose a free port on this VM"};
+  Status Listening = listenAt(Core_->Acceptor_, Core_->Listen_);
+  if (!isOk(Listening))
+    return Listening;
   spawn(Core_->Executor_, Core_->acceptConnections());
   return std::monostate{};
 }
--- a/Source/Programs/Daemon.cpp
+++ b/Source/Programs/Daemon.cpp
@@ -30,8 +30,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <csignal>
-
 namespace anvil {
 
 using nlohmann::json;
@@ -40,7 +38,8 @@
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)),
       TimerDriver_(Loop_.get_executor(), Timers_,
                    [] { return BootClock::now(); }),
-      Signals_(Loop_, SIGTERM, SIGINT), StopTimer_(Loop_) {
+      Runner_(Loop_, Services_), StopTimer_(Loop_) {
+  Runner_.onStop([this] { beginStop(); });
   Services_.add(std::make_shared<Metrics>());
   addPlatform();
   addConfiguration();
@@ -270,14 +269,14 @@
   });
 }
 
-Status Daemon::start() {
-  Status Started = Services_.startAll();
-  if (isOk(Started))
-    waitForSignal();
-  return Started;
+Status Daemon::run(std::function<Status()> Report) {
+  return Runner_.run(stopLimit(), std::move(Report));
 }
 
-void Daemon::run() { Loop_.run(); }
+Duration Daemon::stopLimit() const {
+  return std::chrono::milliseconds(Settings_.Shutdown_.NotReadyPeriodMs_ +
+                                   Settings_.Shutdown_.DrainMs_);
+}
 
 std::map<std::string, std::uint16_t> Daemon::ports() const {
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
@@ -288,13 +287,6 @@
           {"peer", Peers->port()}};
 }
 
-void Daemon::waitForSignal() {
-  Signals_.async_wait([this](boost::system::error_code Cause, int) {
-    if (!Cause)
-      beginStop();
-  });
-}
-
 void Daemon::beginStop() {
   if (std::exchange(Stopping_, true))
     return;
@@ -302,9 +294,7 @@
   auto Callers = Services_.require<RequestPipeline>(RequestPipeline::Name);
   Callers->beginDrain();
   Services_.require<MembershipService>(MembershipService::Name)->markLeaving();
-  StopDeadline_ = BootClock::now() + std::chrono::milliseconds(
-                                         Settings_.Shutdown_.NotReadyPeriodMs_ +
-                                         Settings_.Shutdown_.DrainMs_);
+  StopDeadline_ = BootClock::now() + stopLimit();
   // The load balancer keeps sending requests until its next read of /readyz.
   StopTimer_.expires_after(
       std::chrono::milliseconds(Settings_.Shutdown_.NotReadyPeriodMs_));
@@ -328,8 +318,7 @@
       [this, Callers] {
         logEvent(LogLevel::Info, "stopped",
                  {{"requests_cut", Callers->runningRequests()}});
-        Services_.stopAll();
-        Loop_.stop();
+        Runner_.finish();
       });
 }
 
--- a/Source/Programs/Daemon.h
+++ b/Source/Programs/Daemon.h
@@ -5,14 +5,15 @@
 #include "Kernel/ServiceRegistry.h"
 #include "Kernel/TimerService.h"
 #include "Placement/EngineMonitor.h"
+#include "Process/ServiceRunner.h"
 #include "Settings/DaemonSettings.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,15 +28,18 @@
   explicit Daemon(DaemonSettings Settings);
   ~Daemon();
 
-  /// Starts all services. The error names the service that failed.
-  Status start();
-
-  /// Runs the event loop until the daemon has stopped.
-  void run();
+  /// Starts all services, calls `Report` and runs until the daemon has stopped;
+  /// see `ServiceRunner::run`. The error tells what prevented the start.
+  Status run(std::function<Status()> Report);
 
   /// The ports in use, by name: `caller`, `admin` and `peer`.
   std::map<std::string, std::uint16_t> ports() const;
 
+  /// Sets the function that reloads the settings on SIGHUP.
+  void onReload(std::function<void()> Hook) {
+    Runner_.onReload(std::move(Hook));
+  }
+
 private:
   void addPlatform();
   void addConfiguration();
@@ -45,7 +49,8 @@
   void addOwnership(EngineMonitor &Monitor);
   void addServers();
   void addStatusSections();
-  void waitForSignal();
+  /// How long this process may take to stop.
+  Duration stopLimit() const;
   void beginStop();
   boost::asio::awaitable<void> handOverServices();
   void stopWhenIdle();
@@ -56,7 +61,7 @@
   TimerService Timers_;
   TimerDriver TimerDriver_;
   ServiceRegistry Services_;
-  boost::asio::signal_set Signals_;
+  ServiceRunner Runner_;
   boost::asio::steady_timer StopTimer_;
   TimePoint StopDeadline_{};
   bool Stopping_ = false;
--- a/Source/Programs/anvild.cpp
+++ b/Source/Programs/anvild.cpp
@@ -1,4 +1,5 @@
 #include "Entry/EntryDaemon.h"
+#include "Process/ProcessSetup.h"
 #include "Programs/Daemon.h"
 #include "Programs/ReadyFile.h"
 #include "Settings/SettingsFile.h"
@@ -28,38 +29,17 @@
   return false;
 }
 
-/// Starts a daemon, writes its ports to the ready file, if one is given, and
-/// runs it until it has stopped.
-template <class Server>
-static int run(Server &Daemon, const std::string &ReadyPath) {
-  anvil::Status Started = Daemon.start();
-  if (anvil::isOk(Started) && !ReadyPath.empty())
-    Started = anvil::writeReadyFile(ReadyPath, Daemon.ports());
-  if (!anvil::isOk(Started)) {
-    printErrors({anvil::errorOf(Started)});
-    return 1;
-  }
-  Daemon.run();
-  return 0;
-}
-
-static int serve(anvil::DaemonSettings Settings, const std::string &ReadyPath) {
-  if (!openLog(Settings.Vm_, Settings.LogLevel_))
-    return UsageStatus;
-  anvil::Daemon Server(std::move(Settings));
-  return run(Server, ReadyPath);
-}
-
 /// Handles SIGHUP: validates the settings file again and logs the result. No
 /// setting changes; addresses and bounds take effect at the next start.
-static void recheckSettings(const std::string &Path) {
-  auto Text = anvil::readTextFile(Path);
+template <class ParseFunction>
+static void recheckSettings(const std::string &Path, ParseFunction Parse) {
+  auto Text = anvil::readRegularFile(Path);
   if (!anvil::isOk(Text)) {
     anvil::logEvent(anvil::LogLevel::Error, "reload_failed",
                     {{"reason", anvil::errorOf(Text).describe()}});
     return;
   }
-  auto Parsed = anvil::parseEntrySettings(Path, anvil::valueOf(Text));
+  auto Parsed = Parse(Path, anvil::valueOf(Text));
   if (const auto *Errors = std::get_if<std::vector<anvil::Error>>(&Parsed)) {
     for (const anvil::Error &Problem : *Errors)
       anvil::logEvent(anvil::LogLevel::Error, "reload_failed",
@@ -69,13 +49,24 @@
   anvil::logEvent(anvil::LogLevel::Info, "reloaded", {{"file", Path}});
 }
 
-static int serveEntry(anvil::EntrySettings Settings, const std::string &Path,
-                      const std::string &ReadyPath) {
-  if (!openLog(Settings.Vm_, Settings.LogLevel_))
+/// Runs a daemon until it has stopped and writes its ports to the ready file,
+/// if one is given.
+template <class Server, class Settings, class ParseFunction>
+static int serve(Settings Checked, ParseFunction Parse, const std::string &Path,
+                 const std::string &ReadyPath) {
+  if (!openLog(Checked.Vm_, Checked.LogLevel_))
     return UsageStatus;
-  anvil::EntryDaemon Server(std::move(Settings));
-  Server.onReload([Path] { recheckSettings(Path); });
-  return run(Server, ReadyPath);
+  Server Running(std::move(Checked));
+  Running.onReload([Path, Parse] { recheckSettings(Path, Parse); });
+  anvil::Status Outcome = Running.run([&]() -> anvil::Status {
+    if (ReadyPath.empty())
+      return std::monostate{};
+    return anvil::writeReadyFile(ReadyPath, Running.ports());
+  });
+  if (anvil::isOk(Outcome))
+    return 0;
+  printErrors({anvil::errorOf(Outcome)});
+  return 1;
 }
 
 /// Runs the mode that the settings select, or only validates the settings.
@@ -99,15 +90,20 @@
   if (anvil::selectsEntryMode(Path, anvil::valueOf(Text)))
     return Run(anvil::parseEntrySettings(Path, anvil::valueOf(Text)),
                [&](anvil::EntrySettings Settings) {
-                 return serveEntry(std::move(Settings), Path, ReadyPath);
+                 return serve<anvil::EntryDaemon>(std::move(Settings),
+                                                  anvil::parseEntrySettings,
+                                                  Path, ReadyPath);
                });
   return Run(anvil::parseDaemonSettings(Path, anvil::valueOf(Text)),
              [&](anvil::DaemonSettings Settings) {
-               return serve(std::move(Settings), ReadyPath);
+               return serve<anvil::Daemon>(std::move(Settings),
+                                           anvil::parseDaemonSettings, Path,
+                                           ReadyPath);
              });
 }
 
 int main(int Count, char **Arguments) {
+  anvil::prepareProcess();
   options::options_description Known("Options of anvild");
   auto Add = Known.add_options();
   Add("help", "show this text");
--- a/Source/Settings/SettingsFile.cpp
+++ b/Source/Settings/SettingsFile.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -21,6 +22,15 @@
   return Text.str();
 }
 
+Result<std::string> readRegularFile(const std::string &Path) {
+  std::error_code Ignored;
+  if (std::filesystem::exists(Path, Ignored) &&
+      !std::filesystem::is_regular_file(Path, Ignored))
+    return Error{ErrorCode::InvalidInput, Path, "is not a regular file",
+                 "put the file back"};
+  return readTextFile(Path);
+}
+
 Result<nlohmann::json> parseSettings(const std::string &Path,
                                      const std::string &Text) {
   try {
--- a/Source/Settings/SettingsFile.h
+++ b/Source/Settings/SettingsFile.h
@@ -12,6 +12,9 @@
 /// Reads a whole file. The error names the file and the cause.
 Result<std::string> readTextFile(const std::string &Path);
 
+/// Reads a whole file, but no pipe or device, whose reading may not end.
+Result<std::string> readRegularFile(const std::string &Path);
+
 /// Parses JSON with comments. The error names the file and the line.
 Result<nlohmann::json> parseSettings(const std::string &Path,
                                      const std::string &Text);
--- a/Tests/Integration/Process.cpp
+++ b/Tests/Integration/Process.cpp
@@ -1,6 +1,7 @@
 #include "Integration/Process.h"
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -55,12 +56,12 @@
 
 Process::Process(const std::string &Program, std::vector<std::string> Arguments,
                  const std::string &WorkDirectory, std::string Name,
-                 ProcessLimits Limits)
-    : Name_(std::move(Name)), LogPath_(WorkDirectory + "/" + Name_ + ".log") {
-  std::string ReadyPath = WorkDirectory + "/" + Name_ + ".ready";
-  ::unlink(ReadyPath.c_str());
+                 ProcessLimits Limits, ProcessStart Options)
+    : Name_(std::move(Name)), LogPath_(WorkDirectory + "/" + Name_ + ".log"),
+      ReadyPath_(WorkDirectory + "/" + Name_ + ".ready") {
+  ::unlink(ReadyPath_.c_str());
   Arguments.insert(Arguments.begin(), Program);
-  Arguments.insert(Arguments.end(), {"--ready-file", ReadyPath});
+  Arguments.insert(Arguments.end(), {"--ready-file", ReadyPath_});
   // For instance a memory error checker, whose findings appear in the log.
   std::istringstream Wrapper(wrapperCommand(Program));
   Arguments.insert(Arguments.begin(),
@@ -74,8 +75,11 @@
   Pid_ = ::fork();
   if (Pid_ == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::dup2(Log, STDOUT_FILENO);
+    ::dup2(Options.Output_.value_or(Log), STDOUT_FILENO);
     ::dup2(Log, STDERR_FILENO);
+    if (Options.WithoutStandardFiles_)
+      for (int Standard : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO})
+        ::close(Standard);
     constexpr std::size_t BytesPerMb = 1024 * 1024;
     if (Limits.MemoryMb_)
       setLimit(RLIMIT_AS, *Limits.MemoryMb_ * BytesPerMb);
@@ -84,13 +88,18 @@
     ::_exit(127);
   }
   ::close(Log);
-  auto IsReady = [&] { return ::access(ReadyPath.c_str(), R_OK) == 0; };
+  if (Options.AwaitReady_)
+    awaitReady();
+}
+
+void Process::awaitReady() {
+  auto IsReady = [&] { return ::access(ReadyPath_.c_str(), R_OK) == 0; };
   eventually([&] { return IsReady() || poll(); }, ReadyTimeout);
   if (!IsReady()) {
     kill();
     throw std::runtime_error(Name_ + " did not start: " + log());
   }
-  Ports_ = nlohmann::json::parse(readFile(ReadyPath));
+  Ports_ = nlohmann::json::parse(readFile(ReadyPath_));
 }
 
 Process::~Process() { kill(); }
@@ -137,13 +146,31 @@
                       : "status " + std::to_string(*Status_);
 }
 
-double Process::peakMemoryMb() const {
+std::string Process::statusField(const std::string &FieldName) const {
   std::ifstream StatusFile("/proc/" + std::to_string(Pid_) + "/status");
   std::string Line;
   while (std::getline(StatusFile, Line))
-    if (Line.starts_with("VmHWM:"))
-      return std::stod(Line.substr(6)) / 1024;
-  return 0;
+    if (Line.starts_with(FieldName + ":"))
+      return Line.substr(FieldName.size() + 1);
+  return "0";
+}
+
+double Process::peakMemoryMb() const {
+  return std::stod(statusField("VmHWM")) / 1024;
+}
+
+bool Process::ownsSignals() const {
+  std::uint64_t Owned = 0;
+  for (const char *Mask : {"SigBlk", "SigCgt"})
+    Owned |= std::stoull(statusField(Mask), nullptr, 16);
+  return (Owned & (1U << (SIGHUP - 1))) != 0;
+}
+
+std::string Process::descriptorTarget(int Descriptor) const {
+  std::error_code Ignored;
+  return std::filesystem::read_symlink("/proc/" + std::to_string(Pid_) +
+                                           "/fd/" + std::to_string(Descriptor),
+                                       Ignored);
 }
 
 std::string Process::log() const { return readFile(LogPath_); }
--- a/Tests/Integration/Process.h
+++ b/Tests/Integration/Process.h
@@ -28,21 +28,39 @@
   std::optional<std::size_t> Descriptors_;
 };
 
+/// How a program starts.
+struct ProcessStart {
+  /// Whether the constructor waits for the ready file.
+  bool AwaitReady_ = true;
+  /// Whether the program has no standard input, output and error.
+  bool WithoutStandardFiles_ = false;
+  /// Where the output goes in place of the log file.
+  std::optional<int> Output_;
+};
+
 /// A program that a test started, with its log file. The destructor kills it by
 /// its process id; the kernel kills it if the test program dies first.
 class Process {
 public:
-  /// Starts the program and waits until its ready file exists. Throws if it
-  /// does not appear in time.
+  /// Starts the program and waits until it is ready.
   Process(const std::string &Program, std::vector<std::string> Arguments,
           const std::string &WorkDirectory, std::string Name,
-          ProcessLimits Limits = {});
+          ProcessLimits Limits = {}, ProcessStart Options = {});
   ~Process();
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
 
   const std::string &name() const { return Name_; }
 
+  /// Waits until the ready file exists. Throws if it does not appear in time.
+  void awaitReady();
+
+  /// Whether the program has begun to handle or hold back SIGHUP.
+  bool ownsSignals() const;
+
+  /// What a file descriptor of the process leads to.
+  std::string descriptorTarget(int Descriptor) const;
+
   /// A port from the ready file.
   std::uint16_t port(const std::string &PortName = "port") const;
 
@@ -68,9 +86,11 @@
 
 private:
   bool poll();
+  std::string statusField(const std::string &FieldName) const;
 
   std::string Name_;
   std::string LogPath_;
+  std::string ReadyPath_;
   pid_t Pid_ = -1;
   bool StopRequested_ = false;
   std::optional<int> Status_;
