--- a/Tests/Integration/CallerConnection.cpp
+++ b/Tests/Integration/CallerConnection.cpp
@@ -29,14 +29,15 @@
   return Complete_ && Status_ == 200 && Body_.ends_with("data: [DONE]\n\n");
 }
 
-CallerConnection::CallerConnection(std::uint16_t Port) {
+CallerConnection::CallerConnection(std::uint16_t Port,
+                                   const std::string &Address) {
   Socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(Port);
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  Closed_ = ::connect(Socket_, reinterpret_cast<sockaddr *>(&Address),
-                      sizeof(Address)) != 0;
+  sockaddr_in Server{};
+  Server.sin_family = AF_INET;
+  Server.sin_port = htons(Port);
+  ::inet_pton(AF_INET, Address.c_str(), &Server.sin_addr);
+  Closed_ = ::connect(Socket_, reinterpret_cast<sockaddr *>(&Server),
+                      sizeof(Server)) != 0;
 }
 
 CallerConnection::~CallerConnection() { ::close(Socket_); }
--- a/Tests/Integration/CallerConnection.h
+++ b/Tests/Integration/CallerConnection.h
@@ -39,7 +39,8 @@
 /// A caller's blocking HTTP connection, with one request at a time.
 class CallerConnection {
 public:
-  explicit CallerConnection(std::uint16_t Port);
+  explicit CallerConnection(std::uint16_t Port,
+                            const std::string &Address = "127.0.0.1");
   ~CallerConnection();
   CallerConnection(const CallerConnection &) = delete;
   CallerConnection &operator=(const CallerConnection &) = delete;
@@ -53,6 +54,8 @@
   /// Reads until the body contains the text; returns whether it does.
   bool readUntil(const std::string &Text, Millis Timeout);
 
+  bool isOpen() const { return !Closed_; }
+
   /// Whether the server closes the connection within `Timeout`.
   bool closedWithin(Millis Timeout);
 
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -28,7 +28,8 @@
 static std::string peerAddress(const std::string &Vm) {
   int Test = ::getpid();
   return "127." + std::to_string(1 + Test % 250) + "." +
-         std::to_string(1 + Test / 250 % 250) + "." + Vm.substr(Vm.size() - 1);
+         std::to_string(1 + Test / 250 % 250) + "." +
+         Vm.substr(Vm.find('-') + 1);
 }
 
 EntryFleet::EntryFleet(EntryFleetPlan Plan) : Plan_(Plan) {
@@ -39,27 +40,31 @@
         "cannot create the temporary directory of the test");
   Directory_ = Template;
   start("store", {"--kind", "row-store"});
+  for (int Number = 1; Number <= Plan_.Vms_; ++Number)
+    Vms_.push_back("vm-" + std::to_string(Number));
   for (const std::string &Target : EntryTargets) {
-    start(Target, {"--kind", "registered-target", "--id", Target});
+    startTarget(Target);
     writeTargetEntry(Target, "ready");
   }
   configure(1, {"good-key"});
   if (Plan_.HasStoreEra_)
     control("store", {{"era", 1}, {"copy", true}});
-  start("proxy", {"--kind", "proxy", "--link", storeLinkName("vm-1"), "--link",
-                  storeLinkName("vm-2")});
-  for (const char *Vm : {"vm-1", "vm-2"})
+  std::vector<std::string> Proxy{"--kind", "proxy"};
+  for (const std::string &Vm : Vms_)
+    Proxy.insert(Proxy.end(), {"--link", storeLinkName(Vm)});
+  start("proxy", Proxy);
+  for (const std::string &Vm : Vms_)
     control("proxy",
             {{"link", storeLinkName(Vm)},
              {"target", "127.0.0.1:" + std::to_string(at("store").port())}});
-  startVm("vm-1");
-  startVm("vm-2");
+  for (const std::string &Vm : Vms_)
+    startVm(Vm);
   bool Settled = eventually(
       [&] {
         return call("vm-1", "/stream/1",
                     {{"X-Model", "base/warm"}, {"X-Request-Deadline", "3000"}})
                        .Status_ == 200 &&
-               call("vm-2", "/safe/1").Status_ == 200;
+               call(Vms_.back(), "/safe/1").Status_ == 200;
       },
       SettleTimeout);
   if (!Settled)
@@ -73,31 +78,42 @@
   std::filesystem::remove_all(Directory_, Ignored);
 }
 
+std::string EntryFleet::callerAddress(const std::string &Vm) const {
+  return Plan_.OwnCallerAddresses_ ? peerAddress(Vm) : "127.0.0.1";
+}
+
 void EntryFleet::start(const std::string &Name,
                        std::vector<std::string> Arguments) {
   Processes_[Name] = std::make_unique<Process>(
       ANVIL_STANDIN, std::move(Arguments), Directory_, Name);
 }
 
-void EntryFleet::startVm(const std::string &Name, std::uint16_t PeerPort) {
+void EntryFleet::startTarget(const std::string &Name) {
+  start(Name, {"--kind", "registered-target", "--id", Name, "--records",
+               Directory_ + "/" + Name + ".records"});
+}
+
+void EntryFleet::startVm(const std::string &Name, std::uint16_t PeerPort,
+                         std::uint16_t CallerPort) {
   std::string Path = Directory_ + "/" + Name + ".json";
   std::string Store =
       "127.0.0.1:" + std::to_string(at("proxy").port(storeLinkName(Name)));
-  json Settings = {{"mode", "entry"},
-                   {"vm", Name},
-                   {"data_centre", dataCentreOf(Name)},
-                   {"listen",
-                    {{"callers", "127.0.0.1:0"},
-                     {"ready", "127.0.0.1:0"},
-                     {"address", peerAddress(Name)},
-                     {"peer_port", PeerPort}}},
-                   {"store",
-                    {{"address", Store},
-                     {"timeout_ms", 300},
-                     {"watch_ms", 300},
-                     {"target_list_ms", 200},
-                     {"renew_ms", 400}}},
-                   {"bounds", {{"key_withdrawal_ms", 3000}}}};
+  json Settings = {
+      {"mode", "entry"},
+      {"vm", Name},
+      {"data_centre", dataCentreOf(Name)},
+      {"listen",
+       {{"callers", callerAddress(Name) + ":" + std::to_string(CallerPort)},
+        {"ready", "127.0.0.1:0"},
+        {"address", peerAddress(Name)},
+        {"peer_port", PeerPort}}},
+      {"store",
+       {{"address", Store},
+        {"timeout_ms", 300},
+        {"watch_ms", 300},
+        {"target_list_ms", 200},
+        {"renew_ms", 400}}},
+      {"bounds", {{"key_withdrawal_ms", 3000}}}};
   if (Plan_.HasStoreEra_)
     Settings["bootstrap"] = true;
   if (Plan_.StopSeconds_)
@@ -110,10 +126,18 @@
 
 void EntryFleet::restartTarget(const std::string &Target,
                                std::int64_t Incarnation) {
-  start(Target, {"--kind", "registered-target", "--id", Target});
+  startTarget(Target);
   writeTargetEntry(Target, "ready", Incarnation);
 }
 
+std::unique_ptr<Process> EntryFleet::startBeside(const std::string &Vm) {
+  std::unique_ptr<Process> Earlier = std::move(Processes_.at(Vm));
+  startVm(Vm, Earlier->port("peer"), Earlier->port("caller"));
+  return Earlier;
+}
+
+void EntryFleet::startAgain(const std::string &Vm) { startBeside(Vm); }
+
 void EntryFleet::restartTogether(const std::vector<std::string> &Vms) {
   // VMs have the same ports in all their lives.
   std::map<std::string, std::uint16_t> PeerPorts;
@@ -185,8 +209,12 @@
            {{"Table", "servers"}, {"Key", Target}, {"Value", Bytes}});
 }
 
-void EntryFleet::replaceTargets(const std::string &Id, std::uint16_t Port) {
+void EntryFleet::registerTarget(const std::string &Id, std::uint16_t Port) {
   writeTargetRow(Id, Port, "ready", 1700000000000, std::nullopt);
+}
+
+void EntryFleet::replaceTargets(const std::string &Id, std::uint16_t Port) {
+  registerTarget(Id, Port);
   std::string Kind = Id.substr(0, Id.find('-'));
   for (const std::string &Target : EntryTargets)
     if (Target.starts_with(Kind))
@@ -256,8 +284,11 @@
   writeRow("op", "config", Config);
 }
 
-void EntryFleet::setStoreLink(const std::string &Vm, const std::string &Mode) {
-  control("proxy", {{"link", storeLinkName(Vm)}, {"mode", Mode}});
+void EntryFleet::setStoreLink(const std::string &Vm, const std::string &Mode,
+                              Millis Delay) {
+  control("proxy", {{"link", storeLinkName(Vm)},
+                    {"mode", Mode},
+                    {"delay_ms", Delay.count()}});
 }
 
 void EntryFleet::control(const std::string &Standin, const json &Change) {
@@ -286,7 +317,32 @@
 CallerReply
 EntryFleet::call(const std::string &Vm, const std::string &Path,
                  std::vector<std::pair<std::string, std::string>> Headers) {
-  return callOnce(callerPort(Vm), request(Path, std::move(Headers)));
+  CallerConnection Connection(callerPort(Vm), callerAddress(Vm));
+  Connection.send(request(Path, std::move(Headers)));
+  return Connection.finish(Millis(20000));
+}
+
+std::vector<json> EntryFleet::keptRecords(const std::string &Event) const {
+  std::vector<json> Found;
+  for (const std::string &Target : EntryTargets) {
+    std::ifstream File(Directory_ + "/" + Target + ".records");
+    std::string Line;
+    while (std::getline(File, Line)) {
+      json Item = json::parse(Line, nullptr, false);
+      if (!Item.is_object() || Item["event"] != Event)
+        continue;
+      Item["target"] = Target;
+      Found.push_back(std::move(Item));
+    }
+  }
+  return Found;
+}
+
+void EntryFleet::keepFiles(const std::string &Folder) const {
+  std::filesystem::create_directories(Folder);
+  std::filesystem::copy(Directory_, Folder,
+                        std::filesystem::copy_options::recursive |
+                            std::filesystem::copy_options::overwrite_existing);
 }
 
 std::vector<json> EntryFleet::records(const std::string &Event) {
@@ -309,8 +365,9 @@
 }
 
 std::string EntryFleet::explain(const std::string &RequestId) {
-  std::string Command = std::string(ANVIL_CTL) + " explain " + RequestId + " " +
-                        Directory_ + "/vm-1.log " + Directory_ + "/vm-2.log";
+  std::string Command = std::string(ANVIL_CTL) + " explain " + RequestId;
+  for (const std::string &Vm : Vms_)
+    Command += " " + Directory_ + "/" + Vm + ".log";
   std::string Output;
   FILE *Pipe = ::popen(Command.c_str(), "r");
   char Buffer[4096];
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -16,6 +16,8 @@
 
 /// Options of an `EntryFleet`.
 struct EntryFleetPlan {
+  /// VMs are named `vm-1`, `vm-2` and so on.
+  int Vms_ = 2;
   /// The VMs' stop limit in seconds (`bounds.stop_s`); absent means the
   /// program's default.
   std::optional<double> StopSeconds_;
@@ -32,12 +34,15 @@
   bool HasStoreEra_ = false;
   /// What each VM may use.
   ProcessLimits VmLimits_;
+  /// Whether VMs listen for callers at an address of their own, where no other
+  /// process takes their port between two of their lives.
+  bool OwnCallerAddresses_ = false;
   /// Whether the VM and the targets whose names end in 2 are in a data centre
   /// of their own, `south`. The others are in `north`.
   bool TwoDataCentres_ = false;
 };
 
-/// A test system of real processes in entry mode: two `anvild` entry VMs, two
+/// A test system of real processes in entry mode: `anvild` entry VMs, two
 /// engines, two plain services and a stand-in for the platform's row store.
 /// Writes the registration rows that targets would write themselves.
 class EntryFleet {
@@ -64,12 +69,18 @@
     return at(Vm).port("caller");
   }
 
+  /// The address at which a VM listens for callers.
+  std::string callerAddress(const std::string &Vm) const;
+
+  const std::vector<std::string> &vms() const { return Vms_; }
+
   /// Sends a change to a stand-in's `/control` endpoint.
   void control(const std::string &Standin, const nlohmann::json &Change);
 
   /// Sets the fault mode of a VM's link to the store: `cut`, or `pass` to
   /// restore it.
-  void setStoreLink(const std::string &Vm, const std::string &Mode);
+  void setStoreLink(const std::string &Vm, const std::string &Mode,
+                    Millis Delay = Millis(0));
 
   /// Writes the configuration row; `Keys` are the API keys of its only customer
   /// and `Added` the paths of further routes to the plain service.
@@ -97,6 +108,9 @@
   /// starts with `engine`, a plain service's with `plain`.
   void replaceTargets(const std::string &Id, std::uint16_t Port);
 
+  /// Registers a target that the test itself runs.
+  void registerTarget(const std::string &Id, std::uint16_t Port);
+
   /// Names a version of an adapter of the model `base`.
   void nameVersion(const std::string &Adapter, std::uint64_t Version);
 
@@ -116,6 +130,19 @@
   void restartTogether(const std::vector<std::string> &Vms);
   void restart(const std::string &Vm) { restartTogether({Vm}); }
 
+  /// Starts a VM that has ended again, with the ports that it had.
+  void startAgain(const std::string &Vm);
+
+  /// Like `startAgain` for a VM that may still run. Returns that process.
+  std::unique_ptr<Process> startBeside(const std::string &Vm);
+
+  /// The events with this name that all targets recorded in all their lives,
+  /// also if they were killed.
+  std::vector<nlohmann::json> keptRecords(const std::string &Event) const;
+
+  /// Copies the settings, logs and records of all processes to a folder.
+  void keepFiles(const std::string &Folder) const;
+
   /// The events with this name that all targets recorded.
   std::vector<nlohmann::json> records(const std::string &Event);
 
@@ -127,8 +154,10 @@
 
 private:
   void start(const std::string &Name, std::vector<std::string> Arguments);
-  /// Starts a VM; a peer port of 0 lets the system choose one.
-  void startVm(const std::string &Name, std::uint16_t PeerPort = 0);
+  void startTarget(const std::string &Name);
+  /// Starts a VM; the system chooses the ports that are zero.
+  void startVm(const std::string &Name, std::uint16_t PeerPort = 0,
+               std::uint16_t CallerPort = 0);
   void writeTargetRow(const std::string &Target, std::uint16_t Port,
                       const std::string &State, std::int64_t Incarnation,
                       std::optional<Millis> ColdRemaining);
@@ -137,6 +166,7 @@
 
   EntryFleetPlan Plan_;
   std::string Directory_;
+  std::vector<std::string> Vms_;
   /// The software versions of targets; the first one if there is none.
   std::map<std::string, std::string> SoftwareVersions_;
   std::map<std::string, std::unique_ptr<Process>> Processes_;
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -38,6 +38,9 @@
   Status listen(const Endpoint &Address) { return Server_.listen(Address); }
   std::uint16_t port() const { return Server_.port(); }
 
+  /// Keeps the records in a file as well.
+  void keepRecords(const std::string &Path) { Records_.keepIn(Path); }
+
 private:
   boost::asio::awaitable<void> handle(HttpExchange &Exchange);
   boost::asio::awaitable<void> stream(HttpExchange &Exchange);
--- a/Tests/Standins/RequestRecord.cpp
+++ b/Tests/Standins/RequestRecord.cpp
@@ -8,9 +8,16 @@
 
 using nlohmann::json;
 
+void RequestRecords::keepIn(const std::string &Path) {
+  File_.open(Path, std::ios::app);
+}
+
 void RequestRecords::add(std::string Event, json Fields) {
   Fields["event"] = std::move(Event);
   Fields["at_us"] = BootClock::now().time_since_epoch().count();
+  if (File_.is_open())
+    File_ << Fields.dump(-1, ' ', false, json::error_handler_t::replace)
+          << std::endl;
   Events_.push_back(std::move(Fields));
 }
 
--- a/Tests/Standins/RequestRecord.h
+++ b/Tests/Standins/RequestRecord.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <string>
 
 namespace anvil {
@@ -12,6 +13,9 @@
 /// The events that a stand-in recorded, for tests to check.
 class RequestRecords {
 public:
+  /// Also appends each event to a file, as a line of JSON.
+  void keepIn(const std::string &Path);
+
   /// Records an event with its fields and the current time.
   void add(std::string Event, nlohmann::json Fields);
 
@@ -19,6 +23,7 @@
   std::string text() const;
 
 private:
+  std::ofstream File_;
   nlohmann::json Events_ = nlohmann::json::array();
 };
 
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -52,6 +52,8 @@
       "registered-target");
   Add("id", options::value<std::string>()->default_value("target-1"),
       "the id of a registered target");
+  Add("records", options::value<std::string>(),
+      "the file in which a registered target keeps its records");
   Add("ready-file", options::value<std::string>()->required(),
       "write the ports to this file");
   Add("adapter-slots", options::value(&Behaviour.AdapterSlots_),
@@ -115,6 +117,8 @@
   if (Kind == "registered-target") {
     anvil::RegisteredTargetStandin Server(Loop.get_executor(),
                                           Variables["id"].as<std::string>());
+    if (Variables.count("records"))
+      Server.keepRecords(Variables["records"].as<std::string>());
     return serve(Loop, Server, ReadyPath);
   }
   if (Kind == "proxy") {
