--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -59,6 +59,8 @@
       "the start time that a registered target reports");
   std::uint16_t Port = 0;
   Add("port", options::value(&Port), "the port of a registered target");
+  Add("records", options::value<std::string>(),
+      "the file in which a registered target keeps its records");
   Add("ready-file", options::value<std::string>()->required(),
       "write the ports to this file");
   Add("adapter-slots", options::value(&Behaviour.AdapterSlots_),
@@ -123,6 +125,8 @@
     anvil::RegisteredTargetStandin Server(Loop.get_executor(),
                                           Variables["id"].as<std::string>(),
                                           std::move(Process));
+    if (Variables.count("records"))
+      Server.keepRecords(Variables["records"].as<std::string>());
     return serve(Loop, Server, ReadyPath, Port);
   }
   if (Kind == "proxy") {
