Bound the head lines of a reply that arrives in pieces

Beast's limit of the head holds for what one call of the parser sees, and complete lines are consumed at once, so lines that arrive in pieces had no limit. readHead counts all bytes and fields itself, as RequestReader does.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <optional>
@@ -32,6 +33,9 @@
 /// size line or the trailer of chunks.
 static constexpr std::size_t BufferLimitBytes = HeadLimitBytes;
 
+/// The size of the first read of a head.
+static constexpr std::size_t ReadBytes = 4096;
+
 /// What the buffer of an idle connection may keep.
 static constexpr std::size_t IdleBufferBytes = 4096;
 
@@ -65,6 +69,11 @@
 HttpConnection::HttpConnection(HttpConnection &&) noexcept = default;
 HttpConnection &HttpConnection::operator=(HttpConnection &&) noexcept = default;
 
+static std::ptrdiff_t
+fieldCount(const http::response_parser<http::buffer_body> &Parser) {
+  return std::distance(Parser.get().begin(), Parser.get().end());
+}
+
 static Error networkError(const std::string &Server, const error_code &Cause) {
   if (Cause == beast::error::timeout)
     return {ErrorCode::Timeout, Server, "no response before the timeout", ""};
@@ -149,10 +158,24 @@
   // Callers limit the size themselves as they read the parts.
   State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   State_->Parser_->skip(!HasBody);
+  // The parser itself limits a line of the head, but not their number.
+  std::size_t HeadBytes = 0;
   error_code Cause;
-  co_await http::async_read_header(
-      State_->Stream_, State_->Buffer_, *State_->Parser_,
-      asio::redirect_error(asio::use_awaitable, Cause));
+  while (!Cause && !State_->Parser_->is_header_done()) {
+    Cause = http::error::need_more;
+    if (State_->Buffer_.size() > 0) {
+      std::size_t Used = State_->Parser_->put(State_->Buffer_.data(), Cause);
+      State_->Buffer_.consume(Used);
+      HeadBytes += Used;
+    }
+    if (HeadBytes > HeadLimitBytes || fieldCount(*State_->Parser_) > MaxFields)
+      Cause = http::error::header_limit;
+    if (Cause == http::error::need_more)
+      Cause = co_await receive();
+    if (Cause == asio::error::eof)
+      Cause = State_->Parser_->got_some() ? http::error::partial_message
+                                          : http::error::end_of_stream;
+  }
   if (Cause) {
     close();
     co_return networkError(State_->Server_, Cause);
@@ -160,6 +183,20 @@
   co_return takeHead();
 }
 
+asio::awaitable<error_code> HttpConnection::receive() {
+  beast::flat_buffer &Buffer = State_->Buffer_;
+  std::size_t Room = BufferLimitBytes - Buffer.size();
+  if (Room == 0)
+    co_return http::error::buffer_overflow;
+  std::size_t Size =
+      std::min(Room, std::max(ReadBytes, Buffer.capacity() - Buffer.size()));
+  error_code Cause;
+  std::size_t Read = co_await State_->Stream_.async_read_some(
+      Buffer.prepare(Size), asio::redirect_error(asio::use_awaitable, Cause));
+  Buffer.commit(Read);
+  co_return Cause;
+}
+
 Result<HttpReplyHead> HttpConnection::takeHead() {
   if (!fitsLimits())
     return Error{ErrorCode::TooLarge, State_->Server_,
@@ -174,8 +211,7 @@
 }
 
 bool HttpConnection::fitsLimits() {
-  const auto &Response = State_->Parser_->get();
-  bool Fits = std::distance(Response.begin(), Response.end()) <= MaxFields &&
+  bool Fits = fieldCount(*State_->Parser_) <= MaxFields &&
               State_->Share_.resize(State_->Buffer_.capacity());
   if (!Fits) {
     State_->Parser_.reset();
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -9,6 +9,7 @@
 #include "Kernel/Clock.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -90,6 +91,8 @@
   struct State;
   boost::asio::awaitable<Result<HttpReplyHead>> readHead(bool HasBody);
 
+  /// Receives more bytes of a head into the buffer.
+  boost::asio::awaitable<boost::system::error_code> receive();
   Result<HttpReplyHead> takeHead();
   /// Whether what is buffered still fits the limits; closes otherwise.
   bool fitsLimits();
--- a/Tests/Integration/EndlessFramingTest.cpp
+++ b/Tests/Integration/EndlessFramingTest.cpp
@@ -32,10 +32,13 @@
 static std::vector<std::pair<std::string, EndlessReply>> endlessReplies() {
   std::string Piece(64 * 1024, 'x');
   std::string Fields = repeat("a:b\r\n", 60000);
+  EndlessReply Slow{"", false, "", repeat("a:b\r\n", 8000)};
+  Slow.Pause_ = Millis(1);
   EndlessReply Foreign{"", true, "", Piece, true};
   return {
       {"head line", {"X-Long: ", false, "", Piece}},
       {"head lines", {"", false, "", Fields}},
+      {"head lines that arrive in pieces", Slow},
       {"many head lines", {repeat("a:b\r\n", 60000), true, "", Piece}},
       {"chunk size", chunked("", repeat("0", 64 * 1024))},
       {"chunk extension", chunked("5;x=", Piece)},
--- a/Tests/Property/OutsideBytesProperty.cpp
+++ b/Tests/Property/OutsideBytesProperty.cpp
@@ -295,7 +295,7 @@
           claimTransaction({{Entry.Id_, "v", 7, 1}, 0, Entry.Id_, 3}, "v", 1,
                            2));
     TargetRoster Roster;
-    Roster.extendLapse(Now + Read->LapseRemaining_);
+    Roster.extendLapse(Read->LapseRemaining_, Now);
     Roster.applyList(Read->Changes_.Entries_, Now);
     Roster.lapseRemaining(Now);
   } else if (const auto *Reply = std::get_if<ClockReply>(&Message)) {
--- a/Tests/Standins/EndlessTarget.cpp
+++ b/Tests/Standins/EndlessTarget.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -93,6 +94,11 @@
         Caller, asio::buffer(Bytes),
         asio::redirect_error(asio::use_awaitable, Cause));
     Bytes = Reply.Repeated_;
+    if (Reply.Pause_.count() > 0) {
+      asio::steady_timer Timer(Loop_, Reply.Pause_);
+      co_await Timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, Cause));
+    }
   } while (!Cause && !Bytes.empty());
   if (Reply.IsHeld_)
     co_await Caller.async_wait(
--- a/Tests/Standins/EndlessTarget.h
+++ b/Tests/Standins/EndlessTarget.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -27,6 +28,8 @@
   /// Whether the connection stays open without another byte if nothing is
   /// repeated.
   bool IsHeld_ = false;
+  /// The pause after each repetition.
+  std::chrono::milliseconds Pause_{0};
   /// If set, gives the start of each body from the request's target.
   std::function<std::string(const std::string &Target)> Compose_{};
 };
