--- a/Tests/Standins/ScriptedTarget.cpp
+++ b/Tests/Standins/ScriptedTarget.cpp
@@ -1,7 +1,12 @@
 #include "Standins/ScriptedTarget.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <istream>
@@ -15,17 +20,13 @@
 ScriptedTarget::ScriptedTarget(std::string Id)
     : Id_(std::move(Id)), Loop_(1),
       Acceptor_(Loop_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      Thread_([this] { run(); }) {}
+      Port_(Acceptor_.local_endpoint().port()) {
+  asio::co_spawn(Loop_, accept(), asio::detached);
+  Thread_ = std::thread([this] { Loop_.run(); });
+}
 
 ScriptedTarget::~ScriptedTarget() {
-  {
-    std::lock_guard Lock(Mutex_);
-    Stopped_ = true;
-  }
-  // A connection of its own ends the blocking accept.
-  error_code Ignored;
-  tcp::socket Waker(Loop_);
-  Waker.connect(Acceptor_.local_endpoint(), Ignored);
+  Loop_.stop();
   Thread_.join();
 }
 
@@ -50,27 +51,25 @@
   return Reply;
 }
 
-void ScriptedTarget::run() {
+asio::awaitable<void> ScriptedTarget::accept() {
   while (true) {
     error_code Cause;
-    tcp::socket Caller(Loop_);
-    Acceptor_.accept(Caller, Cause);
-    {
-      std::lock_guard Lock(Mutex_);
-      if (Stopped_)
-        return;
-    }
-    if (!Cause)
-      serve(std::move(Caller));
+    tcp::socket Caller = co_await Acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, Cause));
+    if (Cause)
+      co_return;
+    asio::co_spawn(Loop_, serve(std::move(Caller)), asio::detached);
   }
 }
 
-void ScriptedTarget::serve(tcp::socket Caller) {
+asio::awaitable<void> ScriptedTarget::serve(tcp::socket Caller) {
   error_code Cause;
   asio::streambuf Buffer;
-  asio::read_until(Caller, Buffer, "\r\n\r\n", Cause);
+  co_await asio::async_read_until(
+      Caller, Buffer, "\r\n\r\n",
+      asio::redirect_error(asio::use_awaitable, Cause));
   if (Cause)
-    return;
+    co_return;
   std::istream Head(&Buffer);
   std::string Line;
   std::string RequestId;
@@ -98,10 +97,12 @@
   Bytes += Reply.Body_;
   if (Reply.SentBytes_)
     Bytes.resize(static_cast<std::size_t>(Sent) + (Sent < 0 ? HeadSize : 0));
-  asio::write(Caller, asio::buffer(Bytes), Cause);
+  co_await asio::async_write(Caller, asio::buffer(Bytes),
+                             asio::redirect_error(asio::use_awaitable, Cause));
   if (Reply.IsReset_) {
     // The caller has the bytes before the reset discards what it hasn't read.
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    asio::steady_timer Timer(Loop_, std::chrono::milliseconds(50));
+    co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Cause));
     Caller.set_option(asio::socket_base::linger(true, 0), Cause);
     Caller.close(Cause);
   }
--- a/Tests/Standins/ScriptedTarget.h
+++ b/Tests/Standins/ScriptedTarget.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_TESTS_STANDINS_SCRIPTEDTARGET_H
 #define ANVIL_TESTS_STANDINS_SCRIPTEDTARGET_H
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -28,8 +29,9 @@
 };
 
 /// A target on a thread of the test that replies byte for byte as the test
-/// says, with its seal, and then ends the connection. Each reply
-/// is for one request; the last one is kept. Reports list the model `base`.
+/// says, with its seal, and then ends the connection. Serves any number of
+/// connections at once, as targets do. Each reply is for one request; the last
+/// one is kept. Reports list the model `base`.
 class ScriptedTarget {
 public:
   explicit ScriptedTarget(std::string Id);
@@ -37,7 +39,7 @@
   ScriptedTarget(const ScriptedTarget &) = delete;
   ScriptedTarget &operator=(const ScriptedTarget &) = delete;
 
-  std::uint16_t port() const { return Acceptor_.local_endpoint().port(); }
+  std::uint16_t port() const { return Port_; }
 
   void script(std::deque<ScriptedReply> Replies);
 
@@ -45,17 +47,17 @@
   int requestCount() const;
 
 private:
-  void run();
-  void serve(boost::asio::ip::tcp::socket Caller);
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket Caller);
   ScriptedReply nextReply();
 
   std::string Id_;
   boost::asio::io_context Loop_;
   boost::asio::ip::tcp::acceptor Acceptor_;
+  std::uint16_t Port_;
   mutable std::mutex Mutex_;
   int Requests_ = 0;
   std::deque<ScriptedReply> Replies_;
-  bool Stopped_ = false;
   std::thread Thread_;
 };
 
