Count parsed heads, bound the list of targets, keep a margin after deadlines

An answer of the store above 8 MB could not be read at the default memory: 8 MB is the limit, and a stated length is reserved exactly.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -23,7 +23,7 @@
 namespace anvil {
 
 /// The maximum size of one answer of the store. Tables are read in pages.
-static constexpr std::size_t StoreReplyBytes = 16 * 1024 * 1024;
+static constexpr std::size_t StoreReplyBytes = 8 * 1024 * 1024;
 
 EntryDaemon::EntryDaemon(EntrySettings Settings)
     : Settings_(std::move(Settings)), Incarnation_(randomHex(8)), Loop_(1),
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -34,7 +34,7 @@
 static constexpr std::string_view ReplyTooLong = "answer_too_long";
 
 TimePoint RequestRun::replyDeadline() const {
-  return std::max(Request_.Deadline_, BootClock::now() + ReplyMargin);
+  return std::max(Request_.Deadline_, BootClock::now()) + ReplyMargin;
 }
 
 asio::awaitable<Result<HttpReplyHead>>
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -373,6 +373,8 @@
   Shared_.ColdTargets_->countSend(Chosen.Target_, Chosen.Incarnation_,
                                   BootClock::now());
   HttpRequest Outgoing = targetRequest(Chosen, BootClock::now());
+  // The caller's request has the same body and is counted.
+  Outgoing.Body_ = std::string();
   ++Sends_;
   ++Runs_;
   Duration Timeout = std::max<Duration>(timeLeft(), ReplyMargin);
@@ -383,8 +385,8 @@
   IsOutdated_ = false;
   if (!Query_.Adapter_.empty())
     AwaitedVersion_ = Chosen.HeldVersion_;
-  auto Head = co_await Connection_.exchange(Outgoing, Timeout);
-  Outgoing = HttpRequest();
+  auto Head = co_await Connection_.exchange(Outgoing, Exchange_.request().Body_,
+                                            Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   AwaitedVersion_.reset();
   TimePoint Now = BootClock::now();
--- a/Source/Entry/TargetListService.cpp
+++ b/Source/Entry/TargetListService.cpp
@@ -11,6 +11,9 @@
 
 namespace asio = boost::asio;
 
+/// The maximum number of models and adapters that all targets list together.
+static constexpr std::size_t MaxListedNames = 250000;
+
 static ReadRotationOptions rotationOptions(const EntrySettings &Settings) {
   ReadRotationOptions Options;
   Options.Period_ =
@@ -39,6 +42,34 @@
          *ConfirmedAt_ + ReadRotation_.maxSnapshotAge(ReadRank_()) <= Now;
 }
 
+/// The number of models and adapters that an entry lists.
+static std::size_t listedNames(const RegisteredTarget &Entry) {
+  std::size_t Count = Entry.Models_.size();
+  for (const auto &[Name, Held] : Entry.Models_)
+    Count += Held.Adapters_.size();
+  return Count;
+}
+
+/// Decodes the list as far as there is memory for it.
+static std::vector<RegisteredTarget>
+decodeEntries(const std::vector<TableRow> &Rows) {
+  std::vector<RegisteredTarget> Entries;
+  std::size_t Names = 0;
+  for (const TableRow &Row : Rows) {
+    auto Entry = platform::decodeRegisteredTarget(Row.Key_, Row.Value_);
+    if (!Entry)
+      continue;
+    Names += listedNames(*Entry);
+    if (Names > MaxListedNames) {
+      logEvent(LogLevel::Error, "target_list_too_long",
+               {{"entries", Entries.size()}, {"rows", Rows.size()}});
+      break;
+    }
+    Entries.push_back(std::move(*Entry));
+  }
+  return Entries;
+}
+
 asio::awaitable<void> TargetListService::follow() {
   while (true) {
     while (!isReadDue(BootClock::now())) {
@@ -60,10 +91,7 @@
     // arrived.
     if (ConfirmedAt_ && *ConfirmedAt_ > RequestedAt)
       continue;
-    std::vector<RegisteredTarget> Entries;
-    for (const TableRow &Row : valueOf(Page).Rows_)
-      if (auto Entry = platform::decodeRegisteredTarget(Row.Key_, Row.Value_))
-        Entries.push_back(std::move(*Entry));
+    std::vector<RegisteredTarget> Entries = decodeEntries(valueOf(Page).Rows_);
     TimePoint Now = BootClock::now();
     ConfirmedAt_ = RequestedAt;
     Listing_.replace(Entries, Now);
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -29,6 +29,9 @@
 /// Each takes far more memory than the few bytes it can have on the wire.
 static constexpr std::ptrdiff_t MaxFields = 256;
 
+/// The memory of a header field besides its text, in bytes.
+static constexpr std::size_t FieldBytes = 160;
+
 /// The maximum size of what has arrived and can't be parsed yet: a head, or the
 /// size line or the trailer of chunks.
 static constexpr std::size_t BufferLimitBytes = HeadLimitBytes;
@@ -74,6 +77,15 @@
   return std::distance(Parser.get().begin(), Parser.get().end());
 }
 
+/// The memory of a parsed head.
+static std::size_t
+headMemory(const http::response_parser<http::buffer_body> &Parser) {
+  std::size_t Bytes = 0;
+  for (const auto &Field : Parser.get())
+    Bytes += FieldBytes + Field.name_string().size() + Field.value().size();
+  return Bytes;
+}
+
 static Error networkError(const std::string &Server, const error_code &Cause) {
   if (Cause == beast::error::timeout)
     return {ErrorCode::Timeout, Server, "no response before the timeout", ""};
@@ -115,7 +127,8 @@
 }
 
 asio::awaitable<Result<HttpReplyHead>>
-HttpConnection::exchange(const HttpRequest &Request, Duration Timeout) {
+HttpConnection::exchange(const HttpRequest &Request, std::string_view Body,
+                         Duration Timeout) {
   // The body is not copied: the connection may wait long for the response.
   http::request<http::span_body<const char>> Message;
   Message.method_string(Request.Method_);
@@ -125,14 +138,13 @@
     Message.set(http::field::host, State_->Server_);
   for (const HttpHeader &Header : Request.Headers_)
     Message.insert(Header.Name_, Header.Value_);
-  Message.body() = {Request.Body_.data(), Request.Body_.size()};
+  Message.body() = {Body.data(), Body.size()};
   // Unlike `prepare_payload`, this throws for no method.
-  bool NamesLength = !Request.Body_.empty() ||
-                     Message.method() == http::verb::options ||
+  bool NamesLength = !Body.empty() || Message.method() == http::verb::options ||
                      Message.method() == http::verb::post ||
                      Message.method() == http::verb::put;
   if (NamesLength)
-    Message.content_length(Request.Body_.size());
+    Message.content_length(Body.size());
 
   State_->RequestSent_ = true;
   State_->Stream_.expires_after(Timeout);
@@ -168,8 +180,9 @@
       State_->Buffer_.consume(Used);
       HeadBytes += Used;
     }
-    if (HeadBytes > HeadLimitBytes || fieldCount(*State_->Parser_) > MaxFields)
-      Cause = http::error::header_limit;
+    bool Fits = HeadBytes <= HeadLimitBytes && fitsLimits();
+    if (!Fits)
+      co_return tooManyFields();
     if (Cause == http::error::need_more)
       Cause = co_await receive();
     if (Cause == asio::error::eof)
@@ -199,8 +212,7 @@
 
 Result<HttpReplyHead> HttpConnection::takeHead() {
   if (!fitsLimits())
-    return Error{ErrorCode::TooLarge, State_->Server_,
-                 "sent too many headers, or there is no memory for them", ""};
+    return tooManyFields();
   HttpReplyHead Head;
   const auto &Response = State_->Parser_->get();
   Head.Status_ = static_cast<int>(Response.result_int());
@@ -210,9 +222,21 @@
   return Head;
 }
 
+Error HttpConnection::tooManyFields() const {
+  return {ErrorCode::TooLarge, State_->Server_,
+          "sent too many headers, or there is no memory for them", ""};
+}
+
+bool HttpConnection::countBuffers() {
+  std::size_t Bytes = State_->Buffer_.capacity();
+  // The head is copied to the caller's reply.
+  if (State_->Parser_)
+    Bytes += 2 * headMemory(*State_->Parser_);
+  return State_->Share_.resize(Bytes);
+}
+
 bool HttpConnection::fitsLimits() {
-  bool Fits = fieldCount(*State_->Parser_) <= MaxFields &&
-              State_->Share_.resize(State_->Buffer_.capacity());
+  bool Fits = fieldCount(*State_->Parser_) <= MaxFields && countBuffers();
   if (!Fits) {
     State_->Parser_.reset();
     close();
@@ -252,15 +276,15 @@
       co_return std::string(Piece.data(), Read);
   }
   if (!State_->Parser_)
-    co_return Error{ErrorCode::TooLarge, State_->Server_,
-                    "sent too many headers, or there is no memory for them",
-                    ""};
+    co_return tooManyFields();
   State_->Stream_.expires_never();
   co_return std::string();
 }
 
 asio::awaitable<Status> HttpConnection::readBody(ReceivedBody &Body,
                                                  TimePoint Deadline) {
+  if (auto Length = State_->Parser_->content_length())
+    Body.expect(*Length);
   while (true) {
     auto Part = co_await readPart(Deadline - BootClock::now());
     if (!isOk(Part))
@@ -279,7 +303,7 @@
   if (!State_ || State_->Buffer_.capacity() <= IdleBufferBytes)
     return;
   State_->Buffer_.shrink_to_fit();
-  State_->Share_.resize(State_->Buffer_.capacity());
+  countBuffers();
 }
 
 BodyFraming HttpConnection::framing() const {
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace anvil {
 
@@ -39,7 +40,13 @@
   /// `Host` header is the server's address unless the request sets it.
   /// Errors: timeout, connection closed, protocol, too large.
   boost::asio::awaitable<Result<HttpReplyHead>>
-  exchange(const HttpRequest &Request, Duration Timeout);
+  exchange(const HttpRequest &Request, Duration Timeout) {
+    return exchange(Request, Request.Body_, Timeout);
+  }
+
+  /// The same with a body that the caller keeps, in place of the request's.
+  boost::asio::awaitable<Result<HttpReplyHead>>
+  exchange(const HttpRequest &Request, std::string_view Body, Duration Timeout);
 
   /// Reads the head of another response after a complete one, without sending a
   /// request: for servers that first send the response to an earlier request.
@@ -94,6 +101,9 @@
   /// Receives more bytes of a head into the buffer.
   boost::asio::awaitable<boost::system::error_code> receive();
   Result<HttpReplyHead> takeHead();
+  Error tooManyFields() const;
+  /// Counts what is buffered. False if there is no memory for it.
+  bool countBuffers();
   /// Whether what is buffered still fits the limits; closes otherwise.
   bool fitsLimits();
 
--- a/Source/Http/ReceivedBody.cpp
+++ b/Source/Http/ReceivedBody.cpp
@@ -17,7 +17,7 @@
     // Counted before it is allocated; appending would grow it by a factor that
     // is not known.
     std::size_t Capacity = std::min(std::max(Size, 2 * Bytes_.capacity()),
-                                    std::max(Size, MaxBytes_));
+                                    std::max(Size, ExpectedBytes_));
     if (!Share_->resize(Capacity)) {
       Bytes_ = std::string();
       return noRoom();
--- a/Source/Http/ReceivedBody.h
+++ b/Source/Http/ReceivedBody.h
@@ -4,7 +4,9 @@
 #include "Kernel/BufferBudget.h"
 #include "Kernel/Error.h"
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,10 +28,16 @@
   /// `OnRevoke` is called if the body must give way to other messages while it
   /// is incomplete; it should close the connection.
   ReceivedBody(const ReceiveLimits &Limits, std::function<void()> OnRevoke)
-      : MaxBytes_(Limits.BodyBytes_),
+      : MaxBytes_(Limits.BodyBytes_), ExpectedBytes_(MaxBytes_),
         Share_(std::make_unique<BufferShare>(Limits.Budget_,
                                              std::move(OnRevoke))) {}
 
+  /// Says that the body has a length, so that no more is reserved for it.
+  void expect(std::uint64_t Bytes) {
+    ExpectedBytes_ =
+        static_cast<std::size_t>(std::min<std::uint64_t>(Bytes, MaxBytes_));
+  }
+
   /// Adds a part. Errors: too large, if the body exceeds its limit or must give
   /// way to others.
   Status append(std::string_view Part);
@@ -43,6 +51,7 @@
 
 private:
   std::size_t MaxBytes_;
+  std::size_t ExpectedBytes_;
   std::string Bytes_;
   std::unique_ptr<BufferShare> Share_;
 };
