Drop replies that their callers don't read

Callers saw: others that never read their replies ended the VM, or, since all replies share a budget, left all other large replies with 502 for as long as they stayed connected.

Cause: a write to a caller had no limit of time, and a whole reply kept its part of the budget until it was written.

Now a connection whose caller acknowledges nothing of a response for 20 s is reset; callers that read slowly are served. From the first of 16 checks without progress on, a whole reply yields: it gives way to others, before replies that are still arriving.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -112,7 +112,7 @@
   HttpReplyHead CallerHead = platform::encodeCallerHead(Head);
   HttpReply Reply{CallerHead.Status_, std::move(CallerHead.Headers_), {}};
   ReceivedBody Body({MaxReplyBytes, Shared_.Pool_.limits().Budget_},
-                    [this] { Connection_.close(); });
+                    [this] { giveWay(); });
   Status Read = co_await Connection_.readBody(Body, replyDeadline());
   Result<std::string> Whole = isOk(Read) ? Body.finish() : errorOf(Read);
   if (!isOk(Whole)) {
@@ -134,17 +134,28 @@
   if (Response.Status_ >= 500) {
     LastReason_ = "target_failed";
     Failure_ = std::move(Reply);
-    FailureShare_ = Body.takeShare();
+    ReplyShare_ = Body.takeShare();
     co_return SendOutcome::Failed;
   }
   int Status = Reply.Status_;
   if (Status < 300)
     recordSuccess(Chosen, endProof(), BootClock::now());
+  ReplyShare_ = Body.takeShare();
+  yieldIfUnread();
   bool IsSent = co_await Exchange_.respond(std::move(Reply));
   logReply(IsSent, "served", Status);
   co_return SendOutcome::Done;
 }
 
+void RequestRun::giveWay() {
+  Connection_.close();
+  Exchange_.giveWayIfUnread();
+}
+
+void RequestRun::yieldIfUnread() {
+  Exchange_.setUnreadHandler([this] { ReplyShare_->yield(); });
+}
+
 SuccessProof RequestRun::endProof() const {
   return Framing_ == BodyFraming::UntilClose ? SuccessProof::EndOfConnection
                                              : SuccessProof::Complete;
@@ -172,8 +183,7 @@
   StreamPace Pace;
   StreamEndCheck EndCheck;
   TimePoint Deadline = replyDeadline();
-  BufferShare EventShare(Shared_.Pool_.limits().Budget_,
-                         [this] { Connection_.close(); });
+  BufferShare EventShare(Shared_.Pool_.limits().Budget_, [this] { giveWay(); });
   while (true) {
     auto Chunk = co_await Connection_.readPart(Deadline - BootClock::now());
     if (!isOk(Chunk)) {
@@ -286,6 +296,7 @@
   }
   if (Failure_) {
     int Status = Failure_->Status_;
+    yieldIfUnread();
     bool IsSent = co_await Exchange_.respond(std::move(*Failure_));
     logReply(IsSent, "target_failed", Status);
     co_return;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -187,6 +187,11 @@
   bool isPartRefused(TimePoint Now) const;
   /// What a complete response shows.
   SuccessProof endProof() const;
+  /// Ends the connection to the target, and that to the caller if it doesn't
+  /// read.
+  void giveWay();
+  /// Lets the reply give way to others while the caller doesn't read it.
+  void yieldIfUnread();
   /// Records that the request has worked at a target.
   void recordSuccess(const TargetChoice &Chosen, SuccessProof Proof,
                      TimePoint Now);
@@ -236,7 +241,7 @@
   int Sends_ = 0;
   bool HeadSent_ = false;
   std::optional<HttpReply> Failure_;
-  std::unique_ptr<BufferShare> FailureShare_;
+  std::unique_ptr<BufferShare> ReplyShare_;
   std::string LastTarget_;
   /// The version of that target's software.
   std::string LastSoftware_;
--- a/Source/Http/HttpExchange.cpp
+++ b/Source/Http/HttpExchange.cpp
@@ -43,6 +43,7 @@
   Message.keep_alive(Owner_.decideKeepAlive());
   Message.prepare_payload();
   error_code Cause;
+  Owner_.beginWrite();
   if (Request_.Method_ == "HEAD") {
     http::response_serializer<http::string_body> Serializer(Message);
     co_await http::async_write_header(
@@ -53,6 +54,7 @@
         Owner_.Stream_, Message,
         asio::redirect_error(asio::use_awaitable, Cause));
   }
+  Owner_.endWrite();
   co_return !Cause;
 }
 
@@ -67,9 +69,11 @@
   Message.chunked(true);
   http::response_serializer<http::empty_body> Serializer(Message);
   error_code Cause;
+  Owner_.beginWrite();
   co_await http::async_write_header(
       Owner_.Stream_, Serializer,
       asio::redirect_error(asio::use_awaitable, Cause));
+  Owner_.endWrite();
   co_return !Cause;
 }
 
@@ -77,9 +81,11 @@
   if (Piece.empty() || Request_.Method_ == "HEAD")
     co_return true;
   error_code Cause;
+  Owner_.beginWrite();
   co_await asio::async_write(Owner_.Stream_,
                              http::make_chunk(asio::buffer(Piece)),
                              asio::redirect_error(asio::use_awaitable, Cause));
+  Owner_.endWrite();
   co_return !Cause;
 }
 
@@ -87,8 +93,10 @@
   if (Request_.Method_ == "HEAD")
     co_return true;
   error_code Cause;
+  Owner_.beginWrite();
   co_await asio::async_write(Owner_.Stream_, http::make_chunk_last(),
                              asio::redirect_error(asio::use_awaitable, Cause));
+  Owner_.endWrite();
   co_return !Cause;
 }
 
@@ -102,6 +110,12 @@
   Owner_.DisconnectHandler_ = std::move(Call);
 }
 
+void HttpExchange::setUnreadHandler(std::function<void()> Call) {
+  Owner_.UnreadHandler_ = std::move(Call);
+}
+
+void HttpExchange::giveWayIfUnread() { Owner_.giveWayIfUnread(); }
+
 void HttpExchange::abort() {
   Owner_.KeepAlive_ = false;
   Owner_.CallerDisconnected_ = true;
--- a/Source/Http/HttpExchange.h
+++ b/Source/Http/HttpExchange.h
@@ -47,6 +47,14 @@
   /// request has ended.
   void setDisconnectHandler(std::function<void()> Call);
 
+  /// Sets the function that is called while the caller doesn't read a response,
+  /// until the request has ended.
+  void setUnreadHandler(std::function<void()> Call);
+
+  /// Closes the connection if the caller doesn't read the response, or as soon
+  /// as it doesn't.
+  void giveWayIfUnread();
+
   /// Closes the connection at once, even in the middle of a response. The
   /// caller counts as disconnected from then on.
   void abort();
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -104,8 +104,7 @@
 void HttpServer::Core::add(tcp::socket Socket) {
   if (Connections_.size() - Displaced_ >= Limits_.Connections_)
     makeRoom();
-  auto Client =
-      std::make_shared<ServerConnection>(std::move(Socket), Limits_.Budget_);
+  auto Client = std::make_shared<ServerConnection>(std::move(Socket), Limits_);
   Client->end(Ending_);
   Connections_.insert(Client);
   Client->List_ = &Idle_;
@@ -183,6 +182,7 @@
       Client->watchForDisconnect();
       co_await Handle_(Exchange);
       Client->DisconnectHandler_ = {};
+      Client->UnreadHandler_ = {};
     }
     Client->releaseRequest();
     --Running_;
--- a/Source/Http/HttpServerLimits.h
+++ b/Source/Http/HttpServerLimits.h
@@ -21,6 +21,10 @@
   Duration BodyTime_ = std::chrono::seconds(15);
   /// The maximum idle time of a connection between requests.
   Duration IdleTime_ = std::chrono::seconds(75);
+  /// How long a caller may read nothing of a response until its connection is
+  /// closed; callers that read slowly are served. Connections keep the limit
+  /// that was set when they were accepted.
+  Duration UnreadTime_ = std::chrono::seconds(20);
   /// What the requests of all connections share from their arrival until they
   /// have been answered; no limit if absent. Connections keep the budget that
   /// was set when they were accepted.
--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "Http/ServerConnection.h"
 
+#include "Http/AcknowledgedBytes.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -32,13 +34,18 @@
 /// How often reads that exceed their timeout are cancelled again.
 static constexpr Duration CancelPeriod = std::chrono::milliseconds(50);
 
+/// How often the caller's progress is checked within the time that it may read
+/// nothing.
+static constexpr int ProgressChecks = 16;
+
 /// How long a caller may take to close its side after the last response.
 static constexpr Duration LingerTime = std::chrono::seconds(1);
 
 ServerConnection::ServerConnection(tcp::socket Socket,
-                                   std::shared_ptr<BufferBudget> Budget)
+                                   const HttpServerLimits &Limits)
     : Stream_(std::move(Socket)), ReadTimer_(Stream_.get_executor()),
-      Share_(std::move(Budget), [this] { giveWay(); }) {}
+      UnreadTime_(Limits.UnreadTime_), WriteTimer_(Stream_.get_executor()),
+      Share_(Limits.Budget_, [this] { giveWay(); }) {}
 
 void ServerConnection::close() {
   error_code Ignored;
@@ -76,6 +83,63 @@
   ReadTimer_.cancel();
 }
 
+void ServerConnection::beginWrite() {
+  ++WriteId_;
+  Acknowledged_ = 0;
+  ProgressAt_ = BootClock::now();
+  IsUnread_ = false;
+  superviseWrite();
+}
+
+void ServerConnection::superviseWrite() {
+  WriteTimer_.expires_after(WriteCancelled_ ? CancelPeriod
+                                            : UnreadTime_ / ProgressChecks);
+  WriteTimer_.async_wait(
+      [Self = shared_from_this(), Write = WriteId_](error_code Cause) {
+        if (Cause || Write != Self->WriteId_)
+          return;
+        Self->checkProgress();
+        Self->superviseWrite();
+      });
+}
+
+void ServerConnection::checkProgress() {
+  std::uint64_t Acknowledged =
+      acknowledgedBytes(Stream_.socket().native_handle());
+  IsUnread_ = std::exchange(Acknowledged_, Acknowledged) == Acknowledged;
+  TimePoint Now = BootClock::now();
+  if (!IsUnread_)
+    ProgressAt_ = Now;
+  else if (UnreadHandler_)
+    UnreadHandler_();
+  if (Now - ProgressAt_ >= UnreadTime_)
+    MustBeRead_ = true;
+  if (MustBeRead_)
+    giveWayIfUnread();
+}
+
+void ServerConnection::giveWayIfUnread() {
+  MustBeRead_ = true;
+  if (!IsUnread_)
+    return;
+  WriteCancelled_ = true;
+  Stream_.cancel();
+}
+
+void ServerConnection::endWrite() {
+  ++WriteId_;
+  WriteTimer_.cancel();
+  IsUnread_ = false;
+  if (!WriteCancelled_)
+    return;
+  KeepAlive_ = false;
+  // What is left in the socket's buffer would be kept for a caller that doesn't
+  // read it.
+  error_code Ignored;
+  Stream_.socket().set_option(asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
 void ServerConnection::limitBuffer(std::size_t HeadBytes) {
   Buffer_.max_size(std::max(HeadBytes, Buffer_.size()) + FirstReadBytes);
 }
@@ -131,6 +195,7 @@
   BodyShare_.reset();
   HeadBytes_ = 0;
   GaveWay_ = false;
+  MustBeRead_ = false;
 }
 
 bool ServerConnection::hasInput() {
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_HTTP_SERVERCONNECTION_H
 #define ANVIL_HTTP_SERVERCONNECTION_H
 
+#include "Http/HttpServerLimits.h"
 #include "Kernel/BufferBudget.h"
 #include "Kernel/Clock.h"
 
@@ -36,9 +37,9 @@
 /// from the socket could be lost.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-  /// What arrives counts in `Budget` if there is one.
+  /// What arrives counts in the budget if there is one.
   ServerConnection(boost::asio::ip::tcp::socket Socket,
-                   std::shared_ptr<BufferBudget> Budget);
+                   const HttpServerLimits &Limits);
 
   void close();
   bool isOpen() const { return Stream_.socket().is_open(); }
@@ -70,6 +71,18 @@
   void setReadTimeout(Duration Time);
   void clearReadTimeout();
 
+  /// Cancels the write that starts now once the caller has read nothing for too
+  /// long.
+  void beginWrite();
+
+  /// Ends the supervision of a write, and closes the connection if it was
+  /// cancelled.
+  void endWrite();
+
+  /// Cancels the current write if the caller doesn't read, or as soon as it
+  /// doesn't.
+  void giveWayIfUnread();
+
   /// Sets the maximum size of what has arrived and can't be parsed yet.
   void limitBuffer(std::size_t HeadBytes);
 
@@ -106,9 +119,13 @@
   /// Whether it ends to make room for another connection.
   bool Displaced_ = false;
   std::function<void()> DisconnectHandler_;
+  /// Called when the caller stops to read a response.
+  std::function<void()> UnreadHandler_;
 
 private:
   void cancelReadsAfter(Duration Time);
+  void superviseWrite();
+  void checkProgress();
   bool countBuffers();
   /// Whether bytes of the next request have arrived.
   bool hasInput();
@@ -118,6 +135,16 @@
   /// still be called.
   std::uint64_t ReadTimeoutId_ = 0;
   bool ReadTimedOut_ = false;
+  Duration UnreadTime_;
+  boost::asio::steady_timer WriteTimer_;
+  /// The id of the latest write, as `ReadTimeoutId_`.
+  std::uint64_t WriteId_ = 0;
+  /// What the caller had acknowledged when it last made progress, and when.
+  std::uint64_t Acknowledged_ = 0;
+  TimePoint ProgressAt_{};
+  bool IsUnread_ = false;
+  bool MustBeRead_ = false;
+  bool WriteCancelled_ = false;
   ConnectionEnding Ending_ = ConnectionEnding::None;
   std::size_t ResponsesSinceEnd_ = 0;
   BufferShare Share_;
--- a/Source/Kernel/BufferBudget.cpp
+++ b/Source/Kernel/BufferBudget.cpp
@@ -1,7 +1,13 @@
 #include "Kernel/BufferBudget.h"
 
+#include <utility>
+
 namespace anvil {
 
+std::size_t BufferBudget::rank(const BufferShare &Share) const {
+  return Share.Bytes_ + (Share.Yielded_ ? Limit_ : 0);
+}
+
 bool BufferBudget::resize(BufferShare &Share, std::size_t Bytes) {
   if (Share.Revoked_)
     return false;
@@ -18,7 +24,7 @@
   if (WasRetained)
     Retained_ += Bytes;
   else if (Bytes > 0)
-    Revocable_.insert({Bytes, &Share});
+    Revocable_.insert({rank(Share), &Share});
   while (Held_ > Limit_) {
     // Only what can't be revoked is left, so the newest claim gives way.
     BufferShare *Largest =
@@ -42,19 +48,29 @@
     revoke(Share);
     return false;
   }
-  Revocable_.erase({Share.Bytes_, &Share});
+  Revocable_.erase({rank(Share), &Share});
   Share.Retained_ = true;
   Retained_ += Share.Bytes_;
   return true;
 }
 
 void BufferBudget::release(BufferShare &Share) {
-  Revocable_.erase({Share.Bytes_, &Share});
+  Revocable_.erase({rank(Share), &Share});
   Held_ -= Share.Bytes_;
   if (Share.Retained_)
     Retained_ -= Share.Bytes_;
   Share.Bytes_ = 0;
   Share.Retained_ = false;
+  Share.Yielded_ = false;
+}
+
+void BufferBudget::yield(BufferShare &Share) {
+  if (!std::exchange(Share.Retained_, false))
+    return;
+  Share.Yielded_ = true;
+  Retained_ -= Share.Bytes_;
+  if (Share.Bytes_ > 0)
+    Revocable_.insert({rank(Share), &Share});
 }
 
 void BufferBudget::revoke(BufferShare &Share) {
@@ -82,6 +98,11 @@
 
 bool BufferShare::retain() { return !Budget_ || Budget_->retain(*this); }
 
+void BufferShare::yield() {
+  if (Budget_)
+    Budget_->yield(*this);
+}
+
 void BufferShare::release() {
   if (Budget_)
     Budget_->release(*this);
--- a/Source/Kernel/BufferBudget.h
+++ b/Source/Kernel/BufferBudget.h
@@ -39,13 +39,16 @@
   bool resize(BufferShare &Share, std::size_t Bytes);
   bool retain(BufferShare &Share);
   void release(BufferShare &Share);
+  void yield(BufferShare &Share);
+  /// The order in which shares are revoked: yielded ones first, each by size.
+  std::size_t rank(const BufferShare &Share) const;
   void revoke(BufferShare &Share);
 
   std::size_t Limit_;
   std::size_t Held_ = 0;
   /// The part of `Held_` in shares that can't be revoked.
   std::size_t Retained_ = 0;
-  /// The shares that may be revoked, by their size.
+  /// The shares that may be revoked, by their rank.
   std::set<std::pair<std::size_t, BufferShare *>> Revocable_;
 };
 
@@ -71,6 +74,9 @@
   /// no room, and the share then holds none.
   bool retain();
 
+  /// Makes a share that was retained revocable again, before all others.
+  void yield();
+
   /// Gives all bytes back; the share can be used again.
   void release();
 
@@ -85,6 +91,7 @@
   std::size_t Bytes_ = 0;
   bool Retained_ = false;
   bool Revoked_ = false;
+  bool Yielded_ = false;
 };
 
 } // namespace anvil
--- a/Tests/Unit/BufferBudgetTest.cpp
+++ b/Tests/Unit/BufferBudgetTest.cpp
@@ -42,6 +42,18 @@
     REQUIRE(Large.retain());
     CHECK_FALSE(Small.resize(Half + 1));
     CHECK_FALSE(Large.isRevoked());
+    SECTION("until it yields; it then gives way before larger ones") {
+      Small.release();
+      Large.release();
+      REQUIRE(Large.resize(Half - 1000));
+      REQUIRE(Large.retain());
+      REQUIRE(Small.resize(Half + 1000));
+      Large.yield();
+      BufferShare Third(Budget);
+      CHECK(Third.resize(1));
+      CHECK(Large.isRevoked());
+      CHECK_FALSE(Small.isRevoked());
+    }
     SECTION("but large ones retain half of the budget at most") {
       BufferShare Third(Budget);
       REQUIRE(Third.resize(BufferBudget::SmallShareBytes + 1));
