Supervise all writes of a connection with one timer

A timer for each event of each stream is dear on a VM of a quarter of a core. A reply that had to give way says nothing of its target's health, so that isn't recorded as a failure. promise-unread-reply, endless-sum, endless-answer, entry-stop and stream-ending pass.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -118,7 +118,7 @@
   if (!isOk(Whole)) {
     bool IsTooLong = errorOf(Whole).Code_ == ErrorCode::TooLarge;
     LastReason_ = IsTooLong ? ReplyTooLong : "answer_cut";
-    if (!isCancelled())
+    if (!isCancelled() && !Body.gaveWay())
       Shared_.Picker_->health().recordResponse(Chosen.Target_, true, {},
                                                BootClock::now());
     co_return SendOutcome::Lost;
--- a/Source/Http/ReceivedBody.h
+++ b/Source/Http/ReceivedBody.h
@@ -46,6 +46,9 @@
   /// Errors: too large, if there is no room to keep it.
   Result<std::string> finish();
 
+  /// Whether it had to give way to other messages.
+  bool gaveWay() const { return Share_ && Share_->isRevoked(); }
+
   /// What the body still counts for, for owners that keep it longer.
   std::unique_ptr<BufferShare> takeShare() { return std::move(Share_); }
 
--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -48,6 +48,7 @@
       Share_(Limits.Budget_, [this] { giveWay(); }) {}
 
 void ServerConnection::close() {
+  WriteTimer_.cancel();
   error_code Ignored;
   Stream_.socket().close(Ignored);
 }
@@ -84,31 +85,36 @@
 }
 
 void ServerConnection::beginWrite() {
-  ++WriteId_;
-  Acknowledged_ = 0;
-  ProgressAt_ = BootClock::now();
+  IsWriting_ = true;
+  WriteBeganAt_ = BootClock::now();
+  ProgressAt_ = WriteBeganAt_;
   IsUnread_ = false;
-  superviseWrite();
+  // One timer serves many writes, since most of them end at once.
+  if (!std::exchange(IsSupervised_, true))
+    superviseWrites();
 }
 
-void ServerConnection::superviseWrite() {
+void ServerConnection::superviseWrites() {
   WriteTimer_.expires_after(WriteCancelled_ ? CancelPeriod
                                             : UnreadTime_ / ProgressChecks);
-  WriteTimer_.async_wait(
-      [Self = shared_from_this(), Write = WriteId_](error_code Cause) {
-        if (Cause || Write != Self->WriteId_)
-          return;
-        Self->checkProgress();
-        Self->superviseWrite();
-      });
+  WriteTimer_.async_wait([Self = shared_from_this()](error_code Cause) {
+    Self->IsSupervised_ = !Cause && Self->IsWriting_;
+    if (!Self->IsSupervised_)
+      return;
+    Self->checkProgress();
+    Self->superviseWrites();
+  });
 }
 
 void ServerConnection::checkProgress() {
+  TimePoint Now = BootClock::now();
   std::uint64_t Acknowledged =
       acknowledgedBytes(Stream_.socket().native_handle());
-  IsUnread_ = std::exchange(Acknowledged_, Acknowledged) == Acknowledged;
-  TimePoint Now = BootClock::now();
-  if (!IsUnread_)
+  bool HasProgress = std::exchange(Acknowledged_, Acknowledged) != Acknowledged;
+  if (Now - WriteBeganAt_ < UnreadTime_ / ProgressChecks)
+    return;
+  IsUnread_ = !HasProgress;
+  if (HasProgress)
     ProgressAt_ = Now;
   else if (UnreadHandler_)
     UnreadHandler_();
@@ -127,8 +133,7 @@
 }
 
 void ServerConnection::endWrite() {
-  ++WriteId_;
-  WriteTimer_.cancel();
+  IsWriting_ = false;
   IsUnread_ = false;
   if (!WriteCancelled_)
     return;
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -124,7 +124,7 @@
 
 private:
   void cancelReadsAfter(Duration Time);
-  void superviseWrite();
+  void superviseWrites();
   void checkProgress();
   bool countBuffers();
   /// Whether bytes of the next request have arrived.
@@ -137,8 +137,10 @@
   bool ReadTimedOut_ = false;
   Duration UnreadTime_;
   boost::asio::steady_timer WriteTimer_;
-  /// The id of the latest write, as `ReadTimeoutId_`.
-  std::uint64_t WriteId_ = 0;
+  /// Whether the timer runs, and whether a write does.
+  bool IsSupervised_ = false;
+  bool IsWriting_ = false;
+  TimePoint WriteBeganAt_{};
   /// What the caller had acknowledged when it last made progress, and when.
   std::uint64_t Acknowledged_ = 0;
   TimePoint ProgressAt_{};
