Clamp the counts of running requests that other VMs state

A datagram that was changed on the way could state counts at the ends of their types' ranges; the view of the fleet adds and subtracts them over VMs and targets, which overflows (undefined behaviour).

Counts of requests and of tokens are now clamped where they are decoded, as durations are, so that what is added is also what is subtracted. The wire format stays as it is.

--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -17,6 +17,11 @@
 inline constexpr Duration MaxEncodedDuration =
     std::chrono::hours(24 * 365 * 100);
 
+/// Counts outside the range from 0 to these are clamped, so that sums over all
+/// targets and VMs don't overflow; no VM runs that much at one target.
+inline constexpr int MaxEncodedRequests = 100'000;
+inline constexpr std::int64_t MaxEncodedTokens = 1'000'000'000'000;
+
 /// Matches `Plain`, const or not.
 template <class Type, class Plain>
 concept MaybeConst = std::same_as<std::remove_const_t<Type>, Plain>;
@@ -134,6 +139,17 @@
 template <class Type>
 concept HasFields = requires(Type &Of) { fieldsOf(Of); };
 
+inline void clampDecoded(RunningShare &Share) {
+  Share.Requests_ = std::clamp(Share.Requests_, 0, MaxEncodedRequests);
+  Share.Tokens_ = std::clamp<std::int64_t>(Share.Tokens_, 0, MaxEncodedTokens);
+  for (auto &[Adapter, Count] : Share.Adapters_)
+    Count = std::clamp(Count, 0, MaxEncodedRequests);
+}
+
+/// Matches types with fields that are clamped after they are decoded.
+template <class Type>
+concept HasClampedFields = requires(Type &Of) { clampDecoded(Of); };
+
 } // namespace anvil
 
 MSGPACK_ADD_ENUM(anvil::LoadSource)
@@ -166,6 +182,8 @@
             msgpack::type::make_define_array(Fields...).msgpack_unpack(In);
           },
           anvil::fieldsOf(Given));
+      if constexpr (anvil::HasClampedFields<Type>)
+        clampDecoded(Given);
       return In;
     }
   };
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -5,6 +5,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <climits>
+#include <cstdint>
+
 using namespace anvil;
 using namespace std::chrono_literals;
 
@@ -177,6 +180,21 @@
         decodeFleetMessage(std::string{Release, Tag, '\0'} + Bytes);
     });
   }
+  // Guards against sums over VMs that overflow.
+  SECTION("with counts of requests that no VM can have are clamped") {
+    VmStateUpdate Update;
+    Update.Running_["low"] = {INT_MIN, INT64_MIN, {{"a", INT_MIN}}};
+    Update.Running_["high"] = {INT_MAX, INT64_MAX, {{"a", INT_MAX}}};
+    auto Read = decodeFleetMessage(encodeFleetMessage(Update));
+    REQUIRE(isOk(Read));
+    RunningShares Running = std::get<VmStateUpdate>(valueOf(Read)).Running_;
+    CHECK(Running["low"].Requests_ == 0);
+    CHECK(Running["low"].Tokens_ == 0);
+    CHECK(Running["low"].Adapters_["a"] == 0);
+    CHECK(Running["high"].Requests_ == 100'000);
+    CHECK(Running["high"].Tokens_ == 1'000'000'000'000);
+    CHECK(Running["high"].Adapters_["a"] == 100'000);
+  }
   SECTION("carry the number of VMs to forward them to") {
     std::string Bytes = encodeFleetMessage(ClockRequest{"vm-1", 5s});
     CHECK(forwardCountOf(Bytes) == 0);
