Soak: a successor that starts beside a stopping VM has a life of its own

The harness went on to count the time since the SIGTERM for the successor. The earlier process is checked as before.

Service::claim is renamed, since it hid RequestLedger::claim.

--- a/Source/Admin/AdminServer.h
+++ b/Source/Admin/AdminServer.h
@@ -30,7 +30,7 @@
               std::shared_ptr<Metrics> MetricsSource);
 
   std::string_view serviceName() const override { return Name; }
-  Status claim() override { return Server_.bind(address()); }
+  Status claimResources() override { return Server_.bind(address()); }
   Status start() override { return Server_.listen(address()); }
   void stop() override;
 
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -114,7 +114,7 @@
   return std::get<Endpoint>(parseEndpoint(Text));
 }
 
-Status EntryGateway::claim() {
+Status EntryGateway::claimResources() {
   Status Bound =
       Callers_.bind(checkedAddress(Settings_.Listen_.CallerAddress_));
   if (isOk(Bound))
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -26,7 +26,7 @@
                const EntrySettings &Settings, const ServiceRegistry &Services);
 
   std::string_view serviceName() const override { return Name; }
-  Status claim() override;
+  Status claimResources() override;
   Status start() override;
   void stop() override;
 
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -36,7 +36,7 @@
 
 FleetLink::~FleetLink() = default;
 
-Status FleetLink::claim() {
+Status FleetLink::claimResources() {
   if (Socket_->Udp_.is_open())
     return std::monostate{};
   error_code Cause;
@@ -57,7 +57,7 @@
 }
 
 Status FleetLink::start() {
-  Status Bound = claim();
+  Status Bound = claimResources();
   if (!isOk(Bound))
     return Bound;
   receive();
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -36,7 +36,7 @@
   ~FleetLink() override;
 
   std::string_view serviceName() const override { return Name; }
-  Status claim() override;
+  Status claimResources() override;
   Status start() override;
   void stop() override;
 
--- a/Source/Entry/PlanExchange.h
+++ b/Source/Entry/PlanExchange.h
@@ -26,7 +26,7 @@
                const EntrySettings &Settings, const ServiceRegistry &Services);
 
   std::string_view serviceName() const override { return Name; }
-  Status claim() override { return Pages_.bind(address()); }
+  Status claimResources() override { return Pages_.bind(address()); }
   Status start() override { return Pages_.listen(address()); }
   void stop() override { Pages_.close(); }
 
--- a/Source/Gateway/RequestPipeline.h
+++ b/Source/Gateway/RequestPipeline.h
@@ -35,7 +35,7 @@
 
   std::string_view serviceName() const override { return Name; }
   std::vector<std::string> dependencies() const override;
-  Status claim() override { return Server_.bind(address()); }
+  Status claimResources() override { return Server_.bind(address()); }
   Status start() override { return Server_.listen(address()); }
   void stop() override;
 
--- a/Source/Kernel/ServiceRegistry.cpp
+++ b/Source/Kernel/ServiceRegistry.cpp
@@ -49,7 +49,7 @@
 
 Status ServiceRegistry::claimAll() {
   for (const auto &[Name, Registered] : Services_) {
-    Status Outcome = Registered->claim();
+    Status Outcome = Registered->claimResources();
     if (!isOk(Outcome))
       return Outcome;
   }
--- a/Source/Kernel/ServiceRegistry.h
+++ b/Source/Kernel/ServiceRegistry.h
@@ -25,7 +25,7 @@
 
   /// Takes what only one process can hold, such as an address. Error:
   /// conflict if another process holds it; the call may then be repeated.
-  virtual Status claim() { return std::monostate{}; }
+  virtual Status claimResources() { return std::monostate{}; }
 
   /// Starts the service. An error aborts the start of the whole daemon.
   virtual Status start() { return std::monostate{}; }
--- a/Source/Peer/PeerNetwork.cpp
+++ b/Source/Peer/PeerNetwork.cpp
@@ -96,7 +96,7 @@
 
 PeerNetwork::~PeerNetwork() { stop(); }
 
-Status PeerNetwork::claim() {
+Status PeerNetwork::claimResources() {
   return bindAcceptor(Core_->Acceptor_, Core_->Listen_);
 }
 
--- a/Source/Peer/PeerNetwork.h
+++ b/Source/Peer/PeerNetwork.h
@@ -38,7 +38,7 @@
   ~PeerNetwork() override;
 
   std::string_view serviceName() const override { return Name; }
-  Status claim() override;
+  Status claimResources() override;
   Status start() override;
   void stop() override;
 
--- a/Tests/Integration/Soak.cpp
+++ b/Tests/Integration/Soak.cpp
@@ -158,8 +158,14 @@
       Life.StoppedAt_ = BootClock::now();
       Life.Frozen_ = Duration(0);
     }
-    if (Event.Action_ == SoakAction::TerminateAndStart && !IsFrozen)
-      startVm(Vm, true);
+    // The earlier process has been checked and ended, so a new life begins.
+    if (Event.Action_ == SoakAction::TerminateAndStart && !IsFrozen &&
+        startVm(Vm, true)) {
+      Timeline_.end(Vm, {SoakAction::TerminateAndStart});
+      double PeakMb = Life.PeakMb_;
+      Life = VmLife();
+      Life.PeakMb_ = PeakMb;
+    }
     break;
   case SoakAction::Kill:
     Timeline_.begin(Vm, Event.Action_);
