--- a/Tests/Integration/Soak.cpp
+++ b/Tests/Integration/Soak.cpp
@@ -48,6 +48,9 @@
     setPace(Target);
     Incarnations_[Target] = 1700000000000;
   }
+  // VMs have the same ports in all their lives.
+  for (const std::string &Vm : System_.vms())
+    CallerPorts_[Vm] = System_.callerPort(Vm);
   System_.nameVersion("a1", AdapterVersion_);
   writeConfig();
   // Until here VMs may still be at the first configuration.
@@ -362,7 +365,7 @@
       std::vector<std::unique_ptr<CallerConnection>> Open;
       for (int Index = 0; Index < Connections; ++Index)
         Open.push_back(std::make_unique<CallerConnection>(
-            System_.callerPort(Vm), System_.callerAddress(Vm)));
+            CallerPorts_.at(Vm), System_.callerAddress(Vm)));
       std::string Piece(256 * 1024, 'x');
       for (auto &Connection : Open)
         Connection->sendRaw(Start);
--- a/Tests/Integration/Soak.h
+++ b/Tests/Integration/Soak.h
@@ -66,6 +66,7 @@
   SoakTimeline Timeline_;
   TimePoint Start_;
   EndlessTarget Endless_;
+  std::map<std::string, std::uint16_t> CallerPorts_;
   std::map<std::string, std::int64_t> Incarnations_;
   std::uint64_t Revision_ = 1;
   std::uint64_t AdapterVersion_ = 1;
