--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -75,6 +75,7 @@
   ReadVersion_.reset();
   NewestRow_ = 0;
   PeerNewestRow_ = 0;
+  Lag_.reset();
   Rows_.forgetVersions();
   // A process that has just started knows no evacuation of an earlier era.
   if (Store_->era().hasSeenEarlier())
@@ -167,6 +168,7 @@
 void PlanService::applyPeerRead(std::optional<TimePoint> At,
                                 std::uint64_t NewestRow) {
   PeerNewestRow_ = std::max(PeerNewestRow_, NewestRow);
+  Lag_.recordKnown(NewestRow, At.value_or(BootClock::now()));
   bool IsNewer = At && ConfirmedAt_ && *At > *ConfirmedAt_;
   if (NewestRow <= NewestRow_ && Plan_ && IsRevisionShown_ && IsNewer)
     confirm(*At);
@@ -197,10 +199,11 @@
     if (Row.Deleted_)
       continue;
     if (Row.Key_ == "config")
-      applyPlan(Row);
+      applyPlan(Row, Evidence);
     else if (Row.Key_.starts_with("version/"))
       applyVersion(Row, NotBefore);
   }
+  Lag_.recordApplied(NewestRow_);
 }
 
 void PlanService::applyEvacuation(const std::string &DataCentre,
@@ -239,7 +242,8 @@
   }
 }
 
-void PlanService::applyPlan(const TableRow &Row) {
+void PlanService::applyPlan(const TableRow &Row, const RowEvidence &Evidence) {
+  TimePoint DecodedFrom = BootClock::now();
   auto Decoded = platform::decodePlan(Row.Value_);
   if (!isOk(Decoded)) {
     logEvent(LogLevel::Error, "plan_unreadable",
@@ -257,11 +261,25 @@
   // A reply that was overtaken by a newer one must not revert the plan.
   if (Plan_ && New->revision() <= Plan_->revision())
     return;
-  logEvent(LogLevel::Info, "plan_taken",
-           {{"revision", New->revision()},
-            {"before", Plan_ ? Plan_->revision() : 0},
-            {"routes", New->routes().size()},
-            {"customers", New->customers().size()}});
+  TimePoint Now = BootClock::now();
+  auto BehindSince = Lag_.behindSince();
+  Duration Behind = BehindSince ? Now - *BehindSince : Duration::zero();
+  logEvent(
+      LogLevel::Info, "plan_taken",
+      {{"revision", New->revision()},
+       {"before", Plan_ ? Plan_->revision() : 0},
+       {"routes", New->routes().size()},
+       {"customers", New->customers().size()},
+       {"source", enumName(Evidence.Source_, RowSourceNames)},
+       {"evidence_age_ms", Evidence.At_ ? toMillis(Now - *Evidence.At_) : -1},
+       {"behind_ms", toMillis(Behind)},
+       {"bytes", Row.Value_.size()},
+       {"decode_ms", toMillis(Now - DecodedFrom)}});
+  if (Behind > std::chrono::milliseconds(Settings_.Bounds_.ConfigApplyMs_))
+    logEvent(LogLevel::Warning, "plan_late",
+             {{"revision", New->revision()},
+              {"behind_ms", toMillis(Behind)},
+              {"bound_ms", Settings_.Bounds_.ConfigApplyMs_}});
   Plan_ = std::move(New);
   Changed_.fire(*Plan_);
 }
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -6,6 +6,7 @@
 #include "Kernel/ServiceRegistry.h"
 #include "Serving/ReadRotation.h"
 #include "Serving/RemoteClock.h"
+#include "Serving/RowLag.h"
 #include "Serving/ServingPlan.h"
 #include "Serving/VersionRequirements.h"
 #include "Settings/EntrySettings.h"
@@ -132,7 +133,7 @@
   /// Applies rows that were not known before.
   void apply(const std::vector<TableRow> &Newer,
              std::optional<TimePoint> NotBefore, const RowEvidence &Evidence);
-  void applyPlan(const TableRow &Row);
+  void applyPlan(const TableRow &Row, const RowEvidence &Evidence);
   void applyVersion(const TableRow &Row, std::optional<TimePoint> NotBefore);
   void applyEvacuation(const std::string &DataCentre, bool IsRequested,
                        const RowEvidence &Evidence);
@@ -152,6 +153,7 @@
   /// read.
   std::uint64_t NewestRow_ = 0;
   std::uint64_t PeerNewestRow_ = 0;
+  RowLag Lag_;
   TableCopy Rows_;
   RemoteClock StoreClock_;
   /// Whether the store has shown a configuration of at least this VM's revision
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -369,8 +369,12 @@
     co_return errorOf(Head);
   ReceivedBody Body(Limits, [&Connection] { Connection.close(); });
   Status Read = co_await Connection.readBody(Body, Deadline);
-  if (!isOk(Read))
-    co_return errorOf(Read);
+  if (!isOk(Read)) {
+    Error Cut = errorOf(Read);
+    Cut.Message_ +=
+        ", after " + std::to_string(Body.size()) + " bytes of the body";
+    co_return Cut;
+  }
   auto Whole = Body.finish();
   if (!isOk(Whole))
     co_return errorOf(Whole);
--- a/Source/Http/ReceivedBody.h
+++ b/Source/Http/ReceivedBody.h
@@ -46,6 +46,9 @@
   /// Errors: too large, if there is no room to keep it.
   Result<std::string> finish();
 
+  /// The size of what has arrived, in bytes.
+  std::size_t size() const { return Bytes_.size(); }
+
   /// Whether it had to give way to other messages.
   bool gaveWay() const { return Share_ && Share_->isRevoked(); }
 
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -35,6 +35,7 @@
 
 static void visitFields(FieldReader &Fields, PlatformBoundSettings &Bounds) {
   Fields.field("key_withdrawal_ms", Bounds.KeyWithdrawalMs_, MillisRange);
+  Fields.field("config_apply_ms", Bounds.ConfigApplyMs_, MillisRange);
   Fields.field("adapter_version_ms", Bounds.AdapterVersionMs_, MillisRange);
   Fields.field("order_handover_ms", Bounds.OrderHandoverMs_, MillisRange);
   Fields.field("stop_s", Bounds.StopTimeoutS_, {0.1, 3600});
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -43,6 +43,9 @@
 struct PlatformBoundSettings {
   /// From the confirmation of a key's withdrawal until the key must be refused.
   std::int64_t KeyWithdrawalMs_ = 5000;
+  /// From the confirmation of a revision until no request may be handled as
+  /// only an older one allows.
+  std::int64_t ConfigApplyMs_ = 3000;
   /// From the naming of an adapter version until no request may start on an
   /// older one.
   std::int64_t AdapterVersionMs_ = 5000;
