--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -116,6 +116,8 @@
       {"bounds", {{"key_withdrawal_ms", 3000}}}};
   if (Plan_.HasStoreEra_)
     Settings["bootstrap"] = true;
+  if (Plan_.ConfigApply_)
+    Settings["bounds"]["config_apply_ms"] = Plan_.ConfigApply_->count();
   if (Plan_.StopSeconds_)
     Settings["bounds"]["stop_s"] = *Plan_.StopSeconds_;
   std::ofstream(Path) << Settings.dump();
@@ -302,6 +304,12 @@
                     {"delay_ms", Delay.count()}});
 }
 
+void EntryFleet::setStorePace(const std::string &Vm,
+                              std::int64_t BytesPerSecond) {
+  control("proxy",
+          {{"link", storeLinkName(Vm)}, {"bytes_per_s", BytesPerSecond}});
+}
+
 void EntryFleet::control(const std::string &Standin, const json &Change) {
   std::string Port = Standin == "proxy" ? "admin" : "port";
   sendJson(at(Standin).port(Port), "POST", "/control", Change);
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -21,6 +21,9 @@
   /// The VMs' stop limit in seconds (`bounds.stop_s`); absent means the
   /// program's default.
   std::optional<double> StopSeconds_;
+  /// The bound after which a revision must be in force
+  /// (`bounds.config_apply_ms`); absent means the program's default.
+  std::optional<Millis> ConfigApply_;
   /// Time limit and target latency of every route.
   Millis Timeout_{3000};
   Millis LatencyTarget_{800};
@@ -82,6 +85,9 @@
   void setStoreLink(const std::string &Vm, const std::string &Mode,
                     Millis Delay = Millis(0));
 
+  /// Limits the rate of a VM's link to the store; zero for no limit.
+  void setStorePace(const std::string &Vm, std::int64_t BytesPerSecond);
+
   /// Connects a VM to what answers in the store's place at a port of the
   /// loopback address; without one, to the store again. Open connections are
   /// reset.
--- a/Tests/Standins/FaultProxy.cpp
+++ b/Tests/Standins/FaultProxy.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -20,6 +21,9 @@
 using boost::system::error_code;
 using nlohmann::json;
 
+/// How often a link with a limited rate forwards bytes.
+static constexpr Duration PacePeriod = std::chrono::milliseconds(50);
+
 /// Size of the forwarding buffer, in bytes.
 static constexpr std::size_t BufferBytes = 16 * 1024;
 
@@ -100,6 +104,7 @@
   Endpoint Target_;
   LinkMode Mode_ = LinkMode::Pass;
   Duration Delay_{0};
+  std::int64_t BytesPerSecond_ = 0;
   std::set<std::shared_ptr<Session>> Sessions_;
 };
 
@@ -153,6 +158,7 @@
     Owner.Target_ = valueOf(Target);
   }
   Owner.Delay_ = std::chrono::milliseconds(Body.value("delay_ms", 0));
+  Owner.BytesPerSecond_ = Body.value("bytes_per_s", std::int64_t{0});
   if (!Body.contains("mode"))
     return jsonReply(200, "{}");
   for (const auto &[Mode, Name] : LinkModeNames)
@@ -225,10 +231,21 @@
     co_return;
   }
   tcp::socket &To = ToTarget ? Pair.Target_ : Pair.Client_;
-  error_code Ignored;
-  co_await asio::async_write(
-      To, asio::buffer(Bytes),
-      asio::redirect_error(asio::use_awaitable, Ignored));
+  error_code Cause;
+  while (!Bytes.empty() && !Cause) {
+    std::size_t Size = Bytes.size();
+    if (Owner.BytesPerSecond_ > 0) {
+      auto PerPeriod = static_cast<std::size_t>(
+          static_cast<double>(Owner.BytesPerSecond_) * toSeconds(PacePeriod));
+      Size = std::min(Size, std::max<std::size_t>(1, PerPeriod));
+      asio::steady_timer Timer(Pair.Client_.get_executor(), PacePeriod);
+      co_await Timer.async_wait(asio::use_awaitable);
+    }
+    co_await asio::async_write(
+        To, asio::buffer(Bytes.data(), Size),
+        asio::redirect_error(asio::use_awaitable, Cause));
+    Bytes.erase(0, Size);
+  }
 }
 
 asio::awaitable<void> FaultProxy::pump(std::shared_ptr<Link> Owner,
--- a/Tests/Standins/FaultProxy.h
+++ b/Tests/Standins/FaultProxy.h
@@ -11,8 +11,9 @@
 namespace anvil {
 
 /// A TCP proxy that injects network faults. Each link listens on its own port;
-/// `POST /control` with `{"link", "target", "mode", "delay_ms"}` changes a link
-/// and applies to its open connections as well.
+/// `POST /control` with `{"link", "target", "mode", "delay_ms", "bytes_per_s"}`
+/// changes a link and applies to its open connections as well. Zero bytes per
+/// second mean no limit.
 class FaultProxy {
 public:
   FaultProxy(boost::asio::any_io_executor Executor,
