--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -16,8 +16,10 @@
 /// The header that names the store's era of the rows' versions.
 static constexpr std::string_view RowsEraHeader = "Row-Era";
 
-/// Time limit for fetching another VM's rows, which are some 100 KB.
+/// Time limits for fetching another VM's rows: for its answer and for each part
+/// of them, and for all of them.
 static constexpr Duration FetchTimeout = std::chrono::milliseconds(1000);
+static constexpr Duration MaxFetchTime = std::chrono::seconds(8);
 
 /// The pause after a fetch, successful or not.
 static constexpr Duration FetchPause = std::chrono::milliseconds(300);
@@ -76,8 +78,9 @@
   HttpRequest Request{"GET", std::string(RowsPage), {}, {}};
   ReceiveLimits Limits;
   Limits.Budget_ = Budget_;
+  ReplyTimes Times{FetchTimeout, FetchTimeout, MaxFetchTime};
   auto Reply =
-      co_await fetch(From, std::move(Request), FetchTimeout, std::move(Limits));
+      co_await fetch(From, std::move(Request), Times, std::move(Limits));
   Result<std::vector<TableRow>> Rows =
       Error{ErrorCode::Protocol, Vm, "has no page of rows", ""};
   if (!isOk(Reply))
--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -77,14 +77,25 @@
                                                       Endpoint Server,
                                                       HttpRequest Request,
                                                       Duration Timeout) {
-  TimePoint Deadline = BootClock::now() + Timeout;
+  co_return co_await fetchPooled(Pool, std::move(Server), std::move(Request),
+                                 ReplyTimes::within(Timeout));
+}
+
+boost::asio::awaitable<Result<HttpReply>> fetchPooled(ConnectionPool &Pool,
+                                                      Endpoint Server,
+                                                      HttpRequest Request,
+                                                      ReplyTimes Times) {
+  TimePoint StartedAt = BootClock::now();
   HttpConnection Connection = Pool.acquireConnection(Server, BootClock::now());
   if (!Connection.reusable()) {
-    Status Opened = co_await Connection.open(Server, Timeout);
+    Status Opened = co_await Connection.open(Server, Times.Head_);
     if (!isOk(Opened))
       co_return errorOf(Opened);
+    Duration Elapsed = BootClock::now() - StartedAt;
+    Times.Head_ -= Elapsed;
+    Times.Whole_ -= Elapsed;
   }
-  auto Reply = co_await readReply(Connection, Request, Deadline, Pool.limits());
+  auto Reply = co_await readReply(Connection, Request, Times, Pool.limits());
   if (isOk(Reply))
     Pool.returnConnection(Server, std::move(Connection), BootClock::now());
   co_return Reply;
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -66,6 +66,13 @@
                                                       HttpRequest Request,
                                                       Duration Timeout);
 
+/// The same with separate time limits. Opening a connection is part of the time
+/// until the head of the response.
+boost::asio::awaitable<Result<HttpReply>> fetchPooled(ConnectionPool &Pool,
+                                                      Endpoint Server,
+                                                      HttpRequest Request,
+                                                      ReplyTimes Times);
+
 } // namespace anvil
 
 #endif // ANVIL_HTTP_CONNECTIONPOOL_H
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -282,11 +282,13 @@
 }
 
 asio::awaitable<Status> HttpConnection::readBody(ReceivedBody &Body,
-                                                 TimePoint Deadline) {
+                                                 TimePoint Deadline,
+                                                 Duration Silence) {
   if (auto Length = State_->Parser_->content_length())
     Body.expect(*Length);
   while (true) {
-    auto Part = co_await readPart(Deadline - BootClock::now());
+    auto Part =
+        co_await readPart(std::min(Deadline - BootClock::now(), Silence));
     if (!isOk(Part))
       co_return errorOf(Part);
     if (valueOf(Part).empty())
@@ -361,14 +363,14 @@
 
 asio::awaitable<Result<HttpReply>> readReply(HttpConnection &Connection,
                                              const HttpRequest &Request,
-                                             TimePoint Deadline,
+                                             ReplyTimes Times,
                                              ReceiveLimits Limits) {
-  auto Head =
-      co_await Connection.exchange(Request, Deadline - BootClock::now());
+  TimePoint Deadline = BootClock::now() + Times.Whole_;
+  auto Head = co_await Connection.exchange(Request, Times.Head_);
   if (!isOk(Head))
     co_return errorOf(Head);
   ReceivedBody Body(Limits, [&Connection] { Connection.close(); });
-  Status Read = co_await Connection.readBody(Body, Deadline);
+  Status Read = co_await Connection.readBody(Body, Deadline, Times.Silence_);
   if (!isOk(Read)) {
     Error Cut = errorOf(Read);
     Cut.Message_ +=
@@ -385,13 +387,22 @@
 asio::awaitable<Result<HttpReply>> fetch(Endpoint Server, HttpRequest Request,
                                          Duration Timeout,
                                          ReceiveLimits Limits) {
-  TimePoint Deadline = BootClock::now() + Timeout;
+  co_return co_await fetch(std::move(Server), std::move(Request),
+                           ReplyTimes::within(Timeout), std::move(Limits));
+}
+
+asio::awaitable<Result<HttpReply>> fetch(Endpoint Server, HttpRequest Request,
+                                         ReplyTimes Times,
+                                         ReceiveLimits Limits) {
+  TimePoint StartedAt = BootClock::now();
   HttpConnection Connection(Limits.Budget_);
-  Status Opened = co_await Connection.open(Server, Timeout);
+  Status Opened = co_await Connection.open(Server, Times.Head_);
   if (!isOk(Opened))
     co_return errorOf(Opened);
-  co_return co_await readReply(Connection, Request, Deadline,
-                               std::move(Limits));
+  Duration Elapsed = BootClock::now() - StartedAt;
+  Times.Head_ -= Elapsed;
+  Times.Whole_ -= Elapsed;
+  co_return co_await readReply(Connection, Request, Times, std::move(Limits));
 }
 
 } // namespace anvil
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -60,10 +60,12 @@
   /// large.
   boost::asio::awaitable<Result<std::string>> readPart(Duration Timeout);
 
-  /// Reads the rest of the body by a deadline. Errors: as for `readPart`, and
-  /// too large if the body exceeds its limits.
-  boost::asio::awaitable<Status> readBody(ReceivedBody &Body,
-                                          TimePoint Deadline);
+  /// Reads the rest of the body by a deadline, each part of it within
+  /// `Silence`. Errors: as for `readPart`, and too large if the body exceeds
+  /// its limits.
+  boost::asio::awaitable<Status>
+  readBody(ReceivedBody &Body, TimePoint Deadline,
+           Duration Silence = std::chrono::hours(24));
 
   /// Frees what an idle connection doesn't need.
   void releaseBuffers();
@@ -111,11 +113,24 @@
   std::unique_ptr<State> State_;
 };
 
-/// Sends one request on an open connection and reads the whole response, by a
-/// deadline.
+/// Time limits of an exchange whose response may take long to transfer.
+struct ReplyTimes {
+  /// The same limit for the whole exchange, in any part of it.
+  static ReplyTimes within(Duration Time) { return {Time, Time, Time}; }
+
+  /// From the request until the head of the response.
+  Duration Head_{};
+  /// Between two parts of the body.
+  Duration Silence_{};
+  /// For the whole exchange.
+  Duration Whole_{};
+};
+
+/// Sends one request on an open connection and reads the whole response.
+/// Errors: as for `HttpConnection::exchange` and `readBody`.
 boost::asio::awaitable<Result<HttpReply>> readReply(HttpConnection &Connection,
                                                     const HttpRequest &Request,
-                                                    TimePoint Deadline,
+                                                    ReplyTimes Times,
                                                     ReceiveLimits Limits);
 
 /// Sends one request on a new connection and reads the whole response, all
@@ -125,6 +140,13 @@
                                                 Duration Timeout,
                                                 ReceiveLimits Limits = {});
 
+/// The same with separate time limits. Opening the connection is part of the
+/// time until the head of the response.
+boost::asio::awaitable<Result<HttpReply>> fetch(Endpoint Server,
+                                                HttpRequest Request,
+                                                ReplyTimes Times,
+                                                ReceiveLimits Limits);
+
 } // namespace anvil
 
 #endif // ANVIL_HTTP_HTTPCONNECTION_H
