Refuse requests while a newer configuration is known and late

Now it refuses with 503 and isn't ready from half a second before bounds.config_apply_ms on, counted from when another VM read the newer row; other VMs serve meanwhile.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -241,6 +241,8 @@
     return "no list of targets";
   if (!Plans_->keysAreFresh(BootClock::now()))
     return "configuration not confirmed";
+  if (Plans_->isTooFarBehind(BootClock::now()))
+    return "configuration outdated";
   return "";
 }
 
@@ -303,6 +305,9 @@
   Admitted.Plan_ = Plans_->current();
   if (!Admitted.Plan_)
     return Refusal{503, "no configuration yet", NotReadyRetryAfter};
+  if (Plans_->isTooFarBehind(Admitted.ArrivedAt_))
+    return Refusal{503, "a newer configuration is not in force yet",
+                   NotReadyRetryAfter};
   Admitted.Route_ =
       Admitted.Plan_->findRoute(Admitted.Fields_.Host_, Request.path());
   if (!Admitted.Route_)
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -19,6 +19,10 @@
 /// target.
 static constexpr Duration WithdrawalMargin = std::chrono::milliseconds(600);
 
+/// How long before its bound a newer configuration is required for every
+/// request; covers the time until other VMs hear of it.
+static constexpr Duration ApplyMargin = std::chrono::milliseconds(500);
+
 /// How long before its bound a newer version is required for every request.
 static constexpr Duration VersionMargin = std::chrono::milliseconds(1800);
 
@@ -71,6 +75,12 @@
   return ConfirmedAt_ && *ConfirmedAt_ + Bound - WithdrawalMargin > Now;
 }
 
+bool PlanService::isTooFarBehind(TimePoint Now) const {
+  Duration Bound = std::chrono::milliseconds(Settings_.Bounds_.ConfigApplyMs_);
+  auto Since = Lag_.behindSince();
+  return Since && *Since + Bound - std::min(ApplyMargin, Bound / 2) <= Now;
+}
+
 void PlanService::startEra() {
   ReadVersion_.reset();
   NewestRow_ = 0;
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -75,6 +75,10 @@
   /// Whether the plan is recent enough at `Now` to accept requests with a key.
   bool keysAreFresh(TimePoint Now) const;
 
+  /// Whether this VM has known for so long that the store has newer rows that
+  /// requests may no longer be handled by its plan.
+  bool isTooFarBehind(TimePoint Now) const;
+
   /// The adapter versions that the operator named.
   const VersionRequirements &versions() const { return Versions_; }
 
--- a/Tests/Integration/LateChangeTest.cpp
+++ b/Tests/Integration/LateChangeTest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <thread>
+
 using namespace anvil;
 
 /// The number of routes in a configuration of some 200 KB.
@@ -28,3 +31,45 @@
       [&] { return System.call("vm-1", "/added-0/x").Status_ == 200; },
       Millis(10000)));
 }
+
+// Guards against CONFIG: a VM that knows of a newer configuration handles
+// requests by its older one for as long as it can't read the newer one.
+TEST_CASE("a VM that is behind beyond the bound serves nothing",
+          "[change-known-late]") {
+  EntryFleetPlan Plan;
+  Plan.ConfigApply_ = Millis(1000);
+  EntryFleet System(Plan);
+  System.setStorePace("vm-2", 6'000);
+  System.configure(2, {"new-key"}, manyPaths());
+  REQUIRE(eventually(
+      [&] {
+        return System
+                   .call("vm-1", "/added-0/x",
+                         {{"Authorization", "Token new-key"}})
+                   .Status_ == 200;
+      },
+      Millis(3000)));
+  std::this_thread::sleep_for(Millis(1500));
+  int Late = 0;
+  for (int Index = 0; Index < 10; ++Index) {
+    int Added =
+        System.call("vm-2", "/added-0/x", {{"Authorization", "Token new-key"}})
+            .Status_;
+    CHECK((Added == 200 || Added == 503));
+    int Withdrawn = System.call("vm-2", "/safe/x").Status_;
+    CHECK((Withdrawn == 401 || Withdrawn == 503));
+    Late += Added == 503 ? 1 : 0;
+    std::this_thread::sleep_for(Millis(50));
+  }
+  // Otherwise the link wasn't slow enough for this test.
+  CHECK(Late > 0);
+  System.setStorePace("vm-2", 0);
+  CHECK(eventually(
+      [&] {
+        return System
+                   .call("vm-2", "/added-0/x",
+                         {{"Authorization", "Token new-key"}})
+                   .Status_ == 200;
+      },
+      Millis(15000)));
+}
