Send what has changed in a large configuration to other VMs

A configuration over 24 KB didn't fit into a notice, so that each VM read all of it from the store for each change: 303 KB at 1,553 routes, 400 KB on the wire, every 0.8 s over links of 10 Mbit/s.

The VM that reads a change now sends the difference to the row before (RowDelta: pieces of the earlier value and new bytes, checked by a hash). A VM that has that row builds the new one; others read it from the store as before. The datagram format has a new version.

--- a/Source/Entry/FleetCodec.cpp
+++ b/Source/Entry/FleetCodec.cpp
@@ -6,7 +6,7 @@
 namespace anvil {
 
 /// The version of the datagram format.
-static constexpr char FormatVersion = 11;
+static constexpr char FormatVersion = 12;
 
 /// A datagram begins with the format version, the message's tag and the number
 /// of VMs to forward it to.
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -5,6 +5,7 @@
 #include "Routing/PermitIssuer.h"
 #include "Serving/FleetView.h"
 #include "Serving/TargetListing.h"
+#include "TableService/RowDelta.h"
 #include "TableService/TableTypes.h"
 
 #include <string>
@@ -62,6 +63,9 @@
   /// rows if they are too large for a datagram.
   std::uint64_t NewestBefore_ = 0;
   std::vector<TableRow> Rows_{};
+  /// In place of the rows: their changes from the rows before, if all of them
+  /// were known and the changes fit into a datagram.
+  std::vector<RowDelta> Deltas_{};
   /// The store's era in which it was read; zero if the store names none.
   std::uint64_t StoreEra_ = 0;
 };
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -96,7 +96,7 @@
 }
 auto fieldsOf(MaybeConst<PlanReadNotice> auto &Of) {
   return std::tie(Of.Clock_, Of.At_, Of.NewestRow_, Of.RowsPort_,
-                  Of.NewestBefore_, Of.Rows_, Of.StoreEra_);
+                  Of.NewestBefore_, Of.Rows_, Of.Deltas_, Of.StoreEra_);
 }
 auto fieldsOf(MaybeConst<HeldModel> auto &Of) {
   return std::tie(Of.Version_, Of.Adapters_);
@@ -132,6 +132,13 @@
 auto fieldsOf(MaybeConst<TargetPermitReply> auto &Of) {
   return std::tie(Of.Serial_, Of.Decision_);
 }
+auto fieldsOf(MaybeConst<RowDelta::Piece> auto &Of) {
+  return std::tie(Of.Offset_, Of.Length_, Of.Bytes_);
+}
+auto fieldsOf(MaybeConst<RowDelta> auto &Of) {
+  return std::tie(Of.Key_, Of.BaseVersion_, Of.Version_, Of.Digest_,
+                  Of.Pieces_);
+}
 auto fieldsOf(MaybeConst<TableRow> auto &Of) {
   return std::tie(Of.Key_, Of.Value_, Of.Version_, Of.Deleted_);
 }
--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 
 namespace anvil {
 
@@ -154,6 +155,7 @@
       RequestedAt, valueOf(Page).StoreTime_, BootClock::now());
   std::uint64_t NewestBefore = NewestRow_;
   std::vector<TableRow> Returned = valueOf(Page).Rows_;
+  std::vector<TableRow> Before = rowsBefore(Returned);
   std::vector<TableRow> Newer = WasAwaited
                                     ? Rows_.applyChanges(Returned)
                                     : Rows_.applyWhole(Returned, *ReadVersion_);
@@ -170,11 +172,34 @@
   if (Plan_) {
     if (IsRevisionShown_ && (!ConfirmedAt_ || ReadAt > *ConfirmedAt_))
       confirm(ReadAt);
-    TableRead_.fire({ReadAt, NewestRow_, NewestBefore, std::move(Returned)});
+    TableRead_.fire({ReadAt, NewestRow_, NewestBefore, std::move(Returned),
+                     deltasFrom(Before)});
   }
   co_return Page;
 }
 
+std::vector<TableRow>
+PlanService::rowsBefore(const std::vector<TableRow> &Rows) const {
+  std::map<std::string_view, const TableRow *> Known;
+  for (const TableRow &Row : Rows)
+    if (const TableRow *Found = Rows_.find(Row.Key_);
+        Found && !Row.Deleted_ && Row.Version_ > Found->Version_)
+      Known[Found->Key_] = Found;
+  std::vector<TableRow> Before;
+  for (const auto &[Key, Row] : Known)
+    Before.push_back(*Row);
+  return Before;
+}
+
+std::vector<RowDelta>
+PlanService::deltasFrom(const std::vector<TableRow> &Before) const {
+  std::vector<RowDelta> Deltas;
+  for (const TableRow &Row : Before)
+    if (const TableRow *Now = Rows_.find(Row.Key_))
+      Deltas.push_back(makeRowDelta(Row, *Now));
+  return Deltas;
+}
+
 void PlanService::applyPeerRead(std::optional<TimePoint> At,
                                 std::uint64_t NewestRow) {
   PeerNewestRow_ = std::max(PeerNewestRow_, NewestRow);
@@ -197,6 +222,19 @@
   apply(Rows_.applyChanges(Rows), ConfirmedAt_, Evidence);
 }
 
+void PlanService::applyPeerDeltas(const std::vector<RowDelta> &Deltas,
+                                  const RowEvidence &Evidence) {
+  std::vector<TableRow> Rows;
+  for (const RowDelta &Delta : Deltas) {
+    const TableRow *Known = Rows_.find(Delta.Key_);
+    auto New = Known ? applyRowDelta(*Known, Delta) : std::nullopt;
+    if (!New)
+      return;
+    Rows.push_back(std::move(*New));
+  }
+  applyPeerRows(Rows, Evidence);
+}
+
 void PlanService::apply(const std::vector<TableRow> &Newer,
                         std::optional<TimePoint> NotBefore,
                         const RowEvidence &Evidence) {
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -10,6 +10,7 @@
 #include "Serving/ServingPlan.h"
 #include "Serving/VersionRequirements.h"
 #include "Settings/EntrySettings.h"
+#include "TableService/RowDelta.h"
 #include "TableService/TableCopy.h"
 #include "platform/StoreClient.h"
 
@@ -32,6 +33,9 @@
   /// The newest row known before, and the rows returned since.
   std::uint64_t NewestBefore_ = 0;
   std::vector<TableRow> Rows_;
+  /// The same rows as changes from those known before, as far as they were
+  /// known.
+  std::vector<RowDelta> Deltas_;
 };
 
 /// How this VM got rows of the operator's table.
@@ -113,6 +117,11 @@
   void applyPeerRows(const std::vector<TableRow> &Rows,
                      const RowEvidence &Evidence);
 
+  /// The same for changes from rows that this VM may know. Does nothing if it
+  /// doesn't know all of them.
+  void applyPeerDeltas(const std::vector<RowDelta> &Deltas,
+                       const RowEvidence &Evidence);
+
   /// Fired after each read by this VM.
   Hook<const PlanReadResult &> TableRead_;
 
@@ -129,6 +138,10 @@
 private:
   boost::asio::awaitable<void> follow();
   boost::asio::awaitable<Result<platform::TablePage>> readOnce();
+  /// The known rows that the given ones replace.
+  std::vector<TableRow> rowsBefore(const std::vector<TableRow> &Rows) const;
+  /// The changes from the given rows to those that are known now.
+  std::vector<RowDelta> deltasFrom(const std::vector<TableRow> &Before) const;
   bool isReadDue(TimePoint Now) const;
   /// Starts an era of the store: what was read stays in force, but the versions
   /// of rows are void and the table is read again as a whole.
--- a/Source/Entry/StoreReadRelay.cpp
+++ b/Source/Entry/StoreReadRelay.cpp
@@ -1,6 +1,8 @@
 #include "Entry/StoreReadRelay.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace anvil {
 
@@ -8,6 +10,19 @@
 /// read larger ones from the store.
 static constexpr std::size_t MaxRowBytes = 24 * 1024;
 
+/// The changes if they fit into a datagram and leave out no row of the read.
+static std::vector<RowDelta> smallDeltas(const PlanReadResult &Read) {
+  std::set<std::string_view> Keys;
+  for (const TableRow &Row : Read.Rows_)
+    Keys.insert(Row.Key_);
+  std::size_t Bytes = 0;
+  for (const RowDelta &Delta : Read.Deltas_)
+    Bytes += encodedSize(Delta);
+  bool IsWhole = Read.Deltas_.size() == Keys.size();
+  return IsWhole && Bytes <= MaxRowBytes ? Read.Deltas_
+                                         : std::vector<RowDelta>();
+}
+
 /// The rows if they fit into a datagram, otherwise none.
 static std::vector<TableRow> smallRows(const std::vector<TableRow> &Rows) {
   std::size_t Bytes = 0;
@@ -35,10 +50,17 @@
       [this](const FleetMessage &Message) { receive(Message); });
   Plans_->onReadRank([this] { return readRank("plan"); });
   Plans_->TableRead_.attach([this](const PlanReadResult &Read) {
-    Link_->sendToPeers(PlanReadNotice{ownClock(), Read.At_.time_since_epoch(),
-                                      Read.NewestRow_, Exchange_->port(),
-                                      Read.NewestBefore_, smallRows(Read.Rows_),
-                                      Store_->era().current()});
+    PlanReadNotice Notice{ownClock(),
+                          Read.At_.time_since_epoch(),
+                          Read.NewestRow_,
+                          Exchange_->port(),
+                          Read.NewestBefore_,
+                          smallRows(Read.Rows_),
+                          {},
+                          Store_->era().current()};
+    if (Notice.Rows_.empty())
+      Notice.Deltas_ = smallDeltas(Read);
+    Link_->sendToPeers(Notice);
   });
   Targets_->onReadRank([this] { return readRank("targets"); });
   Targets_->ListRead_.attach([this](TimePoint At) {
@@ -86,8 +108,10 @@
     if (!adoptEra(Plan->StoreEra_))
       return;
     auto ReadAt = localTimeOf(Plan->Clock_, Plan->At_, Now);
-    if (!Plan->Rows_.empty() && Plans_->newestRow() >= Plan->NewestBefore_)
+    if (Plans_->newestRow() >= Plan->NewestBefore_) {
       Plans_->applyPeerRows(Plan->Rows_, {RowSource::PeerNotice, ReadAt});
+      Plans_->applyPeerDeltas(Plan->Deltas_, {RowSource::PeerNotice, ReadAt});
+    }
     Plans_->applyPeerRead(ReadAt, Plan->NewestRow_);
     Exchange_->applyReadNotice(*Plan);
   } else if (const auto *Targets = std::get_if<TargetsReadNotice>(&Message)) {
--- a/Source/TableService/TableCopy.cpp
+++ b/Source/TableService/TableCopy.cpp
@@ -47,6 +47,12 @@
   return All;
 }
 
+const TableRow *TableCopy::find(const std::string &Key) const {
+  auto Found = Rows_.find(Key);
+  bool Exists = Found != Rows_.end() && !Found->second.Deleted_;
+  return Exists ? &Found->second : nullptr;
+}
+
 void TableCopy::forgetVersions() {
   std::erase_if(Rows_, [](const auto &Entry) { return Entry.second.Deleted_; });
   for (auto &[Key, Row] : Rows_)
--- a/Source/TableService/TableCopy.h
+++ b/Source/TableService/TableCopy.h
@@ -29,6 +29,9 @@
   /// All rows, removed ones included.
   std::vector<TableRow> rows() const;
 
+  /// The row with that key, or null if there is none or it was removed.
+  const TableRow *find(const std::string &Key) const;
+
   /// The highest version of a row, removed ones included.
   std::uint64_t newest() const { return Newest_; }
 
--- a/Tests/Property/OutsideBytesProperty.cpp
+++ b/Tests/Property/OutsideBytesProperty.cpp
@@ -254,6 +254,14 @@
           InventoryNotice{"e3", Update.Inventories_["e3"]},
           PromptNotice{"e1", 4000},
           PlanReadNotice{{"vm-1", "life"}, 77s, 12, 7600, 11, {{"k", "2", 12}}},
+          PlanReadNotice{
+              {"vm-1", "life"},
+              77s,
+              12,
+              7600,
+              11,
+              {},
+              {makeRowDelta({"k", "{a}{b}", 11}, {"k", "{a}{c}{b}", 12})}},
           TargetsReadNotice{{"vm-1", "life"}, 77s, {{*Entry}, {"e2"}}, 9, 2s},
           ClockRequest{"vm-1", 7s},
           ClockReply{{"vm-1", "life"}, 7s, 8s},
@@ -303,6 +311,8 @@
     Clock.recordCall(TimePoint(Reply->RequestedAt_), Reply->ClockTime_, Now);
   } else if (const auto *Rows = std::get_if<PlanReadNotice>(&Message)) {
     TableCopy().applyChanges(Rows->Rows_);
+    for (const RowDelta &Delta : Rows->Deltas_)
+      applyRowDelta({"k", "{a}{b}", 11}, Delta);
   }
   encodeFleetMessage(Message);
 }
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -105,6 +105,7 @@
           7600,
           11,
           {{"version/a1", "2", 12}, {"version/a2", "", 11, true}},
+          {},
           3});
       CHECK(Decoded.StoreEra_ == 3);
       CHECK(Decoded.NewestBefore_ == 11);
