Take control messages in few turns of a busy event loop

Cause: callers' work and control messages share the event loop, and an answer of the store took a turn for each 4 KB, a datagram one each.

Datagrams that have arrived are handled in one turn, up to 64; bodies from the platform and from other VMs are read in parts of up to 64 KB.

--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -17,6 +17,10 @@
 /// The minimum period at which a VM sends the summary of its data centre.
 static constexpr Duration MinSummaryPeriod = std::chrono::milliseconds(400);
 
+/// The maximum number of datagrams that are handled in one turn of the event
+/// loop. Under load a turn takes long, and datagrams arrive in each.
+static constexpr std::size_t MaxDatagramsPerTurn = 64;
+
 /// The maximum payload of an IPv4 datagram, in bytes.
 static constexpr std::size_t DatagramBytes = 65507;
 
@@ -118,12 +122,25 @@
       [this](error_code Cause, std::size_t Size) {
         if (Cause == asio::error::operation_aborted)
           return;
-        if (!Cause)
+        if (!Cause) {
           dispatch(std::string_view(Socket_->Buffer_.data(), Size));
+          receiveWaiting();
+        }
         receive();
       });
 }
 
+void FleetLink::receiveWaiting() {
+  for (std::size_t Count = 1; Count < MaxDatagramsPerTurn; ++Count) {
+    error_code Cause;
+    std::size_t Size = Socket_->Udp_.receive_from(
+        asio::buffer(Socket_->Buffer_), Socket_->From_, 0, Cause);
+    if (Cause)
+      return;
+    dispatch(std::string_view(Socket_->Buffer_.data(), Size));
+  }
+}
+
 void FleetLink::dispatch(std::string_view Bytes) {
   auto Message = decodeFleetMessage(Bytes);
   if (!isOk(Message)) {
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -104,6 +104,8 @@
   void storePeer(const std::string &Vm, const PeerLocation &Location);
   void updateTopology();
   void receive();
+  /// Handles the datagrams that have already arrived.
+  void receiveWaiting();
   void dispatch(std::string_view Bytes);
   void sendBytes(const std::string &Vm, const std::string &Bytes);
   void sendHops(const std::vector<ForwardingHop> &Hops, std::string &Bytes);
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -8,8 +8,8 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <array>
 #include <limits>
+#include <memory>
 #include <optional>
 
 namespace anvil {
@@ -61,6 +61,7 @@
   std::string Server_;
   CarriedRequests Carried_;
   std::optional<std::int64_t> ServerIncarnation_;
+  bool HasLargeParts_ = false;
   bool Open_ = false;
   bool RequestSent_ = false;
 };
@@ -244,6 +245,16 @@
   return Fits;
 }
 
+std::size_t HttpConnection::reservePart() {
+  auto Remaining = State_->Parser_->content_length_remaining();
+  if (!State_->HasLargeParts_ || !Remaining || *Remaining <= PartBytes)
+    return PartBytes;
+  auto Size = static_cast<std::size_t>(
+      std::min<std::uint64_t>(*Remaining, BufferLimitBytes));
+  State_->Buffer_.reserve(Size);
+  return Size;
+}
+
 asio::awaitable<Result<std::string>>
 HttpConnection::readPart(Duration Timeout) {
   TimePoint Deadline = BootClock::now() + Timeout;
@@ -255,9 +266,10 @@
       close();
       co_return networkError(State_->Server_, beast::error::timeout);
     }
-    std::array<char, PartBytes> Piece;
-    Parser.get().body().data = Piece.data();
-    Parser.get().body().size = Piece.size();
+    std::size_t Size = reservePart();
+    auto Piece = std::make_unique_for_overwrite<char[]>(Size);
+    Parser.get().body().data = Piece.get();
+    Parser.get().body().size = Size;
     State_->Stream_.expires_after(Left);
     error_code Cause;
     co_await http::async_read_some(
@@ -269,11 +281,11 @@
       close();
       co_return networkError(State_->Server_, Cause);
     }
-    std::size_t Read = Piece.size() - Parser.get().body().size;
+    std::size_t Read = Size - Parser.get().body().size;
     if (!fitsLimits())
       break;
     if (Read > 0)
-      co_return std::string(Piece.data(), Read);
+      co_return std::string(Piece.get(), Read);
   }
   if (!State_->Parser_)
     co_return tooManyFields();
@@ -301,6 +313,8 @@
   }
 }
 
+void HttpConnection::readLargeParts() { State_->HasLargeParts_ = true; }
+
 void HttpConnection::releaseBuffers() {
   if (!State_ || State_->Buffer_.capacity() <= IdleBufferBytes)
     return;
@@ -366,6 +380,7 @@
                                              ReplyTimes Times,
                                              ReceiveLimits Limits) {
   TimePoint Deadline = BootClock::now() + Times.Whole_;
+  Connection.readLargeParts();
   auto Head = co_await Connection.exchange(Request, Times.Head_);
   if (!isOk(Head))
     co_return errorOf(Head);
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -67,6 +67,11 @@
   readBody(ReceivedBody &Body, TimePoint Deadline,
            Duration Silence = std::chrono::hours(24));
 
+  /// Reads bodies of a known length in parts as large as the buffer, for
+  /// servers of the platform: each part takes a turn of the event loop, which
+  /// is long under load.
+  void readLargeParts();
+
   /// Frees what an idle connection doesn't need.
   void releaseBuffers();
 
@@ -100,6 +105,9 @@
   struct State;
   boost::asio::awaitable<Result<HttpReplyHead>> readHead(bool HasBody);
 
+  /// Makes room for the next part of the body and returns its maximum size.
+  std::size_t reservePart();
+
   /// Receives more bytes of a head into the buffer.
   boost::asio::awaitable<boost::system::error_code> receive();
   Result<HttpReplyHead> takeHead();
