Decode only the newest of several revisions that arrive together

A VM that was behind decoded each revision of an answer in turn, 0.1 s each at 0.12 cores and 1,553 routes, though only the last one comes into force.

--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -82,6 +82,12 @@
   return Since && *Since + Bound - std::min(ApplyMargin, Bound / 2) <= Now;
 }
 
+bool PlanService::mayDeny(TimePoint Now) const {
+  Duration Bound = std::chrono::milliseconds(Settings_.Bounds_.ConfigApplyMs_);
+  return ConfirmedAt_ &&
+         *ConfirmedAt_ + Bound - std::min(ApplyMargin, Bound / 2) > Now;
+}
+
 void PlanService::startEra() {
   ReadVersion_.reset();
   NewestRow_ = 0;
@@ -243,10 +249,16 @@
   for (const TableRow &Row : Newer)
     if (auto DataCentre = platform::evacuatedDataCentre(Row.Key_))
       applyEvacuation(*DataCentre, !Row.Deleted_, Evidence);
+  // Only the newest of several revisions is worth decoding.
+  const TableRow *NewestPlan = nullptr;
+  for (const TableRow &Row : Newer)
+    if (Row.Key_ == "config" && !Row.Deleted_ &&
+        (!NewestPlan || Row.Version_ > NewestPlan->Version_))
+      NewestPlan = &Row;
   for (const TableRow &Row : Newer) {
     if (Row.Deleted_)
       continue;
-    if (Row.Key_ == "config")
+    if (&Row == NewestPlan)
       applyPlan(Row, Evidence);
     else if (Row.Key_.starts_with("version/"))
       applyVersion(Row, NotBefore);
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -83,6 +83,10 @@
   /// requests may no longer be handled by its plan.
   bool isTooFarBehind(TimePoint Now) const;
 
+  /// Whether the plan was the newest so recently that what it lacks may be
+  /// denied: a newer one can't have been in force for long.
+  bool mayDeny(TimePoint Now) const;
+
   /// The adapter versions that the operator named.
   const VersionRequirements &versions() const { return Versions_; }
 
