--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -18,6 +18,10 @@
 /// The retry hint for callers while this VM lacks data it needs.
 static constexpr Duration NotReadyRetryAfter = std::chrono::milliseconds(400);
 
+/// The reason given while it isn't known whether the plan is the newest.
+static constexpr std::string_view NotConfirmed =
+    "the configuration is not confirmed";
+
 /// The maximum retry hint for a caller that exceeds its rate.
 static constexpr Duration MaxRateRetryAfter = std::chrono::seconds(2);
 
@@ -275,8 +279,9 @@
   // Without a fresh plan, a withdrawn key can't be distinguished from a valid
   // one.
   if (!Plans_->keysAreFresh(Admitted.ArrivedAt_))
-    return Refusal{503, "the configuration is not confirmed",
-                   NotReadyRetryAfter};
+    return Refusal{503, NotConfirmed, NotReadyRetryAfter};
+  if (!Admitted.Customer_ && !Plans_->mayDeny(Admitted.ArrivedAt_))
+    return Refusal{503, NotConfirmed, NotReadyRetryAfter};
   if (!Admitted.Customer_)
     return Refusal{401, "the key is not known", std::nullopt};
   return std::nullopt;
@@ -310,6 +315,9 @@
                    NotReadyRetryAfter};
   Admitted.Route_ =
       Admitted.Plan_->findRoute(Admitted.Fields_.Host_, Request.path());
+  // A newer plan may have the route, or the key.
+  if (!Admitted.Route_ && !Plans_->mayDeny(Admitted.ArrivedAt_))
+    return Refusal{503, NotConfirmed, NotReadyRetryAfter};
   if (!Admitted.Route_)
     return Refusal{404, "no route matches", std::nullopt};
   if (auto Refused = admitKey(Admitted))
--- a/Tests/Integration/LateChangeTest.cpp
+++ b/Tests/Integration/LateChangeTest.cpp
@@ -73,3 +73,28 @@
       },
       Millis(15000)));
 }
+
+// Guards against CONFIG and DENIED: a VM that hears nothing of the store for
+// long answers 404 or 401 for what a newer configuration may have.
+TEST_CASE("an unconfirmed configuration denies nothing",
+          "[change-unconfirmed]") {
+  EntryFleetPlan Plan;
+  Plan.ConfigApply_ = Millis(1000);
+  EntryFleet System(Plan);
+  auto StatusOf = [&](const std::string &Path, const std::string &Key) {
+    return System.call("vm-1", Path, {{"Authorization", "Token " + Key}})
+        .Status_;
+  };
+  REQUIRE(StatusOf("/unknown/x", "good-key") == 404);
+  REQUIRE(StatusOf("/safe/x", "unknown-key") == 401);
+  for (const std::string &Vm : System.vms())
+    System.setStoreLink(Vm, "cut");
+  std::this_thread::sleep_for(Millis(1200));
+  CHECK(StatusOf("/unknown/x", "good-key") == 503);
+  CHECK(StatusOf("/safe/x", "unknown-key") == 503);
+  CHECK(StatusOf("/safe/x", "good-key") == 200);
+  for (const std::string &Vm : System.vms())
+    System.setStoreLink(Vm, "pass");
+  CHECK(eventually([&] { return StatusOf("/unknown/x", "good-key") == 404; },
+                   Millis(10000)));
+}
