--- /dev/null
+++ b/Source/Relay/RelayServer.cpp
@@ -0,0 +1,357 @@
+#include "Relay/RelayServer.h"
+
+#include "Http/BoundAddress.h"
+#include "Http/Pause.h"
+#include "Http/Spawn.h"
+#include "Kernel/EnumNames.h"
+#include "Objects/Digest.h"
+#include "Telemetry/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <set>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// The maximum size of a request to relay, and the time for it to arrive.
+static constexpr std::uint32_t HeadLimitBytes = 4096;
+static constexpr Duration HeadTime = std::chrono::seconds(1);
+
+/// The maximum number of connections that haven't asked for a target yet.
+static constexpr std::size_t MaxPending = 64;
+
+/// The buffer for each direction.
+static constexpr std::size_t BufferBytes = 16 * 1024;
+
+/// The pause after a failed accept. Without it, a process that has run out of
+/// descriptors would spin.
+static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(10);
+
+/// How often connections without any bytes are looked for.
+static constexpr Duration IdleCheckPeriod = std::chrono::seconds(5);
+
+/// A pair of connections.
+struct RelayServer::Tunnel {
+  Tunnel(tcp::socket Asker, tcp::socket Target, RelayRequest Request)
+      : Asker_(std::move(Asker)), Target_(std::move(Target)),
+        Request_(std::move(Request)) {}
+
+  void close() {
+    error_code Ignored;
+    Asker_.close(Ignored);
+    Target_.close(Ignored);
+  }
+
+  /// Closes both sides, the asking VM's with a reset.
+  void reset() {
+    error_code Ignored;
+    Asker_.set_option(asio::socket_base::linger(true, 0), Ignored);
+    close();
+  }
+
+  tcp::socket Asker_;
+  tcp::socket Target_;
+  RelayRequest Request_;
+  TimePoint OpenedAt_ = BootClock::now();
+  TimePoint ActiveAt_ = OpenedAt_;
+  std::uint64_t BytesToTarget_ = 0;
+  std::uint64_t BytesToAsker_ = 0;
+  /// The connections still being read.
+  int Readers_ = 2;
+};
+
+struct RelayServer::Core : std::enable_shared_from_this<RelayServer::Core> {
+  Core(asio::any_io_executor Executor, RelayServerOptions Options,
+       std::shared_ptr<Metrics> Counts, ResolveHook Resolve,
+       ConfirmHook Confirm)
+      : Executor_(std::move(Executor)), Acceptor_(Executor_),
+        AcceptTimer_(Executor_), Options_(std::move(Options)),
+        Counts_(std::move(Counts)), Resolve_(std::move(Resolve)),
+        Confirm_(std::move(Confirm)) {}
+
+  asio::awaitable<void> accept();
+  asio::awaitable<void> serve(tcp::socket Asker);
+  Resolution resolve(const std::optional<RelayRequest> &Request);
+  asio::awaitable<void> refuse(beast::tcp_stream &Asker, RelayRefusal Why,
+                               const std::optional<RelayRequest> &Request);
+  asio::awaitable<void> open(beast::tcp_stream Asker, tcp::socket Target,
+                             RelayRequest Request, std::string Finding);
+  asio::awaitable<void> pass(std::shared_ptr<Tunnel> Pair, bool ToTarget);
+  void end(const std::shared_ptr<Tunnel> &Pair);
+  void closeIdle(TimePoint Now);
+
+  asio::any_io_executor Executor_;
+  tcp::acceptor Acceptor_;
+  asio::steady_timer AcceptTimer_;
+  RelayServerOptions Options_;
+  std::shared_ptr<Metrics> Counts_;
+  ResolveHook Resolve_;
+  ConfirmHook Confirm_;
+  std::set<std::shared_ptr<Tunnel>> Tunnels_;
+  /// Connections to targets that are being opened, and requests that arrive.
+  std::size_t Opening_ = 0;
+  std::size_t Pending_ = 0;
+  bool Draining_ = false;
+  bool Closed_ = false;
+  TimerService::Subscription IdleCheck_;
+};
+
+asio::awaitable<void> RelayServer::Core::accept() {
+  auto Self = shared_from_this();
+  while (!Closed_) {
+    error_code Cause;
+    tcp::socket Asker = co_await Acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, Cause));
+    if (Cause == asio::error::operation_aborted)
+      co_return;
+    if (Cause) {
+      co_await pauseFor(AcceptTimer_, AcceptRetryDelay);
+      continue;
+    }
+    // One that is closed unread has failed without a byte sent to a target.
+    if (Pending_ < MaxPending)
+      spawn(Executor_, serve(std::move(Asker)));
+  }
+}
+
+RelayServer::Resolution
+RelayServer::Core::resolve(const std::optional<RelayRequest> &Request) {
+  if (!Request)
+    return RelayRefusal::Malformed;
+  if (!equalInConstantTime(Request->Key_, Options_.Key_))
+    return RelayRefusal::Forbidden;
+  if (Draining_ || Closed_)
+    return RelayRefusal::Stopping;
+  if (Tunnels_.size() + Opening_ >= Options_.MaxTunnels_)
+    return RelayRefusal::Full;
+  return Resolve_(*Request);
+}
+
+asio::awaitable<void> RelayServer::Core::serve(tcp::socket Asker) {
+  auto Self = shared_from_this();
+  ++Pending_;
+  error_code Cause;
+  Asker.set_option(tcp::no_delay(true), Cause);
+  beast::tcp_stream Stream(std::move(Asker));
+  beast::flat_buffer Buffer(HeadLimitBytes);
+  http::request_parser<http::empty_body> Parser;
+  Parser.header_limit(HeadLimitBytes);
+  Stream.expires_after(HeadTime);
+  co_await http::async_read_header(
+      Stream, Buffer, Parser, asio::redirect_error(asio::use_awaitable, Cause));
+  --Pending_;
+  if (Cause)
+    co_return;
+  HttpHeaders Headers;
+  for (const auto &Field : Parser.get())
+    Headers.add(std::string(Field.name_string()), std::string(Field.value()));
+  auto Request =
+      decodeRelayRequest(std::string(Parser.get().method_string()), Headers);
+  // Bytes after the request can't be passed on before its answer.
+  if (Buffer.size() > 0)
+    Request.reset();
+  Resolution Found = resolve(Request);
+  if (const auto *Why = std::get_if<RelayRefusal>(&Found))
+    co_return co_await refuse(Stream, *Why, Request);
+  const Endpoint Address = std::get<Endpoint>(Found);
+  beast::tcp_stream Target(Executor_);
+  auto Number = asio::ip::make_address(Address.Address_, Cause);
+  ++Opening_;
+  if (!Cause) {
+    Target.expires_after(Options_.ConnectTime_);
+    co_await Target.async_connect(
+        tcp::endpoint(Number, Address.Port_),
+        asio::redirect_error(asio::use_awaitable, Cause));
+  }
+  --Opening_;
+  if (Cause || Closed_)
+    co_return co_await refuse(Stream, RelayRefusal::Unreached, Request);
+  error_code Ignored;
+  Target.socket().set_option(tcp::no_delay(true), Ignored);
+  std::string Finding;
+  if (Request->AsksIncarnation_)
+    Finding = co_await Confirm_(*Request, Address);
+  if (Closed_)
+    co_return;
+  tcp::socket Connected = Target.release_socket();
+  co_await open(std::move(Stream), std::move(Connected), std::move(*Request),
+                std::move(Finding));
+}
+
+asio::awaitable<void>
+RelayServer::Core::refuse(beast::tcp_stream &Asker, RelayRefusal Why,
+                          const std::optional<RelayRequest> &Request) {
+  std::string_view Reason = enumName(Why, RelayRefusalNames);
+  Counts_->count("anvil_relay_refusals_total",
+                 {{"reason", std::string(Reason)}});
+  logEvent(LogLevel::Info, "relay_refused",
+           {{"from", Request ? Request->Vm_ : ""},
+            {"tunnel", Request ? Request->Tunnel_ : ""},
+            {"request", Request ? Request->RequestId_ : ""},
+            {"target", Request ? Request->Target_ : ""},
+            {"reason", Reason},
+            {"tunnels", Tunnels_.size()}});
+  HttpReply Reply = encodeRelayRefusal(Why);
+  http::response<http::empty_body> Message;
+  Message.version(11);
+  Message.result(static_cast<unsigned>(Reply.Status_));
+  for (const HttpHeader &Header : Reply.Headers_)
+    Message.insert(Header.Name_, Header.Value_);
+  Message.keep_alive(false);
+  Message.content_length(0);
+  error_code Ignored;
+  Asker.expires_after(HeadTime);
+  co_await http::async_write(
+      Asker, Message, asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
+asio::awaitable<void> RelayServer::Core::open(beast::tcp_stream Asker,
+                                              tcp::socket Target,
+                                              RelayRequest Request,
+                                              std::string Finding) {
+  http::response<http::empty_body> Message;
+  Message.version(11);
+  Message.result(http::status::ok);
+  if (!Finding.empty())
+    Message.insert(std::string(RelayFindingHeader), Finding);
+  error_code Cause;
+  Asker.expires_after(HeadTime);
+  co_await http::async_write(Asker, Message,
+                             asio::redirect_error(asio::use_awaitable, Cause));
+  if (Cause || Closed_)
+    co_return;
+  Asker.expires_never();
+  auto Pair = std::make_shared<Tunnel>(Asker.release_socket(),
+                                       std::move(Target), std::move(Request));
+  error_code Ignored;
+  Pair->Asker_.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Tunnels_.insert(Pair);
+  Counts_->count("anvil_relayed_connections_total");
+  Counts_->gauge("anvil_relay_tunnels", {},
+                 static_cast<double>(Tunnels_.size()));
+  logEvent(LogLevel::Info, "relay_opened",
+           {{"from", Pair->Request_.Vm_},
+            {"tunnel", Pair->Request_.Tunnel_},
+            {"request", Pair->Request_.RequestId_},
+            {"target", Pair->Request_.Target_},
+            {"tunnels", Tunnels_.size()}});
+  spawn(Executor_, pass(Pair, true));
+  spawn(Executor_, pass(Pair, false));
+}
+
+asio::awaitable<void> RelayServer::Core::pass(std::shared_ptr<Tunnel> Pair,
+                                              bool ToTarget) {
+  auto Self = shared_from_this();
+  tcp::socket &From = ToTarget ? Pair->Asker_ : Pair->Target_;
+  tcp::socket &To = ToTarget ? Pair->Target_ : Pair->Asker_;
+  std::uint64_t &Bytes = ToTarget ? Pair->BytesToTarget_ : Pair->BytesToAsker_;
+  std::array<char, BufferBytes> Buffer;
+  error_code ReadCause;
+  error_code WriteCause;
+  while (!ReadCause && !WriteCause) {
+    std::size_t Read = co_await From.async_read_some(
+        asio::buffer(Buffer),
+        asio::redirect_error(asio::use_awaitable, ReadCause));
+    if (Read == 0)
+      continue;
+    Pair->ActiveAt_ = BootClock::now();
+    Bytes += Read;
+    co_await asio::async_write(
+        To, asio::buffer(Buffer.data(), Read),
+        asio::redirect_error(asio::use_awaitable, WriteCause));
+  }
+  error_code Ignored;
+  bool IsOrderlyEnd = ReadCause == asio::error::eof && !WriteCause;
+  // What the target sent may have no length and end with its connection, so a
+  // reset must not look like its end.
+  if (!ToTarget && IsOrderlyEnd)
+    Pair->Asker_.shutdown(tcp::socket::shutdown_send, Ignored);
+  else if (ToTarget)
+    Pair->close();
+  else
+    Pair->reset();
+  if (--Pair->Readers_ == 0)
+    end(Pair);
+}
+
+void RelayServer::Core::end(const std::shared_ptr<Tunnel> &Pair) {
+  Tunnels_.erase(Pair);
+  Counts_->gauge("anvil_relay_tunnels", {},
+                 static_cast<double>(Tunnels_.size()));
+  Counts_->count("anvil_relayed_bytes_total", {{"to", "target"}},
+                 static_cast<double>(Pair->BytesToTarget_));
+  Counts_->count("anvil_relayed_bytes_total", {{"to", "vm"}},
+                 static_cast<double>(Pair->BytesToAsker_));
+  logEvent(LogLevel::Debug, "relay_closed",
+           {{"from", Pair->Request_.Vm_},
+            {"tunnel", Pair->Request_.Tunnel_},
+            {"target", Pair->Request_.Target_},
+            {"to_target_bytes", Pair->BytesToTarget_},
+            {"to_vm_bytes", Pair->BytesToAsker_},
+            {"lasted_ms", toMillis(BootClock::now() - Pair->OpenedAt_)}});
+}
+
+void RelayServer::Core::closeIdle(TimePoint Now) {
+  for (const auto &Pair : Tunnels_)
+    if (Pair->ActiveAt_ + Options_.IdleTime_ <= Now)
+      Pair->reset();
+}
+
+RelayServer::RelayServer(asio::any_io_executor Executor, TimerService &Timers,
+                         RelayServerOptions Options,
+                         std::shared_ptr<Metrics> Counts, ResolveHook Resolve,
+                         ConfirmHook Confirm)
+    : Core_(std::make_shared<Core>(std::move(Executor), std::move(Options),
+                                   std::move(Counts), std::move(Resolve),
+                                   std::move(Confirm))) {
+  Core_->IdleCheck_ =
+      Timers.every(IdleCheckPeriod, BootClock::now(),
+                   [this](TimePoint Now) { Core_->closeIdle(Now); });
+}
+
+RelayServer::~RelayServer() { close(); }
+
+Status RelayServer::bind(const Endpoint &Address) {
+  return bindAcceptor(Core_->Acceptor_, Address);
+}
+
+Status RelayServer::listen(const Endpoint &Address) {
+  Status Listening = listenAt(Core_->Acceptor_, Address);
+  if (!isOk(Listening))
+    return Listening;
+  spawn(Core_->Executor_, Core_->accept());
+  return std::monostate{};
+}
+
+std::uint16_t RelayServer::port() const {
+  error_code Ignored;
+  return Core_->Acceptor_.local_endpoint(Ignored).port();
+}
+
+void RelayServer::beginDrain() { Core_->Draining_ = true; }
+
+void RelayServer::close() {
+  Core_->Closed_ = true;
+  Core_->IdleCheck_.cancel();
+  error_code Ignored;
+  Core_->Acceptor_.close(Ignored);
+  Core_->AcceptTimer_.cancel();
+  for (const auto &Pair : Core_->Tunnels_)
+    Pair->close();
+}
+
+std::size_t RelayServer::openTunnels() const { return Core_->Tunnels_.size(); }
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Relay/RelayServer.h
@@ -0,0 +1,80 @@
+#ifndef ANVIL_RELAY_RELAYSERVER_H
+#define ANVIL_RELAY_RELAYSERVER_H
+
+#include "Http/Endpoint.h"
+#include "Kernel/TimerService.h"
+#include "Relay/RelayRequest.h"
+#include "Telemetry/Metrics.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace anvil {
+
+/// What a `RelayServer` may use.
+struct RelayServerOptions {
+  /// The key that other VMs must send.
+  std::string Key_;
+  /// The maximum number of connections that are relayed at a time.
+  std::size_t MaxTunnels_ = 256;
+  /// The time within which a target must accept a connection.
+  Duration ConnectTime_ = std::chrono::milliseconds(250);
+  /// The time after which a connection without any bytes is closed.
+  Duration IdleTime_ = std::chrono::seconds(60);
+};
+
+/// Connects other VMs to targets that they don't reach themselves, and passes
+/// the bytes of both sides on unchanged. It holds back no byte and keeps no
+/// more than one buffer for each direction, so that a slow reader slows the
+/// sender. The end of a target's connection reaches the other VM as it was:
+/// orderly or as a reset. Once the other VM closes, the target's connection is
+/// closed.
+class RelayServer {
+public:
+  /// The address of a target, or why it isn't relayed to.
+  using Resolution = std::variant<Endpoint, RelayRefusal>;
+  using ResolveHook = std::function<Resolution(const RelayRequest &)>;
+
+  /// Asks the target at an address which of its incarnations runs, and returns
+  /// the name of its answer for `RelayFindingHeader`.
+  using ConfirmHook = std::function<boost::asio::awaitable<std::string>(
+      const RelayRequest &, const Endpoint &)>;
+
+  /// `Resolve` is called for requests with the right key, `Confirm` for those
+  /// that ask for the incarnation.
+  RelayServer(boost::asio::any_io_executor Executor, TimerService &Timers,
+              RelayServerOptions Options, std::shared_ptr<Metrics> Counts,
+              ResolveHook Resolve, ConfirmHook Confirm);
+  ~RelayServer();
+  RelayServer(const RelayServer &) = delete;
+  RelayServer &operator=(const RelayServer &) = delete;
+
+  /// As those of `HttpServer`.
+  Status bind(const Endpoint &Address);
+  Status listen(const Endpoint &Address);
+  std::uint16_t port() const;
+
+  /// Relays no further connections; those that are open go on.
+  void beginDrain();
+
+  /// Stops accepting and closes all connections.
+  void close();
+
+  /// The number of connections that are relayed now.
+  std::size_t openTunnels() const;
+
+private:
+  struct Core;
+  struct Tunnel;
+  std::shared_ptr<Core> Core_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_RELAY_RELAYSERVER_H
