--- a/Source/Entry/OwnerRows.cpp
+++ b/Source/Entry/OwnerRows.cpp
@@ -46,11 +46,11 @@
 }
 
 std::string encodeVmRow(const VmRow &Row) {
-  return json{{"incarnation", Row.Incarnation_},
-              {"data_centre", Row.DataCentre_},
-              {"peer_address", Row.PeerAddress_},
-              {"renewals", Row.Renewals_},
-              {"standby", Row.Standby_}}
+  return json{
+      {"incarnation", Row.Incarnation_},  {"data_centre", Row.DataCentre_},
+      {"peer_address", Row.PeerAddress_}, {"renewals", Row.Renewals_},
+      {"standby", Row.Standby_},          {"relay_port", Row.RelayPort_},
+      {"relay_key", Row.RelayKey_}}
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -77,6 +77,13 @@
   return IsText ? Found->get<std::string>() : std::string();
 }
 
+/// The port under `Name`; zero if there is none.
+static std::uint16_t portOf(const json &Source, const char *Name) {
+  std::uint64_t Number = countOf(Source, Name);
+  constexpr std::uint64_t MaxPort = 65535;
+  return static_cast<std::uint16_t>(Number <= MaxPort ? Number : 0);
+}
+
 static VmRow decodeVmRow(std::string_view Vm, const json &Value,
                          std::uint64_t Version) {
   return {std::string(Vm),
@@ -85,7 +92,9 @@
           textOf(Value, "peer_address"),
           countOf(Value, "renewals"),
           Version,
-          flagOf(Value, "standby")};
+          flagOf(Value, "standby"),
+          portOf(Value, "relay_port"),
+          textOf(Value, "relay_key")};
 }
 
 ControlRows decodeControlRows(const std::vector<TableRow> &Rows,
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -25,6 +25,10 @@
   /// Whether the VM is on standby: it owns and claims no targets until its row
   /// changes. Such a row is renewed less often.
   bool Standby_ = false;
+  /// The TCP port on which the VM relays connections of other VMs, zero if it
+  /// doesn't, and the key that they must send.
+  std::uint16_t RelayPort_ = 0;
+  std::string RelayKey_{};
 };
 
 /// The row that names the owner of a target, the VM that sends it orders.
--- /dev/null
+++ b/Tests/Integration/RelayingVm.h
@@ -0,0 +1,54 @@
+#ifndef ANVIL_TESTS_INTEGRATION_RELAYINGVM_H
+#define ANVIL_TESTS_INTEGRATION_RELAYINGVM_H
+
+#include "Integration/SingleVm.h"
+#include "Relay/RelayServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace anvil {
+
+/// Another VM that a test plays beside a `SingleVm`: it has a row in the store,
+/// sends state updates, and relays connections to a target whose real address
+/// only it knows.
+class RelayingVm {
+public:
+  /// `TargetPort` is the port of the target at the loopback address.
+  RelayingVm(const SingleVm &Other, std::uint16_t TargetPort);
+  ~RelayingVm();
+  RelayingVm(const RelayingVm &) = delete;
+  RelayingVm &operator=(const RelayingVm &) = delete;
+
+  /// Whether it reaches the target; it does at first.
+  void setReaching(bool Reaches) { IsReaching_ = Reaches; }
+
+  /// The number of connections that it has been asked to relay.
+  int askedCount() const { return Asked_; }
+
+  /// The number of connections that it relays now.
+  std::size_t openTunnels();
+
+private:
+  void sendUpdates();
+
+  boost::asio::io_context Loop_{1};
+  boost::asio::ip::udp::socket Updates_;
+  boost::asio::ip::udp::endpoint Other_;
+  TimerService Timers_;
+  std::unique_ptr<RelayServer> Server_;
+  std::atomic<bool> IsReaching_ = true;
+  std::atomic<bool> IsEnding_ = false;
+  std::atomic<int> Asked_ = 0;
+  std::thread Thread_;
+  std::thread Sender_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_TESTS_INTEGRATION_RELAYINGVM_H
--- a/Tests/Standins/ScriptedTarget.cpp
+++ b/Tests/Standins/ScriptedTarget.cpp
@@ -17,9 +17,9 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-ScriptedTarget::ScriptedTarget(std::string Id)
+ScriptedTarget::ScriptedTarget(std::string Id, std::uint16_t Port)
     : Id_(std::move(Id)), Loop_(1),
-      Acceptor_(Loop_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      Acceptor_(Loop_, tcp::endpoint(asio::ip::address_v4::loopback(), Port)),
       Port_(Acceptor_.local_endpoint().port()) {
   asio::co_spawn(Loop_, accept(), asio::detached);
   Thread_ = std::thread([this] { Loop_.run(); });
--- a/Tests/Standins/ScriptedTarget.h
+++ b/Tests/Standins/ScriptedTarget.h
@@ -34,7 +34,8 @@
 /// one is kept. Reports list the model `base`.
 class ScriptedTarget {
 public:
-  explicit ScriptedTarget(std::string Id);
+  /// Port 0 lets the system choose one.
+  explicit ScriptedTarget(std::string Id, std::uint16_t Port = 0);
   ~ScriptedTarget();
   ScriptedTarget(const ScriptedTarget &) = delete;
   ScriptedTarget &operator=(const ScriptedTarget &) = delete;
