--- a/Source/Entry/CrashProbe.h
+++ b/Source/Entry/CrashProbe.h
@@ -12,15 +12,12 @@
 struct RequestServices;
 
 /// Checks in the background whether a target that broke off a request has
-/// crashed. If so, excludes the target and records that a request with this
-/// digest and these parts of its prompt was running when it crashed.
+/// crashed. If so, records that a request with this digest and these parts of
+/// its prompt was running when it crashed. A target that only this VM can't
+/// connect to hasn't crashed.
 void probeAfterFailure(RequestServices &Shared, const TargetChoice &Lost,
                        const std::string &Digest, std::vector<PartId> Parts);
 
-/// Excludes an unreachable target and probes it until it is reachable or no
-/// longer listed.
-void excludeTarget(RequestServices &Shared, const TargetChoice &Unreachable);
-
 } // namespace anvil
 
 #endif // ANVIL_ENTRY_CRASHPROBE_H
--- a/Source/Entry/EngineOwnershipRows.cpp
+++ b/Source/Entry/EngineOwnershipRows.cpp
@@ -6,6 +6,7 @@
 #include "Entry/FleetState.h"
 #include "Entry/OwnerRows.h"
 #include "Entry/RandomFraction.h"
+#include "Entry/ReachService.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Kernel/EnumNames.h"
@@ -63,9 +64,9 @@
 
 VmRow EngineOwnershipService::ownRow() const {
   Endpoint Peer{Settings_.Listen_.Address_, Link_->port()};
-  return {Self_,       Incarnation_, Settings_.DataCentre_,
-          Peer.text(), Renewals_,    OwnRowVersion_,
-          Standby_};
+  return {Self_,       Incarnation_,        Settings_.DataCentre_,
+          Peer.text(), Renewals_,           OwnRowVersion_,
+          Standby_,    Reach_->relayPort(), Reach_->relayKey()};
 }
 
 bool EngineOwnershipService::isLeaseCandidate(TimePoint Now) const {
@@ -169,7 +170,8 @@
     for (const VmRow &Row : *Vms) {
       auto Address = parseEndpoint(Row.PeerAddress_);
       if (Row.Vm_ != Self_ && isOk(Address))
-        Peers[Row.Vm_] = {valueOf(Address), Row.DataCentre_};
+        Peers[Row.Vm_] = {valueOf(Address), Row.DataCentre_, Row.RelayPort_,
+                          Row.RelayKey_};
     }
   Link_->setPeers(Peers);
   std::size_t Count = Ownership_.knownVms() + Rows.EarlierVms_.size();
--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -1,6 +1,7 @@
 #include "Entry/EngineOwnershipService.h"
 
 #include "Entry/FleetState.h"
+#include "Entry/ReachService.h"
 #include "Entry/ReceiveBudgets.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
@@ -51,6 +52,7 @@
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
+      Reach_(Services.require<ReachService>(ReachService::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       Control_(
           ControlTimeout,
--- a/Source/Entry/EngineOwnershipService.h
+++ b/Source/Entry/EngineOwnershipService.h
@@ -129,6 +129,7 @@
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<FleetLink> Link_;
   std::shared_ptr<class FleetState> Fleet_;
+  std::shared_ptr<class ReachService> Reach_;
   std::shared_ptr<Metrics> Metrics_;
   platform::EngineControl Control_;
   TargetOwnership Ownership_;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Entry/FleetState.h"
 #include "Entry/PlanExchange.h"
 #include "Entry/PlanService.h"
+#include "Entry/ReachService.h"
 #include "Entry/ReceiveBudgets.h"
 #include "Entry/StoreReadRelay.h"
 #include "Entry/StreamVersionService.h"
@@ -57,6 +58,8 @@
   Services_.add(std::make_shared<FleetLink>(Executor, Settings_, Timers_));
   Services_.add(std::make_shared<FleetState>(Settings_, Settings_.holderName(),
                                              Incarnation_, Services_));
+  Services_.add(
+      std::make_shared<ReachService>(Executor, Settings_, Timers_, Services_));
   Services_.add(std::make_shared<EngineOwnershipService>(
       Executor, Settings_, Incarnation_, Services_));
   Services_.add(std::make_shared<PlanExchange>(Executor, Settings_, Services_));
--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -86,6 +86,7 @@
           Services.require<FleetState>(FleetState::Name),
           Services.require<ColdTargets>(ColdTargets::Name),
           Services.require<StreamVersionService>(StreamVersionService::Name),
+          Services.require<ReachService>(ReachService::Name),
           Services.require<Metrics>(Metrics::Name),
           {},
           retryOptions(Settings),
@@ -137,6 +138,11 @@
       [this](const std::string &Model, const std::string &Adapter) {
         spawn(Executor_, endOutdatedWaits(Model, Adapter));
       });
+  Shared_.Reach_->CheckDue_.attach(
+      [this](TimePoint Now) { Shared_.checkDeliveries(Now); });
+  Shared_.Reach_->Lost_.attach([this](const TargetAddress &Lost) {
+    Shared_.Pool_.dropConnections(Lost.Address_);
+  });
   Owners_->RowsRead_.attach([this] {
     Shared_.setVms(static_cast<double>(
         std::max<std::size_t>(1, Owners_->ownership().knownVms())));
@@ -208,6 +214,7 @@
 void EntryGateway::beginDrain() {
   Draining_ = true;
   Callers_.beginDrain();
+  Shared_.Reach_->beginDrain();
 }
 
 void EntryGateway::refuseBeyond(TimePoint StopAt) {
--- a/Source/Entry/EntryGateway.h
+++ b/Source/Entry/EntryGateway.h
@@ -49,9 +49,11 @@
 
   std::size_t runningRequests() const { return Callers_.runningRequests(); }
 
-  /// Callers' connections that are still open. Once this is zero after
-  /// `closeIdle`, no more requests can arrive.
-  std::size_t openConnections() const { return Callers_.openConnections(); }
+  /// Callers' connections that are still open, and connections that this VM
+  /// relays. Once this is zero after `closeIdle`, no more requests can arrive.
+  std::size_t openConnections() const {
+    return Callers_.openConnections() + Shared_.Reach_->relayedConnections();
+  }
 
 private:
   /// Why a request is not admitted.
--- a/Source/Entry/FleetLink.cpp
+++ b/Source/Entry/FleetLink.cpp
@@ -116,6 +116,21 @@
   return Found->second.Location_.Endpoint_;
 }
 
+std::optional<FleetLink::PeerLocation>
+FleetLink::locationOf(const std::string &Vm) const {
+  auto Found = Peers_.find(Vm);
+  if (Found == Peers_.end())
+    return std::nullopt;
+  return Found->second.Location_;
+}
+
+void FleetLink::forEachPeer(
+    const std::function<void(const std::string &, const PeerLocation &)> &Visit)
+    const {
+  for (const auto &[Vm, Known] : Peers_)
+    Visit(Vm, Known.Location_);
+}
+
 void FleetLink::receive() {
   Socket_->Udp_.async_receive_from(
       asio::buffer(Socket_->Buffer_), Socket_->From_,
--- a/Source/Entry/FleetLink.h
+++ b/Source/Entry/FleetLink.h
@@ -43,10 +43,13 @@
   /// The UDP port in use.
   std::uint16_t port() const;
 
-  /// The address and data centre of another VM.
+  /// The address and data centre of another VM, and how it is asked to relay
+  /// connections: its TCP port for that, zero if unknown, and its key.
   struct PeerLocation {
     Endpoint Endpoint_;
     std::string DataCentre_;
+    std::uint16_t RelayPort_ = 0;
+    std::string RelayKey_{};
   };
 
   /// Sets the locations of the other VMs, or adds one.
@@ -58,6 +61,14 @@
   /// The address at which a VM receives datagrams; nothing if unknown.
   std::optional<Endpoint> addressOf(const std::string &Vm) const;
 
+  /// The location of a VM; nothing if unknown.
+  std::optional<PeerLocation> locationOf(const std::string &Vm) const;
+
+  /// Calls `Visit` for each known VM.
+  void forEachPeer(
+      const std::function<void(const std::string &, const PeerLocation &)>
+          &Visit) const;
+
   /// Sends to one VM; does nothing if its address is unknown.
   void send(const std::string &Vm, const FleetMessage &Message);
 
--- a/Source/Entry/IncarnationCheck.cpp
+++ b/Source/Entry/IncarnationCheck.cpp
@@ -32,14 +32,7 @@
                       platform::EngineAddress Engine,
                       std::int64_t Incarnation) {
   auto Report = co_await Engines->report(std::move(Engine));
-  if (!isOk(Report))
-    Finding_ = IncarnationFinding::NoReport;
-  else if (!valueOf(Report).Incarnation_)
-    Finding_ = IncarnationFinding::NotStated;
-  else
-    Finding_ = *valueOf(Report).Incarnation_ == Incarnation
-                   ? IncarnationFinding::Same
-                   : IncarnationFinding::Other;
+  Finding_ = findingOf(Report, Incarnation);
   Found_.notify();
 }
 
--- a/Source/Entry/IncarnationCheck.h
+++ b/Source/Entry/IncarnationCheck.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_INCARNATIONCHECK_H
 #define ANVIL_ENTRY_INCARNATIONCHECK_H
 
+#include "Entry/IncarnationFinding.h"
 #include "Entry/TargetPicker.h"
 #include "Http/WaitList.h"
 #include "platform/EngineControl.h"
@@ -15,26 +16,6 @@
 
 namespace anvil {
 
-/// Which incarnation of an engine has the address of a chosen one.
-enum class IncarnationFinding {
-  /// The chosen one.
-  Same,
-  /// Another one: the chosen one has ended.
-  Other,
-  /// The engine doesn't state it.
-  NotStated,
-  /// The engine didn't report in time.
-  NoReport,
-};
-
-inline constexpr std::pair<IncarnationFinding, std::string_view>
-    IncarnationNames[] = {
-        {IncarnationFinding::Same, "same"},
-        {IncarnationFinding::Other, "other"},
-        {IncarnationFinding::NotStated, "not_stated"},
-        {IncarnationFinding::NoReport, "no_report"},
-};
-
 /// Asks an engine which of its incarnations runs, as its entry in the list may
 /// be that of an earlier one. A connection that was opened before, and is still
 /// open when the engine reports, leads to the same incarnation.
--- /dev/null
+++ b/Source/Entry/ReachService.cpp
@@ -0,0 +1,362 @@
+#include "Entry/ReachService.h"
+
+#include "Entry/IncarnationFinding.h"
+#include "Entry/RandomFraction.h"
+#include "Entry/ReceiveBudgets.h"
+#include "Http/Pause.h"
+#include "Http/Spawn.h"
+#include "Kernel/DescriptorLimit.h"
+#include "Kernel/EnumNames.h"
+#include "Objects/Digest.h"
+#include "TableService/Backoff.h"
+#include "Telemetry/Log.h"
+
+#include <algorithm>
+
+namespace anvil {
+
+namespace asio = boost::asio;
+
+/// The time limit for a connection to a target, and for one through another VM:
+/// for each VM that is asked.
+static constexpr Duration ConnectTime = std::chrono::milliseconds(300);
+static constexpr Duration TunnelTime = std::chrono::milliseconds(400);
+
+/// The time limit of an engine's report for another VM.
+static constexpr Duration ReportTime = std::chrono::milliseconds(200);
+
+/// The waits between attempts to connect to a lost target.
+static constexpr Duration MinRetryWait = std::chrono::milliseconds(300);
+static constexpr Duration MaxRetryWait = std::chrono::milliseconds(1500);
+
+/// After how many of these attempts other VMs are asked again about a target
+/// that none of them reached.
+static constexpr int RetriesPerSeek = 4;
+
+/// For how long an idle connection through another VM is kept; shorter than
+/// that of own ones, since it takes descriptors of that VM.
+static constexpr Duration MaxIdleTime = std::chrono::seconds(2);
+
+/// How often sent requests are checked.
+static constexpr Duration CheckPeriod = std::chrono::milliseconds(100);
+
+/// How often the other targets are checked at most, and how many of them.
+static constexpr Duration OthersCheckPeriod = std::chrono::seconds(1);
+static constexpr std::size_t MaxOthersChecked = 64;
+
+/// How often a wait for the answers of other VMs looks at the result.
+static constexpr Duration SeekWaitPeriod = std::chrono::milliseconds(500);
+
+/// The part of a process's descriptors that relayed connections may use, with
+/// two for each, and the part of its memory, with two buffers for each.
+static constexpr double DescriptorShare = 0.2;
+static constexpr std::size_t MemoryDivisor = 16;
+static constexpr std::size_t TunnelBytes = 48 * 1024;
+
+static RelayServerOptions serverOptions(const EntrySettings &Settings,
+                                        const std::string &Key) {
+  constexpr std::size_t BytesPerMb = 1024 * 1024;
+  std::size_t ByMemory = static_cast<std::size_t>(Settings.MemoryMb_) *
+                         BytesPerMb / MemoryDivisor / TunnelBytes;
+  auto ByDescriptors = static_cast<std::size_t>(
+      static_cast<double>(descriptorLimit()) * DescriptorShare / 2);
+  RelayServerOptions Options;
+  Options.Key_ = Key;
+  Options.MaxTunnels_ =
+      std::max<std::size_t>(1, std::min(ByMemory, ByDescriptors));
+  return Options;
+}
+
+ReachService::ReachService(asio::any_io_executor Executor,
+                           const EntrySettings &Settings, TimerService &Timers,
+                           const ServiceRegistry &Services)
+    : Executor_(std::move(Executor)), Settings_(Settings), Timers_(Timers),
+      Self_(Settings.holderName()), Key_(randomHex(16)),
+      Link_(Services.require<FleetLink>(FleetLink::Name)),
+      Fleet_(Services.require<FleetState>(FleetState::Name)),
+      Targets_(Services.require<TargetListService>(TargetListService::Name)),
+      Metrics_(Services.require<Metrics>(Metrics::Name)),
+      Tunnels_(
+          {ReceiveLimits().BodyBytes_,
+           Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->targets()}),
+      Engines_(
+          ReportTime,
+          Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->control()),
+      Server_(
+          Executor_, Timers, serverOptions(Settings, Key_), Metrics_,
+          [this](const RelayRequest &Request) { return resolve(Request); },
+          [this](const RelayRequest &Request, const Endpoint &Address) {
+            return confirm(Request, Address);
+          }) {}
+
+asio::awaitable<std::string> ReachService::confirm(RelayRequest Request,
+                                                   Endpoint Address) {
+  platform::EngineAddress Engine{Request.Target_, Address};
+  auto Report = co_await Engines_.report(std::move(Engine));
+  co_return std::string(
+      enumName(findingOf(Report, Request.Incarnation_), IncarnationNames));
+}
+
+Endpoint ReachService::address() const {
+  return {Settings_.Listen_.Address_,
+          static_cast<std::uint16_t>(Settings_.Listen_.RelayPort_)};
+}
+
+Status ReachService::start() {
+  CheckTimer_ = Timers_.every(CheckPeriod, BootClock::now(),
+                              [this](TimePoint Now) { CheckDue_.fire(Now); });
+  return Server_.listen(address());
+}
+
+bool ReachService::isListed(const TargetAddress &Target) const {
+  const ListedTarget *Listed = Targets_->roster().find(Target.Target_);
+  return Listed && Listed->Entry_.Incarnation_ == Target.Incarnation_ &&
+         Listed->Usability_ != TargetUsability::Unlisted;
+}
+
+RelayServer::Resolution
+ReachService::resolve(const RelayRequest &Request) const {
+  const ListedTarget *Listed = Targets_->roster().find(Request.Target_);
+  bool MayServe = Listed &&
+                  Listed->Entry_.Incarnation_ == Request.Incarnation_ &&
+                  (Listed->Usability_ == TargetUsability::Usable ||
+                   Listed->Usability_ == TargetUsability::Lapsed);
+  if (!MayServe)
+    return RelayRefusal::Unlisted;
+  if (stateOf(Request.Target_, Request.Incarnation_) != ReachState::Direct)
+    return RelayRefusal::Unreached;
+  auto Address = parseEndpoint(Listed->Entry_.Address_);
+  if (!isOk(Address))
+    return RelayRefusal::Unlisted;
+  return valueOf(Address);
+}
+
+void ReachService::showCounts() {
+  Metrics_->gauge("anvil_lost_targets", {},
+                  static_cast<double>(Reach_.lostTargets()));
+  Metrics_->gauge("anvil_relayed_targets", {},
+                  static_cast<double>(Reach_.relayedTargets()));
+}
+
+void ReachService::recordLost(const TargetAddress &Lost) {
+  if (!Reach_.recordLost(Lost.Target_, Lost.Incarnation_, BootClock::now()))
+    return;
+  logEvent(LogLevel::Warning, "target_lost",
+           {{"target", Lost.Target_}, {"incarnation", Lost.Incarnation_}});
+  showCounts();
+  Lost_.fire(Lost);
+  beginSeek(Lost);
+  spawn(Executor_, watch(Lost));
+}
+
+void ReachService::beginSeek(const TargetAddress &Lost) {
+  if (!Sought_.insert(Lost.Target_).second)
+    return;
+  Reach_.recordSeeking(Lost.Target_, Lost.Incarnation_);
+  spawn(Executor_, seek(Lost));
+}
+
+asio::awaitable<void> ReachService::seek(TargetAddress Lost) {
+  TimePoint Since = BootClock::now();
+  HttpConnection Connection(Tunnels_.limits().Budget_);
+  TunnelUse Use;
+  bool IsRelayed = co_await askOthers(Connection, Lost, Use);
+  TimePoint Now = BootClock::now();
+  if (IsRelayed)
+    Reach_.recordRelayed(Lost.Target_, Lost.Incarnation_);
+  else
+    Reach_.recordUnreachable(Lost.Target_, Lost.Incarnation_);
+  logEvent(LogLevel::Info, "target_sought",
+           {{"target", Lost.Target_},
+            {"incarnation", Lost.Incarnation_},
+            {"state", enumName(stateOf(Lost.Target_, Lost.Incarnation_),
+                               ReachStateNames)},
+            {"through", IsRelayed ? Connection.route()->vm() : ""},
+            {"took_ms", toMillis(Now - Since)}});
+  if (IsRelayed)
+    returnTunnel(Lost.Address_, std::move(Connection), MaxIdleTime);
+  showCounts();
+  Sought_.erase(Lost.Target_);
+  SeekEnded_.notify();
+  if (IsRelayed)
+    checkOthers(Now);
+}
+
+asio::awaitable<bool>
+ReachService::isReachedElsewhere(const TargetAddress &Lost) {
+  TargetAddress Target = Lost;
+  recordLost(Target);
+  while (stateOf(Target.Target_, Target.Incarnation_) == ReachState::Seeking)
+    co_await SeekEnded_.waitUntil(BootClock::now() + SeekWaitPeriod);
+  co_return stateOf(Target.Target_, Target.Incarnation_) !=
+      ReachState::Unreachable;
+}
+
+asio::awaitable<void> ReachService::watch(TargetAddress Lost) {
+  Backoff Waits(MinRetryWait, MaxRetryWait);
+  for (int Retries = 1; isListed(Lost); ++Retries) {
+    co_await pauseFor(Waits.next(randomFraction()));
+    ReachState State = stateOf(Lost.Target_, Lost.Incarnation_);
+    if (State == ReachState::Direct)
+      co_return;
+    HttpConnection Connection;
+    Status Opened = co_await Connection.open(Lost.Address_, ConnectTime);
+    if (isOk(Opened))
+      co_return regain(Lost, std::move(Connection));
+    if (State == ReachState::Unreachable && Retries % RetriesPerSeek == 0)
+      beginSeek(Lost);
+  }
+  regain(Lost, HttpConnection());
+}
+
+void ReachService::regain(const TargetAddress &Found,
+                          HttpConnection Connection) {
+  auto LostFor = Reach_.recordRegained(Found.Target_, Found.Incarnation_,
+                                       BootClock::now());
+  if (!LostFor)
+    return;
+  logEvent(LogLevel::Info, "target_regained",
+           {{"target", Found.Target_},
+            {"connected", Connection.reusable()},
+            {"away_ms", toMillis(*LostFor)}});
+  showCounts();
+  SeekEnded_.notify();
+  Regained_.fire(Found);
+}
+
+void ReachService::suspect(const TargetAddress &Silent) {
+  if (stateOf(Silent.Target_, Silent.Incarnation_) == ReachState::Direct &&
+      Checked_.insert(Silent.Target_).second)
+    spawn(Executor_, check(Silent));
+}
+
+asio::awaitable<void> ReachService::check(TargetAddress Suspect) {
+  HttpConnection Connection;
+  Status Opened = co_await Connection.open(Suspect.Address_, ConnectTime);
+  Checked_.erase(Suspect.Target_);
+  if (!isOk(Opened) && isListed(Suspect))
+    recordLost(Suspect);
+}
+
+void ReachService::checkOthers(TimePoint Now) {
+  if (Now < NextCheckOfOthers_)
+    return;
+  NextCheckOfOthers_ = Now + OthersCheckPeriod;
+  std::size_t Count = 0;
+  for (const auto &[Id, Listed] : Targets_->roster().all()) {
+    auto Address = parseEndpoint(Listed.Entry_.Address_);
+    bool IsUsed = Listed.Usability_ == TargetUsability::Usable ||
+                  Listed.Usability_ == TargetUsability::Lapsed;
+    if (!IsUsed || !isOk(Address))
+      continue;
+    if (++Count > MaxOthersChecked)
+      break;
+    suspect({Id, Listed.Entry_.Incarnation_, valueOf(Address)});
+  }
+}
+
+std::vector<RelayCandidate> ReachService::candidates(TimePoint Now) const {
+  std::vector<RelayCandidate> Found;
+  const auto &Direct = Link_->topology().directPeers();
+  Link_->forEachPeer(
+      [&](const std::string &Vm, const FleetLink::PeerLocation &Location) {
+        bool IsDirect = std::ranges::binary_search(Direct, Vm);
+        // Nothing tells whether the VMs of other data centres of a large fleet
+        // are alive.
+        bool MayServe = !IsDirect || Fleet_->view().isServing(Vm, Now);
+        if (Location.RelayPort_ != 0 && MayServe)
+          Found.push_back({Vm, Location.DataCentre_ == Settings_.DataCentre_});
+      });
+  return Found;
+}
+
+asio::awaitable<bool> ReachService::askOthers(HttpConnection &Connection,
+                                              const TargetAddress &Target,
+                                              const TunnelUse &Use) {
+  std::vector<RelayCandidate> Candidates = candidates(BootClock::now());
+  std::vector<double> Random;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
+    Random.push_back(randomFraction());
+  std::vector<std::string> Vms =
+      Choice_->order(Candidates, Random, BootClock::now());
+  for (const std::string &Vm : Vms) {
+    bool IsOpen = co_await askVm(Connection, Vm, Target, Use);
+    if (IsOpen)
+      co_return true;
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> ReachService::askVm(HttpConnection &Connection,
+                                          const std::string &Vm,
+                                          const TargetAddress &Target,
+                                          const TunnelUse &Use) {
+  auto Location = Link_->locationOf(Vm);
+  if (!Location)
+    co_return false;
+  constexpr std::size_t NameBytes = 6;
+  RelayRequest Request{Location->RelayKey_,  Self_,
+                       randomHex(NameBytes), Use.RequestId_,
+                       Target.Target_,       Target.Incarnation_,
+                       Use.IsConfirmed_};
+  Endpoint Relay{Location->Endpoint_.Address_, Location->RelayPort_};
+  HttpRequest Connect = encodeRelayRequest(Request);
+  auto Head = co_await Connection.openThrough(Relay, Connect, Target.Address_,
+                                              TunnelTime);
+  // A connection that was closed meanwhile has no route to keep.
+  bool IsOpen = isOk(Head) && Connection.reusable();
+  if (IsOpen) {
+    Choice_->recordOpened(Vm);
+    Connection.setRoute(std::make_unique<RelayedRoute>(
+        Vm, Request.Tunnel_, [Known = std::weak_ptr(Choice_), Vm] {
+          if (auto Choice = Known.lock())
+            Choice->recordClosed(Vm);
+        }));
+    Metrics_->count("anvil_tunnels_opened_total");
+    auto Finding = valueOf(Head).Headers_.find(RelayFindingHeader);
+    if (Finding == enumName(IncarnationFinding::Same, IncarnationNames) ||
+        Finding == enumName(IncarnationFinding::NotStated, IncarnationNames))
+      Connection.setServerIncarnation(Target.Incarnation_);
+    co_return true;
+  }
+  RelayRefusal Why = isOk(Head) ? decodeRelayRefusal(valueOf(Head).Headers_)
+                                : RelayRefusal::Silent;
+  Choice_->recordRefused(Vm, Why, BootClock::now());
+  Metrics_->count("anvil_tunnels_refused_total",
+                  {{"reason", std::string(enumName(Why, RelayRefusalNames))}});
+  co_return false;
+}
+
+HttpConnection ReachService::idleTunnel(const TargetAddress &Target,
+                                        const TunnelUse &Use) {
+  TimePoint Now = BootClock::now();
+  return Tunnels_.acquireConnection(
+      Target.Address_, Now, Use.RequestId_, [&](const HttpConnection &Pooled) {
+        if (Use.IsConfirmed_ &&
+            Pooled.serverIncarnation() != Target.Incarnation_)
+          return false;
+        const RelayedRoute *Route = Pooled.route();
+        const auto &Direct = Link_->topology().directPeers();
+        // One through a VM that is about to stop isn't used again.
+        return Route && (!std::ranges::binary_search(Direct, Route->vm()) ||
+                         Fleet_->view().isServing(Route->vm(), Now));
+      });
+}
+
+asio::awaitable<bool> ReachService::openTunnel(HttpConnection &Connection,
+                                               const TargetAddress &Target,
+                                               const TunnelUse &Use) {
+  bool IsOpen = co_await askOthers(Connection, Target, Use);
+  if (!IsOpen &&
+      stateOf(Target.Target_, Target.Incarnation_) == ReachState::Relayed)
+    beginSeek(Target);
+  co_return IsOpen;
+}
+
+void ReachService::returnTunnel(const Endpoint &Target, HttpConnection Used,
+                                Duration Keep) {
+  Tunnels_.returnConnection(Target, std::move(Used), BootClock::now(),
+                            std::min(Keep, MaxIdleTime));
+}
+
+} // namespace anvil
--- /dev/null
+++ b/Source/Entry/ReachService.h
@@ -0,0 +1,162 @@
+#ifndef ANVIL_ENTRY_REACHSERVICE_H
+#define ANVIL_ENTRY_REACHSERVICE_H
+
+#include "Entry/FleetLink.h"
+#include "Entry/FleetState.h"
+#include "Entry/TargetListService.h"
+#include "Http/ConnectionPool.h"
+#include "Http/WaitList.h"
+#include "Kernel/Hook.h"
+#include "Kernel/ServiceRegistry.h"
+#include "Kernel/TimerService.h"
+#include "Relay/RelayChoice.h"
+#include "Relay/RelayServer.h"
+#include "Relay/TargetReach.h"
+#include "Settings/EntrySettings.h"
+#include "Telemetry/Metrics.h"
+#include "platform/EngineControl.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace anvil {
+
+/// An incarnation of a target and its address.
+struct TargetAddress {
+  std::string Target_;
+  std::int64_t Incarnation_ = 0;
+  Endpoint Address_;
+};
+
+/// Keeps targets in reach that this VM can't connect to, by connections that
+/// other VMs relay, and relays those of other VMs. There is one hop at most: a
+/// VM relays only to targets that it reaches by its own connections.
+class ReachService : public Service {
+public:
+  static constexpr std::string_view Name = "reach";
+
+  ReachService(boost::asio::any_io_executor Executor,
+               const EntrySettings &Settings, TimerService &Timers,
+               const ServiceRegistry &Services);
+
+  std::string_view serviceName() const override { return Name; }
+  Status claimResources() override { return Server_.bind(address()); }
+  Status start() override;
+  void stop() override { Server_.close(); }
+
+  /// How other VMs ask this one to relay. The key is for VMs only.
+  std::uint16_t relayPort() const { return Server_.port(); }
+  const std::string &relayKey() const { return Key_; }
+
+  ReachState stateOf(const std::string &Target,
+                     std::int64_t Incarnation) const {
+    return Reach_.stateOf(Target, Incarnation);
+  }
+
+  /// Records that a target can't be connected to. Asks other VMs in the
+  /// background, and tries again until the target is connected to or no longer
+  /// listed.
+  void recordLost(const TargetAddress &Lost);
+
+  /// Does the same, and waits for the answer of the other VMs. False if the
+  /// target can't be reached through any of them, as after a crash.
+  boost::asio::awaitable<bool> isReachedElsewhere(const TargetAddress &Lost);
+
+  /// Checks in the background whether a target can still be connected to, after
+  /// its machine has acknowledged nothing for a while.
+  void suspect(const TargetAddress &Silent);
+
+  /// The request for which a connection through another VM is used.
+  struct TunnelUse {
+    std::string RequestId_;
+    /// Whether the connection must lead to the target's listed incarnation for
+    /// certain, as far as the target states it.
+    bool IsConfirmed_ = false;
+  };
+
+  /// An idle connection through another VM; one that isn't open if there is
+  /// none.
+  HttpConnection idleTunnel(const TargetAddress &Target, const TunnelUse &Use);
+
+  /// Opens a connection through another VM. False if none relays it; other VMs
+  /// are then asked again in the background.
+  boost::asio::awaitable<bool> openTunnel(HttpConnection &Connection,
+                                          const TargetAddress &Target,
+                                          const TunnelUse &Use);
+
+  /// Keeps a connection through another VM for further requests.
+  void returnTunnel(const Endpoint &Target, HttpConnection Used, Duration Keep);
+
+  /// Relays no further connections of other VMs.
+  void beginDrain() { Server_.beginDrain(); }
+
+  /// The number of other VMs' connections that are relayed now.
+  std::size_t relayedConnections() const { return Server_.openTunnels(); }
+
+  /// Fired when a target is lost, and when it is connected to again.
+  Hook<const TargetAddress &> Lost_;
+  Hook<const TargetAddress &> Regained_;
+
+  /// Fired periodically, for checks whether sent requests were received.
+  Hook<TimePoint> CheckDue_;
+
+private:
+  Endpoint address() const;
+  RelayServer::Resolution resolve(const RelayRequest &Request) const;
+  std::vector<RelayCandidate> candidates(TimePoint Now) const;
+  /// Asks other VMs for a connection to a target, one after the other.
+  boost::asio::awaitable<bool> askOthers(HttpConnection &Connection,
+                                         const TargetAddress &Target,
+                                         const TunnelUse &Use);
+  /// Whether a VM opened a connection to the target.
+  boost::asio::awaitable<bool> askVm(HttpConnection &Connection,
+                                     const std::string &Vm,
+                                     const TargetAddress &Target,
+                                     const TunnelUse &Use);
+  /// Asks a target which of its incarnations runs, for another VM.
+  boost::asio::awaitable<std::string> confirm(RelayRequest Request,
+                                              Endpoint Address);
+  /// Finds out whether other VMs reach a lost target.
+  boost::asio::awaitable<void> seek(TargetAddress Lost);
+  void beginSeek(const TargetAddress &Lost);
+  boost::asio::awaitable<void> watch(TargetAddress Lost);
+  boost::asio::awaitable<void> check(TargetAddress Suspect);
+  /// Checks the other targets, since this VM is cut off from one.
+  void checkOthers(TimePoint Now);
+  void regain(const TargetAddress &Found, HttpConnection Connection);
+  bool isListed(const TargetAddress &Target) const;
+  void showCounts();
+
+  boost::asio::any_io_executor Executor_;
+  const EntrySettings &Settings_;
+  TimerService &Timers_;
+  std::string Self_;
+  std::string Key_;
+  std::shared_ptr<FleetLink> Link_;
+  std::shared_ptr<FleetState> Fleet_;
+  std::shared_ptr<TargetListService> Targets_;
+  std::shared_ptr<Metrics> Metrics_;
+  TargetReach Reach_;
+  /// Shared with connections, which may outlive this object.
+  std::shared_ptr<RelayChoice> Choice_ = std::make_shared<RelayChoice>();
+  ConnectionPool Tunnels_;
+  platform::EngineControl Engines_;
+  RelayServer Server_;
+  /// The targets about which other VMs are being asked, and those that are
+  /// being checked.
+  std::set<std::string> Sought_;
+  std::set<std::string> Checked_;
+  WaitList SeekEnded_;
+  TimePoint NextCheckOfOthers_{};
+  TimerService::Subscription CheckTimer_;
+};
+
+} // namespace anvil
+
+#endif // ANVIL_ENTRY_REACHSERVICE_H
--- a/Source/Entry/RequestOrigin.cpp
+++ b/Source/Entry/RequestOrigin.cpp
@@ -121,6 +121,11 @@
                   Connection_.serverIncarnation() != Chosen.Incarnation_;
   if (!IsNeeded)
     co_return true;
+  // The VM that relays has asked the target, and got another answer or none.
+  if (Connection_.route()) {
+    LastReason_ = TargetRestarted;
+    co_return false;
+  }
   Check_ = IncarnationCheck::begin(Shared_.Executor_, Shared_.Engines_, Chosen);
   // A stream that begins waits for the answer before its first event.
   if (!Origin_)
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -254,6 +254,10 @@
   if (Response.KeepAlive_)
     Keep = std::chrono::duration_cast<Duration>(*Response.KeepAlive_ *
                                                 KeepAliveFraction);
+  if (Connection_.route()) {
+    Shared_.Reach_->returnTunnel(Chosen.Address_, std::move(Connection_), Keep);
+    return;
+  }
   Shared_.Pool_.returnConnection(Chosen.Address_, std::move(Connection_),
                                  BootClock::now(), Keep);
 }
@@ -394,6 +398,8 @@
        {"adapter", Request_.Fields_.Adapter_},
        {"target", LastTarget_},
        {"software", LastSoftware_},
+       {"through", Through_},
+       {"tunnel", Tunnel_},
        {"began_as", Request_.Fields_.ResumedId_},
        {"reason", LastReason_},
        {"sends", Sends_},
@@ -407,6 +413,7 @@
        {"paced_ms", toMillis(PacingWait_)},
        {"slot_wait_ms", toMillis(SlotWait_)},
        {"held_ms", toMillis(SlotHold_)},
+       {"reach_wait_ms", toMillis(ReachWait_)},
        {"first_byte_ms", FirstByteAt_ == TimePoint{}
                              ? -1
                              : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -21,6 +21,17 @@
 /// processor time.
 static constexpr Duration MaxWaitAtTarget = std::chrono::milliseconds(200);
 
+/// The time after which a target is checked whose machine has acknowledged
+/// nothing of a request, and after which the request is sent elsewhere.
+/// Acknowledgements take milliseconds; a lost packet is sent again after 200.
+static constexpr Duration SuspectSilence = std::chrono::milliseconds(250);
+static constexpr Duration MaxSilence = std::chrono::milliseconds(600);
+
+/// For how long a request waits in all until other VMs have answered whether
+/// they reach a target, and how often it looks.
+static constexpr Duration MaxReachWait = std::chrono::milliseconds(800);
+static constexpr Duration ReachCheckPeriod = std::chrono::milliseconds(20);
+
 /// The maximum number of sends of one request that targets refuse to run,
 /// besides those to targets that lack the adapter.
 static constexpr int MaxRefusedSends = 4;
@@ -87,6 +98,42 @@
   Connection_.close();
 }
 
+void RequestRun::checkDelivery(TimePoint Now) {
+  if (!AcknowledgedBefore_)
+    return;
+  auto Acknowledged = Connection_.acknowledgedBytes();
+  if (!Acknowledged || *Acknowledged > *AcknowledgedBefore_) {
+    AcknowledgedBefore_.reset();
+    return;
+  }
+  Duration Silence = Now - SentAt_;
+  if (Silence < SuspectSilence)
+    return;
+  if (const auto &Sent = SentTo_)
+    Shared_.Reach_->suspect(*Sent);
+  if (Silence < MaxSilence || !mayRunAgain())
+    return;
+  IsNotReceived_ = true;
+  Connection_.close();
+}
+
+bool RequestRun::mayRunAgain() const {
+  const RoutePlan &Route = *Request_.Route_;
+  bool IsRepeatable = Route.Kind_ == RequestKind::Repeatable ||
+                      (Route.Kind_ == RequestKind::Stream && Route.Resumable_);
+  return IsRepeatable && Runs_ < Route.MaxTargets_;
+}
+
+asio::awaitable<bool> RequestRun::awaitReach() {
+  Duration Left = std::min(MaxReachWait - ReachWait_, timeLeft() - ReplyMargin);
+  if (Left <= Duration::zero() || !Shared_.Picker_->isSought(Query_))
+    co_return false;
+  Duration Pause = std::min(Left, ReachCheckPeriod);
+  co_await pauseFor(Pause_, Pause);
+  ReachWait_ += Pause;
+  co_return true;
+}
+
 asio::awaitable<void> RequestRun::serve() {
   Shared_.retryBudgetOf(Request_.Service_).recordRequest();
   Shared_.Picker_->recordRequest(Request_.Service_, Request_.ArrivedAt_);
@@ -118,6 +165,8 @@
       Query_.Excluded_.clear();
       Chosen = Shared_.Picker_->pick(Query_, Now);
     }
+    if (!Chosen && co_await awaitReach())
+      continue;
     if (!Chosen) {
       CallerRetryAfter_ = Shared_.Picker_->untilResumed(Query_, Now);
       LastReason_ = CallerRetryAfter_ ? "targets_closed" : "no_target";
@@ -227,16 +276,12 @@
 }
 
 bool RequestRun::isRetryable(SendOutcome End) const {
-  const RoutePlan &Route = *Request_.Route_;
-  bool MayRunAgain = Route.Kind_ == RequestKind::Repeatable ||
-                     (Route.Kind_ == RequestKind::Stream && Route.Resumable_);
   bool IsSentOften = Sends_ - Wait_.missingSends() >= MaxRefusedSends;
   if (End == SendOutcome::NotRun && (IsSentOften || !MaySendAgain_))
     return false;
   // Once a caller has received part of a stream, only the rest of that stream
   // can follow.
-  if (End != SendOutcome::NotRun &&
-      (!MayRunAgain || Runs_ >= Route.MaxTargets_))
+  if (End != SendOutcome::NotRun && !mayRunAgain())
     return false;
   return !isOutOfTime();
 }
@@ -286,6 +331,8 @@
              {{"request", Request_.Fields_.RequestId_},
               {"target", Chosen.Target_},
               {"software", Chosen.SoftwareVersion_},
+              {"through", Through_},
+              {"tunnel", Tunnel_},
               {"reason", LastReason_},
               {"sends", Sends_},
               {"runs", Runs_},
@@ -302,13 +349,37 @@
 }
 
 asio::awaitable<bool> RequestRun::connect(const TargetChoice &Chosen) {
-  Connection_ = Shared_.Pool_.acquireConnection(
-      Chosen.Address_, BootClock::now(), Request_.Fields_.RequestId_);
+  const std::string &RequestId = Request_.Fields_.RequestId_;
+  Through_.clear();
+  Tunnel_.clear();
+  Connection_ = Shared_.Pool_.acquireConnection(Chosen.Address_,
+                                                BootClock::now(), RequestId);
   if (Connection_.reusable())
     co_return true;
-  Shared_.Metrics_->count("anvil_target_connections_total");
-  Status Opened = co_await Connection_.open(Chosen.Address_, ConnectTimeout);
-  co_return isOk(Opened);
+  // Once the target is connected to again, idle connections through other VMs
+  // are used up first, so that not all are replaced at once.
+  ReachService::TunnelUse Use{RequestId,
+                              isResumableStream() && !Query_.Model_.empty()};
+  Connection_ = Shared_.Reach_->idleTunnel(addressOf(Chosen), Use);
+  if (!Connection_.reusable() && Chosen.IsDirect_) {
+    Shared_.Metrics_->count("anvil_target_connections_total");
+    Status Opened = co_await Connection_.open(Chosen.Address_, ConnectTimeout);
+    if (!isOk(Opened) && !isCancelled())
+      Shared_.Reach_->recordLost(addressOf(Chosen));
+    co_return isOk(Opened);
+  }
+  if (!Connection_.reusable()) {
+    TargetAddress Address = addressOf(Chosen);
+    bool IsOpen =
+        co_await Shared_.Reach_->openTunnel(Connection_, Address, Use);
+    if (!IsOpen)
+      co_return false;
+  }
+  if (const RelayedRoute *Route = Connection_.route()) {
+    Through_ = Route->vm();
+    Tunnel_ = Route->tunnel();
+  }
+  co_return true;
 }
 
 int RequestRun::rank() const {
@@ -340,7 +411,6 @@
     if (isCancelled())
       co_return SendOutcome::NotRun;
     LastReason_ = "no_connection";
-    excludeTarget(Shared_, Chosen);
     co_return SendOutcome::NotRun;
   }
   bool IsSame = co_await checkIncarnation(Chosen);
@@ -383,13 +453,24 @@
   LongRun_ = LongRunDetector();
   Connection_.carried().recordRequest(Request_.Fields_.RequestId_);
   IsOutdated_ = false;
+  IsNotReceived_ = false;
+  SentTo_ =
+      Connection_.route() ? std::nullopt : std::optional(addressOf(Chosen));
+  AcknowledgedBefore_ = Connection_.acknowledgedBytes();
   if (!Query_.Adapter_.empty())
     AwaitedVersion_ = Chosen.HeldVersion_;
   auto Head = co_await Connection_.exchange(Outgoing, Exchange_.request().Body_,
                                             Timeout);
   Head = co_await readMatchingHead(std::move(Head), timeLeft());
   AwaitedVersion_.reset();
+  AcknowledgedBefore_.reset();
   TimePoint Now = BootClock::now();
+  if (!isOk(Head) && IsNotReceived_) {
+    LastReason_ = NotReceived;
+    Shared_.Metrics_->count("anvil_undelivered_requests_total",
+                            {{"service", Query_.Service_}});
+    co_return SendOutcome::Lost;
+  }
   if (!isOk(Head) && IsOutdated_) {
     // The target may have begun just then.
     LastReason_ = VersionOutdated;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -55,6 +55,11 @@
   /// Cancels a pause and closes the connection to the target.
   void interrupt();
 
+  /// Checks whether the request that was sent last has been received: if the
+  /// target's machine acknowledges nothing, checks the target, and gives the
+  /// send up if the request may run elsewhere.
+  void checkDelivery(TimePoint Now);
+
   /// Closes the connection to the target if the request may still wait there to
   /// start on a version of its adapter that is too old by now.
   void endIfOutdated(const VersionRequirements &Versions, TimePoint Now);
@@ -91,6 +96,10 @@
   static constexpr std::string_view NotRecordable = "stream_not_recordable";
   static constexpr std::string_view NotRecorded = "stream_not_recorded";
 
+  /// The reason logged when the machine of the target acknowledged no part of
+  /// the request.
+  static constexpr std::string_view NotReceived = "not_received";
+
   /// The reasons logged when the chosen target has started again, or may have.
   static constexpr std::string_view TargetRestarted = "target_restarted";
   static constexpr std::string_view NoReport = "target_not_reporting";
@@ -112,6 +121,11 @@
   boost::asio::awaitable<SendOutcome> tryTarget(TargetChoice Chosen);
   boost::asio::awaitable<SendOutcome> sendTo(const TargetChoice &Chosen);
   boost::asio::awaitable<bool> connect(const TargetChoice &Chosen);
+  /// Waits while other VMs are being asked about targets. False if no target
+  /// could have been found since.
+  boost::asio::awaitable<bool> awaitReach();
+  /// Whether the request may run at one more target after it may have run.
+  bool mayRunAgain() const;
   boost::asio::awaitable<Result<HttpReplyHead>>
   readMatchingHead(Result<HttpReplyHead> Head, Duration Timeout);
   /// Records that a target sent the reply to another request.
@@ -253,6 +267,19 @@
   std::optional<std::uint64_t> AwaitedVersion_;
   /// Whether that target's connection was closed because of its version.
   bool IsOutdated_ = false;
+  /// The target to which the request was sent by an own connection.
+  std::optional<TargetAddress> SentTo_;
+  /// What the target's machine had acknowledged on the connection before the
+  /// request was sent; nothing once it has acknowledged more.
+  std::optional<std::uint64_t> AcknowledgedBefore_;
+  /// Whether the connection was closed since nothing was acknowledged.
+  bool IsNotReceived_ = false;
+  /// How long the request waited for other VMs that were asked about targets.
+  Duration ReachWait_{};
+  /// The VM through which the request was sent last, and the name of that
+  /// connection; empty without one.
+  std::string Through_;
+  std::string Tunnel_;
   /// Whether the request may be sent again after a target lacked the adapter.
   bool MaySendAgain_ = true;
   /// How long the request was delayed so that its prefill doesn't pause the
--- a/Source/Entry/RequestServices.cpp
+++ b/Source/Entry/RequestServices.cpp
@@ -19,6 +19,11 @@
     Budget.setVmCount(Count);
 }
 
+void RequestServices::checkDeliveries(TimePoint Now) {
+  for (RequestRun &Run : Running_)
+    Run.checkDelivery(Now);
+}
+
 void RequestServices::endRequests() {
   ServingEnded_ = true;
   for (RequestRun &Run : Running_)
--- a/Source/Entry/RequestServices.h
+++ b/Source/Entry/RequestServices.h
@@ -3,6 +3,7 @@
 
 #include "Entry/ColdTargets.h"
 #include "Entry/FleetState.h"
+#include "Entry/ReachService.h"
 #include "Entry/StreamVersionService.h"
 #include "Entry/TargetPermits.h"
 #include "Entry/TargetPicker.h"
@@ -36,6 +37,7 @@
   std::shared_ptr<FleetState> Fleet_;
   std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<StreamVersionService> Streams_;
+  std::shared_ptr<ReachService> Reach_;
   std::shared_ptr<Metrics> Metrics_;
   /// Retry budgets, by service.
   std::map<std::string, RetryBudget> RetryBudgets_;
@@ -54,6 +56,9 @@
   RetryBudget &retryBudgetOf(const std::string &Service);
   void setVms(double Count);
 
+  /// Checks whether the requests that were sent have been received.
+  void checkDeliveries(TimePoint Now);
+
   /// Ends all requests, also later ones, with a final reply: nothing is sent
   /// to a target any more, and streams that have begun are cut.
   void endRequests();
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -25,6 +25,9 @@
 static constexpr Duration AdapterRequestPeriod = std::chrono::milliseconds(60);
 static constexpr Duration QueuedRequestPeriod = std::chrono::milliseconds(150);
 
+/// What the way through another VM adds to the latency of a target.
+static constexpr Duration RelayLatency = std::chrono::milliseconds(5);
+
 TargetPicker::TargetPicker(const EntrySettings &Settings,
                            const ServiceRegistry &Services)
     : Settings_(Settings),
@@ -34,7 +37,12 @@
       Owners_(Services.require<EngineOwnershipService>(
           EngineOwnershipService::Name)),
       ColdTargets_(Services.require<ColdTargets>(ColdTargets::Name)),
-      Permits_(Services.require<TargetPermits>(TargetPermits::Name)) {}
+      Permits_(Services.require<TargetPermits>(TargetPermits::Name)),
+      Reach_(Services.require<ReachService>(ReachService::Name)) {
+  Reach_->Regained_.attach([this](const TargetAddress &Found) {
+    ColdTargets_->recordReachable(Found.Target_, Found.Incarnation_);
+  });
+}
 
 DispatchCandidate TargetPicker::describe(const ListedTarget &Listed,
                                          const TargetQuery &Query,
@@ -255,9 +263,10 @@
   std::vector<const ListedTarget *> Listed;
   std::vector<DispatchCandidate> Candidates;
   for (const ListedTarget *Target : eligibleTargets(Service->Name_)) {
-    auto Down = Unreachable_.find(Target->Entry_.Id_);
-    bool IsDown = Down != Unreachable_.end() &&
-                  Down->second == Target->Entry_.Incarnation_;
+    ReachState Reached =
+        Reach_->stateOf(Target->Entry_.Id_, Target->Entry_.Incarnation_);
+    bool IsDown =
+        Reached == ReachState::Seeking || Reached == ReachState::Unreachable;
     bool IsSuspended =
         Permits_->suspendedFor(Target->Entry_.Id_, Target->Entry_.Incarnation_,
                                Now) > Duration::zero();
@@ -266,6 +275,8 @@
       continue;
     Listed.push_back(Target);
     Candidates.push_back(describe(*Target, Query, Engine, LoadFactor, Now));
+    if (Reached == ReachState::Relayed)
+      Candidates.back().ExcessLatency_ += RelayLatency;
   }
   if (NeedsAdapter)
     rankByRendezvous(Candidates, Query.Adapter_);
@@ -286,6 +297,8 @@
   Chosen.SoftwareVersion_ = Entry.SoftwareVersion_;
   Chosen.Address_ = valueOf(Where);
   Chosen.DataCentre_ = Entry.DataCentre_;
+  Chosen.IsDirect_ =
+      Reach_->stateOf(Entry.Id_, Entry.Incarnation_) == ReachState::Direct;
   Chosen.Readiness_ = Candidate.Readiness_;
   Chosen.ReadyIn_ = Candidate.ReadyIn_;
   Chosen.SlotWait_ = Candidate.SlotWait_;
@@ -398,27 +411,14 @@
                          Waiting_.demandFor(Query.Adapter_));
 }
 
-bool TargetPicker::markUnreachable(const TargetChoice &Chosen) {
-  auto [Found, IsNew] =
-      Unreachable_.try_emplace(Chosen.Target_, Chosen.Incarnation_);
-  bool IsChange = IsNew || Found->second != Chosen.Incarnation_;
-  Found->second = Chosen.Incarnation_;
-  return IsChange;
-}
-
-bool TargetPicker::isUnreachable(const TargetChoice &Chosen) const {
-  auto Found = Unreachable_.find(Chosen.Target_);
-  const ListedTarget *Listed = Targets_->roster().find(Chosen.Target_);
-  return Found != Unreachable_.end() && Found->second == Chosen.Incarnation_ &&
-         Listed && Listed->Entry_.Incarnation_ == Chosen.Incarnation_;
-}
-
-void TargetPicker::markReachable(const TargetChoice &Chosen) {
-  auto Found = Unreachable_.find(Chosen.Target_);
-  if (Found == Unreachable_.end() || Found->second != Chosen.Incarnation_)
-    return;
-  Unreachable_.erase(Found);
-  ColdTargets_->recordReachable(Chosen.Target_, Chosen.Incarnation_);
+bool TargetPicker::isSought(const TargetQuery &Query) const {
+  return std::ranges::any_of(
+      eligibleTargets(Query.Service_), [&](const ListedTarget *Target) {
+        return isOfVersion(*Target, Query) &&
+               Reach_->stateOf(Target->Entry_.Id_,
+                               Target->Entry_.Incarnation_) ==
+                   ReachState::Seeking;
+      });
 }
 
 } // namespace anvil
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -6,6 +6,7 @@
 #include "Entry/EngineOwnershipService.h"
 #include "Entry/FleetState.h"
 #include "Entry/PlanService.h"
+#include "Entry/ReachService.h"
 #include "Entry/TargetListService.h"
 #include "Entry/TargetPermits.h"
 #include "Kernel/ServiceRegistry.h"
@@ -57,6 +58,9 @@
   std::optional<std::uint64_t> Version_;
   /// The adapter version that the target is known to hold; zero if none.
   std::uint64_t HeldVersion_ = 0;
+  /// Whether it is reached by this VM's own connections; otherwise through
+  /// another VM.
+  bool IsDirect_ = true;
   /// Whether a request to it needs a permit.
   bool NeedsPermit_ = false;
   /// The remaining prefill time of earlier prompts at the target, and the
@@ -72,6 +76,11 @@
   double Cost_ = 0;
 };
 
+/// The address of a chosen target.
+inline TargetAddress addressOf(const TargetChoice &Chosen) {
+  return {Chosen.Target_, Chosen.Incarnation_, Chosen.Address_};
+}
+
 /// Selects the target for a request from this VM's view of the fleet: which
 /// targets are usable, what runs on them, and which adapters they have loaded.
 class TargetPicker : public Service {
@@ -134,13 +143,9 @@
   /// Records that a target refused the request because it lacks the adapter.
   void recordMissing(const TargetQuery &Query, const std::string &Target);
 
-  /// Excludes an unreachable target until `markReachable` or a new
-  /// incarnation. True if it was not excluded before.
-  bool markUnreachable(const TargetChoice &Chosen);
-  void markReachable(const TargetChoice &Chosen);
-
-  /// Whether a target that is still listed is excluded as unreachable.
-  bool isUnreachable(const TargetChoice &Chosen) const;
+  /// Whether other VMs are being asked about a target that could otherwise take
+  /// the request.
+  bool isSought(const TargetQuery &Query) const;
 
   /// The requests of this VM that wait for adapters.
   WaitingRequests &waiting() { return Waiting_; }
@@ -205,11 +210,10 @@
   std::shared_ptr<EngineOwnershipService> Owners_;
   std::shared_ptr<ColdTargets> ColdTargets_;
   std::shared_ptr<TargetPermits> Permits_;
+  std::shared_ptr<ReachService> Reach_;
   TargetHealth Health_;
   SlotWait SlotWaits_;
   StaleLoadDetector StaleLoads_;
-  /// The unreachable incarnations, by target.
-  std::map<std::string, std::int64_t> Unreachable_;
   /// Adapter requests sent recently, by engine and adapter.
   std::map<std::pair<std::string, std::string>, SentRequest> AdapterRequests_;
   TimePoint NextPrune_{};
--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -24,6 +24,23 @@
   });
 }
 
+HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
+                                                 TimePoint Now,
+                                                 std::string_view RequestId,
+                                                 const Filter &IsSuitable) {
+  return acquire(Server, Now, [&](const HttpConnection &Pooled) {
+    return Pooled.carried().canIdentify(RequestId) && IsSuitable(Pooled);
+  });
+}
+
+void ConnectionPool::dropConnections(const Endpoint &Server) {
+  auto Found = Servers_.find(Server.text());
+  if (Found == Servers_.end())
+    return;
+  Size_ -= Found->second.size();
+  Servers_.erase(Found);
+}
+
 HttpConnection ConnectionPool::acquire(const Endpoint &Server, TimePoint Now,
                                        const Filter &IsSuitable) {
   prune(Now);
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -30,6 +30,15 @@
   HttpConnection acquireConnection(const Endpoint &Server, TimePoint Now,
                                    std::string_view RequestId);
 
+  /// The same with a further condition.
+  using Filter = std::function<bool(const HttpConnection &)>;
+  HttpConnection acquireConnection(const Endpoint &Server, TimePoint Now,
+                                   std::string_view RequestId,
+                                   const Filter &IsSuitable);
+
+  /// Closes all idle connections to a server.
+  void dropConnections(const Endpoint &Server);
+
   /// Returns a connection to the pool if it is reusable and may carry more
   /// requests. It is kept for at most `Keep`.
   void returnConnection(const Endpoint &Server, HttpConnection Used,
@@ -46,8 +55,6 @@
     TimePoint Until_{};
   };
 
-  using Filter = std::function<bool(const HttpConnection &)>;
-
   HttpConnection acquire(const Endpoint &Server, TimePoint Now,
                          const Filter &IsSuitable);
   void prune(TimePoint Now);
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "Http/HttpConnection.h"
 
+#include "Http/AcknowledgedBytes.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -52,6 +54,7 @@
     Open_ = false;
     error_code Ignored;
     Stream_.socket().close(Ignored);
+    Route_.reset();
   }
 
   beast::tcp_stream Stream_;
@@ -61,6 +64,7 @@
   std::string Server_;
   CarriedRequests Carried_;
   std::optional<std::int64_t> ServerIncarnation_;
+  std::unique_ptr<RelayedRoute> Route_;
   bool HasLargeParts_ = false;
   bool Open_ = false;
   bool RequestSent_ = false;
@@ -127,6 +131,46 @@
   co_return std::monostate{};
 }
 
+asio::awaitable<Result<HttpReplyHead>>
+HttpConnection::openThrough(const Endpoint &Proxy, const HttpRequest &Connect,
+                            const Endpoint &Server, Duration Timeout) {
+  TimePoint Deadline = BootClock::now() + Timeout;
+  Status Opened = co_await open(Proxy, Timeout);
+  if (!isOk(Opened))
+    co_return errorOf(Opened);
+  auto Head = co_await exchange(Connect, Deadline - BootClock::now());
+  if (!isOk(Head))
+    co_return Head;
+  constexpr int Established = 200;
+  if (valueOf(Head).Status_ != Established) {
+    close();
+    co_return Head;
+  }
+  // A server says nothing before it has a request, so no bytes are buffered.
+  State_->Parser_.reset();
+  State_->RequestSent_ = false;
+  State_->Server_ = Server.text();
+  co_return Head;
+}
+
+const RelayedRoute *HttpConnection::route() const {
+  return State_ ? State_->Route_.get() : nullptr;
+}
+
+void HttpConnection::setRoute(std::unique_ptr<RelayedRoute> Route) {
+  State_->Route_ = std::move(Route);
+}
+
+std::optional<std::uint64_t> HttpConnection::acknowledgedBytes() const {
+  if (!State_ || !State_->Open_)
+    return std::nullopt;
+  std::uint64_t Bytes =
+      anvil::acknowledgedBytes(State_->Stream_.socket().native_handle());
+  if (Bytes == 0)
+    return std::nullopt;
+  return Bytes;
+}
+
 asio::awaitable<Result<HttpReplyHead>>
 HttpConnection::exchange(const HttpRequest &Request, std::string_view Body,
                          Duration Timeout) {
@@ -353,8 +397,11 @@
 }
 
 bool HttpConnection::reusable() const {
-  return State_ && State_->Open_ && State_->Parser_ &&
-         State_->Parser_->is_done() && State_->Parser_->keep_alive();
+  if (!State_ || !State_->Open_)
+    return false;
+  if (!State_->Parser_)
+    return !State_->RequestSent_;
+  return State_->Parser_->is_done() && State_->Parser_->keep_alive();
 }
 
 bool HttpConnection::isIdle() const {
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -6,6 +6,7 @@
 #include "Http/Endpoint.h"
 #include "Http/HttpMessage.h"
 #include "Http/ReceivedBody.h"
+#include "Http/RelayedRoute.h"
 #include "Kernel/Clock.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -36,6 +37,22 @@
   /// Connects within `Timeout`. Errors: unavailable, timeout.
   boost::asio::awaitable<Status> open(const Endpoint &Server, Duration Timeout);
 
+  /// Connects to `Server` through a proxy, within `Timeout`: sends it a CONNECT
+  /// request and returns the head of its response. Only if the status is 200,
+  /// the connection is open, and then to `Server`. Errors: as for `open` and
+  /// `exchange`.
+  boost::asio::awaitable<Result<HttpReplyHead>>
+  openThrough(const Endpoint &Proxy, const HttpRequest &Connect,
+              const Endpoint &Server, Duration Timeout);
+
+  /// The route of a connection through another VM; null for others.
+  const RelayedRoute *route() const;
+  void setRoute(std::unique_ptr<RelayedRoute> Route);
+
+  /// The number of bytes that the peer's machine has acknowledged since the
+  /// connection was opened; nothing if it isn't known.
+  std::optional<std::uint64_t> acknowledgedBytes() const;
+
   /// Sends a request and reads the head of the response within `Timeout`. The
   /// `Host` header is the server's address unless the request sets it.
   /// Errors: timeout, connection closed, protocol, too large.
@@ -81,7 +98,8 @@
   /// Whether any byte of the last request may have reached the server.
   bool requestSent() const;
 
-  /// Whether another request may be sent on this connection.
+  /// Whether a request may be sent on this connection: it is open, and has
+  /// carried none or only whole exchanges.
   bool reusable() const;
 
   /// Whether it is reusable and nothing has arrived since the last response.
--- a/Source/Settings/EntrySettings.cpp
+++ b/Source/Settings/EntrySettings.cpp
@@ -20,6 +20,7 @@
   Fields.field("address", Listen.Address_, FieldPresence::Required);
   Fields.field("peer_port", Listen.PeerPort_, PortRange,
                FieldPresence::Required);
+  Fields.field("relay_port", Listen.RelayPort_, PortRange);
   Fields.field("metrics_port", Listen.MetricsPort_, PortRange);
 }
 
--- a/Source/Settings/EntrySettings.h
+++ b/Source/Settings/EntrySettings.h
@@ -19,6 +19,8 @@
   /// This VM's own address and its UDP port for messages between VMs.
   std::string Address_;
   std::int64_t PeerPort_ = 0;
+  /// The TCP port on which other VMs ask this one to relay connections.
+  std::int64_t RelayPort_ = 0;
   /// 0 disables the metrics server.
   std::int64_t MetricsPort_ = 0;
 };
