Don't take for crashes what only this VM can't connect to

Before a crash is recorded, other VMs are asked: a target that any of them connects to runs. Where none does, or there is no other VM, it counts as before.

promise-cut-no-crash failed on the commit before (target_crashed logged) and passes.

--- a/Source/Entry/CrashProbe.cpp
+++ b/Source/Entry/CrashProbe.cpp
@@ -21,6 +21,15 @@
   Status Opened = co_await Connection.open(Lost.Address_, ProbeTimeout);
   if (isOk(Opened))
     co_return;
+  // A target that other VMs connect to runs; this VM is cut off from it.
+  TargetAddress Address = addressOf(Lost);
+  if (co_await Shared.Reach_->isReachedElsewhere(Address)) {
+    logEvent(LogLevel::Info, "target_cut_off",
+             {{"target", Lost.Target_},
+              {"incarnation", Lost.Incarnation_},
+              {"digest", Digest}});
+    co_return;
+  }
   logEvent(LogLevel::Warning, "target_crashed",
            {{"target", Lost.Target_},
             {"incarnation", Lost.Incarnation_},
@@ -28,7 +37,6 @@
             {"suspect_parts", Parts.size()}});
   Shared.Fleet_->recordCrash(Digest, Parts, Lost.Target_, Lost.Incarnation_,
                              BootClock::now());
-  Shared.Reach_->recordLost(addressOf(Lost));
 }
 
 void probeAfterFailure(RequestServices &Shared, const TargetChoice &Lost,
