Close what is idle through other VMs, and don't reuse it too soon

A target's close of a connection takes longer through another VM, so that a request that may run once only could be sent on a connection that was already closed, and got 502: such requests use only connections that have been idle for 50 ms. Idle connections were closed only when the pool was used next, so that one through another VM could stay open there: they are closed by a timer now, also if their target has closed.

--- a/Source/Commands/RequestTrace.cpp
+++ b/Source/Commands/RequestTrace.cpp
@@ -8,6 +8,7 @@
     {"no_target", "no target could run it: none was listed, reachable and, for "
                   "an adapter, held it or had an owner to load it"},
     {"no_connection", "the target could not be connected to"},
+    {"not_received", "the target's machine acknowledged no part of it"},
     {"adapter_missing", "the engine did not hold the adapter in that version"},
     {"adapter_not_loaded", "no engine's owner answered the demand for its "
                            "adapter within the latency target"},
@@ -81,6 +82,10 @@
   std::string Reason = End.value("reason", "");
   if (!Reason.empty() && Outcome != "served")
     Text += ", because " + std::string(explainReason(Reason));
+  std::string Through = End.value("through", "");
+  if (!Through.empty())
+    Text += "; it reached its target through " + Through + " (tunnel " +
+            End.value("tunnel", "") + ")";
   auto Wait = End.value("adapter_wait_ms", std::int64_t{0});
   if (Wait > 0)
     Text += "; it waited " + std::to_string(Wait) + " ms for its adapter " +
--- a/Source/Entry/ReachService.cpp
+++ b/Source/Entry/ReachService.cpp
@@ -37,6 +37,10 @@
 /// that of own ones, since it takes descriptors of that VM.
 static constexpr Duration MaxIdleTime = std::chrono::seconds(2);
 
+/// The time after an answer within which the target's close of the connection
+/// may still be on its way through another VM.
+static constexpr Duration CloseTravelTime = std::chrono::milliseconds(50);
+
 /// How often sent requests are checked.
 static constexpr Duration CheckPeriod = std::chrono::milliseconds(100);
 
@@ -103,8 +107,12 @@
 }
 
 Status ReachService::start() {
-  CheckTimer_ = Timers_.every(CheckPeriod, BootClock::now(),
-                              [this](TimePoint Now) { CheckDue_.fire(Now); });
+  CheckTimer_ =
+      Timers_.every(CheckPeriod, BootClock::now(), [this](TimePoint Now) {
+        // Idle connections take descriptors of the VMs that relay them.
+        Tunnels_.closeExpired(Now);
+        CheckDue_.fire(Now);
+      });
   return Server_.listen(address());
 }
 
@@ -331,10 +339,13 @@
                                         const TunnelUse &Use) {
   TimePoint Now = BootClock::now();
   return Tunnels_.acquireConnection(
-      Target.Address_, Now, Use.RequestId_, [&](const HttpConnection &Pooled) {
+      Target.Address_, Now, Use.RequestId_,
+      [&](const HttpConnection &Pooled, Duration IdleFor) {
         if (Use.IsConfirmed_ &&
             Pooled.serverIncarnation() != Target.Incarnation_)
           return false;
+        if (Use.IsOnce_ && IdleFor < CloseTravelTime)
+          return false;
         const RelayedRoute *Route = Pooled.route();
         const auto &Direct = Link_->topology().directPeers();
         // One through a VM that is about to stop isn't used again.
--- a/Source/Entry/ReachService.h
+++ b/Source/Entry/ReachService.h
@@ -78,6 +78,8 @@
     /// Whether the connection must lead to the target's listed incarnation for
     /// certain, as far as the target states it.
     bool IsConfirmed_ = false;
+    /// Whether it can't be sent again if the connection turns out to be closed.
+    bool IsOnce_ = false;
   };
 
   /// An idle connection through another VM; one that isn't open if there is
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -358,8 +358,8 @@
     co_return true;
   // Once the target is connected to again, idle connections through other VMs
   // are used up first, so that not all are replaced at once.
-  ReachService::TunnelUse Use{RequestId,
-                              isResumableStream() && !Query_.Model_.empty()};
+  ReachService::TunnelUse Use{
+      RequestId, isResumableStream() && !Query_.Model_.empty(), !mayRunAgain()};
   Connection_ = Shared_.Reach_->idleTunnel(addressOf(Chosen), Use);
   if (!Connection_.reusable() && Chosen.IsDirect_) {
     Shared_.Metrics_->count("anvil_target_connections_total");
--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -13,13 +13,14 @@
 
 HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
                                                  TimePoint Now) {
-  return acquire(Server, Now, [](const HttpConnection &) { return true; });
+  return acquire(Server, Now,
+                 [](const HttpConnection &, Duration) { return true; });
 }
 
 HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
                                                  TimePoint Now,
                                                  std::string_view RequestId) {
-  return acquire(Server, Now, [&](const HttpConnection &Pooled) {
+  return acquire(Server, Now, [&](const HttpConnection &Pooled, Duration) {
     return Pooled.carried().canIdentify(RequestId);
   });
 }
@@ -28,9 +29,18 @@
                                                  TimePoint Now,
                                                  std::string_view RequestId,
                                                  const Filter &IsSuitable) {
-  return acquire(Server, Now, [&](const HttpConnection &Pooled) {
-    return Pooled.carried().canIdentify(RequestId) && IsSuitable(Pooled);
-  });
+  return acquire(Server, Now,
+                 [&](const HttpConnection &Pooled, Duration IdleFor) {
+                   return Pooled.carried().canIdentify(RequestId) &&
+                          IsSuitable(Pooled, IdleFor);
+                 });
+}
+
+void ConnectionPool::closeExpired(TimePoint Now) {
+  for (auto &[Server, Pooled] : Servers_)
+    Size_ -= std::erase_if(Pooled, [&](const Idle &Item) {
+      return Item.Until_ <= Now || !Item.Connection_.isIdle();
+    });
 }
 
 void ConnectionPool::dropConnections(const Endpoint &Server) {
@@ -51,7 +61,7 @@
   // server.
   auto &Pooled = Found->second;
   for (std::size_t Index = Pooled.size(); Index-- > 0;) {
-    if (!IsSuitable(Pooled[Index].Connection_))
+    if (!IsSuitable(Pooled[Index].Connection_, Now - Pooled[Index].Since_))
       continue;
     Idle Last = std::move(Pooled[Index]);
     Pooled.erase(Pooled.begin() + static_cast<std::ptrdiff_t>(Index));
@@ -74,7 +84,7 @@
   if (Pooled.size() >= MaxIdlePerServer)
     return;
   Used.releaseBuffers();
-  Pooled.push_back({std::move(Used), Now + std::min(Keep, MaxIdleTime)});
+  Pooled.push_back({std::move(Used), Now, Now + std::min(Keep, MaxIdleTime)});
   ++Size_;
 }
 
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -31,11 +31,15 @@
                                    std::string_view RequestId);
 
   /// The same with a further condition.
-  using Filter = std::function<bool(const HttpConnection &)>;
+  using Filter = std::function<bool(const HttpConnection &, Duration IdleFor)>;
   HttpConnection acquireConnection(const Endpoint &Server, TimePoint Now,
                                    std::string_view RequestId,
                                    const Filter &IsSuitable);
 
+  /// Closes the connections that have been idle for too long, and those that
+  /// their servers have closed. Otherwise that happens when the pool is used.
+  void closeExpired(TimePoint Now);
+
   /// Closes all idle connections to a server.
   void dropConnections(const Endpoint &Server);
 
@@ -52,6 +56,7 @@
 private:
   struct Idle {
     HttpConnection Connection_;
+    TimePoint Since_{};
     TimePoint Until_{};
   };
 
--- a/Tests/Integration/CutVmTest.cpp
+++ b/Tests/Integration/CutVmTest.cpp
@@ -140,7 +140,9 @@
     CHECK(System.Target_.requestCount() == Before + 1);
   }
   SECTION("once a caller leaves, the target's connection is closed") {
-    System.Target_.script({{"Content-Length: 100\r\n", "begun"}});
+    // Accepts connections and never answers.
+    HeldAddress Silent("127.0.0.1", 0, SOCK_STREAM);
+    System.Other_->setTarget(Silent.port());
     {
       CallerConnection Leaving(System.Place_.port("caller"),
                                System.Place_.address());
--- a/Tests/Integration/RelayingVm.cpp
+++ b/Tests/Integration/RelayingVm.cpp
@@ -24,16 +24,16 @@
 
 RelayingVm::RelayingVm(const SingleVm &Other, std::uint16_t TargetPort)
     : Updates_(Loop_, udp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      Other_(asio::ip::make_address(Other.address()), Other.port("peer")) {
+      Other_(asio::ip::make_address(Other.address()), Other.port("peer")),
+      TargetPort_(TargetPort) {
   startLogging("vm-2", "error");
   RelayServerOptions Options;
   Options.Key_ = RelayKey;
-  auto Resolve = [this,
-                  TargetPort](const RelayRequest &) -> RelayServer::Resolution {
+  auto Resolve = [this](const RelayRequest &) -> RelayServer::Resolution {
     ++Asked_;
     if (!IsReaching_)
       return RelayRefusal::Unreached;
-    return Endpoint{"127.0.0.1", TargetPort};
+    return Endpoint{"127.0.0.1", TargetPort_};
   };
   auto Confirm = [](const RelayRequest &,
                     const Endpoint &) -> asio::awaitable<std::string> {
--- a/Tests/Integration/RelayingVm.h
+++ b/Tests/Integration/RelayingVm.h
@@ -28,6 +28,9 @@
   /// Whether it reaches the target; it does at first.
   void setReaching(bool Reaches) { IsReaching_ = Reaches; }
 
+  /// Sets the port of the target for further connections.
+  void setTarget(std::uint16_t Port) { TargetPort_ = Port; }
+
   /// The number of connections that it has been asked to relay.
   int askedCount() const { return Asked_; }
 
@@ -42,6 +45,7 @@
   boost::asio::ip::udp::endpoint Other_;
   TimerService Timers_;
   std::unique_ptr<RelayServer> Server_;
+  std::atomic<std::uint16_t> TargetPort_;
   std::atomic<bool> IsReaching_ = true;
   std::atomic<bool> IsEnding_ = false;
   std::atomic<int> Asked_ = 0;
