--- a/Source/Entry/ReachService.cpp
+++ b/Source/Entry/ReachService.cpp
@@ -192,12 +192,10 @@
 
 asio::awaitable<bool>
 ReachService::isReachedElsewhere(const TargetAddress &Lost) {
-  TargetAddress Target = Lost;
-  recordLost(Target);
-  while (stateOf(Target.Target_, Target.Incarnation_) == ReachState::Seeking)
+  recordLost(Lost);
+  while (stateOf(Lost.Target_, Lost.Incarnation_) == ReachState::Seeking)
     co_await SeekEnded_.waitUntil(BootClock::now() + SeekWaitPeriod);
-  co_return stateOf(Target.Target_, Target.Incarnation_) !=
-      ReachState::Unreachable;
+  co_return stateOf(Lost.Target_, Lost.Incarnation_) != ReachState::Unreachable;
 }
 
 asio::awaitable<void> ReachService::watch(TargetAddress Lost) {
