--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -100,7 +100,7 @@
   ResolveHook Resolve_;
   ConfirmHook Confirm_;
   std::set<std::shared_ptr<Tunnel>> Tunnels_;
-  /// Connections to targets that are being opened, and requests that arrive.
+  /// Connections that are being opened, and requests that arrive.
   std::size_t Opening_ = 0;
   std::size_t Pending_ = 0;
   bool Draining_ = false;
@@ -175,19 +175,19 @@
         tcp::endpoint(Number, Address.Port_),
         asio::redirect_error(asio::use_awaitable, Cause));
   }
-  --Opening_;
-  if (Cause || Closed_)
+  if (Cause || Closed_) {
+    --Opening_;
     co_return co_await refuse(Stream, RelayRefusal::Unreached, Request);
+  }
   error_code Ignored;
   Target.socket().set_option(tcp::no_delay(true), Ignored);
   std::string Finding;
   if (Request->AsksIncarnation_)
     Finding = co_await Confirm_(*Request, Address);
-  if (Closed_)
-    co_return;
   tcp::socket Connected = Target.release_socket();
   co_await open(std::move(Stream), std::move(Connected), std::move(*Request),
                 std::move(Finding));
+  --Opening_;
 }
 
 asio::awaitable<void>
@@ -352,6 +352,8 @@
     Pair->close();
 }
 
-std::size_t RelayServer::openTunnels() const { return Core_->Tunnels_.size(); }
+std::size_t RelayServer::openTunnels() const {
+  return Core_->Tunnels_.size() + Core_->Opening_;
+}
 
 } // namespace anvil
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -66,7 +66,7 @@
   /// Stops accepting and closes all connections.
   void close();
 
-  /// The number of connections that are relayed now.
+  /// The number of connections that are relayed now or being opened.
   std::size_t openTunnels() const;
 
 private:
--- a/Tests/Bench/TargetPickerBench.cpp
+++ b/Tests/Bench/TargetPickerBench.cpp
@@ -39,6 +39,8 @@
     auto Fleet = std::make_shared<FleetState>(Settings_, Settings_.holderName(),
                                               "1", Services_);
     Services_.add(Fleet);
+    Services_.add(std::make_shared<ReachService>(Executor, Settings_, Timers_,
+                                                 Services_));
     Services_.add(std::make_shared<EngineOwnershipService>(Executor, Settings_,
                                                            "1", Services_));
     Services_.add(std::make_shared<ColdTargets>(Services_));
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -35,6 +35,8 @@
     Services_.add(std::make_shared<FleetLink>(Executor, Settings_, Timers_));
     Fleet_ = std::make_shared<FleetState>(Settings_, "vm", "life", Services_);
     Services_.add(Fleet_);
+    Services_.add(std::make_shared<ReachService>(Executor, Settings_, Timers_,
+                                                 Services_));
     Services_.add(std::make_shared<EngineOwnershipService>(Executor, Settings_,
                                                            "life", Services_));
     Services_.add(std::make_shared<ColdTargets>(Services_));
