--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -1,6 +1,5 @@
 #include "Entry/RequestRun.h"
 
-#include "Entry/CrashProbe.h"
 #include "Http/Pause.h"
 #include "Kernel/EnumNames.h"
 #include "Serving/RetryAfter.h"
@@ -12,26 +11,11 @@
 
 namespace asio = boost::asio;
 
-/// Time limit for a connection to a target; within a data centre connecting
-/// takes about a millisecond.
-static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
-
 /// For how long a request waits for its adapter at one target before all
 /// targets are compared again, which takes most of a waiting request's
 /// processor time.
 static constexpr Duration MaxWaitAtTarget = std::chrono::milliseconds(200);
 
-/// The time after which a target is checked whose machine has acknowledged
-/// nothing of a request, and after which the request is sent elsewhere.
-/// Acknowledgements take milliseconds; a lost packet is sent again after 200.
-static constexpr Duration SuspectSilence = std::chrono::milliseconds(250);
-static constexpr Duration MaxSilence = std::chrono::milliseconds(600);
-
-/// For how long a request waits in all until other VMs have answered whether
-/// they reach a target, and how often it looks.
-static constexpr Duration MaxReachWait = std::chrono::milliseconds(800);
-static constexpr Duration ReachCheckPeriod = std::chrono::milliseconds(20);
-
 /// The maximum number of sends of one request that targets refuse to run,
 /// besides those to targets that lack the adapter.
 static constexpr int MaxRefusedSends = 4;
@@ -98,25 +82,6 @@
   Connection_.close();
 }
 
-void RequestRun::checkDelivery(TimePoint Now) {
-  if (!AcknowledgedBefore_)
-    return;
-  auto Acknowledged = Connection_.acknowledgedBytes();
-  if (!Acknowledged || *Acknowledged > *AcknowledgedBefore_) {
-    AcknowledgedBefore_.reset();
-    return;
-  }
-  Duration Silence = Now - SentAt_;
-  if (Silence < SuspectSilence)
-    return;
-  if (const auto &Sent = SentTo_)
-    Shared_.Reach_->suspect(*Sent);
-  if (Silence < MaxSilence || !mayRunAgain())
-    return;
-  IsNotReceived_ = true;
-  Connection_.close();
-}
-
 bool RequestRun::mayRunAgain() const {
   const RoutePlan &Route = *Request_.Route_;
   bool IsRepeatable = Route.Kind_ == RequestKind::Repeatable ||
@@ -124,16 +89,6 @@
   return IsRepeatable && Runs_ < Route.MaxTargets_;
 }
 
-asio::awaitable<bool> RequestRun::awaitReach() {
-  Duration Left = std::min(MaxReachWait - ReachWait_, timeLeft() - ReplyMargin);
-  if (Left <= Duration::zero() || !Shared_.Picker_->isSought(Query_))
-    co_return false;
-  Duration Pause = std::min(Left, ReachCheckPeriod);
-  co_await pauseFor(Pause_, Pause);
-  ReachWait_ += Pause;
-  co_return true;
-}
-
 asio::awaitable<void> RequestRun::serve() {
   Shared_.retryBudgetOf(Request_.Service_).recordRequest();
   Shared_.Picker_->recordRequest(Request_.Service_, Request_.ArrivedAt_);
@@ -348,40 +303,6 @@
   co_return End;
 }
 
-asio::awaitable<bool> RequestRun::connect(const TargetChoice &Chosen) {
-  const std::string &RequestId = Request_.Fields_.RequestId_;
-  Through_.clear();
-  Tunnel_.clear();
-  Connection_ = Shared_.Pool_.acquireConnection(Chosen.Address_,
-                                                BootClock::now(), RequestId);
-  if (Connection_.reusable())
-    co_return true;
-  // Once the target is connected to again, idle connections through other VMs
-  // are used up first, so that not all are replaced at once.
-  ReachService::TunnelUse Use{
-      RequestId, isResumableStream() && !Query_.Model_.empty(), !mayRunAgain()};
-  Connection_ = Shared_.Reach_->idleTunnel(addressOf(Chosen), Use);
-  if (!Connection_.reusable() && Chosen.IsDirect_) {
-    Shared_.Metrics_->count("anvil_target_connections_total");
-    Status Opened = co_await Connection_.open(Chosen.Address_, ConnectTimeout);
-    if (!isOk(Opened) && !isCancelled())
-      Shared_.Reach_->recordLost(addressOf(Chosen));
-    co_return isOk(Opened);
-  }
-  if (!Connection_.reusable()) {
-    TargetAddress Address = addressOf(Chosen);
-    bool IsOpen =
-        co_await Shared_.Reach_->openTunnel(Connection_, Address, Use);
-    if (!IsOpen)
-      co_return false;
-  }
-  if (const RelayedRoute *Route = Connection_.route()) {
-    Through_ = Route->vm();
-    Tunnel_ = Route->tunnel();
-  }
-  co_return true;
-}
-
 int RequestRun::rank() const {
   int Rank = Request_.Route_->Rank_;
   // The customer's rank takes precedence over the route's.
