--- a/Source/Entry/ReachService.cpp
+++ b/Source/Entry/ReachService.cpp
@@ -127,8 +127,7 @@
   const ListedTarget *Listed = Targets_->roster().find(Request.Target_);
   bool MayServe = Listed &&
                   Listed->Entry_.Incarnation_ == Request.Incarnation_ &&
-                  (Listed->Usability_ == TargetUsability::Usable ||
-                   Listed->Usability_ == TargetUsability::Lapsed);
+                  mayGetRequests(Listed->Usability_);
   if (!MayServe)
     return RelayRefusal::Unlisted;
   if (stateOf(Request.Target_, Request.Incarnation_) != ReachState::Direct)
@@ -251,9 +250,7 @@
   std::size_t Count = 0;
   for (const auto &[Id, Listed] : Targets_->roster().all()) {
     auto Address = parseEndpoint(Listed.Entry_.Address_);
-    bool IsUsed = Listed.Usability_ == TargetUsability::Usable ||
-                  Listed.Usability_ == TargetUsability::Lapsed;
-    if (!IsUsed || !isOk(Address))
+    if (!mayGetRequests(Listed.Usability_) || !isOk(Address))
       continue;
     if (++Count > MaxOthersChecked)
       break;
--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -61,9 +61,7 @@
       continue;
     }
     TargetUsability Usability = TargetUsability::Unlisted;
-    bool MayHaveLapsed =
-        Now < LapseUntil_ && (Known.Usability_ == TargetUsability::Usable ||
-                              Known.Usability_ == TargetUsability::Lapsed);
+    bool MayHaveLapsed = Now < LapseUntil_ && mayGetRequests(Known.Usability_);
     if (MayHaveLapsed)
       Usability = TargetUsability::Lapsed;
     if (Known.Usability_ != Usability)
@@ -119,8 +117,7 @@
 TargetRoster::usable(const std::string &Service) const {
   std::vector<const ListedTarget *> Found;
   for (const auto &[Id, Known] : Targets_) {
-    bool MayServe = Known.Usability_ == TargetUsability::Usable ||
-                    Known.Usability_ == TargetUsability::Lapsed;
+    bool MayServe = mayGetRequests(Known.Usability_);
     if (MayServe && Known.Entry_.Service_ == Service)
       Found.push_back(&Known);
   }
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -39,6 +39,12 @@
 /// The stable name of a usability, for logs.
 std::string_view targetUsabilityName(TargetUsability Usability);
 
+/// Whether a target in that state may get new requests.
+inline bool mayGetRequests(TargetUsability Usability) {
+  return Usability == TargetUsability::Usable ||
+         Usability == TargetUsability::Lapsed;
+}
+
 /// A target as the platform's list shows it.
 struct ListedTarget {
   RegisteredTarget Entry_;
