Close idle connections of a pool by one loop

closeExpired was a copy of prune that left empty entries behind. What an opened connection takes of the time limits is subtracted by ReplyTimes itself, in place of twice by its users.

--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -20,9 +20,9 @@
 HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
                                                  TimePoint Now,
                                                  std::string_view RequestId) {
-  return acquire(Server, Now, [&](const HttpConnection &Pooled, Duration) {
-    return Pooled.carried().canIdentify(RequestId);
-  });
+  return acquireConnection(
+      Server, Now, RequestId,
+      [](const HttpConnection &, Duration) { return true; });
 }
 
 HttpConnection ConnectionPool::acquireConnection(const Endpoint &Server,
@@ -37,10 +37,9 @@
 }
 
 void ConnectionPool::closeExpired(TimePoint Now) {
-  for (auto &[Server, Pooled] : Servers_)
-    Size_ -= std::erase_if(Pooled, [&](const Idle &Item) {
-      return Item.Until_ <= Now || !Item.Connection_.isIdle();
-    });
+  closeIf([&](const Idle &Item) {
+    return Item.Until_ <= Now || !Item.Connection_.isIdle();
+  });
 }
 
 void ConnectionPool::dropConnections(const Endpoint &Server) {
@@ -92,10 +91,14 @@
   if (Now < NextPrune_)
     return;
   NextPrune_ = Now + PrunePeriod;
+  closeIf([&](const Idle &Item) { return Item.Until_ <= Now; });
+}
+
+void ConnectionPool::closeIf(
+    const std::function<bool(const Idle &)> &IsClosed) {
   for (auto Server = Servers_.begin(); Server != Servers_.end();) {
     auto &Pooled = Server->second;
-    Size_ -= std::erase_if(
-        Pooled, [&](const Idle &Item) { return Item.Until_ <= Now; });
+    Size_ -= std::erase_if(Pooled, IsClosed);
     Server = Pooled.empty() ? Servers_.erase(Server) : std::next(Server);
   }
 }
@@ -118,9 +121,7 @@
     Status Opened = co_await Connection.open(Server, Times.Head_);
     if (!isOk(Opened))
       co_return errorOf(Opened);
-    Duration Elapsed = BootClock::now() - StartedAt;
-    Times.Head_ -= Elapsed;
-    Times.Whole_ -= Elapsed;
+    Times = Times.after(BootClock::now() - StartedAt);
   }
   auto Reply = co_await readReply(Connection, Request, Times, Pool.limits());
   if (isOk(Reply))
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -63,6 +63,8 @@
   HttpConnection acquire(const Endpoint &Server, TimePoint Now,
                          const Filter &IsSuitable);
   void prune(TimePoint Now);
+  /// Closes the connections that the function names.
+  void closeIf(const std::function<bool(const Idle &)> &IsClosed);
 
   ReceiveLimits Limits_;
   std::map<std::string, std::deque<Idle>> Servers_;
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -461,9 +461,7 @@
   Status Opened = co_await Connection.open(Server, Times.Head_);
   if (!isOk(Opened))
     co_return errorOf(Opened);
-  Duration Elapsed = BootClock::now() - StartedAt;
-  Times.Head_ -= Elapsed;
-  Times.Whole_ -= Elapsed;
+  Times = Times.after(BootClock::now() - StartedAt);
   co_return co_await readReply(Connection, Request, Times, std::move(Limits));
 }
 
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -80,9 +80,9 @@
   /// Reads the rest of the body by a deadline, each part of it within
   /// `Silence`. Errors: as for `readPart`, and too large if the body exceeds
   /// its limits.
-  boost::asio::awaitable<Status>
-  readBody(ReceivedBody &Body, TimePoint Deadline,
-           Duration Silence = std::chrono::hours(24));
+  boost::asio::awaitable<Status> readBody(ReceivedBody &Body,
+                                          TimePoint Deadline,
+                                          Duration Silence = Duration::max());
 
   /// Reads bodies of a known length in parts as large as the buffer, for
   /// servers of the platform: each part takes a turn of the event loop, which
@@ -144,6 +144,11 @@
   /// The same limit for the whole exchange, in any part of it.
   static ReplyTimes within(Duration Time) { return {Time, Time, Time}; }
 
+  /// What is left of them once so much time has passed before the request.
+  ReplyTimes after(Duration Elapsed) const {
+    return {Head_ - Elapsed, Silence_, Whole_ - Elapsed};
+  }
+
   /// From the request until the head of the response.
   Duration Head_{};
   /// Between two parts of the body.
