--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -76,16 +76,18 @@
   return ConfirmedAt_ && *ConfirmedAt_ + Bound - WithdrawalMargin > Now;
 }
 
-bool PlanService::isTooFarBehind(TimePoint Now) const {
+Duration PlanService::applyTime() const {
   Duration Bound = std::chrono::milliseconds(Settings_.Bounds_.ConfigApplyMs_);
+  return Bound - std::min(ApplyMargin, Bound / 2);
+}
+
+bool PlanService::isTooFarBehind(TimePoint Now) const {
   auto Since = Lag_.behindSince();
-  return Since && *Since + Bound - std::min(ApplyMargin, Bound / 2) <= Now;
+  return Since && *Since + applyTime() <= Now;
 }
 
 bool PlanService::mayDeny(TimePoint Now) const {
-  Duration Bound = std::chrono::milliseconds(Settings_.Bounds_.ConfigApplyMs_);
-  return ConfirmedAt_ &&
-         *ConfirmedAt_ + Bound - std::min(ApplyMargin, Bound / 2) > Now;
+  return ConfirmedAt_ && *ConfirmedAt_ + applyTime() > Now;
 }
 
 void PlanService::startEra() {
--- a/Source/Entry/PlanService.h
+++ b/Source/Entry/PlanService.h
@@ -140,6 +140,8 @@
   Hook<const std::string &, bool> EvacuationChanged_;
 
 private:
+  /// The time after which a newer configuration is required for every request.
+  Duration applyTime() const;
   boost::asio::awaitable<void> follow();
   boost::asio::awaitable<Result<platform::TablePage>> readOnce();
   /// The known rows that the given ones replace.
