--- a/Source/Entry/IncarnationCheck.h
+++ b/Source/Entry/IncarnationCheck.h
@@ -11,8 +11,6 @@
 
 #include <memory>
 #include <optional>
-#include <string_view>
-#include <utility>
 
 namespace anvil {
 
--- a/Source/Relay/RelayChoice.cpp
+++ b/Source/Relay/RelayChoice.cpp
@@ -53,9 +53,4 @@
     --Found->second.Open_;
 }
 
-std::size_t RelayChoice::openThrough(const std::string &Vm) const {
-  auto Found = Vms_.find(Vm);
-  return Found == Vms_.end() ? 0 : Found->second.Open_;
-}
-
 } // namespace anvil
--- a/Source/Relay/RelayChoice.h
+++ b/Source/Relay/RelayChoice.h
@@ -47,9 +47,6 @@
   /// Records that a connection through a VM has ended.
   void recordClosed(const std::string &Vm);
 
-  /// The connections through a VM that are open.
-  std::size_t openThrough(const std::string &Vm) const;
-
 private:
   struct KnownVm {
     std::size_t Open_ = 0;
