Log reports of engines that are older than the orders counted

The log couldn't tell whether an owner's count of an engine's orders was ahead of the engine's own: accepted orders are at debug, and nothing said that the count was taken back. engine_report_older names both counts and whether the engine's is taken; engine_order names how many adapters the owner takes the engine to hold.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -236,6 +236,7 @@
             {"adapter", Order.Adapter_},
             {"version", Order.Version_},
             {"expected_orders", Order.ExpectedOrders_},
+            {"held", Owned->Controller_.heldAdapters().size()},
             {"fence", Fence},
             {"outcome", orderResultName(Result)}});
   broadcastInventory(Engine);
@@ -257,7 +258,17 @@
     co_await pauseFor(ControllerPeriod);
     co_return;
   }
-  if (!Owned->Controller_.adopt(valueOf(Report), BootClock::now())) {
+  std::uint64_t Counted = Owned->Controller_.ordersAccepted();
+  bool IsAdopted = Owned->Controller_.adopt(valueOf(Report), BootClock::now());
+  if (valueOf(Report).OrdersAccepted_ < Counted)
+    logEvent(IsAdopted ? LogLevel::Info : LogLevel::Debug,
+             "engine_report_older",
+             {{"target", Engine},
+              {"counted_orders", Counted},
+              {"reported_orders", valueOf(Report).OrdersAccepted_},
+              {"held", Owned->Controller_.heldAdapters().size()},
+              {"adopted", IsAdopted}});
+  if (!IsAdopted) {
     co_await pauseFor(MaxReportAge);
     co_return;
   }
