Wait for a replacement that an engine has accepted

Cause: an engine that is to replace an adapter in use accepts the order, counts it, waits for the runs and refuses every other order meanwhile with 409. Its report shows the old version until then. The owner took that for an order that was lost and sent it again; the engine accepted it again and didn't count it, so that the owner's count was one ahead. The next order met a conflict, and reports counted as too old for a second, after which the same began anew.

The owner now remembers what the engine has accepted, sends no order until a report shows the new version, and asks for one each 250 ms only while it waits. Requests for a newer version of an adapter in use wait for its replacement's time, too.

LateOrdersTest, new versions each second without late orders: orders counted that the engine hadn't 3 times before, none now.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -261,6 +261,7 @@
        {"expected_orders", Order.ExpectedOrders_},
        {"held", Owned->Controller_.heldAdapters().size()},
        {"unanswered", Owned->Controller_.unansweredOrders(BootClock::now())},
+       {"replacing", Owned->Controller_.adapterBeingReplaced()},
        {"fence", Fence},
        {"outcome", orderResultName(Result)}});
   broadcastInventory(Engine);
--- a/Source/Serving/EngineController.cpp
+++ b/Source/Serving/EngineController.cpp
@@ -46,6 +46,12 @@
 /// the engine's report is needed.
 static constexpr std::uint64_t MaxOrdersAhead = 1;
 
+/// The interval between reports while a replacement waits for its runs, and the
+/// time after which the engine counts as not carrying it out.
+static constexpr Duration ReplacementCheckPeriod =
+    std::chrono::milliseconds(250);
+static constexpr Duration MaxReplacementTime = std::chrono::seconds(30);
+
 /// The interval after which the engine's state is read again during a model
 /// load.
 static constexpr Duration ModelLoadCheckPeriod = std::chrono::milliseconds(400);
@@ -102,12 +108,30 @@
     }
   OrdersAccepted_ = Report.OrdersAccepted_;
   CertainOrders_ = Report.OrdersAccepted_;
+  keepReplacement(Now);
   // A busy engine without a model is loading one.
   ModelReadyAt_ = HasModel_ ? Now : Now + ModelLoadCheckPeriod;
   NeedsReport_ = !HasModel_ && Report.Busy_;
   return true;
 }
 
+void EngineController::keepReplacement(TimePoint Now) {
+  if (!Replacing_)
+    return;
+  auto Held = HeldAdapters_.find(Replacing_->Adapter_);
+  bool IsOver = Held == HeldAdapters_.end() ||
+                Held->second.Version_ >= Replacing_->Version_ ||
+                Replacing_->AcceptedAt_ + MaxReplacementTime <= Now;
+  if (IsOver) {
+    Replacing_.reset();
+    return;
+  }
+  Replacing_->IsWaiting_ = true;
+  Replacing_->CheckAt_ = Now + ReplacementCheckPeriod;
+  Held->second.Version_ = Replacing_->Version_;
+  Held->second.ReadyAt_ = Now + Options_.AdapterLoadTime_;
+}
+
 void EngineController::setLoadTimes(const LoadTimeEstimate &Estimate,
                                     std::uint64_t LoadNumber, TimePoint Now) {
   Options_.AdapterLoadTime_ =
@@ -233,6 +257,17 @@
   return Names.size() + Added <= Max;
 }
 
+bool EngineController::mayReplace(const HeldAdapter &Held, TimePoint ReplaceBy,
+                                  TimePoint Now) const {
+  return !isInUse(Held, Now) || ReplaceBy <= Now;
+}
+
+TimePoint EngineController::replaceBy(const std::string &Adapter,
+                                      TimePoint Otherwise) const {
+  auto Found = Replacements_.find(Adapter);
+  return Found == Replacements_.end() ? Otherwise : Found->second.By_;
+}
+
 std::optional<EngineOrder> EngineController::makeRoom(TimePoint Now) {
   auto Candidate = evictionCandidate(Now);
   if (!Candidate || !hasRoomAfter(OrderKind::UnloadAdapter, *Candidate, Now))
@@ -309,10 +344,13 @@
     return issue({OrderKind::LoadModel, "", "", 0, 0}, ModelLoadCheckPeriod,
                  Now);
   }
-  if (OrdersAccepted_ > CertainOrders_ + MaxOrdersAhead) {
+  bool MustCheck = Replacing_ && Replacing_->IsWaiting_
+                       ? Replacing_->CheckAt_ <= Now
+                       : OrdersAccepted_ > CertainOrders_ + MaxOrdersAhead;
+  if (MustCheck)
     NeedsReport_ = true;
+  if (MustCheck || (Replacing_ && Replacing_->IsWaiting_))
     return std::nullopt;
-  }
   auto LoadTime = [&](const std::string &Adapter) {
     return std::chrono::duration_cast<Duration>(loadTime(Adapter) *
                                                 std::max(1.0, TransitFactor));
@@ -326,7 +364,7 @@
       It = Replacements_.erase(It);
       continue;
     }
-    if (CanLoad && (!isInUse(Held->second, Now) || It->second.By_ <= Now) &&
+    if (CanLoad && mayReplace(Held->second, It->second.By_, Now) &&
         hasRoomAfter(OrderKind::LoadAdapter, It->first, Now)) {
       EngineOrder Order{OrderKind::LoadAdapter, "", It->first,
                         It->second.Version_, 0};
@@ -346,6 +384,10 @@
     bool StoreIsBusy =
         TransitFactor > (IsUrgent ? MaxTransitFactor : MaxLateTransitFactor);
     bool MustWait = StoreIsBusy && !Warm_.contains(Entry.first);
+    auto Outdated = HeldAdapters_.find(Entry.first);
+    if (Outdated != HeldAdapters_.end())
+      MustWait = !mayReplace(
+          Outdated->second, replaceBy(Entry.first, Entry.second.FirstAt_), Now);
     return std::tuple(MustWait, Priority, Entry.second.FirstAt_);
   };
   auto First = std::ranges::min_element(Requests_, {}, Order);
@@ -418,6 +460,8 @@
     Entry.Source_ = PendingSource_;
     Requests_.erase(Order.Adapter_);
     markWarm(Order.Adapter_, Now);
+    if (WasHeld && Result == OrderResult::Accepted)
+      Replacing_ = {Order.Adapter_, Order.Version_, Now, false, {}};
     break;
   }
   case OrderKind::UnloadAdapter:
--- a/Source/Serving/EngineController.h
+++ b/Source/Serving/EngineController.h
@@ -193,6 +193,12 @@
     return Options_.Unanswered_->count(Now);
   }
 
+  /// The adapter whose replacement the engine has accepted and not carried out
+  /// yet; empty if there is none. The engine refuses other orders meanwhile.
+  std::string adapterBeingReplaced() const {
+    return Replacing_ ? Replacing_->Adapter_ : std::string();
+  }
+
   /// The number of adapters in transit to the engine.
   int inTransit(TimePoint Now) const;
 
@@ -210,17 +216,36 @@
     TimePoint By_{};
   };
 
+  /// A replacement that the engine has accepted. It waits for the runs on the
+  /// old version.
+  struct AcceptedReplacement {
+    std::string Adapter_;
+    std::uint64_t Version_ = 0;
+    TimePoint AcceptedAt_{};
+    /// Whether the engine is known to be waiting, and when to ask it again.
+    bool IsWaiting_ = false;
+    TimePoint CheckAt_{};
+  };
+
   std::optional<EngineOrder> issue(EngineOrder Order, Duration Load,
                                    TimePoint Now);
   /// Whether the engine has room for what it holds after the order and for all
   /// that unanswered orders may add.
   bool hasRoomAfter(OrderKind Kind, const std::string &Adapter,
                     TimePoint Now) const;
+  /// Whether an outdated adapter may be replaced, which no request may use from
+  /// `ReplaceBy` on.
+  bool mayReplace(const HeldAdapter &Held, TimePoint ReplaceBy,
+                  TimePoint Now) const;
+  /// When a newer version than the held one is required.
+  TimePoint replaceBy(const std::string &Adapter, TimePoint Otherwise) const;
   /// The unload order that makes room for a load, if one is possible.
   std::optional<EngineOrder> makeRoom(TimePoint Now);
   /// Records what an accepted order shows about the engine's count.
   void recordCount(const EngineOrder &Order, OrderResult Result, bool WasHeld,
                    TimePoint Now);
+  /// Keeps an accepted replacement that a report doesn't show yet.
+  void keepReplacement(TimePoint Now);
   /// The demand of all VMs whose requests aren't outdated.
   LoadDemand demandOf(const PendingRequest &Request, TimePoint Now) const;
   LoadSource sourceOf(const std::string &Adapter) const;
@@ -241,6 +266,7 @@
   std::map<std::string, TimePoint> Warm_;
   std::optional<EngineOrder> Pending_;
   std::uint64_t PendingNumber_ = 0;
+  std::optional<AcceptedReplacement> Replacing_;
   Duration PendingLoad_{};
   LoadSource PendingSource_ = LoadSource::Store;
   Duration UsualStoreLoad_ = LoadTimeEstimate::InitialStoreLoad;
--- a/Tests/Serving/LateOrdersTest.cpp
+++ b/Tests/Serving/LateOrdersTest.cpp
@@ -307,3 +307,17 @@
     CHECK(playSeeds(Faults).first == 0);
   }
 }
+
+TEST_CASE("an engine that is sent new versions", "[placement]") {
+  Troubles Faults;
+  Faults.UnansweredShare_ = 0;
+  Faults.VersionPeriod_ = 1s;
+  LateOrderPlay Play(Faults, 1);
+  Play.play(60s);
+  SECTION("counts the orders as its owner does") {
+    CHECK(Play.miscounts() == 0);
+  }
+  SECTION("refuses few orders while a replacement waits for its runs") {
+    CHECK(Play.engine().conflicts() <= 60);
+  }
+}
