Send nothing to an outdated version for two seconds before it is replaced

An engine that replaces an adapter in use refuses all other orders until its runs have ended, up to several seconds for streams. VMs went on sending requests to the old version until the moment at which its replacement was ordered. They now stop two seconds before; the replacement is ordered as soon as nothing runs on the adapter, and at the same time as before at the latest, so that the bound of the rule stands as it was.

--- a/Source/Entry/PlanService.cpp
+++ b/Source/Entry/PlanService.cpp
@@ -27,6 +27,10 @@
 /// How long before its bound a newer version is required for every request.
 static constexpr Duration VersionMargin = std::chrono::milliseconds(1800);
 
+/// How long runs on an older version have to end before it is replaced. An
+/// engine that waits for them refuses all other orders.
+static constexpr Duration VersionDrainTime = std::chrono::milliseconds(2000);
+
 /// How long before its bound requests that still wait at a target with an older
 /// version are ended; covers the time until the target notices.
 static constexpr Duration VersionEndMargin = std::chrono::milliseconds(600);
@@ -61,7 +65,8 @@
       Versions_(std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
                     VersionMargin,
                 std::chrono::milliseconds(Settings.Bounds_.AdapterVersionMs_) -
-                    VersionEndMargin) {
+                    VersionEndMargin,
+                VersionDrainTime) {
   Store_->EraChanged_.attach([this](std::uint64_t) { startEra(); });
 }
 
--- a/Source/Serving/VersionRequirements.cpp
+++ b/Source/Serving/VersionRequirements.cpp
@@ -37,7 +37,7 @@
   std::uint64_t Required = 0;
   if (const std::vector<PublishedVersion> *Versions = find(Model, Adapter))
     for (const PublishedVersion &Published : *Versions)
-      if (Published.RequiredFrom_ <= Now)
+      if (Published.RequiredFrom_ - DrainTime_ <= Now)
         Required = Published.Version_;
   return Required;
 }
--- a/Source/Serving/VersionRequirements.h
+++ b/Source/Serving/VersionRequirements.h
@@ -15,11 +15,14 @@
 /// ones may no longer be used.
 class VersionRequirements {
 public:
-  /// `Grace` is how long after its publication a version need not be used yet,
-  /// and `MaxStart` how long after it a request that was sent before may still
-  /// start on an older one.
-  VersionRequirements(Duration Grace, Duration MaxStart)
-      : Grace_(Grace), MaxStart_(MaxStart) {}
+  /// `Grace` is how long after its publication a version need not be in place
+  /// yet, and `MaxStart` how long after it a request that was sent before may
+  /// still start on an older one. `DrainTime` is how long before the end of
+  /// `Grace` no request is sent to an older one any more, so that few runs are
+  /// left when it is replaced.
+  VersionRequirements(Duration Grace, Duration MaxStart,
+                      Duration DrainTime = Duration::zero())
+      : Grace_(Grace), MaxStart_(MaxStart), DrainTime_(DrainTime) {}
 
   /// Records a published version. `NotBefore` is a time at which it was
   /// certainly not published yet; without one it may have been published long
@@ -35,8 +38,7 @@
   std::uint64_t required(const std::string &Model, const std::string &Adapter,
                          TimePoint Now) const;
 
-  /// From when no request may start on this version any more; nothing while it
-  /// is the newest.
+  /// By when this version is to be replaced; nothing while it is the newest.
   std::optional<TimePoint> outdatedFrom(const std::string &Model,
                                         const std::string &Adapter,
                                         std::uint64_t Version) const;
@@ -63,6 +65,7 @@
 
   Duration Grace_;
   Duration MaxStart_;
+  Duration DrainTime_;
   /// Versions in order, by model and adapter.
   std::map<std::string, std::map<std::string, std::vector<PublishedVersion>>>
       Published_;
--- a/Tests/Serving/VersionRequirementsTest.cpp
+++ b/Tests/Serving/VersionRequirementsTest.cpp
@@ -38,6 +38,14 @@
     CHECK(Versions.waitLimit("base", "a1", 2) == Start + 6s);
     CHECK_FALSE(Versions.waitLimit("base", "a1", 3));
   }
+  SECTION("leave the runs on older ones time to end before their replacement") {
+    VersionRequirements Draining(3s, 4s, 2s);
+    REQUIRE(Draining.recordVersion("base", "a1", 2, Start));
+    CHECK(Draining.required("base", "a1", Start + 900ms) == 0);
+    CHECK(Draining.required("base", "a1", Start + 1s) == 2);
+    CHECK(Draining.outdatedFrom("base", "a1", 1) == Start + 3s);
+    CHECK(Draining.waitLimit("base", "a1", 1) == Start + 4s);
+  }
   SECTION("are never replaced by older ones") {
     CHECK_FALSE(Versions.recordVersion("base", "a1", 1, Start + 1s));
     CHECK_FALSE(Versions.recordVersion("base", "a1", 2, Start + 1s));
