Leave no room for orders of a predecessor that an engine never had

The first owner of a target knows that it has no predecessor. Of others it is now assumed that one order may expect one more than the engine has accepted, which is as far as this program lets its own count run ahead; after two accepted orders the room is used.

--- a/Source/Entry/EngineOwnershipService.cpp
+++ b/Source/Entry/EngineOwnershipService.cpp
@@ -108,18 +108,16 @@
 }
 
 std::shared_ptr<UnansweredOrders> EngineOwnershipService::unansweredOrders(
-    const std::string &Engine, std::uint64_t Fence, std::int64_t Incarnation,
-    TimePoint Now) {
-  SentOrders &Sent = SentOrders_[Engine];
+    const OwnerRow &Row, std::int64_t Incarnation, TimePoint Now) {
+  SentOrders &Sent = SentOrders_[Row.Target_];
   if (!Sent.Unanswered_)
     Sent.Unanswered_ = std::make_shared<UnansweredOrders>(
         EngineControllerOptions::LateOrderWindow);
-  // Another VM or an earlier process of this one may have owned the engine.
-  if (Sent.Fence_ != Fence)
+  if (Sent.Fence_ != Row.Fence_ && Ownership_.mayHavePredecessor(Row))
     Sent.Unanswered_->recordPredecessor(Now);
   if (Sent.Incarnation_ != Incarnation)
     Sent.Unanswered_->recordRestart();
-  Sent.Fence_ = Fence;
+  Sent.Fence_ = Row.Fence_;
   Sent.Incarnation_ = Incarnation;
   return Sent.Unanswered_;
 }
@@ -146,11 +144,14 @@
     EngineControllerOptions Options;
     Options.MaxAdapters_ = Plan->MaxAdapters_;
     Options.WarmAdapters_ = Plan->warmAdapters();
-    // Restarts before this process started are unknown.
-    Options.ReserveSlotUntil_ =
-        Listed->RestartedAt_.value_or(StartedAt_) + Options.LateOrderWindow;
-    Options.Unanswered_ = unansweredOrders(Row.Target_, Row.Fence_,
-                                           Listed->Entry_.Incarnation_, Now);
+    if (Listed->RestartedAt_)
+      Options.ReserveSlotUntil_ =
+          *Listed->RestartedAt_ + Options.LateOrderWindow;
+    else if (Ownership_.mayHavePredecessor(Row))
+      // Restarts before this process started are unknown.
+      Options.ReserveSlotUntil_ = StartedAt_ + Options.LateOrderWindow;
+    Options.Unanswered_ =
+        unansweredOrders(Row, Listed->Entry_.Incarnation_, Now);
     auto Owned = std::make_shared<OwnedEngine>(
         Executor_, EngineController(Plan->Models_.front().Name_, Options));
     Owned->Incarnation_ = Listed->Entry_.Incarnation_;
--- a/Source/Entry/EngineOwnershipService.h
+++ b/Source/Entry/EngineOwnershipService.h
@@ -106,9 +106,8 @@
   boost::asio::awaitable<void> fetchReport(const std::string &Engine,
                                            std::shared_ptr<OwnedEngine> Owned);
   void updateEngines();
-  /// The orders without a response to an engine that this VM owns with `Fence`.
-  std::shared_ptr<UnansweredOrders> unansweredOrders(const std::string &Engine,
-                                                     std::uint64_t Fence,
+  /// The orders without a response to an engine that this VM owns.
+  std::shared_ptr<UnansweredOrders> unansweredOrders(const OwnerRow &Row,
                                                      std::int64_t Incarnation,
                                                      TimePoint Now);
   /// Applies an engine's report. Returns whether it was current.
--- a/Source/Serving/EngineController.cpp
+++ b/Source/Serving/EngineController.cpp
@@ -42,10 +42,6 @@
 /// of another order.
 static constexpr Duration MaxReportLag = std::chrono::milliseconds(1000);
 
-/// How far the count of accepted orders may run ahead of what is certain before
-/// the engine's report is needed.
-static constexpr std::uint64_t MaxOrdersAhead = 1;
-
 /// The interval between reports while a replacement waits for its runs, and the
 /// time after which the engine counts as not carrying it out.
 static constexpr Duration ReplacementCheckPeriod =
@@ -344,9 +340,10 @@
     return issue({OrderKind::LoadModel, "", "", 0, 0}, ModelLoadCheckPeriod,
                  Now);
   }
-  bool MustCheck = Replacing_ && Replacing_->IsWaiting_
-                       ? Replacing_->CheckAt_ <= Now
-                       : OrdersAccepted_ > CertainOrders_ + MaxOrdersAhead;
+  bool MustCheck =
+      Replacing_ && Replacing_->IsWaiting_
+          ? Replacing_->CheckAt_ <= Now
+          : OrdersAccepted_ > CertainOrders_ + UnansweredOrders::MaxAhead;
   if (MustCheck)
     NeedsReport_ = true;
   if (MustCheck || (Replacing_ && Replacing_->IsWaiting_))
--- a/Source/Serving/TargetOwnership.cpp
+++ b/Source/Serving/TargetOwnership.cpp
@@ -247,6 +247,13 @@
   return Owner->Row_.Fence_;
 }
 
+bool TargetOwnership::mayHavePredecessor(const OwnerRow &Row) const {
+  bool IsFirstOwner = Row.Fence_ <= StoreEra::firstFence(Era_) &&
+                      ClaimSentAt_.contains(Row.Target_);
+  // Owners of earlier eras have left no rows.
+  return !IsFirstOwner || NewOwnersFrom_ > StartedAt_;
+}
+
 std::string TargetOwnership::ownerOf(const std::string &Target,
                                      TimePoint Now) const {
   auto Found = Owners_.find(Target);
--- a/Source/Serving/TargetOwnership.h
+++ b/Source/Serving/TargetOwnership.h
@@ -153,6 +153,10 @@
   std::optional<std::uint64_t> orderingFence(const std::string &Target,
                                              TimePoint Now) const;
 
+  /// Whether another process may have sent orders to a target that this VM
+  /// owns: not if this process claimed it when it had no owner yet.
+  bool mayHavePredecessor(const OwnerRow &Row) const;
+
   /// The known owner of a target; empty if there is none.
   std::string ownerOf(const std::string &Target, TimePoint Now) const;
 
--- a/Source/Serving/UnansweredOrders.cpp
+++ b/Source/Serving/UnansweredOrders.cpp
@@ -40,8 +40,7 @@
   }
   std::size_t Unknown = 0;
   if (Now < PredecessorUntil_) {
-    std::uint64_t End =
-        PredecessorCount_.value_or(Next) + MaxInheritedAhead + 1;
+    std::uint64_t End = PredecessorCount_.value_or(Next) + MaxAhead + 1;
     for (std::uint64_t Count = Next + 1; Count < End; ++Count) {
       AddsAt[Count] = true;
       ++Unknown;
--- a/Source/Serving/UnansweredOrders.h
+++ b/Source/Serving/UnansweredOrders.h
@@ -32,8 +32,8 @@
   void recordResponse(std::uint64_t Number) { Orders_.erase(Number); }
 
   /// Records that another process sent orders to the engine until now, of which
-  /// nothing is known but that each expected at most `MaxInheritedAhead` orders
-  /// more than the engine had accepted.
+  /// nothing is known but that each expected at most `MaxAhead` orders more
+  /// than the engine had accepted.
   void recordPredecessor(TimePoint Now);
 
   /// Records that the engine has accepted exactly this many orders by now, so
@@ -58,9 +58,8 @@
   /// The number of orders that may still be executed.
   std::size_t count(TimePoint Now) const;
 
-  /// By how many orders a predecessor may have been ahead of the engine's
-  /// count.
-  static constexpr std::uint64_t MaxInheritedAhead = 2;
+  /// How many more orders than the engine had accepted an order may expect.
+  static constexpr std::uint64_t MaxAhead = 1;
 
 private:
   struct SentOrder {
--- a/Tests/Serving/TargetOwnershipTest.cpp
+++ b/Tests/Serving/TargetOwnershipTest.cpp
@@ -36,8 +36,10 @@
     CHECK(Claims[0].ExpectedRow_ == 0);
     SECTION("and orders may be sent at once, since there was no owner before") {
       OwnerRow Row = Claims[0].Row_;
+      Ownership.recordClaimSent(Row.Target_, Start + 2s);
       Ownership.recordClaimed(Row, Start + 2s);
       CHECK(Ownership.orderingFence(Row.Target_, Start + 2s) == 1);
+      CHECK_FALSE(Ownership.mayHavePredecessor(Row));
       SECTION("but not after the lease expired") {
         CHECK_FALSE(Ownership.orderingFence(Row.Target_,
                                             Start + 2s + Options.LeaseTerm_));
@@ -89,6 +91,7 @@
           Ownership.orderingFence("e1", Later + Options.HandoverPause_ - 1ms));
       Ownership.recordRenewal(Later + Options.HandoverPause_);
       CHECK(Ownership.orderingFence("e1", Later + Options.HandoverPause_) == 2);
+      CHECK(Ownership.mayHavePredecessor(Claims[0].Row_));
     }
     SECTION("also when the claim's reply is lost") {
       Ownership.recordClaimSent("e1", Later);
@@ -116,6 +119,7 @@
     CHECK_FALSE(Restarted.orderingFence("e1", Start + 20s));
     Restarted.recordRenewal(Start + 20s);
     CHECK(Restarted.orderingFence("e1", Start + 20s) == 4);
+    CHECK(Restarted.mayHavePredecessor(Restarted.owned().front()));
   }
   SECTION("must be read again once the VM's missing row was created again") {
     // Between reading and writing, another VM could claim the target, since the
