--- a/Tests/Serving/LateOrdersTest.cpp
+++ b/Tests/Serving/LateOrdersTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <random>
 
 using namespace anvil;
@@ -35,7 +36,7 @@
     if (draw() >= UnansweredShare_)
       return execute(Order, Now);
     auto Lateness = std::chrono::duration_cast<Duration>(MaxLateness * draw());
-    Late_.push_back({Order, Now + Lateness});
+    Late_.emplace(Now + Lateness, Order);
     return OrderResult::Unknown;
   }
 
@@ -46,9 +47,8 @@
   }
 
   void advance(TimePoint Now) {
-    std::ranges::stable_sort(Late_, {}, &LateOrder::At_);
-    while (!Late_.empty() && Late_.front().At_ <= Now) {
-      execute(Late_.front().Order_, Now);
+    while (!Late_.empty() && Late_.begin()->first <= Now) {
+      execute(Late_.begin()->second, Now);
       Late_.erase(Late_.begin());
     }
     if (Replacing_ && UsedUntil_[Replacing_->Adapter_] <= Now) {
@@ -91,11 +91,6 @@
   int conflicts() const { return Conflicts_; }
 
 private:
-  struct LateOrder {
-    EngineOrder Order_;
-    TimePoint At_{};
-  };
-
   OrderResult execute(const EngineOrder &Order, TimePoint Now) {
     bool IsRepeated = Replacing_ && Replacing_->Adapter_ == Order.Adapter_ &&
                       Replacing_->Version_ == Order.Version_;
@@ -128,7 +123,8 @@
   std::uint64_t Orders_ = 0;
   std::optional<EngineOrder> Replacing_;
   std::map<std::string, TimePoint> UsedUntil_;
-  std::vector<LateOrder> Late_;
+  /// Unanswered orders by the time at which they arrive.
+  std::multimap<TimePoint, EngineOrder> Late_;
   std::deque<std::pair<TimePoint, EngineReport>> History_;
   std::size_t MostHeld_ = 0;
   int Conflicts_ = 0;
