review: an order of a former owner arrives after its successor's (case 8)

Cause: an order without an answer is given up by closing its connection in order, so the kernel sends it on after a cut, past the lease and the next owner's pause.

The brittle engines become case 9 and the back-offs case 10. The owner that starts again within its pause is no case any more: the bench doesn't count a single change of holder within LeaseMs, and a lower fence after a higher one is beyond doubt.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,10 +1,8 @@
-"""Cuts the VM that gives an engine its orders from the store, kills the VM that
-takes the engine over as soon as it has written that, starts it again, and looks
-at the times of the orders that the engine gets from the two machines. So it goes in
-three zones of two VMs each, in two of them at a time, until the rule is broken."""
+"""Cuts most machines of a zone from all engines, so that they go through the one
+that is left. Then an engine in need answers 503 with `Retry-After`, and the requests
+are counted that it still gets from each machine."""
 
 import os
-import random
 import sys
 import threading
 import time
@@ -14,160 +12,75 @@
 
 from engines import Engine, answer_whole  # noqa: E402
 from sites import config  # noqa: E402
-from standins import Case, now, request, wait_until  # noqa: E402
-
-LEASE_S = 3.0
-RESTART_S = 0.3
-CALLERS_PER_VM = 3
-
-# How long the store turns a machine away, and how many machines at once, of six.
-AWAY_S = 8.9
-MAX_CUT = threading.Semaphore(2)
-
-ZONES = ["tx-central-a", "tx-central-b", "tx-central-c"]
-
-# No further round begins after this time.
-LAST_ROUND_AT = 65.0
-
-
-def stream(engine, reader, head, _body):
-    """A short answer of a model engine, in chunks."""
-    request_id = head.get("X-Request-Id")
-    reader.connection.sendall((
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        "Transfer-Encoding: chunked\r\n"
-        f"X-Request-Id: {request_id}\r\n"
-        f"X-Server-Seal: seal.{engine.id}\r\n\r\n").encode())
-    for number in range(1, 4):
-        text = f"id: {number}\ndata: {number}\n\n".encode()
-        reader.connection.sendall(b"%x\r\n%s\r\n" % (len(text), text))
-        time.sleep(0.02)
-    reader.connection.sendall(b"0\r\n\r\n")
-    return True
-
-
-class Watch:
-    """What the platform sees of the calls of one zone's VMs."""
-
-    def __init__(self, case, zone):
-        self.case = case
-        self.vms = {vm.name for vm in case.vms if vm.zone == zone}
-        self.engines = [engine for engine in case.engines
-                        if engine.has_model and engine.zone == zone]
-        self.lock = threading.Lock()
-        self.wrote_at = {}      # vm -> time of its last conditional write
-        self.victim = None
-        self.is_armed = False
-        self.cut_at = None
-        self.taken_over_by = None
-        case.store.on_call.append(self.see)
-
-    def see(self, vm, operation, detail, status):
-        if vm not in self.vms:
-            return
-        with self.lock:
-            if operation == "/api/rows-tx" and status == 200:
-                self.see_write(vm, detail)
-            elif (operation == "/api/rows-get" and self.is_armed
-                  and detail.get("part") == ""
-                  and detail.get("Table") not in ("op", "servers")):
-                self.see_read(vm)
-
-    def see_read(self, vm):
-        """Cuts the zone's other VM if this one has just read what that wrote."""
-        other = next(name for name in self.vms if name != vm)
-        is_holder = any(last_holder(engine).startswith(other + "@")
-                        for engine in self.engines)
-        if not is_holder or now() - self.wrote_at.get(other, 0) >= 0.5:
-            return
-        self.is_armed = False
-        self.victim = other
-        self.cut_at = now()
-        self.case.store.cut(other, True)
-        self.case.record.add(f"{other} is cut from the store")
-
-    def see_write(self, vm, detail):
-        checks = len(detail.get("Precondition", []))
-        if checks == 1:
-            self.wrote_at[vm] = now()
-        is_takeover = (self.cut_at is not None and vm != self.victim
-                       and checks > 1 and detail.get("Drop"))
-        if is_takeover and self.taken_over_by is None:
-            self.taken_over_by = vm
-            self.case.record.add(
-                f"{vm} writes under a condition and removes a row of another")
-
-    def arm(self):
-        with self.lock:
-            self.victim = None
-            self.cut_at = None
-            self.taken_over_by = None
-            self.is_armed = True
-
-
-def call_all(case, stopped):
-    """Clients that ask for rare adapters, some at each VM."""
-
-    def call(number):
-        random_source = random.Random(number)
-        vm = case.vms[number % len(case.vms)]
-        count = 0
-        while not stopped.is_set():
-            count += 1
-            adapter = f"a{random_source.randrange(1, 3000)}"
-            request(vm, "/brief/1", f"c{number}-{count}", "key-a1", "POST",
-                    {"X-Model": f"m0/{adapter}", "X-Token-Counts": "100,20",
-                     "X-Request-Deadline": "3000"}, b"prompt", 4)
-            stopped.wait(0.05)
-
-    threads = [threading.Thread(target=call, args=(number,), daemon=True)
-               for number in range(CALLERS_PER_VM * len(case.vms))]
-    for thread in threads:
-        thread.start()
-    return threads
-
-
-def last_holder(engine):
-    with engine.lock:
-        return engine.orders[-1][1] if engine.orders else ""
-
-
-def turns(engine):
-    """Orders of one machine within the lease after those of another."""
-    found = []
-    with engine.lock:
-        orders = list(engine.orders)
-    for before, after in zip(orders, orders[1:]):
-        if before[1] != after[1] and after[0] - before[0] < LEASE_S:
-            found.append((before, after))
-    return found
-
-
-def play_round(case, watch):
-    if not case.trouble:
-        time.sleep(20)
-        return
-    with MAX_CUT:
-        watch.arm()
-        if not wait_until(lambda: watch.cut_at is not None, 20):
-            return
-        wait_until(lambda: watch.taken_over_by is not None, AWAY_S)
-        case.store.cut(watch.victim, False)
-        case.record.add(f"{watch.victim} reaches the store again, after "
-                        f"{now() - watch.cut_at:.3f} s")
-        successor = next((vm for vm in case.vms
-                          if vm.name == watch.taken_over_by), None)
-        if successor:
-            successor.kill()
-            time.sleep(RESTART_S)
-            successor.start()
-    time.sleep(10)
-
-
-def play_zone(case, zone, engines):
-    watch = Watch(case, zone)
-    while now() < LAST_ROUND_AT and not any(map(turns, engines)):
-        play_round(case, watch)
+from standins import Case, Link, answer, now, request, wait_until  # noqa: E402
+
+ZONE_VMS = 7
+CUT_VMS = 6
+CONTACT_S = 3.0
+
+RETRY_AFTER_S = 5.0
+NEED_S = 7.0
+
+# How often a client at each machine asks.
+PERIOD_S = 1.0
+
+
+class EngineInNeed(Engine):
+    """While in need it turns every request away and says for how long it wants
+    nothing from that machine."""
+
+    def __init__(self, case, number, zone):
+        self.need_from = None
+        self.arrivals = []      # (time, machine, request id, status)
+        super().__init__(case, number, "alert-api", zone, self.work,
+                         has_model=False, slots=6)
+
+    def work(self, _engine, reader, head, body):
+        machine = self.machine_of(reader)
+        request_id = head.get("X-Request-Id")
+        is_in_need = (self.need_from is not None
+                      and self.need_from <= now() < self.need_from + NEED_S)
+        status = 503 if is_in_need else 200
+        self.record.add(f"{self.id} gets {request_id} from {machine}: {status}")
+        if not is_in_need:
+            self.arrivals.append((now(), machine, request_id, status))
+            return answer_whole(self, reader, head, body)
+        answer(reader, 503, b"", {"X-Request-Id": request_id,
+                                  "X-Not-Executed": "1",
+                                  "Retry-After": f"{RETRY_AFTER_S:g}"})
+        self.arrivals.append((now(), machine, request_id, status))
+        return True
+
+    @staticmethod
+    def machine_of(reader):
+        """The machine that sends: that whose link the channel came through."""
+        port = reader.connection.getpeername()[1]
+        wait_until(lambda: port in Link.vm_by_port, 1)
+        return Link.vm_by_port.get(port, "")
+
+    def late_arrivals(self, machine):
+        """Requests from a machine between half a second after it was answered 503
+        and the end of the time that this named."""
+        most = []
+        refusals = [entry for entry in self.arrivals
+                    if entry[1] == machine and entry[3] == 503]
+        for at, _, _, _ in refusals:
+            late = [entry for entry in self.arrivals if entry[1] == machine
+                    and at + 0.5 < entry[0] < at + RETRY_AFTER_S]
+            most = max(most, late, key=len)
+        return most
+
+
+def ask_at(vm, offset_s, case, stopped):
+    time.sleep(offset_s)
+    count = 0
+    while not stopped.is_set():
+        count += 1
+        request_id = f"{vm.name.split('-')[-1]}-{count}"
+        reply = request(vm, f"/lookup/{request_id}", request_id, "key-a1",
+                        headers={"X-Request-Deadline": "1500"}, wait_s=3)
+        case.record.add(f"{request_id} at {vm.name} gets {reply.status}")
+        stopped.wait(PERIOD_S)
 
 
 def main():
@@ -181,41 +94,45 @@
 
 
 def play(case, stopped):
-    case.add_vms([zone for zone in ZONES for _ in range(2)])
-    for number, zone in enumerate(ZONES * 2, 1):
-        Engine(case, number, "brief-writer", zone, stream)
-    Engine(case, 9, "alert-api", ZONES[0], answer_whole, has_model=False)
+    case.add_vms(["tx-central-a"] * ZONE_VMS + ["tx-central-b"])
+    engines = [EngineInNeed(case, number, zone) for number, zone in
+               enumerate(("tx-central-a", "tx-central-a", "tx-central-b"), 1)]
+    Engine(case, 9, "brief-writer", "tx-central-a", answer_whole)
     case.store.write("op", "config", config(7))
     if not case.start_vms():
         print("the VMs didn't become ready")
         return 2
-    engines = [engine for engine in case.engines if engine.has_model]
-    call_all(case, stopped)
-    if not wait_until(lambda: all(len(engine.orders) > 5
-                                  for engine in engines), 20):
-        print("the engines get no orders")
+    for number, vm in enumerate(case.vms):
+        threading.Thread(target=ask_at, daemon=True, args=(
+            vm, PERIOD_S * number / len(case.vms), case, stopped)).start()
+    if not wait_until(lambda: sum(len(engine.arrivals)
+                                  for engine in engines) > 40, 10):
+        print("nothing is served")
         return 2
-    time.sleep(5)
-    zones = [threading.Thread(target=play_zone, args=(case, zone, engines))
-             for zone in ZONES]
-    for thread in zones:
-        thread.start()
-    for thread in zones:
-        thread.join()
+    time.sleep(2)
+    if case.trouble:
+        for vm in case.vms[:CUT_VMS]:
+            case.record.add(f"{vm.name} is cut from all engines")
+            for engine in case.engines:
+                engine.links[vm.name].cut()
+    time.sleep(CONTACT_S + 1)
+    engine = engines[0]
+    engine.need_from = now()
+    case.record.add(f"{engine.id} is in need")
+    time.sleep(NEED_S + 3)
     stopped.set()
     broken = 0
-    for engine in engines:
-        for before, after in turns(engine):
-            broken += 1
-            case.record.add(
-                f"BROKEN RULE: {engine.id} gets an order of {after[1]} (fence "
-                f"{after[2]}) {after[0] - before[0]:.3f} s after one of "
-                f"{before[1]} (fence {before[2]})")
-    count = sum(len(engine.orders) for engine in engines)
-    text = (f"{count} orders, {broken} of them within "
-            f"{LEASE_S} s after one of another machine")
-    case.record.add(text)
-    print(text)
+    for vm in case.vms:
+        late = engine.late_arrivals(vm.name)
+        refused = sum(1 for entry in engine.arrivals
+                      if entry[1] == vm.name and entry[3] == 503)
+        broken += len(late) > 2
+        text = (f"{vm.name}: {refused} refused, {len(late)} more than half a "
+                f"second after a refusal and within its time"
+                f"{': BROKEN RULE' if len(late) > 2 else ''}")
+        case.record.add(text)
+        if refused:
+            print(text)
     return 1 if broken else 0
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,9 @@
-"""Cuts most machines of a zone from all engines, so that they go through the one
-that is left. Then an engine in need answers 503 with `Retry-After`, and the requests
-are counted that it still gets from each machine."""
+"""The engines of a plain service say that they are brittle, and let fewer requests
+wait. Then many users come at once. Counts how often engines fall over because they
+had to turn too many requests away."""
 
 import os
+import random
 import sys
 import threading
 import time
@@ -12,128 +13,187 @@
 
 from engines import Engine, answer_whole  # noqa: E402
 from sites import config  # noqa: E402
-from standins import Case, Link, answer, now, request, wait_until  # noqa: E402
+from standins import Case, answer, now, request, wait_until  # noqa: E402
 
-ZONE_VMS = 7
-CUT_VMS = 6
-CONTACT_S = 3.0
+ENGINES = 4
+SLOTS = 6
+WORK_S = 0.2
+
+# Requests that may wait at an engine, usually and while it is brittle, and the
+# N of `Server-Brittle`.
+QUEUE = 24
+BRITTLE_QUEUE = 4
+BRITTLE = 5
 
-RETRY_AFTER_S = 5.0
-NEED_S = 7.0
+CONTACT_S = 3.0
+DOWN_S = 3.0
 
-# How often a client at each machine asks.
-PERIOD_S = 1.0
+USUAL_PER_S = 72
+BURST_X = 1.7
+BURST_S = 5.0
 
 
-class EngineInNeed(Engine):
-    """While in need it turns every request away and says for how long it wants
-    nothing from that machine."""
+class BrittleEngine(Engine):
+    """Runs as many requests as it has slots, lets some wait, and turns the others
+    away. While brittle it falls over when it turns too many away in a second; it
+    is back after some seconds, as a new lifetime."""
 
     def __init__(self, case, number, zone):
-        self.need_from = None
-        self.arrivals = []      # (time, machine, request id, status)
+        self.slots_free = threading.Condition()
+        self.active = 0
+        self.waiting = 0
+        self.brittle_from = None
+        self.rejected = []
+        self.falls = []
+        self.down_until = 0.0
         super().__init__(case, number, "alert-api", zone, self.work,
-                         has_model=False, slots=6)
-
-    def work(self, _engine, reader, head, body):
-        machine = self.machine_of(reader)
+                         has_model=False, slots=SLOTS)
+
+    def is_down(self):
+        return now() < self.down_until
+
+    def headers(self, head):
+        headers = {"X-Request-Id": head.get("X-Request-Id"),
+                   "X-Server-Load": f"{self.active},{self.waiting},{SLOTS}"}
+        if self.brittle_from is not None:
+            headers["Server-Brittle"] = str(BRITTLE)
+        return headers
+
+    def room(self):
+        is_brittle = (self.brittle_from is not None
+                      and now() >= self.brittle_from + CONTACT_S)
+        return BRITTLE_QUEUE if is_brittle else QUEUE
+
+    def work(self, _engine, reader, head, _body):
+        life = self.born
+        if self.is_down():
+            return False
+        with self.slots_free:
+            if self.active >= SLOTS and self.waiting >= self.room():
+                return self.turn_away(reader, head)
+            self.waiting += 1
+            while self.active >= SLOTS and life == self.born:
+                self.slots_free.wait(0.5)
+            self.waiting -= 1
+            if life != self.born:
+                return False
+            self.active += 1
         request_id = head.get("X-Request-Id")
-        is_in_need = (self.need_from is not None
-                      and self.need_from <= now() < self.need_from + NEED_S)
-        status = 503 if is_in_need else 200
-        self.record.add(f"{self.id} gets {request_id} from {machine}: {status}")
-        if not is_in_need:
-            self.arrivals.append((now(), machine, request_id, status))
-            return answer_whole(self, reader, head, body)
-        answer(reader, 503, b"", {"X-Request-Id": request_id,
-                                  "X-Not-Executed": "1",
-                                  "Retry-After": f"{RETRY_AFTER_S:g}"})
-        self.arrivals.append((now(), machine, request_id, status))
+        self.record.add(f"{self.id} runs {request_id}")
+        time.sleep(WORK_S)
+        with self.slots_free:
+            if life != self.born:
+                self.record.add(f"{self.id} has lost {request_id}")
+                return False
+            self.active -= 1
+            self.slots_free.notify()
+        headers = self.headers(head)
+        headers["X-Server-Seal"] = f"seal.{self.id}"
+        answer(reader, 200, b"x" * 800, headers)
         return True
 
-    @staticmethod
-    def machine_of(reader):
-        """The machine that sends: that whose link the channel came through."""
-        port = reader.connection.getpeername()[1]
-        wait_until(lambda: port in Link.vm_by_port, 1)
-        return Link.vm_by_port.get(port, "")
-
-    def late_arrivals(self, machine):
-        """Requests from a machine between half a second after it was answered 503
-        and the end of the time that this named."""
-        most = []
-        refusals = [entry for entry in self.arrivals
-                    if entry[1] == machine and entry[3] == 503]
-        for at, _, _, _ in refusals:
-            late = [entry for entry in self.arrivals if entry[1] == machine
-                    and at + 0.5 < entry[0] < at + RETRY_AFTER_S]
-            most = max(most, late, key=len)
-        return most
-
-
-def ask_at(vm, offset_s, case, stopped):
-    time.sleep(offset_s)
+    def turn_away(self, reader, head):
+        """Called with the lock held."""
+        self.record.add(f"{self.id} turns {head.get('X-Request-Id')} away")
+        self.rejected.append(now())
+        recent = [at for at in self.rejected if at > now() - 1]
+        if self.brittle_from is not None and len(recent) > BRITTLE:
+            self.fall(len(recent))
+            return False
+        headers = self.headers(head)
+        headers["X-Not-Executed"] = "1"
+        answer(reader, 503, b"", headers)
+        return True
+
+    def fall(self, count):
+        self.record.add(f"{self.id} falls over after {count} rejections, "
+                        f"{self.active} runs are lost")
+        self.falls.append(now())
+        self.rejected.clear()
+        self.down_until = now() + DOWN_S
+        self.born = int(time.time() * 1000)
+        self.active = 0
+        self.slots_free.notify_all()
+        for link in self.links.values():
+            link.cut()
+        threading.Thread(target=self.come_back, daemon=True).start()
+
+    def come_back(self):
+        time.sleep(DOWN_S)
+        for link in self.links.values():
+            link.heal()
+        self.record.add(f"{self.id} is back")
+        self.write_entry()
+
+    def write_entry(self):
+        if not self.is_down():
+            super().write_entry()
+
+
+def send_load(case, until, per_s, replies, name):
+    """Open-loop clients at all VMs, each request on a channel of its own."""
+    source = random.Random(name)
     count = 0
-    while not stopped.is_set():
+
+    def send(vm, request_id):
+        replies[request_id] = request(
+            vm, f"/subscribe/{request_id}", request_id, "key-a1", "POST",
+            {"X-Request-Deadline": "1500"}, b"body", 3)
+
+    due = now()
+    while now() < until:
         count += 1
-        request_id = f"{vm.name.split('-')[-1]}-{count}"
-        reply = request(vm, f"/lookup/{request_id}", request_id, "key-a1",
-                        headers={"X-Request-Deadline": "1500"}, wait_s=3)
-        case.record.add(f"{request_id} at {vm.name} gets {reply.status}")
-        stopped.wait(PERIOD_S)
+        vm = case.vms[source.randrange(len(case.vms))]
+        threading.Thread(target=send, args=(vm, f"{name}-{count}"),
+                         daemon=True).start()
+        due += source.uniform(0.5, 1.5) / per_s
+        time.sleep(max(0.0, due - now()))
 
 
 def main():
     case = Case(FOLDER)
-    stopped = threading.Event()
     try:
-        return play(case, stopped)
+        return play(case)
     finally:
-        stopped.set()
         case.close()
 
 
-def play(case, stopped):
-    case.add_vms(["tx-central-a"] * ZONE_VMS + ["tx-central-b"])
-    engines = [EngineInNeed(case, number, zone) for number, zone in
-               enumerate(("tx-central-a", "tx-central-a", "tx-central-b"), 1)]
+def play(case):
+    case.add_vms(["tx-central-a", "tx-central-b", "tx-central-c"])
+    engines = [BrittleEngine(case, number, case.vms[number % 3].zone)
+               for number in range(1, ENGINES + 1)]
     Engine(case, 9, "brief-writer", "tx-central-a", answer_whole)
     case.store.write("op", "config", config(7))
     if not case.start_vms():
         print("the VMs didn't become ready")
         return 2
-    for number, vm in enumerate(case.vms):
-        threading.Thread(target=ask_at, daemon=True, args=(
-            vm, PERIOD_S * number / len(case.vms), case, stopped)).start()
-    if not wait_until(lambda: sum(len(engine.arrivals)
-                                  for engine in engines) > 40, 10):
+    if not wait_until(lambda: request(case.vms[0], "/lookup/1", "settle",
+                                      "key-a1").status == 200, 10):
         print("nothing is served")
         return 2
-    time.sleep(2)
-    if case.trouble:
-        for vm in case.vms[:CUT_VMS]:
-            case.record.add(f"{vm.name} is cut from all engines")
-            for engine in case.engines:
-                engine.links[vm.name].cut()
-    time.sleep(CONTACT_S + 1)
-    engine = engines[0]
-    engine.need_from = now()
-    case.record.add(f"{engine.id} is in need")
-    time.sleep(NEED_S + 3)
-    stopped.set()
-    broken = 0
-    for vm in case.vms:
-        late = engine.late_arrivals(vm.name)
-        refused = sum(1 for entry in engine.arrivals
-                      if entry[1] == vm.name and entry[3] == 503)
-        broken += len(late) > 2
-        text = (f"{vm.name}: {refused} refused, {len(late)} more than half a "
-                f"second after a refusal and within its time"
-                f"{': BROKEN RULE' if len(late) > 2 else ''}")
-        case.record.add(text)
-        if refused:
-            print(text)
-    return 1 if broken else 0
+    replies = {}
+    start = now()
+    for engine in engines:
+        engine.brittle_from = start
+    case.record.add(f"the engines say Server-Brittle: {BRITTLE}")
+    send_load(case, start + 8, USUAL_PER_S, replies, "usual")
+    case.record.add("many users come at once" if case.trouble
+                    else "no more users come")
+    send_load(case, start + 8 + BURST_S,
+              USUAL_PER_S * (BURST_X if case.trouble else 1), replies, "burst")
+    send_load(case, start + 15 + BURST_S, USUAL_PER_S, replies, "after")
+    time.sleep(3)
+    falls = sum(len(engine.falls) for engine in engines)
+    allowed = 2 + ENGINES / 10
+    statuses = {}
+    for reply in list(replies.values()):
+        statuses[reply.status] = statuses.get(reply.status, 0) + 1
+    text = (f"{len(replies)} requests, answered {statuses}; the engines fall "
+            f"over {falls} times, {allowed} are allowed"
+            f"{': BROKEN RULE' if falls > allowed else ''}")
+    case.record.add(text)
+    print(text)
+    return 1 if falls > allowed else 0
 
 
 if __name__ == "__main__":
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -380,6 +380,8 @@
         self.target = target
         self.lock = threading.Lock()
         self.pairs = set()
+        self.is_silent = False
+        self.on_delivery = None     # hook: (bytes, when they were sent)
         self.listener = bound_socket()
         self.port = self.listener.getsockname()[1]
         self.address = "127.0.0.1:%d" % self.port
@@ -417,6 +419,8 @@
                 for end in ready:
                     part = end.recv(65536)
                     other = near if end is far else far
+                    if part and self.is_silent and end is near:
+                        self.keep_back(near, part)
                     if part:
                         other.sendall(part)
                     else:
@@ -430,6 +434,42 @@
         with self.lock:
             self.pairs.discard((near, far))
 
+    # When TCP sends again what wasn't acknowledged, after it was first sent.
+    SENT_AGAIN_S = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6, 25.4)
+
+    def keep_back(self, near, part):
+        """Waits for the end of the cut, and from there on until the sender's TCP
+        sends the bytes again. Raises an error if the sender has reset the
+        channel: then they are lost."""
+        sent_at = now()
+        while self.is_silent:
+            time.sleep(0.01)
+        healed_at = now()
+        due = next((sent_at + after for after in self.SENT_AGAIN_S
+                    if sent_at + after >= healed_at), healed_at)
+        time.sleep(due - healed_at)
+        near.setblocking(False)
+        try:
+            near.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            pass
+        finally:
+            near.setblocking(True)
+        if self.on_delivery:
+            self.on_delivery(part, sent_at)
+
+    def fall_silent(self):
+        """Cuts the link: what is sent on open channels gets no acknowledgement,
+        and new ones aren't opened."""
+        self.is_silent = True
+        listener, self.listener = self.listener, None
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+
+    def speak(self):
+        self.is_silent = False
+        self.heal()
+
     def cut(self):
         with self.lock:
             pairs = list(self.pairs)
