--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -508,15 +508,13 @@
         self.store_address = store.listen(self.name)
         self.ip = "127.%d.%d.%d" % (1 + os.getpid() % 250,
                                     1 + os.getpid() // 250 % 250, number)
-        self.ports = {}
-        for use in ("front", "ready", "relay"):
-            listener = bound_socket(self.ip)
-            self.ports[use] = listener.getsockname()[1]
+        # The peer port is used for datagrams and for connections.
+        uses = ("front", "ready", "relay", "peer")
+        listeners = [bound_socket(self.ip) for _ in uses]
+        self.ports = {use: listener.getsockname()[1]
+                      for use, listener in zip(uses, listeners)}
+        for listener in listeners:
             listener.close()
-        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        datagrams.bind((self.ip, 0))
-        self.ports["peer"] = datagrams.getsockname()[1]
-        datagrams.close()
         self.bounds = {
             "key_withdrawal_ms": 5000, "config_apply_ms": 2000,
             "adapter_version_ms": 5000, "order_handover_ms": 3000,
@@ -666,8 +664,13 @@
     def start_vms(self, limit_s=20):
         for vm in self.vms:
             vm.start()
-        return wait_until(lambda: all(vm.is_ready() for vm in self.vms),
-                          limit_s)
+        is_ready = wait_until(lambda: all(vm.is_ready() for vm in self.vms),
+                              limit_s)
+        for vm in [] if is_ready else self.vms:
+            with open(vm.log.name, encoding="utf-8") as log:
+                self.record.add(f"{vm.name}, exit {vm.process.poll()}: "
+                                f"{log.read()[-800:]}")
+        return is_ready
 
     def close(self):
         for vm in self.vms:
