--- a/review/9/case.py
+++ b/review/9/case.py
@@ -151,7 +151,7 @@
 
 
 def main():
-    case = Case(FOLDER)
+    case = Case(FOLDER, sys.argv[1:] != ["off"])
     try:
         return play(case)
     finally:
