--- a/review/10/case.py
+++ b/review/10/case.py
@@ -84,7 +84,7 @@
 
 
 def main():
-    case = Case(FOLDER)
+    case = Case(FOLDER, sys.argv[1:] != ["off"])
     stopped = threading.Event()
     try:
         return play(case, stopped)
