A relay's end isn't taken for the target's

Cause: the end of such an answer was the end of the tunnel's connection, which also ends in order when the relaying process does.

The target's bytes now come in frames, and its orderly end is a frame of its own. A tunnel that ends without it breaks the answer off. For VMs of earlier releases, which ask for no frames, the relay's sockets reset unless the target's end has been passed on. HttpConnection reads bodies by the same receive() as heads, where frames are decoded.

RelayRequestTest: the new header is optional, as an earlier release doesn't send it; what its absence means is checked in place of a refusal.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpConnection.h"
 
 #include "Http/AcknowledgedBytes.h"
+#include "Http/TunnelDecoder.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -65,6 +66,10 @@
   CarriedRequests Carried_;
   std::optional<std::int64_t> ServerIncarnation_;
   std::unique_ptr<RelayedRoute> Route_;
+  /// Whether another server passes the bytes on, and the frames in which they
+  /// come if it sends them so.
+  bool IsThroughProxy_ = false;
+  std::optional<TunnelDecoder> Frames_;
   bool HasLargeParts_ = false;
   bool Open_ = false;
   bool RequestSent_ = false;
@@ -148,6 +153,9 @@
   }
   // A server says nothing before it has a request, so no bytes are buffered.
   State_->Parser_.reset();
+  State_->IsThroughProxy_ = true;
+  if (valueOf(Head).Headers_.find(TunnelFramingHeader) == TunnelFramingVersion)
+    State_->Frames_.emplace();
   State_->RequestSent_ = false;
   State_->Server_ = Server.text();
   co_return Head;
@@ -243,16 +251,35 @@
 
 asio::awaitable<error_code> HttpConnection::receive() {
   beast::flat_buffer &Buffer = State_->Buffer_;
+  std::optional<TunnelDecoder> &Frames = State_->Frames_;
   std::size_t Room = BufferLimitBytes - Buffer.size();
   if (Room == 0)
     co_return http::error::buffer_overflow;
   std::size_t Size =
       std::min(Room, std::max(ReadBytes, Buffer.capacity() - Buffer.size()));
-  error_code Cause;
-  std::size_t Read = co_await State_->Stream_.async_read_some(
-      Buffer.prepare(Size), asio::redirect_error(asio::use_awaitable, Cause));
-  Buffer.commit(Read);
-  co_return Cause;
+  // A frame's head may arrive without any byte of the server.
+  std::size_t Received = 0;
+  while (Received == 0) {
+    if (Frames && Frames->hasEnded())
+      co_return asio::error::eof;
+    error_code Cause;
+    auto Prepared = Buffer.prepare(Size);
+    std::size_t Read = co_await State_->Stream_.async_read_some(
+        Prepared, asio::redirect_error(asio::use_awaitable, Cause));
+    // The end of the connection shows only that of the relay.
+    if (Cause == asio::error::eof && State_->IsThroughProxy_)
+      co_return asio::error::connection_reset;
+    if (Cause)
+      co_return Cause;
+    auto Decoded =
+        Frames ? Frames->decode(static_cast<char *>(Prepared.data()), Read)
+               : std::optional(Read);
+    if (!Decoded)
+      co_return http::error::bad_chunk;
+    Received = *Decoded;
+  }
+  Buffer.commit(Received);
+  co_return error_code();
 }
 
 Result<HttpReplyHead> HttpConnection::takeHead() {
@@ -314,11 +341,17 @@
     auto Piece = std::make_unique_for_overwrite<char[]>(Size);
     Parser.get().body().data = Piece.get();
     Parser.get().body().size = Size;
-    State_->Stream_.expires_after(Left);
-    error_code Cause;
-    co_await http::async_read_some(
-        State_->Stream_, State_->Buffer_, Parser,
-        asio::redirect_error(asio::use_awaitable, Cause));
+    error_code Cause = http::error::need_more;
+    if (State_->Buffer_.size() > 0)
+      State_->Buffer_.consume(Parser.put(State_->Buffer_.data(), Cause));
+    if (Cause == http::error::need_more) {
+      State_->Stream_.expires_after(Left);
+      Cause = co_await receive();
+      if (Cause == asio::error::eof) {
+        Cause = {};
+        Parser.put_eof(Cause);
+      }
+    }
     if (Cause == http::error::need_buffer)
       Cause = {};
     if (Cause) {
@@ -399,6 +432,8 @@
 bool HttpConnection::reusable() const {
   if (!State_ || !State_->Open_)
     return false;
+  if (State_->Frames_ && State_->Frames_->hasEnded())
+    return false;
   if (!State_->Parser_)
     return !State_->RequestSent_;
   return State_->Parser_->is_done() && State_->Parser_->keep_alive();
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -39,8 +39,9 @@
 
   /// Connects to `Server` through a proxy, within `Timeout`: sends it a CONNECT
   /// request and returns the head of its response. Only if the status is 200,
-  /// the connection is open, and then to `Server`. Errors: as for `open` and
-  /// `exchange`.
+  /// the connection is open, and then to `Server`. The end of such a connection
+  /// isn't taken for the server's unless the proxy states it in a frame (see
+  /// `TunnelFrame`). Errors: as for `open` and `exchange`.
   boost::asio::awaitable<Result<HttpReplyHead>>
   openThrough(const Endpoint &Proxy, const HttpRequest &Connect,
               const Endpoint &Server, Duration Timeout);
@@ -126,7 +127,8 @@
   /// Makes room for the next part of the body and returns its maximum size.
   std::size_t reservePart();
 
-  /// Receives more bytes of a head into the buffer.
+  /// Receives more bytes of the server into the buffer. The end of its
+  /// connection is an error, `eof`.
   boost::asio::awaitable<boost::system::error_code> receive();
   Result<HttpReplyHead> takeHead();
   Error tooManyFields() const;
--- a/Source/Relay/RelayRequest.cpp
+++ b/Source/Relay/RelayRequest.cpp
@@ -1,5 +1,6 @@
 #include "Relay/RelayRequest.h"
 
+#include "Http/TunnelFrame.h"
 #include "Kernel/EnumNames.h"
 #include "Objects/Digest.h"
 
@@ -35,6 +36,8 @@
   Encoded.Headers_.add(IncarnationHeader, std::to_string(Request.Incarnation_));
   if (Request.AsksIncarnation_)
     Encoded.Headers_.add(ConfirmHeader, "yes");
+  if (Request.AsksFrames_)
+    Encoded.Headers_.add(TunnelFramingHeader, TunnelFramingVersion);
   return Encoded;
 }
 
@@ -62,7 +65,9 @@
                        std::move(*RequestId),
                        *Target,
                        0,
-                       Headers.find(ConfirmHeader).has_value()};
+                       Headers.find(ConfirmHeader).has_value(),
+                       Headers.find(TunnelFramingHeader) ==
+                           TunnelFramingVersion};
   const char *End = Incarnation->data() + Incarnation->size();
   auto [Rest, Cause] =
       std::from_chars(Incarnation->data(), End, Decoded.Incarnation_);
--- a/Source/Relay/RelayRequest.h
+++ b/Source/Relay/RelayRequest.h
@@ -25,6 +25,9 @@
   /// Whether the target is asked which of its incarnations runs, once it is
   /// connected to.
   bool AsksIncarnation_ = false;
+  /// Whether the target's bytes are to come in frames. A VM of an earlier
+  /// release doesn't ask for them and doesn't send them.
+  bool AsksFrames_ = true;
 };
 
 /// The header of the response in which the VM names what the target answered.
--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -3,6 +3,7 @@
 #include "Http/BoundAddress.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
+#include "Http/TunnelFrame.h"
 #include "Kernel/EnumNames.h"
 #include "Objects/Digest.h"
 #include "Telemetry/Log.h"
@@ -48,17 +49,19 @@
       : Asker_(std::move(Asker)), Target_(std::move(Target)),
         Request_(std::move(Request)) {}
 
+  /// Closes both sides. Unless the target's end has been passed on, the asking
+  /// VM's is reset.
   void close() {
     error_code Ignored;
     Asker_.close(Ignored);
     Target_.close(Ignored);
   }
 
-  /// Closes both sides, the asking VM's with a reset.
-  void reset() {
+  /// Sets whether the end of the asking VM's connection is a reset, also if
+  /// this process ends.
+  void setEndIsReset(bool IsReset) {
     error_code Ignored;
-    Asker_.set_option(asio::socket_base::linger(true, 0), Ignored);
-    close();
+    Asker_.set_option(asio::socket_base::linger(IsReset, 0), Ignored);
   }
 
   tcp::socket Asker_;
@@ -226,6 +229,9 @@
   Message.result(http::status::ok);
   if (!Finding.empty())
     Message.insert(std::string(RelayFindingHeader), Finding);
+  if (Request.AsksFrames_)
+    Message.insert(std::string(TunnelFramingHeader),
+                   std::string(TunnelFramingVersion));
   error_code Cause;
   Asker.expires_after(HeadTime);
   co_await http::async_write(Asker, Message,
@@ -237,6 +243,7 @@
                                        std::move(Target), std::move(Request));
   error_code Ignored;
   Pair->Asker_.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Pair->setEndIsReset(true);
   Tunnels_.insert(Pair);
   Counts_->count("anvil_relayed_connections_total");
   Counts_->gauge("anvil_relay_tunnels", {},
@@ -257,6 +264,9 @@
   tcp::socket &From = ToTarget ? Pair->Asker_ : Pair->Target_;
   tcp::socket &To = ToTarget ? Pair->Target_ : Pair->Asker_;
   std::uint64_t &Bytes = ToTarget ? Pair->BytesToTarget_ : Pair->BytesToAsker_;
+  bool IsFramed = !ToTarget && Pair->Request_.AsksFrames_;
+  std::array<char, TunnelFrameHeadBytes> FrameHead{};
+  std::size_t HeadBytes = IsFramed ? TunnelFrameHeadBytes : 0;
   std::array<char, BufferBytes> Buffer;
   error_code ReadCause;
   error_code WriteCause;
@@ -268,20 +278,27 @@
       continue;
     Pair->ActiveAt_ = BootClock::now();
     Bytes += Read;
+    FrameHead = encodeTunnelFrameHead(TunnelFrame::Data, Read);
+    std::array<asio::const_buffer, 2> Parts{
+        asio::buffer(FrameHead.data(), HeadBytes),
+        asio::buffer(Buffer.data(), Read)};
     co_await asio::async_write(
-        To, asio::buffer(Buffer.data(), Read),
-        asio::redirect_error(asio::use_awaitable, WriteCause));
+        To, Parts, asio::redirect_error(asio::use_awaitable, WriteCause));
   }
-  error_code Ignored;
   bool IsOrderlyEnd = ReadCause == asio::error::eof && !WriteCause;
-  // What the target sent may have no length and end with its connection, so a
-  // reset must not look like its end.
-  if (!ToTarget && IsOrderlyEnd)
+  // What the target sent may have no length and end with its connection, so
+  // only its orderly end may look like one.
+  if (!ToTarget && IsOrderlyEnd) {
+    FrameHead = encodeTunnelFrameHead(TunnelFrame::End, 0);
+    co_await asio::async_write(
+        To, asio::buffer(FrameHead.data(), HeadBytes),
+        asio::redirect_error(asio::use_awaitable, WriteCause));
+    Pair->setEndIsReset(false);
+    error_code Ignored;
     Pair->Asker_.shutdown(tcp::socket::shutdown_send, Ignored);
-  else if (ToTarget)
+  } else {
     Pair->close();
-  else
-    Pair->reset();
+  }
   if (--Pair->Readers_ == 0)
     end(Pair);
 }
@@ -306,7 +323,7 @@
 void RelayServer::Core::closeIdle(TimePoint Now) {
   for (const auto &Pair : Tunnels_)
     if (Pair->ActiveAt_ + Options_.IdleTime_ <= Now)
-      Pair->reset();
+      Pair->close();
 }
 
 RelayServer::RelayServer(asio::any_io_executor Executor, TimerService &Timers,
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -32,9 +32,9 @@
 /// Connects other VMs to targets that they don't reach themselves, and passes
 /// the bytes of both sides on unchanged. It holds back no byte and keeps no
 /// more than one buffer for each direction, so that a slow reader slows the
-/// sender. The end of a target's connection reaches the other VM as it was:
-/// orderly or as a reset. Once the other VM closes, the target's connection is
-/// closed.
+/// sender. The orderly end of a target's connection is stated in a frame, or as
+/// such to VMs that don't ask for frames; any other end resets the other VM's
+/// connection. Once the other VM closes, the target's connection is closed.
 class RelayServer {
 public:
   /// The address of a target, or why it isn't relayed to.
--- a/Tests/Relay/RelayPlace.cpp
+++ b/Tests/Relay/RelayPlace.cpp
@@ -56,7 +56,7 @@
 
 RelayRequest RelayPlace::validRequest() {
   return {std::string(Key),         "vm-1", "tunnel-1", "request-1",
-          std::string(KnownTarget), 7,      false};
+          std::string(KnownTarget), 7,      false,      false};
 }
 
 std::pair<tcp::socket, std::string>
@@ -78,8 +78,7 @@
   auto [Asker, Answer] = ask(validRequest());
   if (!Answer.starts_with("HTTP/1.1 200"))
     throw std::runtime_error("not relayed: " + Answer);
-  tcp::socket Accepted = Target_.accept();
-  return {std::move(Asker), std::move(Accepted)};
+  return {std::move(Asker), acceptAtTarget()};
 }
 
 void RelayPlace::run(const std::function<void(RelayServer &)> &Call) {
--- a/Tests/Relay/RelayPlace.h
+++ b/Tests/Relay/RelayPlace.h
@@ -50,6 +50,9 @@
   /// Closes the target's port, so that connections to it are refused.
   void closeTarget() { Target_.close(); }
 
+  /// Accepts a connection to the target.
+  boost::asio::ip::tcp::socket acceptAtTarget() { return Target_.accept(); }
+
   std::uint16_t port() const { return Port_; }
 
 private:
--- a/Tests/Relay/RelayRequestTest.cpp
+++ b/Tests/Relay/RelayRequestTest.cpp
@@ -18,15 +18,23 @@
   CHECK(Read->Target_ == Sent.Target_);
   CHECK(Read->Incarnation_ == Sent.Incarnation_);
   CHECK(Read->AsksIncarnation_);
+  CHECK(Read->AsksFrames_);
   for (const HttpHeader &Header : Encoded.Headers_)
     CHECK(Header.Value_.find_first_of("\r\n") == std::string::npos);
 
   SECTION("of another method it isn't one") {
     CHECK_FALSE(decodeRelayRequest("POST", Encoded.Headers_));
   }
+  SECTION("from an earlier release it asks for no frames") {
+    Sent.AsksFrames_ = false;
+    HttpRequest Earlier = encodeRelayRequest(Sent);
+    auto Known = decodeRelayRequest(Earlier.Method_, Earlier.Headers_);
+    REQUIRE(Known);
+    CHECK_FALSE(Known->AsksFrames_);
+  }
   SECTION("without any of its headers neither") {
     for (const HttpHeader &Left : Encoded.Headers_) {
-      if (Left.Name_ == "Relay-Confirm")
+      if (Left.Name_ == "Relay-Confirm" || Left.Name_ == "Tunnel-Framing")
         continue;
       HttpHeaders Others;
       for (const HttpHeader &Header : Encoded.Headers_)
