A back-off holds for the VM that brings the requests

Cause: the VM with the caller kept the back-off for itself. The VM that relays looks at no answer and heard nothing of it.

BackOffs keeps them by target and VM. The VM with the caller tells the relay, which keeps to it, refuses new connections to the target with the time that is left, and tells VMs with open tunnels to send no further request on them. A target that all relays hold back counts as reached, and requests for it are rejected at once with the shortest time.

--- a/Source/Entry/ReachService.cpp
+++ b/Source/Entry/ReachService.cpp
@@ -91,7 +91,8 @@
           [this](const RelayRequest &Request) { return resolve(Request); },
           [this](const RelayRequest &Request, const Endpoint &Address) {
             return confirm(Request, Address);
-          }) {}
+          },
+          [this](const RelayNotice &Notice) { applyNotice(Notice); }) {}
 
 asio::awaitable<std::string> ReachService::confirm(RelayRequest Request,
                                                    Endpoint Address) {
@@ -132,6 +133,10 @@
     return RelayRefusal::Unlisted;
   if (stateOf(Request.Target_, Request.Incarnation_) != ReachState::Direct)
     return RelayRefusal::Unreached;
+  Duration BackOff = BackOffs_.remaining(
+      Self_, Request.Target_, Request.Incarnation_, BootClock::now());
+  if (BackOff > Duration::zero())
+    return RelayDenial{RelayRefusal::BackingOff, BackOff};
   auto Address = parseEndpoint(Listed->Entry_.Address_);
   if (!isOk(Address))
     return RelayRefusal::Unlisted;
@@ -167,8 +172,11 @@
   TimePoint Since = BootClock::now();
   HttpConnection Connection(Tunnels_.limits().Budget_);
   TunnelUse Use;
-  bool IsRelayed = co_await askOthers(Connection, Lost, Use);
+  auto Denial = co_await askOthers(Connection, Lost, Use);
   TimePoint Now = BootClock::now();
+  // A target that wants no requests for a while is reached.
+  bool IsOpen = !Denial;
+  bool IsRelayed = IsOpen || Denial->Why_ == RelayRefusal::BackingOff;
   if (IsRelayed)
     Reach_.recordRelayed(Lost.Target_, Lost.Incarnation_);
   else
@@ -178,9 +186,9 @@
             {"incarnation", Lost.Incarnation_},
             {"state", enumName(stateOf(Lost.Target_, Lost.Incarnation_),
                                ReachStateNames)},
-            {"through", IsRelayed ? Connection.route()->vm() : ""},
+            {"through", IsOpen ? Connection.route()->vm() : ""},
             {"took_ms", toMillis(Now - Since)}});
-  if (IsRelayed)
+  if (IsOpen)
     returnTunnel(Lost.Address_, std::move(Connection), MaxIdleTime);
   showCounts();
   Sought_.erase(Lost.Target_);
@@ -273,30 +281,44 @@
   return Found;
 }
 
-asio::awaitable<bool> ReachService::askOthers(HttpConnection &Connection,
-                                              const TargetAddress &Target,
-                                              const TunnelUse &Use) {
-  std::vector<RelayCandidate> Candidates = candidates(BootClock::now());
+asio::awaitable<std::optional<RelayDenial>>
+ReachService::askOthers(HttpConnection &Connection, const TargetAddress &Target,
+                        const TunnelUse &Use) {
+  TimePoint Now = BootClock::now();
+  RelayDenial Denial = RelayRefusal::Silent;
+  auto Add = [&Denial](const RelayDenial &Next) {
+    bool IsSooner = Denial.Why_ != RelayRefusal::BackingOff ||
+                    Next.RetryAfter_ < Denial.RetryAfter_;
+    if (Next.Why_ == RelayRefusal::BackingOff && IsSooner)
+      Denial = Next;
+  };
+  std::vector<RelayCandidate> Candidates = candidates(Now);
+  std::erase_if(Candidates, [&](const RelayCandidate &Candidate) {
+    Duration BackOff = BackOffs_.remaining(Candidate.Vm_, Target.Target_,
+                                           Target.Incarnation_, Now);
+    if (BackOff > Duration::zero())
+      Add({RelayRefusal::BackingOff, BackOff});
+    return BackOff > Duration::zero();
+  });
   std::vector<double> Random;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
     Random.push_back(randomFraction());
-  std::vector<std::string> Vms =
-      Choice_->order(Candidates, Random, BootClock::now());
+  std::vector<std::string> Vms = Choice_->order(Candidates, Random, Now);
   for (const std::string &Vm : Vms) {
-    bool IsOpen = co_await askVm(Connection, Vm, Target, Use);
-    if (IsOpen)
-      co_return true;
+    auto Refused = co_await askVm(Connection, Vm, Target, Use);
+    if (!Refused)
+      co_return std::nullopt;
+    Add(*Refused);
   }
-  co_return false;
+  co_return Denial;
 }
 
-asio::awaitable<bool> ReachService::askVm(HttpConnection &Connection,
-                                          const std::string &Vm,
-                                          const TargetAddress &Target,
-                                          const TunnelUse &Use) {
+asio::awaitable<std::optional<RelayDenial>>
+ReachService::askVm(HttpConnection &Connection, const std::string &Vm,
+                    const TargetAddress &Target, const TunnelUse &Use) {
   auto Location = Link_->locationOf(Vm);
   if (!Location)
-    co_return false;
+    co_return RelayRefusal::Silent;
   constexpr std::size_t NameBytes = 6;
   RelayRequest Request{Location->RelayKey_,  Self_,
                        randomHex(NameBytes), Use.RequestId_,
@@ -320,14 +342,89 @@
     if (Finding == enumName(IncarnationFinding::Same, IncarnationNames) ||
         Finding == enumName(IncarnationFinding::NotStated, IncarnationNames))
       Connection.setServerIncarnation(Target.Incarnation_);
-    co_return true;
+    co_return std::nullopt;
   }
-  RelayRefusal Why = isOk(Head) ? decodeRelayRefusal(valueOf(Head).Headers_)
-                                : RelayRefusal::Silent;
-  Choice_->recordRefused(Vm, Why, BootClock::now());
-  Metrics_->count("anvil_tunnels_refused_total",
-                  {{"reason", std::string(enumName(Why, RelayRefusalNames))}});
-  co_return false;
+  RelayDenial Denial = RelayRefusal::Silent;
+  if (isOk(Head))
+    Denial = decodeRelayRefusal(valueOf(Head).Headers_);
+  TimePoint Now = BootClock::now();
+  // That a target wants none says nothing of others.
+  if (Denial.Why_ == RelayRefusal::BackingOff)
+    BackOffs_.record(Vm, Target.Target_, Target.Incarnation_,
+                     Now + Denial.RetryAfter_, Now);
+  else
+    Choice_->recordRefused(Vm, Denial.Why_, Now);
+  Metrics_->count(
+      "anvil_tunnels_refused_total",
+      {{"reason", std::string(enumName(Denial.Why_, RelayRefusalNames))}});
+  co_return Denial;
+}
+
+void ReachService::recordBackOff(const TargetAddress &Target,
+                                 const RelayedRoute *Route, Duration Time,
+                                 TimePoint Now) {
+  if (!Route)
+    return holdBack(Target.Target_, Target.Incarnation_, Time, "answer", Now);
+  if (BackOffs_.record(Route->vm(), Target.Target_, Target.Incarnation_,
+                       Now + Time, Now))
+    spawn(Executor_, tellRelay(Route->vm(), Target, Time));
+}
+
+void ReachService::holdBack(const std::string &Target, std::int64_t Incarnation,
+                            Duration Time, std::string_view ToldBy,
+                            TimePoint Now) {
+  bool IsNews = BackOffs_.record(Self_, Target, Incarnation, Now + Time, Now);
+  Metrics_->count("anvil_target_back_offs_total");
+  logEvent(IsNews ? LogLevel::Info : LogLevel::Debug, "target_back_off",
+           {{"target", Target},
+            {"incarnation", Incarnation},
+            {"told_by", ToldBy},
+            {"named_ms", toMillis(Time)},
+            {"until_ms",
+             toMillis(BackOffs_.remaining(Self_, Target, Incarnation, Now))}});
+  if (IsNews)
+    Server_.retire(Target, Incarnation);
+}
+
+void ReachService::applyNotice(const RelayNotice &Notice) {
+  holdBack(Notice.Target_, Notice.Incarnation_, Notice.BackOff_, Notice.Vm_,
+           BootClock::now());
+}
+
+asio::awaitable<void>
+ReachService::tellRelay(std::string Vm, TargetAddress Target, Duration Time) {
+  TimePoint Since = BootClock::now();
+  constexpr int MaxTries = 2;
+  std::string Outcome = "unknown_vm";
+  for (int Try = 0; Try < MaxTries; ++Try) {
+    auto Location = Link_->locationOf(Vm);
+    if (!Location)
+      break;
+    RelayNotice Notice{Location->RelayKey_, Self_, Target.Target_,
+                       Target.Incarnation_, Time - (BootClock::now() - Since)};
+    Endpoint Relay{Location->Endpoint_.Address_, Location->RelayPort_};
+    HttpRequest Request = encodeRelayNotice(Notice);
+    auto Reply = co_await fetch(Relay, std::move(Request), TunnelTime);
+    Outcome = isOk(Reply) ? std::to_string(valueOf(Reply).Status_)
+                          : std::string(errorCodeName(errorOf(Reply).Code_));
+    if (isOk(Reply))
+      break;
+  }
+  logEvent(LogLevel::Info, "relay_told_back_off",
+           {{"vm", Vm},
+            {"target", Target.Target_},
+            {"incarnation", Target.Incarnation_},
+            {"named_ms", toMillis(Time)},
+            {"outcome", Outcome},
+            {"took_ms", toMillis(BootClock::now() - Since)}});
+}
+
+Duration ReachService::backOffOf(const std::string &Target,
+                                 std::int64_t Incarnation,
+                                 TimePoint Now) const {
+  bool IsDirect = stateOf(Target, Incarnation) == ReachState::Direct;
+  return IsDirect ? BackOffs_.remaining(Self_, Target, Incarnation, Now)
+                  : RelayBackOffs_.remaining(Self_, Target, Incarnation, Now);
 }
 
 HttpConnection ReachService::idleTunnel(const TargetAddress &Target,
@@ -342,6 +439,12 @@
         if (Use.IsOnce_ && IdleFor < CloseTravelTime)
           return false;
         const RelayedRoute *Route = Pooled.route();
+        bool IsHeldBack =
+            Route &&
+            BackOffs_.remaining(Route->vm(), Target.Target_,
+                                Target.Incarnation_, Now) > Duration::zero();
+        if (IsHeldBack)
+          return false;
         const auto &Direct = Link_->topology().directPeers();
         // One through a VM that is about to stop isn't used again.
         return Route && (!std::ranges::binary_search(Direct, Route->vm()) ||
@@ -352,11 +455,16 @@
 asio::awaitable<bool> ReachService::openTunnel(HttpConnection &Connection,
                                                const TargetAddress &Target,
                                                const TunnelUse &Use) {
-  bool IsOpen = co_await askOthers(Connection, Target, Use);
-  if (!IsOpen &&
-      stateOf(Target.Target_, Target.Incarnation_) == ReachState::Relayed)
+  auto Denial = co_await askOthers(Connection, Target, Use);
+  if (!Denial)
+    co_return true;
+  TimePoint Now = BootClock::now();
+  if (Denial->Why_ == RelayRefusal::BackingOff)
+    RelayBackOffs_.record(Self_, Target.Target_, Target.Incarnation_,
+                          Now + Denial->RetryAfter_, Now);
+  else if (stateOf(Target.Target_, Target.Incarnation_) == ReachState::Relayed)
     beginSeek(Target);
-  co_return IsOpen;
+  co_return false;
 }
 
 void ReachService::returnTunnel(const Endpoint &Target, HttpConnection Used,
--- a/Source/Entry/ReachService.h
+++ b/Source/Entry/ReachService.h
@@ -12,6 +12,7 @@
 #include "Relay/RelayChoice.h"
 #include "Relay/RelayServer.h"
 #include "Relay/TargetReach.h"
+#include "Routing/BackOffs.h"
 #include "Settings/EntrySettings.h"
 #include "Telemetry/Metrics.h"
 #include "platform/EngineControl.h"
@@ -21,8 +22,10 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace anvil {
@@ -95,6 +98,17 @@
   /// Keeps a connection through another VM for further requests.
   void returnTunnel(const Endpoint &Target, HttpConnection Used, Duration Keep);
 
+  /// Records that a target wants nothing for `Time` from the VM that brought it
+  /// a request: from this one if there is no route, else from the one that
+  /// relays, which is told.
+  void recordBackOff(const TargetAddress &Target, const RelayedRoute *Route,
+                     Duration Time, TimePoint Now);
+
+  /// For how long a target gets no requests of this VM, since it wants none
+  /// from any VM that would bring them; zero if it may.
+  Duration backOffOf(const std::string &Target, std::int64_t Incarnation,
+                     TimePoint Now) const;
+
   /// Relays no further connections of other VMs.
   void beginDrain() { Server_.beginDrain(); }
 
@@ -112,15 +126,25 @@
   Endpoint address() const;
   RelayServer::Resolution resolve(const RelayRequest &Request) const;
   std::vector<RelayCandidate> candidates(TimePoint Now) const;
-  /// Asks other VMs for a connection to a target, one after the other.
-  boost::asio::awaitable<bool> askOthers(HttpConnection &Connection,
-                                         const TargetAddress &Target,
-                                         const TunnelUse &Use);
-  /// Whether a VM opened a connection to the target.
-  boost::asio::awaitable<bool> askVm(HttpConnection &Connection,
-                                     const std::string &Vm,
-                                     const TargetAddress &Target,
-                                     const TunnelUse &Use);
+  /// Asks other VMs for a connection to a target, one after the other. Nothing
+  /// if one is open, else the refusal that says most: that the target is
+  /// reached but wants no requests for some time, or another one.
+  boost::asio::awaitable<std::optional<RelayDenial>>
+  askOthers(HttpConnection &Connection, const TargetAddress &Target,
+            const TunnelUse &Use);
+  /// Asks a VM. Nothing if the connection is open.
+  boost::asio::awaitable<std::optional<RelayDenial>>
+  askVm(HttpConnection &Connection, const std::string &Vm,
+        const TargetAddress &Target, const TunnelUse &Use);
+  /// Applies the notice of a VM whose connections this one relays.
+  void applyNotice(const RelayNotice &Notice);
+  /// Keeps to a back-off that a target told this VM, for itself and for the
+  /// VMs whose connections it relays.
+  void holdBack(const std::string &Target, std::int64_t Incarnation,
+                Duration Time, std::string_view ToldBy, TimePoint Now);
+  /// Tells a VM that relays what a target told it.
+  boost::asio::awaitable<void> tellRelay(std::string Vm, TargetAddress Target,
+                                         Duration Time);
   /// Asks a target which of its incarnations runs, for another VM.
   boost::asio::awaitable<std::string> confirm(RelayRequest Request,
                                               Endpoint Address);
@@ -148,6 +172,10 @@
   /// Shared with connections, which may outlive this object.
   std::shared_ptr<RelayChoice> Choice_ = std::make_shared<RelayChoice>();
   ConnectionPool Tunnels_;
+  /// The back-offs of this VM and of those that relay for it, and until when
+  /// targets were refused by all of the latter for that reason.
+  BackOffs BackOffs_;
+  BackOffs RelayBackOffs_;
   platform::EngineControl Engines_;
   RelayServer Server_;
   /// The targets about which other VMs are being asked, and those that are
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -453,8 +453,8 @@
   if (Response.Leaving_)
     Shared_.Fleet_->recordDraining(Chosen.Target_, Chosen.Incarnation_, Now);
   if (Response.BackOff_)
-    Shared_.Permits_->backOff(Chosen.Target_, Chosen.Incarnation_,
-                              *Response.BackOff_, Now);
+    Shared_.Reach_->recordBackOff(addressOf(Chosen), Connection_.route(),
+                                  *Response.BackOff_, Now);
   if (Response.ColdRemaining_)
     Shared_.ColdTargets_->recordResponse(Chosen.Target_, Chosen.Incarnation_,
                                          *Response.ColdRemaining_, SentAt, Now);
--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -24,9 +24,6 @@
 static constexpr Duration MinSuspension = std::chrono::milliseconds(20);
 static constexpr Duration UnansweredSuspension = std::chrono::milliseconds(100);
 
-/// The maximum back-off that is accepted from a target.
-static constexpr Duration MaxBackOff = std::chrono::minutes(10);
-
 /// The range from which a process draws the first serial number of its
 /// requests.
 static constexpr double SerialRange = 1e15;
@@ -76,24 +73,10 @@
   auto Found = Suspensions_.find(Target);
   if (Found == Suspensions_.end() || Found->second.Incarnation_ != Incarnation)
     return Duration::zero();
-  TimePoint Until = Found->second.BackOffUntil_;
-  if (needsPermit(Target, Incarnation, Now))
-    Until = std::max(Until, Found->second.NoPermitUntil_);
-  return std::max<Duration>(Duration::zero(), Until - Now);
-}
-
-void TargetPermits::backOff(const std::string &Target, std::int64_t Incarnation,
-                            Duration Time, TimePoint Now) {
-  Suspension &Current = suspensionOf(Target, Incarnation, Now);
-  TimePoint Until = Now + std::min(Time, MaxBackOff);
-  bool IsChange = Current.BackOffUntil_ <= Now;
-  Current.BackOffUntil_ = std::max(Current.BackOffUntil_, Until);
-  Metrics_->count("anvil_target_back_offs_total");
-  logEvent(IsChange ? LogLevel::Info : LogLevel::Debug, "target_back_off",
-           {{"target", Target},
-            {"incarnation", Incarnation},
-            {"named_ms", toMillis(Time)},
-            {"until_ms", toMillis(Current.BackOffUntil_ - Now)}});
+  if (!needsPermit(Target, Incarnation, Now))
+    return Duration::zero();
+  return std::max<Duration>(Duration::zero(),
+                            Found->second.NoPermitUntil_ - Now);
 }
 
 std::string TargetPermits::managerOf(const std::string &Target,
@@ -176,12 +159,11 @@
 TargetPermits::suspensionOf(const std::string &Target, std::int64_t Incarnation,
                             TimePoint Now) {
   std::erase_if(Suspensions_, [&](const auto &Entry) {
-    return Entry.second.NoPermitUntil_ <= Now &&
-           Entry.second.BackOffUntil_ <= Now;
+    return Entry.second.NoPermitUntil_ <= Now;
   });
   Suspension &Current = Suspensions_[Target];
   if (Current.Incarnation_ != Incarnation)
-    Current = {Incarnation, {}, {}};
+    Current = {Incarnation, {}};
   return Current;
 }
 
--- a/Source/Entry/TargetPermits.h
+++ b/Source/Entry/TargetPermits.h
@@ -19,9 +19,9 @@
 
 namespace anvil {
 
-/// Tracks targets that are suspended for a while, because they requested a
-/// back-off or no permit is available, and enforces the rate limits that
-/// targets state and the rates that cold targets take. For a target with either
+/// Tracks targets that are suspended for a while because no permit is
+/// available, and enforces the rate limits that targets state and the rates
+/// that cold targets take. For a target with either
 /// each request needs a permit, which is valid for one request and a short
 /// time. One VM hands out the permits for a target to all VMs that exchange
 /// state updates directly; a VM that receives from no other VM hands out its
@@ -44,12 +44,7 @@
   bool maySend(const std::string &Target, std::int64_t Incarnation,
                std::optional<TimePoint> RequestedAt, TimePoint Now) const;
 
-  /// Suspends a target that asked this VM to send nothing for `Time`.
-  void backOff(const std::string &Target, std::int64_t Incarnation,
-               Duration Time, TimePoint Now);
-
-  /// How long a target stays suspended, because of a back-off or for lack of a
-  /// permit; zero if it isn't.
+  /// How long a target stays suspended for lack of a permit; zero if it isn't.
   Duration suspendedFor(const std::string &Target, std::int64_t Incarnation,
                         TimePoint Now) const;
 
@@ -68,10 +63,8 @@
   };
   struct Suspension {
     std::int64_t Incarnation_ = 0;
-    /// Until when no permit is available, and until when the target asked for
-    /// no requests.
+    /// Until when no permit is available.
     TimePoint NoPermitUntil_{};
-    TimePoint BackOffUntil_{};
   };
 
   /// The query for a permit; nothing if the target needs none.
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -267,9 +267,7 @@
         Reach_->stateOf(Target->Entry_.Id_, Target->Entry_.Incarnation_);
     bool IsDown =
         Reached == ReachState::Seeking || Reached == ReachState::Unreachable;
-    bool IsSuspended =
-        Permits_->suspendedFor(Target->Entry_.Id_, Target->Entry_.Incarnation_,
-                               Now) > Duration::zero();
+    bool IsSuspended = suspendedFor(Target->Entry_, Now) > Duration::zero();
     if (IsDown || IsSuspended || Query.Excluded_.contains(Target->Entry_.Id_) ||
         !isOfVersion(*Target, Query))
       continue;
@@ -346,14 +344,19 @@
     Chosen.Source_ = LoadSource::Engine;
 }
 
+Duration TargetPicker::suspendedFor(const RegisteredTarget &Entry,
+                                    TimePoint Now) const {
+  return std::max(Permits_->suspendedFor(Entry.Id_, Entry.Incarnation_, Now),
+                  Reach_->backOffOf(Entry.Id_, Entry.Incarnation_, Now));
+}
+
 std::optional<Duration> TargetPicker::untilResumed(const TargetQuery &Query,
                                                    TimePoint Now) const {
   std::optional<Duration> Shortest;
   for (const ListedTarget *Target : eligibleTargets(Query.Service_)) {
     if (!isOfVersion(*Target, Query))
       continue;
-    Duration Remaining = Permits_->suspendedFor(
-        Target->Entry_.Id_, Target->Entry_.Incarnation_, Now);
+    Duration Remaining = suspendedFor(Target->Entry_, Now);
     if (Remaining > Duration::zero())
       Shortest = std::min(Shortest.value_or(Remaining), Remaining);
   }
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -195,6 +195,10 @@
   void describeLoad(TargetChoice &Chosen, const TargetQuery &Query,
                     TimePoint Now) const;
 
+  /// How long a target gets no requests of this VM: for lack of a permit, or
+  /// since it asked for none.
+  Duration suspendedFor(const RegisteredTarget &Entry, TimePoint Now) const;
+
   std::uint64_t requestedVersion(const TargetQuery &Query) const;
 
   /// An adapter request that the owner has not replied to yet.
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -432,8 +432,6 @@
 bool HttpConnection::reusable() const {
   if (!State_ || !State_->Open_)
     return false;
-  if (State_->Frames_ && State_->Frames_->hasEnded())
-    return false;
   if (!State_->Parser_)
     return !State_->RequestSent_;
   return State_->Parser_->is_done() && State_->Parser_->keep_alive();
@@ -442,6 +440,8 @@
 bool HttpConnection::isIdle() const {
   if (!reusable() || State_->Buffer_.size() > 0)
     return false;
+  if (State_->Frames_ && !State_->Frames_->takesRequests())
+    return false;
   auto &Socket = State_->Stream_.socket();
   error_code Cause;
   Socket.non_blocking(true, Cause);
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -104,7 +104,8 @@
   bool reusable() const;
 
   /// Whether it is reusable and nothing has arrived since the last response.
-  /// Unexpected bytes, or the close by the server, make it unusable.
+  /// Unexpected bytes, the close by the server, or the word of a relay that no
+  /// further request may be sent make it unusable.
   bool isIdle() const;
 
   /// The requests that this connection has carried. Callers whose requests have
--- a/Source/Http/TunnelDecoder.cpp
+++ b/Source/Http/TunnelDecoder.cpp
@@ -18,6 +18,9 @@
   case TunnelFrame::End:
     HasEnded_ = true;
     return Size == 0;
+  case TunnelFrame::Retire:
+    IsRetired_ = true;
+    return Size == 0;
   }
   return false;
 }
--- a/Source/Http/TunnelDecoder.h
+++ b/Source/Http/TunnelDecoder.h
@@ -19,6 +19,9 @@
   /// Whether the relay has stated the end of the server's connection.
   bool hasEnded() const { return HasEnded_; }
 
+  /// Whether further requests may be sent.
+  bool takesRequests() const { return !HasEnded_ && !IsRetired_; }
+
 private:
   /// Reads a frame's head once it is complete. False if it is malformed.
   bool readHead();
@@ -28,6 +31,7 @@
   /// What is still to come of the current frame.
   std::size_t Remaining_ = 0;
   bool HasEnded_ = false;
+  bool IsRetired_ = false;
 };
 
 } // namespace anvil
--- a/Source/Http/TunnelFrame.h
+++ b/Source/Http/TunnelFrame.h
@@ -16,6 +16,9 @@
   Data = 1,
   /// The server has closed its side in order. Nothing follows.
   End = 2,
+  /// The client is to send no further request on this connection; the answer
+  /// to one under way still comes.
+  Retire = 3,
 };
 
 inline constexpr std::size_t TunnelFrameHeadBytes = 4;
--- a/Source/Relay/RelayRefusal.h
+++ b/Source/Relay/RelayRefusal.h
@@ -1,6 +1,8 @@
 #ifndef ANVIL_RELAY_RELAYREFUSAL_H
 #define ANVIL_RELAY_RELAYREFUSAL_H
 
+#include "Kernel/Clock.h"
+
 #include <string_view>
 #include <utility>
 
@@ -21,6 +23,8 @@
   /// The VM relays as many connections as it can.
   Full,
   Stopping,
+  /// The target wants no requests from the VM for a while.
+  BackingOff,
 };
 
 inline constexpr std::pair<RelayRefusal, std::string_view> RelayRefusalNames[] =
@@ -32,6 +36,17 @@
         {RelayRefusal::Unreached, "unreached"},
         {RelayRefusal::Full, "full"},
         {RelayRefusal::Stopping, "stopping"},
+        {RelayRefusal::BackingOff, "backing_off"},
+};
+
+/// A refusal, and after which time another request may be granted, if known.
+struct RelayDenial {
+  // Most refusals name no time.
+  RelayDenial(RelayRefusal Why, Duration RetryAfter = {})
+      : Why_(Why), RetryAfter_(RetryAfter) {}
+
+  RelayRefusal Why_;
+  Duration RetryAfter_;
 };
 
 } // namespace anvil
--- a/Source/Relay/RelayRequest.h
+++ b/Source/Relay/RelayRequest.h
@@ -40,10 +40,10 @@
                                                const HttpHeaders &Headers);
 
 /// The response that refuses to relay.
-HttpReply encodeRelayRefusal(RelayRefusal Why);
+HttpReply encodeRelayRefusal(const RelayDenial &Denial);
 
-/// The reason of a response that refuses to relay.
-RelayRefusal decodeRelayRefusal(const HttpHeaders &Headers);
+/// What a response that refuses to relay states.
+RelayDenial decodeRelayRefusal(const HttpHeaders &Headers);
 
 } // namespace anvil
 
--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -17,6 +17,7 @@
 
 #include <array>
 #include <set>
+#include <utility>
 
 namespace anvil {
 
@@ -73,26 +74,34 @@
   std::uint64_t BytesToAsker_ = 0;
   /// The connections still being read.
   int Readers_ = 2;
+  /// Whether bytes are being sent to the asking VM, and whether it is to be
+  /// told afterwards that it may send no further request.
+  bool IsSending_ = false;
+  bool IsRetireDue_ = false;
 };
 
 struct RelayServer::Core : std::enable_shared_from_this<RelayServer::Core> {
   Core(asio::any_io_executor Executor, RelayServerOptions Options,
        std::shared_ptr<Metrics> Counts, ResolveHook Resolve,
-       ConfirmHook Confirm)
+       ConfirmHook Confirm, NoticeHook Notice)
       : Executor_(std::move(Executor)), Acceptor_(Executor_),
         AcceptTimer_(Executor_), Options_(std::move(Options)),
         Counts_(std::move(Counts)), Resolve_(std::move(Resolve)),
-        Confirm_(std::move(Confirm)) {}
+        Confirm_(std::move(Confirm)), Notice_(std::move(Notice)) {}
 
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(tcp::socket Asker);
   Resolution resolve(const std::optional<RelayRequest> &Request);
-  asio::awaitable<void> refuse(beast::tcp_stream &Asker, RelayRefusal Why,
+  asio::awaitable<void> refuse(beast::tcp_stream &Asker, RelayDenial Denial,
                                const std::optional<RelayRequest> &Request);
+  asio::awaitable<void> acceptNotice(beast::tcp_stream &Sender,
+                                     RelayNotice Notice);
+  asio::awaitable<void> sendHead(beast::tcp_stream &To, HttpReply Reply);
   asio::awaitable<void> open(beast::tcp_stream Asker, tcp::socket Target,
                              RelayRequest Request, std::string Finding);
   asio::awaitable<void> pass(std::shared_ptr<Tunnel> Pair, bool ToTarget);
   void end(const std::shared_ptr<Tunnel> &Pair);
+  void retire(Tunnel &Pair);
   void closeIdle(TimePoint Now);
 
   asio::any_io_executor Executor_;
@@ -102,6 +111,7 @@
   std::shared_ptr<Metrics> Counts_;
   ResolveHook Resolve_;
   ConfirmHook Confirm_;
+  NoticeHook Notice_;
   std::set<std::shared_ptr<Tunnel>> Tunnels_;
   /// Connections that are being opened, and requests that arrive.
   std::size_t Opening_ = 0;
@@ -160,14 +170,16 @@
   HttpHeaders Headers;
   for (const auto &Field : Parser.get())
     Headers.add(std::string(Field.name_string()), std::string(Field.value()));
-  auto Request =
-      decodeRelayRequest(std::string(Parser.get().method_string()), Headers);
+  std::string Method(Parser.get().method_string());
+  if (auto Notice = decodeRelayNotice(Method, Headers))
+    co_return co_await acceptNotice(Stream, std::move(*Notice));
+  auto Request = decodeRelayRequest(Method, Headers);
   // Bytes after the request can't be passed on before its answer.
   if (Buffer.size() > 0)
     Request.reset();
   Resolution Found = resolve(Request);
-  if (const auto *Why = std::get_if<RelayRefusal>(&Found))
-    co_return co_await refuse(Stream, *Why, Request);
+  if (const auto *Denial = std::get_if<RelayDenial>(&Found))
+    co_return co_await refuse(Stream, *Denial, Request);
   const Endpoint Address = std::get<Endpoint>(Found);
   beast::tcp_stream Target(Executor_);
   auto Number = asio::ip::make_address(Address.Address_, Cause);
@@ -194,9 +206,9 @@
 }
 
 asio::awaitable<void>
-RelayServer::Core::refuse(beast::tcp_stream &Asker, RelayRefusal Why,
+RelayServer::Core::refuse(beast::tcp_stream &Asker, RelayDenial Denial,
                           const std::optional<RelayRequest> &Request) {
-  std::string_view Reason = enumName(Why, RelayRefusalNames);
+  std::string_view Reason = enumName(Denial.Why_, RelayRefusalNames);
   Counts_->count("anvil_relay_refusals_total",
                  {{"reason", std::string(Reason)}});
   logEvent(LogLevel::Info, "relay_refused",
@@ -205,19 +217,36 @@
             {"request", Request ? Request->RequestId_ : ""},
             {"target", Request ? Request->Target_ : ""},
             {"reason", Reason},
+            {"retry_ms", toMillis(Denial.RetryAfter_)},
             {"tunnels", Tunnels_.size()}});
-  HttpReply Reply = encodeRelayRefusal(Why);
+  HttpReply Reply = encodeRelayRefusal(Denial);
+  co_await sendHead(Asker, std::move(Reply));
+}
+
+asio::awaitable<void> RelayServer::Core::acceptNotice(beast::tcp_stream &Sender,
+                                                      RelayNotice Notice) {
+  if (!equalInConstantTime(Notice.Key_, Options_.Key_))
+    co_return co_await refuse(Sender, RelayRefusal::Forbidden, std::nullopt);
+  Notice_(Notice);
+  constexpr int NoContent = 204;
+  HttpReply Reply{NoContent, {}, ""};
+  co_await sendHead(Sender, std::move(Reply));
+}
+
+asio::awaitable<void> RelayServer::Core::sendHead(beast::tcp_stream &To,
+                                                  HttpReply Reply) {
   http::response<http::empty_body> Message;
   Message.version(11);
   Message.result(static_cast<unsigned>(Reply.Status_));
   for (const HttpHeader &Header : Reply.Headers_)
     Message.insert(Header.Name_, Header.Value_);
   Message.keep_alive(false);
-  Message.content_length(0);
+  if (Message.result() != http::status::no_content)
+    Message.content_length(0);
   error_code Ignored;
-  Asker.expires_after(HeadTime);
+  To.expires_after(HeadTime);
   co_await http::async_write(
-      Asker, Message, asio::redirect_error(asio::use_awaitable, Ignored));
+      To, Message, asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
 asio::awaitable<void> RelayServer::Core::open(beast::tcp_stream Asker,
@@ -282,13 +311,19 @@
     std::array<asio::const_buffer, 2> Parts{
         asio::buffer(FrameHead.data(), HeadBytes),
         asio::buffer(Buffer.data(), Read)};
+    Pair->IsSending_ = !ToTarget;
     co_await asio::async_write(
         To, Parts, asio::redirect_error(asio::use_awaitable, WriteCause));
+    if (!ToTarget)
+      Pair->IsSending_ = false;
+    if (!ToTarget && std::exchange(Pair->IsRetireDue_, false) && !WriteCause)
+      retire(*Pair);
   }
   bool IsOrderlyEnd = ReadCause == asio::error::eof && !WriteCause;
   // What the target sent may have no length and end with its connection, so
   // only its orderly end may look like one.
   if (!ToTarget && IsOrderlyEnd) {
+    Pair->IsSending_ = true;
     FrameHead = encodeTunnelFrameHead(TunnelFrame::End, 0);
     co_await asio::async_write(
         To, asio::buffer(FrameHead.data(), HeadBytes),
@@ -320,6 +355,22 @@
             {"lasted_ms", toMillis(BootClock::now() - Pair->OpenedAt_)}});
 }
 
+void RelayServer::Core::retire(Tunnel &Pair) {
+  if (!Pair.Request_.AsksFrames_)
+    return;
+  if (Pair.IsSending_) {
+    Pair.IsRetireDue_ = true;
+    return;
+  }
+  auto Head = encodeTunnelFrameHead(TunnelFrame::Retire, 0);
+  error_code Cause;
+  Pair.Asker_.non_blocking(true, Cause);
+  std::size_t Sent = Pair.Asker_.write_some(asio::buffer(Head), Cause);
+  // A VM that doesn't read has an answer under way, which this ends.
+  if (Cause || Sent < Head.size())
+    Pair.close();
+}
+
 void RelayServer::Core::closeIdle(TimePoint Now) {
   for (const auto &Pair : Tunnels_)
     if (Pair->ActiveAt_ + Options_.IdleTime_ <= Now)
@@ -329,10 +380,10 @@
 RelayServer::RelayServer(asio::any_io_executor Executor, TimerService &Timers,
                          RelayServerOptions Options,
                          std::shared_ptr<Metrics> Counts, ResolveHook Resolve,
-                         ConfirmHook Confirm)
+                         ConfirmHook Confirm, NoticeHook Notice)
     : Core_(std::make_shared<Core>(std::move(Executor), std::move(Options),
                                    std::move(Counts), std::move(Resolve),
-                                   std::move(Confirm))) {
+                                   std::move(Confirm), std::move(Notice))) {
   Core_->IdleCheck_ =
       Timers.every(IdleCheckPeriod, BootClock::now(),
                    [this](TimePoint Now) { Core_->closeIdle(Now); });
@@ -359,6 +410,13 @@
 
 void RelayServer::beginDrain() { Core_->Draining_ = true; }
 
+void RelayServer::retire(const std::string &Target, std::int64_t Incarnation) {
+  for (const auto &Pair : Core_->Tunnels_)
+    if (Pair->Request_.Target_ == Target &&
+        Pair->Request_.Incarnation_ == Incarnation)
+      Core_->retire(*Pair);
+}
+
 void RelayServer::close() {
   Core_->Closed_ = true;
   Core_->IdleCheck_.cancel();
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -3,6 +3,7 @@
 
 #include "Http/Endpoint.h"
 #include "Kernel/TimerService.h"
+#include "Relay/RelayNotice.h"
 #include "Relay/RelayRequest.h"
 #include "Telemetry/Metrics.h"
 
@@ -38,7 +39,7 @@
 class RelayServer {
 public:
   /// The address of a target, or why it isn't relayed to.
-  using Resolution = std::variant<Endpoint, RelayRefusal>;
+  using Resolution = std::variant<Endpoint, RelayDenial>;
   using ResolveHook = std::function<Resolution(const RelayRequest &)>;
 
   /// Asks the target at an address which of its incarnations runs, and returns
@@ -46,11 +47,14 @@
   using ConfirmHook = std::function<boost::asio::awaitable<std::string>(
       const RelayRequest &, const Endpoint &)>;
 
+  using NoticeHook = std::function<void(const RelayNotice &)>;
+
   /// `Resolve` is called for requests with the right key, `Confirm` for those
-  /// that ask for the incarnation.
+  /// that ask for the incarnation, `Notice` for the notices of other VMs with
+  /// the right key.
   RelayServer(boost::asio::any_io_executor Executor, TimerService &Timers,
               RelayServerOptions Options, std::shared_ptr<Metrics> Counts,
-              ResolveHook Resolve, ConfirmHook Confirm);
+              ResolveHook Resolve, ConfirmHook Confirm, NoticeHook Notice);
   ~RelayServer();
   RelayServer(const RelayServer &) = delete;
   RelayServer &operator=(const RelayServer &) = delete;
@@ -63,6 +67,11 @@
   /// Relays no further connections; those that are open go on.
   void beginDrain();
 
+  /// Tells the other VMs to send no further requests on the connections to a
+  /// target's incarnation. VMs of earlier releases, which ask for no frames,
+  /// aren't told.
+  void retire(const std::string &Target, std::int64_t Incarnation);
+
   /// Stops accepting and closes all connections.
   void close();
 
--- a/Tests/Integration/CutVmTest.cpp
+++ b/Tests/Integration/CutVmTest.cpp
@@ -139,6 +139,22 @@
     CHECK(Reply.Status_ == 502);
     CHECK(System.Target_.requestCount() == Before + 1);
   }
+  SECTION("tells the other VM when the target wants nothing from it") {
+    ScriptedReply Busy{
+        "X-Not-Executed: 1\r\nRetry-After: 4\r\nContent-Length: 0\r\n", ""};
+    Busy.Status_ = "503 Busy";
+    System.Target_.script({Busy});
+    int Before = System.Target_.requestCount();
+    for (int Index = 0; Index < 5; ++Index) {
+      CallerReply Reply = System.call("/safe/x", "b" + std::to_string(Index));
+      CHECK(Reply.Status_ == 503);
+      CHECK(std::stod(Reply.Headers_["retry-after"]) > 2);
+    }
+    CHECK(System.Target_.requestCount() == Before + 1);
+    CHECK(
+        eventually([&] { return System.Other_->toldBackOff() > Millis(3000); },
+                   StepTimeout));
+  }
   SECTION("once a caller leaves, the target's connection is closed") {
     // Accepts connections and never answers.
     HeldAddress Silent("127.0.0.1", 0, SOCK_STREAM);
--- a/Tests/Integration/RelayingVm.cpp
+++ b/Tests/Integration/RelayingVm.cpp
@@ -41,7 +41,8 @@
   };
   Server_ = std::make_unique<RelayServer>(
       Loop_.get_executor(), Timers_, std::move(Options),
-      std::make_shared<Metrics>(), std::move(Resolve), std::move(Confirm));
+      std::make_shared<Metrics>(), std::move(Resolve), std::move(Confirm),
+      [this](const RelayNotice &Notice) { BackOff_ = Notice.BackOff_; });
   if (!isOk(Server_->listen({"127.0.0.1", 0})))
     throw std::runtime_error("the relay can't listen");
   VmRow Row;
--- a/Tests/Integration/RelayingVm.h
+++ b/Tests/Integration/RelayingVm.h
@@ -37,6 +37,9 @@
   /// The number of connections that it relays now.
   std::size_t openTunnels();
 
+  /// The back-off of the last notice; zero before the first.
+  Duration toldBackOff() const { return BackOff_; }
+
 private:
   void sendUpdates();
 
@@ -49,6 +52,7 @@
   std::atomic<bool> IsReaching_ = true;
   std::atomic<bool> IsEnding_ = false;
   std::atomic<int> Asked_ = 0;
+  std::atomic<Duration> BackOff_ = Duration::zero();
   std::thread Thread_;
   std::thread Sender_;
 };
--- a/Tests/Relay/RelayPlace.cpp
+++ b/Tests/Relay/RelayPlace.cpp
@@ -41,7 +41,8 @@
   };
   Server_ = std::make_unique<RelayServer>(
       Loop_.get_executor(), Timers_, std::move(Options),
-      std::make_shared<Metrics>(), std::move(Resolve), std::move(Confirm));
+      std::make_shared<Metrics>(), std::move(Resolve), std::move(Confirm),
+      [this](const RelayNotice &Notice) { Notices_.push_back(Notice); });
   if (!isOk(Server_->listen({"127.0.0.1", 0})))
     throw std::runtime_error("the relay can't listen");
   Port_ = Server_->port();
--- a/Tests/Relay/RelayPlace.h
+++ b/Tests/Relay/RelayPlace.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace anvil {
 
@@ -55,6 +56,9 @@
 
   std::uint16_t port() const { return Port_; }
 
+  /// The notices of other VMs; to be read on the VM's thread.
+  const std::vector<RelayNotice> &notices() const { return Notices_; }
+
 private:
   boost::asio::io_context Sockets_;
   boost::asio::ip::tcp::acceptor Target_;
@@ -65,6 +69,7 @@
   TimerService Timers_;
   std::unique_ptr<RelayServer> Server_;
   std::uint16_t Port_ = 0;
+  std::vector<RelayNotice> Notices_;
   std::thread Thread_;
 };
 
--- a/Tests/Relay/RelayRequestTest.cpp
+++ b/Tests/Relay/RelayRequestTest.cpp
@@ -58,7 +58,7 @@
   for (const auto &[Why, Name] : RelayRefusalNames) {
     HttpReply Reply = encodeRelayRefusal(Why);
     CHECK(Reply.Status_ != 200);
-    CHECK(decodeRelayRefusal(Reply.Headers_) == Why);
+    CHECK(decodeRelayRefusal(Reply.Headers_).Why_ == Why);
   }
-  CHECK(decodeRelayRefusal({}) == RelayRefusal::Malformed);
+  CHECK(decodeRelayRefusal({}).Why_ == RelayRefusal::Malformed);
 }
