Brittle engines get no more requests than fit (in progress)

Places at such targets are issued by one VM for the whole fleet (PlaceIssuer), as permits for limits are.

--- a/Source/Commands/RequestTrace.cpp
+++ b/Source/Commands/RequestTrace.cpp
@@ -24,6 +24,8 @@
      "the target's answer did not end within the permitted size"},
     {"event_too_long",
      "an event of the target did not end within the permitted size"},
+    {"places_full", "the targets fall over when they must reject too many "
+                    "requests, and had as many as fit"},
     {"targets_closed", "the targets had reported limits or requested a pause"},
     {"stream_broken", "the target's stream was interrupted"},
     {"stream_incomplete", "the target's stream ended inside an event, or with "
--- a/Source/Entry/FleetCodec.h
+++ b/Source/Entry/FleetCodec.h
@@ -3,6 +3,7 @@
 
 #include "Kernel/Error.h"
 #include "Routing/PermitIssuer.h"
+#include "Routing/PlaceIssuer.h"
 #include "Serving/FleetView.h"
 #include "Serving/TargetListing.h"
 #include "TableService/RowDelta.h"
@@ -104,6 +105,8 @@
   /// Copied into the reply.
   std::uint64_t Serial_ = 0;
   PermitQuery Request_;
+  /// The place that the request needs, too.
+  PlaceNeed Place_{};
 };
 
 struct TargetPermitReply {
@@ -111,12 +114,19 @@
   PermitDecision Decision_;
 };
 
+/// Tells a VM that waits for a place at a target that one is free.
+struct TargetPlaceFreed {
+  std::string Target_;
+  std::int64_t Incarnation_ = 0;
+};
+
 /// A datagram between VMs. Each is complete in itself, so a later one replaces
 /// a lost one.
 using FleetMessage =
     std::variant<VmStateUpdate, AdapterRequest, InventoryNotice, PromptNotice,
                  PlanReadNotice, TargetsReadNotice, ClockRequest, ClockReply,
-                 DataCentreSummary, TargetPermitRequest, TargetPermitReply>;
+                 DataCentreSummary, TargetPermitRequest, TargetPermitReply,
+                 PlaceRelease, TargetPlaceFreed>;
 
 std::string encodeFleetMessage(const FleetMessage &Message);
 
--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -26,8 +26,9 @@
 template <class Type, class Plain>
 concept MaybeConst = std::same_as<std::remove_const_t<Type>, Plain>;
 
-// The fields of each type that VMs exchange, in wire order. A change here
-// needs a new format version.
+// The fields of each type that VMs exchange, in wire order. Fields may be added
+// at the end: VMs of other releases ignore or lack them. Any other change needs
+// a new format version.
 
 auto fieldsOf(MaybeConst<RunningShare> auto &Of) {
   return std::tie(Of.Requests_, Of.Tokens_, Of.Adapters_);
@@ -73,13 +74,13 @@
                   Of.Spent_, Of.BudgetCoverage_, Of.Balances_, Of.Running_,
                   Of.PromptTokens_, Of.Inventories_, Of.Crashes_,
                   Of.LeavingTargets_, Of.Limits_, Of.Loads_, Of.Speeds_,
-                  Of.StoreEra_, Of.Parts_);
+                  Of.StoreEra_, Of.Parts_, Of.Brittle_);
 }
 auto fieldsOf(MaybeConst<DataCentreSummary> auto &Of) {
   return std::tie(Of.DataCentre_, Of.Sender_, Of.Incarnation_, Of.Sequence_,
                   Of.Period_, Of.Vms_, Of.BudgetCoverage_, Of.Balances_,
                   Of.Spent_, Of.Running_, Of.Crashes_, Of.LeavingTargets_,
-                  Of.Limits_, Of.Speeds_, Of.Parts_);
+                  Of.Limits_, Of.Speeds_, Of.Parts_, Of.Brittle_);
 }
 auto fieldsOf(MaybeConst<AdapterRequest> auto &Of) {
   return std::tie(Of.Vm_, Of.Engine_, Of.Adapter_, Of.Version_, Of.WasMissing_,
@@ -126,8 +127,21 @@
 auto fieldsOf(MaybeConst<PermitDecision> auto &Of) {
   return std::tie(Of.Granted_, Of.RetryIn_);
 }
+auto fieldsOf(MaybeConst<PlacesInUse> auto &Of) {
+  return std::tie(Of.Held_, Of.Awaited_);
+}
+auto fieldsOf(MaybeConst<PlaceNeed> auto &Of) {
+  return std::tie(Of.Slots_, Of.Rejections_, Of.Lasts_, Of.InUse_);
+}
 auto fieldsOf(MaybeConst<TargetPermitRequest> auto &Of) {
-  return std::tie(Of.Vm_, Of.Serial_, Of.Request_);
+  return std::tie(Of.Vm_, Of.Serial_, Of.Request_, Of.Place_);
+}
+auto fieldsOf(MaybeConst<PlaceRelease> auto &Of) {
+  return std::tie(Of.Vm_, Of.Serial_, Of.Target_, Of.Incarnation_,
+                  Of.WasRejected_, Of.InUse_);
+}
+auto fieldsOf(MaybeConst<TargetPlaceFreed> auto &Of) {
+  return std::tie(Of.Target_, Of.Incarnation_);
 }
 auto fieldsOf(MaybeConst<TargetPermitReply> auto &Of) {
   return std::tie(Of.Serial_, Of.Decision_);
@@ -153,6 +167,10 @@
     Count = std::clamp(Count, 0, MaxEncodedRequests);
 }
 
+inline void clampDecoded(PlaceNeed &Need) {
+  Need.Slots_ = std::clamp(Need.Slots_, 0, MaxEncodedRequests);
+}
+
 /// Matches types with fields that are clamped after they are decoded.
 template <class Type>
 concept HasClampedFields = requires(Type &Of) { clampDecoded(Of); };
--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -16,6 +16,11 @@
 /// older report of the limit doesn't restore it.
 static constexpr Duration LimitRetention = std::chrono::seconds(30);
 
+/// How long no target of a service must have stated that it is brittle before
+/// an answer without that statement ends it for the service: all its targets
+/// state it, but may begin a little apart.
+static constexpr Duration BrittleEndGrace = std::chrono::milliseconds(500);
+
 /// For how long a digest stays suspect, and for how long it is refused.
 /// Both are much shorter than the time between deployments, since a new
 /// release may handle the request.
@@ -71,8 +76,9 @@
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       BudgetBootstrap_(std::chrono::seconds(Settings.Bounds_.QuotaWindowS_)),
       Crashes_({SuspectTime, QuarantineTime, MaxDigests}),
-      PromptParts_(Metrics_), Loads_(View_, Metrics_),
-      Prefill_(Settings.PrefillTokensPerMs_), Speeds_(Targets_, Metrics_) {
+      Brittle_(BrittleEndGrace), PromptParts_(Metrics_),
+      Loads_(View_, Metrics_), Prefill_(Settings.PrefillTokensPerMs_),
+      Speeds_(Targets_, Metrics_) {
   Loads_.learning().setFixedLimit(static_cast<double>(Settings.TransitLimit_));
 }
 
@@ -236,6 +242,31 @@
                Reported.Age_);
 }
 
+static void logBrittle(const std::string &Service,
+                       std::optional<double> Rejections,
+                       std::string_view Source, Duration Age) {
+  logEvent(LogLevel::Info, "service_brittle",
+           {{"service", Service},
+            {"survived_rejections_per_s", Rejections.value_or(-1)},
+            {"in_force", Rejections.has_value()},
+            {"told_by", Source},
+            {"age_ms", toMillis(Age)}});
+}
+
+void FleetState::recordBrittle(const std::string &Service,
+                               std::optional<double> Rejections,
+                               TimePoint SentAt, TimePoint Now) {
+  if (Brittle_.updateFromResponse(Service, 0, Rejections, SentAt, Now))
+    logBrittle(Service, Rejections, "answer", {});
+}
+
+void FleetState::applyBrittle(const AdvertisedLimits &Brittle,
+                              const std::string &Source, TimePoint Now) {
+  for (const auto &[Service, Reported] : Brittle)
+    if (Brittle_.updateFromPeer(Service, Reported, Now))
+      logBrittle(Service, Reported.RatePerSecond_, Source, Reported.Age_);
+}
+
 void FleetState::setVms(std::size_t Count, TimePoint Now) {
   KnownVms_ = Count;
   updateReachableShare(Now);
@@ -324,6 +355,14 @@
   return static_cast<double>(Reachable) / static_cast<double>(KnownVms_);
 }
 
+double FleetState::reachablePeerShare(TimePoint Now) const {
+  if (KnownVms_ == 0)
+    return 0;
+  std::size_t Vms = Link_->topology().directPeers().size() + 1;
+  std::size_t Reachable = std::min(Vms, View_.reachableLocalVms(Now) + 1);
+  return static_cast<double>(Reachable) / static_cast<double>(Vms);
+}
+
 Duration FleetState::peerUpdatePeriod() const {
   return updatePeriod(Link_->topology().directPeers().size());
 }
@@ -350,6 +389,7 @@
   TimePoint Now = BootClock::now();
   View_.expire(Now);
   Limits_.prune(LimitRetention, Now);
+  Brittle_.prune(LimitRetention, Now);
   Loads_.learning().setEngines(View_.engineCount());
   updateReachableShare(Now);
   VmStateUpdate Update;
@@ -374,6 +414,7 @@
   Update.Speeds_ = Speeds_.composeReports(Now);
   Update.StoreEra_ = StoreEra_;
   Update.Parts_ = promptParts().report(Now);
+  Update.Brittle_ = Brittle_.statedWithin(UpdateRepeatTime, Now);
   addInventories(Update, Now);
   Loads_.report(Now);
   return Update;
@@ -399,6 +440,7 @@
   Summary.Crashes_ = recentCrashes(Now);
   Summary.LeavingTargets_ = recentlyDraining(Now);
   Summary.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
+  Summary.Brittle_ = Brittle_.statedWithin(UpdateRepeatTime, Now);
   Summary.Speeds_ = Speeds_.speeds().takeEstimates(Now);
   if (PartReport Own = promptParts().report(Now); !Own.empty())
     Summary.Parts_.push_back(std::move(Own));
@@ -447,6 +489,7 @@
     applyCrash(Observed, Now);
   applyDraining(Update.LeavingTargets_, Update.Vm_);
   applyLimits(Update.Limits_, Update.Vm_, Now);
+  applyBrittle(Update.Brittle_, Update.Vm_, Now);
   Loads_.learning().recordPeer(Update.Vm_, Update.Incarnation_, Update.Loads_,
                                View_.inTransit(Now), Now);
   Speeds_.applyReports(Update.Speeds_, Now);
@@ -470,6 +513,7 @@
     applyCrash(Observed, Now);
   applyDraining(Summary.LeavingTargets_, Summary.Sender_);
   applyLimits(Summary.Limits_, Summary.Sender_, Now);
+  applyBrittle(Summary.Brittle_, Summary.Sender_, Now);
   Speeds_.applyEstimates(Summary.Speeds_, Now);
   for (const PartReport &Report : Summary.Parts_)
     promptParts().apply(Report, Now);
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -110,6 +110,19 @@
 
   const TargetLimits &limits() const { return Limits_; }
 
+  /// Records that a target of a service states in its reply to a request sent
+  /// at `SentAt` how many rejections per second it survives, or that it states
+  /// nothing.
+  void recordBrittle(const std::string &Service,
+                     std::optional<double> Rejections, TimePoint SentAt,
+                     TimePoint Now);
+
+  /// The rejections per second that the service's targets survive; nothing if
+  /// they aren't brittle.
+  std::optional<double> survivedRejections(const std::string &Service) const {
+    return Brittle_.rateOf(Service, 0);
+  }
+
   /// Sets the number of VMs, unresponsive ones included.
   void setVms(std::size_t Count, TimePoint Now);
 
@@ -128,6 +141,10 @@
   /// directly, itself included; zero before the number of VMs is known.
   double reachableShare(TimePoint Now) const;
 
+  /// The same among the VMs with which this VM exchanges state updates
+  /// directly.
+  double reachablePeerShare(TimePoint Now) const;
+
   /// The number of VMs, unresponsive ones included; at least one.
   std::size_t knownVms() const { return std::max<std::size_t>(1, KnownVms_); }
 
@@ -164,6 +181,8 @@
                      const std::string &Source);
   void applyLimits(const AdvertisedLimits &Limits, const std::string &Source,
                    TimePoint Now);
+  void applyBrittle(const AdvertisedLimits &Brittle, const std::string &Source,
+                    TimePoint Now);
   void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmStateUpdate::Crash &Observed, TimePoint Now);
   void updateReachableShare(TimePoint Now);
@@ -185,6 +204,8 @@
   TimePoint NewVmSeenAt_{};
   CrashTracker Crashes_;
   TargetLimits Limits_;
+  /// The brittle services, by name.
+  TargetLimits Brittle_;
   FleetPromptParts PromptParts_;
   FleetLoads Loads_;
   PrefillBacklog Prefill_;
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -414,6 +414,7 @@
        {"slot_wait_ms", toMillis(SlotWait_)},
        {"held_ms", toMillis(SlotHold_)},
        {"reach_wait_ms", toMillis(ReachWait_)},
+       {"place_wait_ms", toMillis(PlaceWait_)},
        {"first_byte_ms", FirstByteAt_ == TimePoint{}
                              ? -1
                              : toMillis(FirstByteAt_ - Request_.ArrivedAt_)},
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -27,6 +27,17 @@
 /// which takes the operator seconds at least.
 static constexpr Duration EvacuatedRetryAfter = std::chrono::milliseconds(2000);
 
+/// The retry hint for callers while all places at brittle targets are taken.
+static constexpr Duration PlacesFullRetryAfter =
+    std::chrono::milliseconds(1000);
+
+/// The parts of its latency target and of its time left that a request may wait
+/// for a place, and how long it waits at most before all targets are compared
+/// again.
+static constexpr double PlaceWaitTargetShare = 0.5;
+static constexpr double PlaceWaitTimeShare = 0.25;
+static constexpr Duration MaxPlacePause = std::chrono::milliseconds(100);
+
 /// The reason logged for requests that end because the VM stops.
 static constexpr std::string_view VmStopping = "vm_stopping";
 
@@ -122,9 +133,17 @@
     }
     if (!Chosen && co_await awaitReach())
       continue;
+    if (!Chosen && co_await awaitPlace(Now))
+      continue;
     if (!Chosen) {
       CallerRetryAfter_ = Shared_.Picker_->untilResumed(Query_, Now);
       LastReason_ = CallerRetryAfter_ ? "targets_closed" : "no_target";
+      if (CallerRetryAfter_ && MaxPlaceWait_) {
+        LastReason_ = PlacesFull;
+        CallerRetryAfter_ = std::max(*CallerRetryAfter_, PlacesFullRetryAfter);
+        Shared_.Metrics_->count("anvil_brittle_refusals_total",
+                                {{"service", Query_.Service_}});
+      }
       if (!CallerRetryAfter_ && Shared_.Picker_->isFullyEvacuated(Query_)) {
         LastReason_ = Evacuated;
         CallerRetryAfter_ = EvacuatedRetryAfter;
@@ -167,17 +186,26 @@
         Shared_.Permits_->needsPermit(Chosen->Target_, Chosen->Incarnation_,
                                       RequestedAt))
       PermitRequestedAt_ = RequestedAt;
-    bool MaySend = !PermitRequestedAt_ ||
-                   co_await Shared_.Permits_->acquire(
-                       Chosen->Target_, Chosen->Incarnation_, Pause_);
+    std::optional<PlaceLease> Place(std::in_place);
+    if (PermitRequestedAt_)
+      Place = co_await Shared_.Permits_->acquire(
+          Chosen->Target_, Chosen->Incarnation_, timeLeft(), Pause_);
+    bool MaySend = Place.has_value();
+    if (MaySend) {
+      Place_ = std::move(*Place);
+      PlaceQueue_.reset();
+    }
     // While the permit was awaited, an evacuation may have begun or the
     // target's version of the adapter become outdated.
     bool IsStale =
         Shared_.Picker_->isEvacuated(*Chosen) ||
         Shared_.Picker_->isOutdated(Query_, *Chosen, BootClock::now());
-    if (!MaySend || IsStale)
+    if (!MaySend || IsStale) {
+      Place_ = PlaceLease();
       continue;
+    }
     SendOutcome End = co_await tryTarget(std::move(*Chosen));
+    Place_ = PlaceLease();
     if (End == SendOutcome::Done)
       co_return;
     if (!HasEvents_ && !IsTakenUp_)
@@ -191,6 +219,26 @@
   }
 }
 
+asio::awaitable<bool> RequestRun::awaitPlace(TimePoint Now) {
+  auto Resumed = Shared_.Picker_->untilResumed(Query_, Now);
+  if (!Resumed || !Shared_.Fleet_->survivedRejections(Query_.Service_))
+    co_return false;
+  if (!MaxPlaceWait_)
+    MaxPlaceWait_ = std::chrono::duration_cast<Duration>(
+        std::min(Request_.Route_->LatencyTarget_ * PlaceWaitTargetShare,
+                 std::chrono::duration<double, Duration::period>(timeLeft()) *
+                     PlaceWaitTimeShare));
+  Duration Left = *MaxPlaceWait_ - PlaceWait_;
+  if (!PlaceQueue_ && Left > Duration::zero())
+    PlaceQueue_ = Shared_.Permits_->joinQueue(Query_.Service_, rank());
+  if (!PlaceQueue_ || Left <= Duration::zero())
+    co_return false;
+  Duration Pause = std::min({*Resumed, Left, MaxPlacePause});
+  co_await Shared_.Permits_->awaitPlace(Now + Pause);
+  PlaceWait_ += BootClock::now() - Now;
+  co_return true;
+}
+
 asio::awaitable<bool> RequestRun::awaitAdapter(const TargetChoice &Chosen) {
   TimePoint Now = BootClock::now();
   // A reply that is ready, or a stream that has begun, isn't held back for a
@@ -415,6 +463,8 @@
   if (Response.NotExecuted_) {
     --Runs_;
     LastReason_ = IsMissing ? AdapterMissing : "target_refused";
+    if (!IsMissing)
+      Place_.release(true);
     if (IsMissing)
       Shared_.Picker_->recordMissing(Query_, Chosen.Target_);
     keepConnection(Chosen, Response);
@@ -459,13 +509,19 @@
     Shared_.ColdTargets_->recordResponse(Chosen.Target_, Chosen.Incarnation_,
                                          *Response.ColdRemaining_, SentAt, Now);
   // A refusal may carry fewer headers than the target's own replies.
-  bool StatesLimit =
-      Response.RateLimit_ || (Response.Sealed_ && !Response.NotExecuted_);
-  if (StatesLimit && std::ranges::find(Response.UnreadableSignals_,
-                                       platform::TargetSignal::RateLimit) ==
-                         Response.UnreadableSignals_.end())
+  auto States = [&](bool IsPresent, platform::TargetSignal Signal) {
+    bool IsWhole = IsPresent || (Response.Sealed_ && !Response.NotExecuted_);
+    return IsWhole &&
+           std::ranges::count(Response.UnreadableSignals_, Signal) == 0;
+  };
+  if (States(Response.RateLimit_.has_value(),
+             platform::TargetSignal::RateLimit))
     Shared_.Fleet_->recordLimit(Chosen.Target_, Chosen.Incarnation_,
                                 Response.RateLimit_, SentAt, Now);
+  if (States(Response.SurvivedRejections_.has_value(),
+             platform::TargetSignal::Brittle))
+    Shared_.Fleet_->recordBrittle(Request_.Service_,
+                                  Response.SurvivedRejections_, SentAt, Now);
 }
 
 SendConditions RequestRun::sendConditions(const TargetChoice &Chosen) const {
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -3,6 +3,7 @@
 
 #include "Entry/AdapterWait.h"
 #include "Entry/IncarnationCheck.h"
+#include "Entry/PlaceLease.h"
 #include "Entry/RequestServices.h"
 #include "Http/HttpExchange.h"
 #include "Routing/LongRunDetector.h"
@@ -14,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <memory>
 #include <string>
 
 namespace anvil {
@@ -100,6 +102,9 @@
   /// the request.
   static constexpr std::string_view NotReceived = "not_received";
 
+  /// The reason logged when all places at brittle targets are taken.
+  static constexpr std::string_view PlacesFull = "places_full";
+
   /// The reasons logged when the chosen target has started again, or may have.
   static constexpr std::string_view TargetRestarted = "target_restarted";
   static constexpr std::string_view NoReport = "target_not_reporting";
@@ -124,6 +129,9 @@
   /// Waits while other VMs are being asked about targets. False if no target
   /// could have been found since.
   boost::asio::awaitable<bool> awaitReach();
+  /// Waits until a place may be free at a brittle target. False if too many
+  /// wait, or this request has waited for long enough.
+  boost::asio::awaitable<bool> awaitPlace(TimePoint Now);
   /// Whether the request may run at one more target after it may have run.
   bool mayRunAgain() const;
   boost::asio::awaitable<Result<HttpReplyHead>>
@@ -250,6 +258,12 @@
   std::optional<std::pair<StreamOrigin, RecordTicket>> Record_;
   /// When the permit for the current send was requested; nothing without one.
   std::optional<TimePoint> PermitRequestedAt_;
+  /// The place at the target of the current send, if it needs one.
+  PlaceLease Place_;
+  /// Set while the request waits for a place, and how long it may and did.
+  std::shared_ptr<void> PlaceQueue_;
+  std::optional<Duration> MaxPlaceWait_;
+  Duration PlaceWait_{};
   /// The number of targets that have run the request or may have.
   int Runs_ = 0;
   int Sends_ = 0;
--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -24,26 +24,45 @@
 static constexpr Duration MinSuspension = std::chrono::milliseconds(20);
 static constexpr Duration UnansweredSuspension = std::chrono::milliseconds(100);
 
+/// Added to the time for which a request may take its place: the way of its
+/// messages.
+static constexpr Duration PlaceMargin = std::chrono::seconds(1);
+
+/// For how long a VM of another data centre that didn't answer isn't asked.
+static constexpr Duration UnansweredTime = std::chrono::seconds(2);
+
+/// How long after its start a target counts as one that is back.
+static constexpr Duration ReturnTime = std::chrono::seconds(5);
+
+/// By which share of the most fewer requests may wait for places for each rank
+/// below the most urgent.
+static constexpr double WaitingSharePerRank = 0.05;
+
 /// The range from which a process draws the first serial number of its
 /// requests.
 static constexpr double SerialRange = 1e15;
 
 TargetPermits::TargetPermits(const EntrySettings &Settings,
                              const ServiceRegistry &Services)
-    : Self_(Settings.holderName()),
+    : Self_(Settings.holderName()), DataCentre_(Settings.DataCentre_),
       Link_(Services.require<FleetLink>(FleetLink::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
       ColdTargets_(Services.require<ColdTargets>(ColdTargets::Name)),
+      Targets_(Services.require<TargetListService>(TargetListService::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       LastSerial_(static_cast<std::uint64_t>(randomFraction() * SerialRange)) {}
 
 Status TargetPermits::start() {
   Link_->Received_.attach(
       [this](const FleetMessage &Message) { receive(Message); });
-  PermitIssuer_.recordActivity(updatePeriod(0), BootClock::now());
-  Link_->UpdateDue_.attach([this](Duration Period) {
+  auto RecordActivity = [this](Duration Period) {
     PermitIssuer_.recordActivity(Period, BootClock::now());
-  });
+    PlaceIssuer_.recordActivity(Period, BootClock::now());
+  };
+  RecordActivity(updatePeriod(0));
+  Link_->UpdateDue_.attach(RecordActivity);
+  Targets_->Changed_.attach(
+      [this](const RosterChange &Change) { recordReturn(Change); });
   return std::monostate{};
 }
 
@@ -57,7 +76,7 @@
 
 bool TargetPermits::needsPermit(const std::string &Target,
                                 std::int64_t Incarnation, TimePoint Now) const {
-  return queryFor(Target, Incarnation, Now).has_value();
+  return queryFor(Target, Incarnation, Now) || survivedRejections(Target);
 }
 
 bool TargetPermits::maySend(const std::string &Target, std::int64_t Incarnation,
@@ -88,37 +107,125 @@
   return rendezvousOrder(Target, std::move(Serving)).front();
 }
 
-PermitDecision TargetPermits::decide(const PermitQuery &Request,
+std::string TargetPermits::placeIssuerOf(const std::string &Target,
+                                         TimePoint Now) const {
+  const ListedTarget *Listed = Targets_->roster().find(Target);
+  if (!Fleet_->isSplit() || !Listed)
+    return managerOf(Target, Now);
+  // Nothing tells which VMs of other data centres are alive.
+  std::map<std::string, std::vector<std::string>> Vms;
+  Link_->forEachPeer(
+      [&](const std::string &Vm, const FleetLink::PeerLocation &Location) {
+        auto Found = Unanswered_.find(Vm);
+        if (Found == Unanswered_.end() || Found->second <= Now)
+          Vms[Location.DataCentre_].push_back(Vm);
+      });
+  Vms[DataCentre_].push_back(Self_);
+  std::string Home = Listed->Entry_.DataCentre_;
+  if (!Vms.contains(Home)) {
+    std::vector<std::string> DataCentres;
+    for (const auto &[Name, Members] : Vms)
+      DataCentres.push_back(Name);
+    Home = rendezvousOrder(Target, std::move(DataCentres)).front();
+  }
+  return Home == DataCentre_ ? managerOf(Target, Now)
+                             : rendezvousOrder(Target, Vms[Home]).front();
+}
+
+std::optional<double>
+TargetPermits::survivedRejections(const std::string &Target) const {
+  const ListedTarget *Listed = Targets_->roster().find(Target);
+  return Listed ? Fleet_->survivedRejections(Listed->Entry_.Service_)
+                : std::nullopt;
+}
+
+PlacesInUse TargetPermits::placesInUse(const std::string &Target) const {
+  PlacesInUse InUse;
+  if (auto Held = HeldPlaces_.find(Target); Held != HeldPlaces_.end())
+    InUse.Held_.assign(Held->second.begin(), Held->second.end());
+  for (const auto &[Serial, Waiting] : Pending_)
+    if (Waiting->Target_ == Target)
+      InUse.Awaited_.push_back(Serial);
+  return InUse;
+}
+
+PlaceNeed TargetPermits::placeNeed(const std::string &Target,
+                                   Duration Lasts) const {
+  const ListedTarget *Listed = Targets_->roster().find(Target);
+  auto Rejections = survivedRejections(Target);
+  if (!Listed || !Rejections)
+    return {};
+  return {std::max(1, Listed->Entry_.Slots_), *Rejections, Lasts + PlaceMargin,
+          placesInUse(Target)};
+}
+
+PermitDecision TargetPermits::decidePlace(const TargetPermitRequest &Request,
+                                          TimePoint Now) {
+  const std::string &Target = Request.Request_.Target_;
+  // The VM that asks may not know yet which one issues.
+  if (placeIssuerOf(Target, Now) != Self_)
+    return {false, MinSuspension};
+  const ListedTarget *Listed = Targets_->roster().find(Target);
+  bool IsBack = Listed && Listed->RestartedAt_ &&
+                *Listed->RestartedAt_ + ReturnTime > Now;
+  PlaceQuery Query{Request.Vm_,    Request.Serial_,
+                   Target,         Request.Request_.Incarnation_,
+                   Request.Place_, Fleet_->runningOn(Target),
+                   IsBack};
+  return PlaceIssuer_.decide(Query, Fleet_->reachablePeerShare(Now), Now);
+}
+
+PermitDecision TargetPermits::decide(const TargetPermitRequest &Request,
                                      TimePoint Now) {
+  const std::string &Target = Request.Request_.Target_;
+  std::int64_t Incarnation = Request.Request_.Incarnation_;
+  bool NeedsPlace = Request.Place_.Slots_ > 0;
+  PermitDecision Decision{true, {}};
+  if (NeedsPlace)
+    Decision = decidePlace(Request, Now);
   // The requesting VM may not know of a lower limit or a cold start yet.
-  PermitQuery Query = stricterQuery(
-      Request, queryFor(Request.Target_, Request.Incarnation_, Now));
-  return PermitIssuer_.decide(Query, Fleet_->reachableShare(Now), Now);
+  PermitQuery Query =
+      stricterQuery(Request.Request_, queryFor(Target, Incarnation, Now));
+  bool IsUnlimited =
+      !Query.IsCold_ && Query.RatePerSecond_ >= PermitIssuer::Unlimited;
+  if (!Decision.Granted_ || IsUnlimited)
+    return Decision;
+  Decision = PermitIssuer_.decide(Query, Fleet_->reachableShare(Now), Now);
+  if (NeedsPlace && !Decision.Granted_)
+    PlaceIssuer_.release(
+        {Request.Vm_, Request.Serial_, Target, Incarnation, false, {}}, Now);
+  return Decision;
 }
 
 asio::awaitable<std::optional<PermitDecision>>
-TargetPermits::requestPermit(const std::string &Manager,
-                             const PermitQuery &Request,
+TargetPermits::requestPermit(std::string Manager, TargetPermitRequest Request,
                              asio::steady_timer &Pause) {
-  auto Waiting = std::make_shared<Pending>(Pause, std::nullopt);
-  std::uint64_t Serial = ++LastSerial_;
-  Pending_[Serial] = Waiting;
-  Link_->send(Manager, TargetPermitRequest{Self_, Serial, Request});
+  auto Waiting =
+      std::make_shared<Pending>(Pause, Request.Request_.Target_, std::nullopt);
+  Pending_[Request.Serial_] = Waiting;
+  Link_->send(Manager, Request);
   co_await pauseFor(Pause, ReplyTimeout);
-  Pending_.erase(Serial);
+  Pending_.erase(Request.Serial_);
   co_return Waiting->Decision_;
 }
 
-asio::awaitable<bool> TargetPermits::acquire(const std::string &Target,
-                                             std::int64_t Incarnation,
-                                             asio::steady_timer &Pause) {
+asio::awaitable<std::optional<PlaceLease>>
+TargetPermits::acquire(std::string Target, std::int64_t Incarnation,
+                       Duration Lasts, asio::steady_timer &Pause) {
   TimePoint RequestedAt = BootClock::now();
   std::optional<PermitQuery> Needed =
       queryFor(Target, Incarnation, RequestedAt);
-  if (!Needed)
-    co_return true;
-  const PermitQuery &Request = *Needed;
-  std::string Manager = managerOf(Target, RequestedAt);
+  TargetPermitRequest Request;
+  Request.Place_ = placeNeed(Target, Lasts);
+  bool NeedsPlace = Request.Place_.Slots_ > 0;
+  if (!Needed && !NeedsPlace)
+    co_return PlaceLease();
+  Request.Vm_ = Self_;
+  Request.Serial_ = ++LastSerial_;
+  Request.Request_ = Needed.value_or(
+      PermitQuery{Target, Incarnation, PermitIssuer::Unlimited, false});
+  std::string Manager = NeedsPlace ? placeIssuerOf(Target, RequestedAt)
+                                   : managerOf(Target, RequestedAt);
   std::optional<PermitDecision> Decision;
   if (Manager == Self_)
     Decision = decide(Request, RequestedAt);
@@ -130,6 +237,7 @@
   if (!Decision) {
     Outcome = "unanswered";
     NextIn = UnansweredSuspension;
+    Unanswered_[Manager] = Now + UnansweredTime;
   } else if (!Decision->Granted_) {
     Outcome = "denied";
     NextIn =
@@ -145,14 +253,103 @@
                   {{"outcome", std::string(Outcome)}});
   logEvent(LogLevel::Debug, "target_permit",
            {{"target", Target},
-            {"incarnation", Incarnation},
-            {"rate_per_s", Request.RatePerSecond_},
-            {"cold", Request.IsCold_},
+            {"rate_per_s", Request.Request_.RatePerSecond_},
+            {"cold", Request.Request_.IsCold_},
+            {"slots", Request.Place_.Slots_},
+            {"places_held", Request.Place_.InUse_.Held_.size()},
             {"keeper", Manager},
             {"outcome", Outcome},
             {"next_in_ms", toMillis(NextIn)},
             {"took_ms", toMillis(Now - RequestedAt)}});
-  co_return IsGranted;
+  std::optional<PlaceLease> Lease;
+  if (IsGranted)
+    Lease.emplace();
+  if (IsGranted && NeedsPlace)
+    Lease = holdPlace(Target, Incarnation, Request.Serial_);
+  else if (NeedsPlace && Outcome != "denied")
+    // It may have been granted, or may still be.
+    releasePlace(Target, Incarnation, Request.Serial_, false);
+  co_return Lease;
+}
+
+PlaceLease TargetPermits::holdPlace(const std::string &Target,
+                                    std::int64_t Incarnation,
+                                    std::uint64_t Serial) {
+  HeldPlaces_[Target].insert(Serial);
+  return PlaceLease([Known = weak_from_this(), Target, Incarnation,
+                     Serial](bool WasRejected) {
+    if (auto Permits = Known.lock())
+      Permits->releasePlace(Target, Incarnation, Serial, WasRejected);
+  });
+}
+
+void TargetPermits::releasePlace(const std::string &Target,
+                                 std::int64_t Incarnation, std::uint64_t Serial,
+                                 bool WasRejected) {
+  auto Held = HeldPlaces_.find(Target);
+  if (Held != HeldPlaces_.end()) {
+    Held->second.erase(Serial);
+    if (Held->second.empty())
+      HeldPlaces_.erase(Held);
+  }
+  if (WasRejected)
+    Metrics_->count("anvil_brittle_rejections_total", {{"target", Target}});
+  PlaceRelease Release{Self_,       Serial,      Target,
+                       Incarnation, WasRejected, placesInUse(Target)};
+  std::string Manager = placeIssuerOf(Target, BootClock::now());
+  if (Manager == Self_)
+    applyRelease(Release);
+  else
+    Link_->send(Manager, Release);
+}
+
+void TargetPermits::applyRelease(const PlaceRelease &Release) {
+  auto Waiting = PlaceIssuer_.release(Release, BootClock::now());
+  if (Waiting == Self_)
+    applyFreed(Release.Target_, Release.Incarnation_);
+  else if (Waiting)
+    Link_->send(*Waiting,
+                TargetPlaceFreed{Release.Target_, Release.Incarnation_});
+}
+
+void TargetPermits::applyFreed(const std::string &Target,
+                               std::int64_t Incarnation) {
+  auto Found = Suspensions_.find(Target);
+  if (Found == Suspensions_.end() || Found->second.Incarnation_ != Incarnation)
+    return;
+  Found->second.NoPermitUntil_ = {};
+  PlaceFreed_.notify();
+}
+
+std::shared_ptr<void> TargetPermits::joinQueue(const std::string &Service,
+                                               int Rank) {
+  double Slots = 0;
+  for (const ListedTarget *Target : Targets_->roster().usable(Service))
+    Slots += std::max(1, Target->Entry_.Slots_);
+  double Most = std::max(1.0, Slots / static_cast<double>(Fleet_->knownVms()));
+  Most *= 1 - WaitingSharePerRank * Rank;
+  std::shared_ptr<int> &Count = Waiting_[Service];
+  if (!Count)
+    Count = std::make_shared<int>(0);
+  if (*Count >= std::max(1.0, Most))
+    return nullptr;
+  ++*Count;
+  return {Count.get(), [Shared = Count](int *) { --*Shared; }};
+}
+
+void TargetPermits::recordReturn(const RosterChange &Change) {
+  auto Rejections = survivedRejections(Change.Id_);
+  const ListedTarget *Listed = Targets_->roster().find(Change.Id_);
+  bool IsReturn = Change.NewIncarnation_ && Listed && Listed->RestartedAt_;
+  if (!IsReturn || !Rejections)
+    return;
+  Metrics_->count("anvil_brittle_falls_total",
+                  {{"service", Listed->Entry_.Service_}});
+  logEvent(LogLevel::Warning, "brittle_target_restarted",
+           {{"target", Change.Id_},
+            {"incarnation", Listed->Entry_.Incarnation_},
+            {"service", Listed->Entry_.Service_},
+            {"survived_rejections_per_s", *Rejections}});
 }
 
 TargetPermits::Suspension &
@@ -171,7 +368,11 @@
   if (const auto *Request = std::get_if<TargetPermitRequest>(&Message)) {
     Link_->send(Request->Vm_,
                 TargetPermitReply{Request->Serial_,
-                                  decide(Request->Request_, BootClock::now())});
+                                  decide(*Request, BootClock::now())});
+  } else if (const auto *Release = std::get_if<PlaceRelease>(&Message)) {
+    applyRelease(*Release);
+  } else if (const auto *Freed = std::get_if<TargetPlaceFreed>(&Message)) {
+    applyFreed(Freed->Target_, Freed->Incarnation_);
   } else if (const auto *Reply = std::get_if<TargetPermitReply>(&Message)) {
     auto Found = Pending_.find(Reply->Serial_);
     if (Found == Pending_.end())
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -304,7 +304,8 @@
   Chosen.Slots_ = Candidate.Slots_;
   Chosen.SpeedFactor_ = Candidate.SpeedFactor_;
   Chosen.Cost_ = dispatchCost(Candidate, Query.Shape_);
-  Chosen.NeedsPermit_ = Candidate.Limited_ || Candidate.Cold_;
+  Chosen.NeedsPermit_ = Candidate.Limited_ || Candidate.Cold_ ||
+                        Fleet_->survivedRejections(Query.Service_);
   if (Engine) {
     Chosen.Prefill_ = Candidate.Prefill_;
     Chosen.OwnPrefill_ = Fleet_->prefill().prefillTime(
--- a/Source/Entry/TargetPicker.h
+++ b/Source/Entry/TargetPicker.h
@@ -61,7 +61,7 @@
   /// Whether it is reached by this VM's own connections; otherwise through
   /// another VM.
   bool IsDirect_ = true;
-  /// Whether a request to it needs a permit.
+  /// Whether a request to it needs a permit or a place.
   bool NeedsPermit_ = false;
   /// The remaining prefill time of earlier prompts at the target, and the
   /// expected prefill time of this prompt.
--- a/Source/Routing/PermitIssuer.cpp
+++ b/Source/Routing/PermitIssuer.cpp
@@ -20,16 +20,6 @@
 /// The age in seconds that a permit may reach before its request is sent.
 static constexpr double PermitAgeSeconds = 0.2;
 
-/// The interruption after which other VMs may have replaced this one as issuer:
-/// less than the time for which its reports are valid.
-static constexpr Duration MinInterruption = std::chrono::seconds(1);
-
-/// Added to the period of reports: the time until the others have received one.
-static constexpr Duration ReportMargin = std::chrono::milliseconds(100);
-
-/// Requests per second above which a limit is equivalent to none.
-static constexpr double MaxRate = 1e6;
-
 /// The permits for a cold target that all issuers together may have saved up:
 /// what the rule leaves beside those of one second and of the permits' age.
 static double coldBurst(double Limit) {
@@ -42,7 +32,8 @@
                                        std::optional<double> ColdRate) {
   if (!Limit && !ColdRate)
     return std::nullopt;
-  double Rate = std::min(Limit.value_or(MaxRate), ColdRate.value_or(MaxRate));
+  double Rate = std::min(Limit.value_or(PermitIssuer::Unlimited),
+                         ColdRate.value_or(PermitIssuer::Unlimited));
   return PermitQuery{Target, Incarnation, Rate, ColdRate.has_value()};
 }
 
@@ -55,25 +46,13 @@
   return Query;
 }
 
-void PermitIssuer::recordActivity(Duration Period, TimePoint Now) {
-  bool WasAway =
-      !ActiveAt_ || Now - *ActiveAt_ > std::max(MinInterruption, Period * 2);
-  // A VM that has just started learns of most others at once.
-  bool IsNewToOthers = Period >= ActivityPeriod_ * 2;
-  if (WasAway || IsNewToOthers)
-    ColdHeldUntil_ = Now + Period + ReportMargin;
-  ActiveAt_ = Now;
-  ActivityPeriod_ = Period;
-}
-
 PermitDecision PermitIssuer::decide(const PermitQuery &Query, double Share,
                                     TimePoint Now) {
   prune(Now);
   // After an interruption a query may come before the next report.
-  if (ActiveAt_ && Now - *ActiveAt_ > MinInterruption)
-    recordActivity(ActivityPeriod_, Now);
+  Activity_.recordRequest(Now);
   double Limit = std::isfinite(Query.RatePerSecond_)
-                     ? std::clamp(Query.RatePerSecond_, ProbeRate, MaxRate)
+                     ? std::clamp(Query.RatePerSecond_, ProbeRate, Unlimited)
                      : ProbeRate;
   double Rate = Limit * std::clamp(Share, 0.0, 1.0);
   double Capacity = 1 + std::min(1.0, Share) + Rate * BurstSeconds;
@@ -92,8 +71,8 @@
     Known = {Query.Incarnation_, TokenBucket(Rate, Capacity, 0, Now), Now};
   Known.LastRequestAt_ = Now;
   Known.Bucket_.updateLimits(Rate, Capacity, Now);
-  if (Query.IsCold_ && Now < ColdHeldUntil_)
-    return {false, std::min<Duration>(MaxWait, ColdHeldUntil_ - Now)};
+  if (Query.IsCold_ && Now < Activity_.heldUntil())
+    return {false, std::min<Duration>(MaxWait, Activity_.heldUntil() - Now)};
   if (Known.Bucket_.take(1, Now))
     return {true, {}};
   return {false, std::min(MaxWait, Known.Bucket_.waitFor(1, Now))};
--- a/Source/Routing/PermitIssuer.h
+++ b/Source/Routing/PermitIssuer.h
@@ -3,6 +3,7 @@
 
 #include "Admission/TokenBucket.h"
 #include "Kernel/Clock.h"
+#include "Routing/IssuerActivity.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -54,11 +55,11 @@
   /// unreachable VMs.
   PermitDecision decide(const PermitQuery &Query, double Share, TimePoint Now);
 
-  /// Records that this VM runs; called every `Period`, in which it also tells
-  /// the other VMs that it does. After a start or an interruption, they may
-  /// still ask another issuer, so that this one issues no permits for cold
-  /// targets until all have heard of it again.
-  void recordActivity(Duration Period, TimePoint Now);
+  /// As `IssuerActivity::record`. After a start or an interruption no permits
+  /// for cold targets are issued for a while.
+  void recordActivity(Duration Period, TimePoint Now) {
+    Activity_.record(Period, Now);
+  }
 
   /// The number of targets with a bucket.
   std::size_t size() const { return Buckets_.size(); }
@@ -67,6 +68,9 @@
   /// second: its responses are the only source of later limits.
   static constexpr double ProbeRate = 0.2;
 
+  /// Requests per second above which a limit is equivalent to none.
+  static constexpr double Unlimited = 1e6;
+
   /// The longest wait that a decision states; the limit may have changed by
   /// then.
   static constexpr Duration MaxWait = std::chrono::seconds(1);
@@ -82,11 +86,7 @@
 
   std::map<std::string, TargetBucket> Buckets_;
   TimePoint NextPrune_{};
-  /// When this VM was last known to run; not set before the first time.
-  std::optional<TimePoint> ActiveAt_;
-  Duration ActivityPeriod_{};
-  /// Until when no permits are issued for cold targets.
-  TimePoint ColdHeldUntil_{};
+  IssuerActivity Activity_;
 };
 
 } // namespace anvil
--- a/Source/Routing/TargetLimits.cpp
+++ b/Source/Routing/TargetLimits.cpp
@@ -36,7 +36,8 @@
   bool IsNewIncarnation = Known.Incarnation_ < Incarnation;
   // A response without a limit may have been in transit when another response
   // stated the limit.
-  if (!IsNewIncarnation && !RatePerSecond && SentAt < Known.ReportedAt_)
+  if (!IsNewIncarnation && !RatePerSecond &&
+      SentAt < Known.ReportedAt_ + EndGrace_)
     return false;
   bool IsChange = changes(Known, {Incarnation, RatePerSecond, Now});
   // The withdrawal of a limit keeps its time, so that it stops being reported
--- a/Source/Routing/TargetLimits.h
+++ b/Source/Routing/TargetLimits.h
@@ -32,6 +32,10 @@
 /// incarnation.
 class TargetLimits {
 public:
+  /// A response withdraws a limit only if its request was sent `EndGrace` after
+  /// the limit was last stated.
+  explicit TargetLimits(Duration EndGrace = {}) : EndGrace_(EndGrace) {}
+
   /// Applies a response of a target to a request that was sent at `SentAt`.
   /// `RatePerSecond` is the limit that it states, if any. True when the limit
   /// in force changes.
@@ -71,6 +75,7 @@
 
   static bool changes(const Report &Before, const Report &After);
 
+  Duration EndGrace_;
   std::map<std::string, Report> Targets_;
 };
 
--- a/Source/Serving/FleetView.h
+++ b/Source/Serving/FleetView.h
@@ -92,6 +92,9 @@
   /// The highest era of the store that the VM has seen; zero if none.
   std::uint64_t StoreEra_ = 0;
   PartReport Parts_;
+  /// By service, the rejections per second that its targets survive, as they
+  /// recently stated or ceased to state.
+  AdvertisedLimits Brittle_;
 };
 
 /// The summary of its own data centre that one VM sends to other data centres:
@@ -116,6 +119,7 @@
   SpeedReports Speeds_;
   /// One report for each VM that has something to tell.
   std::vector<PartReport> Parts_;
+  AdvertisedLimits Brittle_;
 };
 
 /// An adapter on an engine in this VM's view.
