Only a final status makes an answer

Cause: the parser takes any three digits, and no reader of heads looked further. HttpConnection::readHead, through which all of them read, skips interim answers within the same limits; any other status beyond 200 to 599 is a malformed answer, and the connection is closed.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -39,6 +39,14 @@
 /// size line or the trailer of chunks.
 static constexpr std::size_t BufferLimitBytes = HeadLimitBytes;
 
+/// The statuses of interim responses and of final ones. One beyond them isn't
+/// a response in the protocol, nor is a change to another protocol, for which
+/// nobody has asked.
+static constexpr unsigned MinInterimStatus = 100;
+static constexpr unsigned SwitchingProtocols = 101;
+static constexpr unsigned MinFinalStatus = 200;
+static constexpr unsigned MaxFinalStatus = 599;
+
 /// The size of the first read of a head.
 static constexpr std::size_t ReadBytes = 4096;
 
@@ -218,13 +226,33 @@
 }
 
 asio::awaitable<Result<HttpReplyHead>> HttpConnection::readHead(bool HasBody) {
+  std::size_t HeadBytes = 0;
+  while (true) {
+    Status Parsed = co_await parseHead(HasBody, HeadBytes);
+    if (!isOk(Parsed))
+      co_return errorOf(Parsed);
+    unsigned Code = State_->Parser_->get().result_int();
+    // Interim responses come before the final one.
+    bool IsInterim = Code >= MinInterimStatus && Code < MinFinalStatus &&
+                     Code != SwitchingProtocols;
+    if (IsInterim)
+      continue;
+    if (Code >= MinFinalStatus && Code <= MaxFinalStatus)
+      co_return takeHead();
+    close();
+    co_return Error{ErrorCode::Protocol, State_->Server_,
+                    "sent the status " + std::to_string(Code), ""};
+  }
+}
+
+asio::awaitable<Status> HttpConnection::parseHead(bool HasBody,
+                                                  std::size_t &HeadBytes) {
   State_->Parser_.emplace();
   State_->Parser_->header_limit(HeadLimitBytes);
   // Callers limit the size themselves as they read the parts.
   State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   State_->Parser_->skip(!HasBody);
   // The parser itself limits a line of the head, but not their number.
-  std::size_t HeadBytes = 0;
   error_code Cause;
   while (!Cause && !State_->Parser_->is_header_done()) {
     Cause = http::error::need_more;
@@ -246,7 +274,7 @@
     close();
     co_return networkError(State_->Server_, Cause);
   }
-  co_return takeHead();
+  co_return std::monostate{};
 }
 
 asio::awaitable<error_code> HttpConnection::receive() {
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -123,8 +123,14 @@
 
 private:
   struct State;
+  /// Reads the head of the next final response; interim ones before it are
+  /// skipped, within the same limits.
   boost::asio::awaitable<Result<HttpReplyHead>> readHead(bool HasBody);
 
+  /// Parses the next head and adds its size to `HeadBytes`.
+  boost::asio::awaitable<Status> parseHead(bool HasBody,
+                                           std::size_t &HeadBytes);
+
   /// Makes room for the next part of the body and returns its maximum size.
   std::size_t reservePart();
 
--- a/Tests/Integration/HeadEndingTest.cpp
+++ b/Tests/Integration/HeadEndingTest.cpp
@@ -75,6 +75,26 @@
           CHECK(Sends <= (IsRepeatable ? 2 : 1));
         }
   }
+  // Guards against MIXED: three digits that are no status reach the caller.
+  SECTION("nor is one whose status isn't final") {
+    for (const char *Status : {"000 Odd", "101 Switching", "600 Odd"})
+      for (const char *Path : {"/once/x", "/stream/x"}) {
+        bool IsStream = std::string(Path) == "/stream/x";
+        ScriptedReply Odd{(IsStream ? EventHead : "") + "Content-Length: 2\r\n",
+                          "{}", IsReset, Status};
+        (IsStream ? Engine : Plain).script({Odd});
+        CallerReply Answer = Call(Path);
+        INFO(Path << ", " << Status);
+        CHECK(Answer.Status_ == 502);
+        CHECK_FALSE(Answer.Headers_.contains("x-server-seal"));
+      }
+    Plain.script({{"\r\nHTTP/1.1 200 OK\r\nX-Server-Seal: seal-of-plain-3\r\n"
+                   "Content-Length: 2\r\n",
+                   "{}", IsReset, "103 Hints"}});
+    CallerReply Answer = Call("/once/x");
+    CHECK(Answer.Status_ == 200);
+    CHECK(Answer.Body_ == "{}");
+  }
   SECTION("nor after the first events of a stream that is resumed") {
     ScriptedReply Begun{EventHead + "Content-Length: 100\r\n", FirstEvent};
     for (int SentBytes : {0, 17, -2, -1}) {
