--- a/Source/Entry/FleetFields.h
+++ b/Source/Entry/FleetFields.h
@@ -6,6 +6,7 @@
 #include <msgpack.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <concepts>
 #include <tuple>
 #include <type_traits>
@@ -22,6 +23,9 @@
 inline constexpr int MaxEncodedRequests = 100'000;
 inline constexpr std::int64_t MaxEncodedTokens = 1'000'000'000'000;
 
+/// A place is free again after this time, whatever its VM says.
+inline constexpr Duration MaxPlaceTime = std::chrono::minutes(10);
+
 /// Matches `Plain`, const or not.
 template <class Type, class Plain>
 concept MaybeConst = std::same_as<std::remove_const_t<Type>, Plain>;
@@ -169,6 +173,11 @@
 
 inline void clampDecoded(PlaceNeed &Need) {
   Need.Slots_ = std::clamp(Need.Slots_, 0, MaxEncodedRequests);
+  Need.Rejections_ =
+      std::isfinite(Need.Rejections_)
+          ? std::clamp<double>(Need.Rejections_, 0, MaxEncodedRequests)
+          : 0;
+  Need.Lasts_ = std::clamp(Need.Lasts_, Duration::zero(), MaxPlaceTime);
 }
 
 /// Matches types with fields that are clamped after they are decoded.
--- a/Tests/Serving/FleetCodecTest.cpp
+++ b/Tests/Serving/FleetCodecTest.cpp
@@ -30,6 +30,7 @@
       Update.Crashes_ = {{"digest", "e1", 77}};
       Update.LeavingTargets_ = {{"e2", 5}};
       Update.Limits_ = {{"e4", {6, 1.8, 20ms}}, {"e5", {6, std::nullopt, 0ms}}};
+      Update.Brittle_ = {{"plain", {0, 5, 30ms}}};
       Update.Inventories_["e3"] = {
           8, true, {{"a4", {2, 30ms, 70ms, LoadSource::Engine}}}};
       Update.Inventories_["e3"].Queued_ = {{"a5", 400ms}};
@@ -43,6 +44,7 @@
       CHECK(Decoded.Crashes_.front().Incarnation_ == 77);
       CHECK(Decoded.LeavingTargets_ == Update.LeavingTargets_);
       CHECK(Decoded.Limits_ == Update.Limits_);
+      CHECK(Decoded.Brittle_ == Update.Brittle_);
       CHECK(Decoded.Running_.at("e1").Adapters_.at("a1") == 4);
       const EngineInventory &Inventory = Decoded.Inventories_.at("e3");
       CHECK(Inventory.Adapters_.at("a4").ReadyIn_ == 30ms);
@@ -155,6 +157,45 @@
       CHECK_FALSE(Given.Decision_.Granted_);
       CHECK(Given.Decision_.RetryIn_ == 300ms);
     }
+    SECTION("of what a request for a place and its end say") {
+      TargetPermitRequest Sent{"vm-1", 77, {"e1", 5, 1.8, true}};
+      Sent.Place_ = {8, 2.5, 4s, {{70, 71}, {76}}};
+      PlaceNeed Place = roundTrip(Sent).Place_;
+      CHECK(Place.Slots_ == 8);
+      CHECK(Place.Rejections_ == 2.5);
+      CHECK(Place.Lasts_ == 4s);
+      CHECK(Place.InUse_.Held_ == std::vector<std::uint64_t>{70, 71});
+      CHECK(Place.InUse_.Awaited_ == std::vector<std::uint64_t>{76});
+      PlaceRelease Release =
+          roundTrip(PlaceRelease{"vm-1", 70, "e1", 5, true, {{71}, {}}});
+      CHECK(Release.Serial_ == 70);
+      CHECK(Release.Target_ == "e1");
+      CHECK(Release.Incarnation_ == 5);
+      CHECK(Release.WasRejected_);
+      CHECK(Release.InUse_.Held_ == std::vector<std::uint64_t>{71});
+      CHECK(roundTrip(TargetPlaceFreed{"e1", 5}).Incarnation_ == 5);
+      SECTION("within bounds") {
+        Sent.Place_ = {-1, std::nan(""), Duration::max(), {}};
+        PlaceNeed Odd = roundTrip(Sent).Place_;
+        CHECK(Odd.Slots_ == 0);
+        CHECK(Odd.Rejections_ == 0);
+        CHECK(Odd.Lasts_ <= 10min);
+      }
+    }
+    // Guards against VMs that don't hear each other during an upgrade.
+    SECTION("of which a VM of an earlier release sent fewer") {
+      msgpack::sbuffer Bytes;
+      msgpack::pack(Bytes,
+                    std::tuple("vm-1", 77, std::tuple("e1", 5, 1.8, true)));
+      std::string Datagram =
+          encodeFleetMessage(TargetPermitRequest{}).substr(0, 3) +
+          std::string(Bytes.data(), Bytes.size());
+      auto Read = decodeFleetMessage(Datagram);
+      REQUIRE(isOk(Read));
+      const auto &Request = std::get<TargetPermitRequest>(valueOf(Read));
+      CHECK(Request.Request_.RatePerSecond_ == 1.8);
+      CHECK(Request.Place_.Slots_ == 0);
+    }
     SECTION("of clock requests and replies") {
       CHECK(roundTrip(ClockRequest{"vm-2", 3s}).RequestedAt_ == 3s);
       CHECK(roundTrip(ClockReply{{"vm-1", "life"}, 3s, 8s}).ClockTime_ == 8s);
--- a/Tests/Serving/RequestCodecTest.cpp
+++ b/Tests/Serving/RequestCodecTest.cpp
@@ -161,6 +161,19 @@
       CHECK(isUnreadable(Repeated, TargetSignal::RateLimit));
     }
   }
+  SECTION("with the rejections that a brittle target survives") {
+    auto Decode = [](const std::string &Value) {
+      return decodeTargetResponse({200, {{"Server-Brittle", Value}}});
+    };
+    CHECK(Decode(" 5 ").SurvivedRejections_ == 5);
+    CHECK(Decode("0").SurvivedRejections_ == 0);
+    CHECK_FALSE(decodeTargetResponse({200, {}}).SurvivedRejections_);
+    for (const char *Odd : {"-1", "", "many", "nan", "inf", "5,6", "1e999"}) {
+      INFO(Odd);
+      CHECK_FALSE(Decode(Odd).SurvivedRejections_);
+      CHECK(isUnreadable(Decode(Odd), TargetSignal::Brittle));
+    }
+  }
   SECTION("with the signal that the target is shutting down") {
     auto Decode = [](const char *Value) {
       return decodeTargetResponse({200, {{"Server-Leaving", Value}}});
