--- a/Tests/Relay/TunnelEndTest.cpp
+++ b/Tests/Relay/TunnelEndTest.cpp
@@ -110,7 +110,7 @@
   SECTION("when its process is gone, and the system closes its connections") {
     asio::io_context Sockets;
     tcp::acceptor Port(Sockets, {asio::ip::address_v4::loopback(), 0});
-    auto begin = [&](const std::string &Framing) {
+    auto Begin = [&](const std::string &Framing) {
       auto Reply = beginFetch(Port.local_endpoint().port());
       tcp::socket Asker = Port.accept();
       readRequest(Asker);
@@ -119,27 +119,27 @@
       return std::pair(std::move(Asker), std::move(Reply));
     };
     SECTION("between two frames") {
-      auto [Asker, Reply] = begin("Tunnel-Framing: 1\r\n");
+      auto [Asker, Reply] = Begin("Tunnel-Framing: 1\r\n");
       sendText(Asker, frame(TunnelFrame::Data, Head + "half"));
       Asker.close();
       CHECK_FALSE(Reply.get().IsComplete_);
     }
     SECTION("inside a frame") {
-      auto [Asker, Reply] = begin("Tunnel-Framing: 1\r\n");
+      auto [Asker, Reply] = Begin("Tunnel-Framing: 1\r\n");
       std::string Text = frame(TunnelFrame::Data, Head + "whole");
       sendText(Asker, Text.substr(0, Text.size() - 1));
       Asker.close();
       CHECK_FALSE(Reply.get().IsComplete_);
     }
     SECTION("after what is no frame") {
-      auto [Asker, Reply] = begin("Tunnel-Framing: 1\r\n");
+      auto [Asker, Reply] = Begin("Tunnel-Framing: 1\r\n");
       sendText(Asker, frame(TunnelFrame::Data, Head + "half"));
       sendText(Asker, "half");
       Asker.close();
       CHECK_FALSE(Reply.get().IsComplete_);
     }
     SECTION("of an earlier release, which sends no frames") {
-      auto [Asker, Reply] = begin("");
+      auto [Asker, Reply] = Begin("");
       sendText(Asker, Head + "half");
       Asker.close();
       TunnelReply Got = Reply.get();
@@ -147,12 +147,12 @@
       CHECK_FALSE(Got.IsComplete_);
     }
     SECTION("of an earlier release, after an answer with a length") {
-      auto [Asker, Reply] = begin("");
+      auto [Asker, Reply] = Begin("");
       sendText(Asker, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
       CHECK(Reply.get().IsComplete_);
     }
     SECTION("after the target's end, which the frame states") {
-      auto [Asker, Reply] = begin("Tunnel-Framing: 1\r\n");
+      auto [Asker, Reply] = Begin("Tunnel-Framing: 1\r\n");
       sendText(Asker, frame(TunnelFrame::Data, Head + "whole") +
                           frame(TunnelFrame::End, ""));
       CHECK(Reply.get().IsComplete_);
