--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -253,6 +253,7 @@
                   {{"outcome", std::string(Outcome)}});
   logEvent(LogLevel::Debug, "target_permit",
            {{"target", Target},
+            {"incarnation", Incarnation},
             {"rate_per_s", Request.Request_.RatePerSecond_},
             {"cold", Request.Request_.IsCold_},
             {"slots", Request.Place_.Slots_},
--- a/Source/Routing/BackOffs.cpp
+++ b/Source/Routing/BackOffs.cpp
@@ -4,6 +4,9 @@
 
 namespace anvil {
 
+/// The maximum back-off that is accepted from a target.
+static constexpr Duration MaxBackOff = std::chrono::minutes(10);
+
 /// By how much a time must be later to be news.
 static constexpr Duration NewsMargin = std::chrono::milliseconds(50);
 
@@ -15,6 +18,7 @@
   Entry &Known = Known_[{Target, Vm}];
   if (Known.Incarnation_ != Incarnation)
     Known = {Incarnation, Now};
+  Until = std::min<TimePoint>(Until, Now + MaxBackOff);
   bool IsNews = Until > Known.Until_ + NewsMargin;
   Known.Until_ = std::max(Known.Until_, Until);
   return IsNews;
--- a/Tests/Relay/RelayNoticeTest.cpp
+++ b/Tests/Relay/RelayNoticeTest.cpp
@@ -114,6 +114,10 @@
         Known.record("vm-1", "target", 7, Start + 5010ms, Start + 10ms));
     CHECK(Known.remaining("vm-1", "target", 7, Start + 10ms) == 5s);
   }
+  SECTION("and is kept for ten minutes at most") {
+    CHECK(Known.record("vm-1", "target", 7, Start + 9h, Start));
+    CHECK(Known.remaining("vm-1", "target", 7, Start) == 10min);
+  }
   SECTION("and is forgotten after its end") {
     Known.record("vm-2", "target", 7, Start + 9s, Start + 6s);
     CHECK(Known.size() == 1);
