Relay messages: one reading of times, one text of requests in tests

The bound of ten minutes stood in RelayNotice and RelayRequest, each with its own clamp; decodedMillis serves both. Three tests wrote a request's bytes out by the same loop; requestText of RelayPlace serves them, and no assertion changes.

--- a/Source/Relay/RelayHeaders.cpp
+++ b/Source/Relay/RelayHeaders.cpp
@@ -2,10 +2,14 @@
 
 #include "Objects/Digest.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace anvil {
 
+/// A longer time in a message is shortened to this.
+static constexpr Duration MaxTime = std::chrono::minutes(10);
+
 std::optional<std::string> decodedText(const HttpHeaders &Headers,
                                        std::string_view Name) {
   auto Found = Headers.find(Name);
@@ -25,4 +29,13 @@
   return Number;
 }
 
+std::optional<Duration> decodedMillis(const HttpHeaders &Headers,
+                                      std::string_view Name) {
+  auto Millis = decodedNumber(Headers, Name);
+  if (!Millis || *Millis < 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(
+      std::min<std::int64_t>(*Millis, toMillis(MaxTime)));
+}
+
 } // namespace anvil
--- a/Source/Relay/RelayHeaders.h
+++ b/Source/Relay/RelayHeaders.h
@@ -2,6 +2,7 @@
 #define ANVIL_RELAY_RELAYHEADERS_H
 
 #include "Http/HttpMessage.h"
+#include "Kernel/Clock.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,11 @@
 std::optional<std::int64_t> decodedNumber(const HttpHeaders &Headers,
                                           std::string_view Name);
 
+/// The milliseconds of a header, ten minutes at most; nothing if it is missing,
+/// malformed or negative.
+std::optional<Duration> decodedMillis(const HttpHeaders &Headers,
+                                      std::string_view Name);
+
 } // namespace anvil
 
 #endif // ANVIL_RELAY_RELAYHEADERS_H
--- a/Source/Relay/RelayNotice.cpp
+++ b/Source/Relay/RelayNotice.cpp
@@ -3,17 +3,12 @@
 #include "Objects/Digest.h"
 #include "Relay/RelayHeaders.h"
 
-#include <algorithm>
-
 namespace anvil {
 
 static constexpr std::string_view NoticeMethod = "NOTIFY";
 
 static constexpr std::string_view BackOffHeader = "Relay-Back-Off-Ms";
 
-/// A longer back-off is shortened to this.
-static constexpr Duration MaxBackOff = std::chrono::minutes(10);
-
 HttpRequest encodeRelayNotice(const RelayNotice &Notice) {
   HttpRequest Encoded{std::string(NoticeMethod), "/back-off", {}, ""};
   Encoded.Headers_.add(RelayKeyHeader, Notice.Key_);
@@ -32,14 +27,13 @@
   auto Vm = decodedText(Headers, RelayVmHeader);
   auto Target = decodedText(Headers, RelayTargetHeader);
   auto Incarnation = decodedNumber(Headers, RelayIncarnationHeader);
-  auto BackOff = decodedNumber(Headers, BackOffHeader);
+  auto BackOff = decodedMillis(Headers, BackOffHeader);
   bool IsWhole =
       Method == NoticeMethod && Key && Vm && Target && Incarnation && BackOff;
-  if (!IsWhole || *BackOff < 0)
+  if (!IsWhole)
     return std::nullopt;
-  std::int64_t Millis = std::min<std::int64_t>(*BackOff, toMillis(MaxBackOff));
   return RelayNotice{std::string(*Key), std::move(*Vm), std::move(*Target),
-                     *Incarnation, std::chrono::milliseconds(Millis)};
+                     *Incarnation, *BackOff};
 }
 
 } // namespace anvil
--- a/Source/Relay/RelayRequest.cpp
+++ b/Source/Relay/RelayRequest.cpp
@@ -5,8 +5,6 @@
 #include "Objects/Digest.h"
 #include "Relay/RelayHeaders.h"
 
-#include <algorithm>
-
 namespace anvil {
 
 static constexpr std::string_view ConnectMethod = "CONNECT";
@@ -20,9 +18,6 @@
 /// The status of a refusal; no byte has reached a target.
 static constexpr int RefusalStatus = 503;
 
-/// A longer time until another request is shortened to this.
-static constexpr Duration MaxRetryAfter = std::chrono::minutes(10);
-
 HttpRequest encodeRelayRequest(const RelayRequest &Request) {
   // CONNECT names a host and a port; the target is looked up by its headers.
   HttpRequest Encoded{std::string(ConnectMethod), "target:0", {}, ""};
@@ -74,9 +69,8 @@
 
 RelayDenial decodeRelayRefusal(const HttpHeaders &Headers) {
   auto Named = Headers.find(RefusalHeader);
-  auto Retry = decodedNumber(Headers, RetryHeader);
-  Duration RetryAfter = std::chrono::milliseconds(
-      std::clamp<std::int64_t>(Retry.value_or(0), 0, toMillis(MaxRetryAfter)));
+  Duration RetryAfter =
+      decodedMillis(Headers, RetryHeader).value_or(Duration::zero());
   for (const auto &[Why, Name] : RelayRefusalNames)
     if (Named == Name)
       return {Why, RetryAfter};
--- a/Tests/Relay/RelayFailureTest.cpp
+++ b/Tests/Relay/RelayFailureTest.cpp
@@ -42,12 +42,10 @@
     CHECK(readToEnd(Asker, IsReset).find("200") == std::string::npos);
   }
   SECTION("bytes that come before its answer") {
-    HttpRequest Encoded = encodeRelayRequest(RelayPlace::validRequest());
-    std::string Text = "CONNECT target:0 HTTP/1.1\r\n";
-    for (const HttpHeader &Header : Encoded.Headers_)
-      Text += Header.Name_ + ": " + Header.Value_ + "\r\n";
+    std::string Text =
+        requestText(encodeRelayRequest(RelayPlace::validRequest()));
     tcp::socket Asker =
-        sendRaw(Sockets, Vm.port(), Text + "\r\nPOST / HTTP/1.1\r\n\r\n");
+        sendRaw(Sockets, Vm.port(), Text + "POST / HTTP/1.1\r\n\r\n");
     CHECK(readToEnd(Asker, IsReset).find("malformed") != std::string::npos);
   }
   SECTION("many that say nothing, and close") {
--- a/Tests/Relay/RelayNoticeTest.cpp
+++ b/Tests/Relay/RelayNoticeTest.cpp
@@ -17,11 +17,7 @@
   asio::io_context Sockets;
   tcp::socket Sender(Sockets);
   Sender.connect({asio::ip::address_v4::loopback(), Port});
-  HttpRequest Encoded = encodeRelayNotice(Notice);
-  std::string Text = Encoded.Method_ + " " + Encoded.Target_ + " HTTP/1.1\r\n";
-  for (const HttpHeader &Header : Encoded.Headers_)
-    Text += Header.Name_ + ": " + Header.Value_ + "\r\n";
-  asio::write(Sender, asio::buffer(Text + "\r\n"));
+  asio::write(Sender, asio::buffer(requestText(encodeRelayNotice(Notice))));
   bool IsReset = false;
   return readToEnd(Sender, IsReset);
 }
--- a/Tests/Relay/RelayPlace.cpp
+++ b/Tests/Relay/RelayPlace.cpp
@@ -64,11 +64,7 @@
 RelayPlace::ask(const RelayRequest &Request) {
   tcp::socket Asker(Sockets_);
   Asker.connect({asio::ip::address_v4::loopback(), Port_});
-  HttpRequest Encoded = encodeRelayRequest(Request);
-  std::string Text = Encoded.Method_ + " " + Encoded.Target_ + " HTTP/1.1\r\n";
-  for (const HttpHeader &Header : Encoded.Headers_)
-    Text += Header.Name_ + ": " + Header.Value_ + "\r\n";
-  asio::write(Asker, asio::buffer(Text + "\r\n"));
+  asio::write(Asker, asio::buffer(requestText(encodeRelayRequest(Request))));
   std::string Answer;
   error_code Ignored;
   asio::read_until(Asker, asio::dynamic_buffer(Answer), "\r\n\r\n", Ignored);
@@ -98,6 +94,13 @@
   return Count;
 }
 
+std::string requestText(const HttpRequest &Request) {
+  std::string Text = Request.Method_ + " " + Request.Target_ + " HTTP/1.1\r\n";
+  for (const HttpHeader &Header : Request.Headers_)
+    Text += Header.Name_ + ": " + Header.Value_ + "\r\n";
+  return Text + "\r\n";
+}
+
 std::string readToEnd(tcp::socket &From, bool &IsReset) {
   std::string Text;
   error_code Cause;
--- a/Tests/Relay/RelayPlace.h
+++ b/Tests/Relay/RelayPlace.h
@@ -73,6 +73,9 @@
   std::thread Thread_;
 };
 
+/// The bytes of a request to a VM that relays.
+std::string requestText(const HttpRequest &Request);
+
 /// Reads until the connection ends. `IsReset` says how.
 std::string readToEnd(boost::asio::ip::tcp::socket &From, bool &IsReset);
 
