FleetLimits: what targets state that they take; RequestWaits

Brittle services had been added to FleetState beside the rate limits of targets, with a second copy of recording, applying and logging. Both are FleetLimits now, like FleetSpeeds and FleetLoads, and the share of VMs that are reached is computed in one place. The log lines are the same.

RequestRun::acquirePermit takes a nested part of serve; what a request waits for stands in RequestWaits.cpp. The VM that issues the places of a target of its own data centre is found without walking all other VMs. No behaviour changes.

--- a/Source/Entry/FleetState.cpp
+++ b/Source/Entry/FleetState.cpp
@@ -12,15 +12,6 @@
 /// state updates, in case datagrams are lost.
 static constexpr Duration UpdateRepeatTime = std::chrono::seconds(2);
 
-/// For how long the end of a target's rate limit is remembered, so that an
-/// older report of the limit doesn't restore it.
-static constexpr Duration LimitRetention = std::chrono::seconds(30);
-
-/// How long no target of a service must have stated that it is brittle before
-/// an answer without that statement ends it for the service: all its targets
-/// state it, but may begin a little apart.
-static constexpr Duration BrittleEndGrace = std::chrono::milliseconds(500);
-
 /// For how long a digest stays suspect, and for how long it is refused.
 /// Both are much shorter than the time between deployments, since a new
 /// release may handle the request.
@@ -76,9 +67,8 @@
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       BudgetBootstrap_(std::chrono::seconds(Settings.Bounds_.QuotaWindowS_)),
       Crashes_({SuspectTime, QuarantineTime, MaxDigests}),
-      Brittle_(BrittleEndGrace), PromptParts_(Metrics_),
-      Loads_(View_, Metrics_), Prefill_(Settings.PrefillTokensPerMs_),
-      Speeds_(Targets_, Metrics_) {
+      PromptParts_(Metrics_), Loads_(View_, Metrics_),
+      Prefill_(Settings.PrefillTokensPerMs_), Speeds_(Targets_, Metrics_) {
   Loads_.learning().setFixedLimit(static_cast<double>(Settings.TransitLimit_));
 }
 
@@ -198,18 +188,6 @@
   TargetCrashed_.fire(Observed.Target_, Observed.Incarnation_);
 }
 
-static void logLimit(const std::string &Target, std::int64_t Incarnation,
-                     std::optional<double> RatePerSecond,
-                     std::string_view Source, Duration Age) {
-  logEvent(LogLevel::Info, "target_limit",
-           {{"target", Target},
-            {"incarnation", Incarnation},
-            {"rate_per_s", RatePerSecond.value_or(-1)},
-            {"in_force", RatePerSecond.has_value()},
-            {"told_by", Source},
-            {"age_ms", toMillis(Age)}});
-}
-
 static void logDraining(const std::string &Target, std::string_view Source) {
   logEvent(LogLevel::Info, "target_standing",
            {{"target", Target},
@@ -225,48 +203,6 @@
   logDraining(Target, "answer");
 }
 
-void FleetState::recordLimit(const std::string &Target,
-                             std::int64_t Incarnation,
-                             std::optional<double> RatePerSecond,
-                             TimePoint SentAt, TimePoint Now) {
-  if (Limits_.updateFromResponse(Target, Incarnation, RatePerSecond, SentAt,
-                                 Now))
-    logLimit(Target, Incarnation, RatePerSecond, "answer", {});
-}
-
-void FleetState::applyLimits(const AdvertisedLimits &Limits,
-                             const std::string &Source, TimePoint Now) {
-  for (const auto &[Target, Reported] : Limits)
-    if (Limits_.updateFromPeer(Target, Reported, Now))
-      logLimit(Target, Reported.Incarnation_, Reported.RatePerSecond_, Source,
-               Reported.Age_);
-}
-
-static void logBrittle(const std::string &Service,
-                       std::optional<double> Rejections,
-                       std::string_view Source, Duration Age) {
-  logEvent(LogLevel::Info, "service_brittle",
-           {{"service", Service},
-            {"survived_rejections_per_s", Rejections.value_or(-1)},
-            {"in_force", Rejections.has_value()},
-            {"told_by", Source},
-            {"age_ms", toMillis(Age)}});
-}
-
-void FleetState::recordBrittle(const std::string &Service,
-                               std::optional<double> Rejections,
-                               TimePoint SentAt, TimePoint Now) {
-  if (Brittle_.updateFromResponse(Service, 0, Rejections, SentAt, Now))
-    logBrittle(Service, Rejections, "answer", {});
-}
-
-void FleetState::applyBrittle(const AdvertisedLimits &Brittle,
-                              const std::string &Source, TimePoint Now) {
-  for (const auto &[Service, Reported] : Brittle)
-    if (Brittle_.updateFromPeer(Service, Reported, Now))
-      logBrittle(Service, Reported.RatePerSecond_, Source, Reported.Age_);
-}
-
 void FleetState::setVms(std::size_t Count, TimePoint Now) {
   KnownVms_ = Count;
   updateReachableShare(Now);
@@ -349,16 +285,18 @@
 }
 
 double FleetState::reachableShare(TimePoint Now) const {
-  if (KnownVms_ == 0)
-    return 0;
-  std::size_t Reachable = std::min(KnownVms_, View_.reachableLocalVms(Now) + 1);
-  return static_cast<double>(Reachable) / static_cast<double>(KnownVms_);
+  return reachableShareOf(KnownVms_, Now);
 }
 
 double FleetState::reachablePeerShare(TimePoint Now) const {
-  if (KnownVms_ == 0)
+  return KnownVms_ == 0 ? 0
+                        : reachableShareOf(
+                              Link_->topology().directPeers().size() + 1, Now);
+}
+
+double FleetState::reachableShareOf(std::size_t Vms, TimePoint Now) const {
+  if (Vms == 0)
     return 0;
-  std::size_t Vms = Link_->topology().directPeers().size() + 1;
   std::size_t Reachable = std::min(Vms, View_.reachableLocalVms(Now) + 1);
   return static_cast<double>(Reachable) / static_cast<double>(Vms);
 }
@@ -388,8 +326,7 @@
 VmStateUpdate FleetState::composeUpdate(Duration Period) {
   TimePoint Now = BootClock::now();
   View_.expire(Now);
-  Limits_.prune(LimitRetention, Now);
-  Brittle_.prune(LimitRetention, Now);
+  Limits_.prune(Now);
   Loads_.learning().setEngines(View_.engineCount());
   updateReachableShare(Now);
   VmStateUpdate Update;
@@ -409,12 +346,12 @@
   Update.PromptTokens_ = std::exchange(NewPrompts_, {});
   Update.Crashes_ = recentCrashes(Now);
   Update.LeavingTargets_ = recentlyDraining(Now);
-  Update.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
+  Update.Limits_ = Limits_.limitReports(UpdateRepeatTime, Now);
   Update.Loads_ = Loads_.learning().report();
   Update.Speeds_ = Speeds_.composeReports(Now);
   Update.StoreEra_ = StoreEra_;
   Update.Parts_ = promptParts().report(Now);
-  Update.Brittle_ = Brittle_.statedWithin(UpdateRepeatTime, Now);
+  Update.Brittle_ = Limits_.brittleReports(UpdateRepeatTime, Now);
   addInventories(Update, Now);
   Loads_.report(Now);
   return Update;
@@ -439,8 +376,8 @@
   Summary.Running_ = Running_;
   Summary.Crashes_ = recentCrashes(Now);
   Summary.LeavingTargets_ = recentlyDraining(Now);
-  Summary.Limits_ = Limits_.statedWithin(UpdateRepeatTime, Now);
-  Summary.Brittle_ = Brittle_.statedWithin(UpdateRepeatTime, Now);
+  Summary.Limits_ = Limits_.limitReports(UpdateRepeatTime, Now);
+  Summary.Brittle_ = Limits_.brittleReports(UpdateRepeatTime, Now);
   Summary.Speeds_ = Speeds_.speeds().takeEstimates(Now);
   if (PartReport Own = promptParts().report(Now); !Own.empty())
     Summary.Parts_.push_back(std::move(Own));
@@ -488,8 +425,7 @@
   for (const VmStateUpdate::Crash &Observed : Update.Crashes_)
     applyCrash(Observed, Now);
   applyDraining(Update.LeavingTargets_, Update.Vm_);
-  applyLimits(Update.Limits_, Update.Vm_, Now);
-  applyBrittle(Update.Brittle_, Update.Vm_, Now);
+  Limits_.applyReports(Update.Limits_, Update.Brittle_, Update.Vm_, Now);
   Loads_.learning().recordPeer(Update.Vm_, Update.Incarnation_, Update.Loads_,
                                View_.inTransit(Now), Now);
   Speeds_.applyReports(Update.Speeds_, Now);
@@ -512,8 +448,7 @@
   for (const VmStateUpdate::Crash &Observed : Summary.Crashes_)
     applyCrash(Observed, Now);
   applyDraining(Summary.LeavingTargets_, Summary.Sender_);
-  applyLimits(Summary.Limits_, Summary.Sender_, Now);
-  applyBrittle(Summary.Brittle_, Summary.Sender_, Now);
+  Limits_.applyReports(Summary.Limits_, Summary.Brittle_, Summary.Sender_, Now);
   Speeds_.applyEstimates(Summary.Speeds_, Now);
   for (const PartReport &Report : Summary.Parts_)
     promptParts().apply(Report, Now);
--- a/Source/Entry/FleetState.h
+++ b/Source/Entry/FleetState.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_ENTRY_FLEETSTATE_H
 #define ANVIL_ENTRY_FLEETSTATE_H
 
+#include "Entry/FleetLimits.h"
 #include "Entry/FleetLink.h"
 #include "Entry/FleetLoads.h"
 #include "Entry/FleetPromptParts.h"
@@ -10,7 +11,6 @@
 #include "Kernel/Hook.h"
 #include "Kernel/ServiceRegistry.h"
 #include "Routing/CrashTracker.h"
-#include "Routing/TargetLimits.h"
 #include "Serving/BudgetBootstrap.h"
 #include "Serving/CustomerBudget.h"
 #include "Serving/FleetView.h"
@@ -102,26 +102,8 @@
   void recordDraining(const std::string &Target, std::int64_t Incarnation,
                       TimePoint Now);
 
-  /// Records the rate limit that a target states in its reply to a request
-  /// sent at `SentAt`, or that it states none.
-  void recordLimit(const std::string &Target, std::int64_t Incarnation,
-                   std::optional<double> RatePerSecond, TimePoint SentAt,
-                   TimePoint Now);
-
-  const TargetLimits &limits() const { return Limits_; }
-
-  /// Records that a target of a service states in its reply to a request sent
-  /// at `SentAt` how many rejections per second it survives, or that it states
-  /// nothing.
-  void recordBrittle(const std::string &Service,
-                     std::optional<double> Rejections, TimePoint SentAt,
-                     TimePoint Now);
-
-  /// The rejections per second that the service's targets survive; nothing if
-  /// they aren't brittle.
-  std::optional<double> survivedRejections(const std::string &Service) const {
-    return Brittle_.rateOf(Service, 0);
-  }
+  /// What targets state that they take.
+  FleetLimits &limits() { return Limits_; }
 
   /// Sets the number of VMs, unresponsive ones included.
   void setVms(std::size_t Count, TimePoint Now);
@@ -179,13 +161,11 @@
   void receiveSummary(const DataCentreSummary &Summary, TimePoint Now);
   void applyDraining(const std::map<std::string, std::int64_t> &DrainingTargets,
                      const std::string &Source);
-  void applyLimits(const AdvertisedLimits &Limits, const std::string &Source,
-                   TimePoint Now);
-  void applyBrittle(const AdvertisedLimits &Brittle, const std::string &Source,
-                    TimePoint Now);
   void applyEntries(const std::vector<RegisteredTarget> &Fresh);
   void applyCrash(const VmStateUpdate::Crash &Observed, TimePoint Now);
   void updateReachableShare(TimePoint Now);
+  /// The fraction of so many VMs that this VM receives state updates from.
+  double reachableShareOf(std::size_t Vms, TimePoint Now) const;
   void applyPeerBudget(const std::string &Vm, Duration BudgetAge,
                        const TokenBalances &Balances, TimePoint Now);
 
@@ -203,9 +183,7 @@
   /// When a newly started VM last sent a state update.
   TimePoint NewVmSeenAt_{};
   CrashTracker Crashes_;
-  TargetLimits Limits_;
-  /// The brittle services, by name.
-  TargetLimits Brittle_;
+  FleetLimits Limits_;
   FleetPromptParts PromptParts_;
   FleetLoads Loads_;
   PrefillBacklog Prefill_;
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -11,11 +11,6 @@
 
 namespace asio = boost::asio;
 
-/// For how long a request waits for its adapter at one target before all
-/// targets are compared again, which takes most of a waiting request's
-/// processor time.
-static constexpr Duration MaxWaitAtTarget = std::chrono::milliseconds(200);
-
 /// The maximum number of sends of one request that targets refuse to run,
 /// besides those to targets that lack the adapter.
 static constexpr int MaxRefusedSends = 4;
@@ -31,13 +26,6 @@
 static constexpr Duration PlacesFullRetryAfter =
     std::chrono::milliseconds(1000);
 
-/// The parts of its latency target and of its time left that a request may wait
-/// for a place, and how long it waits at most before all targets are compared
-/// again.
-static constexpr double PlaceWaitTargetShare = 0.5;
-static constexpr double PlaceWaitTimeShare = 0.25;
-static constexpr Duration MaxPlacePause = std::chrono::milliseconds(100);
-
 /// The reason logged for requests that end because the VM stops.
 static constexpr std::string_view VmStopping = "vm_stopping";
 
@@ -180,21 +168,9 @@
       continue;
     }
     Wait_.end();
-    PermitRequestedAt_.reset();
-    TimePoint RequestedAt = BootClock::now();
-    if (Chosen->NeedsPermit_ &&
-        Shared_.Permits_->needsPermit(Chosen->Target_, Chosen->Incarnation_,
-                                      RequestedAt))
-      PermitRequestedAt_ = RequestedAt;
-    std::optional<PlaceLease> Place(std::in_place);
-    if (PermitRequestedAt_)
-      Place = co_await Shared_.Permits_->acquire(
-          Chosen->Target_, Chosen->Incarnation_, timeLeft(), Pause_);
-    bool MaySend = Place.has_value();
-    if (MaySend) {
-      Place_ = std::move(*Place);
+    bool MaySend = co_await acquirePermit(*Chosen);
+    if (MaySend)
       PlaceQueue_.reset();
-    }
     // While the permit was awaited, an evacuation may have begun or the
     // target's version of the adapter become outdated.
     bool IsStale =
@@ -219,65 +195,6 @@
   }
 }
 
-asio::awaitable<bool> RequestRun::awaitPlace(TimePoint Now) {
-  auto Resumed = Shared_.Picker_->untilResumed(Query_, Now);
-  if (!Resumed || !Shared_.Fleet_->survivedRejections(Query_.Service_))
-    co_return false;
-  if (!MaxPlaceWait_)
-    MaxPlaceWait_ = std::chrono::duration_cast<Duration>(
-        std::min(Request_.Route_->LatencyTarget_ * PlaceWaitTargetShare,
-                 std::chrono::duration<double, Duration::period>(timeLeft()) *
-                     PlaceWaitTimeShare));
-  Duration Left = *MaxPlaceWait_ - PlaceWait_;
-  if (!PlaceQueue_ && Left > Duration::zero())
-    PlaceQueue_ = Shared_.Permits_->joinQueue(Query_.Service_, rank());
-  if (!PlaceQueue_ || Left <= Duration::zero())
-    co_return false;
-  Duration Pause = std::min({*Resumed, Left, MaxPlacePause});
-  co_await Shared_.Permits_->awaitPlace(Now + Pause);
-  PlaceWait_ += BootClock::now() - Now;
-  co_return true;
-}
-
-asio::awaitable<bool> RequestRun::awaitAdapter(const TargetChoice &Chosen) {
-  TimePoint Now = BootClock::now();
-  // A reply that is ready, or a stream that has begun, isn't held back for a
-  // load beyond the latency target.
-  bool HasReply = Failure_ || HeadSent_;
-  bool MayWait = !HasReply || AdapterWait_ < Request_.Route_->LatencyTarget_;
-  std::optional<Duration> Pause;
-  if (MayWait)
-    Pause = Wait_.nextPause(Chosen, Query_, timeLeft() - ReplyMargin,
-                            AdapterWait_, Now);
-  if (!Pause) {
-    LastReason_ = Chosen.Load_ == LoadStage::Unknown ? "adapter_not_loaded"
-                                                     : "adapter_too_late";
-    CallerRetryAfter_ = Wait_.expectedIn();
-    co_return false;
-  }
-  TimePoint ChooseAgainAt = Now + MaxWaitAtTarget;
-  while (Pause) {
-    co_await pauseFor(Pause_, *Pause);
-    TimePoint Then = std::exchange(Now, BootClock::now());
-    AdapterWait_ += Now - Then;
-    bool MustChoose = Now >= ChooseAgainAt || isCancelled() || isOutOfTime();
-    Pause = MustChoose ? std::nullopt
-                       : Wait_.pauseAtTarget(Chosen, Query_, AdapterWait_, Now);
-  }
-  co_return true;
-}
-
-asio::awaitable<bool> RequestRun::holdForSlot(const TargetChoice &Chosen) {
-  Duration Hold = Shared_.Picker_->holdFor(Query_, Chosen);
-  if (Hold == Duration::zero())
-    co_return false;
-  LastReason_ = "slots_busy";
-  SlotWait_ = Chosen.SlotWait_;
-  co_await pauseFor(Pause_, Hold);
-  SlotHold_ += Hold;
-  co_return true;
-}
-
 bool RequestRun::isRetryable(SendOutcome End) const {
   bool IsSentOften = Sends_ - Wait_.missingSends() >= MaxRefusedSends;
   if (End == SendOutcome::NotRun && (IsSentOften || !MaySendAgain_))
@@ -404,6 +321,7 @@
     co_return SendOutcome::NotRun;
   }
   bool IsLimited = Shared_.Fleet_->limits()
+                       .targets()
                        .rateOf(Chosen.Target_, Chosen.Incarnation_)
                        .has_value();
   if (IsLimited)
@@ -516,12 +434,12 @@
   };
   if (States(Response.RateLimit_.has_value(),
              platform::TargetSignal::RateLimit))
-    Shared_.Fleet_->recordLimit(Chosen.Target_, Chosen.Incarnation_,
-                                Response.RateLimit_, SentAt, Now);
+    Shared_.Fleet_->limits().recordLimit(Chosen.Target_, Chosen.Incarnation_,
+                                         Response.RateLimit_, SentAt, Now);
   if (States(Response.SurvivedRejections_.has_value(),
              platform::TargetSignal::Brittle))
-    Shared_.Fleet_->recordBrittle(Request_.Service_,
-                                  Response.SurvivedRejections_, SentAt, Now);
+    Shared_.Fleet_->limits().recordBrittle(
+        Request_.Service_, Response.SurvivedRejections_, SentAt, Now);
 }
 
 SendConditions RequestRun::sendConditions(const TargetChoice &Chosen) const {
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -132,6 +132,9 @@
   /// Waits until a place may be free at a brittle target. False if too many
   /// wait, or this request has waited for long enough.
   boost::asio::awaitable<bool> awaitPlace(TimePoint Now);
+  /// Requests the permit and the place that a request to the chosen target
+  /// needs, if any. False if it may not be sent now.
+  boost::asio::awaitable<bool> acquirePermit(const TargetChoice &Chosen);
   /// Whether the request may run at one more target after it may have run.
   bool mayRunAgain() const;
   boost::asio::awaitable<Result<HttpReplyHead>>
--- a/Source/Entry/TargetPermits.cpp
+++ b/Source/Entry/TargetPermits.cpp
@@ -70,7 +70,7 @@
                                                    std::int64_t Incarnation,
                                                    TimePoint Now) const {
   return permitQuery(Target, Incarnation,
-                     Fleet_->limits().rateOf(Target, Incarnation),
+                     Fleet_->limits().targets().rateOf(Target, Incarnation),
                      ColdTargets_->rateOf(Target, Incarnation, Now));
 }
 
@@ -110,7 +110,9 @@
 std::string TargetPermits::placeIssuerOf(const std::string &Target,
                                          TimePoint Now) const {
   const ListedTarget *Listed = Targets_->roster().find(Target);
-  if (!Fleet_->isSplit() || !Listed)
+  bool IsLocal = !Fleet_->isSplit() || !Listed ||
+                 Listed->Entry_.DataCentre_ == DataCentre_;
+  if (IsLocal)
     return managerOf(Target, Now);
   // Nothing tells which VMs of other data centres are alive.
   std::map<std::string, std::vector<std::string>> Vms;
@@ -135,7 +137,7 @@
 std::optional<double>
 TargetPermits::survivedRejections(const std::string &Target) const {
   const ListedTarget *Listed = Targets_->roster().find(Target);
-  return Listed ? Fleet_->survivedRejections(Listed->Entry_.Service_)
+  return Listed ? Fleet_->limits().survivedRejections(Listed->Entry_.Service_)
                 : std::nullopt;
 }
 
--- a/Source/Entry/TargetPicker.cpp
+++ b/Source/Entry/TargetPicker.cpp
@@ -57,11 +57,13 @@
   Candidate.Running_ = Own.Requests_ + Others.Requests_;
   Candidate.Tokens_ = static_cast<double>(Own.Tokens_ + Others.Tokens_);
   Candidate.Slots_ = std::max(1, Entry.Slots_);
-  Candidate.Limited_ =
-      Fleet_->limits().rateOf(Entry.Id_, Entry.Incarnation_).has_value();
+  Candidate.Limited_ = Fleet_->limits()
+                           .targets()
+                           .rateOf(Entry.Id_, Entry.Incarnation_)
+                           .has_value();
   Candidate.Cold_ =
       ColdTargets_->rateOf(Entry.Id_, Entry.Incarnation_, Now).has_value();
-  Candidate.LimitIsStale_ = Fleet_->limits().isStale(Entry.Id_, Now);
+  Candidate.LimitIsStale_ = Fleet_->limits().targets().isStale(Entry.Id_, Now);
   Candidate.FailureShare_ = Health_.failureShare(Entry.Id_, Now);
   Candidate.SpeedFactor_ =
       Fleet_->speeds().factorOf(Entry.Id_, Entry.Incarnation_, Now);
@@ -305,7 +307,7 @@
   Chosen.SpeedFactor_ = Candidate.SpeedFactor_;
   Chosen.Cost_ = dispatchCost(Candidate, Query.Shape_);
   Chosen.NeedsPermit_ = Candidate.Limited_ || Candidate.Cold_ ||
-                        Fleet_->survivedRejections(Query.Service_);
+                        Fleet_->limits().survivedRejections(Query.Service_);
   if (Engine) {
     Chosen.Prefill_ = Candidate.Prefill_;
     Chosen.OwnPrefill_ = Fleet_->prefill().prefillTime(
--- a/Tests/Serving/EvacuationLoadTest.cpp
+++ b/Tests/Serving/EvacuationLoadTest.cpp
@@ -149,7 +149,7 @@
   auto Permits = Vm.Services_.require<TargetPermits>(TargetPermits::Name);
   TimePoint Now = BootClock::now();
   CHECK(Permits->maySend("north-0", 7, std::nullopt, Now));
-  Vm.Fleet_->recordLimit("north-0", 7, 5, Now, Now);
+  Vm.Fleet_->limits().recordLimit("north-0", 7, 5, Now, Now);
   SECTION("is missing if the target stated its limit after the choice") {
     CHECK_FALSE(Permits->maySend("north-0", 7, std::nullopt, Now));
   }
