Log the end of each request whose answer ended with its connection

A request that is served at the first send and in time has its request_end at debug only. An answer without a length or chunks that is cut by the end of its target's process is such a request, so neither the caller's answer nor the log told it from a whole one. No change of logic.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -386,7 +386,8 @@
   bool IsLate =
       FirstByteAt_ - Request_.ArrivedAt_ > Request_.Route_->LatencyTarget_ ||
       LongestGap_ > LoggedGap;
-  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate;
+  bool IsRoutine = Outcome == "served" && Sends_ == 1 && !IsLate &&
+                   Framing_ != BodyFraming::UntilClose;
   logEvent(
       IsRoutine ? LogLevel::Debug : LogLevel::Info, "request_end",
       {{"request", Request_.Fields_.RequestId_},
