--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -226,6 +226,15 @@
   writeTargetRow(Id, Port, "ready", 1700000000000, std::nullopt);
 }
 
+void EntryFleet::startUnframedTarget(const std::string &Id,
+                                     const std::vector<std::string> &Options) {
+  std::vector<std::string> Arguments{"--kind", "unframed-target", "--id", Id,
+                                     "--born", "1700000000000"};
+  Arguments.insert(Arguments.end(), Options.begin(), Options.end());
+  start(Id, Arguments);
+  registerTarget(Id, at(Id).port());
+}
+
 void EntryFleet::replaceTargets(const std::string &Id, std::uint16_t Port) {
   registerTarget(Id, Port);
   std::string Kind = Id.substr(0, Id.find('-'));
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -120,6 +120,11 @@
   /// starts with `engine`, a plain service's with `plain`.
   void replaceTargets(const std::string &Id, std::uint16_t Port);
 
+  /// Starts a target whose answers have neither a length nor chunks, with
+  /// further options of the stand-in, and registers it.
+  void startUnframedTarget(const std::string &Id,
+                           const std::vector<std::string> &Options);
+
   /// Registers a target that the test itself runs.
   void registerTarget(const std::string &Id, std::uint16_t Port);
 
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -5,6 +5,7 @@
 #include "Standins/RegisteredTargetStandin.h"
 #include "Standins/RowStoreStandin.h"
 #include "Standins/ServiceStandin.h"
+#include "Standins/UnframedTarget.h"
 #include "Standins/WeightStoreStandin.h"
 
 #include <boost/asio/io_context.hpp>
@@ -48,8 +49,8 @@
   auto Add = Options.add_options();
   Add("help", "show this text");
   Add("kind", options::value<std::string>()->required(),
-      "platform, engine, service, weight-store, proxy, row-store or "
-      "registered-target");
+      "platform, engine, service, weight-store, proxy, row-store, "
+      "registered-target or unframed-target");
   Add("id", options::value<std::string>()->default_value("target-1"),
       "the id of a registered target");
   anvil::TargetProcess Process;
@@ -57,6 +58,13 @@
       "the software version that a registered target names in its events");
   Add("born", options::value(&Process.Born_),
       "the start time that a registered target reports");
+  anvil::UnframedAnswers Unframed;
+  Add("parts", options::value(&Unframed.Parts_),
+      "the number of events or parts of an unframed target's answer");
+  Add("part-ms", options::value(&Unframed.PartMs_),
+      "the time after each of these");
+  Add("ends-after-answer", options::bool_switch(&Unframed.EndsAfterAnswer_),
+      "whether an unframed target exits after its first answer");
   std::uint16_t Port = 0;
   Add("port", options::value(&Port), "the port of a registered target");
   Add("records", options::value<std::string>(),
@@ -129,6 +137,12 @@
       Server.keepRecords(Variables["records"].as<std::string>());
     return serve(Loop, Server, ReadyPath, Port);
   }
+  if (Kind == "unframed-target") {
+    Unframed.Id_ = Variables["id"].as<std::string>();
+    Unframed.Born_ = Process.Born_;
+    anvil::UnframedTarget Server(Loop.get_executor(), Unframed);
+    return serve(Loop, Server, ReadyPath, Port);
+  }
   if (Kind == "proxy") {
     anvil::FaultProxy Proxy(Loop.get_executor(), Links);
     anvil::Status Outcome = Proxy.listen();
