An answer that ends with its connection needs a sign of life of its target

Cause: the system closes the connections of a process that ends in order, and a VM took the end of the connection for the end of the content.

Now only a target that outlives the end of its connection can have meant it. LivenessChecks looks for another open connection to the target that is still open 3 ms later; without one the target is asked: engines for a report of the same incarnation, others by a new connection, and if this VM gets no answer, through another VM. Ends at one target share a question. Only the last chunk waits. Without a sign a stream is broken off or goes on at another target, and a plain answer counts as lost.

--- a/Source/Entry/RequestReach.cpp
+++ b/Source/Entry/RequestReach.cpp
@@ -4,6 +4,7 @@
 #include "Entry/RequestRun.h"
 
 #include "Http/Pause.h"
+#include "Kernel/EnumNames.h"
 
 #include <algorithm>
 
@@ -45,6 +46,29 @@
   Connection_.close();
 }
 
+bool RequestRun::hasOpenConnection(const TargetAddress &Target,
+                                   TimePoint OpenedBefore) const {
+  return SentTo_ && SentTo_->Target_ == Target.Target_ &&
+         SentTo_->Incarnation_ == Target.Incarnation_ && !Connection_.route() &&
+         Connection_.isQuietSince(OpenedBefore);
+}
+
+asio::awaitable<bool> RequestRun::confirmEnd(const TargetChoice &Chosen) {
+  if (Framing_ != BodyFraming::UntilClose)
+    co_return true;
+  TimePoint EndedAt = BootClock::now();
+  EndedConnection Ended{addressOf(Chosen), !Query_.Model_.empty(),
+                        !Through_.empty(), Request_.Fields_.RequestId_};
+  LifeSign Sign = co_await Shared_.Liveness_.findSign(std::move(Ended));
+  EndSign_ = Sign;
+  EndWait_ = BootClock::now() - EndedAt;
+  Shared_.Metrics_->count(
+      "anvil_answer_ends_total",
+      {{"sign", std::string(enumName(Sign, LifeSignNames))}});
+  Shared_.Metrics_->observe("anvil_answer_end_wait_seconds", {}, EndWait_);
+  co_return Sign != LifeSign::None;
+}
+
 asio::awaitable<bool> RequestRun::awaitReach() {
   Duration Left = std::min(MaxReachWait - ReachWait_, timeLeft() - ReplyMargin);
   if (Left <= Duration::zero() || !Shared_.Picker_->isSought(Query_))
--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -115,6 +115,13 @@
                     [this] { giveWay(); });
   Status Read = co_await Connection_.readBody(Body, replyDeadline());
   Result<std::string> Whole = isOk(Read) ? Body.finish() : errorOf(Read);
+  bool IsSuccess = Response.Status_ >= 200 && Response.Status_ < 300;
+  if (isOk(Whole) && IsSuccess) {
+    bool IsConfirmed = co_await confirmEnd(Chosen);
+    if (!IsConfirmed)
+      Whole = Error{ErrorCode::ConnectionClosed, LastTarget_,
+                    "ended with an answer without a length", ""};
+  }
   if (!isOk(Whole)) {
     bool IsTooLong = errorOf(Whole).Code_ == ErrorCode::TooLarge;
     LastReason_ = IsTooLong ? ReplyTooLong : "answer_cut";
@@ -227,6 +234,11 @@
   StreamEnding Ending = StreamEnding::Complete;
   if (Response.EventStream_)
     Ending = EndCheck.ending(Framing_ == BodyFraming::UntilClose);
+  if (Ending == StreamEnding::Complete) {
+    bool IsConfirmed = co_await confirmEnd(Chosen);
+    if (!IsConfirmed)
+      Ending = StreamEnding::Unconfirmed;
+  }
   recordStreamEnd(Ending);
   if (Ending != StreamEnding::Complete) {
     LastReason_ = "stream_incomplete";
@@ -407,6 +419,8 @@
        {"runs", Runs_},
        {"framing", enumName(Framing_, BodyFramingNames)},
        {"stream_end", streamEndName()},
+       {"end_sign", EndSign_ ? enumName(*EndSign_, LifeSignNames) : ""},
+       {"end_wait_ms", toMillis(EndWait_)},
        {"adapter_wait_ms", toMillis(AdapterWait_)},
        {"adapter_missing_sends", Wait_.missingSends()},
        {"adapter_expected_ms",
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -258,6 +258,7 @@
               {"runs", Runs_},
               {"framing", enumName(Framing_, BodyFramingNames)},
               {"stream_end", streamEndName()},
+              {"end_sign", EndSign_ ? enumName(*EndSign_, LifeSignNames) : ""},
               {"running", Chosen.Running_},
               {"cost", Chosen.Cost_}});
   bool MustExclude = End != SendOutcome::Done &&
@@ -372,6 +373,7 @@
   }
   Framing_ = Connection_.framing();
   StreamEnd_.reset();
+  EndSign_.reset();
   auto Response = platform::decodeTargetResponse(valueOf(Head));
   applyTargetHeaders(Chosen, Response, SentAt, Now);
   bool IsMissing = Response.Status_ == 421;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -62,6 +62,11 @@
   /// send up if the request may run elsewhere.
   void checkDelivery(TimePoint Now);
 
+  /// Whether the request has a quiet connection to the target that was opened
+  /// before that time and doesn't lead through another VM.
+  bool hasOpenConnection(const TargetAddress &Target,
+                         TimePoint OpenedBefore) const;
+
   /// Closes the connection to the target if the request may still wait there to
   /// start on a version of its adapter that is too old by now.
   void endIfOutdated(const VersionRequirements &Versions, TimePoint Now);
@@ -205,6 +210,9 @@
   SendConditions sendConditions(const TargetChoice &Chosen) const;
   void keepConnection(const TargetChoice &Chosen,
                       const platform::TargetResponse &Response);
+  /// Whether the end of the target's answer is the one that it meant: stated by
+  /// the framing, or confirmed by a sign of life after the connection ended.
+  boost::asio::awaitable<bool> confirmEnd(const TargetChoice &Chosen);
   /// Records that a target broke off, unless this VM or the caller ended the
   /// request.
   void recordFailure(const TargetChoice &Chosen, Duration Took, TimePoint Now);
@@ -313,6 +321,10 @@
   /// ended.
   BodyFraming Framing_ = BodyFraming::None;
   std::optional<StreamEnding> StreamEnd_;
+  /// What showed that the last target outlived an answer that ended with its
+  /// connection, and how long it took to find out.
+  std::optional<LifeSign> EndSign_;
+  Duration EndWait_{};
   TimePoint FirstByteAt_{};
   TimePoint LastChunkAt_{};
   Duration LongestGap_{};
--- a/Source/Entry/RequestServices.cpp
+++ b/Source/Entry/RequestServices.cpp
@@ -1,9 +1,17 @@
 #include "Entry/RequestServices.h"
 
 #include "Entry/RequestRun.h"
+#include "Http/Pause.h"
+
+#include <algorithm>
 
 namespace anvil {
 
+namespace asio = boost::asio;
+
+/// The time limit of a connection that shows whether a target lives.
+static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+
 RetryBudget &RequestServices::retryBudgetOf(const std::string &Service) {
   auto [Found, IsNew] = RetryBudgets_.try_emplace(Service, RetryOptions_);
   if (IsNew) {
@@ -30,4 +38,72 @@
     Run.interrupt();
 }
 
+LivenessChecks::Hooks RequestServices::livenessHooks() {
+  LivenessChecks::Hooks Hooks;
+  Hooks.HasOpenConnection_ = [this](const TargetAddress &Target,
+                                    TimePoint OpenedBefore) {
+    return hasOpenConnection(Target, OpenedBefore);
+  };
+  Hooks.Ask_ = [this](EndedConnection Ended) {
+    return isAnswering(std::move(Ended));
+  };
+  return Hooks;
+}
+
+bool RequestServices::hasOpenConnection(const TargetAddress &Target,
+                                        TimePoint OpenedBefore) {
+  return Pool_.hasOpenConnection(Target.Address_, OpenedBefore) ||
+         Engines_->hasOpenConnection(Target.Address_, OpenedBefore) ||
+         std::ranges::any_of(Running_, [&](const RequestRun &Run) {
+           return Run.hasOpenConnection(Target, OpenedBefore);
+         });
+}
+
+asio::awaitable<bool> RequestServices::isAnswering(EndedConnection Ended) {
+  if (!Ended.IsRelayed_) {
+    bool IsAnswering = co_await isAnsweringHere(Ended);
+    if (IsAnswering)
+      co_return true;
+  }
+  // This VM may have been cut off from the target just now.
+  co_return co_await isAnsweringElsewhere(std::move(Ended));
+}
+
+asio::awaitable<bool> RequestServices::isAnsweringHere(EndedConnection Ended) {
+  const TargetAddress &Target = Ended.Target_;
+  if (Ended.IsEngine_) {
+    platform::EngineAddress Engine{Target.Target_, Target.Address_};
+    auto Report = co_await Engines_->report(std::move(Engine));
+    IncarnationFinding Finding = findingOf(Report, Target.Incarnation_);
+    co_return Finding == IncarnationFinding::Same ||
+        Finding == IncarnationFinding::NotStated;
+  }
+  HttpConnection Connection(Pool_.limits().Budget_);
+  Metrics_->count("anvil_target_connections_total");
+  Status Opened = co_await Connection.open(Target.Address_, ConnectTimeout);
+  if (!isOk(Opened))
+    co_return false;
+  // What listens there may only pass connections on to the target.
+  co_await pauseFor(LivenessChecks::CloseTime);
+  bool IsOpen = Connection.isIdle();
+  Pool_.returnConnection(Target.Address_, std::move(Connection),
+                         BootClock::now());
+  co_return IsOpen;
+}
+
+asio::awaitable<bool>
+RequestServices::isAnsweringElsewhere(EndedConnection Ended) {
+  const TargetAddress &Target = Ended.Target_;
+  ReachService::TunnelUse Use{Ended.RequestId_, Ended.IsEngine_, false};
+  HttpConnection Connection(Pool_.limits().Budget_);
+  bool IsOpen = co_await Reach_->openTunnel(Connection, Target, Use);
+  if (!IsOpen)
+    co_return false;
+  bool IsSame =
+      !Ended.IsEngine_ || Connection.serverIncarnation() == Target.Incarnation_;
+  Reach_->returnTunnel(Target.Address_, std::move(Connection),
+                       ConnectionPool::MaxIdleTime);
+  co_return IsSame;
+}
+
 } // namespace anvil
--- a/Source/Entry/RequestServices.h
+++ b/Source/Entry/RequestServices.h
@@ -3,6 +3,7 @@
 
 #include "Entry/ColdTargets.h"
 #include "Entry/FleetState.h"
+#include "Entry/LivenessChecks.h"
 #include "Entry/ReachService.h"
 #include "Entry/StreamVersionService.h"
 #include "Entry/TargetPermits.h"
@@ -52,6 +53,8 @@
       Running_;
   /// Whether this VM has stopped serving requests.
   bool ServingEnded_ = false;
+  /// Whether targets outlive the ends of their connections.
+  LivenessChecks Liveness_{livenessHooks()};
 
   RetryBudget &retryBudgetOf(const std::string &Service);
   void setVms(double Count);
@@ -62,6 +65,14 @@
   /// Ends all requests, also later ones, with a final reply: nothing is sent
   /// to a target any more, and streams that have begun are cut.
   void endRequests();
+
+private:
+  LivenessChecks::Hooks livenessHooks();
+  bool hasOpenConnection(const TargetAddress &Target, TimePoint OpenedBefore);
+  /// Whether a target answers this VM, or another VM that reaches it.
+  boost::asio::awaitable<bool> isAnswering(EndedConnection Ended);
+  boost::asio::awaitable<bool> isAnsweringHere(EndedConnection Ended);
+  boost::asio::awaitable<bool> isAnsweringElsewhere(EndedConnection Ended);
 };
 
 } // namespace anvil
--- a/Source/Serving/StreamEnding.h
+++ b/Source/Serving/StreamEnding.h
@@ -17,6 +17,9 @@
   Empty,
   /// The transfer ended with an error.
   Error,
+  /// The end was that of the connection, and nothing showed that the target's
+  /// process outlived it.
+  Unconfirmed,
 };
 
 inline constexpr std::pair<StreamEnding, std::string_view> StreamEndingNames[] =
@@ -25,6 +28,7 @@
         {StreamEnding::InsideEvent, "inside_event"},
         {StreamEnding::Empty, "empty"},
         {StreamEnding::Error, "error"},
+        {StreamEnding::Unconfirmed, "unconfirmed"},
 };
 
 /// Follows one target's stream of server-sent events to tell whether its end is
--- a/Tests/Integration/CutVmTest.cpp
+++ b/Tests/Integration/CutVmTest.cpp
@@ -129,6 +129,27 @@
     CallerReply Reply = System.call("/stream/x", "s2");
     CHECK_FALSE(Reply.Complete_);
   }
+  SECTION("an answer without a length whose target is killed behind the other "
+          "VM isn't complete") {
+    Process Killed(ANVIL_STANDIN,
+                   {"--kind", "unframed-target", "--id", "plain-9"},
+                   System.Place_.directory(), "plain-9");
+    System.Other_->setTarget(Killed.port());
+    // An earlier connection through the other VM leads to the earlier target.
+    std::this_thread::sleep_for(Millis(2500));
+    CallerConnection Stream(System.Place_.port("caller"),
+                            System.Place_.address());
+    Stream.send(System.request("/stream/x", "k1"));
+    CallerConnection Plain(System.Place_.port("caller"),
+                           System.Place_.address());
+    Plain.send(System.request("/once/x", "k2"));
+    REQUIRE(Stream.readUntil("id: 5", StepTimeout));
+    Killed.kill();
+    CallerReply Reply = Stream.finish(StepTimeout);
+    CHECK(Reply.Status_ == 200);
+    CHECK_FALSE(Reply.Complete_);
+    CHECK(Plain.finish(StepTimeout).Status_ == 502);
+  }
   SECTION("a request that may have run isn't refused as not run") {
     ScriptedReply Silent = whole("answer");
     Silent.SentBytes_ = 5;
