A silent target's system vouches for its life, not only its report

An engine that falls silent right after an answer without a length didn't report within 300 ms, and a whole answer was broken off; the users' page calls such an engine sound. Without a report the target is connected to, as plain targets are: the system of a process that has ended refuses. Whether a target reports goes by its service, not by the request's model, which a caller may name on any route.

--- a/Source/Entry/RequestReach.cpp
+++ b/Source/Entry/RequestReach.cpp
@@ -57,7 +57,8 @@
   if (Framing_ != BodyFraming::UntilClose)
     co_return true;
   TimePoint EndedAt = BootClock::now();
-  EndedConnection Ended{addressOf(Chosen), !Query_.Model_.empty(),
+  const ServicePlan *Service = Request_.Plan_->findService(Query_.Service_);
+  EndedConnection Ended{addressOf(Chosen), Service && Service->Engine_,
                         !Through_.empty(), Request_.Fields_.RequestId_};
   LifeSign Sign = co_await Shared_.Liveness_.findSign(std::move(Ended));
   EndSign_ = Sign;
--- a/Source/Entry/RequestServices.cpp
+++ b/Source/Entry/RequestServices.cpp
@@ -75,9 +75,10 @@
     platform::EngineAddress Engine{Target.Target_, Target.Address_};
     auto Report = co_await Engines_->report(std::move(Engine));
     IncarnationFinding Finding = findingOf(Report, Target.Incarnation_);
-    co_return Finding == IncarnationFinding::Same ||
-        Finding == IncarnationFinding::NotStated;
+    if (Finding != IncarnationFinding::NoReport)
+      co_return Finding != IncarnationFinding::Other;
   }
+  // A sound target may be silent for a while; its system still connects.
   HttpConnection Connection(Pool_.limits().Budget_);
   Metrics_->count("anvil_target_connections_total");
   Status Opened = co_await Connection.open(Target.Address_, ConnectTimeout);
--- a/Tests/Integration/TargetEndTest.cpp
+++ b/Tests/Integration/TargetEndTest.cpp
@@ -133,3 +133,14 @@
   OpenRequests Answers(System, "/once/x", 1);
   CHECK(Answers.finish().front().Status_ == 502);
 }
+
+// Guards against sound answers that are broken off since their target pauses.
+TEST_CASE("an answer whose target falls silent right after it is complete",
+          "[target-end]") {
+  EntryFleet System;
+  useUnframedTargets(System, {"--parts", "5", "--stops-after-answer"});
+  OpenRequests Streams(System, "/stream/x", 1);
+  CHECK(Streams.finish().front().Complete_);
+  OpenRequests Answers(System, "/once/x", 1);
+  CHECK(Answers.finish().front().Status_ == 200);
+}
--- a/Tests/Standins/UnframedTarget.cpp
+++ b/Tests/Standins/UnframedTarget.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <istream>
 
@@ -111,6 +112,9 @@
     }
     if (Answers_.EndsAfterAnswer_)
       std::_Exit(0);
+    Caller.close(Cause);
+    if (Answers_.StopsAfterAnswer_)
+      std::raise(SIGSTOP);
     co_return;
   }
 }
--- a/Tests/Standins/UnframedTarget.h
+++ b/Tests/Standins/UnframedTarget.h
@@ -24,6 +24,8 @@
   /// Whether the process ends right after an answer, as a target that leaves
   /// after its last one.
   bool EndsAfterAnswer_ = false;
+  /// Whether the process stops itself right after an answer (SIGSTOP).
+  bool StopsAfterAnswer_ = false;
 };
 
 /// A target whose answers have neither a length nor chunks: they end with the
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -65,6 +65,8 @@
       "the time after each of these");
   Add("ends-after-answer", options::bool_switch(&Unframed.EndsAfterAnswer_),
       "whether an unframed target exits after its first answer");
+  Add("stops-after-answer", options::bool_switch(&Unframed.StopsAfterAnswer_),
+      "whether an unframed target stops itself after each answer");
   std::uint16_t Port = 0;
   Add("port", options::value(&Port), "the port of a registered target");
   Add("records", options::value<std::string>(),
