Count a response's end with its connection only if the target lives on

Callers in standalone mode got half of a plain service's body as a complete 200 when the service's process was killed in the middle of a response without a length and without chunks. A request that may not be repeated had that half recorded as its answer, and each resend got it again.

TargetDispatcher::collect took it for complete.

Such an end now counts only if the process outlives it. If the process is gone the attempt failed as at a crash.

With a check that only connects, the two ends of a process can't be told apart; the second (port closed after a connection is open) is one of the cases.

Engines' completions didn't have the fault: a stream needs its last event and another completion has to be whole JSON.

--- a/Source/Gateway/TargetDispatcher.cpp
+++ b/Source/Gateway/TargetDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Gateway/Forwarding.h"
 #include "Gateway/OpenAiCodec.h"
 #include "Gateway/SseParser.h"
+#include "Http/LivenessProbe.h"
 
 #include <algorithm>
 
@@ -100,7 +101,7 @@
   if (IsStream)
     co_await relayStream(Admitted, Held, Connection, Exchange, Attempt);
   else
-    co_await collect(Admitted, Connection, Attempt);
+    co_await collect(Admitted, Held, Connection, Attempt);
   co_return Attempt;
 }
 
@@ -223,6 +224,7 @@
 }
 
 asio::awaitable<void> TargetDispatcher::collect(const AdmittedRequest &Admitted,
+                                                const Permit &Held,
                                                 HttpConnection &Connection,
                                                 AttemptOutcome &Attempt) {
   ReceivedBody Body(Limits_, [&Connection] { Connection.close(); });
@@ -265,6 +267,19 @@
     Attempt.End_ = PermitOutcome::Finished;
     co_return;
   }
+  // A completion that was decoded is whole. The end of another body may be that
+  // of the target's process.
+  bool IsDecoded = !Request.Adapter_.empty() && Attempt.Reply_.Status_ == 200;
+  if (!IsDecoded && Connection.framing() == BodyFraming::UntilClose) {
+    Duration Left = std::max(Request.Deadline_ - BootClock::now(), Duration(1));
+    Status Alive =
+        co_await checkAlive(Held.Address_, std::min(Left, ConnectTimeout_));
+    if (!isOk(Alive))
+      co_return fail(Attempt, {errorOf(Alive).Code_, Held.Target_,
+                               "ended a response without a length: " +
+                                   errorOf(Alive).Message_,
+                               ""});
+  }
   Attempt.Result_ = AttemptResult::Replied;
   Attempt.End_ = PermitOutcome::Finished;
   Attempt.Executed_ = Execution::Yes;
--- a/Source/Gateway/TargetDispatcher.h
+++ b/Source/Gateway/TargetDispatcher.h
@@ -87,6 +87,7 @@
                                            HttpExchange &Exchange,
                                            AttemptOutcome &Attempt);
   boost::asio::awaitable<void> collect(const AdmittedRequest &Admitted,
+                                       const Permit &Held,
                                        HttpConnection &Connection,
                                        AttemptOutcome &Attempt);
 
