Count a reply without a stated end as broken in the load tool

The load tool counted a reply that isn't a stream as served, with the tokens named in what had arrived, if it had neither a length nor chunks and its connection ended in order, as at the end of a VM's process. A VM states the end of each of its replies, so such a reply isn't one of a VM's, or not a whole one; streams are judged by their last event as before.

--- a/Source/LoadTool/LoadRunner.cpp
+++ b/Source/LoadTool/LoadRunner.cpp
@@ -187,7 +187,9 @@
       Record.FirstToken_ = elapsed() - Record.Arrived_;
     Body += valueOf(Part);
   }
-  bool IsCut = IsStream && !Body.ends_with(LastEvent);
+  // A VM states the end of every other reply.
+  bool IsCut = IsStream ? !Body.ends_with(LastEvent)
+                        : Connection.framing() == BodyFraming::UntilClose;
   if (Record.Status_ != 200 || IsCut)
     Record.Cause_ = refusalCode(Body);
   else
