--- a/Tests/Serving/PlatformCodecTest.cpp
+++ b/Tests/Serving/PlatformCodecTest.cpp
@@ -154,6 +154,7 @@
     CHECK(decodeOrderResult(200, "{}") == OrderResult::AlreadyHolds);
     CHECK(decodeOrderResult(200, R"({"Seq":5,"Models":[]})") ==
           OrderResult::Unknown);
+    CHECK(decodeOrderResult(200, R"({"Seq":5,"Mod)") == OrderResult::Unknown);
   }
 }
 
