Wait for as long as the system needs to close a process's connections

The wait follows the service's MaxConnections now, for other connections, for new ones and for those through another VM, which weren't waited for at all.

--- a/Source/Entry/LivenessChecks.cpp
+++ b/Source/Entry/LivenessChecks.cpp
@@ -3,15 +3,30 @@
 #include "Http/Pause.h"
 #include "Http/WaitList.h"
 
-#include <optional>
+#include <algorithm>
 
 namespace anvil {
 
 namespace asio = boost::asio;
 
+/// The bounds of `connectionCloseTime`, and what each connection adds to the
+/// lower one.
+static constexpr Duration MinCloseTime = std::chrono::milliseconds(1);
+static constexpr Duration MaxCloseTime = std::chrono::milliseconds(20);
+static constexpr Duration ConnectionCloseTime = std::chrono::microseconds(10);
+
+/// The connections of a target whose service doesn't state how many it accepts.
+static constexpr int AssumedConnections = 400;
+
 /// How often a wait for an answer looks at it; the question ends by itself.
 static constexpr Duration WaitPeriod = std::chrono::seconds(1);
 
+Duration connectionCloseTime(std::optional<int> MaxConnections) {
+  return std::min(MinCloseTime + ConnectionCloseTime * MaxConnections.value_or(
+                                                           AssumedConnections),
+                  MaxCloseTime);
+}
+
 struct LivenessChecks::Question {
   TimePoint AskedAt_{};
   std::optional<bool> IsAlive_;
@@ -24,7 +39,7 @@
   bool HasWitness =
       !Ended.IsRelayed_ && Hooks_.HasOpenConnection_(Ended.Target_, EndedAt);
   if (HasWitness) {
-    co_await pauseFor(CloseTime);
+    co_await pauseFor(Ended.CloseTime_);
     if (Hooks_.HasOpenConnection_(Ended.Target_, EndedAt))
       co_return LifeSign::OpenConnection;
   }
--- a/Source/Entry/LivenessChecks.h
+++ b/Source/Entry/LivenessChecks.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -21,7 +22,7 @@
 /// connections.
 enum class LifeSign {
   /// Another connection to it, opened before, is still open a moment later. A
-  /// process that ends closes all its connections at once.
+  /// process that ends closes all its connections one right after the other.
   OpenConnection,
   /// It has answered a question asked afterwards.
   Answer,
@@ -43,8 +44,14 @@
   /// Whether the connection led through another VM.
   bool IsRelayed_ = false;
   std::string RequestId_;
+  /// See `connectionCloseTime`.
+  Duration CloseTime_{};
 };
 
+/// The time in which the system of a process that has ended closes all its
+/// connections and ports, if it has at most so many connections.
+Duration connectionCloseTime(std::optional<int> MaxConnections);
+
 /// Finds out whether the process of a target has outlived the orderly end of
 /// one of its connections. The system ends all connections of a process in that
 /// way, also if it was killed, so only a process that lives on can have meant
@@ -61,10 +68,6 @@
     std::function<boost::asio::awaitable<bool>(EndedConnection)> Ask_;
   };
 
-  /// The time after which all connections of a process that has ended are
-  /// closed.
-  static constexpr Duration CloseTime = std::chrono::milliseconds(3);
-
   explicit LivenessChecks(Hooks Calls) : Hooks_(std::move(Calls)) {}
 
   /// Looks for a sign of life since the connection ended, which is now. Ends of
--- a/Source/Entry/RequestReach.cpp
+++ b/Source/Entry/RequestReach.cpp
@@ -58,8 +58,10 @@
     co_return true;
   TimePoint EndedAt = BootClock::now();
   const ServicePlan *Service = Request_.Plan_->findService(Query_.Service_);
-  EndedConnection Ended{addressOf(Chosen), Service && Service->Engine_,
-                        !Through_.empty(), Request_.Fields_.RequestId_};
+  EndedConnection Ended{
+      addressOf(Chosen), Service && Service->Engine_, !Through_.empty(),
+      Request_.Fields_.RequestId_,
+      connectionCloseTime(Service ? Service->MaxConnections_ : std::nullopt)};
   LifeSign Sign = co_await Shared_.Liveness_.findSign(std::move(Ended));
   EndSign_ = Sign;
   EndWait_ = BootClock::now() - EndedAt;
--- a/Source/Entry/RequestServices.cpp
+++ b/Source/Entry/RequestServices.cpp
@@ -12,6 +12,9 @@
 /// The time limit of a connection that shows whether a target lives.
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 
+/// How much later a connection through another VM shows its end.
+static constexpr Duration TunnelDelay = std::chrono::milliseconds(10);
+
 RetryBudget &RequestServices::retryBudgetOf(const std::string &Service) {
   auto [Found, IsNew] = RetryBudgets_.try_emplace(Service, RetryOptions_);
   if (IsNew) {
@@ -84,8 +87,8 @@
   Status Opened = co_await Connection.open(Target.Address_, ConnectTimeout);
   if (!isOk(Opened))
     co_return false;
-  // What listens there may only pass connections on to the target.
-  co_await pauseFor(LivenessChecks::CloseTime);
+  // The system closes a process's connections before its port.
+  co_await pauseFor(Ended.CloseTime_);
   bool IsOpen = Connection.isIdle();
   Pool_.returnConnection(Target.Address_, std::move(Connection),
                          BootClock::now());
@@ -100,11 +103,13 @@
   bool IsOpen = co_await Reach_->openTunnel(Connection, Target, Use);
   if (!IsOpen)
     co_return false;
+  co_await pauseFor(Ended.CloseTime_ + TunnelDelay);
   bool IsSame =
       !Ended.IsEngine_ || Connection.serverIncarnation() == Target.Incarnation_;
+  bool IsKept = IsSame && Connection.isIdle();
   Reach_->returnTunnel(Target.Address_, std::move(Connection),
                        ConnectionPool::MaxIdleTime);
-  co_return IsSame;
+  co_return IsKept;
 }
 
 } // namespace anvil
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -96,6 +96,9 @@
 /// A set of targets that routes refer to by name.
 struct ServicePlan {
   std::string Name_;
+  /// How many connections each target accepts from all callers; nothing if
+  /// that isn't stated.
+  std::optional<int> MaxConnections_;
   /// Set for services of model engines.
   std::optional<EnginePlan> Engine_;
   /// Set for services whose targets are cold after a start.
--- a/Tests/Serving/LivenessChecksTest.cpp
+++ b/Tests/Serving/LivenessChecksTest.cpp
@@ -13,6 +13,8 @@
 
 namespace asio = boost::asio;
 
+static constexpr Duration CloseTime = std::chrono::milliseconds(3);
+
 /// A target whose process may end at any time.
 class PlayedTarget {
 public:
@@ -21,7 +23,8 @@
   /// Begins to look for a sign of life, as after the end of a connection.
   void look(std::optional<LifeSign> &Found, bool IsRelayed = false,
             std::int64_t Incarnation = 1) {
-    EndedConnection Ended{{"engine-1", Incarnation, {}}, true, IsRelayed, "r"};
+    EndedConnection Ended{
+        {"engine-1", Incarnation, {}}, true, IsRelayed, "r", CloseTime};
     spawn(Loop_.get_executor(), store(Found, std::move(Ended)));
   }
 
@@ -97,8 +100,7 @@
   SECTION("a connection that closes a moment later is none") {
     Target.HasConnection_ = true;
     Target.IsAlive_ = false;
-    Target.LosesConnectionAt_ =
-        BootClock::now() + LivenessChecks::CloseTime / 2;
+    Target.LosesConnectionAt_ = BootClock::now() + CloseTime / 2;
     Target.look(First);
     Target.run();
     CHECK(First == LifeSign::None);
