Only an answer from after the end vouches for an end, not an open connection

Each end is asked about now: engines for their report, others for their health check; any status but 421 is an answer. An answer of another incarnation counts if that started before the request was sent. Targets that are silent or have no such page are connected to as before. A tunnel that shows another incarnation, or that a direct target doesn't need, isn't kept.

--- a/Source/Entry/LivenessChecks.cpp
+++ b/Source/Entry/LivenessChecks.cpp
@@ -1,9 +1,9 @@
 #include "Entry/LivenessChecks.h"
 
-#include "Http/Pause.h"
 #include "Http/WaitList.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace anvil {
 
@@ -29,26 +29,19 @@
 
 struct LivenessChecks::Question {
   TimePoint AskedAt_{};
-  std::optional<bool> IsAlive_;
+  std::optional<TargetLife> Life_;
   WaitList Answered_;
 };
 
 asio::awaitable<LifeSign> LivenessChecks::findSign(EndedConnection Ended) {
-  TimePoint EndedAt = BootClock::now();
-  // Connections through other VMs show the end of those VMs as well.
-  bool HasWitness =
-      !Ended.IsRelayed_ && Hooks_.HasOpenConnection_(Ended.Target_, EndedAt);
-  if (HasWitness) {
-    co_await pauseFor(Ended.CloseTime_);
-    if (Hooks_.HasOpenConnection_(Ended.Target_, EndedAt))
-      co_return LifeSign::OpenConnection;
-  }
-  bool IsAlive = co_await ask(std::move(Ended), EndedAt);
-  co_return IsAlive ? LifeSign::Answer : LifeSign::None;
+  TimePoint SentAt = Ended.SentAt_;
+  TargetLife Life = co_await ask(std::move(Ended));
+  bool IsNewer = Life.StartedAt_ && *Life.StartedAt_ > SentAt;
+  co_return IsNewer ? LifeSign::None : Life.Sign_;
 }
 
-asio::awaitable<bool> LivenessChecks::ask(EndedConnection Ended,
-                                          TimePoint EndedAt) {
+asio::awaitable<TargetLife> LivenessChecks::ask(EndedConnection Ended) {
+  TimePoint EndedAt = BootClock::now();
   std::tuple Key{Ended.Target_.Target_, Ended.Target_.Incarnation_,
                  Ended.IsRelayed_};
   while (true) {
@@ -56,21 +49,22 @@
     if (Found == Open_.end())
       break;
     std::shared_ptr<Question> Earlier = Found->second;
-    while (!Earlier->IsAlive_)
+    while (!Earlier->Life_)
       co_await Earlier->Answered_.waitUntil(BootClock::now() + WaitPeriod);
     // What was alive before the end may have died at it.
-    bool IsValid = !*Earlier->IsAlive_ || Earlier->AskedAt_ >= EndedAt;
+    bool IsValid =
+        Earlier->Life_->Sign_ == LifeSign::None || Earlier->AskedAt_ >= EndedAt;
     if (IsValid)
-      co_return *Earlier->IsAlive_;
+      co_return *Earlier->Life_;
   }
   auto Own = std::make_shared<Question>();
   Own->AskedAt_ = BootClock::now();
   Open_[Key] = Own;
-  bool IsAlive = co_await Hooks_.Ask_(std::move(Ended));
-  Own->IsAlive_ = IsAlive;
+  TargetLife Life = co_await Ask_(std::move(Ended));
+  Own->Life_ = Life;
   Open_.erase(Key);
   Own->Answered_.notify();
-  co_return IsAlive;
+  co_return Life;
 }
 
 } // namespace anvil
--- a/Source/Entry/LivenessChecks.h
+++ b/Source/Entry/LivenessChecks.h
@@ -21,29 +21,41 @@
 /// What shows that a target's process has outlived the end of one of its
 /// connections.
 enum class LifeSign {
-  /// Another connection to it, opened before, is still open a moment later. A
-  /// process that ends closes all its connections one right after the other.
-  OpenConnection,
   /// It has answered a question asked afterwards.
   Answer,
-  /// Nothing: it has ended, or doesn't answer.
+  /// It is silent, but its system still accepts connections for it.
+  OpenPort,
+  /// Nothing: it has ended, or can't be reached.
   None,
 };
 
 inline constexpr std::pair<LifeSign, std::string_view> LifeSignNames[] = {
-    {LifeSign::OpenConnection, "open_connection"},
     {LifeSign::Answer, "answer"},
+    {LifeSign::OpenPort, "open_port"},
     {LifeSign::None, "none"},
 };
 
+/// What a question shows.
+struct TargetLife {
+  LifeSign Sign_ = LifeSign::None;
+  /// When the process that answered started, if it isn't the listed one.
+  std::optional<TimePoint> StartedAt_;
+};
+
 /// The target whose connection has ended.
 struct EndedConnection {
   TargetAddress Target_;
+  /// What is asked: the report of an engine, the path of the health check of
+  /// another target, or nothing if it can only be connected to.
+  std::string QuestionPath_;
   /// Whether the target is a model engine, which reports its incarnation.
   bool IsEngine_ = false;
   /// Whether the connection led through another VM.
   bool IsRelayed_ = false;
   std::string RequestId_;
+  /// When the request was sent. A process that has started since isn't the one
+  /// that answered.
+  TimePoint SentAt_{};
   /// See `connectionCloseTime`.
   Duration CloseTime_{};
 };
@@ -58,17 +70,11 @@
 /// the end.
 class LivenessChecks {
 public:
-  struct Hooks {
-    /// Whether a connection to the target that was opened before the time is
-    /// open and quiet.
-    std::function<bool(const TargetAddress &, TimePoint OpenedBefore)>
-        HasOpenConnection_;
-    /// Asks the target, within a bounded time. False if it doesn't answer in
-    /// the same incarnation.
-    std::function<boost::asio::awaitable<bool>(EndedConnection)> Ask_;
-  };
-
-  explicit LivenessChecks(Hooks Calls) : Hooks_(std::move(Calls)) {}
+  /// Asks the target, within a bounded time.
+  using AskHook =
+      std::function<boost::asio::awaitable<TargetLife>(EndedConnection)>;
+
+  explicit LivenessChecks(AskHook Ask) : Ask_(std::move(Ask)) {}
 
   /// Looks for a sign of life since the connection ended, which is now. Ends of
   /// the same target share a question whose answer serves all of them.
@@ -77,9 +83,9 @@
 private:
   struct Question;
 
-  boost::asio::awaitable<bool> ask(EndedConnection Ended, TimePoint EndedAt);
+  boost::asio::awaitable<TargetLife> ask(EndedConnection Ended);
 
-  Hooks Hooks_;
+  AskHook Ask_;
   /// The questions without an answer, by target, incarnation and whether they
   /// go through another VM.
   std::map<std::tuple<std::string, std::int64_t, bool>,
--- a/Source/Entry/RequestReach.cpp
+++ b/Source/Entry/RequestReach.cpp
@@ -46,22 +46,28 @@
   Connection_.close();
 }
 
-bool RequestRun::hasOpenConnection(const TargetAddress &Target,
-                                   TimePoint OpenedBefore) const {
-  return SentTo_ && SentTo_->Target_ == Target.Target_ &&
-         SentTo_->Incarnation_ == Target.Incarnation_ && !Connection_.route() &&
-         Connection_.isQuietSince(OpenedBefore);
+EndedConnection RequestRun::endedConnection(const TargetChoice &Chosen) const {
+  EndedConnection Ended;
+  Ended.Target_ = addressOf(Chosen);
+  Ended.IsRelayed_ = !Through_.empty();
+  Ended.RequestId_ = Request_.Fields_.RequestId_;
+  Ended.SentAt_ = SentAt_;
+  std::optional<int> MaxConnections;
+  if (const ServicePlan *Plan = Request_.Plan_->findService(Query_.Service_)) {
+    Ended.IsEngine_ = Plan->Engine_.has_value();
+    Ended.QuestionPath_ =
+        Ended.IsEngine_ ? std::string(platform::ReportPath) : Plan->HealthPath_;
+    MaxConnections = Plan->MaxConnections_;
+  }
+  Ended.CloseTime_ = connectionCloseTime(MaxConnections);
+  return Ended;
 }
 
 asio::awaitable<bool> RequestRun::confirmEnd(const TargetChoice &Chosen) {
   if (Framing_ != BodyFraming::UntilClose)
     co_return true;
   TimePoint EndedAt = BootClock::now();
-  const ServicePlan *Service = Request_.Plan_->findService(Query_.Service_);
-  EndedConnection Ended{
-      addressOf(Chosen), Service && Service->Engine_, !Through_.empty(),
-      Request_.Fields_.RequestId_,
-      connectionCloseTime(Service ? Service->MaxConnections_ : std::nullopt)};
+  EndedConnection Ended = endedConnection(Chosen);
   LifeSign Sign = co_await Shared_.Liveness_.findSign(std::move(Ended));
   EndSign_ = Sign;
   EndWait_ = BootClock::now() - EndedAt;
--- a/Source/Entry/RequestRun.h
+++ b/Source/Entry/RequestRun.h
@@ -62,11 +62,6 @@
   /// send up if the request may run elsewhere.
   void checkDelivery(TimePoint Now);
 
-  /// Whether the request has a quiet connection to the target that was opened
-  /// before that time and doesn't lead through another VM.
-  bool hasOpenConnection(const TargetAddress &Target,
-                         TimePoint OpenedBefore) const;
-
   /// Closes the connection to the target if the request may still wait there to
   /// start on a version of its adapter that is too old by now.
   void endIfOutdated(const VersionRequirements &Versions, TimePoint Now);
@@ -210,6 +205,8 @@
   SendConditions sendConditions(const TargetChoice &Chosen) const;
   void keepConnection(const TargetChoice &Chosen,
                       const platform::TargetResponse &Response);
+  /// What is known of the connection to the target, which has ended.
+  EndedConnection endedConnection(const TargetChoice &Chosen) const;
   /// Whether the end of the target's answer is the one that it meant: stated by
   /// the framing, or confirmed by a sign of life after the connection ended.
   boost::asio::awaitable<bool> confirmEnd(const TargetChoice &Chosen);
--- a/Source/Entry/RequestServices.cpp
+++ b/Source/Entry/RequestServices.cpp
@@ -3,7 +3,8 @@
 #include "Entry/RequestRun.h"
 #include "Http/Pause.h"
 
-#include <algorithm>
+#include <chrono>
+#include <optional>
 
 namespace anvil {
 
@@ -41,75 +42,82 @@
     Run.interrupt();
 }
 
-LivenessChecks::Hooks RequestServices::livenessHooks() {
-  LivenessChecks::Hooks Hooks;
-  Hooks.HasOpenConnection_ = [this](const TargetAddress &Target,
-                                    TimePoint OpenedBefore) {
-    return hasOpenConnection(Target, OpenedBefore);
-  };
-  Hooks.Ask_ = [this](EndedConnection Ended) {
-    return isAnswering(std::move(Ended));
-  };
-  return Hooks;
-}
-
-bool RequestServices::hasOpenConnection(const TargetAddress &Target,
-                                        TimePoint OpenedBefore) {
-  return Pool_.hasOpenConnection(Target.Address_, OpenedBefore) ||
-         Engines_->hasOpenConnection(Target.Address_, OpenedBefore) ||
-         std::ranges::any_of(Running_, [&](const RequestRun &Run) {
-           return Run.hasOpenConnection(Target, OpenedBefore);
-         });
-}
-
-asio::awaitable<bool> RequestServices::isAnswering(EndedConnection Ended) {
+asio::awaitable<TargetLife> RequestServices::askTarget(EndedConnection Ended) {
   if (!Ended.IsRelayed_) {
-    bool IsAnswering = co_await isAnsweringHere(Ended);
-    if (IsAnswering)
-      co_return true;
+    std::optional<TargetLife> Life = co_await askDirectly(Ended);
+    if (Life)
+      co_return *Life;
   }
-  // This VM may have been cut off from the target just now.
-  co_return co_await isAnsweringElsewhere(std::move(Ended));
+  co_return co_await askThroughOther(std::move(Ended));
+}
+
+/// When a process started that states this as its incarnation, by this VM's
+/// clocks.
+static TimePoint startTimeOf(std::int64_t Incarnation) {
+  std::chrono::milliseconds Since(Incarnation);
+  auto Age = std::chrono::system_clock::now().time_since_epoch() - Since;
+  return BootClock::now() - std::chrono::duration_cast<Duration>(Age);
 }
 
-asio::awaitable<bool> RequestServices::isAnsweringHere(EndedConnection Ended) {
+asio::awaitable<std::optional<TargetLife>>
+RequestServices::askDirectly(const EndedConnection &Ended) {
   const TargetAddress &Target = Ended.Target_;
-  if (Ended.IsEngine_) {
-    platform::EngineAddress Engine{Target.Target_, Target.Address_};
-    auto Report = co_await Engines_->report(std::move(Engine));
-    IncarnationFinding Finding = findingOf(Report, Target.Incarnation_);
-    if (Finding != IncarnationFinding::NoReport)
-      co_return Finding != IncarnationFinding::Other;
+  // A connection that was idle may have ended meanwhile.
+  constexpr int MaxQuestions = 2;
+  bool MayAsk = !Ended.QuestionPath_.empty();
+  for (int Asked = 0; MayAsk && Asked < MaxQuestions; ++Asked) {
+    platform::EngineAddress Process{Target.Target_, Target.Address_};
+    auto Answer =
+        co_await Engines_->ask(std::move(Process), Ended.QuestionPath_);
+    if (isOk(Answer)) {
+      const auto &[Code, Incarnation] = valueOf(Answer);
+      constexpr int OtherTarget = 421;
+      TargetLife Life{Code == OtherTarget ? LifeSign::None : LifeSign::Answer,
+                      std::nullopt};
+      if (Incarnation && *Incarnation != Target.Incarnation_)
+        Life.StartedAt_ = startTimeOf(*Incarnation);
+      co_return Life;
+    }
+    MayAsk = errorOf(Answer).Code_ == ErrorCode::ConnectionClosed;
   }
-  // A sound target may be silent for a while; its system still connects.
   HttpConnection Connection(Pool_.limits().Budget_);
   Metrics_->count("anvil_target_connections_total");
   Status Opened = co_await Connection.open(Target.Address_, ConnectTimeout);
   if (!isOk(Opened))
-    co_return false;
+    co_return std::nullopt;
   // The system closes a process's connections before its port.
   co_await pauseFor(Ended.CloseTime_);
   bool IsOpen = Connection.isIdle();
   Pool_.returnConnection(Target.Address_, std::move(Connection),
                          BootClock::now());
-  co_return IsOpen;
+  co_return TargetLife{IsOpen ? LifeSign::OpenPort : LifeSign::None,
+                       std::nullopt};
 }
 
-asio::awaitable<bool>
-RequestServices::isAnsweringElsewhere(EndedConnection Ended) {
+asio::awaitable<TargetLife>
+RequestServices::askThroughOther(EndedConnection Ended) {
   const TargetAddress &Target = Ended.Target_;
   ReachService::TunnelUse Use{Ended.RequestId_, Ended.IsEngine_, false};
   HttpConnection Connection(Pool_.limits().Budget_);
+  TargetLife Life;
   bool IsOpen = co_await Reach_->openTunnel(Connection, Target, Use);
   if (!IsOpen)
-    co_return false;
+    co_return Life;
   co_await pauseFor(Ended.CloseTime_ + TunnelDelay);
-  bool IsSame =
-      !Ended.IsEngine_ || Connection.serverIncarnation() == Target.Incarnation_;
-  bool IsKept = IsSame && Connection.isIdle();
-  Reach_->returnTunnel(Target.Address_, std::move(Connection),
-                       ConnectionPool::MaxIdleTime);
-  co_return IsKept;
+  bool IsSame = Connection.serverIncarnation() == Target.Incarnation_;
+  if (!Connection.isIdle())
+    co_return Life;
+  if (Ended.IsEngine_)
+    Life.Sign_ = IsSame ? LifeSign::Answer : LifeSign::None;
+  else
+    Life.Sign_ = LifeSign::OpenPort;
+  bool IsKept = Life.Sign_ != LifeSign::None &&
+                Reach_->stateOf(Target.Target_, Target.Incarnation_) !=
+                    ReachState::Direct;
+  if (IsKept)
+    Reach_->returnTunnel(Target.Address_, std::move(Connection),
+                         ConnectionPool::MaxIdleTime);
+  co_return Life;
 }
 
 } // namespace anvil
--- a/Source/Entry/RequestServices.h
+++ b/Source/Entry/RequestServices.h
@@ -54,7 +54,8 @@
   /// Whether this VM has stopped serving requests.
   bool ServingEnded_ = false;
   /// Whether targets outlive the ends of their connections.
-  LivenessChecks Liveness_{livenessHooks()};
+  LivenessChecks Liveness_{
+      [this](EndedConnection Ended) { return askTarget(std::move(Ended)); }};
 
   RetryBudget &retryBudgetOf(const std::string &Service);
   void setVms(double Count);
@@ -67,12 +68,13 @@
   void endRequests();
 
 private:
-  LivenessChecks::Hooks livenessHooks();
-  bool hasOpenConnection(const TargetAddress &Target, TimePoint OpenedBefore);
-  /// Whether a target answers this VM, or another VM that reaches it.
-  boost::asio::awaitable<bool> isAnswering(EndedConnection Ended);
-  boost::asio::awaitable<bool> isAnsweringHere(EndedConnection Ended);
-  boost::asio::awaitable<bool> isAnsweringElsewhere(EndedConnection Ended);
+  /// Asks a target whether it lives, here and if it can't be reached through
+  /// another VM that reaches it.
+  boost::asio::awaitable<TargetLife> askTarget(EndedConnection Ended);
+  /// Nothing if the target can't be reached.
+  boost::asio::awaitable<std::optional<TargetLife>>
+  askDirectly(const EndedConnection &Ended);
+  boost::asio::awaitable<TargetLife> askThroughOther(EndedConnection Ended);
 };
 
 } // namespace anvil
--- a/Source/Http/ConnectionPool.cpp
+++ b/Source/Http/ConnectionPool.cpp
@@ -50,15 +50,6 @@
   Servers_.erase(Found);
 }
 
-bool ConnectionPool::hasOpenConnection(const Endpoint &Server,
-                                       TimePoint OpenedBefore) const {
-  auto Found = Servers_.find(Server.text());
-  return Found != Servers_.end() &&
-         std::ranges::any_of(Found->second, [&](const Idle &Item) {
-           return Item.Connection_.isQuietSince(OpenedBefore);
-         });
-}
-
 HttpConnection ConnectionPool::acquire(const Endpoint &Server, TimePoint Now,
                                        const Filter &IsSuitable) {
   prune(Now);
--- a/Source/Http/ConnectionPool.h
+++ b/Source/Http/ConnectionPool.h
@@ -48,10 +48,6 @@
   void returnConnection(const Endpoint &Server, HttpConnection Used,
                         TimePoint Now, Duration Keep = MaxIdleTime);
 
-  /// Whether an idle connection to the server that was opened before that time
-  /// is still open.
-  bool hasOpenConnection(const Endpoint &Server, TimePoint OpenedBefore) const;
-
   /// The maximum time that an idle connection is kept.
   static constexpr Duration MaxIdleTime = std::chrono::seconds(10);
 
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -71,7 +71,6 @@
   BufferShare Share_;
   std::optional<http::response_parser<http::buffer_body>> Parser_;
   std::string Server_;
-  TimePoint OpenedAt_{};
   CarriedRequests Carried_;
   std::optional<std::int64_t> ServerIncarnation_;
   std::unique_ptr<RelayedRoute> Route_;
@@ -142,7 +141,6 @@
   error_code Ignored;
   State_->Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
   State_->Open_ = true;
-  State_->OpenedAt_ = BootClock::now();
   co_return std::monostate{};
 }
 
@@ -472,14 +470,6 @@
     return false;
   if (State_->Frames_ && !State_->Frames_->takesRequests())
     return false;
-  return isQuiet();
-}
-
-bool HttpConnection::isQuietSince(TimePoint Time) const {
-  return State_ && State_->Open_ && State_->OpenedAt_ < Time && isQuiet();
-}
-
-bool HttpConnection::isQuiet() const {
   auto &Socket = State_->Stream_.socket();
   error_code Cause;
   Socket.non_blocking(true, Cause);
--- a/Source/Http/HttpConnection.h
+++ b/Source/Http/HttpConnection.h
@@ -118,10 +118,6 @@
   std::optional<std::int64_t> serverIncarnation() const;
   void setServerIncarnation(std::int64_t Incarnation);
 
-  /// Whether the connection was opened before that time, and the other end has
-  /// neither closed it nor sent anything that hasn't been read.
-  bool isQuietSince(TimePoint Time) const;
-
   /// Closes at once; pending operations fail.
   void close();
 
@@ -143,8 +139,6 @@
   boost::asio::awaitable<boost::system::error_code> receive();
   Result<HttpReplyHead> takeHead();
   Error tooManyFields() const;
-  /// Whether there is nothing to read, not even the end.
-  bool isQuiet() const;
   /// Counts what is buffered. False if there is no memory for it.
   bool countBuffers();
   /// Whether what is buffered still fits the limits; closes otherwise.
--- a/Source/Serving/ServingPlan.h
+++ b/Source/Serving/ServingPlan.h
@@ -99,6 +99,8 @@
   /// How many connections each target accepts from all callers; nothing if
   /// that isn't stated.
   std::optional<int> MaxConnections_;
+  /// The path of the targets' health checks; empty if there is none.
+  std::string HealthPath_;
   /// Set for services of model engines.
   std::optional<EnginePlan> Engine_;
   /// Set for services whose targets are cold after a start.
--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -227,9 +227,10 @@
 }
 
 void EntryFleet::startUnframedTarget(const std::string &Id,
-                                     const std::vector<std::string> &Options) {
-  std::vector<std::string> Arguments{"--kind", "unframed-target", "--id", Id,
-                                     "--born", "1700000000000"};
+                                     const std::vector<std::string> &Options,
+                                     std::int64_t Born) {
+  std::vector<std::string> Arguments{"--kind", "unframed-target",   "--id", Id,
+                                     "--born", std::to_string(Born)};
   Arguments.insert(Arguments.end(), Options.begin(), Options.end());
   start(Id, Arguments);
   registerTarget(Id, at(Id).port());
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -121,9 +121,12 @@
   void replaceTargets(const std::string &Id, std::uint16_t Port);
 
   /// Starts a target whose answers have neither a length nor chunks, with
-  /// further options of the stand-in, and registers it.
+  /// further options of the stand-in, and registers it. `Born` is the
+  /// incarnation that it reports; its entry names another one unless that is
+  /// the default.
   void startUnframedTarget(const std::string &Id,
-                           const std::vector<std::string> &Options);
+                           const std::vector<std::string> &Options,
+                           std::int64_t Born = 1700000000000);
 
   /// Registers a target that the test itself runs.
   void registerTarget(const std::string &Id, std::uint16_t Port);
--- a/Tests/Integration/TargetEndTest.cpp
+++ b/Tests/Integration/TargetEndTest.cpp
@@ -52,9 +52,10 @@
 /// The only engine and the only target of the plain service answer without a
 /// length and without chunks.
 static void useUnframedTargets(EntryFleet &System,
-                               const std::vector<std::string> &Options) {
+                               const std::vector<std::string> &Options,
+                               std::int64_t Born = 1700000000000) {
   for (const char *Id : {"engine-9", "plain-9"})
-    System.startUnframedTarget(Id, Options);
+    System.startUnframedTarget(Id, Options, Born);
   for (const std::string &Target : EntryTargets)
     System.writeTargetEntry(Target, "draining");
   // VMs read the list each 200 ms.
@@ -144,3 +145,21 @@
   OpenRequests Answers(System, "/once/x", 1);
   CHECK(Answers.finish().front().Status_ == 200);
 }
+
+TEST_CASE("a target's entry may be older than its process", "[target-end]") {
+  EntryFleet System;
+  SECTION("an answer of the process that runs now is complete") {
+    useUnframedTargets(System, {"--parts", "5"}, 1750000000000);
+    OpenRequests Streams(System, "/stream/x", 4);
+    for (const CallerReply &Reply : Streams.finish())
+      CHECK(Reply.Complete_);
+  }
+  SECTION("one of a process before it isn't") {
+    // It starts after all requests were sent.
+    constexpr std::int64_t Later = 4000000000000;
+    useUnframedTargets(System, {"--parts", "5"}, Later);
+    OpenRequests Streams(System, "/stream/x", 4);
+    for (const CallerReply &Reply : Streams.finish())
+      CHECK_FALSE(Reply.Complete_);
+  }
+}
