A body isn't read as the next request

Callers saw a request run without its body, and its body run as another request of the same connection, where a head stated `Transfer-Encoding: xchunked`, `gzip`, `identity`, `chunked, identity` or `chunked, chunked`. `gzip, chunked` ran with a body in a coding that nobody decodes. A length after such a coding was taken.

`MessageFraming` now decides by the fields of a head where a message ends (RFC 9112, section 6), without I/O. The server refuses a head with a fault before it reads on, with 400 or, for a coding that isn't known, 501, and closes the connection. The parser must have read the framing alike, or the request is refused too, so that the two can't differ.

--- a/Source/Http/RequestReader.cpp
+++ b/Source/Http/RequestReader.cpp
@@ -1,7 +1,9 @@
 #include "Http/RequestReader.h"
 
+#include "Http/MessageFraming.h"
 #include "Http/ReceivedBody.h"
 #include "Http/ServerConnection.h"
+#include "Kernel/EnumNames.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/buffers_range.hpp>
@@ -148,6 +150,21 @@
   co_return Cause;
 }
 
+/// Why the head doesn't show where the request ends, if it doesn't.
+static std::optional<FramingFault> findFramingFault(const RequestParser &Head) {
+  std::optional<std::uint64_t> Length;
+  if (auto Parsed = Head.content_length())
+    Length = *Parsed;
+  auto Outcome =
+      confirm(MessageFraming::of(Head).request(), Head.chunked(), Length);
+  const auto *Fault = std::get_if<FramingFault>(&Outcome);
+  return Fault ? std::optional(*Fault) : std::nullopt;
+}
+
+static RequestRejection rejectionFor(const FramingFault &Fault) {
+  return {statusFor(Fault), std::string(enumName(Fault, FramingFaultNames))};
+}
+
 static RequestRejection rejectionFor(const error_code &Cause) {
   if (Cause == http::error::end_of_stream)
     return {};
@@ -167,6 +184,11 @@
   RequestParser Parser;
   HttpRequest Request;
   error_code Cause = co_await readHead(Client, Parser, Limits);
+  auto Fault = Cause ? std::nullopt : findFramingFault(Parser);
+  if (Fault) {
+    Client.clearReadTimeout();
+    co_return rejectionFor(*Fault);
+  }
   if (!Cause && !Parser.is_done())
     Cause = co_await readBody(Client, Parser, Limits, Request.Body_);
   Client.clearReadTimeout();
