A request with a folded line is refused

A line of a head that goes on in the next one was joined with a space, so that `Transfer-Encoding:` with `chunked` on a line of its own framed a body, where another reader sees an empty coding and a line of its own. RFC 9112, section 5.2, lets a server refuse such a request with 400; it does, in heads and in trailers, and closes the connection. The parser joins lines before anybody sees them, so what it has consumed is searched.

--- a/Source/Http/MessageFraming.cpp
+++ b/Source/Http/MessageFraming.cpp
@@ -121,4 +121,9 @@
   return Outcome;
 }
 
+bool hasFoldedLine(std::string_view Lines) {
+  return Lines.find("\r\n ") != std::string_view::npos ||
+         Lines.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace anvil
--- a/Source/Http/MessageFraming.h
+++ b/Source/Http/MessageFraming.h
@@ -96,6 +96,10 @@
 FramingOutcome confirm(FramingOutcome Outcome, bool ParsesChunks,
                        std::optional<std::uint64_t> ParsedLength);
 
+/// Whether a line in this part of a head goes on after a line end (obsolete
+/// line folding).
+bool hasFoldedLine(std::string_view Lines);
+
 } // namespace anvil
 
 #endif // ANVIL_HTTP_MESSAGEFRAMING_H
--- a/Source/Http/RequestReader.cpp
+++ b/Source/Http/RequestReader.cpp
@@ -75,6 +75,12 @@
   return std::distance(Parser.get().begin(), Parser.get().end());
 }
 
+/// Whether what the parser has just read are lines of a head or, with the last
+/// chunk, of a trailer.
+static bool consistsOfLines(const RequestParser &Parser, bool HeadOnly) {
+  return HeadOnly || (Parser.chunked() && Parser.is_done());
+}
+
 /// Reads until the head, or else the whole request, has been parsed. The parser
 /// itself limits a line of the head, but not their number.
 static asio::awaitable<error_code> advance(ServerConnection &Client,
@@ -85,6 +91,10 @@
     error_code Cause = http::error::need_more;
     if (Client.Buffer_.size() > 0) {
       std::size_t Used = Parser.put(Client.Buffer_.data(), Cause);
+      if (consistsOfLines(Parser, HeadOnly) &&
+          hasFoldedLine(
+              {static_cast<const char *>(Client.Buffer_.data().data()), Used}))
+        Cause = http::error::bad_line_ending;
       Client.Buffer_.consume(Used);
       HeadBytes += Used;
     }
--- a/Tests/Unit/MessageFramingTest.cpp
+++ b/Tests/Unit/MessageFramingTest.cpp
@@ -163,6 +163,8 @@
         {"Content-Length : 33\r\n", " 400 "},
         {"Content-Length: 3 3\r\n", " 400 "},
         {"Content-Length: 33\n", " 400 "},
+        {"Transfer-Encoding:\r\n chunked\r\n", " 400 "},
+        {"X-Folded: a\r\n\tContent-Length: 33\r\n", " 400 "},
     }));
     INFO(Lines);
     for (const std::string &Body : {Hidden, Chunk}) {
@@ -181,6 +183,13 @@
     CHECK(Place.Paths_.empty());
     CHECK(Answers.find(" 400 ") != std::string::npos);
   }
+  SECTION("if the trailer has a folded line") {
+    std::string Answers = Place.send(
+        requestWith("Transfer-Encoding: chunked\r\n",
+                    "0\r\nX-Sum: a\r\n Content-Length: 5\r\n\r\n" + Hidden));
+    CHECK(Place.Paths_.empty());
+    CHECK(Answers.find(" 400 ") != std::string::npos);
+  }
   SECTION("if its chunks are malformed") {
     std::string Chunks =
         GENERATE(as<std::string>(), "5 \r\nabcde", "+5\r\nabcde", "5\nabcde",
