A line feed in a chunk's extension is refused

The parser takes a chunk's extension in quotation marks with any bytes in it, so a request whose size line has a bare line feed there was read. A reader before this one that ends lines at line feeds sees another chunk. Such a request gets 400 and its connection is closed, as for other malformed chunks.

--- a/Source/Http/MessageFraming.cpp
+++ b/Source/Http/MessageFraming.cpp
@@ -126,4 +126,11 @@
          Lines.find("\r\n\t") != std::string_view::npos;
 }
 
+bool hasControl(std::string_view Extensions) {
+  constexpr unsigned char Delete = 0x7f;
+  return std::ranges::any_of(Extensions, [](unsigned char Letter) {
+    return (Letter < ' ' && Letter != '\t') || Letter == Delete;
+  });
+}
+
 } // namespace anvil
--- a/Source/Http/MessageFraming.h
+++ b/Source/Http/MessageFraming.h
@@ -100,6 +100,10 @@
 /// line folding).
 bool hasFoldedLine(std::string_view Lines);
 
+/// Whether the extensions of a chunk contain control characters, such as a line
+/// feed, which other readers may take for the end of the line.
+bool hasControl(std::string_view Extensions);
+
 } // namespace anvil
 
 #endif // ANVIL_HTTP_MESSAGEFRAMING_H
--- a/Source/Http/RequestReader.cpp
+++ b/Source/Http/RequestReader.cpp
@@ -144,6 +144,12 @@
   ReceivedBody Body({MaxBytes, Limits.Budget_},
                     [&Client] { Client.giveWay(); });
   Parser.get().body() = &Body;
+  auto CheckExtensions = [](std::uint64_t, beast::string_view Extensions,
+                            error_code &Cause) {
+    if (hasControl({Extensions.data(), Extensions.size()}))
+      Cause = http::error::bad_chunk_extension;
+  };
+  Parser.on_chunk_header(CheckExtensions);
   Client.clearReadTimeout();
   Client.setReadTimeout(Limits.BodyTime_);
   error_code Cause = co_await advance(Client, Parser, false, Limits.HeadBytes_);
--- a/Tests/Unit/MessageFramingTest.cpp
+++ b/Tests/Unit/MessageFramingTest.cpp
@@ -191,10 +191,10 @@
     CHECK(Answers.find(" 400 ") != std::string::npos);
   }
   SECTION("if its chunks are malformed") {
-    std::string Chunks =
-        GENERATE(as<std::string>(), "5 \r\nabcde", "+5\r\nabcde", "5\nabcde",
-                 "5;x=a\rb\r\nabcde", "5\r\nabcdefg",
-                 "10000000000000005\r\nabcde", "0x5\r\nabcde");
+    std::string Chunks = GENERATE(
+        as<std::string>(), "5 \r\nabcde", "+5\r\nabcde", "5\nabcde",
+        "5;x=\"\n\"\r\nabcde", "5;x=\"\\\n\"\r\nabcde", "5;x=a\rb\r\nabcde",
+        "5\r\nabcdefg", "10000000000000005\r\nabcde", "0x5\r\nabcde");
     INFO(Chunks);
     std::string Answers = Place.send(requestWith(
         "Transfer-Encoding: chunked\r\n", Chunks + "\r\n0\r\n\r\n" + Hidden));
