A last chunk in pieces doesn't end the process

A caller, or a target, whose body in chunks is empty and arrives as `0`, CR, LF, then CR, then LF ended the VM: Beast's parser (1.74) stops at its own assertion (`n >= 5` in `parse_chunk_header`), which deploy/system.toml's build keeps, since it doesn't define NDEBUG. It was seen while the readings of bodies were compared.

A body in chunks has at least five bytes, and only one without any chunk can bring the parser there. The server gives it no fewer bytes of a body in chunks, and the client no fewer at first, so that later parts of streams aren't held back.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpConnection.h"
 
 #include "Http/AcknowledgedBytes.h"
+#include "Http/MessageFraming.h"
 #include "Http/TunnelDecoder.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -59,6 +60,12 @@
       : Stream_(Executor),
         Share_(std::move(Budget), [this] { closeSocket(); }) {}
 
+  /// How many bytes the parser must be given at least. Later parts of a body
+  /// aren't held back.
+  std::size_t minBodyBytes() const {
+    return Parser_->chunked() && !HasBodyBegun_ ? MinChunkedBytes : 1;
+  }
+
   void closeSocket() {
     Open_ = false;
     error_code Ignored;
@@ -79,6 +86,8 @@
   bool IsThroughProxy_ = false;
   std::optional<TunnelDecoder> Frames_;
   bool HasLargeParts_ = false;
+  /// Whether the parser has been given bytes of the current body.
+  bool HasBodyBegun_ = false;
   bool Open_ = false;
   bool RequestSent_ = false;
 };
@@ -248,6 +257,7 @@
 asio::awaitable<Status> HttpConnection::parseHead(bool HasBody,
                                                   std::size_t &HeadBytes) {
   State_->Parser_.emplace();
+  State_->HasBodyBegun_ = false;
   State_->Parser_->header_limit(HeadLimitBytes);
   // Callers limit the size themselves as they read the parts.
   State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -370,8 +380,10 @@
     Parser.get().body().data = Piece.get();
     Parser.get().body().size = Size;
     error_code Cause = http::error::need_more;
-    if (State_->Buffer_.size() > 0)
+    if (State_->Buffer_.size() >= State_->minBodyBytes()) {
+      State_->HasBodyBegun_ = true;
       State_->Buffer_.consume(Parser.put(State_->Buffer_.data(), Cause));
+    }
     if (Cause == http::error::need_more) {
       State_->Stream_.expires_after(Left);
       Cause = co_await receive();
--- a/Source/Http/MessageFraming.h
+++ b/Source/Http/MessageFraming.h
@@ -3,6 +3,7 @@
 
 #include "Http/BodyFraming.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -50,6 +51,10 @@
 
 using FramingOutcome = std::variant<StatedBody, FramingFault>;
 
+/// The size of the shortest body in chunks. Beast's parser stops the process if
+/// it is given fewer bytes of a body that consists of the last chunk alone.
+inline constexpr std::size_t MinChunkedBytes = 5;
+
 /// Decides where a message ends by the header fields of its head (RFC 9112,
 /// section 6). Used for requests and for responses, so that both are read the
 /// same way.
--- a/Source/Http/RequestReader.cpp
+++ b/Source/Http/RequestReader.cpp
@@ -87,9 +87,10 @@
                                            RequestParser &Parser, bool HeadOnly,
                                            std::size_t MaxHeadBytes) {
   std::size_t HeadBytes = 0;
+  std::size_t MinBytes = !HeadOnly && Parser.chunked() ? MinChunkedBytes : 1;
   while (HeadOnly ? !Parser.is_header_done() : !Parser.is_done()) {
     error_code Cause = http::error::need_more;
-    if (Client.Buffer_.size() > 0) {
+    if (Client.Buffer_.size() >= MinBytes) {
       std::size_t Used = Parser.put(Client.Buffer_.data(), Cause);
       if (consistsOfLines(Parser, HeadOnly) &&
           hasFoldedLine(
--- a/Tests/Integration/RequestFramingTest.cpp
+++ b/Tests/Integration/RequestFramingTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace anvil;
 
 /// A head with these lines, which frame its body.
@@ -69,4 +71,17 @@
       CHECK_FALSE(Sound.closedWithin(Millis(200)));
     }
   }
+  // Guards against LOST: one caller's last chunk ends the process.
+  SECTION("and a body in pieces ends no VM") {
+    CallerConnection Caller(System.callerPort("vm-1"));
+    for (const std::string &Piece :
+         {headOf(System.request("/safe/x", {}),
+                 "Transfer-Encoding: chunked\r\n"),
+          std::string("0\r\n"), std::string("\r"), std::string("\n")}) {
+      Caller.sendRaw(Piece);
+      std::this_thread::sleep_for(Millis(50));
+    }
+    CHECK(Caller.finish(Millis(5000)).Status_ == 200);
+    CHECK_FALSE(System.at("vm-1").exitedUnexpectedly());
+  }
 }
--- a/Tests/Unit/MessageFramingTest.cpp
+++ b/Tests/Unit/MessageFramingTest.cpp
@@ -263,3 +263,31 @@
     RC_ASSERT(IsHiddenRead == EndsThere);
   });
 }
+
+// Guards against LOST: the parser ends the process over a last chunk in pieces.
+TEST_CASE("a body may arrive in any pieces") {
+  ReadingServer Place;
+  auto [Body, Read] = GENERATE(table<std::string, std::string>({
+      {"0\r\n\r\n", ""},
+      {"0\r\nX-Sum: 1\r\n\r\n", ""},
+      {"00;x=y\r\n\r\n", ""},
+      {"1\r\na\r\n0\r\n\r\n", "a"},
+      {"2;x=y\r\nab\r\n1\r\nc\r\n0\r\nX-Sum: 1\r\n\r\n", "abc"},
+  }));
+  std::string Chunks = Body;
+  for (std::size_t First = 0; First <= Chunks.size(); ++First)
+    for (std::size_t Second = First; Second <= Chunks.size(); ++Second) {
+      PersistentCaller Caller(Place.Loop_, Place.Server_.port());
+      Caller.Socket_.set_option(asio::ip::tcp::no_delay(true));
+      for (const std::string &Piece :
+           {requestWith("Transfer-Encoding: chunked\r\n", ""),
+            Chunks.substr(0, First), Chunks.substr(First, Second - First),
+            Chunks.substr(Second)}) {
+        asio::write(Caller.Socket_, asio::buffer(Piece));
+        Place.Loop_.run_for(std::chrono::milliseconds(2));
+      }
+      Caller.Socket_.shutdown(asio::ip::tcp::socket::shutdown_send);
+      CHECK(Caller.readToEnd().find(" 204 ") != std::string::npos);
+      CHECK(Place.Bodies_.back() == Read);
+    }
+}
