An answer must show where it ends

An answer whose head states `Transfer-Encoding: xchunked`, `gzip`, `identity` or `chunked, identity` was read until its target closed the connection and passed on as whole, chunk sizes included; `gzip, chunked` was passed on in its coding, as a plain body. Callers could get part of an answer, or bytes that are none.

The client reads heads as the server does, by `MessageFraming`: such an answer is malformed (502), counted for the target's health, and its connection is closed. Chunks in an answer of HTTP/1.0 and folded lines are malformed too. Answers without any coding and length are read until the connection ends as before, and those of 204, 304 and to HEAD have no body whatever their heads say.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "Http/AcknowledgedBytes.h"
 #include "Http/MessageFraming.h"
 #include "Http/TunnelDecoder.h"
+#include "Kernel/EnumNames.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -113,6 +114,19 @@
   return Bytes;
 }
 
+/// The framing that the head of a response states, or why it shows none.
+static FramingOutcome
+statedBody(const http::response_parser<http::buffer_body> &Head,
+           bool MayHaveBody) {
+  std::optional<std::uint64_t> Length;
+  if (auto Parsed = Head.content_length())
+    Length = *Parsed;
+  auto Outcome =
+      MessageFraming::of(Head).response(Head.get().result_int(), MayHaveBody);
+  // Nothing is read of a body that there isn't.
+  return Head.is_done() ? Outcome : confirm(Outcome, Head.chunked(), Length);
+}
+
 static Error networkError(const std::string &Server, const error_code &Cause) {
   if (Cause == beast::error::timeout)
     return {ErrorCode::Timeout, Server, "no response before the timeout", ""};
@@ -268,6 +282,9 @@
     Cause = http::error::need_more;
     if (State_->Buffer_.size() > 0) {
       std::size_t Used = State_->Parser_->put(State_->Buffer_.data(), Cause);
+      if (hasFoldedLine(
+              {static_cast<const char *>(State_->Buffer_.data().data()), Used}))
+        Cause = http::error::bad_line_ending;
       State_->Buffer_.consume(Used);
       HeadBytes += Used;
     }
@@ -284,6 +301,12 @@
     close();
     co_return networkError(State_->Server_, Cause);
   }
+  FramingOutcome Stated = statedBody(*State_->Parser_, HasBody);
+  if (const auto *Fault = std::get_if<FramingFault>(&Stated)) {
+    close();
+    co_return Error{ErrorCode::Protocol, State_->Server_,
+                    std::string(enumName(*Fault, FramingFaultNames)), ""};
+  }
   co_return std::monostate{};
 }
 
--- a/Tests/Integration/HeadEndingTest.cpp
+++ b/Tests/Integration/HeadEndingTest.cpp
@@ -95,6 +95,23 @@
     CHECK(Answer.Status_ == 200);
     CHECK(Answer.Body_ == "{}");
   }
+  // Guards against MIXED and ORDER: a body in a coding that isn't known.
+  SECTION("nor is one that doesn't show where its body ends") {
+    for (const char *Framing :
+         {"xchunked", "gzip", "identity", "chunked, identity",
+          "chunked, chunked", "gzip, chunked"})
+      for (const char *Path : {"/once/x", "/stream/x"}) {
+        bool IsStream = std::string(Path) == "/stream/x";
+        ScriptedReply Odd{(IsStream ? EventHead : "") +
+                              "Transfer-Encoding: " + Framing + "\r\n",
+                          IsStream ? FirstEvent : "{}", IsReset};
+        (IsStream ? Engine : Plain).script({Odd});
+        CallerReply Answer = Call(Path);
+        INFO(Path << ", " << Framing);
+        CHECK(Answer.Status_ == 502);
+        CHECK_FALSE(Answer.Headers_.contains("x-server-seal"));
+      }
+  }
   SECTION("nor after the first events of a stream that is resumed") {
     ScriptedReply Begun{EventHead + "Content-Length: 100\r\n", FirstEvent};
     for (int SentBytes : {0, 17, -2, -1}) {
--- a/Tests/Unit/AnswerFramingTest.cpp
+++ b/Tests/Unit/AnswerFramingTest.cpp
@@ -93,3 +93,71 @@
       CHECK(Answer.IsReusable_);
     }
 }
+
+// Guards against MIXED and ORDER: bytes in a coding that isn't known pass for a
+// body, and the end of the connection for its end.
+TEST_CASE("an answer must show where it ends") {
+  SECTION("and is none if it doesn't") {
+    std::string Lines = GENERATE(
+        as<std::string>(), "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 16\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 16\r\n",
+        "Content-Length: 16\r\nContent-Length: 17\r\n",
+        "Content-Length: +16\r\n", "Transfer-Encoding:\r\n chunked\r\n",
+        "X-Folded: a\r\n b: c\r\n");
+    INFO(Lines);
+    bool IsEnded = GENERATE(true, false);
+    FramedAnswer Answer =
+        receive({headWith(Lines) + "6\r\nabcdef\r\n0\r\n\r\n"}, IsEnded);
+    CHECK(Answer.Problem_ == ErrorCode::Protocol);
+    CHECK_FALSE(Answer.Body_);
+    CHECK_FALSE(Answer.IsReusable_);
+  }
+  SECTION("nor under the earlier version") {
+    CHECK(receive({headWith(Chunked, "HTTP/1.0 200 OK") + "0\r\n\r\n"})
+              .Problem_ == ErrorCode::Protocol);
+  }
+  SECTION("nor after an interim answer") {
+    FramedAnswer Answer =
+        receive({headWith("Link: x\r\n", "HTTP/1.1 103 Hints") +
+                 headWith("Transfer-Encoding: gzip\r\n") + "body"});
+    CHECK(Answer.Problem_ == ErrorCode::Protocol);
+  }
+}
+
+TEST_CASE("a sound answer is read as before") {
+  SECTION("with each kind of body") {
+    auto [Lines, Body, Framing] =
+        GENERATE(table<std::string, std::string, BodyFraming>({
+            {"Content-Length: 4\r\n", "body", BodyFraming::Length},
+            {"Content-Length: 4\r\nContent-Length: 4\r\n", "body",
+             BodyFraming::Length},
+            {"transfer-encoding: Chunked\r\n",
+             "2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nX-Sum: 1\r\n\r\n",
+             BodyFraming::Chunks},
+            {"", "body", BodyFraming::UntilClose},
+        }));
+    INFO(Lines);
+    FramedAnswer Answer = receive({headWith(Lines) + Body});
+    CHECK(Answer.Body_ == "body");
+    CHECK(Answer.Framing_ == Framing);
+  }
+  SECTION("under the earlier version") {
+    for (const char *Lines : {"Content-Length: 4\r\n", ""})
+      CHECK(receive({headWith(Lines, "HTTP/1.0 200 OK") + "body"}).Body_ ==
+            "body");
+  }
+  SECTION("without a body, whatever the head says of it") {
+    for (const char *Lines :
+         {"Transfer-Encoding: gzip\r\n", "Content-Length: 9\r\n"}) {
+      for (const char *Status : {"HTTP/1.1 204 None", "HTTP/1.1 304 Same"})
+        CHECK(receive({headWith(Lines, Status)}, false).Body_ == "");
+      CHECK(receive({headWith(Lines)}, false, "HEAD").Body_ == "");
+    }
+  }
+}
