A request to relay has no body

A VM that relays passed over what the head of a CONNECT request says of a body, and gave its bytes to the target as soon as the connection was relayed, where they were the next request. Only VMs with the key can ask, and none of ours sends one. Such a request, and one that doesn't show where it ends, is now refused as `malformed`, by the same reading as callers' requests.

--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -1,6 +1,7 @@
 #include "Relay/RelayServer.h"
 
 #include "Http/BoundAddress.h"
+#include "Http/MessageFraming.h"
 #include "Http/Pause.h"
 #include "Http/Spawn.h"
 #include "Http/TunnelFrame.h"
@@ -152,6 +153,14 @@
   return Resolve_(*Request);
 }
 
+/// Whether the head says that a body follows, or doesn't show where it ends.
+/// Its bytes would go to the target.
+static bool statesBody(const http::request_parser<http::empty_body> &Head) {
+  FramingOutcome Stated = MessageFraming::of(Head).request();
+  const auto *Body = std::get_if<StatedBody>(&Stated);
+  return !Body || Body->Framing_ != BodyFraming::None;
+}
+
 asio::awaitable<void> RelayServer::Core::serve(tcp::socket Asker) {
   auto Self = shared_from_this();
   ++Pending_;
@@ -167,6 +176,8 @@
   --Pending_;
   if (Cause)
     co_return;
+  if (statesBody(Parser))
+    co_return co_await refuse(Stream, RelayRefusal::Malformed, std::nullopt);
   HttpHeaders Headers;
   for (const auto &Field : Parser.get())
     Headers.add(std::string(Field.name_string()), std::string(Field.value()));
--- a/Tests/Relay/RelayFailureTest.cpp
+++ b/Tests/Relay/RelayFailureTest.cpp
@@ -48,6 +48,25 @@
         sendRaw(Sockets, Vm.port(), Text + "POST / HTTP/1.1\r\n\r\n");
     CHECK(readToEnd(Asker, IsReset).find("malformed") != std::string::npos);
   }
+  // Guards against a body whose bytes go to the target as a request.
+  SECTION("a body, whose bytes may come later") {
+    for (const char *Framing :
+         {"Content-Length: 5", "Transfer-Encoding: chunked",
+          "Transfer-Encoding: xchunked", "Transfer-Encoding: gzip",
+          "Transfer-Encoding: identity", "Transfer-Encoding: chunked, chunked",
+          "Transfer-Encoding: chunked, identity"}) {
+      INFO(Framing);
+      HttpRequest Request = encodeRelayRequest(RelayPlace::validRequest());
+      std::string Text(Framing);
+      Request.Headers_.add(Text.substr(0, Text.find(':')),
+                           Text.substr(Text.find(' ') + 1));
+      tcp::socket Asker = sendRaw(Sockets, Vm.port(), requestText(Request));
+      std::string Answer(64, '\0');
+      Answer.resize(Asker.read_some(asio::buffer(Answer)));
+      CHECK_FALSE(Answer.starts_with("HTTP/1.1 200"));
+    }
+    CHECK(Vm.openTunnels() == 0);
+  }
   SECTION("many that say nothing, and close") {
     for (int Index = 0; Index < 200; ++Index)
       sendRaw(Sockets, Vm.port(), "");
