Each port answers a request that it can't read

The ports of readiness, metrics and other VMs' rows closed the connection without an answer on a request that can't be read; RFC 9112 asks for 400. Only the callers' and the administration's server had a response. These three have one now, the reason as text.

--- a/Source/Entry/EntryGateway.cpp
+++ b/Source/Entry/EntryGateway.cpp
@@ -131,6 +131,8 @@
   Callers_.setMalformedHook([this](int Status, std::string_view Reason) {
     return rejectUnread(Status, Reason);
   });
+  Ready_.setMalformedHook(plainRejection);
+  MetricsPage_.setMalformedHook(plainRejection);
   Plans_->Changed_.attach([this](const ServingPlan &Plan) {
     Callers_.setLimits(callerLimits(&Plan));
   });
--- a/Source/Entry/PlanExchange.cpp
+++ b/Source/Entry/PlanExchange.cpp
@@ -44,7 +44,9 @@
       Budget_(
           Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->control()),
       Pages_(Executor_, pageLimits(Budget_),
-             [this](HttpExchange &Exchange) { return serveRows(Exchange); }) {}
+             [this](HttpExchange &Exchange) { return serveRows(Exchange); }) {
+  Pages_.setMalformedHook(plainRejection);
+}
 
 Endpoint PlanExchange::address() const {
   return {Settings_.Listen_.Address_,
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -203,6 +203,10 @@
   remove(Client);
 }
 
+HttpReply plainRejection(int Status, std::string_view Reason) {
+  return {Status, {{"Content-Type", "text/plain"}}, std::string(Reason) + "\n"};
+}
+
 HttpServer::HttpServer(asio::any_io_executor Executor, HttpServerLimits Limits,
                        Handler Handle)
     : Core_(std::make_shared<Core>(std::move(Executor), Limits,
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -29,6 +29,9 @@
   std::size_t BusyCount_ = 0;
 };
 
+/// A response to malformed requests that has the reason as its text.
+HttpReply plainRejection(int Status, std::string_view Reason);
+
 /// HTTP/1.1 server: accepts connections and passes each request to a handler.
 class HttpServer {
 public:
--- a/Tests/Integration/RequestFramingTest.cpp
+++ b/Tests/Integration/RequestFramingTest.cpp
@@ -3,6 +3,7 @@
 // shares connections.
 
 #include "Integration/EntryFleet.h"
+#include "Integration/SingleVm.h"
 
 #include <catch2/catch.hpp>
 
@@ -85,3 +86,27 @@
     CHECK_FALSE(System.at("vm-1").exitedUnexpectedly());
   }
 }
+
+// Guards against ports that read a request in another way than that of callers.
+TEST_CASE("each port of a VM reads requests alike", "[request-framing]") {
+  VmMode Mode = GENERATE(VmMode::Entry, VmMode::Standalone);
+  SingleVm Place(Mode);
+  auto Vm = Place.start();
+  // The port `ready` is that of administration in standalone mode.
+  std::vector<std::string> Ports{"caller", "ready"};
+  if (Mode == VmMode::Entry)
+    Ports.insert(Ports.end(), {"metrics", "peer"});
+  for (const std::string &Port : Ports) {
+    REQUIRE(eventually([&] { return Place.isOpen(Port); }, Millis(5000)));
+    for (const auto &[Framing, Status] : UnclearFramings) {
+      INFO(Port << ", " << Framing);
+      CallerConnection Caller(Place.port(Port), Place.address());
+      CallerRequest Request{"GET", "/", {}, ""};
+      Caller.sendRaw(headOf(Request, Framing) + headOf(Request, ""));
+      CallerReply Reply = Caller.finish(Millis(5000));
+      CHECK(Reply.Status_ == Status);
+      CHECK(Reply.Headers_["connection"] == "close");
+      CHECK(Caller.closedWithin(Millis(3000)));
+    }
+  }
+}
