Standalone mode answers an unknown coding with 501

Its refusals had no code for the status, so that the caller got 400 where the log and the metric said 501.

--- a/Source/Gateway/RequestPipeline.cpp
+++ b/Source/Gateway/RequestPipeline.cpp
@@ -46,6 +46,8 @@
     Given.Code_ = RefusalCode::BodyTooLarge;
   else if (Status == 431)
     Given.Code_ = RefusalCode::HeaderTooLarge;
+  else if (Status == 501)
+    Given.Code_ = RefusalCode::UnknownCoding;
   else if (Status == 408)
     Given.Code_ = RefusalCode::RequestTimeout;
   if (Status == 503) {
--- a/Source/Requests/Refusal.cpp
+++ b/Source/Requests/Refusal.cpp
@@ -13,6 +13,8 @@
     {RefusalCode::HeaderTooLarge, "header_too_large", 431,
      "send fewer or shorter headers"},
     {RefusalCode::BodyTooLarge, "body_too_large", 413, "send a shorter body"},
+    {RefusalCode::UnknownCoding, "unknown_coding", 501,
+     "send the body with a length or in chunks"},
     {RefusalCode::RequestTimeout, "request_timeout", 408,
      "send the whole request faster"},
     {RefusalCode::UnknownRoute, "unknown_route", 404,
--- a/Source/Requests/Refusal.h
+++ b/Source/Requests/Refusal.h
@@ -15,6 +15,7 @@
   MalformedRequest,
   HeaderTooLarge,
   BodyTooLarge,
+  UnknownCoding,
   RequestTimeout,
   UnknownRoute,
   MethodNotAllowed,
