--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -1,7 +1,9 @@
 #include "Http/HttpConnection.h"
 
 #include "Http/AcknowledgedBytes.h"
+#include "Http/MessageFraming.h"
 #include "Http/TunnelDecoder.h"
+#include "Kernel/EnumNames.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -59,6 +61,12 @@
       : Stream_(Executor),
         Share_(std::move(Budget), [this] { closeSocket(); }) {}
 
+  /// How many bytes the parser must be given at least. Later parts of a body
+  /// aren't held back.
+  std::size_t minBodyBytes() const {
+    return Parser_->chunked() && !HasBodyBegun_ ? MinChunkedBytes : 1;
+  }
+
   void closeSocket() {
     Open_ = false;
     error_code Ignored;
@@ -79,6 +87,8 @@
   bool IsThroughProxy_ = false;
   std::optional<TunnelDecoder> Frames_;
   bool HasLargeParts_ = false;
+  /// Whether the parser has been given bytes of the current body.
+  bool HasBodyBegun_ = false;
   bool Open_ = false;
   bool RequestSent_ = false;
 };
@@ -104,6 +114,19 @@
   return Bytes;
 }
 
+/// The framing that the head of a response states, or why it shows none.
+static FramingOutcome
+statedBody(const http::response_parser<http::buffer_body> &Head,
+           bool MayHaveBody) {
+  std::optional<std::uint64_t> Length;
+  if (auto Parsed = Head.content_length())
+    Length = *Parsed;
+  auto Outcome =
+      MessageFraming::of(Head).response(Head.get().result_int(), MayHaveBody);
+  // Nothing is read of a body that there isn't.
+  return Head.is_done() ? Outcome : confirm(Outcome, Head.chunked(), Length);
+}
+
 static Error networkError(const std::string &Server, const error_code &Cause) {
   if (Cause == beast::error::timeout)
     return {ErrorCode::Timeout, Server, "no response before the timeout", ""};
@@ -248,6 +271,7 @@
 asio::awaitable<Status> HttpConnection::parseHead(bool HasBody,
                                                   std::size_t &HeadBytes) {
   State_->Parser_.emplace();
+  State_->HasBodyBegun_ = false;
   State_->Parser_->header_limit(HeadLimitBytes);
   // Callers limit the size themselves as they read the parts.
   State_->Parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -258,6 +282,9 @@
     Cause = http::error::need_more;
     if (State_->Buffer_.size() > 0) {
       std::size_t Used = State_->Parser_->put(State_->Buffer_.data(), Cause);
+      if (hasFoldedLine(
+              {static_cast<const char *>(State_->Buffer_.data().data()), Used}))
+        Cause = http::error::bad_line_ending;
       State_->Buffer_.consume(Used);
       HeadBytes += Used;
     }
@@ -274,6 +301,12 @@
     close();
     co_return networkError(State_->Server_, Cause);
   }
+  FramingOutcome Stated = statedBody(*State_->Parser_, HasBody);
+  if (const auto *Fault = std::get_if<FramingFault>(&Stated)) {
+    close();
+    co_return Error{ErrorCode::Protocol, State_->Server_,
+                    std::string(enumName(*Fault, FramingFaultNames)), ""};
+  }
   co_return std::monostate{};
 }
 
@@ -370,8 +403,10 @@
     Parser.get().body().data = Piece.get();
     Parser.get().body().size = Size;
     error_code Cause = http::error::need_more;
-    if (State_->Buffer_.size() > 0)
+    if (State_->Buffer_.size() >= State_->minBodyBytes()) {
+      State_->HasBodyBegun_ = true;
       State_->Buffer_.consume(Parser.put(State_->Buffer_.data(), Cause));
+    }
     if (Cause == http::error::need_more) {
       State_->Stream_.expires_after(Left);
       Cause = co_await receive();
--- a/Source/Http/RequestReader.cpp
+++ b/Source/Http/RequestReader.cpp
@@ -1,7 +1,9 @@
 #include "Http/RequestReader.h"
 
+#include "Http/MessageFraming.h"
 #include "Http/ReceivedBody.h"
 #include "Http/ServerConnection.h"
+#include "Kernel/EnumNames.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/buffers_range.hpp>
@@ -73,16 +75,27 @@
   return std::distance(Parser.get().begin(), Parser.get().end());
 }
 
+/// Whether what the parser has just read are lines of a head or, with the last
+/// chunk, of a trailer.
+static bool consistsOfLines(const RequestParser &Parser, bool HeadOnly) {
+  return HeadOnly || (Parser.chunked() && Parser.is_done());
+}
+
 /// Reads until the head, or else the whole request, has been parsed. The parser
 /// itself limits a line of the head, but not their number.
 static asio::awaitable<error_code> advance(ServerConnection &Client,
                                            RequestParser &Parser, bool HeadOnly,
                                            std::size_t MaxHeadBytes) {
   std::size_t HeadBytes = 0;
+  std::size_t MinBytes = !HeadOnly && Parser.chunked() ? MinChunkedBytes : 1;
   while (HeadOnly ? !Parser.is_header_done() : !Parser.is_done()) {
     error_code Cause = http::error::need_more;
-    if (Client.Buffer_.size() > 0) {
+    if (Client.Buffer_.size() >= MinBytes) {
       std::size_t Used = Parser.put(Client.Buffer_.data(), Cause);
+      if (consistsOfLines(Parser, HeadOnly) &&
+          hasFoldedLine(
+              {static_cast<const char *>(Client.Buffer_.data().data()), Used}))
+        Cause = http::error::bad_line_ending;
       Client.Buffer_.consume(Used);
       HeadBytes += Used;
     }
@@ -132,6 +145,12 @@
   ReceivedBody Body({MaxBytes, Limits.Budget_},
                     [&Client] { Client.giveWay(); });
   Parser.get().body() = &Body;
+  auto CheckExtensions = [](std::uint64_t, beast::string_view Extensions,
+                            error_code &Cause) {
+    if (hasControl({Extensions.data(), Extensions.size()}))
+      Cause = http::error::bad_chunk_extension;
+  };
+  Parser.on_chunk_header(CheckExtensions);
   Client.clearReadTimeout();
   Client.setReadTimeout(Limits.BodyTime_);
   error_code Cause = co_await advance(Client, Parser, false, Limits.HeadBytes_);
@@ -148,6 +167,21 @@
   co_return Cause;
 }
 
+/// Why the head doesn't show where the request ends, if it doesn't.
+static std::optional<FramingFault> findFramingFault(const RequestParser &Head) {
+  std::optional<std::uint64_t> Length;
+  if (auto Parsed = Head.content_length())
+    Length = *Parsed;
+  auto Outcome =
+      confirm(MessageFraming::of(Head).request(), Head.chunked(), Length);
+  const auto *Fault = std::get_if<FramingFault>(&Outcome);
+  return Fault ? std::optional(*Fault) : std::nullopt;
+}
+
+static RequestRejection rejectionFor(const FramingFault &Fault) {
+  return {statusFor(Fault), std::string(enumName(Fault, FramingFaultNames))};
+}
+
 static RequestRejection rejectionFor(const error_code &Cause) {
   if (Cause == http::error::end_of_stream)
     return {};
@@ -167,6 +201,11 @@
   RequestParser Parser;
   HttpRequest Request;
   error_code Cause = co_await readHead(Client, Parser, Limits);
+  auto Fault = Cause ? std::nullopt : findFramingFault(Parser);
+  if (Fault) {
+    Client.clearReadTimeout();
+    co_return rejectionFor(*Fault);
+  }
   if (!Cause && !Parser.is_done())
     Cause = co_await readBody(Client, Parser, Limits, Request.Body_);
   Client.clearReadTimeout();
