Soak: targets answer in chunks, with a length, or until the connection ends

The targets of the soak sent streams in chunks and all else with a length, so that the end of a killed target's process never looked like the end of an answer. Each answer's framing is now drawn from the seed, and some parts are sent in two pieces, also inside an event. The targets name their incarnation in reports, as engines do. The summary counts streams, ends of engines and 502 without a disturbance.

--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -88,9 +88,17 @@
       ANVIL_STANDIN, std::move(Arguments), Directory_, Name);
 }
 
-void EntryFleet::startTarget(const std::string &Name) {
-  start(Name, {"--kind", "registered-target", "--id", Name, "--records",
-               Directory_ + "/" + Name + ".records"});
+void EntryFleet::startTarget(const std::string &Name,
+                             std::int64_t Incarnation) {
+  std::vector<std::string> Arguments{
+      "--kind", "registered-target", "--id",
+      Name,     "--records",         Directory_ + "/" + Name + ".records"};
+  if (Plan_.FramingSeed_) {
+    std::uint64_t Seed = *Plan_.FramingSeed_ * 1000 + ++TargetStarts_;
+    Arguments.insert(Arguments.end(), {"--framing-seed", std::to_string(Seed),
+                                       "--born", std::to_string(Incarnation)});
+  }
+  start(Name, std::move(Arguments));
 }
 
 void EntryFleet::startVm(const std::string &Name, std::uint16_t PeerPort,
@@ -128,7 +136,7 @@
 
 void EntryFleet::restartTarget(const std::string &Target,
                                std::int64_t Incarnation) {
-  startTarget(Target);
+  startTarget(Target, Incarnation);
   writeTargetEntry(Target, "ready", Incarnation);
 }
 
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -43,6 +43,10 @@
   /// Whether the VM and the targets whose names end in 2 are in a data centre
   /// of their own, `south`. The others are in `north`.
   bool TwoDataCentres_ = false;
+  /// What the framing of each answer of a target is drawn from: in chunks, with
+  /// a length, or ending with the connection. Absent if streams come in chunks
+  /// and other answers with a length.
+  std::optional<std::uint64_t> FramingSeed_;
 };
 
 /// A test system of real processes in entry mode: `anvild` entry VMs, two
@@ -176,7 +180,8 @@
 
 private:
   void start(const std::string &Name, std::vector<std::string> Arguments);
-  void startTarget(const std::string &Name);
+  void startTarget(const std::string &Name,
+                   std::int64_t Incarnation = 1700000000000);
   /// Starts a VM; the system chooses the ports that are zero.
   void startVm(const std::string &Name, std::uint16_t PeerPort = 0,
                std::uint16_t CallerPort = 0);
@@ -189,6 +194,8 @@
   EntryFleetPlan Plan_;
   std::string Directory_;
   std::vector<std::string> Vms_;
+  /// How many targets have been started.
+  std::uint64_t TargetStarts_ = 0;
   /// The software versions of targets; the first one if there is none.
   std::map<std::string, std::string> SoftwareVersions_;
   std::map<std::string, std::unique_ptr<Process>> Processes_;
--- a/Tests/Integration/Soak.cpp
+++ b/Tests/Integration/Soak.cpp
@@ -25,6 +25,7 @@
   Plan.Vms_ = Options.Vms_;
   Plan.VmLimits_ = MachineLimits;
   Plan.OwnCallerAddresses_ = true;
+  Plan.FramingSeed_ = Options.Seed_;
   return Plan;
 }
 
@@ -405,8 +406,12 @@
   SoakVerdict Verdict(Timeline_, System_.keptRecords("run"), Plan_.Timeout_);
   std::map<std::string, int> Outcomes;
   std::string FirstId;
+  int Streams = 0;
+  int Unexplained = 0;
   for (const SoakRequest &Item : Requests) {
     ++Outcomes[Item.IsComplete_ ? std::to_string(Item.Status_) : "incomplete"];
+    Streams += isStream(Item.Kind_) && Item.Status_ == 200 ? 1 : 0;
+    Unexplained += Item.Status_ == 502 && !Verdict.isExcused(Item) ? 1 : 0;
     for (const std::string &Violation : Verdict.violationsOf(Item)) {
       if (FirstId.empty())
         FirstId = Item.Id_;
@@ -421,7 +426,14 @@
              std::to_string(Requests.size()) + " requests";
   for (const auto &[Outcome, Count] : Outcomes)
     Summary_ += ", " + std::to_string(Count) + " " + Outcome;
-  Summary_ += ", " + std::to_string(Found.size()) + " violations";
+  std::size_t EngineEnds = 0;
+  for (const std::string &Target : EntryTargets)
+    if (Target.starts_with("engine"))
+      EngineEnds += Timeline_.count(Target, SoakAction::CrashTarget);
+  Summary_ += ", " + std::to_string(Streams) + " streams, " +
+              std::to_string(EngineEnds) + " ends of engines, " +
+              std::to_string(Unexplained) + " 502 without a disturbance, " +
+              std::to_string(Found.size()) + " violations";
   if (!Found.empty()) {
     std::string Folder =
         Options_.KeptFolder_ + "/soak-" + std::to_string(Options_.Seed_);
--- a/Tests/Integration/SoakCallers.cpp
+++ b/Tests/Integration/SoakCallers.cpp
@@ -18,7 +18,7 @@
   return Text;
 }
 
-static bool isStream(SoakKind Kind) {
+bool isStream(SoakKind Kind) {
   return Kind == SoakKind::Stream || Kind == SoakKind::AdapterStream ||
          Kind == SoakKind::ResumableStream;
 }
--- a/Tests/Integration/SoakCallers.h
+++ b/Tests/Integration/SoakCallers.h
@@ -27,6 +27,8 @@
   SpareKey
 };
 
+bool isStream(SoakKind Kind);
+
 /// A request of a soak and what became of it.
 struct SoakRequest {
   std::string Id_;
--- a/Tests/Integration/SoakTimeline.cpp
+++ b/Tests/Integration/SoakTimeline.cpp
@@ -67,6 +67,13 @@
   return Found;
 }
 
+std::size_t SoakTimeline::count(const std::string &Subject,
+                                SoakAction Action) const {
+  return std::ranges::count_if(Spans_, [&](const SoakSpan &Span) {
+    return Span.Subject_ == Subject && Span.Action_ == Action;
+  });
+}
+
 std::vector<SoakSpan> SoakTimeline::spans(const std::string &Subject) const {
   std::vector<SoakSpan> Found;
   std::ranges::copy_if(
--- a/Tests/Integration/SoakTimeline.h
+++ b/Tests/Integration/SoakTimeline.h
@@ -59,6 +59,9 @@
   std::vector<SoakConfig> configsBetween(TimePoint From, TimePoint To,
                                          Duration Bound) const;
 
+  /// How often an action disturbed a subject.
+  std::size_t count(const std::string &Subject, SoakAction Action) const;
+
   /// The disturbances of a subject.
   std::vector<SoakSpan> spans(const std::string &Subject) const;
 
--- a/Tests/Integration/SoakVerdict.cpp
+++ b/Tests/Integration/SoakVerdict.cpp
@@ -65,6 +65,10 @@
           }));
 }
 
+bool SoakVerdict::isExcused(const SoakRequest &Item) const {
+  return mayBeCut(Item) || !isInTouch(Item);
+}
+
 void SoakVerdict::judgeEnding(const SoakRequest &Item,
                               std::vector<std::string> &Found) const {
   if (Item.IsComplete_)
--- a/Tests/Integration/SoakVerdict.h
+++ b/Tests/Integration/SoakVerdict.h
@@ -18,6 +18,9 @@
   /// The rules that a request breaks, each with what was seen.
   std::vector<std::string> violationsOf(const SoakRequest &Item) const;
 
+  /// Whether a disturbance may be the cause of a failure.
+  bool isExcused(const SoakRequest &Item) const;
+
 private:
   struct Run {
     std::string Target_;
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -1,6 +1,7 @@
 #include "Standins/RegisteredTargetStandin.h"
 
 #include "Http/Pause.h"
+#include "Standins/FramingProxy.h"
 
 #include <cstdlib>
 
@@ -106,12 +107,25 @@
   return {Reply.Status_, std::move(Reply.Headers_)};
 }
 
+std::string RegisteredTargetStandin::eventText(int Number) const {
+  std::string Digits = std::to_string(Number);
+  std::string Text = "id: " + Digits + "\ndata: word " + Digits;
+  if (!Process_.Software_.empty())
+    Text += " of " + Process_.Software_;
+  return Text + "\n\n";
+}
+
 asio::awaitable<void> RegisteredTargetStandin::stream(HttpExchange &Exchange) {
   int From = 0;
   if (auto LastEventId = Exchange.request().Headers_.find("Last-Event-Id"))
     From = std::stoi(std::string(*LastEventId));
-  co_await Exchange.startStream(
-      streamHead(Exchange.request(), "text/event-stream"));
+  HttpReplyHead Head = streamHead(Exchange.request(), "text/event-stream");
+  std::size_t Length = 0;
+  for (int Event = From + 1; Event <= StreamEvents; ++Event)
+    Length += eventText(Event).size();
+  if (Process_.NamesLength_)
+    Head.Headers_.add(BodyLengthHeader, std::to_string(Length));
+  co_await Exchange.startStream(std::move(Head));
   std::string_view Prompt =
       Exchange.request().Headers_.find("X-Prompt-Prefix").value_or("");
   if (!DeadlyPart_.empty() && Prompt.find(DeadlyPart_) != Prompt.npos)
@@ -122,11 +136,7 @@
       Exchange.abort();
       co_return;
     }
-    std::string Number = std::to_string(Event);
-    std::string Text = "id: " + Number + "\ndata: word " + Number;
-    if (!Process_.Software_.empty())
-      Text += " of " + Process_.Software_;
-    Text += "\n\n";
+    std::string Text = eventText(Event);
     if (!co_await Exchange.write(Text))
       co_return;
     co_await pauseFor(std::chrono::milliseconds(EventMs_));
--- a/Tests/Standins/RegisteredTargetStandin.h
+++ b/Tests/Standins/RegisteredTargetStandin.h
@@ -17,6 +17,8 @@
   std::string Software_;
   /// The time of its start, in milliseconds.
   std::int64_t Born_ = 0;
+  /// Whether streams name their length for a `FramingProxy`.
+  bool NamesLength_ = false;
 };
 
 /// Stand-in for a target that speaks the platform's protocol: an engine that
@@ -60,6 +62,8 @@
   HttpReply order(const HttpRequest &Request);
   HttpReply report() const;
   HttpReply control(const HttpRequest &Request);
+  /// An event of a stream, as it is sent.
+  std::string eventText(int Number) const;
   HttpReplyHead streamHead(const HttpRequest &Request,
                            std::string_view ContentType) const;
   /// Adds the headers by which a target marks a reply as its own.
--- a/Tests/Standins/anvil-standin.cpp
+++ b/Tests/Standins/anvil-standin.cpp
@@ -1,6 +1,7 @@
 #include "Programs/ReadyFile.h"
 #include "Standins/EngineStandin.h"
 #include "Standins/FaultProxy.h"
+#include "Standins/FramingProxy.h"
 #include "Standins/PlatformStandin.h"
 #include "Standins/RegisteredTargetStandin.h"
 #include "Standins/RowStoreStandin.h"
@@ -43,6 +44,18 @@
   return runUntilSignal(Loop, Outcome, {{"port", Server.port()}}, ReadyPath);
 }
 
+/// Runs a target behind a `FramingProxy`.
+static int serveFramed(boost::asio::io_context &Loop,
+                       anvil::RegisteredTargetStandin &Server,
+                       const std::string &ReadyPath, std::uint16_t Port,
+                       std::uint64_t Seed) {
+  anvil::FramingProxy Proxy(Loop.get_executor(), Seed);
+  anvil::Status Outcome = Server.listen({"127.0.0.1", 0});
+  if (anvil::isOk(Outcome))
+    Outcome = Proxy.listen({"127.0.0.1", Port}, Server.port());
+  return runUntilSignal(Loop, Outcome, {{"port", Proxy.port()}}, ReadyPath);
+}
+
 int main(int Count, char **Arguments) {
   anvil::EngineBehaviour Behaviour;
   options::options_description Options("Options of anvil-standin");
@@ -67,6 +80,8 @@
       "whether an unframed target exits after its first answer");
   Add("stops-after-answer", options::bool_switch(&Unframed.StopsAfterAnswer_),
       "whether an unframed target stops itself after each answer");
+  Add("framing-seed", options::value<std::uint64_t>(),
+      "draws the framing of each answer of a registered target");
   std::uint16_t Port = 0;
   Add("port", options::value(&Port), "the port of a registered target");
   Add("records", options::value<std::string>(),
@@ -132,11 +147,16 @@
     return serve(Loop, Server, ReadyPath);
   }
   if (Kind == "registered-target") {
+    bool IsFramed = Variables.count("framing-seed") > 0;
+    Process.NamesLength_ = IsFramed;
     anvil::RegisteredTargetStandin Server(Loop.get_executor(),
                                           Variables["id"].as<std::string>(),
                                           std::move(Process));
     if (Variables.count("records"))
       Server.keepRecords(Variables["records"].as<std::string>());
+    if (IsFramed)
+      return serveFramed(Loop, Server, ReadyPath, Port,
+                         Variables["framing-seed"].as<std::uint64_t>());
     return serve(Loop, Server, ReadyPath, Port);
   }
   if (Kind == "unframed-target") {
