Nothing may be left of a stream that goes on

What callers saw (soak at 8 VMs): a stream whose events had all arrived was cut. Its first target's end couldn't be confirmed, or was a reset, so it went on after the last event; the next target had nothing left to send, and an empty answer without a length counted as broken. Now it is the end of a stream that goes on, once the target has outlived it, as any other such end.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -234,6 +234,10 @@
   StreamEnding Ending = StreamEnding::Complete;
   if (Response.EventStream_)
     Ending = EndCheck.ending(Framing_ == BodyFraming::UntilClose);
+  // Of a stream that goes on nothing may be left.
+  bool GoesOn = !Events_.lastId().empty() || IsTakenUp_;
+  if (Ending == StreamEnding::Empty && GoesOn)
+    Ending = StreamEnding::Complete;
   if (Ending == StreamEnding::Complete) {
     bool IsConfirmed = co_await confirmEnd(Chosen);
     if (!IsConfirmed)
--- a/Tests/Integration/StreamEndingTest.cpp
+++ b/Tests/Integration/StreamEndingTest.cpp
@@ -127,6 +127,14 @@
       CHECK_FALSE(Next.Complete_);
       CHECK(Next.Body_ == FirstEvent);
     }
+    // Guards against LOST: a whole stream is cut since its first target reset
+    // the connection after the last event.
+    SECTION("and is complete if nothing is left of it") {
+      Engine.script({{Events, FirstEvent + LastEvent, true}, untilClose("")});
+      CallerReply Next = Call("/stream/resumable/x");
+      CHECK(Next.Complete_);
+      CHECK(Next.Body_ == FirstEvent + LastEvent);
+    }
     SECTION("and is cut if that breaks off as well") {
       Engine.script({Cut, untilClose(CutEvent)});
       CallerReply Next = Call("/stream/resumable/x");
