--- a/Tests/Integration/CutVmTest.cpp
+++ b/Tests/Integration/CutVmTest.cpp
@@ -135,7 +135,13 @@
                    {"--kind", "unframed-target", "--id", "plain-9"},
                    System.Place_.directory(), "plain-9");
     System.Other_->setTarget(Killed.port());
-    // An earlier connection through the other VM leads to the earlier target.
+    // Earlier connections through the other VM lead to the earlier target.
+    REQUIRE(eventually(
+        [&] {
+          CallerReply Reply = System.call("/safe/x", "settle");
+          return Reply.Complete_ && Reply.Body_.starts_with("word 1\n");
+        },
+        StepTimeout));
     std::this_thread::sleep_for(Millis(2500));
     CallerConnection Stream(System.Place_.port("caller"),
                             System.Place_.address());
