One check for a success, one comparison of a parser's framing

Whether a target's status is a success was written out in three places; the response says so now. Requests and responses each turned the parser's length into an optional before the same comparison; an overload of confirm takes the parser. No behaviour changes.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -93,8 +93,8 @@
     LastReason_ = "not_sealed";
     co_return SendOutcome::Lost;
   }
-  bool IsSuccess = Response.Status_ >= 200 && Response.Status_ < 300;
-  bool IsStream = IsSuccess && Request_.Route_->Kind_ == RequestKind::Stream;
+  bool IsStream =
+      Response.isSuccess() && Request_.Route_->Kind_ == RequestKind::Stream;
   // Only events can follow those that the caller has received.
   if (HeadSent_ && !Response.EventStream_)
     IsStream = false;
@@ -115,8 +115,7 @@
                     [this] { giveWay(); });
   Status Read = co_await Connection_.readBody(Body, replyDeadline());
   Result<std::string> Whole = isOk(Read) ? Body.finish() : errorOf(Read);
-  bool IsSuccess = Response.Status_ >= 200 && Response.Status_ < 300;
-  if (isOk(Whole) && IsSuccess) {
+  if (isOk(Whole) && Response.isSuccess()) {
     bool IsConfirmed = co_await confirmEnd(Chosen);
     if (!IsConfirmed)
       Whole = Error{ErrorCode::ConnectionClosed, LastTarget_,
--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -393,7 +393,7 @@
   bool Failed = Response.Status_ >= 500 || !Response.Sealed_;
   Shared_.Picker_->health().recordResponse(Chosen.Target_, Failed, Now - SentAt,
                                            Now);
-  bool IsSuccess = !Failed && Response.Status_ >= 200 && Response.Status_ < 300;
+  bool IsSuccess = !Failed && Response.isSuccess();
   if (IsSuccess)
     recordSpeed(Chosen, firstByteMeasurement(sendConditions(Chosen),
                                              Now - RequestSentAt));
--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -118,13 +118,10 @@
 static FramingOutcome
 statedBody(const http::response_parser<http::buffer_body> &Head,
            bool MayHaveBody) {
-  std::optional<std::uint64_t> Length;
-  if (auto Parsed = Head.content_length())
-    Length = *Parsed;
   auto Outcome =
       MessageFraming::of(Head).response(Head.get().result_int(), MayHaveBody);
   // Nothing is read of a body that there isn't.
-  return Head.is_done() ? Outcome : confirm(Outcome, Head.chunked(), Length);
+  return Head.is_done() ? Outcome : confirm(Outcome, Head);
 }
 
 static Error networkError(const std::string &Server, const error_code &Cause) {
--- a/Source/Http/MessageFraming.h
+++ b/Source/Http/MessageFraming.h
@@ -101,6 +101,15 @@
 FramingOutcome confirm(FramingOutcome Outcome, bool ParsesChunks,
                        std::optional<std::uint64_t> ParsedLength);
 
+/// The same by the parser that has read the head.
+template <class Parser>
+FramingOutcome confirm(const FramingOutcome &Outcome, const Parser &Head) {
+  std::optional<std::uint64_t> Length;
+  if (auto Parsed = Head.content_length())
+    Length = *Parsed;
+  return confirm(Outcome, Head.chunked(), Length);
+}
+
 /// Whether a line in this part of a head goes on after a line end (obsolete
 /// line folding).
 bool hasFoldedLine(std::string_view Lines);
--- a/Source/Http/RequestReader.cpp
+++ b/Source/Http/RequestReader.cpp
@@ -169,11 +169,7 @@
 
 /// Why the head doesn't show where the request ends, if it doesn't.
 static std::optional<FramingFault> findFramingFault(const RequestParser &Head) {
-  std::optional<std::uint64_t> Length;
-  if (auto Parsed = Head.content_length())
-    Length = *Parsed;
-  auto Outcome =
-      confirm(MessageFraming::of(Head).request(), Head.chunked(), Length);
+  auto Outcome = confirm(MessageFraming::of(Head).request(), Head);
   const auto *Fault = std::get_if<FramingFault>(&Outcome);
   return Fault ? std::optional(*Fault) : std::nullopt;
 }
