Stand-ins: one listener, one text of events

UnframedTarget and FramingProxy had the same listen, port and accept; ConnectionListener serves both, and starts coroutines with spawn as the project does, so that one that throws stops the stand-in. RejoinedStreamTest, TargetEndTest and SoakCallers wrote the stand-ins' events out by the same loop; standinEvents serves them. No assertion changes.

--- a/Tests/Integration/EntryFleet.cpp
+++ b/Tests/Integration/EntryFleet.cpp
@@ -32,6 +32,14 @@
          Vm.substr(Vm.find('-') + 1);
 }
 
+std::string standinEvents(int First, int Last) {
+  std::string Text;
+  for (int Event = First; Event <= Last; ++Event)
+    Text += "id: " + std::to_string(Event) + "\ndata: word " +
+            std::to_string(Event) + "\n\n";
+  return Text;
+}
+
 EntryFleet::EntryFleet(EntryFleetPlan Plan) : Plan_(Plan) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "anvil-entry-XXXXXX").string();
--- a/Tests/Integration/EntryFleet.h
+++ b/Tests/Integration/EntryFleet.h
@@ -204,6 +204,9 @@
   std::map<std::string, std::unique_ptr<Process>> Processes_;
 };
 
+/// The events of a stream that the stand-ins send, from one number to another.
+std::string standinEvents(int First, int Last);
+
 /// The names of the targets that an `EntryFleet` starts.
 inline const std::vector<std::string> EntryTargets{"engine-1", "engine-2",
                                                    "plain-1", "plain-2"};
--- a/Tests/Integration/RejoinedStreamTest.cpp
+++ b/Tests/Integration/RejoinedStreamTest.cpp
@@ -71,14 +71,6 @@
     return Seal == Reply.Headers_.end() ? "" : Seal->second;
   }
 
-  static std::string events(int First, int Last) {
-    std::string Text;
-    for (int Event = First; Event <= Last; ++Event)
-      Text += "id: " + std::to_string(Event) + "\ndata: word " +
-              std::to_string(Event) + "\n\n";
-    return Text;
-  }
-
 private:
   EntryFleet System_;
 };
@@ -109,7 +101,7 @@
       CallerReply Reply = Streams.call("vm-1", "two-" + std::to_string(Index));
       INFO(Index);
       CHECK(Reply.Complete_);
-      CHECK(Reply.Body_ == BrokenStreams::events(1, 20));
+      CHECK(Reply.Body_ == standinEvents(1, 20));
     }
   }
   SECTION("when its caller takes it up at the same VM or another one") {
@@ -120,7 +112,7 @@
       INFO(Index << " began at " << Engine);
       CHECK(Rest.Status_ == 200);
       CHECK(BrokenStreams::sealOf(Rest) == Engine);
-      CHECK(Rest.Body_ == BrokenStreams::events(4, 20));
+      CHECK(Rest.Body_ == standinEvents(4, 20));
     }
   }
   SECTION("after all VMs have lost power at once") {
--- a/Tests/Integration/SoakCallers.cpp
+++ b/Tests/Integration/SoakCallers.cpp
@@ -10,14 +10,6 @@
 /// The events of a whole stream of the stand-ins.
 static constexpr int StreamEvents = 20;
 
-static std::string events(int First) {
-  std::string Text;
-  for (int Event = First; Event <= StreamEvents; ++Event)
-    Text += "id: " + std::to_string(Event) + "\ndata: word " +
-            std::to_string(Event) + "\n\n";
-  return Text;
-}
-
 bool isStream(SoakKind Kind) {
   return Kind == SoakKind::Stream || Kind == SoakKind::AdapterStream ||
          Kind == SoakKind::ResumableStream;
@@ -59,7 +51,7 @@
                ? "MIXED: the body is " + Reply.Body_.substr(0, 200)
                : "";
   }
-  std::string Whole = events(FirstEvent);
+  std::string Whole = standinEvents(FirstEvent, StreamEvents);
   if (Reply.Complete_ && Reply.Body_ != Whole)
     return "ORDER: a stream that looks complete holds " + Reply.Body_;
   if (!Whole.starts_with(Reply.Body_))
--- a/Tests/Integration/TargetEndTest.cpp
+++ b/Tests/Integration/TargetEndTest.cpp
@@ -34,14 +34,6 @@
   std::vector<std::unique_ptr<CallerConnection>> Connections_;
 };
 
-static std::string events(int First, int Last) {
-  std::string Text;
-  for (int Event = First; Event <= Last; ++Event)
-    Text += "id: " + std::to_string(Event) + "\ndata: word " +
-            std::to_string(Event) + "\n\n";
-  return Text;
-}
-
 static std::string words(int Last) {
   std::string Text;
   for (int Word = 1; Word <= Last; ++Word)
@@ -76,7 +68,7 @@
     for (const CallerReply &Reply : Streams.finish()) {
       CHECK(Reply.Status_ == 200);
       CHECK(Reply.Complete_);
-      CHECK(Reply.Body_ == events(1, Parts));
+      CHECK(Reply.Body_ == standinEvents(1, Parts));
     }
     for (const CallerReply &Reply : Answers.finish()) {
       CHECK(Reply.Status_ == 200);
@@ -91,11 +83,11 @@
     for (const CallerReply &Reply : Streams.finish()) {
       CHECK(Reply.Status_ == 200);
       CHECK_FALSE(Reply.Complete_);
-      CHECK(events(1, Parts).starts_with(Reply.Body_));
-      CHECK(Reply.Body_.size() < events(1, Parts).size());
+      CHECK(standinEvents(1, Parts).starts_with(Reply.Body_));
+      CHECK(Reply.Body_.size() < standinEvents(1, Parts).size());
     }
   }
-  SECTION("a lone stream too, which no other connection vouches for") {
+  SECTION("a lone stream too") {
     OpenRequests Streams(System, "/stream/x", 1);
     std::this_thread::sleep_for(Millis(400));
     System.at("engine-9").kill();
@@ -119,7 +111,7 @@
     System.at("engine-9").kill();
     CallerReply Reply = Streams.finish().front();
     CHECK(Reply.Complete_);
-    CHECK(Reply.Body_ == events(1, Parts));
+    CHECK(Reply.Body_ == standinEvents(1, Parts));
   }
 }
 
--- a/Tests/Standins/FramingProxy.cpp
+++ b/Tests/Standins/FramingProxy.cpp
@@ -1,8 +1,6 @@
 #include "Standins/FramingProxy.h"
 
-#include "Http/BoundAddress.h"
 #include "Http/Pause.h"
-#include "Http/Spawn.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -43,34 +41,16 @@
   error_code Cause_;
 };
 
-FramingProxy::FramingProxy(asio::any_io_executor Executor, std::uint64_t Seed)
-    : Executor_(std::move(Executor)), Acceptor_(Executor_), Random_(Seed) {}
+FramingProxy::FramingProxy(const asio::any_io_executor &Executor,
+                           std::uint64_t Seed)
+    : Listener_(
+          Executor,
+          [this](tcp::socket Caller) { return serve(std::move(Caller)); }),
+      Random_(Seed) {}
 
 Status FramingProxy::listen(const Endpoint &Address, std::uint16_t ServerPort) {
   ServerPort_ = ServerPort;
-  Status Bound = bindAcceptor(Acceptor_, Address);
-  if (!isOk(Bound))
-    return Bound;
-  Status Listening = listenAt(Acceptor_, Address);
-  if (isOk(Listening))
-    spawn(Executor_, accept());
-  return Listening;
-}
-
-std::uint16_t FramingProxy::port() const {
-  return Acceptor_.local_endpoint().port();
-}
-
-asio::awaitable<void> FramingProxy::accept() {
-  while (true) {
-    error_code Cause;
-    tcp::socket Caller = co_await Acceptor_.async_accept(
-        asio::redirect_error(asio::use_awaitable, Cause));
-    if (Cause)
-      co_return;
-    Caller.set_option(tcp::no_delay(true), Cause);
-    spawn(Executor_, serve(std::move(Caller)));
-  }
+  return Listener_.listen(Address);
 }
 
 asio::awaitable<void> FramingProxy::serve(tcp::socket Caller) {
--- a/Tests/Standins/FramingProxy.h
+++ b/Tests/Standins/FramingProxy.h
@@ -1,13 +1,11 @@
 #ifndef ANVIL_TESTS_STANDINS_FRAMINGPROXY_H
 #define ANVIL_TESTS_STANDINS_FRAMINGPROXY_H
 
-#include "Http/Endpoint.h"
-#include "Kernel/Error.h"
+#include "Standins/ConnectionListener.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <random>
@@ -24,18 +22,18 @@
 /// Some parts of bodies are sent in two pieces.
 class FramingProxy {
 public:
-  FramingProxy(boost::asio::any_io_executor Executor, std::uint64_t Seed);
+  FramingProxy(const boost::asio::any_io_executor &Executor,
+               std::uint64_t Seed);
 
   /// Listens at the address; the server must listen at the port of the loopback
   /// address.
   Status listen(const Endpoint &Address, std::uint16_t ServerPort);
-  std::uint16_t port() const;
+  std::uint16_t port() const { return Listener_.port(); }
 
 private:
   enum class Framing { Chunks, Length, UntilClose };
   struct Exchange;
 
-  boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket Caller);
   /// Passes on one request and its answer. Returns whether another one may
   /// follow.
@@ -44,8 +42,7 @@
                                     std::string Part);
   std::uint64_t draw(std::uint64_t Count) { return Random_() % Count; }
 
-  boost::asio::any_io_executor Executor_;
-  boost::asio::ip::tcp::acceptor Acceptor_;
+  ConnectionListener Listener_;
   std::uint16_t ServerPort_ = 0;
   std::mt19937_64 Random_;
 };
--- a/Tests/Standins/RegisteredTargetStandin.cpp
+++ b/Tests/Standins/RegisteredTargetStandin.cpp
@@ -120,11 +120,12 @@
   if (auto LastEventId = Exchange.request().Headers_.find("Last-Event-Id"))
     From = std::stoi(std::string(*LastEventId));
   HttpReplyHead Head = streamHead(Exchange.request(), "text/event-stream");
-  std::size_t Length = 0;
-  for (int Event = From + 1; Event <= StreamEvents; ++Event)
-    Length += eventText(Event).size();
-  if (Process_.NamesLength_)
+  if (Process_.NamesLength_) {
+    std::size_t Length = 0;
+    for (int Event = From + 1; Event <= StreamEvents; ++Event)
+      Length += eventText(Event).size();
     Head.Headers_.add(BodyLengthHeader, std::to_string(Length));
+  }
   co_await Exchange.startStream(std::move(Head));
   std::string_view Prompt =
       Exchange.request().Headers_.find("X-Prompt-Prefix").value_or("");
--- a/Tests/Standins/UnframedTarget.h
+++ b/Tests/Standins/UnframedTarget.h
@@ -1,8 +1,7 @@
 #ifndef ANVIL_TESTS_STANDINS_UNFRAMEDTARGET_H
 #define ANVIL_TESTS_STANDINS_UNFRAMEDTARGET_H
 
-#include "Http/Endpoint.h"
-#include "Kernel/Error.h"
+#include "Standins/ConnectionListener.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -33,19 +32,17 @@
 /// `Last-Event-Id`, others plain text. Reports have a length.
 class UnframedTarget {
 public:
-  UnframedTarget(boost::asio::any_io_executor Executor,
+  UnframedTarget(const boost::asio::any_io_executor &Executor,
                  UnframedAnswers Answers);
 
-  Status listen(const Endpoint &Address);
-  std::uint16_t port() const;
+  Status listen(const Endpoint &Address) { return Listener_.listen(Address); }
+  std::uint16_t port() const { return Listener_.port(); }
 
 private:
-  boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket Caller);
 
-  boost::asio::any_io_executor Executor_;
   UnframedAnswers Answers_;
-  boost::asio::ip::tcp::acceptor Acceptor_;
+  ConnectionListener Listener_;
 };
 
 } // namespace anvil
