--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -98,10 +98,12 @@
   asio::awaitable<void> acceptNotice(beast::tcp_stream &Sender,
                                      RelayNotice Notice);
   asio::awaitable<void> sendHead(beast::tcp_stream &To, HttpReply Reply);
-  asio::awaitable<void> open(beast::tcp_stream Asker, tcp::socket Target,
+  asio::awaitable<void> open(tcp::socket Asker, tcp::socket Target,
                              RelayRequest Request, std::string Finding);
   asio::awaitable<void> pass(std::shared_ptr<Tunnel> Pair, bool ToTarget);
   void end(const std::shared_ptr<Tunnel> &Pair);
+  /// Records that what was sent to the asking VM has been written.
+  void endSend(Tunnel &Pair);
   void retire(Tunnel &Pair);
   void closeIdle(TimePoint Now);
 
@@ -210,10 +212,11 @@
   std::string Finding;
   if (Request->AsksIncarnation_)
     Finding = co_await Confirm_(*Request, Address);
-  tcp::socket Connected = Target.release_socket();
-  co_await open(std::move(Stream), std::move(Connected), std::move(*Request),
-                std::move(Finding));
   --Opening_;
+  if (Closed_)
+    co_return;
+  co_await open(Stream.release_socket(), Target.release_socket(),
+                std::move(*Request), std::move(Finding));
 }
 
 asio::awaitable<void>
@@ -260,7 +263,7 @@
       To, Message, asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
-asio::awaitable<void> RelayServer::Core::open(beast::tcp_stream Asker,
+asio::awaitable<void> RelayServer::Core::open(tcp::socket Asker,
                                               tcp::socket Target,
                                               RelayRequest Request,
                                               std::string Finding) {
@@ -272,19 +275,23 @@
   if (Request.AsksFrames_)
     Message.insert(std::string(TunnelFramingHeader),
                    std::string(TunnelFramingVersion));
+  auto Pair = std::make_shared<Tunnel>(std::move(Asker), std::move(Target),
+                                       std::move(Request));
   error_code Cause;
-  Asker.expires_after(HeadTime);
-  co_await http::async_write(Asker, Message,
-                             asio::redirect_error(asio::use_awaitable, Cause));
-  if (Cause || Closed_)
-    co_return;
-  Asker.expires_never();
-  auto Pair = std::make_shared<Tunnel>(Asker.release_socket(),
-                                       std::move(Target), std::move(Request));
-  error_code Ignored;
-  Pair->Asker_.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Pair->Asker_.set_option(asio::socket_base::keep_alive(true), Cause);
   Pair->setEndIsReset(true);
+  // The asking VM knows of the tunnel as soon as it has the answer, so from
+  // then on word for its target must find it.
   Tunnels_.insert(Pair);
+  Pair->IsSending_ = true;
+  co_await http::async_write(Pair->Asker_, Message,
+                             asio::redirect_error(asio::use_awaitable, Cause));
+  if (Cause) {
+    Pair->close();
+    Tunnels_.erase(Pair);
+    co_return;
+  }
+  endSend(*Pair);
   Counts_->count("anvil_relayed_connections_total");
   Counts_->gauge("anvil_relay_tunnels", {},
                  static_cast<double>(Tunnels_.size()));
@@ -325,10 +332,8 @@
     Pair->IsSending_ = !ToTarget;
     co_await asio::async_write(
         To, Parts, asio::redirect_error(asio::use_awaitable, WriteCause));
-    if (!ToTarget)
-      Pair->IsSending_ = false;
-    if (!ToTarget && std::exchange(Pair->IsRetireDue_, false) && !WriteCause)
-      retire(*Pair);
+    if (!ToTarget && !WriteCause)
+      endSend(*Pair);
   }
   bool IsOrderlyEnd = ReadCause == asio::error::eof && !WriteCause;
   // What the target sent may have no length and end with its connection, so
@@ -366,6 +371,12 @@
             {"lasted_ms", toMillis(BootClock::now() - Pair->OpenedAt_)}});
 }
 
+void RelayServer::Core::endSend(Tunnel &Pair) {
+  Pair.IsSending_ = false;
+  if (std::exchange(Pair.IsRetireDue_, false))
+    retire(Pair);
+}
+
 void RelayServer::Core::retire(Tunnel &Pair) {
   if (!Pair.Request_.AsksFrames_)
     return;
