Word that a target wants no requests doesn't break an answer under way

RelayServer::pass marked a tunnel as not sending to the asking VM whenever it passed bytes the other way. If word for the target came while an answer waited to be read, its frame went into the middle of a frame of the answer: the answer's bytes were spoiled and the tunnel's frames unreadable, so the answer broke off (LOST; with four bytes too many before that, MIXED). Only the direction that sends sets the mark now.

--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -329,7 +329,8 @@
     std::array<asio::const_buffer, 2> Parts{
         asio::buffer(FrameHead.data(), HeadBytes),
         asio::buffer(Buffer.data(), Read)};
-    Pair->IsSending_ = !ToTarget;
+    if (!ToTarget)
+      Pair->IsSending_ = true;
     co_await asio::async_write(
         To, Parts, asio::redirect_error(asio::use_awaitable, WriteCause));
     if (!ToTarget && !WriteCause)
--- a/Tests/Relay/RelayNoticeTest.cpp
+++ b/Tests/Relay/RelayNoticeTest.cpp
@@ -1,3 +1,4 @@
+#include "Http/TunnelDecoder.h"
 #include "Http/TunnelFrame.h"
 #include "Relay/RelayPlace.h"
 #include "Routing/BackOffs.h"
@@ -7,9 +8,13 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <thread>
+#include <vector>
+
 using namespace anvil;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using boost::system::error_code;
 using namespace std::chrono_literals;
 
 /// What a VM that relays answers to a notice, sent on a connection of its own.
@@ -74,6 +79,34 @@
         CHECK(readBytes(Asker, TunnelFrameHeadBytes + 5).ends_with("whole"));
       }
     }
+    // Guards against LOST: an answer under way is cut by the word.
+    SECTION("also while it still sends and the answer waits to be read") {
+      const std::string Sent(32 * 1024 * 1024, 'x');
+      std::thread Sender([&] {
+        error_code Ignored;
+        asio::write(Target, asio::buffer(Sent), Ignored);
+      });
+      std::this_thread::sleep_for(300ms);
+      asio::write(Asker, asio::buffer(std::string("more")));
+      std::this_thread::sleep_for(100ms);
+      Vm.run([](RelayServer &Server) { Server.retire("target-1", 7); });
+      TunnelDecoder Frames;
+      std::string Body;
+      std::vector<char> Buffer(64 * 1024);
+      error_code Cause;
+      bool IsFramed = true;
+      while (Body.size() < Sent.size() && IsFramed && !Cause) {
+        std::size_t Size = Asker.read_some(asio::buffer(Buffer), Cause);
+        auto Decoded = Frames.decode(Buffer.data(), Size);
+        IsFramed = Decoded.has_value();
+        Body.append(Buffer.data(), Decoded.value_or(0));
+      }
+      CHECK(IsFramed);
+      CHECK((Body == Sent));
+      CHECK_FALSE(Frames.takesRequests());
+      Asker.close();
+      Sender.join();
+    }
     SECTION("not of others") {
       Vm.run([](RelayServer &Server) { Server.retire("target-1", 8); });
       Vm.run([](RelayServer &Server) { Server.retire("target-2", 7); });
