--- a/Source/Entry/RequestRun.cpp
+++ b/Source/Entry/RequestRun.cpp
@@ -374,6 +374,7 @@
   Framing_ = Connection_.framing();
   StreamEnd_.reset();
   EndSign_.reset();
+  EndWait_ = {};
   auto Response = platform::decodeTargetResponse(valueOf(Head));
   applyTargetHeaders(Chosen, Response, SentAt, Now);
   bool IsMissing = Response.Status_ == 421;
