review: case 15, whole streams of a draining engine are broken off behind a relay

Cause: the end of an answer without a length needs a sign of life of its engine, and a VM that is cut off can't ask an engine that drains, since no VM relays to it.

--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextvars
 import json
 import os
 import shutil
@@ -132,6 +133,24 @@
             writer.transport.abort()
 
 
+# The engines' addresses as the VM sees them that is being answered.
+LINKS = contextvars.ContextVar("links", default={})
+
+
+class StoreView(Server):
+    """The store as one VM reaches it. The engines' addresses are those of the
+    VM's own links to them."""
+
+    def __init__(self, store, links):
+        super().__init__(store.address)
+        self.store = store
+        self.links = links
+
+    async def handle(self, *arguments):
+        LINKS.set(self.links)
+        return await self.store.handle(*arguments)
+
+
 class Store(Server):
     """The platform's store: rows with one version counter, transactions and a
     feed. It can be away, and come back from an older copy in a new era."""
@@ -178,6 +197,8 @@
         if text is None:
             row["Deleted"] = True
         else:
+            if name[0] == "servers" and name[2] in LINKS.get():
+                text = json.dumps(dict(json.loads(text), Address=LINKS.get()[name[2]])).encode()
             row["Value"] = base64.b64encode(text).decode()
         return row
 
@@ -349,6 +370,7 @@
 
     def start(self, name, bootstrap=False):
         vm = self.vms[name]
+        store = vm.get("store", self.store)
         callers, ready, peer, relay = vm["ports"]
         settings = {
             "mode": "entry",
@@ -367,7 +389,7 @@
             "store": {
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
-                "address": f"{self.store.address}:{self.store.port}",
+                "address": f"{store.address}:{store.port}",
             },
             "bounds": {
                 "key_withdrawal_ms": 5000,
