--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -360,7 +360,8 @@
         self.processes = []
 
     def add(self, name, zone, index):
-        address = f"127.0.{10 + index}.1"
+        # Runs side by side keep to addresses of their own.
+        address = f"127.{20 + os.getpid() % 200}.{10 + index}.1"
         self.vms[name] = {
             "zone": zone,
             "address": address,
@@ -490,6 +491,8 @@
     if the case couldn't run."""
     open_record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A case that is stopped ends what it has started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record("begins", trouble=trouble)
     try:
         broken = asyncio.run(asyncio.wait_for(case(trouble), 110))
