A target whose removal was seen stays removed in an older copy of the list

Cause: the roster remembered only targets that had said that they leave; a removed one counted as usable once an entry of its incarnation was listed, also in a list that is older than the removal.

Change: when the list comes from an older copy, targets whose removal was seen stay removed for 10 s (MaxOutdatedTime_), unless they start again.

--- a/Source/Serving/TargetRoster.cpp
+++ b/Source/Serving/TargetRoster.cpp
@@ -17,7 +17,10 @@
 std::vector<RosterChange>
 TargetRoster::applyList(std::vector<RegisteredTarget> Listed, TimePoint Now) {
   bool WasOutage = std::exchange(ListUnavailable_, false) && wasUnknown(Now);
-  if (std::exchange(ListRestored_, false) || WasOutage)
+  bool WasRestored = std::exchange(ListRestored_, false);
+  if (WasRestored)
+    recordRemoved(Now);
+  if (WasRestored || WasOutage)
     LapseUntil_ = Now + Options_.LapseGrace_;
   ReadAt_ = Now;
   std::vector<RosterChange> Changes;
@@ -36,6 +39,12 @@
       if (*Known.OutdatedSince_ + Options_.MaxOutdatedTime_ > Now)
         continue;
     }
+    bool IsCopied =
+        !IsNewIncarnation && Known.RemovedUntil_ && Now < *Known.RemovedUntil_;
+    if (IsCopied) {
+      Known.SeenAt_ = Now;
+      continue;
+    }
     TargetUsability Usability = Entry.State_ == TargetState::Draining
                                     ? TargetUsability::Draining
                                     : TargetUsability::Usable;
@@ -47,8 +56,8 @@
       Changes.push_back({Entry.Id_, Usability, IsNew || IsNewIncarnation});
     auto RestartedAt =
         IsNewIncarnation ? std::optional(Now) : Known.RestartedAt_;
-    Known = {std::move(Entry), Usability, Now,
-             RestartedAt,      IsLeaving, std::nullopt};
+    Known = {std::move(Entry), Usability,    Now,         RestartedAt,
+             IsLeaving,        std::nullopt, std::nullopt};
   }
   for (auto It = Targets_.begin(); It != Targets_.end();) {
     ListedTarget &Known = It->second;
@@ -72,6 +81,12 @@
   return Changes;
 }
 
+void TargetRoster::recordRemoved(TimePoint Now) {
+  for (auto &[Id, Known] : Targets_)
+    if (Known.Usability_ == TargetUsability::Unlisted)
+      Known.RemovedUntil_ = Now + Options_.MaxOutdatedTime_;
+}
+
 bool TargetRoster::wasUnknown(TimePoint Now) const {
   return !ReadAt_ || *ReadAt_ + Options_.MinOutage_ <= Now;
 }
--- a/Source/Serving/TargetRoster.h
+++ b/Source/Serving/TargetRoster.h
@@ -16,9 +16,10 @@
   /// How long after the recovery of the list the lapsed entries of running
   /// targets may be missing; the platform's documentation gives 2 s.
   Duration LapseGrace_ = std::chrono::milliseconds(2200);
-  /// For how long the list may show an entry from before a target's restart. A
-  /// target writes its entry every second or so, and that of one that is silent
-  /// is removed.
+  /// For how long the list may show an entry from before a target's restart, or
+  /// from before its removal if the list is restored from a copy. A target
+  /// writes its entry every second or so, and that of one that is silent is
+  /// removed.
   Duration MaxOutdatedTime_ = std::chrono::seconds(10);
   /// For how long the list must have been unknown before entries may have
   /// lapsed: a target that can't write its entry for less keeps it.
@@ -55,6 +56,9 @@
   std::optional<TimePoint> RestartedAt_;
   /// Whether its present incarnation was reported as leaving, which is final.
   bool IsLeaving_ = false;
+  /// Until when an entry of its present incarnation may come from a copy of the
+  /// list that is older than the removal that was seen, if one may.
+  std::optional<TimePoint> RemovedUntil_;
   /// Since when the list has shown an entry that looks older, if it does.
   std::optional<TimePoint> OutdatedSince_;
 };
@@ -83,7 +87,7 @@
   void recordListOutage() { ListUnavailable_ = true; }
 
   /// Records that the list is another one from now on, in which the entries of
-  /// running targets may be missing.
+  /// running targets may be missing, and removed ones are listed again.
   void recordListRestored() { ListRestored_ = true; }
 
   /// Extends the time in which missing entries may only have lapsed, as
@@ -115,6 +119,8 @@
   std::optional<Duration> age(TimePoint Now) const;
 
 private:
+  /// Applies that the list comes from an older copy.
+  void recordRemoved(TimePoint Now);
   /// Whether the list was unknown for so long that entries may have lapsed.
   bool wasUnknown(TimePoint Now) const;
 
--- a/Tests/Serving/TargetRosterTest.cpp
+++ b/Tests/Serving/TargetRosterTest.cpp
@@ -52,6 +52,42 @@
     Roster.applyList({entry("a")}, Start + 1s);
     CHECK(Roster.usable("engines").size() == 1);
     CHECK(Roster.find("b")->Usability_ == TargetUsability::Unlisted);
+    // Guards against DRAIN: a target that was removed and still serves gets
+    // requests again, since an older copy of the list shows its entry.
+    SECTION("nor when a copy from before is restored") {
+      Roster.recordListRestored();
+      Roster.applyList({entry("a"), entry("b")}, Start + 3s);
+      CHECK(Roster.usable("engines").size() == 1);
+      CHECK(Roster.find("b")->Usability_ == TargetUsability::Unlisted);
+      Roster.applyList({entry("a"), entry("b")}, Start + 12s);
+      CHECK(Roster.usable("engines").size() == 1);
+      SECTION("until it is removed there, too, and registers again") {
+        Roster.applyList({entry("a")}, Start + 12500ms);
+        CHECK(Roster.usable("engines").size() == 1);
+        Roster.applyList({entry("a"), entry("b")}, Start + 14s);
+        CHECK(Roster.usable("engines").size() == 2);
+      }
+      SECTION("until it has been listed for longer than a silent one is") {
+        auto Changes = Roster.applyList({entry("a"), entry("b")}, Start + 13s);
+        REQUIRE(Changes.size() == 1);
+        CHECK(Changes[0].Usability_ == TargetUsability::Usable);
+        CHECK(Roster.usable("engines").size() == 2);
+      }
+      SECTION("until it restarts") {
+        Roster.applyList({entry("a"), entry("b", 2)}, Start + 4s);
+        CHECK(Roster.usable("engines").size() == 2);
+      }
+      SECTION("also through a second restore") {
+        Roster.recordListRestored();
+        Roster.applyList({entry("a"), entry("b")}, Start + 12s);
+        Roster.applyList({entry("a"), entry("b")}, Start + 21s);
+        CHECK(Roster.usable("engines").size() == 1);
+      }
+    }
+    SECTION("but sends them again when it registers again by itself") {
+      Roster.applyList({entry("a"), entry("b")}, Start + 2s);
+      CHECK(Roster.usable("engines").size() == 2);
+    }
   }
   SECTION("accepts another VM's report that a target is leaving") {
     CHECK(Roster.recordLeaving("b", 1));
