An event without an end leaves the VM's thread to others

Cause: EventSplitter searched the whole incomplete event with each part, and forwardStream read received parts without a pause.

Change: only new bytes are searched; after 64 parts of one event the reader pauses for 20 ms.

--- a/Source/Entry/RequestReplies.cpp
+++ b/Source/Entry/RequestReplies.cpp
@@ -5,6 +5,7 @@
 
 #include "Entry/CrashProbe.h"
 #include "Entry/RandomFraction.h"
+#include "Http/Pause.h"
 #include "Kernel/EnumNames.h"
 #include "Serving/RetryAfter.h"
 #include "Telemetry/Log.h"
@@ -30,6 +31,11 @@
 /// are forwarded as they arrive, without a limit.
 static constexpr std::size_t MaxReplyBytes = 4 * 1024 * 1024;
 
+/// How many parts of one event are read at once, and the pause after them. A
+/// sound event has few.
+static constexpr std::size_t MaxPartsAtOnce = 64;
+static constexpr Duration PartsPause = std::chrono::milliseconds(20);
+
 /// The reason logged when a reply is too large, or had to give way to others.
 static constexpr std::string_view ReplyTooLong = "answer_too_long";
 
@@ -188,6 +194,7 @@
   }
   StreamPace Pace;
   StreamEndCheck EndCheck;
+  std::size_t PartsOfEvent = 0;
   TimePoint Deadline = replyDeadline();
   BufferShare EventShare(Shared_.Pool_.limits().Budget_, [this] { giveWay(); });
   while (true) {
@@ -224,6 +231,11 @@
     }
     if (!Forwarded.empty())
       recordEvents();
+    // Many small parts may be received already, so that reading them wouldn't
+    // let others run.
+    PartsOfEvent = Forwarded.empty() ? PartsOfEvent + 1 : 0;
+    if (PartsOfEvent % MaxPartsAtOnce == MaxPartsAtOnce - 1)
+      co_await pauseFor(Pause_, PartsPause);
     if (!co_await Exchange_.write(Forwarded)) {
       logDisconnect(Response.Status_);
       co_return SendOutcome::Done;
--- a/Source/Serving/EventSplitter.cpp
+++ b/Source/Serving/EventSplitter.cpp
@@ -3,10 +3,13 @@
 namespace anvil {
 
 std::string EventSplitter::appendBytes(std::string_view Bytes) {
+  // What was there holds no end of an event, but may end with half of one.
+  std::size_t Searched = Incomplete_.size() - (Incomplete_.empty() ? 0 : 1);
   Incomplete_ += Bytes;
-  auto End = Incomplete_.rfind("\n\n");
-  if (End == std::string::npos)
+  auto End = std::string_view(Incomplete_).substr(Searched).rfind("\n\n");
+  if (End == std::string_view::npos)
     return {};
+  End += Searched;
   std::string Complete = Incomplete_.substr(0, End + 2);
   Incomplete_.erase(0, End + 2);
   readIds(Complete);
--- a/Tests/Serving/EventSplitterTest.cpp
+++ b/Tests/Serving/EventSplitterTest.cpp
@@ -21,6 +21,13 @@
     CHECK(Events.appendBytes("\n\ndata: z\n\n") == "id: 2\n\n\ndata: z\n\n");
     CHECK(Events.lastId() == "2");
   }
+  SECTION("finds an end that comes in two parts") {
+    CHECK(Events.appendBytes("data: y\n") == "");
+    CHECK(Events.appendBytes("\n") == "id: 2\ndata: y\n\n");
+    CHECK(Events.incompleteEvent().empty());
+    CHECK(Events.appendBytes("\n") == "");
+    CHECK(Events.appendBytes("\nid: 3") == "\n\n");
+  }
   SECTION("loses and adds no byte, whatever the chunks") {
     rc::prop("chunks join to the original stream", [](const std::string &Bytes,
                                                       unsigned char Step) {
