Copies of streams that have expired make room for new ones at the limit

At 100,000 copies of other VMs' streams a VM took no more, and removed expired ones only as it took some, so it would never have taken any again. Found by reading the diff; no run has reached the limit. Expired copies are removed first now (StreamRecords::removeExpired, StreamRecordsTest).

--- a/Source/Entry/StreamVersionService.cpp
+++ b/Source/Entry/StreamVersionService.cpp
@@ -257,6 +257,8 @@
 
 void StreamVersionService::applyCopies(const StreamCopies &Copies) {
   TimePoint Now = BootClock::now();
+  if (Copies_.size() >= MaxCopiesKept)
+    Copies_.removeExpired(Now);
   for (const StreamRecord &Record : decodeStreamRecords(Copies.Records_))
     if (Copies_.size() < MaxCopiesKept)
       Copies_.add(Record, Now);
--- a/Source/Streams/StreamRecords.cpp
+++ b/Source/Streams/StreamRecords.cpp
@@ -19,7 +19,7 @@
 
 void StreamRecords::add(const StreamRecord &Record, TimePoint Now) {
   if (Entries_.size() >= PruneSize_)
-    prune(Now);
+    removeExpired(Now);
   std::uint32_t Origin = indexOf(Record.Origin_);
   TimePoint Until = Now + Record.KeepFor_;
   auto [Found, IsNew] =
@@ -52,7 +52,7 @@
   return Found;
 }
 
-void StreamRecords::prune(TimePoint Now) {
+void StreamRecords::removeExpired(TimePoint Now) {
   std::erase_if(Entries_,
                 [&](const auto &Item) { return Item.second.Until_ < Now; });
   constexpr std::size_t MinSize = 1024;
--- a/Source/Streams/StreamRecords.h
+++ b/Source/Streams/StreamRecords.h
@@ -43,6 +43,9 @@
   /// to be kept.
   std::vector<StreamRecord> known(TimePoint Now) const;
 
+  /// Frees the memory of expired records.
+  void removeExpired(TimePoint Now);
+
   /// The number of records in memory, some expired ones included.
   std::size_t size() const { return Entries_.size(); }
 
@@ -55,7 +58,6 @@
   };
 
   std::uint32_t indexOf(const StreamOrigin &Origin);
-  void prune(TimePoint Now);
 
   /// Few, since a service seldom has more than two versions at a time.
   std::vector<StreamOrigin> Origins_;
--- a/Tests/Streams/StreamRecordsTest.cpp
+++ b/Tests/Streams/StreamRecordsTest.cpp
@@ -33,6 +33,12 @@
       CHECK(Records.find(7, Now + 40s).Origin_ == New);
     }
   }
+  SECTION("and expired ones can be removed at once") {
+    Records.add({8, Old, 5s}, Now);
+    Records.removeExpired(Now + 10s);
+    CHECK(Records.size() == 1);
+    CHECK(Records.find(7, Now + 10s).Origin_ == Old);
+  }
   SECTION("and those that are known can be written again") {
     Records.add({8, Old, 20s}, Now);
     Records.add({8, New, 20s}, Now);
