TargetProbe answers questions itself; one way to call the engines

The relay and the VM that tests play each turned a question into a probe and its result into an answer, and each of three places wrapped EngineControl::ask into a hook. TargetProbe::answer and its EngineControl serve all; a relay keeps one probe in place of a new one for each question. No behaviour changes.

--- a/Source/Entry/ReachService.cpp
+++ b/Source/Entry/ReachService.cpp
@@ -89,6 +89,7 @@
       Engines_(
           ReportTime,
           Services.require<ReceiveBudgets>(ReceiveBudgets::Name)->control()),
+      Probe_(Engines_, Metrics_, Tunnels_.limits().Budget_),
       Server_(
           Executor_, Timers, serverOptions(Settings, Key_), Metrics_,
           [this](const RelayRequest &Request) { return resolve(Request); },
@@ -96,7 +97,7 @@
             return confirm(Request, Address);
           },
           [this](const RelayRequest &Request, const Endpoint &Address) {
-            return answer(Request, Address);
+            return Probe_.answer(Request, Address);
           },
           [this](const RelayNotice &Notice) { applyNotice(Notice); }) {}
 
@@ -108,25 +109,6 @@
       enumName(findingOf(Report, Request.Incarnation_), IncarnationNames));
 }
 
-asio::awaitable<std::optional<RelayAnswer>>
-ReachService::answer(RelayRequest Request, Endpoint Address) {
-  TargetProbe Probe(
-      [this](platform::EngineAddress Of, std::string Path) {
-        return Engines_.ask(std::move(Of), std::move(Path));
-      },
-      [](const Endpoint &, const HttpConnection &) {}, Metrics_,
-      Tunnels_.limits().Budget_);
-  ProbeQuestion Question{
-      {Request.Target_, Request.Incarnation_, std::move(Address)},
-      Request.Question_->Path_,
-      Request.Question_->CloseTime_};
-  auto Found = co_await Probe.probe(std::move(Question));
-  if (!Found)
-    co_return std::nullopt;
-  co_return RelayAnswer{std::string(enumName(Found->Sign_, LifeSignNames)),
-                        Found->Incarnation_};
-}
-
 Endpoint ReachService::address() const {
   return {Settings_.Listen_.Address_,
           static_cast<std::uint16_t>(Settings_.Listen_.RelayPort_)};
--- a/Source/Entry/ReachService.h
+++ b/Source/Entry/ReachService.h
@@ -159,9 +159,6 @@
   /// Tells a VM that relays what a target told it.
   boost::asio::awaitable<void> tellRelay(std::string Vm, TargetAddress Target,
                                          Duration Time);
-  /// Asks a target whether its process lives, for another VM.
-  boost::asio::awaitable<std::optional<RelayAnswer>>
-  answer(RelayRequest Request, Endpoint Address);
   /// Asks a target which of its incarnations runs, for another VM.
   boost::asio::awaitable<std::string> confirm(RelayRequest Request,
                                               Endpoint Address);
@@ -194,6 +191,8 @@
   BackOffs BackOffs_;
   BackOffs RelayBackOffs_;
   platform::EngineControl Engines_;
+  /// Answers the questions of other VMs.
+  TargetProbe Probe_;
   RelayServer Server_;
   /// The targets about which other VMs are being asked, and those that are
   /// being checked.
--- a/Source/Entry/RequestServices.cpp
+++ b/Source/Entry/RequestServices.cpp
@@ -63,14 +63,11 @@
                        ReachState::Direct;
   if (IsReached) {
     TargetProbe Probe(
-        [this](platform::EngineAddress Of, std::string Path) {
-          return Engines_->ask(std::move(Of), std::move(Path));
-        },
+        *Engines_, Metrics_, Pool_.limits().Budget_,
         [this](const Endpoint &Address, HttpConnection Connection) {
           Pool_.returnConnection(Address, std::move(Connection),
                                  BootClock::now());
-        },
-        Metrics_, Pool_.limits().Budget_);
+        });
     ProbeQuestion Question{Target, Ended.QuestionPath_, Ended.CloseTime_};
     auto Found = co_await Probe.probe(std::move(Question));
     if (Found)
--- a/Source/Entry/TargetProbe.h
+++ b/Source/Entry/TargetProbe.h
@@ -4,6 +4,7 @@
 #include "Entry/TargetAddress.h"
 #include "Http/HttpConnection.h"
 #include "Kernel/Clock.h"
+#include "Relay/RelayRequest.h"
 #include "Telemetry/Metrics.h"
 #include "platform/EngineControl.h"
 
@@ -58,22 +59,24 @@
 /// processes live.
 class TargetProbe {
 public:
-  using AskHook =
-      std::function<boost::asio::awaitable<Result<platform::ProcessAnswer>>(
-          platform::EngineAddress, std::string)>;
   using KeepHook = std::function<void(const Endpoint &, HttpConnection)>;
 
-  /// `Ask` asks for a page. Connections that the probe opened and no longer
-  /// needs go to `Keep`; what they receive counts against the budget.
-  TargetProbe(AskHook Ask, KeepHook Keep, std::shared_ptr<Metrics> Counts,
-              std::shared_ptr<BufferBudget> Budget);
+  /// Connections that the probe opened and no longer needs go to `Keep`, or are
+  /// closed without it; what they receive counts against the budget.
+  TargetProbe(platform::EngineControl &Control, std::shared_ptr<Metrics> Counts,
+              std::shared_ptr<BufferBudget> Budget, KeepHook Keep = {});
 
   /// Nothing if the target can't be connected to.
   boost::asio::awaitable<std::optional<ProbeResult>>
   probe(ProbeQuestion Question);
 
+  /// Answers another VM's question about the target at an address. Nothing if
+  /// it can't be connected to.
+  boost::asio::awaitable<std::optional<RelayAnswer>>
+  answer(RelayRequest Request, Endpoint Address);
+
 private:
-  AskHook Ask_;
+  platform::EngineControl &Control_;
   KeepHook Keep_;
   std::shared_ptr<Metrics> Counts_;
   std::shared_ptr<BufferBudget> Budget_;
--- a/Tests/Integration/RelayingVm.cpp
+++ b/Tests/Integration/RelayingVm.cpp
@@ -2,8 +2,6 @@
 
 #include "Entry/FleetCodec.h"
 #include "Entry/OwnerRows.h"
-#include "Entry/TargetProbe.h"
-#include "Kernel/EnumNames.h"
 #include "Telemetry/Log.h"
 
 #include <boost/asio/post.hpp>
@@ -47,7 +45,7 @@
   };
   auto Answer = [this](const RelayRequest &Request, const Endpoint &Address)
       -> asio::awaitable<std::optional<RelayAnswer>> {
-    return answer(Request, Address);
+    return Probe_.answer(Request, Address);
   };
   Server_ = std::make_unique<RelayServer>(
       Loop_.get_executor(), Timers_, std::move(Options),
@@ -81,25 +79,6 @@
   Thread_.join();
 }
 
-asio::awaitable<std::optional<RelayAnswer>>
-RelayingVm::answer(RelayRequest Request, Endpoint Address) {
-  TargetProbe Probe(
-      [this](platform::EngineAddress Of, std::string Path) {
-        return Control_.ask(std::move(Of), std::move(Path));
-      },
-      [](const Endpoint &, const HttpConnection &) {},
-      std::make_shared<Metrics>(), nullptr);
-  ProbeQuestion Question{
-      {Request.Target_, Request.Incarnation_, std::move(Address)},
-      Request.Question_->Path_,
-      Request.Question_->CloseTime_};
-  auto Found = co_await Probe.probe(std::move(Question));
-  if (!Found)
-    co_return std::nullopt;
-  co_return RelayAnswer{std::string(enumName(Found->Sign_, LifeSignNames)),
-                        Found->Incarnation_};
-}
-
 std::size_t RelayingVm::openTunnels() {
   std::promise<std::size_t> Count;
   asio::post(Loop_, [&] { Count.set_value(Server_->openTunnels()); });
--- a/Tests/Integration/RelayingVm.h
+++ b/Tests/Integration/RelayingVm.h
@@ -1,9 +1,9 @@
 #ifndef ANVIL_TESTS_INTEGRATION_RELAYINGVM_H
 #define ANVIL_TESTS_INTEGRATION_RELAYINGVM_H
 
+#include "Entry/TargetProbe.h"
 #include "Integration/SingleVm.h"
 #include "Relay/RelayServer.h"
-#include "platform/EngineControl.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -49,14 +49,13 @@
 
 private:
   void sendUpdates();
-  boost::asio::awaitable<std::optional<RelayAnswer>>
-  answer(RelayRequest Request, Endpoint Address);
 
   boost::asio::io_context Loop_{1};
   boost::asio::ip::udp::socket Updates_;
   boost::asio::ip::udp::endpoint Other_;
   TimerService Timers_;
   platform::EngineControl Control_{std::chrono::milliseconds(200)};
+  TargetProbe Probe_{Control_, std::make_shared<Metrics>(), nullptr};
   std::unique_ptr<RelayServer> Server_;
   std::atomic<std::uint16_t> TargetPort_;
   std::atomic<bool> IsReaching_ = true;
