--- a/Source/Entry/StreamVersionService.cpp
+++ b/Source/Entry/StreamVersionService.cpp
@@ -5,7 +5,6 @@
 #include "Http/Spawn.h"
 #include "Kernel/EnumNames.h"
 #include "Membership/Rendezvous.h"
-#include "Streams/CopyHolders.h"
 #include "Streams/StreamRows.h"
 #include "Telemetry/Log.h"
 
@@ -43,12 +42,6 @@
 /// lost, since its request was sent before.
 static constexpr Duration RepeatTime = std::chrono::seconds(30);
 
-/// How often copies are sent, how many in a datagram, and how many of other VMs
-/// are kept.
-static constexpr Duration CopyPeriod = std::chrono::milliseconds(250);
-static constexpr std::size_t MaxCopiesSent = 100;
-static constexpr std::size_t MaxCopiesKept = 100'000;
-
 /// Rows of other VMs are removed this long after they expired, at a random
 /// time, in case their writers are gone.
 static constexpr Duration MaxRemovalDelay = std::chrono::seconds(60);
@@ -67,13 +60,14 @@
       Plans_(Services.require<PlanService>(PlanService::Name)),
       Targets_(Services.require<TargetListService>(TargetListService::Name)),
       Fleet_(Services.require<FleetState>(FleetState::Name)),
-      Link_(Services.require<FleetLink>(FleetLink::Name)),
       Metrics_(Services.require<Metrics>(Metrics::Name)),
       MainStore_(
           Services.require<platform::StoreClient>(PlatformService::Name)),
       // The settings were checked, so the address parses.
       Store_(std::get<Endpoint>(parseEndpoint(Settings.Store_.Address_)),
              std::chrono::milliseconds(Settings.Store_.TimeoutMs_), Metrics_),
+      Copies_(Executor_, Settings.holderName(),
+              Services.require<FleetLink>(FleetLink::Name), Fleet_),
       WriteTimeout_(MinWriteTimeout) {}
 
 Status StreamVersionService::start() {
@@ -83,10 +77,7 @@
   Targets_->Updated_.attach([this](const std::vector<RegisteredTarget> &Fresh) {
     recordListed(Fresh);
   });
-  Link_->Received_.attach([this](const FleetMessage &Message) {
-    if (const auto *Copies = std::get_if<StreamCopies>(&Message))
-      applyCopies(*Copies);
-  });
+  Copies_.start();
   spawn(Executor_, maintainBaselines());
   spawn(Executor_, writeRecords());
   return std::monostate{};
@@ -135,9 +126,7 @@
 
 void StreamVersionService::remember(const StreamRecord &Record, TimePoint Now) {
   Own_.add(Record, Now);
-  CopiesDue_.push_back(Record);
-  if (CopiesDue_.size() == 1)
-    spawn(Executor_, sendCopies());
+  Copies_.send(Record);
   if (!RestoreSeenAt_ || Now >= *RestoreSeenAt_ + RepeatTime)
     return;
   Batcher_.addUnawaited(Record);
@@ -239,31 +228,6 @@
   }
 }
 
-asio::awaitable<void> StreamVersionService::sendCopies() {
-  co_await pauseFor(CopyPeriod);
-  std::vector<StreamRecord> Due = std::exchange(CopiesDue_, {});
-  TimePoint Now = BootClock::now();
-  auto Holders = copyHolders(
-      Settings_.holderName(), Link_->topology().directPeers(),
-      [&](const std::string &Vm) { return Fleet_->view().isServing(Vm, Now); });
-  for (std::size_t Sent = 0; Sent < Due.size(); Sent += MaxCopiesSent) {
-    auto First = Due.begin() + static_cast<std::ptrdiff_t>(Sent);
-    auto Last = Due.begin() + static_cast<std::ptrdiff_t>(
-                                  std::min(Sent + MaxCopiesSent, Due.size()));
-    StreamCopies Copies{encodeStreamRecords({First, Last})};
-    Link_->sendToGroup(Holders, Copies);
-  }
-}
-
-void StreamVersionService::applyCopies(const StreamCopies &Copies) {
-  TimePoint Now = BootClock::now();
-  if (Copies_.size() >= MaxCopiesKept)
-    Copies_.removeExpired(Now);
-  for (const StreamRecord &Record : decodeStreamRecords(Copies.Records_))
-    if (Copies_.size() < MaxCopiesKept)
-      Copies_.add(Record, Now);
-}
-
 asio::awaitable<void> StreamVersionService::maintainBaselines() {
   bool IsFirst = true;
   while (true) {
--- a/Source/Entry/StreamVersionService.h
+++ b/Source/Entry/StreamVersionService.h
@@ -1,9 +1,9 @@
 #ifndef ANVIL_ENTRY_STREAMVERSIONSERVICE_H
 #define ANVIL_ENTRY_STREAMVERSIONSERVICE_H
 
-#include "Entry/FleetLink.h"
 #include "Entry/FleetState.h"
 #include "Entry/PlanService.h"
+#include "Entry/StreamCopyExchange.h"
 #include "Entry/TargetListService.h"
 #include "Http/WaitList.h"
 #include "Kernel/ServiceRegistry.h"
@@ -111,9 +111,6 @@
   /// Records which software versions the list of targets shows.
   void recordListed(const std::vector<RegisteredTarget> &Fresh);
   void recordRoster();
-  /// Sends copies of what this VM remembers to others.
-  boost::asio::awaitable<void> sendCopies();
-  void applyCopies(const StreamCopies &Copies);
   boost::asio::awaitable<void> maintainBaselines();
   boost::asio::awaitable<bool> readBaselines();
   /// Returns whether all services with resumable streams have a baseline.
@@ -149,7 +146,6 @@
   std::shared_ptr<PlanService> Plans_;
   std::shared_ptr<TargetListService> Targets_;
   std::shared_ptr<FleetState> Fleet_;
-  std::shared_ptr<FleetLink> Link_;
   std::shared_ptr<Metrics> Metrics_;
   /// The daemon's client of the store, for its era.
   std::shared_ptr<platform::StoreClient> MainStore_;
@@ -159,10 +155,7 @@
 
   StreamBaselines Baselines_;
   StreamRecords Own_;
-  /// Copies of what other VMs remember of their streams.
-  StreamRecords Copies_;
-  /// What is to be copied to other VMs.
-  std::vector<StreamRecord> CopiesDue_;
+  StreamCopyExchange Copies_;
   StreamRecords Read_;
   RecordBatcher Batcher_;
   /// When a later era of the store than the first one was seen.
