--- a/Tests/Streams/StreamLoadTest.cpp
+++ b/Tests/Streams/StreamLoadTest.cpp
@@ -141,6 +141,73 @@
   CHECK(Known * Fleet.vmCount() >= Looked * (Fleet.vmCount() - Killed));
 }
 
+/// A fleet whose disturbances, streams and look-ups are drawn from a seed.
+class DrawnFleet {
+public:
+  explicit DrawnFleet(unsigned Seed) : Fleet_(planOf(Seed)), Random_(Seed) {}
+
+  StreamFleet &fleet() { return Fleet_; }
+
+  int draw(int Bound) {
+    return std::uniform_int_distribution<int>(0, Bound - 1)(Random_);
+  }
+  std::size_t drawVm() {
+    return static_cast<std::size_t>(draw(static_cast<int>(Fleet_.vmCount())));
+  }
+
+  void endCuts() {
+    for (std::size_t Vm = 0; Vm < Fleet_.vmCount(); ++Vm)
+      Fleet_.setCut(Vm, false);
+  }
+  void release() { Fleet_.Usable_["v" + std::to_string(++Newest_)] = 4; }
+  /// Takes the oldest or the newest version away, unless it is the only one.
+  void withdrawVersion() {
+    if (Fleet_.Usable_.size() > 1)
+      Fleet_.Usable_.erase(draw(2) ? Fleet_.Usable_.begin()
+                                   : std::prev(Fleet_.Usable_.end()));
+  }
+
+  /// Begins a stream, and lets up to half a second pass.
+  void beginStream() {
+    auto Version = std::next(Fleet_.Usable_.begin(),
+                             draw(static_cast<int>(Fleet_.Usable_.size())));
+    Fleet_.begin(drawVm(), Version->first);
+    Fleet_.advance(StreamFleet::Step * (1 + draw(100)));
+  }
+
+  /// Looks all streams up that may be taken up, each at a VM. None may find
+  /// another version.
+  void lookUpAll() {
+    for (auto Stream = Fleet_.begun().rbegin();
+         Stream != Fleet_.begun().rend() &&
+         Stream->BeganAt_ + StreamFleet::TakeUpTime > Fleet_.now();
+         ++Stream) {
+      auto Origin = Fleet_.lookUp(drawVm(), Stream->Key_);
+      ++Looked_;
+      Found_ += Origin ? 1 : 0;
+      if (Origin)
+        REQUIRE(*Origin == Stream->Version_);
+    }
+  }
+
+  std::size_t looked() const { return Looked_; }
+  std::size_t found() const { return Found_; }
+
+private:
+  static StreamFleetPlan planOf(unsigned Seed) {
+    StreamFleetPlan Plan;
+    Plan.Vms_ = 5;
+    Plan.Seed_ = Seed;
+    return Plan;
+  }
+
+  StreamFleet Fleet_;
+  std::mt19937 Random_;
+  int Newest_ = 1;
+  std::size_t Looked_ = 0;
+  std::size_t Found_ = 0;
+};
+
 // Guards against ORDER after restores of the store beside releases: a stream of
 // another version whose record is lost looks like one of the baseline.
 TEST_CASE("no restore makes a stream look like one of another version",
@@ -148,67 +215,46 @@
   std::size_t Looked = 0;
   std::size_t Found = 0;
   for (unsigned Seed = 1; Seed <= 60; ++Seed) {
-    StreamFleetPlan Plan;
-    Plan.Vms_ = 5;
-    Plan.Seed_ = Seed;
-    StreamFleet Fleet(Plan);
-    std::mt19937 Random(Seed);
-    auto Draw = [&](int Bound) {
-      return std::uniform_int_distribution<int>(0, Bound - 1)(Random);
-    };
-    int Newest = 1;
+    DrawnFleet Drawn(Seed);
+    StreamFleet &Fleet = Drawn.fleet();
     for (int Round = 0; Round < 60; ++Round) {
-      switch (Draw(7)) {
+      switch (Drawn.draw(7)) {
       case 0:
-        Fleet.setCut(static_cast<std::size_t>(Draw(5)), true);
+        Fleet.setCut(Drawn.drawVm(), true);
         break;
       case 1:
-        for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm)
-          Fleet.setCut(Vm, false);
+        Drawn.endCuts();
         break;
       case 2:
-        Fleet.restart(static_cast<std::size_t>(Draw(5)));
+        Fleet.restart(Drawn.drawVm());
         break;
       case 3:
-        Fleet.Usable_["v" + std::to_string(++Newest)] = 4;
+        Drawn.release();
         break;
       case 4:
-        if (Fleet.Usable_.size() > 1)
-          Fleet.Usable_.erase(Draw(2) ? Fleet.Usable_.begin()
-                                      : std::prev(Fleet.Usable_.end()));
+        Drawn.withdrawVersion();
         break;
       default:
         Fleet.advance(std::chrono::seconds(60));
       }
-      bool IsRestored = Draw(3) == 0;
+      bool IsRestored = Drawn.draw(3) == 0;
       Fleet.takeCopy();
       for (int Count = 0; Count < 12; ++Count) {
-        auto Version = std::next(Fleet.Usable_.begin(),
-                                 Draw(static_cast<int>(Fleet.Usable_.size())));
-        Fleet.begin(static_cast<std::size_t>(Draw(5)), Version->first);
-        Fleet.advance(StreamFleet::Step * (1 + Draw(100)));
+        Drawn.beginStream();
         if (IsRestored && Count == 4) {
           Fleet.setStoreUp(false);
-          Fleet.advance(StreamFleet::Step * Draw(200));
-          if (Draw(2))
-            Fleet.restart(static_cast<std::size_t>(Draw(5)));
+          Fleet.advance(StreamFleet::Step * Drawn.draw(200));
+          if (Drawn.draw(2))
+            Fleet.restart(Drawn.drawVm());
           Fleet.restore();
           Fleet.setStoreUp(true);
         }
       }
-      for (auto Stream = Fleet.begun().rbegin();
-           Stream != Fleet.begun().rend() &&
-           Stream->BeganAt_ + StreamFleet::TakeUpTime > Fleet.now();
-           ++Stream) {
-        auto Origin =
-            Fleet.lookUp(static_cast<std::size_t>(Draw(5)), Stream->Key_);
-        ++Looked;
-        Found += Origin ? 1 : 0;
-        INFO("seed " << Seed << " round " << Round);
-        if (Origin)
-          REQUIRE(*Origin == Stream->Version_);
-      }
+      INFO("seed " << Seed << " round " << Round);
+      Drawn.lookUpAll();
     }
+    Looked += Drawn.looked();
+    Found += Drawn.found();
   }
   INFO(Found << " of " << Looked);
   CHECK(Found > Looked / 4);
@@ -218,72 +264,46 @@
   // Releases that go on and are taken back, VMs that are cut off, killed one by
   // one or all at once, and a store that is away or loses answers.
   for (unsigned Seed = 1; Seed <= 60; ++Seed) {
-    StreamFleetPlan Plan;
-    Plan.Vms_ = 5;
-    Plan.Seed_ = Seed;
-    StreamFleet Fleet(Plan);
-    std::mt19937 Random(Seed);
-    auto Draw = [&](int Bound) {
-      return std::uniform_int_distribution<int>(0, Bound - 1)(Random);
-    };
-    std::size_t Looked = 0;
-    std::size_t Found = 0;
-    int Newest = 1;
+    DrawnFleet Drawn(Seed);
+    StreamFleet &Fleet = Drawn.fleet();
     for (int Round = 0; Round < 120; ++Round) {
-      switch (Draw(9)) {
+      switch (Drawn.draw(9)) {
       case 0:
-        Fleet.setCut(static_cast<std::size_t>(Draw(5)), true);
+        Fleet.setCut(Drawn.drawVm(), true);
         break;
       case 1:
-        for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm)
-          Fleet.setCut(Vm, false);
+        Drawn.endCuts();
         break;
       case 2:
-        Fleet.restart(static_cast<std::size_t>(Draw(5)));
+        Fleet.restart(Drawn.drawVm());
         break;
       case 3:
         for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm)
           Fleet.restart(Vm);
         break;
       case 4:
-        Fleet.setStoreUp(Draw(3) > 0);
+        Fleet.setStoreUp(Drawn.draw(3) > 0);
         break;
       case 5:
-        Fleet.setLostAnswers(Draw(2) * 0.4);
+        Fleet.setLostAnswers(Drawn.draw(2) * 0.4);
         break;
       case 6:
-        Fleet.Usable_["v" + std::to_string(++Newest)] = 4;
+        Drawn.release();
         break;
       case 7:
-        if (Fleet.Usable_.size() > 1)
-          Fleet.Usable_.erase(Draw(2) ? Fleet.Usable_.begin()
-                                      : std::prev(Fleet.Usable_.end()));
+        Drawn.withdrawVersion();
         break;
       default:
         // Long enough for a baseline to change.
         Fleet.advance(std::chrono::seconds(60));
       }
-      for (int Count = 0; Count < 12; ++Count) {
-        auto Version = std::next(Fleet.Usable_.begin(),
-                                 Draw(static_cast<int>(Fleet.Usable_.size())));
-        Fleet.begin(static_cast<std::size_t>(Draw(5)), Version->first);
-        Fleet.advance(StreamFleet::Step * (1 + Draw(100)));
-      }
-      for (auto Stream = Fleet.begun().rbegin();
-           Stream != Fleet.begun().rend() &&
-           Stream->BeganAt_ + StreamFleet::TakeUpTime > Fleet.now();
-           ++Stream) {
-        auto Origin =
-            Fleet.lookUp(static_cast<std::size_t>(Draw(5)), Stream->Key_);
-        ++Looked;
-        Found += Origin ? 1 : 0;
-        INFO("seed " << Seed << " round " << Round);
-        if (Origin)
-          REQUIRE(*Origin == Stream->Version_);
-      }
+      for (int Count = 0; Count < 12; ++Count)
+        Drawn.beginStream();
+      INFO("seed " << Seed << " round " << Round);
+      Drawn.lookUpAll();
     }
-    INFO("seed " << Seed << ": " << Found << " of " << Looked);
+    INFO("seed " << Seed << ": " << Drawn.found() << " of " << Drawn.looked());
     // Most of the time the store answers.
-    CHECK(Found > Looked / 4);
+    CHECK(Drawn.found() > Drawn.looked() / 4);
   }
 }
