One requestText for both test programs

RelayedEndTest wrote a request's bytes as RelayPlace does; the function stands in Tests/Standins/RequestText.h now.

--- a/Tests/Integration/RelayedEndTest.cpp
+++ b/Tests/Integration/RelayedEndTest.cpp
@@ -2,6 +2,7 @@
 #include "Integration/EntryFleet.h"
 #include "Objects/Digest.h"
 #include "Relay/RelayRequest.h"
+#include "Standins/RequestText.h"
 
 #include <catch2/catch.hpp>
 
@@ -39,18 +40,14 @@
     RelayRequest Request{Row_.RelayKey_, "vm-9",        "tunnel", "request-9",
                          "engine-9",     1700000000000, true};
     Request.Question_ = std::move(Question);
-    HttpRequest Encoded = encodeRelayRequest(Request);
-    std::string Text = Encoded.Method_ + " " + Encoded.Target_ +
-                       " HTTP/1.1\r\nHost: target:0\r\n";
-    for (const HttpHeader &Header : Encoded.Headers_)
-      Text += Header.Name_ + ": " + Header.Value_ + "\r\n";
+    std::string Text = requestText(encodeRelayRequest(Request));
     boost::asio::io_context Loop;
     boost::asio::ip::tcp::socket Socket(Loop);
     std::string Address = Row_.PeerAddress_;
     Socket.connect(
         {boost::asio::ip::make_address(Address.substr(0, Address.find(':'))),
          Row_.RelayPort_});
-    boost::asio::write(Socket, boost::asio::buffer(Text + "\r\n"));
+    boost::asio::write(Socket, boost::asio::buffer(Text));
     std::string Answer;
     boost::system::error_code Ignored;
     boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Answer),
--- a/Tests/Relay/RelayPlace.cpp
+++ b/Tests/Relay/RelayPlace.cpp
@@ -101,13 +101,6 @@
   return Count;
 }
 
-std::string requestText(const HttpRequest &Request) {
-  std::string Text = Request.Method_ + " " + Request.Target_ + " HTTP/1.1\r\n";
-  for (const HttpHeader &Header : Request.Headers_)
-    Text += Header.Name_ + ": " + Header.Value_ + "\r\n";
-  return Text + "\r\n";
-}
-
 std::string readToEnd(tcp::socket &From, bool &IsReset) {
   std::string Text;
   error_code Cause;
--- a/Tests/Relay/RelayPlace.h
+++ b/Tests/Relay/RelayPlace.h
@@ -2,6 +2,7 @@
 #define ANVIL_TESTS_RELAY_RELAYPLACE_H
 
 #include "Relay/RelayServer.h"
+#include "Standins/RequestText.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -78,9 +79,6 @@
   std::thread Thread_;
 };
 
-/// The bytes of a request to a VM that relays.
-std::string requestText(const HttpRequest &Request);
-
 /// Reads until the connection ends. `IsReset` says how.
 std::string readToEnd(boost::asio::ip::tcp::socket &From, bool &IsReset);
 
